--- a/cmd/thymerackd/main.go
+++ b/cmd/thymerackd/main.go
@@ -13,6 +13,9 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/thymerack/thymerack/daemon"
+	"github.com/thymerack/thymerack/daemon/logqueue"
+	"github.com/thymerack/thymerack/daemon/routed"
+	"github.com/thymerack/thymerack/platform"
 	"github.com/thymerack/thymerack/settings"
 )
 
@@ -21,6 +24,12 @@
 	Config      string   `arg:"-c,--config" help:"INI file with this host's settings"`
 	Set         []string `arg:"-s,--set,separate" placeholder:"SECTION.KEY=VALUE" help:"override one setting; may be repeated"`
 	CheckConfig bool     `arg:"--check-config" help:"check the settings and exit"`
+
+	Platform     bool    `arg:"--platform" help:"serve the routes of the users' platform, whose settings file the environment names"`
+	MetricsPort  int     `arg:"--metrics-port" help:"port of the metrics with --platform; 0 serves none" default:"0"`
+	PrefillShare float64 `arg:"--prefill-share" help:"share of a service's engines that read prompts, with --platform" default:"0.7"`
+	SplitTokens  int     `arg:"--split-tokens" help:"prompt size from which a prompt is read at an engine of its own, with --platform" default:"600"`
+	LogLevel     string  `arg:"--log-level" help:"debug, info, warn or error, with --platform" default:"info"`
 }
 
 // Description implements arg.Described.
@@ -46,6 +55,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
+	if f.Platform {
+		return runRouted(f)
+	}
 	s, err := settings.Load(f.Config, os.Environ(), f.Set)
 	if err != nil {
 		return err
@@ -66,6 +78,44 @@
 	return d.Run(signals())
 }
 
+// runRouted serves the users' platform.
+func runRouted(f flags) error {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	if f.CheckConfig {
+		fmt.Println("the settings are valid")
+		return nil
+	}
+	out := logqueue.New(os.Stdout)
+	defer out.Close()
+	log, err := daemon.NewLogger(out, settings.Log{Level: f.LogLevel, Format: "json"}, new(slog.LevelVar))
+	if err != nil {
+		return err
+	}
+	h, err := routed.New(routed.Options{
+		Settings: s, Log: log, MetricsPort: f.MetricsPort, PrefillShare: f.PrefillShare, SplitTokens: f.SplitTokens,
+	})
+	if err != nil {
+		return err
+	}
+	stop, _ := signals()
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		for range reloads {
+			s, err := platform.LoadSettings()
+			if err != nil {
+				log.Error("settings not reloaded; the last ones stay in force", "cause", err.Error())
+				continue
+			}
+			h.Reload(s)
+		}
+	}()
+	return h.Run(stop)
+}
+
 // signals returns a context that ends with the first SIGTERM or SIGINT, and one
 // that ends with the second.
 func signals() (first, second context.Context) {
--- /dev/null
+++ b/coordination/follow/config.go
@@ -0,0 +1,46 @@
+package follow
+
+import (
+	"log/slog"
+	"sync/atomic"
+
+	"github.com/thymerack/thymerack/coordination/routing"
+	"github.com/thymerack/thymerack/state"
+)
+
+// Config holds the routes in force: the highest version seen, never a lower one.
+type Config struct {
+	name   string
+	decode func([]byte) (*state.RoutingConfig, error)
+	log    *slog.Logger
+	table  atomic.Pointer[routing.Table]
+}
+
+// NewConfig follows the configuration object of that name.
+func NewConfig(name string, decode func([]byte) (*state.RoutingConfig, error), log *slog.Logger) *Config {
+	return &Config{name: name, decode: decode, log: log}
+}
+
+// Table returns the routes in force, or nil before the first configuration.
+func (c *Config) Table() *routing.Table { return c.table.Load() }
+
+// Changed takes a new copy of the configuration objects. One that can't be read
+// leaves the last in force. It has one caller at a time.
+func (c *Config) Changed(copied Copy) {
+	for _, object := range copied.Objects {
+		if object.Name != c.name {
+			continue
+		}
+		config, err := c.decode(object.Value)
+		if err != nil {
+			c.log.Error("configuration not readable; the last one stays in force", "version", object.Version, "cause", err.Error())
+			return
+		}
+		present := c.table.Load()
+		if present != nil && config.Version <= present.Version {
+			return
+		}
+		c.table.Store(routing.NewTable(config))
+		c.log.Info("configuration in force", "config_version", config.Version, "revision", copied.Revision, "routes", len(config.Routes))
+	}
+}
--- /dev/null
+++ b/coordination/follow/instances.go
@@ -0,0 +1,128 @@
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/store"
+	"github.com/thymerack/thymerack/state"
+)
+
+// InstancesOptions configure Instances. All fields are required.
+type InstancesOptions struct {
+	Clock state.Clock
+	Log   *slog.Logger
+	// Decode reads one entry.
+	Decode func(id string, value []byte) (state.Instance, error)
+	// Publish gets each new list.
+	Publish func([]state.Instance)
+	// Outage reports that the store was away within the last OutageWindow, when
+	// entries of living instances may be missing.
+	Outage func() bool
+	// HoldFor is how long an entry that went missing after an outage still counts.
+	HoldFor time.Duration
+}
+
+// Instances turns copies of the list into instances. An entry that is missing
+// right after an outage of the store counts for HoldFor more, because living
+// instances need a moment to register again.
+type Instances struct {
+	o InstancesOptions
+
+	mu      sync.Mutex
+	entries map[string]*entry
+}
+
+type entry struct {
+	version  uint64
+	instance state.Instance
+	// missing is when the entry went missing; zero while it is listed.
+	missing time.Time
+}
+
+// NewInstances returns an empty list.
+func NewInstances(o InstancesOptions) *Instances {
+	return &Instances{o: o, entries: map[string]*entry{}}
+}
+
+// Changed takes a new copy of the list.
+func (l *Instances) Changed(c Copy) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	listed := make(map[string]bool, len(c.Objects))
+	for _, object := range c.Objects {
+		listed[object.Name] = true
+		l.take(object)
+	}
+	now := l.o.Clock.Now()
+	hold := l.o.Outage()
+	for id, e := range l.entries {
+		if listed[id] || !e.missing.IsZero() {
+			continue
+		}
+		if hold && !e.instance.Draining {
+			e.missing = now
+			l.o.Log.Info("instance missing after an outage; held", "instance", id, "revision", c.Revision)
+			continue
+		}
+		delete(l.entries, id)
+		l.o.Log.Info("instance gone", "instance", id, "service", e.instance.Service, "revision", c.Revision)
+	}
+	l.publish()
+}
+
+// take decodes a new or changed entry. One that can't be read leaves the last.
+func (l *Instances) take(object store.Object) {
+	known := l.entries[object.Name]
+	if known != nil && known.version == object.Version {
+		known.missing = time.Time{}
+		return
+	}
+	instance, err := l.o.Decode(object.Name, object.Value)
+	if err != nil {
+		l.o.Log.Error("entry not readable; the last one is kept", "instance", object.Name, "version", object.Version, "cause", err.Error())
+		return
+	}
+	if known == nil || known.instance.Draining != instance.Draining || known.instance.Role != instance.Role {
+		l.o.Log.Info("instance listed", "instance", object.Name, "service", instance.Service, "draining", instance.Draining, "role", string(instance.Role), "version", object.Version)
+	}
+	l.entries[object.Name] = &entry{version: object.Version, instance: instance}
+}
+
+// Run drops held entries when their time is over, until ctx ends.
+func (l *Instances) Run(ctx context.Context) {
+	for l.o.Clock.Sleep(ctx, holdPoll) == nil {
+		l.sweep()
+	}
+}
+
+// holdPoll is how often held entries are looked at.
+const holdPoll = 100 * time.Millisecond
+
+func (l *Instances) sweep() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.o.Clock.Now()
+	dropped := false
+	for id, e := range l.entries {
+		if e.missing.IsZero() || now.Sub(e.missing) < l.o.HoldFor {
+			continue
+		}
+		delete(l.entries, id)
+		dropped = true
+		l.o.Log.Info("held instance gone", "instance", id, "service", e.instance.Service)
+	}
+	if dropped {
+		l.publish()
+	}
+}
+
+func (l *Instances) publish() {
+	out := make([]state.Instance, 0, len(l.entries))
+	for _, e := range l.entries {
+		out = append(out, e.instance)
+	}
+	l.o.Publish(out)
+}
--- /dev/null
+++ b/coordination/follow/mirror.go
@@ -0,0 +1,220 @@
+// Package follow keeps a host's copy of objects that others write at the
+// platform's store: the routing configuration and the list of instances.
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/store"
+	"github.com/thymerack/thymerack/state"
+)
+
+const (
+	// retryFirst and retryMost are the pauses between calls to a store that does
+	// not answer: each call is priced, and the bound for a new configuration
+	// (2 s and more) counts from when the store has been back for some seconds.
+	retryFirst = 200 * time.Millisecond
+	retryMost  = 1500 * time.Millisecond
+)
+
+// Options configure a Mirror. All fields are required.
+type Options struct {
+	Store store.Store
+	Clock state.Clock
+	Log   *slog.Logger
+	// Kind is the kind of the objects.
+	Kind string
+	// Changed gets the whole copy after each change, one call at a time.
+	Changed func(Copy)
+}
+
+// Copy is the objects of a kind at one revision of the store.
+type Copy struct {
+	Revision uint64
+	Objects  []store.Object
+}
+
+// Mirror follows the objects of one kind: listed once, then by watches that wait
+// at the store. It never goes back to a lower revision, whoever offers it.
+type Mirror struct {
+	o Options
+
+	mu       sync.Mutex
+	objects  map[string]store.Object
+	revision uint64
+	// lostAt is when the store stopped answering; Run alone uses it.
+	lostAt time.Time
+	// regainedAt is when it answered again; nil if it has always answered.
+	regainedAt atomic.Pointer[time.Time]
+	lost       atomic.Bool
+}
+
+// New validates the options.
+func New(o Options) (*Mirror, error) {
+	if o.Store == nil || o.Clock == nil || o.Log == nil || o.Kind == "" || o.Changed == nil {
+		return nil, errors.New("follow: a field of Options is missing; set all of them")
+	}
+	return &Mirror{o: o, objects: map[string]store.Object{}}, nil
+}
+
+// Lost reports whether the store doesn't answer this host.
+func (m *Mirror) Lost() bool { return m.lost.Load() }
+
+// AwayWithin reports whether the store didn't answer this host at some moment of
+// the last d.
+func (m *Mirror) AwayWithin(d time.Duration) bool {
+	if m.lost.Load() {
+		return true
+	}
+	at := m.regainedAt.Load()
+	return at != nil && m.o.Clock.Now().Sub(*at) < d
+}
+
+// Revision is the store's revision of the copy; 0 before the first.
+func (m *Mirror) Revision() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
+// Export returns the copy.
+func (m *Mirror) Export() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.copyLocked()
+}
+
+func (m *Mirror) copyLocked() Copy {
+	c := Copy{Revision: m.revision, Objects: make([]store.Object, 0, len(m.objects))}
+	for _, o := range m.objects {
+		c.Objects = append(c.Objects, o)
+	}
+	return c
+}
+
+// Adopt takes a copy that a peer has, if it is newer, and reports whether it was.
+func (m *Mirror) Adopt(c Copy, from string) bool {
+	if !m.replace(c.Objects, c.Revision) {
+		return false
+	}
+	m.o.Log.Info("copy adopted from a peer", "kind", m.o.Kind, "revision", c.Revision, "peer", from)
+	return true
+}
+
+// Run follows the store until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	pause := retryFirst
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			err = m.list(ctx)
+			listed = err == nil
+		} else {
+			listed, err = m.watch(ctx)
+		}
+		if err == nil {
+			m.answered()
+			pause = retryFirst
+			continue
+		}
+		m.failed(ctx, err)
+		if m.o.Clock.Sleep(ctx, jitter(pause)) != nil {
+			return
+		}
+		pause = min(2*pause, retryMost)
+	}
+}
+
+// jitter spreads the calls of hosts that lost the store together.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+func (m *Mirror) list(ctx context.Context) error {
+	objects, revision, err := m.o.Store.List(ctx, m.o.Kind)
+	if err != nil {
+		return err
+	}
+	m.answered()
+	m.replace(objects, revision)
+	return nil
+}
+
+// watch waits for changes. listed is false when the copy has to be read anew.
+func (m *Mirror) watch(ctx context.Context) (listed bool, err error) {
+	batch, err := m.o.Store.Watch(ctx, m.o.Kind, m.Revision())
+	if err != nil {
+		return true, err
+	}
+	if batch.Gap {
+		m.o.Log.Info("history is gone; listing again", "kind", m.o.Kind, "revision", m.Revision())
+		return false, nil
+	}
+	m.answered()
+	m.apply(batch)
+	return true, nil
+}
+
+// replace puts a whole newer copy in place.
+func (m *Mirror) replace(objects []store.Object, revision uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision < m.revision || (revision == m.revision && m.revision != 0) {
+		return false
+	}
+	m.objects = make(map[string]store.Object, len(objects))
+	for _, o := range objects {
+		m.objects[o.Name] = o
+	}
+	m.revision = revision
+	m.o.Changed(m.copyLocked())
+	return true
+}
+
+// apply takes the events of a watch; those that the copy has already are skipped.
+func (m *Mirror) apply(b store.Batch) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	changed := false
+	for _, e := range b.Events {
+		known, have := m.objects[e.Object.Name]
+		switch {
+		case e.Deleted && have && known.Version <= max(e.Object.Version, b.Revision):
+			delete(m.objects, e.Object.Name)
+			changed = true
+		case !e.Deleted && (!have || known.Version < e.Object.Version):
+			m.objects[e.Object.Name] = e.Object
+			changed = true
+		}
+	}
+	m.revision = max(m.revision, b.Revision)
+	if changed {
+		m.o.Changed(m.copyLocked())
+	}
+}
+
+func (m *Mirror) answered() {
+	if !m.lost.Swap(false) {
+		return
+	}
+	now := m.o.Clock.Now()
+	m.regainedAt.Store(&now)
+	away := now.Sub(m.lostAt)
+	m.o.Log.Info("store regained", "kind", m.o.Kind, "away", away, "revision", m.Revision())
+}
+
+func (m *Mirror) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil || m.lost.Swap(true) {
+		return
+	}
+	m.lostAt = m.o.Clock.Now()
+	m.o.Log.Warn("store lost", "kind", m.o.Kind, "revision", m.Revision(), "cause", fmt.Sprint(err))
+}
--- /dev/null
+++ b/coordination/forward/forward.go
@@ -0,0 +1,291 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/state"
+)
+
+// Placer chooses runners; tried names instances not to be chosen again. Each
+// method returns nil when there is none.
+type Placer interface {
+	Call(service string, tried []string) *placement.Runner
+	Decode(service string, tried []string) *placement.Runner
+	Prefill(service, session string, tried []string) *placement.Runner
+	// Has reports whether work may be sent to the instance at this moment.
+	Has(id string) bool
+}
+
+// Budget limits further sendings over all hosts.
+type Budget interface {
+	// Seen counts a request of the service; Allow takes a further sending.
+	Seen(service string)
+	Allow(service string) bool
+}
+
+// Options configure a Dispatcher. All fields are required.
+type Options struct {
+	Upstream Upstream
+	Placer   Placer
+	Budget   Budget
+	Clock    state.Clock
+	Log      *slog.Logger
+	// SplitTokens is the prompt size from which a prompt is read at a prefill
+	// engine and its KV cache handed on.
+	SplitTokens int
+}
+
+// Dispatcher carries requests to runners. It is safe for concurrent use.
+type Dispatcher struct{ o Options }
+
+// New validates the options.
+func New(o Options) (*Dispatcher, error) {
+	if o.Upstream == nil || o.Placer == nil || o.Budget == nil || o.Clock == nil || o.Log == nil {
+		return nil, errors.New("forward: a field of Options is nil; set all of them")
+	}
+	return &Dispatcher{o}, nil
+}
+
+const (
+	// maxUnsent bounds the runners that are tried and not reached in one request:
+	// with one in five out of reach, four in a row are one in six hundred.
+	maxUnsent = 4
+	// retryCalls and retryModel are when a refused request may come back: within
+	// a quarter of the objectives that DEPLOY's sheets name (100 ms and more for
+	// calls, 120 ms and more for model requests), so that it can still be in time.
+	retryCalls = 40 * time.Millisecond
+	retryModel = 60 * time.Millisecond
+)
+
+// Forward sends the request and returns its answer. The error is a *Refusal. ctx
+// ends at the request's deadline or when the caller leaves.
+func (d *Dispatcher) Forward(ctx context.Context, r *Request) (*Answer, error) {
+	d.o.Budget.Seen(r.Service)
+	rec := &record{}
+	answer, err := d.serve(ctx, r, rec)
+	if answer != nil && answer.Stream != nil {
+		return answer, nil // logged at its end
+	}
+	status := 0
+	if answer != nil {
+		status = answer.Head.Status
+	}
+	d.log(ctx, r, rec, status, err)
+	return answer, err
+}
+
+// Log notes a request that was answered without being dispatched.
+func (d *Dispatcher) log(ctx context.Context, r *Request, rec *record, status int, err error) {
+	attrs := []slog.Attr{
+		slog.String("request_id", r.ID), slog.String("route", r.Route.Name), slog.String("service", r.Service),
+		slog.Uint64("config_version", r.ConfigVersion), slog.Duration("took", d.o.Clock.Now().Sub(r.ArrivedAt)),
+		slog.Int("status", status), slog.Any("sendings", rec),
+	}
+	level := slog.LevelInfo
+	if err != nil {
+		level = slog.LevelWarn
+		attrs = append(attrs, slog.String("refused", err.Error()))
+	}
+	d.o.Log.LogAttrs(ctx, level, "request ended", attrs...)
+}
+
+// serve tries runners until one answers or nothing more may be tried.
+func (d *Dispatcher) serve(ctx context.Context, r *Request, rec *record) (*Answer, error) {
+	var source *KVSource
+	if d.splits(r) {
+		source = d.prefill(ctx, r, rec)
+	}
+	unsent := 0
+	for {
+		if err := d.over(ctx, r, rec); err != nil {
+			return nil, err
+		}
+		runner := d.choose(r, rec)
+		if runner == nil {
+			return nil, d.refuse(r, rec, ReasonNoRunner)
+		}
+		a := &Attempt{Request: r, Instance: runner.Instance, Source: source, LastEventID: r.LastEventID}
+		answer, end := d.attempt(ctx, a, runner, rec)
+		if answer != nil && !d.repeatFailure(r, rec, answer) {
+			return answer, nil
+		}
+		switch {
+		case end == outcomeUnsent && unsent < maxUnsent:
+			unsent++
+		case !d.mayRepeat(r, rec):
+			if answer != nil {
+				return answer, nil
+			}
+			if err := d.over(ctx, r, rec); err != nil {
+				return nil, err
+			}
+			return nil, d.refuse(r, rec, reasonOf(end))
+		}
+	}
+}
+
+func reasonOf(o outcome) Reason {
+	switch o {
+	case outcomeNotRun:
+		return ReasonFull
+	case outcomeUnsent:
+		return ReasonNoRunner
+	default:
+		return ReasonUnknown
+	}
+}
+
+// over returns the refusal of a request whose caller has left or whose time is up.
+func (d *Dispatcher) over(ctx context.Context, r *Request, rec *record) error {
+	if ctx.Err() == nil && d.left(r) > 0 {
+		return nil
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return &Refusal{Reason: ReasonCancelled, NotRun: !rec.mayHaveRun, Cause: ctx.Err()}
+	}
+	return &Refusal{Reason: ReasonDeadline, NotRun: !rec.mayHaveRun, Cause: context.DeadlineExceeded}
+}
+
+func (d *Dispatcher) refuse(r *Request, rec *record, why Reason) error {
+	after := retryCalls
+	if r.Generation != nil {
+		after = retryModel
+	}
+	return &Refusal{Reason: why, NotRun: !rec.mayHaveRun, RetryAfter: after}
+}
+
+// choose picks a runner that generates or serves the call.
+func (d *Dispatcher) choose(r *Request, rec *record) *placement.Runner {
+	if r.Generation != nil {
+		return d.o.Placer.Decode(r.Service, rec.tried)
+	}
+	return d.o.Placer.Call(r.Service, rec.tried)
+}
+
+// mayRepeat reports whether the request may be sent once more, and takes it from
+// the budget if so.
+func (d *Dispatcher) mayRepeat(r *Request, rec *record) bool {
+	if rec.mayHaveRun && !r.Route.Repeatable() {
+		return false
+	}
+	if rec.sends >= r.Route.MaxAttempts || d.left(r) < minLeft {
+		return false
+	}
+	return d.o.Budget.Allow(r.Service)
+}
+
+// minLeft is the least time with which a request is sent once more: the shortest
+// service time on DEPLOY's sheets is 15 ms.
+const minLeft = 15 * time.Millisecond
+
+// repeatFailure reports whether a runner's own failure is to be tried elsewhere:
+// a repeatable call whose runner answered that it failed.
+func (d *Dispatcher) repeatFailure(r *Request, rec *record, a *Answer) bool {
+	return r.Route.Kind == state.RouteSafe && a.Head.Status >= 500 && rec.sends < r.Route.MaxAttempts
+}
+
+func (d *Dispatcher) left(r *Request) time.Duration { return r.Deadline.Sub(d.o.Clock.Now()) }
+
+// attempt sends the request to one runner. It returns an answer, or how the
+// sending ended without one.
+func (d *Dispatcher) attempt(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record) (*Answer, outcome) {
+	rec.exclude(a.Instance)
+	if !d.o.Placer.Has(a.Instance.ID) {
+		return nil, outcomeUnsent
+	}
+	a.Left = d.left(a.Request)
+	started := d.o.Clock.Now()
+	done := runner.Begin()
+	resp, err := d.o.Upstream.Send(ctx, a)
+	took := d.o.Clock.Now().Sub(started)
+	if err != nil {
+		done()
+		return nil, d.sendFailed(ctx, a, runner, rec, "run", took, err)
+	}
+	rec.sends++
+	head := resp.Head()
+	if head.NotRun {
+		drain(resp)
+		done()
+		runner.Failed()
+		rec.refused = true
+		rec.add(a.Instance, "run", outcomeNotRun, took, nil)
+		return nil, outcomeNotRun
+	}
+	rec.mayHaveRun = true
+	if head.Events && head.Status < 300 {
+		return d.openStream(ctx, a, runner, rec, resp, done, started)
+	}
+	defer done()
+	body, err := readWhole(resp)
+	took = d.o.Clock.Now().Sub(started)
+	if err == nil && head.Status < 300 && !head.Sealed {
+		err = errUnsealed
+	}
+	if err != nil {
+		resp.Cut()
+		d.noteBroken(ctx, runner)
+		rec.add(a.Instance, "run", outcomeUnknown, took, err)
+		return nil, outcomeUnknown
+	}
+	resp.Finish()
+	if head.Status >= 500 {
+		runner.Failed()
+		rec.add(a.Instance, "run", outcomeFailed, took, nil)
+	} else {
+		runner.Answered(took)
+		rec.add(a.Instance, "run", outcomeAnswered, took, nil)
+	}
+	return &Answer{Head: head, Body: body}, outcomeAnswered
+}
+
+var errUnsealed = errors.New("the response has no signature of its runner; it was dropped")
+
+// sendFailed notes a sending without a response.
+func (d *Dispatcher) sendFailed(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record, part string, took time.Duration, err error) outcome {
+	var failed *SendError
+	if !errors.As(err, &failed) {
+		failed = &SendError{Sent: true, Cause: err}
+	}
+	if !failed.Busy {
+		d.noteBroken(ctx, runner)
+	}
+	if !failed.Sent {
+		rec.add(a.Instance, part, outcomeUnsent, took, err)
+		return outcomeUnsent
+	}
+	rec.sends++
+	rec.mayHaveRun = true
+	rec.add(a.Instance, part, outcomeUnknown, took, err)
+	return outcomeUnknown
+}
+
+// noteBroken counts a broken connection against the runner, unless the caller
+// broke it off.
+func (d *Dispatcher) noteBroken(ctx context.Context, runner *placement.Runner) {
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		runner.Broken()
+	}
+}
+
+// readWhole reads a body to its end.
+func readWhole(resp Response) ([]byte, error) {
+	return io.ReadAll(readerOf{resp})
+}
+
+// readerOf is a Response as an io.Reader.
+type readerOf struct{ Response }
+
+// drain ends a response whose body nobody wants.
+func drain(resp Response) {
+	if _, err := io.Copy(io.Discard, readerOf{resp}); err != nil {
+		resp.Cut()
+		return
+	}
+	resp.Finish()
+}
--- /dev/null
+++ b/coordination/forward/record.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"log/slog"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+// outcome is how one sending ended.
+type outcome string
+
+// The outcomes of a sending.
+const (
+	outcomeUnsent   outcome = "unsent"
+	outcomeNotRun   outcome = "not_run"
+	outcomeUnknown  outcome = "unknown"
+	outcomeAnswered outcome = "answered"
+	outcomeFailed   outcome = "failed"
+	outcomePrefill  outcome = "prefilled"
+	outcomeCut      outcome = "cut"
+)
+
+// step is one sending of a request.
+type step struct {
+	instance string
+	part     string
+	outcome  outcome
+	took     time.Duration
+	cause    string
+}
+
+// record is what became of one request. One goroutine uses it at a time.
+type record struct {
+	steps []step
+	// sends counts what draws on the route's attempts.
+	sends int
+	// mayHaveRun is set once a runner may have begun.
+	mayHaveRun bool
+	// refused is set once a runner has refused.
+	refused bool
+	tried   []string
+}
+
+func (r *record) add(i *state.Instance, part string, o outcome, took time.Duration, err error) {
+	s := step{instance: i.ID, part: part, outcome: o, took: took}
+	if err != nil {
+		s.cause = err.Error()
+	}
+	r.steps = append(r.steps, s)
+}
+
+// exclude keeps later choices from the instance.
+func (r *record) exclude(i *state.Instance) { r.tried = append(r.tried, i.ID) }
+
+// LogValue implements slog.LogValuer: one word for each sending, and the last cause.
+func (r *record) LogValue() slog.Value {
+	var b strings.Builder
+	cause := ""
+	for n, s := range r.steps {
+		if n > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(s.part + ":" + s.instance + ":" + string(s.outcome) + ":" + strconv.FormatInt(s.took.Milliseconds(), 10) + "ms")
+		if s.cause != "" {
+			cause = s.cause
+		}
+	}
+	attrs := []slog.Attr{slog.String("steps", b.String())}
+	if cause != "" {
+		attrs = append(attrs, slog.String("cause", cause))
+	}
+	return slog.GroupValue(attrs...)
+}
--- /dev/null
+++ b/coordination/forward/request.go
@@ -0,0 +1,179 @@
+// Package forward carries an opaque request of a configured route to a runner
+// and its answer back, unchanged. It decides which runner, how often and with
+// what time, and keeps the promises on the way: a request that may run once is
+// sent again only if it can't have run, and a refusal says "not run" only if no
+// runner may have begun.
+package forward
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+// Header is one header field of a forwarded message.
+type Header struct{ Name, Value string }
+
+// PromptPart is one part of a prompt that other requests may share.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// Generation is the cost of a model request.
+type Generation struct {
+	Model        string
+	PromptTokens int
+	MaxOutput    int
+	// OutputHint is the caller's estimate of the output in tokens; 0: none.
+	OutputHint int
+	// Parts are the prompt's parts in order; the last is the request's own.
+	Parts []PromptPart
+}
+
+// Session is the id of the part that a session's requests share, or "".
+func (g *Generation) Session() string {
+	if len(g.Parts) < 2 {
+		return ""
+	}
+	return g.Parts[len(g.Parts)-2].ID
+}
+
+// Request is one request of a caller.
+type Request struct {
+	ID string
+	// Method, URI and Host are as the caller sent them.
+	Method, URI, Host string
+	// Headers go on unchanged.
+	Headers []Header
+	Body    []byte
+	// LastEventID is where the caller resumes a stream; "" is its start.
+	LastEventID string
+	Route       *state.Route
+	// Service is the backend of the route that serves this request.
+	Service       string
+	ConfigVersion uint64
+	ArrivedAt     time.Time
+	// Deadline is the caller's or the route's, whichever comes first.
+	Deadline time.Time
+	// Generation is nil for calls of plain services.
+	Generation *Generation
+}
+
+// KVSource names a prefilled KV cache at a runner.
+type KVSource struct {
+	Addr   string
+	Handle string
+}
+
+// Attempt is one sending of a request to a runner.
+type Attempt struct {
+	Request  *Request
+	Instance *state.Instance
+	// Left is what the runner is told of the time that is left.
+	Left time.Duration
+	// PrefillOnly asks to read the prompt and to keep its KV cache.
+	PrefillOnly bool
+	// Source is the KV cache to go on from, or nil.
+	Source *KVSource
+	// LastEventID is the last event that the caller has; "" is the start.
+	LastEventID string
+}
+
+// Head is the beginning of a runner's response.
+type Head struct {
+	Status int
+	// Headers go back to the caller unchanged.
+	Headers []Header
+	// Sealed says that the response carries the runner's signature.
+	Sealed bool
+	// NotRun is the runner's word that it did not run the request.
+	NotRun bool
+	// Events says that the body is a stream of events.
+	Events bool
+}
+
+// Response is a runner's response whose body is read as it comes. It must be
+// ended by Finish or Cut.
+type Response interface {
+	Head() *Head
+	// Read returns io.EOF only at the end of a whole body.
+	Read(p []byte) (int, error)
+	// Finish ends a response whose body has been read; its connection is kept.
+	Finish()
+	// Cut closes the connection, which cancels the work.
+	Cut()
+}
+
+// Upstream sends attempts to runners. Errors are *SendError.
+type Upstream interface {
+	Send(ctx context.Context, a *Attempt) (Response, error)
+	// PrefillHandle reads the KV cache's handle from a response to an attempt
+	// with PrefillOnly.
+	PrefillHandle(body []byte) (string, error)
+	// Discard frees a KV cache that nobody will take.
+	Discard(instance *state.Instance, handle string)
+}
+
+// SendError says that an attempt gave no usable response.
+type SendError struct {
+	// Sent is false only if no byte of the request left this host.
+	Sent bool
+	// Busy says that this host has no connection left to the runner.
+	Busy  bool
+	Cause error
+}
+
+// Error implements error.
+func (e *SendError) Error() string {
+	if !e.Sent {
+		return fmt.Sprintf("nothing was sent (%v); another runner may be tried", e.Cause)
+	}
+	return fmt.Sprintf("no whole response (%v); the request may have run", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Cause }
+
+// Reason is why a request got no answer from a runner.
+type Reason string
+
+// The reasons of a Refusal.
+const (
+	ReasonNoRunner  Reason = "no_runner"
+	ReasonFull      Reason = "runners_full"
+	ReasonUnknown   Reason = "outcome_unknown"
+	ReasonDeadline  Reason = "deadline_passed"
+	ReasonCancelled Reason = "caller_left"
+	ReasonOverload  Reason = "overloaded"
+)
+
+// Refusal is the final answer to a request that no runner answered.
+type Refusal struct {
+	Reason Reason
+	// NotRun is set only if the request can't have run and never will.
+	NotRun     bool
+	RetryAfter time.Duration
+	Cause      error
+}
+
+// Error implements error.
+func (e *Refusal) Error() string {
+	if e.NotRun {
+		return fmt.Sprintf("the request was not run (%s); send it again after %s", e.Reason, e.RetryAfter)
+	}
+	return fmt.Sprintf("the request got no answer (%s) and may have run; check its effect before sending it again", e.Reason)
+}
+
+// Unwrap returns the cause.
+func (e *Refusal) Unwrap() error { return e.Cause }
+
+// Answer is a runner's answer: a whole one, or a stream whose first event is read.
+type Answer struct {
+	Head *Head
+	// Body is the whole body; unused when Stream is set.
+	Body   []byte
+	Stream *Stream
+}
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -46,6 +46,8 @@
 	// TTL is how long a lease that isn't renewed stays with its holder. Three
 	// platform calls are made in each TTL, whatever the load. Default DefaultTTL.
 	TTL time.Duration
+	// LookEvery is how often a waiter looks; default a third of the TTL.
+	LookEvery time.Duration
 	// Log gets acquisitions and losses; nil means none.
 	Log *slog.Logger
 }
@@ -93,6 +95,10 @@
 	seenAt time.Time
 	// held is the version of this host's own last write; 0 when not held.
 	held uint64
+	// fence is the version at which the present term began.
+	fence uint64
+	// first says that nobody held the lease before the present term.
+	first bool
 	// renewedAt is when the last successful write was started.
 	renewedAt time.Time
 	writes    uint64
@@ -152,12 +158,22 @@
 // take writes the lease over version. Losing the race to another host is no error.
 func (l *Lessor) take(ctx context.Context, version uint64) (bool, error) {
 	err := l.write(ctx, version, l.opts.Holder)
+	if err == nil {
+		l.fence, l.first = l.held, version == store.Absent
+	}
 	if store.IsConflict(err) {
 		return false, nil
 	}
 	return err == nil, err
 }
 
+// Fence is the version at which the present term began: a number that grows from
+// holder to holder.
+func (l *Lessor) Fence() uint64 { return l.fence }
+
+// First reports whether nobody held the lease before the present term.
+func (l *Lessor) First() bool { return l.first }
+
 // Renew extends a held lease. It returns ErrLost if the object has changed, and
 // the store's error if the platform gave no answer: the lease is then held until
 // the TTL passes on this host's clock.
--- a/coordination/lease/run.go
+++ b/coordination/lease/run.go
@@ -20,16 +20,25 @@
 		if err != nil && ctx.Err() == nil {
 			l.opts.Log.Debug("lease not readable", "lease", l.opts.Name, "error", err)
 		}
-		if err := l.opts.Clock.Sleep(ctx, l.pause()); err != nil {
+		if err := l.opts.Clock.Sleep(ctx, l.spread(l.look())); err != nil {
 			return err
 		}
 	}
 }
 
-// pause is the time between two calls: a third of the TTL, less up to a fifth,
-// so that hosts that started together drift apart.
-func (l *Lessor) pause() time.Duration {
-	whole := l.opts.TTL / callsPerTTL
+// look is the time between two looks of a waiter.
+func (l *Lessor) look() time.Duration {
+	if l.opts.LookEvery > 0 {
+		return l.opts.LookEvery
+	}
+	return l.opts.TTL / callsPerTTL
+}
+
+// pause is the time between two renewals: a third of the TTL.
+func (l *Lessor) pause() time.Duration { return l.spread(l.opts.TTL / callsPerTTL) }
+
+// spread takes up to a fifth off, so that hosts that started together drift apart.
+func (l *Lessor) spread(whole time.Duration) time.Duration {
 	return whole - time.Duration(l.opts.Rand.Int64N(int64(whole)/5+1))
 }
 
--- /dev/null
+++ b/coordination/placement/fleet.go
@@ -0,0 +1,200 @@
+// Package placement chooses the runner of each sending from one immutable view
+// of the list of instances, from what this host has in flight at each and from
+// how its own requests fared there.
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+// Runner is an instance with what this host knows of it.
+type Runner struct {
+	Instance *state.Instance
+	*Load
+}
+
+// view is one version of the list. It is never changed.
+type view struct {
+	byService map[string][]*Runner
+	byID      map[string]*Runner
+}
+
+// Options configure a Fleet.
+type Options struct {
+	Clock state.Clock
+	// FailureDomain is the host's own, preferred among equals.
+	FailureDomain string
+}
+
+// Fleet is the list of instances. It is safe for concurrent use; Update has one
+// caller at a time.
+type Fleet struct {
+	o    Options
+	view atomic.Pointer[view]
+
+	mu    sync.Mutex
+	loads map[string]*Load
+}
+
+// NewFleet returns an empty fleet.
+func NewFleet(o Options) *Fleet {
+	f := &Fleet{o: o, loads: map[string]*Load{}}
+	f.view.Store(&view{byService: map[string][]*Runner{}, byID: map[string]*Runner{}})
+	return f
+}
+
+// Update replaces the list. Draining instances stay known but are never chosen.
+func (f *Fleet) Update(instances []state.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := &view{byService: map[string][]*Runner{}, byID: make(map[string]*Runner, len(instances))}
+	for i := range instances {
+		inst := &instances[i]
+		load := f.loads[inst.ID]
+		if load == nil {
+			load = newLoad(f.o.Clock)
+			f.loads[inst.ID] = load
+		}
+		r := &Runner{inst, load}
+		v.byID[inst.ID] = r
+		if !inst.Draining {
+			v.byService[inst.Service] = append(v.byService[inst.Service], r)
+		}
+	}
+	for id, load := range f.loads {
+		if v.byID[id] == nil && load.InFlight() == 0 {
+			delete(f.loads, id)
+		}
+	}
+	f.view.Store(v)
+}
+
+// Runners returns the instances of a service that take work.
+func (f *Fleet) Runners(service string) []*Runner { return f.view.Load().byService[service] }
+
+// Has reports whether work may be sent to the instance.
+func (f *Fleet) Has(id string) bool {
+	r := f.view.Load().byID[id]
+	return r != nil && !r.Instance.Draining
+}
+
+// Call chooses a runner for a call of a plain service: the one with the shortest
+// expected wait. tried names instances that are not to be chosen again. It
+// returns nil when there is none.
+func (f *Fleet) Call(service string, tried []string) *Runner {
+	return f.least(f.Runners(service), tried, func(r *Runner) float64 {
+		cost := float64(r.InFlight()+1) * r.Latency().Seconds()
+		if r.Instance.FailureDomain != f.o.FailureDomain {
+			cost *= farCost
+		}
+		return cost
+	})
+}
+
+// farCost makes a runner of another failure domain look slower by the time that
+// a request and its answer take between domains (2.8 ms on about 17 ms, DEPLOY).
+const farCost = 1.15
+
+// Decode chooses an engine that generates: the one with the least in flight from
+// this host.
+func (f *Fleet) Decode(service string, tried []string) *Runner {
+	return f.least(withRole(f.Runners(service), state.RoleDecode), tried, func(r *Runner) float64 {
+		return float64(r.InFlight() + 1)
+	})
+}
+
+// Prefill chooses the engine that reads a session's prompts. All hosts put a
+// session at the same engine without talking, so that its shared parts stay
+// there; an engine with far more from this host than the others is passed over.
+func (f *Fleet) Prefill(service, session string, tried []string) *Runner {
+	runners := withRole(f.Runners(service), state.RolePrefill)
+	if session == "" {
+		return f.least(runners, tried, func(r *Runner) float64 { return float64(r.InFlight() + 1) })
+	}
+	bound := f.bound(runners)
+	return f.least(runners, tried, func(r *Runner) float64 {
+		cost := float64(xxhash.Sum64String(session+r.Instance.ID)) / (1 << 64)
+		if float64(r.InFlight()) > bound {
+			cost++
+		}
+		return cost
+	})
+}
+
+// The bound of an engine's load from this host: loadFactor times the mean and
+// loadSlack requests more. A host has one or two prompts in flight an engine at
+// the sizes of today, so that the slack is what counts (docs/MEASUREMENTS.md).
+const (
+	loadFactor = 2
+	loadSlack  = 3
+)
+
+func (f *Fleet) bound(runners []*Runner) float64 {
+	if len(runners) == 0 {
+		return 0
+	}
+	total := int64(0)
+	for _, r := range runners {
+		total += r.InFlight()
+	}
+	return loadFactor*float64(total)/float64(len(runners)) + loadSlack
+}
+
+// Count returns how many engines of a service have the role.
+func (f *Fleet) Count(service string, role state.Role) int {
+	return len(withRole(f.Runners(service), role))
+}
+
+func withRole(runners []*Runner, role state.Role) []*Runner {
+	out := make([]*Runner, 0, len(runners))
+	for _, r := range runners {
+		if r.Instance.Role == role || r.Instance.Role == state.RoleMixed {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// least returns the runner of least cost; runners that lately failed cost more,
+// and suspects are taken only when nothing else is left. Ties are broken at
+// random, so that hosts don't all choose the same one.
+func (f *Fleet) least(runners []*Runner, tried []string, cost func(*Runner) float64) *Runner {
+	now := f.o.Clock.Now()
+	var best *Runner
+	bestCost := 0.0
+	ties := 0
+	for _, r := range runners {
+		if slices.Contains(tried, r.Instance.ID) {
+			continue
+		}
+		c := cost(r) * (1 + failureWeight*r.FailureRate(now))
+		if r.Suspect(now) {
+			c += suspectCost
+		}
+		switch {
+		case best == nil || c < bestCost:
+			best, bestCost, ties = r, c, 1
+		case c == bestCost:
+			ties++
+			if rand.IntN(ties) == 0 {
+				best = r
+			}
+		}
+	}
+	return best
+}
+
+const (
+	// failureWeight makes a runner that fails half of its requests look three
+	// times as loaded.
+	failureWeight = 4
+	// suspectCost is above every cost of a sound runner.
+	suspectCost = 1e6
+)
--- /dev/null
+++ b/coordination/placement/load.go
@@ -0,0 +1,120 @@
+package placement
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+const (
+	// latencyStart is assumed of a runner without samples; its size hardly
+	// matters, as all start alike.
+	latencyStart = 20 * time.Millisecond
+	// latencyGain is the weight of a new sample.
+	latencyGain = 0.1
+	// failureGain is the weight of a new outcome.
+	failureGain = 0.25
+	// failureHalfLife is how soon an unused runner's failures are half forgotten:
+	// a few seconds, as the shortest faults of the platform's days last.
+	failureHalfLife = 2 * time.Second
+	// suspectFirst is how long a runner is avoided after its first silent or
+	// broken connection; each further one in a row doubles it up to suspectMost.
+	suspectFirst = 500 * time.Millisecond
+	suspectMost  = 4 * time.Second
+)
+
+// Load is what this host knows of one instance from its own requests.
+type Load struct {
+	clock    state.Clock
+	inFlight atomic.Int64
+	// suspectUntil is in nanoseconds since the load was made.
+	suspectUntil atomic.Int64
+	started      time.Time
+
+	mu        sync.Mutex
+	latency   float64 // seconds
+	failures  float64 // 0 to 1
+	failedAt  time.Time
+	rowLength int
+}
+
+func newLoad(clock state.Clock) *Load {
+	return &Load{clock: clock, started: clock.Now(), latency: latencyStart.Seconds()}
+}
+
+// Begin counts a sending in; the returned function counts it out.
+func (l *Load) Begin() (end func()) {
+	l.inFlight.Add(1)
+	var once atomic.Bool
+	return func() {
+		if !once.Swap(true) {
+			l.inFlight.Add(-1)
+		}
+	}
+}
+
+// InFlight is what this host has sent and not yet seen ended.
+func (l *Load) InFlight() int64 { return l.inFlight.Load() }
+
+// Latency is the smoothed time to the head of a response.
+func (l *Load) Latency() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.latency * float64(time.Second))
+}
+
+// Answered notes a response in time.
+func (l *Load) Answered(after time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.latency += latencyGain * (after.Seconds() - l.latency)
+	l.failures = l.decayed(l.clock.Now()) * (1 - failureGain)
+	l.failedAt = l.clock.Now()
+	l.rowLength = 0
+	l.suspectUntil.Store(0)
+}
+
+// Failed notes a response that says the runner can't do its part.
+func (l *Load) Failed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fail()
+}
+
+func (l *Load) fail() {
+	now := l.clock.Now()
+	l.failures = l.decayed(now)*(1-failureGain) + failureGain
+	l.failedAt = now
+}
+
+// Broken notes a connection that was refused, reset or silent.
+func (l *Load) Broken() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fail()
+	pause := min(suspectFirst<<min(l.rowLength, 8), suspectMost)
+	l.rowLength++
+	l.suspectUntil.Store(int64(l.clock.Now().Sub(l.started) + pause))
+}
+
+// Suspect reports whether the runner is avoided for now.
+func (l *Load) Suspect(now time.Time) bool {
+	return int64(now.Sub(l.started)) < l.suspectUntil.Load()
+}
+
+// FailureRate is the share of lately failed requests, 0 to 1.
+func (l *Load) FailureRate(now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.decayed(now)
+}
+
+func (l *Load) decayed(now time.Time) float64 {
+	if l.failures == 0 {
+		return 0
+	}
+	return l.failures * math.Exp2(-now.Sub(l.failedAt).Seconds()/failureHalfLife.Seconds())
+}
--- /dev/null
+++ b/coordination/routing/table.go
@@ -0,0 +1,109 @@
+// Package routing selects the route of a request by its host and the longest
+// path prefix.
+package routing
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+// Table is one version of the routes, built once and read by all requests.
+type Table struct {
+	Version uint64
+	Config  *state.RoutingConfig
+
+	hosts    map[string]*prefixes
+	services map[string]*state.ServiceSpec
+}
+
+// prefixes are the routes of one host by prefix, and the lengths that occur.
+type prefixes struct {
+	byPrefix map[string]*state.Route
+	// lengths are sorted, longest first.
+	lengths []int
+}
+
+// NewTable builds the table of a configuration, which must not change any more.
+// A lookup costs a map access for each different length of prefix, whatever the
+// number of routes.
+func NewTable(c *state.RoutingConfig) *Table {
+	t := &Table{Version: c.Version, Config: c, hosts: map[string]*prefixes{}, services: map[string]*state.ServiceSpec{}}
+	for i := range c.Routes {
+		t.add(&c.Routes[i])
+	}
+	for _, p := range t.hosts {
+		slices.SortFunc(p.lengths, func(a, b int) int { return b - a })
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	return t
+}
+
+func (t *Table) add(r *state.Route) {
+	host := strings.ToLower(r.Host)
+	p := t.hosts[host]
+	if p == nil {
+		p = &prefixes{byPrefix: map[string]*state.Route{}}
+		t.hosts[host] = p
+	}
+	p.byPrefix[r.Prefix] = r
+	if !slices.Contains(p.lengths, len(r.Prefix)) {
+		p.lengths = append(p.lengths, len(r.Prefix))
+	}
+}
+
+// Route returns the route of a request, or nil. The host may carry a port; a
+// query behind the path is not looked at.
+func (t *Table) Route(host, path string) *state.Route {
+	p := t.hosts[canonicalHost(host)]
+	if p == nil {
+		return nil
+	}
+	if i := strings.IndexByte(path, '?'); i >= 0 {
+		path = path[:i]
+	}
+	for _, n := range p.lengths {
+		if len(path) < n {
+			continue
+		}
+		if r := p.byPrefix[path[:n]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+func canonicalHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// Service returns a service's description, or nil.
+func (t *Table) Service(name string) *state.ServiceSpec { return t.services[name] }
+
+// Backend returns the service that a request of the route goes to. Requests of
+// one id always go to the same one.
+func Backend(r *state.Route, requestID string) string {
+	total := 0
+	for _, b := range r.Backends {
+		total += b.Weight
+	}
+	if len(r.Backends) == 1 || total <= 0 {
+		return r.Backends[0].Service
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(requestID)) // a hash never fails
+	at := int(h.Sum64() % uint64(total))
+	for _, b := range r.Backends {
+		if at -= b.Weight; at < 0 {
+			return b.Service
+		}
+	}
+	return r.Backends[len(r.Backends)-1].Service
+}
--- /dev/null
+++ b/coordination/stages/manager.go
@@ -0,0 +1,245 @@
+package stages
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/lease"
+	"github.com/thymerack/thymerack/state"
+)
+
+// Report is what an engine says of itself.
+type Report struct {
+	Role state.Role
+	// Busy is set while an order is carried out.
+	Busy bool
+	// Accepted is the number of orders accepted since the engine's start.
+	Accepted uint64
+}
+
+// Order asks an engine to change its role.
+type Order struct {
+	Role state.Role
+	// Holder and Fence name the host that orders and the term of its lease.
+	Holder string
+	Fence  uint64
+	// Accepted is the number of orders that the engine must have accepted before.
+	Accepted uint64
+}
+
+// Result is an engine's answer to an order.
+type Result string
+
+// The results of an order.
+const (
+	// ResultAccepted orders are being carried out or held already.
+	ResultAccepted Result = "accepted"
+	// ResultConflict says that another order came before.
+	ResultConflict Result = "conflict"
+	// ResultFenced says that a holder with a higher fence has ordered.
+	ResultFenced Result = "fenced"
+	// ResultRefused orders are not possible or for another instance.
+	ResultRefused Result = "refused"
+)
+
+// Engines reaches the engines. An error of Order leaves it open whether and when
+// the order is carried out.
+type Engines interface {
+	Report(ctx context.Context, i *state.Instance) (Report, error)
+	Order(ctx context.Context, i *state.Instance, o Order) (Result, error)
+}
+
+// Options configure a Manager. All fields but Elapsed are required.
+type Options struct {
+	Engines Engines
+	Lease   *lease.Lessor
+	Clock   state.Clock
+	Log     *slog.Logger
+	Host    string
+	// Services lists the services with engines, and Instances the engines of one
+	// that aren't draining.
+	Services  func() []string
+	Instances func(service string) []state.Instance
+	// Share is the share of a service's engines that should read prompts, and
+	// whether it is known.
+	Share func(service string) (float64, bool)
+	// TakeOver is the silence between another holder's last order and the first
+	// of this one.
+	TakeOver time.Duration
+}
+
+const (
+	// pollInterval is how often the holder compares roles with the plan; it costs
+	// no call.
+	pollInterval = 250 * time.Millisecond
+	// settle is how long a difference must last before it is acted on, so that a
+	// crash of a few seconds or a restart in a release moves no role.
+	settle = 3 * time.Second
+	// callTimeout bounds an order or report.
+	callTimeout = time.Second
+	// lateBound is how long an order without an answer may still be carried out,
+	// by the platform's list of faults (2 to 12 s).
+	lateBound = 13 * time.Second
+	// tolerance is the difference in engines that is left alone once the first
+	// split stands: a change takes an engine away for seconds.
+	tolerance = 1
+)
+
+// Manager gives orders while it holds the lease.
+type Manager struct {
+	o Options
+	// ordered holds the orders given, by instance.
+	ordered map[string]given
+	// since is when a service's split began to differ from the plan.
+	since map[string]time.Time
+	// first is set for services whose split has stood as planned once.
+	stood map[string]bool
+}
+
+// given is an order on its way.
+type given struct {
+	role state.Role
+	// until is when the order counts as lost.
+	until time.Time
+}
+
+// New validates the options.
+func New(o Options) (*Manager, error) {
+	if o.Engines == nil || o.Lease == nil || o.Clock == nil || o.Log == nil || o.Services == nil || o.Instances == nil || o.Share == nil {
+		return nil, errors.New("stages: a field of Options is nil; set all of them")
+	}
+	return &Manager{o: o}, nil
+}
+
+// Run holds the lease whenever it can and gives orders, until ctx ends.
+func (m *Manager) Run(ctx context.Context) error { return m.o.Lease.Run(ctx, m.hold) }
+
+// hold gives orders for one term of the lease.
+func (m *Manager) hold(ctx context.Context) error {
+	m.ordered, m.since, m.stood = map[string]given{}, map[string]time.Time{}, map[string]bool{}
+	if !m.o.Lease.First() {
+		m.o.Log.Info("waiting before the first order", "silence", m.o.TakeOver, "fence", m.o.Lease.Fence())
+		if m.o.Clock.Sleep(ctx, m.o.TakeOver) != nil {
+			return nil
+		}
+	}
+	for {
+		for _, service := range m.o.Services() {
+			m.service(ctx, service)
+		}
+		if m.o.Clock.Sleep(ctx, pollInterval) != nil {
+			return nil
+		}
+	}
+}
+
+// service compares one service's roles with the plan.
+func (m *Manager) service(ctx context.Context, service string) {
+	share, known := m.o.Share(service)
+	engines := m.o.Instances(service)
+	if !known || len(engines) < 2 {
+		return
+	}
+	now := m.o.Clock.Now()
+	m.forget(engines, now)
+	want := Target(len(engines), share)
+	changes := Plan(m.asOrdered(engines), want)
+	if len(changes) == 0 {
+		m.stood[service] = true
+	}
+	if len(changes) == 0 || (m.stood[service] && len(changes) <= tolerance && !m.starved(engines)) {
+		delete(m.since, service)
+		return
+	}
+	if m.stood[service] && !m.settled(service, now) {
+		return
+	}
+	for _, c := range changes {
+		if !m.o.Lease.Held() || ctx.Err() != nil {
+			return
+		}
+		m.order(ctx, c)
+	}
+}
+
+// starved reports whether a role has fewer engines than it may.
+func (m *Manager) starved(engines []state.Instance) bool {
+	prefill := 0
+	for _, e := range engines {
+		if e.Role == state.RolePrefill {
+			prefill++
+		}
+	}
+	return len(engines) >= 2*minEach && (prefill < minEach || len(engines)-prefill < minEach)
+}
+
+func (m *Manager) settled(service string, now time.Time) bool {
+	since, ok := m.since[service]
+	if !ok {
+		m.since[service] = now
+		return false
+	}
+	return now.Sub(since) >= settle
+}
+
+// asOrdered is the list with the roles that orders on their way will bring.
+func (m *Manager) asOrdered(engines []state.Instance) []state.Instance {
+	out := make([]state.Instance, len(engines))
+	copy(out, engines)
+	for i := range out {
+		if g, ok := m.ordered[out[i].ID]; ok {
+			out[i].Role = g.role
+		}
+	}
+	return out
+}
+
+// forget drops orders that have been carried out or count as lost.
+func (m *Manager) forget(engines []state.Instance, now time.Time) {
+	listed := map[string]state.Role{}
+	for _, e := range engines {
+		listed[e.ID] = e.Role
+	}
+	for id, g := range m.ordered {
+		if role, ok := listed[id]; !ok || role == g.role || now.After(g.until) {
+			delete(m.ordered, id)
+		}
+	}
+}
+
+// order has one engine change its role. The number of orders that the engine has
+// accepted is read first: an order that another holder gave in between makes the
+// engine refuse this one.
+func (m *Manager) order(ctx context.Context, c Change) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	i := &c.Instance
+	now := m.o.Clock.Now()
+	report, err := m.o.Engines.Report(ctx, i)
+	if err != nil || report.Busy {
+		m.o.Log.Info("engine not ordered", "instance", i.ID, "busy", report.Busy, "cause", fmt.Sprint(err))
+		m.ordered[i.ID] = given{i.Role, now.Add(retryOrder)}
+		return
+	}
+	if report.Role == c.Role {
+		m.ordered[i.ID] = given{c.Role, now.Add(lateBound)}
+		return
+	}
+	if !m.o.Lease.Held() {
+		return
+	}
+	o := Order{Role: c.Role, Holder: m.o.Host, Fence: m.o.Lease.Fence(), Accepted: report.Accepted}
+	result, err := m.o.Engines.Order(ctx, i, o)
+	m.o.Log.Info("engine ordered", "instance", i.ID, "role", string(c.Role), "fence", o.Fence, "accepted", o.Accepted, "result", string(result), "cause", fmt.Sprint(err))
+	if err == nil && result != ResultAccepted {
+		m.ordered[i.ID] = given{i.Role, now.Add(retryOrder)}
+		return
+	}
+	m.ordered[i.ID] = given{c.Role, now.Add(lateBound)}
+}
+
+// retryOrder is how long an engine that took no order is left alone.
+const retryOrder = 2 * time.Second
--- /dev/null
+++ b/daemon/routed/host.go
@@ -0,0 +1,296 @@
+package routed
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+
+	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/forward"
+	"github.com/thymerack/thymerack/coordination/lease"
+	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/coordination/retry"
+	"github.com/thymerack/thymerack/coordination/stages"
+	"github.com/thymerack/thymerack/platform"
+	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/gateway"
+	"github.com/thymerack/thymerack/transport/httpclient"
+	"github.com/thymerack/thymerack/transport/relay"
+	"github.com/thymerack/thymerack/transport/runners"
+	"github.com/thymerack/thymerack/transport/wallclock"
+)
+
+// leaseName is the lease of the host that gives orders to engines.
+const leaseName = "engine-roles"
+
+// Host is one host. Create it with New.
+type Host struct {
+	o     Options
+	s     platform.Settings
+	log   *slog.Logger
+	clock wallclock.Clock
+
+	store     *platform.Store
+	members   *members
+	config    *follow.Config
+	configs   *follow.Mirror
+	instances *follow.Instances
+	listed    *follow.Mirror
+	fleet     *placement.Fleet
+	pool      *runners.Pool
+	gateway   *gateway.Server
+	manager   *stages.Manager
+	metrics   *measures
+	ready     *readiness
+}
+
+// New wires a host; nothing is started.
+func New(o Options) (*Host, error) {
+	if err := o.validate(); err != nil {
+		return nil, err
+	}
+	h := &Host{o: o, s: o.Settings, log: o.Log.With("host", o.Settings.Host), metrics: newMeasures()}
+	for _, build := range []func() error{h.buildStore, h.buildLists, h.buildPool, h.buildGateway, h.buildManager} {
+		if err := build(); err != nil {
+			return nil, err
+		}
+	}
+	h.ready = newReadiness(h.isReady)
+	return h, nil
+}
+
+func (h *Host) buildStore() error {
+	client, err := httpclient.New(httpclient.Options{
+		Addr: h.s.StoreAddr, DialTimeout: storeTimeout, WriteTimeout: storeTimeout,
+		UserTimeout: storeUserTimeout, KeepAlive: storeKeepAlive,
+		MaxConns: storeConns, MaxIdle: storeIdle, MaxHeaderBytes: storeHeaderBytes,
+	})
+	if err != nil {
+		return err
+	}
+	h.store = platform.NewStore(platform.StoreOptions{
+		Client: client, Host: h.s.StoreAddr, Timeout: storeTimeout, WatchWait: watchWait,
+	})
+	h.members = newMembers(h.store, h.s, h.log)
+	return nil
+}
+
+func (h *Host) buildLists() error {
+	h.fleet = placement.NewFleet(placement.Options{Clock: h.clock, FailureDomain: h.s.FailureDomain})
+	h.config = follow.NewConfig(platform.ConfigName, platform.DecodeConfig, h.log)
+	h.instances = follow.NewInstances(follow.InstancesOptions{
+		Clock: h.clock, Log: h.log, Decode: platform.DecodeInstance, Publish: h.publish,
+		Outage:  func() bool { return h.listed.AwayWithin(outageWindow) },
+		HoldFor: holdFor,
+	})
+	var err error
+	h.configs, err = follow.New(follow.Options{Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed})
+	if err != nil {
+		return err
+	}
+	h.listed, err = follow.New(follow.Options{Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindInstances, Changed: h.instances.Changed})
+	return err
+}
+
+// publish puts a new list of instances in force.
+func (h *Host) publish(instances []state.Instance) {
+	h.fleet.Update(instances)
+	if h.pool != nil {
+		h.pool.Retain(h.fleet.Has)
+	}
+}
+
+func (h *Host) buildPool() error {
+	var err error
+	h.pool, err = runners.New(runners.Options{Codec: platform.Codec{}, ConnLimit: h.connLimit, MaxHeaderBytes: maxHeaderBytes})
+	return err
+}
+
+// connLimit is this host's share of a runner's connections.
+func (h *Host) connLimit(service string) int {
+	table := h.config.Table()
+	if table == nil {
+		return minConns
+	}
+	spec := table.Service(service)
+	if spec == nil || spec.MaxConns <= 0 {
+		return minConns
+	}
+	return max(minConns, int(limitShare*float64(spec.MaxConns)/float64(h.members.Hosts())))
+}
+
+func (h *Host) buildGateway() error {
+	budget, err := retry.NewBudget(retry.BudgetOptions{
+		Clock:        h.clock,
+		Share:        func(string) float64 { return limitShare * h.s.Bounds.RetryRatio },
+		DefaultShare: limitShare * h.s.Bounds.RetryRatio,
+		Slack:        h.retrySlack,
+		SlackWindow:  h.s.Bounds.RetryWindow,
+	})
+	if err != nil {
+		return err
+	}
+	dispatcher, err := forward.New(forward.Options{
+		Upstream: h.pool, Placer: h.fleet, Budget: budget, Clock: h.clock, Log: h.log, SplitTokens: h.o.SplitTokens,
+	})
+	if err != nil {
+		return err
+	}
+	h.gateway, err = gateway.New(gateway.Options{
+		Codec: platform.Codec{}, Dispatcher: dispatcher, Table: h.config.Table, Observer: h.metrics, Log: h.log,
+		MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes,
+		MaxConnections: max(h.s.Limits.Descriptors-reservedFDs, reservedFDs),
+	})
+	return err
+}
+
+// retrySlack is this host's share of the repeats that all hosts may send in a
+// window whatever their traffic.
+func (h *Host) retrySlack() float64 {
+	return limitShare * h.s.Bounds.RetrySlack / float64(h.members.Hosts())
+}
+
+func (h *Host) buildManager() error {
+	look := otherLook
+	if h.isSeed() {
+		look = seedLook
+	}
+	lessor, err := lease.New(lease.Options{
+		Store: h.store, Clock: h.clock, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Name: leaseName, Holder: state.HostID{Name: h.s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()},
+		TTL: leaseTTL, LookEvery: look, Log: h.log,
+	})
+	if err != nil {
+		return err
+	}
+	h.manager, err = stages.New(stages.Options{
+		Engines: platform.Engines{Caller: h.pool, Timeout: storeTimeout}, Lease: lessor, Clock: h.clock, Log: h.log, Host: h.s.Host,
+		Services: h.engineServices, Instances: h.engines,
+		Share:    func(string) (float64, bool) { return h.o.PrefillShare, true },
+		TakeOver: h.s.Bounds.LeaseTime + h.s.Bounds.ThawTime + takeOverMargin,
+	})
+	return err
+}
+
+// takeOverMargin covers an order that the last holder sent in its last moment.
+const takeOverMargin = time.Second
+
+// isSeed reports whether the settings name this host as one that others know.
+func (h *Host) isSeed() bool {
+	return slices.ContainsFunc(h.s.Seeds, func(seed string) bool {
+		ip, _, err := net.SplitHostPort(seed)
+		return err == nil && ip == h.s.IP
+	})
+}
+
+func (h *Host) engineServices() []string {
+	table := h.config.Table()
+	if table == nil || h.listed.Lost() {
+		return nil
+	}
+	var out []string
+	for _, s := range table.Config.Services {
+		if s.Engine != nil {
+			out = append(out, s.Name)
+		}
+	}
+	return out
+}
+
+func (h *Host) engines(service string) []state.Instance {
+	var out []state.Instance
+	for _, r := range h.fleet.Runners(service) {
+		out = append(out, *r.Instance)
+	}
+	return out
+}
+
+// Reload takes changed settings. Seeds and shared limits change at once; addresses
+// and resources are the process's own and hold until its end.
+func (h *Host) Reload(s platform.Settings) {
+	h.members.reload(s.Seeds)
+	h.log.Info("settings reloaded", "seeds", s.Seeds)
+}
+
+// isReady reports whether the host knows routes and runners.
+func (h *Host) isReady() bool { return h.config.Table() != nil && h.listed.Revision() > 0 }
+
+// Run serves until stop ends, then leaves: unready at once, every request
+// answered, ended before the grace is over.
+func (h *Host) Run(stop context.Context) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(h.s.Limits.MemoryBytes)))
+	listeners, err := h.listen()
+	if err != nil {
+		return err
+	}
+	h.log.Info("started", "callers", h.s.CallerAddr, "failure_domain", h.s.FailureDomain, "memory_bytes", h.s.Limits.MemoryBytes)
+	work, end := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { h.configs.Run(work) })
+	group.Go(func() { h.listed.Run(work) })
+	group.Go(func() { h.instances.Run(work) })
+	group.Go(func() { h.members.Run(work) })
+	group.Go(func() { h.relay(work) })
+	managing, resign := context.WithCancel(work)
+	group.Go(func() {
+		if err := h.manager.Run(managing); err != nil {
+			h.log.Error("orders to engines ended", "cause", err.Error())
+		}
+	})
+	h.serve(listeners)
+	<-stop.Done()
+	resign()
+	h.leave()
+	end()
+	listeners.close()
+	group.Wait()
+	h.log.Info("stopped")
+	return nil
+}
+
+// leave goes on serving until the balancer has turned away and every request is
+// answered.
+func (h *Host) leave() {
+	h.log.Info("leaving", "grace", h.s.Bounds.Grace)
+	h.ready.leave()
+	h.gateway.Leave()
+	began := h.clock.Now()
+	for {
+		time.Sleep(drainPoll)
+		waited := h.clock.Now().Sub(began)
+		idle := h.gateway.Active() == 0
+		if waited >= h.s.Bounds.Grace-graceMargin || (idle && waited >= unreadyFor) {
+			h.log.Info("left", "waited", waited, "open", h.gateway.Active())
+			return
+		}
+	}
+}
+
+// relay asks peers for newer copies while the store is lost.
+func (h *Host) relay(ctx context.Context) {
+	mirrors := h.mirrors()
+	for h.clock.Sleep(ctx, relayEvery) == nil {
+		if !h.configs.Lost() && !h.listed.Lost() {
+			continue
+		}
+		peers := h.members.Peers()
+		if len(peers) == 0 {
+			continue
+		}
+		peer := peers[rand.IntN(len(peers))]
+		if err := relay.Ask(ctx, peer, h.s.Host, mirrors); err != nil {
+			h.log.Info("peer not reached", "peer", peer, "cause", err.Error())
+		}
+	}
+}
+
+func (h *Host) mirrors() relay.Mirrors {
+	return relay.Mirrors{platform.KindConfig: h.configs, platform.KindInstances: h.listed}
+}
--- /dev/null
+++ b/daemon/routed/listen.go
@@ -0,0 +1,94 @@
+package routed
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thymerack/thymerack/transport/relay"
+)
+
+// listeners are a host's open ports.
+type listeners struct {
+	callers, ready, peers, metrics net.Listener
+}
+
+func (h *Host) listen() (*listeners, error) {
+	l := &listeners{}
+	ports := []struct {
+		into *net.Listener
+		addr string
+		use  string
+	}{
+		{&l.callers, h.s.CallerAddr, "callers"},
+		{&l.ready, h.s.ReadyAddr, "readiness checks"},
+		{&l.peers, net.JoinHostPort(h.s.IP, strconv.Itoa(h.s.PeerPort)), "peers"},
+	}
+	if h.o.MetricsPort > 0 {
+		ports = append(ports, struct {
+			into *net.Listener
+			addr string
+			use  string
+		}{&l.metrics, net.JoinHostPort(h.s.IP, strconv.Itoa(h.o.MetricsPort)), "metrics"})
+	}
+	for _, p := range ports {
+		ln, err := net.Listen("tcp4", p.addr)
+		if err != nil {
+			l.close()
+			return nil, fmt.Errorf("listen for %s on %s: %w; free the port or change the settings", p.use, p.addr, err)
+		}
+		*p.into = ln
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, ln := range []net.Listener{l.callers, l.ready, l.peers, l.metrics} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+// serve answers all ports, each in a goroutine that ends with its listener.
+func (h *Host) serve(l *listeners) {
+	run := func(use string, serve func() error) {
+		go func() {
+			if err := serve(); err != nil {
+				h.log.Error("listener ended", "use", use, "cause", err.Error())
+			}
+		}()
+	}
+	run("callers", func() error { return h.gateway.Serve(l.callers) })
+	run("readiness checks", func() error { return h.ready.server.Serve(l.ready) })
+	run("peers", func() error { return relay.NewServer(h.mirrors(), h.log).Serve(l.peers) })
+	if l.metrics != nil {
+		run("metrics", func() error { return h.metrics.server().Serve(l.metrics) })
+	}
+}
+
+// readiness answers the balancer's checks.
+type readiness struct {
+	server  *fasthttp.Server
+	leaving atomic.Bool
+}
+
+func newReadiness(ready func() bool) *readiness {
+	r := &readiness{}
+	r.server = &fasthttp.Server{
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		Logger:                nil,
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			if r.leaving.Load() || !ready() {
+				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			}
+		},
+	}
+	return r
+}
+
+func (r *readiness) leave() { r.leaving.Store(true) }
--- /dev/null
+++ b/daemon/routed/options.go
@@ -0,0 +1,86 @@
+// Package routed wires one host that serves the configured routes of the users'
+// platform.
+package routed
+
+import (
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/thymerack/thymerack/platform"
+)
+
+// Options are what a host needs from its command line and its platform.
+type Options struct {
+	Settings platform.Settings
+	Log      *slog.Logger
+	// MetricsPort serves metrics on the host's address; 0 serves none.
+	MetricsPort int
+	// PrefillShare is the share of a service's engines that read prompts.
+	PrefillShare float64
+	// SplitTokens is the prompt size from which a prompt is read at a prefill
+	// engine of its own.
+	SplitTokens int
+}
+
+func (o Options) validate() error {
+	if o.Log == nil {
+		return errors.New("routed: Options.Log is nil; pass a logger")
+	}
+	if o.PrefillShare <= 0 || o.PrefillShare >= 1 {
+		return errors.New("routed: PrefillShare is outside 0 to 1; use the share of prefill in the work, for example 0.7")
+	}
+	return nil
+}
+
+const (
+	// storeTimeout bounds an ordinary call to the store, which answers in 4 ms
+	// and at times 60 times as slowly.
+	storeTimeout = 1500 * time.Millisecond
+	// watchWait is how long a watch waits at the store; the platform allows 30 s.
+	watchWait = 20 * time.Second
+	// storeUserTimeout and storeKeepAlive find a store that is cut off while a
+	// watch waits there, within the 3 s after which a host counts as in touch.
+	storeUserTimeout = 2500 * time.Millisecond
+	storeKeepAlive   = time.Second
+	storeConns       = 8
+	storeIdle        = 20 * time.Second
+	storeHeaderBytes = 4 << 10
+	// outageWindow is how long after the store's return entries of living runners
+	// may be missing: about two seconds, and holdFor bounds the trust in one.
+	outageWindow = 2500 * time.Millisecond
+	holdFor      = 1800 * time.Millisecond
+	// leaseTTL is how long a holder of the engines' lease may be silent; seedLook
+	// and otherLook are how often the hosts named as seeds and all others look,
+	// so that the calls for it don't grow with the fleet.
+	leaseTTL  = 6 * time.Second
+	seedLook  = 2 * time.Second
+	otherLook = 30 * time.Second
+	// relayEvery is how often a host that lost the store asks a peer for newer
+	// copies.
+	relayEvery = 500 * time.Millisecond
+	// membersSettle lets hosts that start together list themselves first.
+	membersSettle = 1500 * time.Millisecond
+	// membersEvery is how often the list of hosts is read, from a stale copy.
+	membersEvery = 15 * time.Second
+	// assumedHosts divides the shared limits until the list of hosts is read: the
+	// size of the largest deployment's fleet with its spares.
+	assumedHosts = 80
+	// limitShare keeps room below the shared limits for hosts not listed yet.
+	limitShare = 0.8
+	// minConns is the least number of connections to a runner.
+	minConns = 4
+	// unreadyFor is how long a leaving host goes on before it may end: the
+	// balancer takes it out after two checks a second apart.
+	unreadyFor = 2500 * time.Millisecond
+	// graceMargin ends a leaving host before it is killed.
+	graceMargin = 500 * time.Millisecond
+	drainPoll   = 50 * time.Millisecond
+	// memoryShare of the machine's memory is the collector's limit; the rest is
+	// for the runtime, stacks and socket buffers.
+	memoryShare = 0.6
+	// reservedFDs are kept for files, connections to runners, the store and peers.
+	reservedFDs    = 1200
+	maxHeaderBytes = 16 << 10
+	maxBodyBytes   = 4 << 20
+)
--- /dev/null
+++ b/state/routing.go
@@ -0,0 +1,99 @@
+package state
+
+import "time"
+
+// RouteKind says what may be repeated of a route's requests.
+type RouteKind string
+
+// The kinds of route.
+const (
+	// RouteSafe requests are idempotent.
+	RouteSafe RouteKind = "safe"
+	// RouteUnsafe requests run at most once.
+	RouteUnsafe RouteKind = "unsafe"
+	// RouteStream requests are answered by a stream of numbered events.
+	RouteStream RouteKind = "stream"
+)
+
+// Valid reports whether k is a known kind.
+func (k RouteKind) Valid() bool {
+	return k == RouteSafe || k == RouteUnsafe || k == RouteStream
+}
+
+// Backend is a service that serves a share of a route.
+type Backend struct {
+	Service string
+	Weight  int
+}
+
+// Route maps requests of one host and path prefix to services.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix   string
+	Kind     RouteKind
+	Backends []Backend
+	// Timeout is the longest time until the final answer.
+	Timeout time.Duration
+	// Objective is the time within which an answer, or the first event of a
+	// stream, is worth most.
+	Objective time.Duration
+	// EventGap is the longest pause between two events that is still in time.
+	EventGap time.Duration
+	// Priority orders kinds of request; 0 is the most urgent.
+	Priority int
+	// MaxAttempts bounds the runners that one request may be sent to.
+	MaxAttempts int
+	// Resumable streams may go on at another runner after the last whole event.
+	Resumable bool
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == RouteSafe || (r.Kind == RouteStream && r.Resumable)
+}
+
+// EngineSpec describes the engines of a service.
+type EngineSpec struct {
+	// Slots is the number of requests in one batch.
+	Slots int
+	// KVTokens is an engine's memory, in tokens.
+	KVTokens int
+	// HandleTTL is how long a prefilled KV cache waits to be taken.
+	HandleTTL time.Duration
+	// SwitchTime is how long a change of role takes an idle engine away.
+	SwitchTime time.Duration
+}
+
+// ServiceSpec describes a service of the routing configuration.
+type ServiceSpec struct {
+	Name       string
+	HealthPath string
+	// MaxConns bounds the connections of all hosts to one runner.
+	MaxConns int
+	// Engine is nil for plain services.
+	Engine *EngineSpec
+}
+
+// RoutingConfig is one version of the operators' routes and services.
+type RoutingConfig struct {
+	Version  uint64
+	Routes   []Route
+	Services []ServiceSpec
+	// MaxBodyBytes bounds a caller's request body; 0 means no limit of its own.
+	MaxBodyBytes int
+}
+
+// Instance is one run of a runner. A restart is another instance.
+type Instance struct {
+	ID            string
+	Service       string
+	Addr          string
+	FailureDomain string
+	Slots         int
+	// Draining instances take no new work.
+	Draining bool
+	// Role is empty for runners of plain services.
+	Role Role
+}
--- a/transport/front/gone.go
+++ b/transport/callerconn/gone.go
@@ -1,4 +1,4 @@
-package front
+package callerconn
 
 import (
 	"errors"
@@ -8,11 +8,11 @@
 	"golang.org/x/sys/unix"
 )
 
-// callerGone reports whether the other side has closed or reset the connection.
+// Gone reports whether the other side has closed or reset the connection.
 // It looks without reading, so that a pipelined request stays where it is, and
 // past the connection's read deadline, which belongs to the request before.
 // Connections that can't be looked at count as alive.
-func callerGone(conn net.Conn) bool {
+func Gone(conn net.Conn) bool {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -12,11 +12,13 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
 
 	"github.com/thymerack/thymerack/coordination/answer"
 	"github.com/thymerack/thymerack/coordination/dispatch"
 	"github.com/thymerack/thymerack/coordination/snapshot"
 	"github.com/thymerack/thymerack/coordination/upstream"
+	"github.com/thymerack/thymerack/transport/callerconn"
 )
 
 // Dispatcher serves classified requests.
@@ -117,7 +119,7 @@
 	phase    atomic.Int32
 	inFlight atomic.Int64
 	requests atomic.Uint64
-	watch    *callWatch
+	watch    *callerconn.Watch
 	// active counts the connections that a request is read from or a response
 	// written to. A response is written after its request has left inFlight.
 	active atomic.Int64
@@ -141,7 +143,7 @@
 	if o.Limits.BodyBytes <= 0 || o.Limits.MaxTokens <= 0 || o.ProbeInterval <= 0 {
 		return nil, errors.New("front: BodyBytes, MaxTokens and ProbeInterval must be positive")
 	}
-	s := &Server{o: o, watch: newCallWatch()}
+	s := &Server{o: o, watch: callerconn.NewWatch(callerPoll)}
 	s.base, s.stopBase = context.WithCancel(context.Background())
 	s.app = fiber.New(fiber.Config{
 		BodyLimit:                o.Limits.BodyBytes,
@@ -192,8 +194,8 @@
 
 // Serve answers connections of ln until the server is shut down.
 func (s *Server) Serve(ln net.Listener) error {
-	go s.watch.run(s.base)
-	return s.app.Listener(&listener{ln, s.o.Limits.WriteTimeout}, fiber.ListenConfig{DisableStartupMessage: true})
+	go s.watch.Run(s.base)
+	return s.app.Listener(&callerconn.Listener{Listener: ln, WriteLimit: s.o.Limits.WriteTimeout}, fiber.ListenConfig{DisableStartupMessage: true})
 }
 
 // InFlight returns the number of requests being served.
@@ -257,3 +259,20 @@
 	}
 	return ""
 }
+
+// connState counts the active connections.
+func (s *Server) connState(conn net.Conn, state fasthttp.ConnState) {
+	c, ok := conn.(*callerconn.Conn)
+	if !ok {
+		return
+	}
+	active := state == fasthttp.StateActive
+	if !c.SetActive(active) {
+		return
+	}
+	if active {
+		s.active.Add(1)
+	} else {
+		s.active.Add(-1)
+	}
+}
--- a/transport/front/send.go
+++ b/transport/front/send.go
@@ -13,6 +13,7 @@
 	"github.com/thymerack/thymerack/coordination/answer"
 	"github.com/thymerack/thymerack/protocol/callerapi"
 	"github.com/thymerack/thymerack/protocol/engineapi"
+	"github.com/thymerack/thymerack/transport/callerconn"
 )
 
 // source is an answer to read from, held here or elsewhere.
@@ -85,7 +86,7 @@
 		if err != nil || !chunk.Empty() {
 			return chunk, err
 		}
-		if callerGone(conn) {
+		if callerconn.Gone(conn) {
 			return chunk, errCallerGone
 		}
 		if limit > 0 && time.Since(started) >= limit {
--- a/transport/front/services.go
+++ b/transport/front/services.go
@@ -12,6 +12,7 @@
 	"github.com/thymerack/thymerack/coordination/upstream"
 	"github.com/thymerack/thymerack/protocol/callerapi"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/callerconn"
 )
 
 // services serves a call of a plain service.
@@ -103,9 +104,9 @@
 func (s *Server) call(c fiber.Ctx, r *dispatch.Request, call upstream.Call) (upstream.Answer, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
 	defer cancel()
-	watched := &watchedCall{c.RequestCtx().Conn(), cancel}
-	s.watch.add(watched)
-	defer s.watch.remove(watched)
+	watched := &callerconn.Call{Conn: c.RequestCtx().Conn(), Cancel: cancel}
+	s.watch.Add(watched)
+	defer s.watch.Remove(watched)
 	a, err := s.o.Dispatcher.Call(ctx, r, call)
 	if err == nil {
 		s.o.Observer.Whole(r.Tenant, r.Class, time.Since(r.ArrivedAt), !time.Now().After(r.Deadline))
--- /dev/null
+++ b/transport/gateway/gateway.go
@@ -0,0 +1,369 @@
+// Package gateway is the callers' side of a host that forwards configured routes:
+// it reads requests strictly, hands them to the dispatcher and writes answers back
+// unchanged.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thymerack/thymerack/coordination/forward"
+	"github.com/thymerack/thymerack/coordination/routing"
+	"github.com/thymerack/thymerack/transport/callerconn"
+)
+
+// Dispatcher forwards one request. Errors are *forward.Refusal.
+type Dispatcher interface {
+	Forward(ctx context.Context, r *forward.Request) (*forward.Answer, error)
+}
+
+// Codec reads what a request says of itself; it returns the time left that the
+// caller named, or zero.
+type Codec interface {
+	DecodeRequest(h *fasthttp.RequestHeader, r *forward.Request) time.Duration
+}
+
+// Observer takes the measures of the callers' side.
+type Observer interface {
+	// Answered notes an answer or refusal, and the time since the arrival; for a
+	// stream, the time to its first event.
+	Answered(service string, status int, took time.Duration)
+	// Rejected notes a request that was not dispatched.
+	Rejected(reason string)
+}
+
+// Options configure a Server. All fields are required.
+type Options struct {
+	Codec      Codec
+	Dispatcher Dispatcher
+	// Table returns the routes in force, or nil before the first configuration.
+	Table    func() *routing.Table
+	Observer Observer
+	Log      *slog.Logger
+	// MaxBodyBytes and MaxHeaderBytes bound a request.
+	MaxBodyBytes, MaxHeaderBytes int
+	// MaxConnections bounds the callers' connections.
+	MaxConnections int
+}
+
+const (
+	// callerPoll is how often a waiting caller is looked for; PROTOCOL wants work
+	// for callers that left ended within half a second.
+	callerPoll = 150 * time.Millisecond
+	// readTimeout bounds the reading of one request, writeTimeout the writing of
+	// one part of an answer.
+	readTimeout  = 10 * time.Second
+	writeTimeout = 5 * time.Second
+	// idleTimeout is twice the limit that the operators' configuration names, so
+	// that callers always leave first.
+	idleTimeout = 30 * time.Second
+	// defaultDeadline is used where neither caller nor route names a limit.
+	defaultDeadline = 15 * time.Second
+)
+
+// Server serves callers. Create it with New.
+type Server struct {
+	o        Options
+	http     *fasthttp.Server
+	watch    *callerconn.Watch
+	base     context.Context
+	stopBase context.CancelFunc
+	leaving  atomic.Bool
+	active   atomic.Int64
+}
+
+// New validates the options.
+func New(o Options) (*Server, error) {
+	if o.Codec == nil || o.Dispatcher == nil || o.Table == nil || o.Observer == nil || o.Log == nil {
+		return nil, errors.New("gateway: a field of Options is nil; set all of them")
+	}
+	if o.MaxBodyBytes <= 0 || o.MaxHeaderBytes <= 0 || o.MaxConnections <= 0 {
+		return nil, errors.New("gateway: MaxBodyBytes, MaxHeaderBytes and MaxConnections must be positive")
+	}
+	s := &Server{o: o, watch: callerconn.NewWatch(callerPoll)}
+	s.base, s.stopBase = context.WithCancel(context.Background())
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		ErrorHandler:          s.malformed,
+		ConnState:             s.connState,
+		Concurrency:           o.MaxConnections,
+		ReadBufferSize:        o.MaxHeaderBytes,
+		MaxRequestBodySize:    o.MaxBodyBytes,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		NoDefaultContentType:  true,
+		CloseOnShutdown:       true,
+		Logger:                quiet{},
+	}
+	return s, nil
+}
+
+// quiet drops the library's own lines: malformed requests are counted here, and
+// callers that leave are no event.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
+// Serve answers the connections of ln until Close.
+func (s *Server) Serve(ln net.Listener) error {
+	go s.watch.Run(s.base)
+	return s.http.Serve(&callerconn.Listener{Listener: ln, WriteLimit: writeTimeout})
+}
+
+// Leave closes callers' connections after their next answer; all requests are
+// still served.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Active counts the connections on which a request is read or answered.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// Close cuts everything that is left.
+func (s *Server) Close() error {
+	s.stopBase()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	return s.http.ShutdownWithContext(ctx)
+}
+
+// closeTimeout bounds the end of the listener.
+const closeTimeout = 200 * time.Millisecond
+
+func (s *Server) connState(c net.Conn, state fasthttp.ConnState) {
+	conn, ok := c.(*callerconn.Conn)
+	if !ok {
+		return
+	}
+	active := state == fasthttp.StateActive
+	if !conn.SetActive(active) {
+		return
+	}
+	if active {
+		s.active.Add(1)
+	} else {
+		s.active.Add(-1)
+	}
+}
+
+func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
+	s.o.Observer.Rejected("malformed")
+	status := fasthttp.StatusBadRequest
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &small):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	}
+	s.problem(ctx, status, "the request can't be read; send it as HTTP/1.1 describes")
+	ctx.SetConnectionClose()
+}
+
+// problem writes an answer of the host's own.
+func (s *Server) problem(ctx *fasthttp.RequestCtx, status int, text string) {
+	ctx.Response.Reset()
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(text + "\n")
+	if s.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	arrived := time.Now()
+	if err := checkFraming(&ctx.Request.Header); err != nil {
+		s.malformed(ctx, err)
+		return
+	}
+	table := s.o.Table()
+	if table == nil {
+		s.reject(ctx, "no_configuration", fasthttp.StatusServiceUnavailable, "this host has no configuration yet; send the request again")
+		return
+	}
+	uri := string(ctx.Request.Header.RequestURI())
+	host := string(ctx.Request.Header.Host())
+	route := table.Route(host, uri)
+	if route == nil {
+		s.reject(ctx, "no_route", fasthttp.StatusNotFound, "no route matches; check host and path")
+		return
+	}
+	r := &forward.Request{
+		Method: string(ctx.Method()), URI: uri, Host: host, Body: ctx.Request.Body(),
+		Route: route, ConfigVersion: table.Version, ArrivedAt: arrived,
+	}
+	left := s.o.Codec.DecodeRequest(&ctx.Request.Header, r)
+	if r.ID == "" {
+		s.reject(ctx, "no_request_id", fasthttp.StatusBadRequest, "the request has no id; send one of its own for each attempt")
+		return
+	}
+	r.Service = routing.Backend(route, r.ID)
+	r.Deadline = arrived.Add(shortest(left, route.Timeout))
+	s.forward(ctx, r)
+}
+
+// shortest is the least of the positive times.
+func shortest(a, b time.Duration) time.Duration {
+	switch {
+	case a <= 0 && b <= 0:
+		return defaultDeadline
+	case a <= 0:
+		return b
+	case b <= 0:
+		return a
+	default:
+		return min(a, b)
+	}
+}
+
+func (s *Server) reject(ctx *fasthttp.RequestCtx, reason string, status int, text string) {
+	s.o.Observer.Rejected(reason)
+	s.o.Log.Warn("request rejected", "reason", reason, "status", status, "host", string(ctx.Request.Header.Host()), "uri", string(ctx.Request.Header.RequestURI()))
+	s.problem(ctx, status, text)
+	if status == fasthttp.StatusServiceUnavailable {
+		setRetryAfter(ctx, configRetry)
+	}
+}
+
+// configRetry is when a host without a configuration may be asked again; the
+// first one is there a few answers of the store (4 ms) after the start.
+const configRetry = 100 * time.Millisecond
+
+func setRetryAfter(ctx *fasthttp.RequestCtx, after time.Duration) {
+	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+}
+
+// forward dispatches the request while its caller is watched.
+func (s *Server) forward(ctx *fasthttp.RequestCtx, r *forward.Request) {
+	work, cancel := context.WithDeadline(s.base, r.Deadline)
+	call := &callerconn.Call{Conn: ctx.Conn(), Cancel: cancel}
+	s.watch.Add(call)
+	end := func() {
+		s.watch.Remove(call)
+		cancel()
+	}
+	answer, err := s.o.Dispatcher.Forward(work, r)
+	took := time.Since(r.ArrivedAt)
+	if err != nil {
+		end()
+		s.refuse(ctx, r, err, took)
+		return
+	}
+	s.o.Observer.Answered(r.Service, answer.Head.Status, took)
+	s.writeHead(ctx, answer.Head)
+	if answer.Stream != nil {
+		ctx.Response.ImmediateHeaderFlush = true
+		ctx.Response.SetBodyStream(&eventBody{stream: answer.Stream, done: end}, -1)
+		return
+	}
+	end()
+	ctx.Response.SetBodyRaw(answer.Body)
+}
+
+func (s *Server) writeHead(ctx *fasthttp.RequestCtx, head *forward.Head) {
+	ctx.SetStatusCode(head.Status)
+	for _, h := range head.Headers {
+		ctx.Response.Header.Add(h.Name, h.Value)
+	}
+	if s.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+// refuse writes the final answer to a request that no runner answered. Statuses
+// that promise "not run" are used only where that is certain.
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, r *forward.Request, err error, took time.Duration) {
+	var refusal *forward.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = &forward.Refusal{Reason: forward.ReasonUnknown, Cause: err}
+	}
+	status := fasthttp.StatusBadGateway
+	switch {
+	case refusal.NotRun:
+		status = fasthttp.StatusServiceUnavailable
+	case refusal.Reason == forward.ReasonDeadline:
+		status = fasthttp.StatusGatewayTimeout
+	}
+	s.o.Observer.Answered(r.Service, status, took)
+	s.problem(ctx, status, refusal.Error())
+	if refusal.NotRun && refusal.RetryAfter > 0 {
+		setRetryAfter(ctx, refusal.RetryAfter)
+	}
+	if refusal.Reason == forward.ReasonCancelled {
+		ctx.SetConnectionClose()
+	}
+}
+
+// eventBody is the body of a streamed answer. The goroutine of the connection
+// takes the events from it.
+type eventBody struct {
+	stream *forward.Stream
+	done   func()
+	err    error
+	left   []byte
+	closed bool
+}
+
+// SupportsBodyWriteTo implements fasthttp.BodyWriterTo.
+func (b *eventBody) SupportsBodyWriteTo() bool { return true }
+
+// WriteTo implements io.WriterTo; an error makes the library close the connection
+// without the mark that ends a whole body.
+func (b *eventBody) WriteTo(w io.Writer) (int64, error) {
+	written := int64(0)
+	for {
+		events, err := b.stream.Next()
+		if err == io.EOF {
+			return written, nil
+		}
+		if err != nil {
+			b.err = err
+			return written, err
+		}
+		n, err := w.Write(events)
+		written += int64(n)
+		if err != nil {
+			b.err = fmt.Errorf("write to the caller: %w", err)
+			return written, b.err
+		}
+	}
+}
+
+// Read implements io.Reader, as WriteTo.
+func (b *eventBody) Read(p []byte) (int, error) {
+	if len(b.left) == 0 {
+		events, err := b.stream.Next()
+		if err != nil {
+			if err != io.EOF {
+				b.err = err
+			}
+			return 0, err
+		}
+		b.left = events
+	}
+	n := copy(p, b.left)
+	b.left = b.left[n:]
+	return n, nil
+}
+
+// Close implements io.Closer; the library calls it however the answer ends.
+func (b *eventBody) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	b.stream.Close(b.err)
+	b.done()
+	return nil
+}
--- a/transport/httpclient/client.go
+++ b/transport/httpclient/client.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -14,6 +16,9 @@
 type Client struct {
 	opts Options
 	pool *fasthttp.HostClient
+	// maxIdle is the longest time in nanoseconds that a connection may have been
+	// unused and be used again; see SetMaxIdle.
+	maxIdle atomic.Int64
 }
 
 // New returns a client; it makes no connection yet.
@@ -37,6 +42,16 @@
 	return c, nil
 }
 
+// SetMaxIdle lowers the time that an unused connection is kept, below
+// Options.MaxIdle, when the server tells its own limit.
+func (c *Client) SetMaxIdle(d time.Duration) { c.maxIdle.Store(int64(d)) }
+
+// fresh reports whether a pooled connection was in use lately enough.
+func (c *Client) fresh(cn *conn) bool {
+	limit := time.Duration(c.maxIdle.Load())
+	return limit <= 0 || time.Since(cn.releasedAt) < limit
+}
+
 // Close closes the unused connections; attempts under way go on.
 func (c *Client) Close() { c.pool.CloseIdleConnections() }
 
@@ -51,6 +66,9 @@
 	// MaxBodyBytes bounds a response body that is read whole. It must be
 	// positive; Do takes less as 1, where fasthttp would take it as no limit.
 	MaxBodyBytes int
+	// Stray tells a late response to an earlier request, which is dropped; nil
+	// means that there are none.
+	Stray func(resp *fasthttp.Response) bool
 }
 
 // Do sends req and reads the whole response. Every error is an *Error.
@@ -79,12 +97,17 @@
 	ctx  context.Context
 	addr string
 	conn *conn
-	br   *bufio.Reader
+	// writeFailed is set before written ends.
+	writeFailed atomic.Bool
+	br          *bufio.Reader
 	// stopWatch ends the watch on ctx; false means that it has cut the connection.
 	stopWatch func() bool
 	// release gives the connection back to the pool, or closes it. It is called
 	// once, when nothing reads from br any more.
 	release func(reuse bool)
+	// written ends when a body that is written beside the reading of the response
+	// is out or has failed; nil when the request was written first.
+	written chan struct{}
 }
 
 // send acquires a connection and writes the request to it.
@@ -96,7 +119,7 @@
 	if c.opts.SingleUse {
 		req.SetConnectionClose()
 	}
-	x.conn.written = 0
+	x.conn.written.Store(0)
 	x.stopWatch = context.AfterFunc(ctx, x.conn.abort)
 	if err := x.write(c, req); err != nil {
 		return nil, x.fail(err)
@@ -121,6 +144,7 @@
 				c.pool.ReleaseReader(x.br)
 			}
 			if reuse && !c.opts.SingleUse {
+				cn.releasedAt = time.Now()
 				c.pool.ReleaseConn(cc)
 				return
 			}
@@ -133,7 +157,7 @@
 			}
 			return x, nil
 		}
-		if cn.idle() {
+		if c.fresh(cn) && cn.idle() {
 			return x, nil
 		}
 		x.release(false)
@@ -151,30 +175,97 @@
 	if err := x.conn.SetWriteDeadline(time.Now().Add(c.opts.WriteTimeout)); err != nil {
 		return err
 	}
+	x.br = c.pool.AcquireReader(x.conn)
+	if len(req.Body()) < besideBytes {
+		return x.writeAll(c, req)
+	}
+	x.written = make(chan struct{})
+	go func() {
+		defer close(x.written)
+		// A failure shows in the reading of the response, too; a server may have
+		// answered before it closed the connection.
+		x.writeFailed.Store(x.writeAll(c, req) != nil)
+	}()
+	return nil
+}
+
+// besideBytes is the body size from which a request is written beside the reading
+// of the response: a server may answer without reading a long body, and a request
+// that fits the socket's send buffer never waits for that. The smallest send
+// buffer seen with the kernel's default settings is 16 KiB.
+const besideBytes = 12 << 10
+
+func (x *exchange) writeAll(c *Client, req *fasthttp.Request) error {
 	bw := c.pool.AcquireWriter(x.conn)
 	defer c.pool.ReleaseWriter(bw)
 	if err := req.Write(bw); err != nil {
 		return err
 	}
-	if err := bw.Flush(); err != nil {
-		return err
+	return bw.Flush()
+}
+
+// wholeSent reports whether the request is out. It is false while the body is
+// still being written.
+func (x *exchange) wholeSent() bool {
+	if x.written == nil {
+		return true
+	}
+	select {
+	case <-x.written:
+		return !x.writeFailed.Load()
+	default:
+		return false
+	}
+}
+
+// awaitWriter waits until nothing writes to the connection; it must be closed or
+// the request be out.
+func (x *exchange) awaitWriter() {
+	if x.written != nil {
+		<-x.written
 	}
-	x.br = c.pool.AcquireReader(x.conn)
-	return nil
 }
 
 func (x *exchange) readResponse(resp *fasthttp.Response, l Limits) error {
 	if err := x.conn.SetReadDeadline(time.Now().Add(l.Timeout)); err != nil {
 		return err
 	}
-	return resp.ReadLimitBody(x.br, max(1, l.MaxBodyBytes))
+	for strays := 0; ; strays++ {
+		if err := resp.ReadLimitBody(x.br, max(1, l.MaxBodyBytes)); err != nil {
+			return err
+		}
+		if l.Stray == nil || !l.Stray(resp) {
+			return nil
+		}
+		if strays == maxStrays {
+			return ErrStray
+		}
+		if err := discard(resp); err != nil {
+			return err
+		}
+	}
+}
+
+// maxStrays bounds the responses of other requests that are read and dropped
+// before one attempt's own.
+const maxStrays = 3
+
+// discard reads the rest of a response that nobody wants.
+func discard(resp *fasthttp.Response) error {
+	body := resp.BodyStream()
+	if body == nil {
+		return nil
+	}
+	_, err := io.Copy(io.Discard, body)
+	return err
 }
 
 // fail ends the attempt with an error and drops the connection.
 func (x *exchange) fail(err error) *Error {
 	x.stopWatch()
 	x.conn.abort()
-	sent := x.conn.written > 0
+	x.awaitWriter()
+	sent := x.conn.written.Load() > 0
 	x.release(false)
 	return failure(x.ctx, x.addr, sent, err)
 }
@@ -184,8 +275,12 @@
 	if !x.stopWatch() {
 		reuse = false
 	}
-	if x.br.Buffered() > 0 {
+	if x.br.Buffered() > 0 || !x.wholeSent() {
 		reuse = false
 	}
+	if !reuse {
+		x.conn.abort()
+		x.awaitWriter()
+	}
 	x.release(reuse)
 }
--- a/transport/httpclient/conn_linux.go
+++ b/transport/httpclient/conn_linux.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,13 +20,24 @@
 	keepAliveCount    = 3
 )
 
+// keepAlive is the probing of a silent connection.
+func (o *Options) keepAlive() net.KeepAliveConfig {
+	k := net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+	if o.KeepAlive > 0 {
+		k.Idle, k.Interval = o.KeepAlive, o.KeepAlive
+	}
+	return k
+}
+
 // conn is a pooled connection. The pool makes it unconnected, so that the
 // attempt that needs it can dial under its own context.
 type conn struct {
 	net.Conn // nil until connect
 	opts     *Options
 	// written counts the bytes of the present attempt that the kernel took.
-	written int64
+	written atomic.Int64
+	// releasedAt is when the connection last went back to the pool.
+	releasedAt time.Time
 }
 
 func (c *conn) connect(ctx context.Context) error {
@@ -48,10 +60,8 @@
 
 func (c *conn) dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-		Control: c.setUserTimeout,
+		KeepAliveConfig: c.opts.keepAlive(),
+		Control:         c.setUserTimeout,
 	}
 	return d.DialContext(ctx, "tcp", addr)
 }
@@ -70,7 +80,7 @@
 // Write counts what the kernel took.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.written += int64(n)
+	c.written.Add(int64(n))
 	return n, err
 }
 
--- a/transport/httpclient/errors.go
+++ b/transport/httpclient/errors.go
@@ -10,6 +10,9 @@
 // ErrBusy says that all connections are in use.
 var ErrBusy = errors.New("all connections to the server are in use; raise the limit or send less at once")
 
+// ErrStray says that a connection carried nothing but other requests' responses.
+var ErrStray = errors.New("only responses to other requests came; use another connection")
+
 // DialTimeoutError says that a connection could not be made in time. It is no
 // context's error: the caller still has time for another server.
 type DialTimeoutError struct {
--- a/transport/httpclient/options.go
+++ b/transport/httpclient/options.go
@@ -24,6 +24,9 @@
 	// unacknowledged, or a keepalive probe unanswered, before the kernel drops
 	// the connection and what it holds of it.
 	UserTimeout time.Duration
+	// KeepAlive is the time between two keepalive probes of a silent connection,
+	// a whole number of seconds; 0 stands for the package's own times.
+	KeepAlive time.Duration
 	// MaxConns bounds the open connections.
 	MaxConns int
 	// MaxIdle is how long an unused connection is kept. Keep it well below the
--- a/transport/httpclient/stream.go
+++ b/transport/httpclient/stream.go
@@ -85,6 +85,7 @@
 	}
 	s.x.stopWatch()
 	s.x.conn.abort()
+	s.x.awaitWriter()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.x.release(false)
--- /dev/null
+++ b/transport/runners/pool.go
@@ -0,0 +1,215 @@
+// Package runners sends attempts to runners, over connections that are kept for
+// each instance by its id and never by its address alone.
+package runners
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/thymerack/thymerack/coordination/forward"
+	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/httpclient"
+)
+
+// Codec writes attempts and reads responses in the runners' form.
+type Codec interface {
+	EncodeAttempt(a *forward.Attempt, req *fasthttp.Request)
+	EncodeDiscard(handle string, req *fasthttp.Request)
+	DecodeHead(resp *fasthttp.Response) *forward.Head
+	// OfRequest reports whether a response answers the request of that id.
+	OfRequest(resp *fasthttp.Response, id string) bool
+	// IdleTimeout is how long the runner keeps an unused connection; 0: unknown.
+	IdleTimeout(resp *fasthttp.Response) time.Duration
+	PrefillHandle(body []byte) (string, error)
+}
+
+// Options configure a Pool. All fields are required.
+type Options struct {
+	Codec Codec
+	// ConnLimit bounds this host's connections to one runner of a service.
+	ConnLimit func(service string) int
+	// MaxHeaderBytes bounds the head of a response.
+	MaxHeaderBytes int
+}
+
+const (
+	// dialTimeout is some twenty times the round trip between failure domains
+	// (2.8 ms) with a handshake of 1 ms: a runner that takes longer is dark.
+	dialTimeout = 150 * time.Millisecond
+	// userTimeout drops a connection whose peer acknowledges nothing.
+	userTimeout = 2 * time.Second
+	keepAlive   = time.Second
+	// maxIdle is used until a runner names its own limit.
+	maxIdle = 4 * time.Second
+	// idleShare of the runner's limit is how long a connection may be unused.
+	idleShare = 0.5
+	// discardTimeout bounds the freeing of a KV cache.
+	discardTimeout = time.Second
+	// maxConns is above every limit that ConnLimit gives.
+	maxConns = 1024
+)
+
+// errBusy says that this host's share of a runner's connections is used up.
+var errBusy = errors.New("all connections of this host to the runner are in use; choose another runner")
+
+// Pool keeps the connections to all instances. It is safe for concurrent use.
+type Pool struct {
+	o Options
+
+	mu      sync.Mutex
+	clients map[string]*client
+}
+
+// client is the connections to one instance.
+type client struct {
+	http  *httpclient.Client
+	inUse atomic.Int64
+}
+
+var _ forward.Upstream = (*Pool)(nil)
+
+// New returns a pool without connections.
+func New(o Options) (*Pool, error) {
+	if o.Codec == nil || o.ConnLimit == nil || o.MaxHeaderBytes <= 0 {
+		return nil, errors.New("runners: a field of Options is missing; set all of them")
+	}
+	return &Pool{o: o, clients: map[string]*client{}}, nil
+}
+
+// Retain closes the connections of instances for which keep is false.
+func (p *Pool) Retain(keep func(id string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, c := range p.clients {
+		if !keep(id) {
+			c.http.Close()
+			delete(p.clients, id)
+		}
+	}
+}
+
+func (p *Pool) client(i *state.Instance) (*client, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.clients[i.ID]; c != nil {
+		return c, nil
+	}
+	h, err := httpclient.New(httpclient.Options{
+		Addr: i.Addr, DialTimeout: dialTimeout, WriteTimeout: userTimeout, UserTimeout: userTimeout, KeepAlive: keepAlive,
+		MaxConns: maxConns, MaxIdle: maxIdle, MaxHeaderBytes: p.o.MaxHeaderBytes,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("connect to runner %s: %w", i.ID, err)
+	}
+	c := &client{http: h}
+	p.clients[i.ID] = c
+	return c, nil
+}
+
+// Send implements forward.Upstream.
+func (p *Pool) Send(ctx context.Context, a *forward.Attempt) (forward.Response, error) {
+	c, err := p.client(a.Instance)
+	if err != nil {
+		return nil, &forward.SendError{Cause: err}
+	}
+	if int(c.inUse.Add(1)) > p.o.ConnLimit(a.Instance.Service) {
+		c.inUse.Add(-1)
+		return nil, &forward.SendError{Busy: true, Cause: errBusy}
+	}
+	req := &fasthttp.Request{}
+	p.o.Codec.EncodeAttempt(a, req)
+	limits := httpclient.Limits{
+		Timeout:      a.Left + responseSlack,
+		MaxBodyBytes: 1,
+		Stray:        func(resp *fasthttp.Response) bool { return !p.o.Codec.OfRequest(resp, a.Request.ID) },
+	}
+	stream, err := c.http.Stream(ctx, req, limits)
+	if err != nil {
+		c.inUse.Add(-1)
+		return nil, sendError(err)
+	}
+	if idle := p.o.Codec.IdleTimeout(stream.Response); idle > 0 {
+		c.http.SetMaxIdle(time.Duration(float64(idle) * idleShare))
+	}
+	return &response{stream: stream, head: p.o.Codec.DecodeHead(stream.Response), client: c}, nil
+}
+
+// responseSlack is how much longer than the request's own time a response is
+// waited for; the context ends the attempt before.
+const responseSlack = 100 * time.Millisecond
+
+func sendError(err error) error {
+	var failed *httpclient.Error
+	if !errors.As(err, &failed) {
+		return &forward.SendError{Sent: true, Cause: err}
+	}
+	return &forward.SendError{Sent: failed.Sent, Busy: errors.Is(err, httpclient.ErrBusy), Cause: failed.Cause}
+}
+
+// PrefillHandle implements forward.Upstream.
+func (p *Pool) PrefillHandle(body []byte) (string, error) { return p.o.Codec.PrefillHandle(body) }
+
+// Discard implements forward.Upstream. A cache that can't be freed lapses at the
+// engine by itself.
+func (p *Pool) Discard(i *state.Instance, handle string) {
+	ctx, cancel := context.WithTimeout(context.Background(), discardTimeout)
+	defer cancel()
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	p.o.Codec.EncodeDiscard(handle, req)
+	_ = p.Do(ctx, i, req, resp, discardTimeout)
+}
+
+// Do makes a call of the system's own at an instance and reads the whole answer.
+func (p *Pool) Do(ctx context.Context, i *state.Instance, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
+	c, err := p.client(i)
+	if err != nil {
+		return &forward.SendError{Cause: err}
+	}
+	req.Header.SetHost(i.Addr)
+	if err := c.http.Do(ctx, req, resp, httpclient.Limits{Timeout: timeout, MaxBodyBytes: maxAnswerBytes}); err != nil {
+		return sendError(err)
+	}
+	return nil
+}
+
+// maxAnswerBytes bounds answers to the system's own calls; a report with some
+// hundred runs has about 20 KB.
+const maxAnswerBytes = 1 << 20
+
+// response is a forward.Response of an httpclient stream.
+type response struct {
+	stream *httpclient.Stream
+	head   *forward.Head
+	client *client
+	ended  atomic.Bool
+}
+
+// Head implements forward.Response.
+func (r *response) Head() *forward.Head { return r.head }
+
+// Read implements forward.Response.
+func (r *response) Read(p []byte) (int, error) { return r.stream.Read(p) }
+
+// Finish implements forward.Response.
+func (r *response) Finish() {
+	r.stream.Finish()
+	r.end()
+}
+
+// Cut implements forward.Response.
+func (r *response) Cut() {
+	r.stream.Cut()
+	r.end()
+}
+
+func (r *response) end() {
+	if !r.ended.Swap(true) {
+		r.client.inUse.Add(-1)
+	}
+}
