Refuse late requests of a leaving host that it can't finish

Ruled out: a balancer that had not noticed (readiness was 503 from the first moment); with few hosts in rotation it uses all of them, so requests do come late.

Change: unused connections are closed from 2.1 s after SIGTERM on, and a request that comes later than that and may last beyond the end gets 503, not run, with Retry-After.

--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -260,13 +260,17 @@
 func (h *Host) leave() {
 	h.log.Info("leaving", "grace", h.s.Bounds.Grace)
 	h.ready.leave()
-	h.gateway.Leave()
 	began := h.clock.Now()
+	end := h.s.Bounds.Grace - graceMargin
+	h.gateway.Leave(gateway.Departure{TurnedAway: began.Add(turnedAway), End: began.Add(end)})
 	for {
 		time.Sleep(drainPoll)
 		waited := h.clock.Now().Sub(began)
+		if waited >= turnedAway {
+			h.gateway.CloseUnused()
+		}
 		idle := h.gateway.Active() == 0
-		if waited >= h.s.Bounds.Grace-graceMargin || (idle && waited >= unreadyFor) {
+		if waited >= end || (idle && waited >= unreadyFor) {
 			h.log.Info("left", "waited", waited, "open", h.gateway.Active())
 			return
 		}
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -70,8 +70,10 @@
 	limitShare = 0.8
 	// minConns is the least number of connections to a runner.
 	minConns = 4
-	// unreadyFor is how long a leaving host goes on before it may end: the
-	// balancer takes it out after two checks a second apart.
+	// turnedAway is when the balancer has turned away from a leaving host, after
+	// two checks a second apart: callers whose connections are closed then come
+	// back at other hosts. unreadyFor is how long it goes on before it may end.
+	turnedAway = 2100 * time.Millisecond
 	unreadyFor = 2500 * time.Millisecond
 	// graceMargin ends a leaving host before it is killed.
 	graceMargin = 500 * time.Millisecond
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -77,8 +78,12 @@
 	watch    *callerconn.Watch
 	base     context.Context
 	stopBase context.CancelFunc
-	leaving  atomic.Bool
+	leaving  atomic.Pointer[Departure]
 	active   atomic.Int64
+
+	mu sync.Mutex
+	// unused are the connections between two requests.
+	unused map[*callerconn.Conn]struct{}
 }
 
 // New validates the options.
@@ -89,7 +94,7 @@
 	if o.MaxBodyBytes <= 0 || o.MaxHeaderBytes <= 0 || o.MaxConnections <= 0 {
 		return nil, errors.New("gateway: MaxBodyBytes, MaxHeaderBytes and MaxConnections must be positive")
 	}
-	s := &Server{o: o, watch: callerconn.NewWatch(callerPoll)}
+	s := &Server{o: o, watch: callerconn.NewWatch(callerPoll), unused: map[*callerconn.Conn]struct{}{}}
 	s.base, s.stopBase = context.WithCancel(context.Background())
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
@@ -122,9 +127,24 @@
 	return s.http.Serve(&callerconn.Listener{Listener: ln, WriteLimit: writeTimeout})
 }
 
-// Leave closes callers' connections after their next answer; all requests are
-// still served.
-func (s *Server) Leave() { s.leaving.Store(true) }
+// Departure is the planned end of a server.
+type Departure struct {
+	// TurnedAway is when callers go elsewhere if they can.
+	TurnedAway time.Time
+	// End is when everything is cut.
+	End time.Time
+}
+
+// Leave closes callers' connections after their next answer. Requests are still
+// served, but for those that come after callers have been turned away and may
+// last beyond the end: they are refused as not run.
+func (s *Server) Leave(d Departure) { s.leaving.Store(&d) }
+
+// tooLate reports whether a request comes too late to be served to its end.
+func (s *Server) tooLate(r *forward.Request) bool {
+	d := s.leaving.Load()
+	return d != nil && r.ArrivedAt.After(d.TurnedAway) && r.Deadline.After(d.End)
+}
 
 // Active counts the connections on which a request is read or answered.
 func (s *Server) Active() int64 { return s.active.Load() }
@@ -145,6 +165,7 @@
 	if !ok {
 		return
 	}
+	s.noteUnused(conn, state == fasthttp.StateIdle)
 	active := state == fasthttp.StateActive
 	if !conn.SetActive(active) {
 		return
@@ -156,6 +177,32 @@
 	}
 }
 
+func (s *Server) noteUnused(conn *callerconn.Conn, unused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if unused {
+		s.unused[conn] = struct{}{}
+	} else {
+		delete(s.unused, conn)
+	}
+}
+
+// CloseUnused closes the connections between two requests. A request that arrives
+// at that moment is not read, so that its caller may send it again. A connection
+// that has just become unused may be missed: call it until nothing is open.
+func (s *Server) CloseUnused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.unused {
+		// The server's read ends at once and it closes the connection; a request
+		// whose first byte it has read is served.
+		_ = conn.SetReadDeadline(longAgo)
+	}
+}
+
+// longAgo ends a wait at once.
+var longAgo = time.Unix(1, 0)
+
 func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
 	s.o.Observer.Rejected("malformed")
 	status := fasthttp.StatusBadRequest
@@ -176,7 +223,7 @@
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("text/plain; charset=utf-8")
 	ctx.SetBodyString(text + "\n")
-	if s.leaving.Load() {
+	if s.leaving.Load() != nil {
 		ctx.SetConnectionClose()
 	}
 }
@@ -210,6 +257,10 @@
 	}
 	r.Service = routing.Backend(route, r.ID)
 	r.Deadline = arrived.Add(shortest(left, route.Timeout))
+	if s.tooLate(r) {
+		s.reject(ctx, "leaving", fasthttp.StatusServiceUnavailable, "this host is about to stop and did not run the request; send it again")
+		return
+	}
 	s.forward(ctx, r)
 }
 
@@ -232,13 +283,14 @@
 	s.o.Log.Warn("request rejected", "reason", reason, "status", status, "host", string(ctx.Request.Header.Host()), "uri", string(ctx.Request.Header.RequestURI()))
 	s.problem(ctx, status, text)
 	if status == fasthttp.StatusServiceUnavailable {
-		setRetryAfter(ctx, configRetry)
+		setRetryAfter(ctx, rejectRetry)
 	}
 }
 
-// configRetry is when a host without a configuration may be asked again; the
-// first one is there a few answers of the store (4 ms) after the start.
-const configRetry = 100 * time.Millisecond
+// rejectRetry is when to come back to a host without a configuration, which has
+// one a few answers of the store (4 ms) after its start, or to another than one
+// that stops.
+const rejectRetry = 50 * time.Millisecond
 
 func setRetryAfter(ctx *fasthttp.RequestCtx, after time.Duration) {
 	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
@@ -276,7 +328,7 @@
 	for _, h := range head.Headers {
 		ctx.Response.Header.Add(h.Name, h.Value)
 	}
-	if s.leaving.Load() {
+	if s.leaving.Load() != nil {
 		ctx.SetConnectionClose()
 	}
 }
