Put prompts beyond an adaptive bound behind the others

Change: a host bounds its prompts in flight by whether they are read within half of the objective (additive growth, one shrink for what was under way together). Those beyond it are sent at once all the same, with a rank behind all others, and the engines read them when there is room.

--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -33,6 +33,9 @@
 	Kind string
 	// Changed gets the whole copy after each change, one call at a time.
 	Changed func(Copy)
+	// Gather is the pause after a watch that brought changes, so that changes in
+	// quick succession cost one call; it delays the later ones. May be zero.
+	Gather time.Duration
 }
 
 // Copy is the objects of a kind at one revision of the store.
@@ -160,6 +163,9 @@
 	}
 	m.answered()
 	m.apply(batch)
+	if len(batch.Events) > 0 && m.o.Gather > 0 {
+		return true, m.o.Clock.Sleep(ctx, m.o.Gather)
+	}
 	return true, nil
 }
 
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -5,9 +5,11 @@
 	"errors"
 	"io"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/coordination/throttle"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -41,14 +43,20 @@
 }
 
 // Dispatcher carries requests to runners. It is safe for concurrent use.
-type Dispatcher struct{ o Options }
+type Dispatcher struct {
+	o Options
+
+	mu sync.Mutex
+	// limiters bound the prompts in flight, by route.
+	limiters map[string]*throttle.Limiter
+}
 
 // New validates the options.
 func New(o Options) (*Dispatcher, error) {
 	if o.Upstream == nil || o.Placer == nil || o.Budget == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("forward: a field of Options is nil; set all of them")
 	}
-	return &Dispatcher{o}, nil
+	return &Dispatcher{o: o, limiters: map[string]*throttle.Limiter{}}, nil
 }
 
 const (
@@ -98,7 +106,7 @@
 func (d *Dispatcher) serve(ctx context.Context, r *Request, rec *record) (*Answer, error) {
 	var source *KVSource
 	if d.splits(r) {
-		source = d.prefill(ctx, r, rec)
+		source = d.readPrompt(ctx, r, rec)
 	}
 	unsent := 0
 	for {
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -41,6 +41,15 @@
 	return g.Parts[len(g.Parts)-2].ID
 }
 
+// OwnTokens is the size of the part that no other request shares; the whole prompt
+// if it names no parts.
+func (g *Generation) OwnTokens() int {
+	if len(g.Parts) == 0 {
+		return g.PromptTokens
+	}
+	return g.Parts[len(g.Parts)-1].Tokens
+}
+
 // Request is one request of a caller.
 type Request struct {
 	ID string
@@ -58,6 +67,9 @@
 	ArrivedAt     time.Time
 	// Deadline is the caller's or the route's, whichever comes first.
 	Deadline time.Time
+	// Deferred requests came beyond what can be served in time; runners put them
+	// behind the others.
+	Deferred bool
 	// Generation is nil for calls of plain services.
 	Generation *Generation
 }
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/coordination/throttle"
+	"github.com/thymerack/thymerack/state"
 )
 
 // splits reports whether the request's prompt is read at an engine of its own.
@@ -11,6 +14,37 @@
 	return r.Generation != nil && r.LastEventID == "" && r.Generation.PromptTokens >= d.o.SplitTokens
 }
 
+// readPrompt has the prompt read, behind other prompts if this host has as many
+// in flight as are read in time.
+func (d *Dispatcher) readPrompt(ctx context.Context, r *Request, rec *record) *KVSource {
+	ticket := d.limiter(r.Route).Acquire(float64(r.Generation.OwnTokens()))
+	r.Deferred = ticket == nil
+	source := d.prefill(ctx, r, rec)
+	if source == nil {
+		ticket.Cancel()
+	} else {
+		ticket.Done()
+	}
+	return source
+}
+
+// limiter returns the bound of a route's prompts.
+func (d *Dispatcher) limiter(r *state.Route) *throttle.Limiter {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.limiters[r.Name]
+	if l == nil {
+		target := time.Duration(float64(r.Objective) * readShare)
+		l = throttle.New(throttle.Options{Clock: d.o.Clock, Target: target})
+		d.limiters[r.Name] = l
+	}
+	return l
+}
+
+// readShare is the part of the objective in which a prompt should be read; the
+// rest is for the first token (5 ms and a step of some 30 ms) and the way.
+const readShare = 0.5
+
 // prefill has the prompt read and returns where its KV cache is. Without one the
 // engine that generates reads the prompt itself. The first reading that an
 // engine accepts is free; others draw on the attempts and the budget.
