--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -17,8 +17,8 @@
 // method returns nil when there is none.
 type Placer interface {
 	Call(service string, tried []string) *placement.Runner
-	Decode(service string, tried []string) *placement.Runner
-	Prefill(service, session string, tried []string) *placement.Runner
+	Decode(service, session string, tried []string) *placement.Runner
+	Prefill(service, session string, tried []string) (chosen, home *placement.Runner)
 	// Has reports whether work may be sent to the instance at this moment.
 	Has(id string) bool
 }
@@ -170,7 +170,11 @@
 // choose picks a runner that generates or serves the call.
 func (d *Dispatcher) choose(r *Request, rec *record) *placement.Runner {
 	if r.Generation != nil {
-		return d.o.Placer.Decode(r.Service, rec.tried)
+		session := ""
+		if d.splits(r) {
+			session = r.Generation.Session()
+		}
+		return d.o.Placer.Decode(r.Service, session, rec.tried)
 	}
 	return d.o.Placer.Call(r.Service, rec.tried)
 }
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -88,6 +88,8 @@
 	Left time.Duration
 	// PrefillOnly asks to read the prompt and to keep its KV cache.
 	PrefillOnly bool
+	// FetchFrom is the address of a runner that may keep parts of the prompt; "".
+	FetchFrom string
 	// Source is the KV cache to go on from, or nil.
 	Source *KVSource
 	// LastEventID is the last event that the caller has; "" is the start.
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -57,12 +57,12 @@
 		if try > 0 && !d.o.Budget.Allow(r.Service) {
 			return nil
 		}
-		runner := d.o.Placer.Prefill(r.Service, r.Generation.Session(), tried)
+		runner, home := d.o.Placer.Prefill(r.Service, r.Generation.Session(), tried)
 		if runner == nil {
 			return nil
 		}
 		tried = append(tried, runner.Instance.ID)
-		source, retry := d.prefillAt(ctx, r, runner, rec)
+		source, retry := d.prefillAt(ctx, r, runner, home, rec)
 		if source != nil || !retry {
 			return source
 		}
@@ -73,12 +73,17 @@
 // maxPrefills bounds the engines that one prompt is sent to for reading.
 const maxPrefills = 2
 
-func (d *Dispatcher) prefillAt(ctx context.Context, r *Request, runner *placement.Runner, rec *record) (source *KVSource, retry bool) {
+func (d *Dispatcher) prefillAt(ctx context.Context, r *Request, runner, home *placement.Runner, rec *record) (source *KVSource, retry bool) {
 	const part = "prefill"
 	if !d.o.Placer.Has(runner.Instance.ID) {
 		return nil, true
 	}
 	a := &Attempt{Request: r, Instance: runner.Instance, Left: d.left(r), PrefillOnly: true}
+	if home != nil {
+		a.FetchFrom = home.Instance.Addr
+	} else if x := d.o.Placer.Decode(r.Service, r.Generation.Session(), nil); x != nil {
+		a.FetchFrom = x.Instance.Addr
+	}
 	started := d.o.Clock.Now()
 	done := runner.Begin()
 	defer done()
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -102,38 +102,67 @@
 // a request and its answer take between domains (2.8 ms on about 17 ms, DEPLOY).
 const farCost = 1.15
 
+// farLoad is how many more requests an engine of the own failure domain may have
+// in flight than another before the other is chosen: bytes between domains cost.
+const farLoad = 3
+
 // Decode chooses an engine that generates: the one with the least in flight from
 // this host.
-func (f *Fleet) Decode(service string, tried []string) *Runner {
+func (f *Fleet) Decode(service, session string, tried []string) *Runner {
+	if session != "" {
+		runners := withRole(f.Runners(service), state.RoleDecode)
+		bound := f.bound(runners) + 3
+		return f.least(runners, tried, func(r *Runner) float64 {
+			cost := float64(xxhash.Sum64String(session+r.Instance.ID)) / (1 << 64)
+			if float64(r.InFlight()) > bound {
+				cost++
+			}
+			return cost
+		})
+	}
 	return f.least(withRole(f.Runners(service), state.RoleDecode), tried, func(r *Runner) float64 {
-		return float64(r.InFlight() + 1)
+		cost := float64(r.InFlight() + 1)
+		if r.Instance.FailureDomain != f.o.FailureDomain {
+			cost += farLoad
+		}
+		return cost
 	})
 }
 
 // Prefill chooses the engine that reads a session's prompts. All hosts put a
 // session at the same engine without talking, so that its shared parts stay
 // there; an engine with far more from this host than the others is passed over.
-func (f *Fleet) Prefill(service, session string, tried []string) *Runner {
+//
+// home is the session's engine when another was chosen, or nil.
+func (f *Fleet) Prefill(service, session string, tried []string) (chosen, home *Runner) {
 	runners := withRole(f.Runners(service), state.RolePrefill)
 	if session == "" {
-		return f.least(runners, tried, func(r *Runner) float64 { return float64(r.InFlight() + 1) })
+		return f.least(runners, tried, func(r *Runner) float64 { return float64(r.InFlight() + 1) }), nil
 	}
 	bound := f.bound(runners)
-	return f.least(runners, tried, func(r *Runner) float64 {
+	var homeCost float64
+	chosen = f.least(runners, tried, func(r *Runner) float64 {
 		cost := float64(xxhash.Sum64String(session+r.Instance.ID)) / (1 << 64)
+		if home == nil || cost < homeCost {
+			home, homeCost = r, cost
+		}
 		if float64(r.InFlight()) > bound {
 			cost++
 		}
 		return cost
 	})
+	if home == chosen {
+		home = nil
+	}
+	return chosen, home
 }
 
 // The bound of an engine's load from this host: loadFactor times the mean and
 // loadSlack requests more. A host has one or two prompts in flight an engine at
 // the sizes of today, so that the slack is what counts (docs/MEASUREMENTS.md).
 const (
-	loadFactor = 2
-	loadSlack  = 3
+	loadFactor = 1
+	loadSlack  = 1
 )
 
 func (f *Fleet) bound(runners []*Runner) float64 {
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/lease"
@@ -18,6 +19,10 @@
 	Busy bool
 	// Accepted is the number of orders accepted since the engine's start.
 	Accepted uint64
+	// Active requests run, Queued ones wait.
+	Active, Queued int
+	// KVUsed of KVTotal tokens of memory are in use by requests.
+	KVUsed, KVTotal int
 }
 
 // Order asks an engine to change its role.
@@ -63,9 +68,8 @@
 	// that aren't draining.
 	Services  func() []string
 	Instances func(service string) []state.Instance
-	// Share is the share of a service's engines that should read prompts, and
-	// whether it is known.
-	Share func(service string) (float64, bool)
+	// Share is the share of a service's engines that read prompts at first.
+	Share float64
 	// TakeOver is the silence between another holder's last order and the first
 	// of this one.
 	TakeOver time.Duration
@@ -95,8 +99,11 @@
 	ordered map[string]given
 	// since is when a service's split began to differ from the plan.
 	since map[string]time.Time
-	// first is set for services whose split has stood as planned once.
+	// stood is set for services whose split has stood as planned since the plan
+	// last changed.
 	stood map[string]bool
+	// demand follows the load of the engines that generate, by service.
+	demand map[string]*demand
 }
 
 // given is an order on its way.
@@ -108,7 +115,7 @@
 
 // New validates the options.
 func New(o Options) (*Manager, error) {
-	if o.Engines == nil || o.Lease == nil || o.Clock == nil || o.Log == nil || o.Services == nil || o.Instances == nil || o.Share == nil {
+	if o.Engines == nil || o.Lease == nil || o.Clock == nil || o.Log == nil || o.Services == nil || o.Instances == nil || o.Share <= 0 {
 		return nil, errors.New("stages: a field of Options is nil; set all of them")
 	}
 	return &Manager{o: o}, nil
@@ -120,6 +127,7 @@
 // hold gives orders for one term of the lease.
 func (m *Manager) hold(ctx context.Context) error {
 	m.ordered, m.since, m.stood = map[string]given{}, map[string]time.Time{}, map[string]bool{}
+	m.demand = map[string]*demand{}
 	if !m.o.Lease.First() {
 		m.o.Log.Info("waiting before the first order", "silence", m.o.TakeOver, "fence", m.o.Lease.Fence())
 		if m.o.Clock.Sleep(ctx, m.o.TakeOver) != nil {
@@ -138,14 +146,13 @@
 
 // service compares one service's roles with the plan.
 func (m *Manager) service(ctx context.Context, service string) {
-	share, known := m.o.Share(service)
 	engines := m.o.Instances(service)
-	if !known || len(engines) < 2 {
+	if len(engines) < 2 {
 		return
 	}
 	now := m.o.Clock.Now()
 	m.forget(engines, now)
-	want := Target(len(engines), share)
+	want := Target(len(engines), m.share(ctx, service, engines, now))
 	changes := Plan(m.asOrdered(engines), want)
 	if len(changes) == 0 {
 		m.stood[service] = true
@@ -165,6 +172,48 @@
 	}
 }
 
+// share is the share of engines that should read prompts by the load seen.
+func (m *Manager) share(ctx context.Context, service string, engines []state.Instance, now time.Time) float64 {
+	d := m.demand[service]
+	if d == nil {
+		d = newDemand(m.o.Share)
+		m.demand[service] = d
+	}
+	if m.stood[service] && d.due(now) {
+		if load, ok := m.sample(ctx, engines); ok {
+			if d.note(now, load, len(engines)) {
+				m.stood[service] = false
+			}
+			m.o.Log.Info("engines sampled", "service", service, "load", load, "smoothed", d.load, "prefill_share", d.share)
+		}
+	}
+	return d.share
+}
+
+// sample reads the load of some engines that generate.
+func (m *Manager) sample(ctx context.Context, engines []state.Instance) (float64, bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sum, n := 0.0, 0
+	for _, at := range rand.Perm(len(engines)) {
+		i := &engines[at]
+		if i.Role != state.RoleDecode || n == sampleMost {
+			continue
+		}
+		report, err := m.o.Engines.Report(ctx, i)
+		if err != nil {
+			m.o.Log.Info("engine not sampled", "instance", i.ID, "cause", err.Error())
+			continue
+		}
+		sum += report.load(i.Slots)
+		n++
+	}
+	if n == 0 {
+		return 0, false
+	}
+	return sum / float64(n), true
+}
+
 // starved reports whether a role has fewer engines than it may.
 func (m *Manager) starved(engines []state.Instance) bool {
 	prefill := 0
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -173,7 +173,7 @@
 	h.manager, err = stages.New(stages.Options{
 		Engines: platform.Engines{Caller: h.pool, Timeout: storeTimeout}, Lease: lessor, Clock: h.clock, Log: h.log, Host: h.s.Host,
 		Services: h.engineServices, Instances: h.engines,
-		Share:    func(string) (float64, bool) { return h.o.PrefillShare, true },
+		Share:    h.o.PrefillShare,
 		TakeOver: h.s.Bounds.LeaseTime + h.s.Bounds.ThawTime + takeOverMargin,
 	})
 	return err
