--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -107,28 +107,33 @@
 const farLoad = 3
 
 // Decode chooses an engine that generates: the one with the least in flight from
-// this host.
+// this host. A session's requests go to the same one of the own failure domain
+// while it isn't far busier than the others, so that its parts stay there.
 func (f *Fleet) Decode(service, session string, tried []string) *Runner {
-	if session != "" {
-		runners := withRole(f.Runners(service), state.RoleDecode)
-		bound := f.bound(runners) + 3
-		return f.least(runners, tried, func(r *Runner) float64 {
-			cost := float64(xxhash.Sum64String(session+r.Instance.ID)) / (1 << 64)
-			if float64(r.InFlight()) > bound {
-				cost++
-			}
-			return cost
-		})
-	}
-	return f.least(withRole(f.Runners(service), state.RoleDecode), tried, func(r *Runner) float64 {
-		cost := float64(r.InFlight() + 1)
-		if r.Instance.FailureDomain != f.o.FailureDomain {
-			cost += farLoad
+	runners := withRole(f.Runners(service), state.RoleDecode)
+	bound := f.bound(runners) + farLoad
+	return f.least(runners, tried, func(r *Runner) float64 {
+		far := r.Instance.FailureDomain != f.o.FailureDomain
+		if session == "" {
+			return float64(r.InFlight()+1) + farLoad*weight(far)
 		}
-		return cost
+		return score(session, r) + weight(far) + 2*weight(float64(r.InFlight()) > bound)
 	})
 }
 
+// score orders the engines of a session, the same way at all hosts, from 0 to 1.
+func score(session string, r *Runner) float64 {
+	return float64(xxhash.Sum64String(session+r.Instance.ID)) / (1 << 64)
+}
+
+// weight is 1 for true.
+func weight(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 // Prefill chooses the engine that reads a session's prompts. All hosts put a
 // session at the same engine without talking, so that its shared parts stay
 // there; an engine with far more from this host than the others is passed over.
@@ -142,7 +147,7 @@
 	bound := f.bound(runners)
 	var homeCost float64
 	chosen = f.least(runners, tried, func(r *Runner) float64 {
-		cost := float64(xxhash.Sum64String(session+r.Instance.ID)) / (1 << 64)
+		cost := score(session, r)
 		if home == nil || cost < homeCost {
 			home, homeCost = r, cost
 		}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -91,11 +91,11 @@
 		HoldFor: holdFor,
 	})
 	var err error
-	h.configs, err = follow.New(follow.Options{Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gather})
+	h.configs, err = follow.New(follow.Options{Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig})
 	if err != nil {
 		return err
 	}
-	h.listed, err = follow.New(follow.Options{Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindInstances, Changed: h.instances.Changed, Gather: gather})
+	h.listed, err = follow.New(follow.Options{Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindInstances, Changed: h.instances.Changed, Gather: gatherInstances})
 	return err
 }
 
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -46,9 +46,10 @@
 	storeConns       = 8
 	storeIdle        = 20 * time.Second
 	storeHeaderBytes = 4 << 10
-	// gather lets changes in quick succession cost one call; the shortest bound on
-	// a change is 2 s (configuration and leaving runners).
-	gather = 400 * time.Millisecond
+	// gatherConfig and gatherInstances let changes in quick succession cost one
+	// call; the shortest bound on either change is 2 s.
+	gatherConfig    = 800 * time.Millisecond
+	gatherInstances = time.Second
 	// outageWindow is how long after the store's return entries of living runners
 	// may be missing: about two seconds, and holdFor bounds the trust in one.
 	outageWindow = 2500 * time.Millisecond
