--- a/bench/target.go
+++ b/bench/target.go
@@ -12,7 +12,7 @@
 type ends struct {
 	Direct string `arg:"--direct,required" help:"ip:port of the upstream"`
 	Host   string `arg:"--host,required" help:"ip:port of the host before it"`
-	Key    string `arg:"--key,required" help:"a tenant's key"`
+	Key    string `arg:"--key,required" help:"a customer's key"`
 	// Before makes the first of the two another host, to compare versions.
 	Before bool `arg:"--before" help:"--direct is a host too"`
 }
--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -13,10 +13,10 @@
 
 // Request asks for admission.
 type Request struct {
-	ID, Service, Tenant, Class string
+	ID, Service, Customer, Class string
 	// Urgent requests go first, within Options.UrgentShare.
 	Urgent bool
-	// Weight is the tenant's share; zero stands for 1.
+	// Weight is the customer's share; zero stands for 1.
 	Weight float64
 	// Cost is the predicted work: uncached prompt tokens and expected output.
 	Cost snapshot.Work
@@ -26,7 +26,7 @@
 	// Deadline is when the whole answer is due; zero when it isn't.
 	Deadline time.Time
 	// Returning says that the request was refused before and comes back when it
-	// was told to; it goes before its tenant's others. A request whose ID this
+	// was told to; it goes before its customer's others. A request whose ID this
 	// host has refused lately is recognised without it.
 	Returning bool
 }
--- a/coordination/admit/admit_test.go
+++ b/coordination/admit/admit_test.go
@@ -49,8 +49,8 @@
 	})
 }
 
-func ask(tenant string, tokens int64, deadline time.Duration) Request {
-	r := Request{Service: "llm", Tenant: tenant, Class: "c", Cost: snapshot.Work{Requests: 1, PrefillTokens: tokens}}
+func ask(customer string, tokens int64, deadline time.Duration) Request {
+	r := Request{Service: "llm", Customer: customer, Class: "c", Cost: snapshot.Work{Requests: 1, PrefillTokens: tokens}}
 	if deadline > 0 {
 		r.Deadline = time.Now().Add(deadline)
 	}
--- a/coordination/admit/discipline.go
+++ b/coordination/admit/discipline.go
@@ -2,7 +2,7 @@
 
 // Item is one waiting request in a Discipline.
 type Item struct {
-	// Flow is the tenant that it is charged to.
+	// Flow is the customer that it is charged to.
 	Flow string
 	// Weight is the flow's share; it is positive.
 	Weight float64
@@ -48,7 +48,7 @@
 	Last() *Item
 }
 
-// flow is the queue of one tenant. The fields after the list belong to the
+// flow is the queue of one customer. The fields after the list belong to the
 // discipline.
 type flow struct {
 	name   string
--- a/coordination/admit/promise.go
+++ b/coordination/admit/promise.go
@@ -132,14 +132,14 @@
 	cost := room.cost(r.Cost, q.o.DecodeFactor)
 	spare := time.Duration(returnSpare * float64(f.spare(r.Deadline, now)))
 	after := q.o.bounded(q.untilServed(r, l, room) - spare)
-	l.promises.add(promise{r.ID, r.Tenant, r.Weight, cost, now.Add(after)})
+	l.promises.add(promise{r.ID, r.Customer, r.Weight, cost, now.Add(after)})
 	return &RefusedError{reason, after}
 }
 
 // untilServed is the predicted time until the lane has served the flow's waiting
 // and promised work.
 func (q *serviceQueue) untilServed(r *Request, l *lane, room *Room) time.Duration {
-	own := l.Queued(r.Tenant) + l.promises.of(r.Tenant)
+	own := l.Queued(r.Customer) + l.promises.of(r.Customer)
 	weights := max(l.Weights(), l.promises.weights())
 	ahead := fairAhead(own, r.Weight, weights, l.Cost()+l.promises.total)
 	return q.wait(l, room, ahead)
--- a/coordination/admit/queue.go
+++ b/coordination/admit/queue.go
@@ -104,7 +104,7 @@
 	r := &w.request
 	l := q.lanes[kindOf(r, room)]
 	r.Returning = r.Returning || l.promises.kept(r.ID, now)
-	f := q.forecast(r, room, now, q.wait(l, room, l.Ahead(r.Tenant, r.Weight, r.Returning)))
+	f := q.forecast(r, room, now, q.wait(l, room, l.Ahead(r.Customer, r.Weight, r.Returning)))
 	if err := q.refuseAtOnce(r, l, room, f, now); err != nil {
 		q.settle(w, nil, err)
 		return
@@ -114,7 +114,7 @@
 		return
 	}
 	w.lane = l
-	w.item = Item{Flow: r.Tenant, Weight: r.Weight, Cost: room.cost(r.Cost, q.o.DecodeFactor), Returning: r.Returning, waiter: w}
+	w.item = Item{Flow: r.Customer, Weight: r.Weight, Cost: room.cost(r.Cost, q.o.DecodeFactor), Returning: r.Returning, waiter: w}
 	l.push(&w.item, room)
 	q.waiting = q.waiting.Plus(r.Cost)
 	q.pump(room, now)
@@ -172,9 +172,9 @@
 		from = q.lanes[laneUrgent]
 	}
 	last := from.Last()
-	own := (l.Queued(r.Tenant) + room.cost(r.Cost, q.o.DecodeFactor)) / r.Weight
+	own := (l.Queued(r.Customer) + room.cost(r.Cost, q.o.DecodeFactor)) / r.Weight
 	preferred := l.kind == laneUrgent && from.kind != laneUrgent
-	if !preferred && (last.Flow == r.Tenant || own >= from.Queued(last.Flow)/last.Weight) {
+	if !preferred && (last.Flow == r.Customer || own >= from.Queued(last.Flow)/last.Weight) {
 		return q.refusal(r, l, ReasonQueueFull, room, f, now)
 	}
 	from.Remove(last)
@@ -185,7 +185,7 @@
 // refuse decides against a request that was taken out of its lane.
 func (q *serviceQueue) refuse(it *Item, reason Reason, room *Room, now time.Time) {
 	r, l := &it.waiter.request, it.waiter.lane
-	f := q.forecast(r, room, now, q.wait(l, room, l.Ahead(r.Tenant, r.Weight, r.Returning)))
+	f := q.forecast(r, room, now, q.wait(l, room, l.Ahead(r.Customer, r.Weight, r.Returning)))
 	q.settle(it.waiter, nil, q.refusal(r, l, reason, room, f, now))
 }
 
--- a/coordination/admit/queue_test.go
+++ b/coordination/admit/queue_test.go
@@ -74,12 +74,12 @@
 	b.admitter.Look()
 }
 
-func prompt(id, tenant string, tokens int64) Request {
-	return Request{ID: id, Tenant: tenant, Class: "c", Cost: snapshot.Work{PrefillTokens: tokens}}
+func prompt(id, customer string, tokens int64) Request {
+	return Request{ID: id, Customer: customer, Class: "c", Cost: snapshot.Work{PrefillTokens: tokens}}
 }
 
-func output(id, tenant string, tokens int64) Request {
-	return Request{ID: id, Tenant: tenant, Class: "c", Cost: snapshot.Work{DecodeTokens: tokens}}
+func output(id, customer string, tokens int64) Request {
+	return Request{ID: id, Customer: customer, Class: "c", Cost: snapshot.Work{DecodeTokens: tokens}}
 }
 
 func TestUrgentGoesFirstWithinItsShare(t *testing.T) {
@@ -225,12 +225,12 @@
 }
 
 // A request that was refused and comes back when it was told to is admitted
-// though new ones of its tenant keep coming, and so are those refused after it.
+// though new ones of its customer keep coming, and so are those refused after it.
 func TestRetryAfterComesTrue(t *testing.T) {
 	b := newBench(t, Options{})
 	due := map[string]time.Time{}
-	ask := func(id, tenant string) {
-		r := prompt(id, tenant, 1000) // takes a second
+	ask := func(id, customer string) {
+		r := prompt(id, customer, 1000) // takes a second
 		r.Deadline = b.clock.now.Add(5 * time.Second)
 		b.ask(r)
 		if e := b.refused[id]; e != nil {
--- a/coordination/answer/answer.go
+++ b/coordination/answer/answer.go
@@ -13,10 +13,10 @@
 
 // Meta says what an answer belongs to. It never changes.
 type Meta struct {
-	ID     string
-	Tenant string
-	Class  string
-	Model  string
+	ID       string
+	Customer string
+	Class    string
+	Model    string
 	// Chat answers are written as chat messages.
 	Chat bool
 	// PromptTokens is the size of the prompt as estimated.
@@ -156,8 +156,8 @@
 	expiring []expiry
 }
 
-// key finds an answer: request ids are each tenant's own.
-type key struct{ tenant, id string }
+// key finds an answer: request ids are each customer's own.
+type key struct{ customer, id string }
 
 // expiry is an ended answer and the time to forget it.
 type expiry struct {
@@ -171,12 +171,12 @@
 	return &Registry{clock: c, grace: grace, keep: keep, answers: map[key]*Answer{}}
 }
 
-// Open adds a running answer under its tenant's id. When the id is taken it
+// Open adds a running answer under its customer's id. When the id is taken it
 // returns the answer found there and false; one that was given up is replaced.
 func (r *Registry) Open(m Meta, cancel context.CancelFunc) (*Answer, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	k := key{m.Tenant, m.ID}
+	k := key{m.Customer, m.ID}
 	if found, ok := r.answers[k]; ok && !found.GaveUp() {
 		return found, false
 	}
@@ -185,11 +185,11 @@
 	return a, true
 }
 
-// Find returns the answer of that id if it belongs to the tenant, or nil.
-func (r *Registry) Find(id, tenant string) *Answer {
+// Find returns the answer of that id if it belongs to the customer, or nil.
+func (r *Registry) Find(id, customer string) *Answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.answers[key{tenant, id}]
+	return r.answers[key{customer, id}]
 }
 
 // Len returns the number of answers held, ended ones included.
@@ -203,7 +203,7 @@
 func (r *Registry) Forget(a *Answer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	k := key{a.Tenant, a.ID}
+	k := key{a.Customer, a.ID}
 	if r.answers[k] == a {
 		delete(r.answers, k)
 	}
--- a/coordination/answer/answer_test.go
+++ b/coordination/answer/answer_test.go
@@ -26,7 +26,7 @@
 	})
 }
 
-func meta(tenant, id string) answer.Meta { return answer.Meta{Tenant: tenant, ID: id} }
+func meta(customer, id string) answer.Meta { return answer.Meta{Customer: customer, ID: id} }
 
 var errFailed = errors.New("failed")
 
@@ -77,7 +77,7 @@
 	})
 }
 
-func TestIDsAreEachTenantsOwn(t *testing.T) {
+func TestIDsAreEachCustomersOwn(t *testing.T) {
 	inBubble(t, func(is *is.I, r *answer.Registry) {
 		a, opened := r.Open(meta("t", "1"), func() {})
 		is.True(opened)
--- a/coordination/claim/begin.go
+++ b/coordination/claim/begin.go
@@ -12,8 +12,8 @@
 // Call is a call that may not be repeated.
 type Call struct {
 	// Key is the caller's Idempotency-Key, a UUIDv7.
-	Key    string
-	Tenant string
+	Key      string
+	Customer string
 	// Fingerprint is a hash of the request; a key reused for another is refused.
 	Fingerprint uint64
 	// First is the caller's statement that it has sent the key in no earlier
@@ -67,8 +67,8 @@
 	if err != nil {
 		return k, err
 	}
-	if len(call.Tenant) > MaxTenantBytes {
-		return k, keyError(KeyTenant, call.Key)
+	if len(call.Customer) > MaxCustomerBytes {
+		return k, keyError(KeyCustomer, call.Key)
 	}
 	return k, c.checkAge(k)
 }
@@ -96,7 +96,7 @@
 
 // repeated answers a key that is already claimed.
 func (c *Claimer) repeated(ctx context.Context, call Call, k uuid.UUID, rec Record) (*Held, *Outcome, error) {
-	if rec.Claim.Tenant != call.Tenant || rec.Claim.Fingerprint != call.Fingerprint {
+	if rec.Claim.Customer != call.Customer || rec.Claim.Fingerprint != call.Fingerprint {
 		return nil, nil, keyError(KeyReused, call.Key)
 	}
 	rec, err := c.endIfAbandoned(ctx, k, rec)
--- a/coordination/claim/claim.go
+++ b/coordination/claim/claim.go
@@ -244,7 +244,7 @@
 
 func (c *Claimer) newEntry(op Op, k uuid.UUID, call Call, seq uint64) Entry {
 	return Entry{
-		Op: op, Key: k, Tenant: call.Tenant, Fingerprint: call.Fingerprint,
+		Op: op, Key: k, Customer: call.Customer, Fingerprint: call.Fingerprint,
 		Holder: c.o.Host, Seq: seq, ClaimedAt: c.now(),
 	}
 }
--- a/coordination/claim/claim_test.go
+++ b/coordination/claim/claim_test.go
@@ -64,7 +64,7 @@
 		defer stopA()
 		b, stopB := start(t, Options{Store: p.Client("b"), Clock: skewedClock{}, Host: hostID("b")})
 		defer stopB()
-		call := Call{Key: keyAt(time.Now(), 1), Tenant: "t", Fingerprint: 7}
+		call := Call{Key: keyAt(time.Now(), 1), Customer: "t", Fingerprint: 7}
 
 		held, out, err := a.Begin(t.Context(), call)
 		is.NoErr(err)
--- a/coordination/claim/cost_test.go
+++ b/coordination/claim/cost_test.go
@@ -143,7 +143,7 @@
 		c := fleet[hosts[r.IntN(len(hosts))]]
 		wg.Go(func() {
 			from := time.Now()
-			held, _, err := c.Begin(t.Context(), Call{Key: keyAt(from, i), Tenant: "hall-nord"})
+			held, _, err := c.Begin(t.Context(), Call{Key: keyAt(from, i), Customer: "hall-nord"})
 			if err != nil {
 				t.Error(err)
 				return
--- a/coordination/claim/cutoff_test.go
+++ b/coordination/claim/cutoff_test.go
@@ -39,7 +39,7 @@
 			return storetest.None
 		})
 		for n := range 20 { // of every shard's writer
-			held, out, err := a.Begin(t.Context(), Call{Key: keyAt(time.Now(), n), Tenant: "t", Fingerprint: 1})
+			held, out, err := a.Begin(t.Context(), Call{Key: keyAt(time.Now(), n), Customer: "t", Fingerprint: 1})
 			is.NoErr(err)
 			is.True(held != nil && out == nil)
 			is.NoErr(held.Done(t.Context(), state.RecordedAnswer{Status: 200}))
--- a/coordination/claim/entry.go
+++ b/coordination/claim/entry.go
@@ -33,7 +33,7 @@
 type Entry struct {
 	Op          Op        `msgpack:"o"`
 	Key         uuid.UUID `msgpack:"k"`
-	Tenant      string    `msgpack:"t"`
+	Customer    string    `msgpack:"t"`
 	Fingerprint uint64    `msgpack:"f"`
 	// Holder and Seq name one Begin; together they are the nonce by which a
 	// write whose answer was lost is recognised.
--- a/coordination/claim/errors.go
+++ b/coordination/claim/errors.go
@@ -20,7 +20,7 @@
 	KeyExpired    KeyProblem = "expired"
 	KeyFromFuture KeyProblem = "from the future"
 	KeyReused     KeyProblem = "used for another request"
-	KeyTenant     KeyProblem = "from a tenant whose name is too long"
+	KeyCustomer   KeyProblem = "from a customer whose name is too long"
 )
 
 var keyRemedies = map[KeyProblem]string{
@@ -30,7 +30,7 @@
 	KeyExpired:    "it may have run long ago: find out before you send a new call with a new key",
 	KeyFromFuture: "set the caller's clock",
 	KeyReused:     "make a new key for each call",
-	KeyTenant:     "shorten the tenant's name in the configuration",
+	KeyCustomer:   "shorten the customer's name in the configuration",
 }
 
 // KeyError refuses a key. This call was not dispatched; it says nothing of
--- a/coordination/claim/key.go
+++ b/coordination/claim/key.go
@@ -9,8 +9,8 @@
 	"github.com/google/uuid"
 )
 
-// MaxTenantBytes is the longest tenant name that a record holds.
-const MaxTenantBytes = 256
+// MaxCustomerBytes is the longest customer name that a record holds.
+const MaxCustomerBytes = 256
 
 const (
 	canonicalKeyLen = 36
--- a/coordination/claim/object.go
+++ b/coordination/claim/object.go
@@ -49,7 +49,7 @@
 	State       uint8
 	Holder      uint32
 	Seq         uint64
-	Tenant      string
+	Customer    string
 	Fingerprint uint64
 	ClaimedAtMs int64
 	Status      int
@@ -134,7 +134,7 @@
 // size is an upper bound of the row's encoded size, with room for an answer
 // while it is claimed.
 func (r *row) size(reserve int) int {
-	n := rowBytes + len(r.Tenant)
+	n := rowBytes + len(r.Customer)
 	if r.State == rowClaimed {
 		return n + reserve
 	}
@@ -158,7 +158,7 @@
 	}
 	r := &o.rows[i]
 	rec := Record{Seq: r.Seq, Claim: state.Claim{
-		Key: k.String(), Tenant: r.Tenant, State: rowStates[r.State], Holder: o.holders[r.Holder],
+		Key: k.String(), Customer: r.Customer, State: rowStates[r.State], Holder: o.holders[r.Holder],
 		Fingerprint: r.Fingerprint, ClaimedAt: time.UnixMilli(r.ClaimedAtMs).UTC(),
 	}}
 	if r.State == rowDone {
@@ -234,7 +234,7 @@
 // insert adds a row, or seals the object when the row doesn't fit.
 func (o *object) insert(e Entry, st uint8, l limits) applied {
 	r := row{
-		Key: e.Key, State: st, Seq: e.Seq, Tenant: e.Tenant,
+		Key: e.Key, State: st, Seq: e.Seq, Customer: e.Customer,
 		Fingerprint: e.Fingerprint, ClaimedAtMs: e.ClaimedAt.UnixMilli(),
 	}
 	need := r.size(l.reserve) + holderBytes + len(e.Holder.Name) + len(e.Holder.Incarnation)
--- a/coordination/claim/plan_test.go
+++ b/coordination/claim/plan_test.go
@@ -164,7 +164,7 @@
 	if m.isCrashed() {
 		return
 	}
-	call := Call{Key: key, Tenant: "t", Fingerprint: 1, First: !pl.begun[key]}
+	call := Call{Key: key, Customer: "t", Fingerprint: 1, First: !pl.begun[key]}
 	pl.begun[key] = true
 	at := pl.w.oracle.begun(key, m.id)
 	ctx, cancel := context.WithTimeout(context.Background(), patience[b%len(patience)])
@@ -314,7 +314,7 @@
 
 func (pl *player) ask(m *machine, key string) {
 	at := pl.w.oracle.begun(key, m.id)
-	held, out, err := m.claimer.Begin(context.Background(), Call{Key: key, Tenant: "t", Fingerprint: 1})
+	held, out, err := m.claimer.Begin(context.Background(), Call{Key: key, Customer: "t", Fingerprint: 1})
 	pl.w.note(key, at, answerOf(held, out, err))
 	pl.w.told(key, m, at, out, err)
 	var keyErr *KeyError
--- a/coordination/dispatch/call_test.go
+++ b/coordination/dispatch/call_test.go
@@ -44,7 +44,7 @@
 func (w *world) call(ctx context.Context, key string, first bool) (upstream.Answer, error) {
 	now := time.Now()
 	r := &dispatch.Request{
-		ID: "r", Tenant: "t", Service: plainService, ArrivedAt: now, Deadline: now.Add(deadline),
+		ID: "r", Customer: "t", Service: plainService, ArrivedAt: now, Deadline: now.Add(deadline),
 		NotRepeatable: key != "", Key: key, First: first, Fingerprint: 7,
 	}
 	return w.d.Call(ctx, r, upstream.Call{Method: "POST", Path: "/x"})
@@ -171,7 +171,7 @@
 			return storetest.None
 		})
 		now := time.Now()
-		r := &dispatch.Request{Service: plainService, Tenant: "t", Deadline: now.Add(recordTimeout / 2), NotRepeatable: true, Key: key, First: true}
+		r := &dispatch.Request{Service: plainService, Customer: "t", Deadline: now.Add(recordTimeout / 2), NotRepeatable: true, Key: key, First: true}
 		a, err := w.d.Call(t.Context(), r, upstream.Call{Method: "POST", Path: "/x"})
 		is.NoErr(err)
 		is.Equal(string(a.Body), "done "+key)
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -20,18 +20,18 @@
 // Request is one classified request.
 type Request struct {
 	// ID is the request id that the caller knows.
-	ID      string
-	Tenant  string
-	Class   string
-	Urgent  bool
-	Weight  float64
-	Service string
+	ID       string
+	Customer string
+	Class    string
+	Urgent   bool
+	Weight   float64
+	Service  string
 	// MaxTokens bounds the output of a model request.
 	MaxTokens int
-	// Place is the host's own place, preferred among equals.
-	Place     string
-	ArrivedAt time.Time
-	Deadline  time.Time
+	// FailureDomain is the host's own, preferred among equals.
+	FailureDomain string
+	ArrivedAt     time.Time
+	Deadline      time.Time
 	// NotRepeatable requests run at most once, under Key.
 	NotRepeatable bool
 	Key           string
--- a/coordination/dispatch/once.go
+++ b/coordination/dispatch/once.go
@@ -41,7 +41,7 @@
 func (d *Dispatcher) begin(ctx context.Context, r *Request) (*claim.Held, *claim.Outcome, error) {
 	ctx, stop := d.untilDeadline(ctx, r)
 	defer stop()
-	return d.o.Claimer.Begin(ctx, claim.Call{Key: r.Key, Tenant: r.Tenant, Fingerprint: r.Fingerprint, First: r.First})
+	return d.o.Claimer.Begin(ctx, claim.Call{Key: r.Key, Customer: r.Customer, Fingerprint: r.Fingerprint, First: r.First})
 }
 
 // someRunner refuses early, before a claim costs a write.
@@ -59,7 +59,7 @@
 	ctx, stop := d.limit(ctx, min(d.left(r), d.o.RecordTimeout))
 	defer stop()
 	found, err := d.o.Claimer.Show(ctx, r.Key)
-	if err != nil || found.Tenant != r.Tenant || found.Fingerprint != r.Fingerprint {
+	if err != nil || found.Customer != r.Customer || found.Fingerprint != r.Fingerprint {
 		return upstream.Answer{}, beforeClaim(r, cause)
 	}
 	d.record(r, state.DecisionClaim, string(found.State), "the key was used before", nil)
--- a/coordination/embed/example_test.go
+++ b/coordination/embed/example_test.go
@@ -45,7 +45,7 @@
 		return c
 	}
 	first, second := newHost("a"), newHost("b")
-	call := claim.Call{Key: uuid.Must(uuid.NewV7()).String(), Tenant: "depot", Fingerprint: 1}
+	call := claim.Call{Key: uuid.Must(uuid.NewV7()).String(), Customer: "depot", Fingerprint: 1}
 
 	held, _, err := first.Begin(ctx, call)
 	if err != nil {
--- a/coordination/member/digest.go
+++ b/coordination/member/digest.go
@@ -48,11 +48,11 @@
 
 // Static is what doesn't change during a run.
 type Static struct {
-	_msgpack   struct{} `msgpack:",as_array"`
-	ID         state.HostID
-	Place      string
-	PeerAddr   string
-	CallerAddr string
+	_msgpack      struct{} `msgpack:",as_array"`
+	ID            state.HostID
+	FailureDomain string
+	PeerAddr      string
+	CallerAddr    string
 }
 
 // Beat is what a host says about itself every second.
--- a/coordination/member/manager.go
+++ b/coordination/member/manager.go
@@ -96,7 +96,7 @@
 		busy:      map[string]bool{},
 	}
 	m.entries[m.key] = &entry{static: Static{
-		ID: o.Self.ID, Place: o.Self.Place,
+		ID: o.Self.ID, FailureDomain: o.Self.FailureDomain,
 		PeerAddr: o.Self.PeerAddr, CallerAddr: o.Self.CallerAddr,
 	}}
 	m.renew()
--- a/coordination/member/membertest/host.go
+++ b/coordination/member/membertest/host.go
@@ -86,7 +86,7 @@
 		panic(err)
 	}
 	o := member.Options{
-		Self:  state.Member{ID: h.ID, PeerAddr: addr(h.ID.Name), Place: "place"},
+		Self:  state.Member{ID: h.ID, PeerAddr: addr(h.ID.Name), FailureDomain: "failure_domain"},
 		Store: h.Store, Keeper: h.Keeper, Peers: &wire{h}, Clock: clock{h}, Seed: f.opts.Seed,
 		Relist:          h.listOrders,
 		OnConfigVersion: h.Rollout.Hint,
--- a/coordination/member/table.go
+++ b/coordination/member/table.go
@@ -29,7 +29,7 @@
 
 func (e *entry) member() state.Member {
 	return state.Member{
-		ID: e.static.ID, Place: e.static.Place,
+		ID: e.static.ID, FailureDomain: e.static.FailureDomain,
 		PeerAddr: e.static.PeerAddr, CallerAddr: e.static.CallerAddr,
 	}
 }
--- a/coordination/policy/bench_test.go
+++ b/coordination/policy/bench_test.go
@@ -36,11 +36,11 @@
 
 func BenchmarkScore(b *testing.B) {
 	sources := map[string]string{
-		"constant": `0`,
-		"place":    `candidate.place == place ? 0 : 0.5`,
-		"cost":     `candidate.place == place ? 0 : candidate.cached_tokens * 0.0001 + 0.05`,
+		"constant":       `0`,
+		"failure_domain": `candidate.failure_domain == failure_domain ? 0 : 0.5`,
+		"cost":           `candidate.failure_domain == failure_domain ? 0 : candidate.cached_tokens * 0.0001 + 0.05`,
 	}
-	for _, name := range []string{"constant", "place", "cost"} {
+	for _, name := range []string{"constant", "failure_domain", "cost"} {
 		for _, n := range []int{2, 12, 16} {
 			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) { benchmarkScore(b, sources[name], n) })
 		}
@@ -54,7 +54,7 @@
 	var h Holder
 	h.Store(compile(b, nil, policies(state.HookScore, source)))
 	scorer := NewScorer(&h)
-	q := &route.Query{Service: "llm", Place: "nord", PromptTokens: 9000}
+	q := &route.Query{Service: "llm", FailureDomain: "nord", PromptTokens: 9000}
 	cs := routed(n)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/coordination/policy/input.go
+++ b/coordination/policy/input.go
@@ -4,10 +4,10 @@
 
 // RequestInput is what classify and admit policies see of a request.
 type RequestInput struct {
-	// Tenant is the name of the caller's tenant.
-	Tenant string `expr:"tenant" json:"tenant"`
+	// Customer is the name of the caller's customer.
+	Customer string `expr:"customer" json:"customer"`
 	// Class is the class so far: the one that the caller asked for, else the
-	// tenant's. An admit policy sees the class after the classify policies.
+	// customer's. An admit policy sees the class after the classify policies.
 	Class string `expr:"class" json:"class"`
 	// Service is the name of the service that is called.
 	Service string `expr:"service" json:"service"`
@@ -32,8 +32,8 @@
 	Model string `expr:"model" json:"model,omitempty"`
 	// Part is whole, prefill or decode.
 	Part string `expr:"part" json:"part"`
-	// Place is the failure domain of the host that chooses.
-	Place string `expr:"place" json:"place"`
+	// FailureDomain is the failure domain of the host that chooses.
+	FailureDomain string `expr:"failure_domain" json:"failure_domain"`
 	// PromptTokens is the length of the prompt in tokens.
 	PromptTokens float64 `expr:"prompt_tokens" json:"prompt_tokens"`
 	// ExpectedOutputTokens is the predicted length of the answer in tokens.
@@ -46,8 +46,8 @@
 type Candidate struct {
 	// Name is the runner's name.
 	Name string `expr:"name" json:"name"`
-	// Place is the runner's failure domain.
-	Place string `expr:"place" json:"place"`
+	// FailureDomain is the runner's failure domain.
+	FailureDomain string `expr:"failure_domain" json:"failure_domain"`
 	// Role is mixed, prefill or decode; empty when unknown and for plain services.
 	Role string `expr:"role" json:"role,omitempty"`
 	// Model is the loaded model as "name@version" or "name"; empty when unknown.
@@ -74,8 +74,8 @@
 	Name string `expr:"name" json:"name"`
 	// Service is the service that the engine belongs to.
 	Service string `expr:"service" json:"service"`
-	// Place is the engine's failure domain.
-	Place string `expr:"place" json:"place"`
+	// FailureDomain is the engine's failure domain.
+	FailureDomain string `expr:"failure_domain" json:"failure_domain"`
 	// Role is the present role: mixed, prefill or decode; empty when unknown.
 	Role string `expr:"role" json:"role,omitempty"`
 	// Model is the loaded model as "name@version" or "name"; empty when unknown.
--- a/coordination/policy/limits.go
+++ b/coordination/policy/limits.go
@@ -18,7 +18,7 @@
 	MaxScoreSeconds = 3600
 
 	// parserNodes is the limit of the parser itself, which counts the parts of
-	// candidate.place as three nodes; MaxNodes counts two.
+	// candidate.failure_domain as three nodes; MaxNodes counts two.
 	parserNodes = 2 * MaxNodes
 	// memoryBudget is the largest number of list elements that a run may make.
 	memoryBudget = 4 * MaxNodes
--- a/coordination/policy/policy_test.go
+++ b/coordination/policy/policy_test.go
@@ -40,7 +40,7 @@
 	return s
 }
 
-var longCheck = RequestInput{Tenant: "depot-2", Class: "question", Service: "llm", PromptTokens: 9000, MaxTokens: 40, MinuteOfDay: 320}
+var longCheck = RequestInput{Customer: "depot-2", Class: "question", Service: "llm", PromptTokens: 9000, MaxTokens: 40, MinuteOfDay: 320}
 
 func TestClassify(t *testing.T) {
 	tests := []struct {
@@ -53,11 +53,11 @@
 		{"an opinion", []string{`prompt_tokens > 8000 ? "rota" : ""`}, Verdict{"rota", "a"}, 0},
 		{"no opinion", []string{`prompt_tokens > 9000 ? "rota" : ""`}, Verdict{"question", ""}, 0},
 		{"the first opinion decides", []string{`""`, `"swap"`, `"rota"`}, Verdict{"swap", "b"}, 0},
-		{"a failure is no opinion", []string{`int(tenant) > 1 ? "swap" : "rota"`, `"rota"`}, Verdict{"rota", "b"}, 1},
+		{"a failure is no opinion", []string{`int(customer) > 1 ? "swap" : "rota"`, `"rota"`}, Verdict{"rota", "b"}, 1},
 		{"division by zero", []string{`prompt_tokens % weekday == 0 ? "swap" : ""`}, Verdict{"question", ""}, 1},
 		{"a class that isn't defined", []string{`lower("NIGHT")`}, Verdict{"question", ""}, 1},
 		{"a text of texts", []string{`let half = "ro"; half + lower("T") + "a"`}, Verdict{"rota", "a"}, 0},
-		{"a text too long", []string{"let a = tenant + tenant + tenant + tenant + tenant; let b = a + a + a + a + a; b + b + b + b + b"}, Verdict{"question", ""}, 1},
+		{"a text too long", []string{"let a = customer + customer + customer + customer + customer; let b = a + a + a + a + a; b + b + b + b + b"}, Verdict{"question", ""}, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -75,10 +75,10 @@
 	is := is.New(t)
 	var failed recorder
 	s := compile(t, &failed, policies(state.HookAdmit,
-		`weekday / weekday > 0 or int(tenant) > 1 ? "" : "never"`,
+		`weekday / weekday > 0 or int(customer) > 1 ? "" : "never"`,
 		`class == "question" and prompt_tokens > 4000 ? "questions have at most 4000 tokens, not " + string(prompt_tokens) : ""`))
 	is.Equal(s.DecideAdmission(longCheck), Verdict{"questions have at most 4000 tokens, not 9000", "b"})
-	is.Equal(s.Admit(RequestInput{Class: "rota", PromptTokens: 9000, Tenant: "1"}), "never") // 0/0 is no number, so it isn't above 0
+	is.Equal(s.Admit(RequestInput{Class: "rota", PromptTokens: 9000, Customer: "1"}), "never") // 0/0 is no number, so it isn't above 0
 	is.Equal(s.Admit(RequestInput{Class: "rota", PromptTokens: 9000, Weekday: 1}), "")
 	is.Equal(len(failed.got), 1)
 	is.Equal(s.Counts()[0].Failures, uint64(1))
@@ -110,10 +110,10 @@
 
 func choice() *ScoreInput {
 	return &ScoreInput{
-		Service: "llm", Part: "whole", Place: "nord", PromptTokens: 9000,
+		Service: "llm", Part: "whole", FailureDomain: "nord", PromptTokens: 9000,
 		Candidates: []Candidate{
-			{Name: "e0", Place: "nord", ScoreSeconds: 1, BacklogTokens: 100},
-			{Name: "e1", Place: "sud", ScoreSeconds: 2, BacklogTokens: 300},
+			{Name: "e0", FailureDomain: "nord", ScoreSeconds: 1, BacklogTokens: 100},
+			{Name: "e1", FailureDomain: "sud", ScoreSeconds: 2, BacklogTokens: 300},
 		},
 	}
 }
@@ -126,7 +126,7 @@
 		failures int
 	}{
 		{"no policy", nil, []float64{0, 0}, 0},
-		{"sums of whole and broken numbers", []string{`candidate.place == place ? 0 : 0.5`, `candidate.place == place ? -1 : 2`}, []float64{-1, 2.5}, 0},
+		{"sums of whole and broken numbers", []string{`candidate.failure_domain == failure_domain ? 0 : 0.5`, `candidate.failure_domain == failure_domain ? -1 : 2`}, []float64{-1, 2.5}, 0},
 		{"the others are seen", []string{`candidate_count + min_score_seconds + (candidate.backlog_tokens - mean_backlog_tokens) / 100`}, []float64{2, 4}, 0},
 		{"a failure on one favours none", []string{`candidate.name == "e0" ? -5 : float("x")`, `1`}, []float64{1, 1}, 1},
 		{"not a number", []string{`(candidate.score_seconds - 1) / 0`}, []float64{0, 0}, 1},
@@ -147,9 +147,9 @@
 func routed(n int) []route.Candidate {
 	cs := make([]route.Candidate, n)
 	for i := range cs {
-		place := []string{"nord", "sud", "depot"}[i%3]
+		domain := []string{"nord", "sud", "depot"}[i%3]
 		cs[i] = route.Candidate{
-			Runner: &snapshot.Runner{Upstream: state.Upstream{Name: "e" + string(rune('a'+i)), Place: place}, Target: state.Target{Role: state.RoleMixed}},
+			Runner: &snapshot.Runner{Upstream: state.Upstream{Name: "e" + string(rune('a'+i)), FailureDomain: domain}, Target: state.Target{Role: state.RoleMixed}},
 			Score:  float64(i), CachedTokens: 300 * i, InFlight: 3,
 		}
 	}
@@ -160,11 +160,11 @@
 	is := is.New(t)
 	var h Holder
 	scorer := NewScorer(&h)
-	q := &route.Query{Service: "llm", Place: "sud", Part: route.PartDecode, PromptTokens: 10}
+	q := &route.Query{Service: "llm", FailureDomain: "sud", Part: route.PartDecode, PromptTokens: 10}
 	cs := routed(3)
 	scorer.Score(q, cs)
 	is.Equal([]float64{cs[0].Score, cs[1].Score, cs[2].Score}, []float64{0, 1, 2})
-	h.Store(compile(t, nil, policies(state.HookScore, `part == "decode" and candidate.role == "mixed" and candidate.place != place ? prompt_tokens : 0`)))
+	h.Store(compile(t, nil, policies(state.HookScore, `part == "decode" and candidate.role == "mixed" and candidate.failure_domain != failure_domain ? prompt_tokens : 0`)))
 	scorer.Score(q, cs)
 	is.Equal([]float64{cs[0].Score, cs[1].Score, cs[2].Score}, []float64{10, 1, 12})
 }
@@ -177,16 +177,16 @@
 		problem      string
 		remedy       string
 	}{
-		{state.HookClassify, "tenant ==", 1, 9, "unexpected token", "mend"},
-		{state.HookClassify, "true and\n tenantt == 'a' ? 'rota' : ''", 2, 2, "unknown name tenantt", "use one of tenant, class"},
-		{state.HookClassify, `"a" + tenantt`, 1, 7, "unknown name tenantt", "use one of"},
-		{state.HookClassify, `string(tenantt)`, 1, 8, "unknown name tenantt", "use one of"},
+		{state.HookClassify, "customer ==", 1, 11, "unexpected token", "mend"},
+		{state.HookClassify, "true and\n customert == 'a' ? 'rota' : ''", 2, 2, "unknown name customert", "use one of customer, class"},
+		{state.HookClassify, `"a" + customert`, 1, 7, "unknown name customert", "use one of"},
+		{state.HookClassify, `string(customert)`, 1, 8, "unknown name customert", "use one of"},
 		{state.HookClassify, `weekday == 1 ? "rotta" : ""`, 1, 16, `class "rotta" is not defined`, "rota, question, swap"},
 		{state.HookClassify, "prompt_tokens", 0, 0, "expected string, but got int", "class"},
 		{state.HookClassify, `weekday == 1 ? "rota" : 1`, 0, 0, "expected string", "class"},
 		{state.HookAdmit, "model == 1 ? 'a' : ''", 1, 7, "mismatched types", "float()"},
 		{state.HookScore, `"a"`, 0, 0, "expected float64, but got string", "seconds"},
-		{state.HookScore, `candidate.plaice == "a" ? 1 : 0`, 1, 11, "no field plaice", "candidate.place"},
+		{state.HookScore, `candidate.failure_domian == "a" ? 1 : 0`, 1, 11, "no field failure_domian", "candidate.failure_domain"},
 		{state.HookPin, `role == "" ? "mix" : ""`, 1, 14, `"mix" is not a role`, "spare"},
 		{state.HookPin, `let w = "mix"; now().String() + w`, 1, 22, "methods aren't available", "use"},
 		{"fetch", `""`, 0, 0, "no such hook", "classify"},
@@ -217,9 +217,9 @@
 	for _, source := range []string{
 		nested, nested + ".a()", // exponential in the type checker and printer
 		`1..1000000 == [] ? 1 : 0`, `all(candidate.adapters, # == "a") ? 1 : 0`, `sum(map([1, 2], # * 2))`, `reduce([1, 2], #acc + #)`,
-		`let a = [1, 2]; let b = [a, a]; max(b)`, `len(string([place, place]))`, `len(::string(candidate.adapters))`,
-		`len(repeat("a", 1000))`, `len(replace(place, "", place))`, `len(split(place, ""))`, `len(toJSON(candidate))`,
-		`place matches "(a{1000}){1000}" ? 1 : 0`, `now().Unix()`, `float($env["place"])`, `candidate.adapters[0] == "" ? 1 : 0`,
+		`let a = [1, 2]; let b = [a, a]; max(b)`, `len(string([failure_domain, failure_domain]))`, `len(::string(candidate.adapters))`,
+		`len(repeat("a", 1000))`, `len(replace(failure_domain, "", failure_domain))`, `len(split(failure_domain, ""))`, `len(toJSON(candidate))`,
+		`failure_domain matches "(a{1000}){1000}" ? 1 : 0`, `now().Unix()`, `float($env["failure_domain"])`, `candidate.adapters[0] == "" ? 1 : 0`,
 		`{"a": 1}.a`, `nil ?? 1`, `candidate?.in_flight`, `1; 2`, strings.Repeat("1+", MaxNodes) + "1",
 	} {
 		_, err := Compile(policies(state.HookScore, source))
@@ -330,7 +330,7 @@
 func FuzzCompile(f *testing.F) {
 	hooks := []state.PolicyHook{state.HookClassify, state.HookAdmit, state.HookScore, state.HookPin}
 	for _, source := range []string{
-		`prompt_tokens > 8000 ? "rota" : ""`, `candidate.place == place ? 0 : 0.5`, `let a = 1; a < a < (a < 2 ? 1 : 0)`,
+		`prompt_tokens > 8000 ? "rota" : ""`, `candidate.failure_domain == failure_domain ? 0 : 0.5`, `let a = 1; a < a < (a < 2 ? 1 : 0)`,
 		`"x" in adapters ? "spare" : ""`, `if weekday in [0, 6] { "a" + string(weekday) } else { "" }`, `((((`, `max(1, -prompt_tokens ** 2) % 3`, "\xff'",
 	} {
 		f.Add(uint8(0), source)
--- a/coordination/policy/score.go
+++ b/coordination/policy/score.go
@@ -106,7 +106,7 @@
 		candidates = append(candidates, candidateOf(&cs[i]))
 	}
 	e.ScoreInput = ScoreInput{
-		Service: q.Service, Model: q.Model, Part: partName(q.Part), Place: q.Place,
+		Service: q.Service, Model: q.Model, Part: partName(q.Part), FailureDomain: q.FailureDomain,
 		PromptTokens: float64(q.PromptTokens), ExpectedOutputTokens: float64(q.ExpectedOutput),
 		Candidates: candidates,
 	}
@@ -114,7 +114,7 @@
 
 func candidateOf(c *route.Candidate) Candidate {
 	return Candidate{
-		Name: c.Runner.Name, Place: c.Runner.Place, Role: string(c.Runner.Target.Role),
+		Name: c.Runner.Name, FailureDomain: c.Runner.FailureDomain, Role: string(c.Runner.Target.Role),
 		Model: c.Runner.Target.Model, Adapters: c.Runner.Target.Adapters,
 		CachedTokens: float64(c.CachedTokens), BacklogTokens: c.BacklogTokens, InFlight: c.InFlight,
 		FirstTokenSeconds: c.FirstToken.Seconds(), FinishSeconds: c.Finish.Seconds(), ScoreSeconds: c.Score,
--- a/coordination/policy/subset.go
+++ b/coordination/policy/subset.go
@@ -76,7 +76,7 @@
 	case *ast.VariableDeclaratorNode:
 		return s.all(n.Value, n.Expr)
 	case *ast.ArrayNode:
-		return refuse(node, "a list stands where none may", `use lists only after "in", as in tenant in ["a", "b"]`)
+		return refuse(node, "a list stands where none may", `use lists only after "in", as in customer in ["a", "b"]`)
 	case *ast.CallNode:
 		return s.call(n)
 	default:
@@ -121,7 +121,7 @@
 // member allows the field of a structure, by name.
 func (s *subset) member(n *ast.MemberNode) *subsetError {
 	if _, ok := n.Property.(*ast.StringNode); !ok || n.Optional || n.Method {
-		return refuse(n, "this way to reach a part of a value isn't available to policies", "name the field, as in candidate.place")
+		return refuse(n, "this way to reach a part of a value isn't available to policies", "name the field, as in candidate.failure_domain")
 	}
 	return s.check(n.Node)
 }
--- a/coordination/rebalance/decide.go
+++ b/coordination/rebalance/decide.go
@@ -52,8 +52,8 @@
 
 // Engine is what a decision knows of one engine.
 type Engine struct {
-	Name, Place string
-	Role        state.Role
+	Name, FailureDomain string
+	Role                state.Role
 	// TakesWork is false for an engine that can't be counted on.
 	TakesWork bool
 	// Since is when it took on its role; zero when that is long ago.
@@ -231,7 +231,7 @@
 		}
 		switch {
 		case f.atFloor(e):
-			why = "the floor of the role in its place is reached"
+			why = "the floor of the role in its failure domain is reached"
 		case f.in.Now.Sub(e.Since) < f.o.MinStay:
 			why = "its engines changed a short time ago"
 		case best == nil || e.InFlight < best.InFlight:
@@ -241,7 +241,7 @@
 	return best, why
 }
 
-// atFloor reports whether the engine's place would have too few of its role.
+// atFloor reports whether the engine's failure domain would have too few of its role.
 func (f *forecast) atFloor(e *Engine) bool {
 	if e.Role == state.RoleMixed && f.in.Service.MinPerRole == 0 {
 		return false
@@ -249,7 +249,7 @@
 	n := 0
 	for i := range f.in.Engines {
 		o := &f.in.Engines[i]
-		if o.Role == e.Role && o.TakesWork && o.Place == e.Place {
+		if o.Role == e.Role && o.TakesWork && o.FailureDomain == e.FailureDomain {
 			n++
 		}
 	}
--- a/coordination/rebalance/decide_test.go
+++ b/coordination/rebalance/decide_test.go
@@ -30,14 +30,14 @@
 // tokens a second.
 var speeds = Speeds{Prefill: 8000, Decode: 1280, Step: 0.025}
 
-// fleet returns engines of the roles, spread over two places.
+// fleet returns engines of the roles, spread over two failure domains.
 func fleet(prefill, decode, mixed int) []Engine {
 	var out []Engine
 	add := func(n int, role state.Role) {
 		for range n {
 			i := len(out)
 			out = append(out, Engine{
-				Name: fmt.Sprintf("e%02d", i), Place: fmt.Sprint("place", i%2), Role: role,
+				Name: fmt.Sprintf("e%02d", i), FailureDomain: fmt.Sprint("failure_domain", i%2), Role: role,
 				TakesWork: true, InFlight: int64(i), Speeds: speeds,
 			})
 		}
@@ -78,7 +78,7 @@
 		{"a burst alone", Inputs{Engines: fleet(4, 4, 0), Demand: Demand{Short: outputs.Short, Long: rates(20000, 500)}}, "", "", "no change"},
 		{"a change under way", Inputs{Engines: fleet(4, 4, 0), Demand: outputs, Changing: "e01"}, "", "", "one at a time"},
 		{"no demand", Inputs{Engines: fleet(4, 4, 0)}, "", "", "no request"},
-		{"the floor of both places", Inputs{Engines: fleet(4, 4, 0), Demand: outputs, Service: state.Service{MinPerRole: 2}}, "", "", "no change"},
+		{"the floor of both failure domains", Inputs{Engines: fleet(4, 4, 0), Demand: outputs, Service: state.Service{MinPerRole: 2}}, "", "", "no change"},
 		{"changes are dear", Inputs{Engines: fleet(4, 4, 0), Demand: outputs, Service: state.Service{RoleChangeWeight: 50}}, "", "", "no change"},
 		{"answers are dearer", Inputs{Engines: fleet(4, 4, 0), Demand: outputs, Service: state.Service{RoleChangeWeight: 50, GoodputWeight: 50}}, state.RolePrefill, state.RoleDecode, "more answers"},
 	}
--- a/coordination/rebalance/manager.go
+++ b/coordination/rebalance/manager.go
@@ -150,7 +150,7 @@
 
 func (m *Manager) engine(r *snapshot.Runner) Engine {
 	e := Engine{
-		Name: r.Name, Place: r.Place, Role: r.Target.Role, TakesWork: r.TakesWork(),
+		Name: r.Name, FailureDomain: r.FailureDomain, Role: r.Target.Role, TakesWork: r.TakesWork(),
 		InFlight: r.Track.Load().Requests + r.Peers.Requests, Speeds: m.o.Speeds(r.Name),
 	}
 	if !e.Role.Valid() {
--- a/coordination/rebalance/manager_test.go
+++ b/coordination/rebalance/manager_test.go
@@ -41,7 +41,7 @@
 	m.keeper.SetConfig(&state.Config{Version: 7, Services: []state.Service{{Name: "llm", Kind: state.KindEngine, Models: []string{"m"}}}})
 	var list []state.Listed
 	for _, e := range fleet(4, 4, 0) {
-		list = append(list, state.Listed{Name: e.Name, Kind: state.ListedEngine, State: state.ListedLive, Place: e.Place, Incarnation: "1", Service: "llm"})
+		list = append(list, state.Listed{Name: e.Name, Kind: state.ListedEngine, State: state.ListedLive, FailureDomain: e.FailureDomain, Incarnation: "1", Service: "llm"})
 	}
 	m.keeper.SetListed(list)
 	for _, e := range fleet(4, 4, 0) {
--- a/coordination/replay/call.go
+++ b/coordination/replay/call.go
@@ -55,7 +55,7 @@
 func (c *call) submit() {
 	f := c.host.fleet
 	c.deadline = f.loop.Now().Add(c.class.Deadline)
-	c.expected = c.host.outputs.Expected(c.request.Tenant, c.request.Class, c.class.MaxTokens)
+	c.expected = c.host.outputs.Expected(c.request.Customer, c.request.Class, c.class.MaxTokens)
 	c.host.budget.Seen(service)
 	f.loop.after(c.class.Deadline, c.leave)
 	q := c.query(route.PartWhole)
@@ -70,10 +70,10 @@
 		return
 	}
 	ask := admit.Request{
-		Service: service, Tenant: c.request.Tenant, Class: c.request.Class,
+		Service: service, Customer: c.request.Customer, Class: c.request.Class,
 		Urgent: c.class.Urgent && !f.setup.NoUrgent, Weight: 1, Cost: c.work,
 		Returning:  c.back && !f.setup.ForgetReturns,
-		LongOutput: int64(c.host.outputs.Long(c.request.Tenant, c.request.Class, c.class.MaxTokens)),
+		LongOutput: int64(c.host.outputs.Long(c.request.Customer, c.request.Class, c.class.MaxTokens)),
 	}
 	if !f.setup.NoRefusal {
 		ask.Deadline = c.deadline
@@ -106,7 +106,7 @@
 		return
 	}
 	f.result.class(c.class.Name).refused++
-	f.result.tenant(c.request.Tenant, false)
+	f.result.customer(c.request.Customer, false)
 	if f.setup.ComeBack {
 		again := &call{host: c.host, request: c.request, class: c.class, prefixes: c.prefixes, back: true}
 		f.loop.after(e.RetryAfter, func() {
@@ -121,7 +121,7 @@
 	q := route.Query{
 		Service: service, Model: model, Part: p,
 		PromptTokens:   c.request.PromptTokens + c.given,
-		ExpectedOutput: max(1, c.expected-c.given), Place: c.host.place,
+		ExpectedOutput: max(1, c.expected-c.given), FailureDomain: c.host.domain,
 		Deadline: c.deadline, BlockTokens: blockTokens,
 	}
 	if !c.host.fleet.setup.NoPrefix {
@@ -261,7 +261,7 @@
 	if !c.host.fleet.setup.NoLearning {
 		c.host.router.Decoded(c.host.keeper.View(), a.choice.Runner.Name, c.request.OutputTokens, now.Sub(a.first))
 	}
-	c.host.outputs.Learn(c.request.Tenant, c.request.Class, c.request.OutputTokens)
+	c.host.outputs.Learn(c.request.Customer, c.request.Class, c.request.OutputTokens)
 	c.end(outcomeGood)
 }
 
@@ -332,5 +332,5 @@
 		return
 	}
 	r.class(c.class.Name).count(o)
-	r.tenant(c.request.Tenant, o == outcomeGood)
+	r.customer(c.request.Customer, o == outcomeGood)
 }
--- a/coordination/replay/engine.go
+++ b/coordination/replay/engine.go
@@ -68,11 +68,11 @@
 
 // engine is a fake engine.
 type engine struct {
-	loop  *loop
-	model *Model
-	name  string
-	place string
-	runs  int // the incarnation
+	loop   *loop
+	model  *Model
+	name   string
+	domain string
+	runs   int // the incarnation
 
 	target   state.Target
 	lost     bool
@@ -88,8 +88,8 @@
 	cacheCleared bool
 }
 
-func newEngine(l *loop, m *Model, name, place string, t state.Target) *engine {
-	e := &engine{loop: l, model: m, name: name, place: place, target: t}
+func newEngine(l *loop, m *Model, name, domain string, t state.Target) *engine {
+	e := &engine{loop: l, model: m, name: name, domain: domain, target: t}
 	e.clearCache()
 	return e
 }
--- a/coordination/replay/fleet.go
+++ b/coordination/replay/fleet.go
@@ -49,7 +49,7 @@
 	}
 	f := &fleet{
 		loop: newLoop(), trace: t, setup: s, model: s.Model,
-		engines: map[string]*engine{}, result: &recorder{classes: map[string]*classRecorder{}, tenants: map[string]*share{}},
+		engines: map[string]*engine{}, result: &recorder{classes: map[string]*classRecorder{}, customers: map[string]*share{}},
 	}
 	last := t.Requests[len(t.Requests)-1].At
 	f.until = epoch.Add(last + state.MaxDeadline/10)
@@ -66,12 +66,12 @@
 	return f, nil
 }
 
-// addEngines makes the engines, the roles dealt out over the places.
+// addEngines makes the engines, the roles dealt out over the failure domains.
 func (f *fleet) addEngines(s Split) {
 	for i := range s.Prefill + s.Decode + s.Mixed {
 		name := fmt.Sprintf("engine-%02d", i)
 		t := state.Target{Role: s.role(i), Model: model}
-		f.engines[name] = newEngine(f.loop, f.model, name, places[i%len(places)], t)
+		f.engines[name] = newEngine(f.loop, f.model, name, domains[i%len(domains)], t)
 		f.names = append(f.names, name)
 	}
 }
@@ -86,7 +86,7 @@
 		}
 		out = append(out, state.Listed{
 			Name: name, Kind: state.ListedEngine, State: state.ListedLive,
-			Incarnation: e.incarnation(), Place: e.place, Service: service,
+			Incarnation: e.incarnation(), FailureDomain: e.domain, Service: service,
 		})
 	}
 	return out
--- a/coordination/replay/host.go
+++ b/coordination/replay/host.go
@@ -14,7 +14,7 @@
 // host is one host with the parts that decide.
 type host struct {
 	fleet    *fleet
-	place    string
+	domain   string
 	keeper   *snapshot.Keeper
 	router   *route.Router
 	admitter *admit.Admitter
@@ -28,7 +28,7 @@
 
 func newHost(f *fleet, i int) (*host, error) {
 	h := &host{
-		fleet: f, place: places[i%len(places)], keeper: snapshot.NewKeeper(),
+		fleet: f, domain: domains[i%len(domains)], keeper: snapshot.NewKeeper(),
 		outputs: route.NewEstimator(0), meter: rebalance.NewMeter(f.loop),
 		delays: retry.NewDelays(0, 0, rand.New(rand.NewPCG(uint64(i), 1))),
 	}
--- a/coordination/replay/replay_test.go
+++ b/coordination/replay/replay_test.go
@@ -98,7 +98,7 @@
 	t := &Trace{Deployment: "test", Shape: "even", Classes: []Class{{Name: "c", Deadline: 20 * time.Second, MaxTokens: 1000}}}
 	for i := range requests {
 		t.Requests = append(t.Requests, Request{
-			At: time.Duration(i) * every, Tenant: fmt.Sprint("t", i%5), Class: "c",
+			At: time.Duration(i) * every, Customer: fmt.Sprint("t", i%5), Class: "c",
 			Prefix: i % 3, PrefixTokens: prompt / 2, PromptTokens: prompt, OutputTokens: output,
 		})
 	}
--- a/coordination/replay/result.go
+++ b/coordination/replay/result.go
@@ -38,7 +38,7 @@
 type Result struct {
 	Trace, Setup string
 	Classes      []ClassResult
-	// OthersGoodput is the goodput of all tenants but the busiest.
+	// OthersGoodput is the goodput of all customers but the busiest.
 	OthersGoodput float64
 	// RoleChanges were settled; CalledOff were begun and given up.
 	RoleChanges, CalledOff int
@@ -75,7 +75,7 @@
 
 // recorder collects the figures of a running replay.
 type recorder struct {
-	tenants                                 map[string]*share
+	customers                               map[string]*share
 	classes                                 map[string]*classRecorder
 	attempts                                int
 	roleChanges, calledOff                  int
@@ -105,14 +105,14 @@
 	return k
 }
 
-// share counts a tenant's requests and those answered in time.
+// share counts a customer's requests and those answered in time.
 type share struct{ all, good int }
 
-func (r *recorder) tenant(name string, good bool) {
-	s := r.tenants[name]
+func (r *recorder) customer(name string, good bool) {
+	s := r.customers[name]
 	if s == nil {
 		s = &share{}
-		r.tenants[name] = s
+		r.customers[name] = s
 	}
 	s.all++
 	if good {
@@ -120,11 +120,11 @@
 	}
 }
 
-// others is the goodput of all tenants but the busiest.
+// others is the goodput of all customers but the busiest.
 func (r *recorder) others() float64 {
 	var sum, busiest share
-	for _, name := range slices.Sorted(maps.Keys(r.tenants)) {
-		s := r.tenants[name]
+	for _, name := range slices.Sorted(maps.Keys(r.customers)) {
+		s := r.customers[name]
 		sum.all += s.all
 		sum.good += s.good
 		if s.all > busiest.all {
--- a/coordination/replay/setup.go
+++ b/coordination/replay/setup.go
@@ -25,7 +25,7 @@
 // Split is how many engines have each role.
 type Split struct{ Prefill, Decode, Mixed int }
 
-// role returns the role of the i-th engine; roles are dealt out over the places.
+// role returns the role of the i-th engine; roles are dealt out over the failure domains.
 func (s Split) role(i int) state.Role {
 	switch {
 	case i < s.Prefill:
@@ -78,8 +78,8 @@
 	Model *Model
 }
 
-// places are the failure domains that engines and hosts are spread over.
-var places = []string{"place-a", "place-b", "place-c"}
+// domains are the failure domains that engines and hosts are spread over.
+var domains = []string{"place-a", "place-b", "place-c"}
 
 // The fleet and what its parts tell each other.
 const (
--- a/coordination/replay/trace.go
+++ b/coordination/replay/trace.go
@@ -46,8 +46,8 @@
 
 // Request is one recorded request; lengths are in tokens.
 type Request struct {
-	At            time.Duration
-	Tenant, Class string
+	At              time.Duration
+	Customer, Class string
 	// Prefix names the text that the prompt begins with, PrefixTokens long.
 	Prefix, PrefixTokens       int
 	PromptTokens, OutputTokens int
@@ -90,7 +90,7 @@
 	}
 	var r Request
 	var millis int64
-	_, err := fmt.Sscanf(line, "%d %s %s %d %d %d %d", &millis, &r.Tenant, &r.Class, &r.Prefix, &r.PrefixTokens, &r.PromptTokens, &r.OutputTokens)
+	_, err := fmt.Sscanf(line, "%d %s %s %d %d %d %d", &millis, &r.Customer, &r.Class, &r.Prefix, &r.PrefixTokens, &r.PromptTokens, &r.OutputTokens)
 	r.At = time.Duration(millis) * time.Millisecond
 	t.Requests = append(t.Requests, r)
 	return err
--- a/coordination/route/outputs.go
+++ b/coordination/route/outputs.go
@@ -7,14 +7,14 @@
 
 // Bounds of the output estimator.
 const (
-	// defaultMaxFlows bounds the pairs of tenant and class that are kept apart.
+	// defaultMaxFlows bounds the pairs of customer and class that are kept apart.
 	defaultMaxFlows = 8192
 	// maxClasses bounds the classes that are kept apart.
 	maxClasses = 256
 	// outputWeight is the least weight of a new sample.
 	outputWeight = 0.05
 	// priorSamples is how many samples the class's mean stands for when a
-	// tenant is new.
+	// customer is new.
 	priorSamples = 4
 	// longSpreads is how many mean distances above the mean a long output is:
 	// about 85% of a normal distribution, and of an even one, are below.
@@ -24,7 +24,7 @@
 )
 
 // Estimator predicts the length of an answer from earlier ones of the same
-// tenant and class; a new tenant starts from its class. Its memory is bounded:
+// customer and class; a new customer starts from its class. Its memory is bounded:
 // pairs beyond the bound share their class's figure. It is safe for concurrent
 // use.
 type Estimator struct {
@@ -36,7 +36,7 @@
 	all     mean
 }
 
-type flowKey struct{ tenant, class string }
+type flowKey struct{ customer, class string }
 
 // mean is a fading mean and spread: plain over the first samples, exponential
 // later.
@@ -54,7 +54,7 @@
 	m.spread += weight * (math.Abs(x-m.value) - m.spread)
 }
 
-// NewEstimator returns an estimator that keeps at most maxFlows pairs of tenant
+// NewEstimator returns an estimator that keeps at most maxFlows pairs of customer
 // and class apart; zero stands for 8192.
 func NewEstimator(maxFlows int) *Estimator {
 	if maxFlows <= 0 {
@@ -65,15 +65,15 @@
 
 // Expected returns the expected output in tokens, at least 1 and at most
 // maxTokens (when that is positive).
-func (e *Estimator) Expected(tenant, class string, maxTokens int) int {
-	value, _ := e.estimate(flowKey{tenant, class})
+func (e *Estimator) Expected(customer, class string, maxTokens int) int {
+	value, _ := e.estimate(flowKey{customer, class})
 	return bounded(value, maxTokens)
 }
 
 // Long returns an output in tokens that most answers don't exceed, bounded in
 // the same way.
-func (e *Estimator) Long(tenant, class string, maxTokens int) int {
-	value, spread := e.estimate(flowKey{tenant, class})
+func (e *Estimator) Long(customer, class string, maxTokens int) int {
+	value, spread := e.estimate(flowKey{customer, class})
 	return bounded(value+longSpreads*spread, maxTokens)
 }
 
@@ -103,7 +103,7 @@
 }
 
 // Learn takes in the actual output of an answer that ended by itself, in tokens.
-func (e *Estimator) Learn(tenant, class string, tokens int) {
+func (e *Estimator) Learn(customer, class string, tokens int) {
 	if tokens <= 0 {
 		return
 	}
@@ -119,7 +119,7 @@
 	if c != nil {
 		c.add(x)
 	}
-	k := flowKey{tenant, class}
+	k := flowKey{customer, class}
 	f := e.flows[k]
 	if f == nil {
 		if len(e.flows) >= e.max {
--- a/coordination/route/outputs_test.go
+++ b/coordination/route/outputs_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 )
 
-func TestEstimatorLearnsPerTenantAndClass(t *testing.T) {
+func TestEstimatorLearnsPerCustomerAndClass(t *testing.T) {
 	is := is.New(t)
 	e := NewEstimator(0)
 	for range 100 {
@@ -38,9 +38,9 @@
 	is := is.New(t)
 	e := NewEstimator(10)
 	for i := range 1000 {
-		e.Learn(fmt.Sprint("tenant-", i), fmt.Sprint("class-", i), 10)
+		e.Learn(fmt.Sprint("customer-", i), fmt.Sprint("class-", i), 10)
 	}
 	is.Equal(len(e.flows), 10)
 	is.Equal(len(e.classes), maxClasses)
-	is.Equal(e.Expected("tenant-999", "class-999", 0), 10)
+	is.Equal(e.Expected("customer-999", "class-999", 0), 10)
 }
--- a/coordination/route/plugins.go
+++ b/coordination/route/plugins.go
@@ -161,14 +161,14 @@
 	}
 }
 
-// nearPlace adds a penalty to runners of another place.
-type nearPlace struct{ penalty time.Duration }
+// nearDomain adds a penalty to runners of another failure domain.
+type nearDomain struct{ penalty time.Duration }
 
-func (nearPlace) Name() string { return "near-place" }
+func (nearDomain) Name() string { return "near-domain" }
 
-func (s nearPlace) Score(q *Query, cs []Candidate) {
+func (s nearDomain) Score(q *Query, cs []Candidate) {
 	for i := range cs {
-		if q.Place != "" && cs[i].Runner.Place != q.Place {
+		if q.FailureDomain != "" && cs[i].Runner.FailureDomain != q.FailureDomain {
 			cs[i].Score += s.penalty.Seconds()
 		}
 	}
--- a/coordination/route/plugins_test.go
+++ b/coordination/route/plugins_test.go
@@ -70,7 +70,7 @@
 func candidate(role state.Role, backlog, inFlight float64) Candidate {
 	speeds := Speeds{PrefillTokensPerSecond: 1000, StepSeconds: 0.01, StepSecondsPerSequence: 0.001, Batch: 10, ChunkTokens: 100, TransferTokensPerSecond: 1e4}
 	return Candidate{
-		Runner:        &snapshot.Runner{Upstream: state.Upstream{Place: "here"}, Target: state.Target{Role: role}},
+		Runner:        &snapshot.Runner{Upstream: state.Upstream{FailureDomain: "here"}, Target: state.Target{Role: role}},
 		BacklogTokens: backlog, InFlight: inFlight, speeds: &speeds, pace: 1, learnt: newLearnt("e", speeds),
 	}
 }
@@ -129,11 +129,11 @@
 	is.Equal(scoreOf(considerate{1}, prefill, candidate(state.RolePrefill, 0, 4)), 0.0)
 }
 
-func TestNearPlace(t *testing.T) {
+func TestNearDomain(t *testing.T) {
 	is := is.New(t)
-	s := nearPlace{3 * time.Millisecond}
-	is.Equal(scoreOf(s, Query{Place: "here"}, candidate(state.RoleMixed, 0, 0)), 0.0)
-	is.Equal(scoreOf(s, Query{Place: "there"}, candidate(state.RoleMixed, 0, 0)), 0.003)
+	s := nearDomain{3 * time.Millisecond}
+	is.Equal(scoreOf(s, Query{FailureDomain: "here"}, candidate(state.RoleMixed, 0, 0)), 0.0)
+	is.Equal(scoreOf(s, Query{FailureDomain: "there"}, candidate(state.RoleMixed, 0, 0)), 0.003)
 	is.Equal(scoreOf(s, Query{}, candidate(state.RoleMixed, 0, 0)), 0.0)
 }
 
--- a/coordination/route/query.go
+++ b/coordination/route/query.go
@@ -37,8 +37,8 @@
 	// BlockTokens is by how many tokens each prefix is longer than the one
 	// before; zero when they divide the prompt evenly.
 	BlockTokens int
-	// Place is the failure domain that is near.
-	Place string
+	// FailureDomain is the failure domain that is near.
+	FailureDomain string
 	// Deadline is when the whole answer is due; zero when it isn't.
 	Deadline time.Time
 	// Exclude names runners that must not be chosen (they were tried).
--- a/coordination/route/router.go
+++ b/coordination/route/router.go
@@ -40,8 +40,8 @@
 	Scorers []Scorer
 	// CacheEntries bounds the index of prompt prefixes; default 32768.
 	CacheEntries int
-	// PlacePenalty is added for a runner of another place; default 3 ms.
-	PlacePenalty time.Duration
+	// FarPenalty is added for a runner of another failure domain; default 3 ms.
+	FarPenalty time.Duration
 	// LoadBound limits how far above the candidates' mean backlog an engine may
 	// be and still be preferred for its cached prefix; default 1.5.
 	LoadBound float64
@@ -74,16 +74,16 @@
 	if o.Clock == nil {
 		return nil, fmt.Errorf("route: Options.Clock is nil; pass a state.Clock")
 	}
-	if o.CacheEntries < 0 || o.LoadBound < 0 || o.PlacePenalty < 0 {
-		return nil, fmt.Errorf("route: a negative option; leave CacheEntries, LoadBound and PlacePenalty zero for the defaults")
+	if o.CacheEntries < 0 || o.LoadBound < 0 || o.FarPenalty < 0 {
+		return nil, fmt.Errorf("route: a negative option; leave CacheEntries, LoadBound and FarPenalty zero for the defaults")
 	}
 	o.setDefaults()
 	r := &Router{
 		clock: o.Clock, seed: o.Seed, breaker: breakerReady{o.Breakers}, retry: o.RetryAfter,
 		defaults: o.Defaults, cache: newCacheIndex(o.CacheEntries),
 	}
-	r.engine = append([]Scorer{cachedPrefix{o.LoadBound}, predictedTime{}, considerate{o.DelayShare}, nearPlace{o.PlacePenalty}}, o.Scorers...)
-	r.service = append([]Scorer{leastInFlight{}, nearPlace{o.PlacePenalty}}, o.Scorers...)
+	r.engine = append([]Scorer{cachedPrefix{o.LoadBound}, predictedTime{}, considerate{o.DelayShare}, nearDomain{o.FarPenalty}}, o.Scorers...)
+	r.service = append([]Scorer{leastInFlight{}, nearDomain{o.FarPenalty}}, o.Scorers...)
 	r.scratch.New = func() any { return &scratch{} }
 	return r, nil
 }
@@ -92,8 +92,8 @@
 	if o.CacheEntries == 0 {
 		o.CacheEntries = 1 << 15
 	}
-	if o.PlacePenalty == 0 {
-		o.PlacePenalty = 3 * time.Millisecond
+	if o.FarPenalty == 0 {
+		o.FarPenalty = 3 * time.Millisecond
 	}
 	if o.LoadBound == 0 {
 		o.LoadBound = 1.5
@@ -181,7 +181,7 @@
 	case len(cs) == 1:
 		return "it is the only candidate"
 	case c.Runner.Kind == state.KindService:
-		return "it has the fewest requests in flight, nearer places preferred"
+		return "it has the fewest requests in flight, nearer failure domains preferred"
 	case c.CachedTokens > 0:
 		return "it has the lowest predicted time, with part of the prompt in its cache"
 	default:
--- a/coordination/route/router_test.go
+++ b/coordination/route/router_test.go
@@ -15,7 +15,7 @@
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// engines returns a keeper with n engines of one service over three places that
+// engines returns a keeper with n engines of one service over three failure domains that
 // all reported 100 ms before the epoch.
 func engines(n int) *snapshot.Keeper {
 	k := snapshot.NewKeeper()
@@ -23,7 +23,7 @@
 	for i := range n {
 		list = append(list, state.Listed{
 			Name: fmt.Sprintf("engine-%04d", i), Kind: state.ListedEngine, State: state.ListedLive,
-			Incarnation: "one", Place: fmt.Sprintf("place-%d", i%3), Service: "llm",
+			Incarnation: "one", FailureDomain: fmt.Sprintf("place-%d", i%3), Service: "llm",
 		})
 	}
 	k.SetListed(list)
@@ -97,7 +97,7 @@
 	r := newRouter(b)
 	v := k.View()
 	q := &Query{
-		Service: "llm", Model: "m", PromptTokens: 4000, ExpectedOutput: 100, Place: "place-1",
+		Service: "llm", Model: "m", PromptTokens: 4000, ExpectedOutput: 100, FailureDomain: "place-1",
 		Prefixes: []uint64{11, 12, 13, 14, 15, 16, 17, 18}, BlockTokens: 500,
 	}
 	for range 3 {
@@ -259,13 +259,13 @@
 	is := is.New(t)
 	k := snapshot.NewKeeper()
 	var list []state.Listed
-	for i, place := range []string{"here", "there", "here"} {
-		list = append(list, state.Listed{Name: fmt.Sprint("s", i), Kind: state.ListedService, State: state.ListedLive, Place: place, Service: "app"})
+	for i, domain := range []string{"here", "there", "here"} {
+		list = append(list, state.Listed{Name: fmt.Sprint("s", i), Kind: state.ListedService, State: state.ListedLive, FailureDomain: domain, Service: "app"})
 	}
 	k.SetListed(list)
 	r := newRouter(t)
 	pick := func() string {
-		c, err := r.Pick(k.View(), &Query{Service: "app", Place: "here"})
+		c, err := r.Pick(k.View(), &Query{Service: "app", FailureDomain: "here"})
 		is.NoErr(err)
 		return c.Runner.Name
 	}
--- a/coordination/snapshot/keeper.go
+++ b/coordination/snapshot/keeper.go
@@ -97,7 +97,7 @@
 // UpstreamOf returns the upstream of a listed row; false for a host's.
 func UpstreamOf(l state.Listed) (state.Upstream, bool) {
 	u := state.Upstream{
-		Name: l.Name, Service: l.Service, Addr: l.Addr, Place: l.Place,
+		Name: l.Name, Service: l.Service, Addr: l.Addr, FailureDomain: l.FailureDomain,
 		Incarnation: l.Incarnation, ChecksFence: l.ChecksFence,
 	}
 	switch l.Kind {
--- a/coordination/snapshot/snapshot.go
+++ b/coordination/snapshot/snapshot.go
@@ -96,7 +96,7 @@
 	services  map[string]*state.Service
 	classes   map[string]*state.Class
 	byModel   map[string]*state.Service
-	byKey     map[string]*state.Tenant
+	byKey     map[string]*state.Customer
 }
 
 // Runner returns the runner of that name, or nil.
@@ -120,8 +120,8 @@
 // Class returns the class of that name, or nil.
 func (v *View) Class(name string) *state.Class { return v.classes[name] }
 
-// TenantOfKey returns the tenant whose key has that hex SHA-256, or nil.
-func (v *View) TenantOfKey(keySHA256 string) *state.Tenant { return v.byKey[keySHA256] }
+// CustomerOfKey returns the customer whose key has that hex SHA-256, or nil.
+func (v *View) CustomerOfKey(keySHA256 string) *state.Customer { return v.byKey[keySHA256] }
 
 // index builds the look-up maps of a new view.
 func (v *View) index() {
@@ -147,7 +147,7 @@
 	v.services = map[string]*state.Service{}
 	v.classes = map[string]*state.Class{}
 	v.byModel = map[string]*state.Service{}
-	v.byKey = map[string]*state.Tenant{}
+	v.byKey = map[string]*state.Customer{}
 	if v.Config == nil {
 		return
 	}
@@ -161,7 +161,7 @@
 	for i := range v.Config.Classes {
 		v.classes[v.Config.Classes[i].Name] = &v.Config.Classes[i]
 	}
-	for i := range v.Config.Tenants {
-		v.byKey[v.Config.Tenants[i].KeySHA256] = &v.Config.Tenants[i]
+	for i := range v.Config.Customers {
+		v.byKey[v.Config.Customers[i].KeySHA256] = &v.Config.Customers[i]
 	}
 }
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -31,7 +31,7 @@
 }
 
 func (f *fakeBackend) Status(context.Context) operatorapi.Status {
-	return operatorapi.Status{Host: state.HostID{Name: "h1"}, Place: "hall-nord", Ready: true, Standing: "member", ConfigVersion: 7}
+	return operatorapi.Status{Host: state.HostID{Name: "h1"}, FailureDomain: "hall-nord", Ready: true, Standing: "member", ConfigVersion: 7}
 }
 
 func (f *fakeBackend) Upstreams(context.Context) []operatorapi.Upstream {
@@ -39,7 +39,7 @@
 }
 
 func (f *fakeBackend) Config(context.Context) (operatorapi.ConfigObject, error) {
-	return operatorapi.ConfigObject{Version: 7, Value: []byte(`{"services":[],"classes":[],"tenants":[]}`)}, nil
+	return operatorapi.ConfigObject{Version: 7, Value: []byte(`{"services":[],"classes":[],"customers":[]}`)}, nil
 }
 
 func (f *fakeBackend) Edit(_ context.Context, base uint64, value []byte) (uint64, error) {
--- a/ctl/show.go
+++ b/ctl/show.go
@@ -36,7 +36,7 @@
 		return printJSON(t.Out, s)
 	}
 	_, err := fmt.Fprintf(t.Out, "host %s in %s, %s\nready %v, isolated %v\nconfiguration %d\nin flight %d, answers held %d\nhosts %d, runners %d of which %d take work\nplatform calls %d\n",
-		s.Host, s.Place, s.Standing, s.Ready, s.Isolated, s.ConfigVersion, s.InFlight, s.Answers, s.Hosts, s.Runners, s.TakingWork, s.PlatformCalls)
+		s.Host, s.FailureDomain, s.Standing, s.Ready, s.Isolated, s.ConfigVersion, s.InFlight, s.Answers, s.Hosts, s.Runners, s.TakingWork, s.PlatformCalls)
 	if err == nil && s.Problem != "" {
 		_, err = fmt.Fprintln(t.Out, "refused configuration:", s.Problem)
 	}
@@ -53,7 +53,7 @@
 	}
 	return t.table("NAME\tPLACE\tCALLERS\tPEERS\tLIVE\tCONFIG\tHEARD", len(hosts), func(i int) string {
 		h := hosts[i]
-		return fmt.Sprintf("%s\t%s\t%s\t%s\t%v\t%d\t%d ms ago", h.ID.Name, h.Place, h.CallerAddr, h.PeerAddr, h.Live, h.ConfigVersion, h.AgeMillis)
+		return fmt.Sprintf("%s\t%s\t%s\t%s\t%v\t%d\t%d ms ago", h.ID.Name, h.FailureDomain, h.CallerAddr, h.PeerAddr, h.Live, h.ConfigVersion, h.AgeMillis)
 	})
 }
 
@@ -71,7 +71,7 @@
 		if u.ReportAgeMillis >= 0 {
 			age = fmt.Sprintf("%d ms old", u.ReportAgeMillis)
 		}
-		return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s", u.Name, u.Service, u.Place, u.Target.Role, u.Target.Model,
+		return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s", u.Name, u.Service, u.FailureDomain, u.Target.Role, u.Target.Model,
 			stateOf(u), u.InFlight, u.PeersInFlight, u.PrefillBacklogTokens, u.DecodeRunning, age)
 	})
 }
@@ -130,7 +130,7 @@
 	if t.JSON {
 		return printJSON(t.Out, c)
 	}
-	_, err := fmt.Fprintf(t.Out, "key %s of tenant %s: %s\nheld by %s since %s\n", c.Key, c.Tenant, c.State, c.Holder, c.ClaimedAt.Format(time.RFC3339Nano))
+	_, err := fmt.Fprintf(t.Out, "key %s of customer %s: %s\nheld by %s since %s\n", c.Key, c.Customer, c.State, c.Holder, c.ClaimedAt.Format(time.RFC3339Nano))
 	if err == nil && c.Answer != nil {
 		_, err = fmt.Fprintf(t.Out, "answered with status %d, %d bytes\n", c.Answer.Status, len(c.Answer.Body))
 	}
--- a/ctl/steer.go
+++ b/ctl/steer.go
@@ -151,7 +151,7 @@
 	}
 	return t.table("HOST\tPLACE\tVERSION\tHEARD\tANSWERS", len(s.Hosts), func(i int) string {
 		h := s.Hosts[i]
-		return fmt.Sprintf("%s\t%s\t%d\t%d ms ago\t%v", h.Host.Name, h.Place, h.Version, h.AgeMillis, h.Answers)
+		return fmt.Sprintf("%s\t%s\t%d\t%d ms ago\t%v", h.Host.Name, h.FailureDomain, h.Version, h.AgeMillis, h.Answers)
 	})
 }
 
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -78,7 +78,7 @@
 	for _, h := range b.d.member.ConfigVersions() {
 		reports = append(reports, rollout.HostReport{Host: h.Member.ID, Version: h.Version, Age: h.Age, Answers: h.Answers})
 		out.Hosts = append(out.Hosts, operatorapi.HostConfig{
-			Host: h.Member.ID, Place: h.Member.Place, Version: h.Version, AgeMillis: h.Age.Milliseconds(), Answers: h.Answers,
+			Host: h.Member.ID, FailureDomain: h.Member.FailureDomain, Version: h.Version, AgeMillis: h.Age.Milliseconds(), Answers: h.Answers,
 		})
 	}
 	status := b.d.rollout.InForce(reports)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,8 +39,8 @@
 
 // Bounds of what one host keeps.
 const (
-	// namedTenants have metrics of their own; the rest share a label.
-	namedTenants = 200
+	// namedCustomers have metrics of their own; the rest share a label.
+	namedCustomers = 200
 	// keptDecisions stay in memory for `why`.
 	keptDecisions = 20000
 	// explainInterval is the time between two batches of decisions.
@@ -115,7 +115,7 @@
 		clock:    wallclock.Clock{},
 		rnd:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		keeper:   snapshot.NewKeeper(),
-		metrics:  measure.New(namedTenants),
+		metrics:  measure.New(namedCustomers),
 	}
 	d.policies = &policies{d: d}
 	steps := []func() error{
@@ -275,7 +275,7 @@
 		return err
 	}
 	d.front, err = front.New(front.Options{
-		Host: s.Host.Name, Place: s.Host.Place, Keeper: d.keeper, Dispatcher: &loggedDispatcher{Dispatcher: dispatcher, d: d},
+		Host: s.Host.Name, FailureDomain: s.Host.FailureDomain, Keeper: d.keeper, Dispatcher: &loggedDispatcher{Dispatcher: dispatcher, d: d},
 		Estimator: d.decide.estimator, Answers: d.answers, Elsewhere: d.elsewhere, Observer: d.metrics,
 		Policies: d.policies, Log: d.log, ProbeInterval: s.Streams.ProbeInterval,
 		Limits: front.Limits{
--- a/daemon/decide.go
+++ b/daemon/decide.go
@@ -27,7 +27,7 @@
 	return &route.Query{
 		Service: q.Request.Service, Model: q.Model, Part: parts[q.Part],
 		PromptTokens: int(q.Work.PrefillTokens), ExpectedOutput: int(q.Work.DecodeTokens),
-		Prefixes: q.Prefixes, Place: q.Request.Place, Deadline: q.Request.Deadline,
+		Prefixes: q.Prefixes, FailureDomain: q.Request.FailureDomain, Deadline: q.Request.Deadline,
 		Exclude: q.Exclude, Explain: q.Request.Explain,
 	}
 }
@@ -110,19 +110,19 @@
 	// arrived is told of every request of an engine service, admitted or not.
 	arrived func(service string, w snapshot.Work, left time.Duration)
 	// long predicts an output that most answers of a flow don't exceed.
-	long  func(tenant, class string, maxTokens int) int
+	long  func(customer, class string, maxTokens int) int
 	clock state.Clock
 }
 
 // Admit implements dispatch.Admitter.
 func (a *admitter) Admit(ctx context.Context, r *dispatch.Request, cost snapshot.Work) (dispatch.Grant, error) {
 	ask := admit.Request{
-		ID: r.ID, Service: r.Service, Tenant: r.Tenant, Class: r.Class, Urgent: r.Urgent,
+		ID: r.ID, Service: r.Service, Customer: r.Customer, Class: r.Class, Urgent: r.Urgent,
 		Weight: r.Weight, Cost: cost, Deadline: r.Deadline,
 	}
 	if cost.DecodeTokens > 0 {
 		a.arrived(r.Service, cost, r.Deadline.Sub(a.clock.Now()))
-		ask.LongOutput = max(cost.DecodeTokens, int64(a.long(r.Tenant, r.Class, r.MaxTokens)))
+		ask.LongOutput = max(cost.DecodeTokens, int64(a.long(r.Customer, r.Class, r.MaxTokens)))
 	}
 	g, err := a.admit.Admit(ctx, ask)
 	if err != nil {
--- a/daemon/decisions.go
+++ b/daemon/decisions.go
@@ -20,7 +20,7 @@
 	estimator *route.Estimator
 }
 
-// estimatedFlows bounds the tenants and classes whose output is learnt apart.
+// estimatedFlows bounds the customers and classes whose output is learnt apart.
 const estimatedFlows = 8192
 
 func (d *Daemon) newDecisions() (*decisions, error) {
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -62,7 +62,7 @@
 	var err error
 	d.member, err = member.New(member.Options{
 		Self: state.Member{
-			ID: d.id, Place: s.Host.Place, PeerAddr: s.Peers.AdvertisedAddr(), CallerAddr: s.Callers.Listen, RegisteredAt: d.clock.Now(),
+			ID: d.id, FailureDomain: s.Host.FailureDomain, PeerAddr: s.Peers.AdvertisedAddr(), CallerAddr: s.Callers.Listen, RegisteredAt: d.clock.Now(),
 		},
 		Store: heard, Peers: &fleetPeers{d.peers}, Keeper: d.keeper, Clock: d.clock, Seed: d.rnd.Uint64(),
 		Seeds: s.Peers.SeedList(), GossipInterval: s.Peers.Interval, IsolatedAfter: s.Peers.IsolatedAfter,
--- a/daemon/logged.go
+++ b/daemon/logged.go
@@ -38,7 +38,7 @@
 		return
 	}
 	attrs := []slog.Attr{
-		slog.String("request_id", r.ID), slog.String("tenant", r.Tenant), slog.String("class", r.Class),
+		slog.String("request_id", r.ID), slog.String("customer", r.Customer), slog.String("class", r.Class),
 		slog.String("service", r.Service), slog.Uint64("config_version", l.d.rollout.Version()),
 		slog.Duration("took", l.d.clock.Now().Sub(r.ArrivedAt).Round(time.Microsecond)), outcome,
 	}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -45,7 +45,7 @@
 	d := b.d
 	v := d.keeper.View()
 	out := operatorapi.Status{
-		Host: d.id, Place: d.settings.Host.Place, Ready: d.ready(), Isolated: d.member.Isolated(),
+		Host: d.id, FailureDomain: d.settings.Host.FailureDomain, Ready: d.ready(), Isolated: d.member.Isolated(),
 		Standing: d.member.Standing().String(), InFlight: d.front.InFlight(), Answers: d.answers.Len(),
 		Hosts: len(d.member.Hosts()), Runners: len(v.Runners), PlatformCalls: d.platformCalls(),
 	}
--- a/daemon/policies.go
+++ b/daemon/policies.go
@@ -43,7 +43,7 @@
 func (p *policies) input(in front.ClassifyInput) policy.RequestInput {
 	now := p.d.clock.Now()
 	return policy.RequestInput{
-		Tenant: in.Tenant, Class: in.Class, Service: in.Service, Model: in.Model,
+		Customer: in.Customer, Class: in.Class, Service: in.Service, Model: in.Model,
 		PromptTokens: in.PromptTokens, MaxTokens: in.MaxTokens,
 		MinuteOfDay: policy.MinuteOfDay(now), Weekday: int(now.Weekday()),
 	}
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -191,7 +191,7 @@
 	now := r.d.clock.Now()
 	set := r.d.policies.holder.Load()
 	in := policy.EngineInput{
-		Name: u.Name, Service: u.Service, Place: u.Place, Role: string(n.Target.Role), Model: n.Target.Model,
+		Name: u.Name, Service: u.Service, FailureDomain: u.FailureDomain, Role: string(n.Target.Role), Model: n.Target.Model,
 		Adapters: n.Target.Adapters, MinuteOfDay: policy.MinuteOfDay(now), Weekday: int(now.Weekday()),
 	}
 	role, spare := set.Pin(in)
--- a/protocol/operatorapi/operatorapi.go
+++ b/protocol/operatorapi/operatorapi.go
@@ -27,9 +27,9 @@
 
 // Status is one host in short.
 type Status struct {
-	Host  state.HostID `json:"host"`
-	Place string       `json:"place"`
-	Ready bool         `json:"ready"`
+	Host          state.HostID `json:"host"`
+	FailureDomain string       `json:"failure_domain"`
+	Ready         bool         `json:"ready"`
 	// Isolated is true while the host hears neither the platform nor a peer.
 	Isolated      bool   `json:"isolated"`
 	Standing      string `json:"standing"`
@@ -96,10 +96,10 @@
 
 // HostConfig is the version in force at one host.
 type HostConfig struct {
-	Host      state.HostID `json:"host"`
-	Place     string       `json:"place"`
-	Version   uint64       `json:"version"`
-	AgeMillis int64        `json:"age_ms"`
+	Host          state.HostID `json:"host"`
+	FailureDomain string       `json:"failure_domain"`
+	Version       uint64       `json:"version"`
+	AgeMillis     int64        `json:"age_ms"`
 	// Answers is false when the host has not been heard for some seconds.
 	Answers bool `json:"answers"`
 }
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -60,14 +60,14 @@
 cat >"$OUT/config.json" <<JSON
 {"services": [{"name": "llm", "kind": "engine", "models": ["m"]}, {"name": "app", "kind": "service"}],
  "classes": [{"name": "bench", "deadline_ms": 60000}],
- "tenants": [{"name": "bench", "class": "bench", "key_sha256": "$(printf %s "$KEY" | sha256sum | cut -d' ' -f1)"}]}
+ "customers": [{"name": "bench", "class": "bench", "key_sha256": "$(printf %s "$KEY" | sha256sum | cut -d' ' -f1)"}]}
 JSON
 {
-	echo "[{\"name\": \"app-1\", \"kind\": \"service\", \"state\": \"live\", \"addr\": \"$SERVICE\", \"place\": \"p\", \"service\": \"app\"}"
-	echo ",{\"name\": \"host-1\", \"kind\": \"host\", \"state\": \"live\", \"addr\": \"$HOST\", \"place\": \"p\"}"
-	[ -z "$BEFORE" ] || echo ",{\"name\": \"host-2\", \"kind\": \"host\", \"state\": \"live\", \"addr\": \"$HOST2\", \"place\": \"p\"}"
+	echo "[{\"name\": \"app-1\", \"kind\": \"service\", \"state\": \"live\", \"addr\": \"$SERVICE\", \"failure_domain\": \"p\", \"service\": \"app\"}"
+	echo ",{\"name\": \"host-1\", \"kind\": \"host\", \"state\": \"live\", \"addr\": \"$HOST\", \"failure_domain\": \"p\"}"
+	[ -z "$BEFORE" ] || echo ",{\"name\": \"host-2\", \"kind\": \"host\", \"state\": \"live\", \"addr\": \"$HOST2\", \"failure_domain\": \"p\"}"
 	for i in $(seq 1 $ENGINES); do
-		echo ",{\"name\": \"engine-$i\", \"kind\": \"engine\", \"state\": \"live\", \"addr\": \"127.0.0.1:$((ENGINE + i - 1))\", \"place\": \"p\", \"service\": \"llm\"}"
+		echo ",{\"name\": \"engine-$i\", \"kind\": \"engine\", \"state\": \"live\", \"addr\": \"127.0.0.1:$((ENGINE + i - 1))\", \"failure_domain\": \"p\", \"service\": \"llm\"}"
 	done
 	echo "]"
 } >"$OUT/hosts.json"
@@ -80,7 +80,7 @@
 start engines env GOMAXPROCS=4 bin/bench engines --port "$ENGINE" --n $ENGINES
 # shellcheck disable=SC2046,SC2086
 serve() { # serve NAME BINARY CALLERS PEERS PPROF
-	start "$1" env GOMAXPROCS=4 "$2" host --pprof "$5" --set "host.name=$1" --set host.place=p \
+	start "$1" env GOMAXPROCS=4 "$2" host --pprof "$5" --set "host.name=$1" --set host.failure_domain=p \
 		--set "platform.addr=$PLATFORM" --set "callers.listen=$3" --set "peers.listen=$4" ${SET:+$(printf -- '--set %s ' $SET)}
 }
 serve host-1 bin/bench "$HOST" "$PEERS" "$PPROF"
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -3,7 +3,7 @@
 # platform and idle stand-in runners, as separate processes. Prints one row (tab
 # separated, a header first) with the cost of a host, as the mean over the hosts.
 #
-#   scripts/capacity.sh HOSTS RUNNERS TENANTS [MODELS]    one row
+#   scripts/capacity.sh HOSTS RUNNERS CUSTOMERS [MODELS]    one row
 #   scripts/capacity.sh --matrix                          the grid, into out/capacity.tsv
 #
 # Processor time comes from /proc/PID/stat, so that a busy machine doesn't count;
@@ -34,7 +34,7 @@
 	done < <(grep -v '^#' "${MATRIX:-scripts/capacity/matrix.txt}") | tee out/capacity.tsv
 }
 
-measure() { # measure HOSTS RUNNERS TENANTS MODELS
+measure() { # measure HOSTS RUNNERS CUSTOMERS MODELS
 	start_fleet "$@"
 	sleep "$SETTLE"
 	snapshot before
@@ -48,4 +48,4 @@
 	exit 0
 fi
 trap stop EXIT
-measure "${1:?hosts}" "${2:?runners}" "${3:?tenants}" "${4:-1}"
+measure "${1:?hosts}" "${2:?runners}" "${3:?customers}" "${4:-1}"
--- a/scripts/capacity/change.sh
+++ b/scripts/capacity/change.sh
@@ -3,7 +3,7 @@
 # (until the last host has it in force), a host that is killed and started again,
 # and a change of the platform's list. Prints a line each.
 #
-#   scripts/capacity/change.sh HOSTS RUNNERS TENANTS [MODELS]
+#   scripts/capacity/change.sh HOSTS RUNNERS CUSTOMERS [MODELS]
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 
@@ -48,7 +48,7 @@
 	addr=$(shuf -n1 "$OUT/addrs")
 	curl -fsS "http://$addr/admin/v1/config" >"$OUT/config.now"
 	base=$(jq .version "$OUT/config.now")
-	jq -c ".value | .tenants[0].weight = $RANDOM + 1" "$OUT/config.now" >"$OUT/config.next"
+	jq -c ".value | .customers[0].weight = $RANDOM + 1" "$OUT/config.now" >"$OUT/config.next"
 	sent=$(date +%s.%N)
 	version=$(curl -fsS -X PUT --data-binary "@$OUT/config.next" "http://$addr/admin/v1/config?base=$base" | jq .version)
 	for _ in $(seq 1 50); do
@@ -61,14 +61,14 @@
 
 # restart kills host N and starts it anew; prints the time from start to ready.
 restart() { # restart INDEX [SETTING...]
-	local i=$1 name place callers peers began
+	local i=$1 name domain callers peers began
 	shift
-	read -r name place callers peers < <(jq -r ".hosts[$i] | [.name, .place, .caller_addr, .peer_addr] | join(\" \")" "$OUT/plan.json")
+	read -r name domain callers peers < <(jq -r ".hosts[$i] | [.name, .failure_domain, .caller_addr, .peer_addr] | join(\" \")" "$OUT/plan.json")
 	kill -KILL "${HOST_PIDS[$i]}" 2>/dev/null || true
 	{ wait "${HOST_PIDS[$i]}"; } 2>/dev/null || true
 	sleep 1
 	began=$(date +%s%N)
-	start_host "$name" "$place" "$callers" "$peers" "$@"
+	start_host "$name" "$domain" "$callers" "$peers" "$@"
 	HOST_PIDS[i]=${HOST_PIDS[-1]}
 	unset 'HOST_PIDS[-1]'
 	until curl -fsS -o /dev/null "http://$callers/readyz" 2>/dev/null; do
@@ -92,7 +92,7 @@
 
 before=$(platform_use)
 for i in $(seq 1 "$EDITS"); do
-	curl -fsS -X POST -d "{\"row\":{\"name\":\"new-$i\",\"kind\":\"host\",\"state\":\"live\",\"addr\":\"127.0.0.1:1\",\"place\":\"hall-nord\"}}" "http://127.0.0.1:$BASE/fault/hosts"
+	curl -fsS -X POST -d "{\"row\":{\"name\":\"new-$i\",\"kind\":\"host\",\"state\":\"live\",\"addr\":\"127.0.0.1:1\",\"failure_domain\":\"hall-nord\"}}" "http://127.0.0.1:$BASE/fault/hosts"
 	sleep 1.5
 done
 report list "$EDITS" "$before" "$(platform_use)"
--- a/scripts/capacity/lib.sh
+++ b/scripts/capacity/lib.sh
@@ -25,30 +25,30 @@
 }
 
 start_host() { # start_host NAME PLACE CALLERS PEERS [SETTING...]
-	local name=$1 place=$2 callers=$3 peers=$4 sets=()
+	local name=$1 domain=$2 callers=$3 peers=$4 sets=()
 	shift 4
 	for s in $SET "$@"; do sets+=(--set "$s"); done
 	GOMAXPROCS=$PROCS start "$name" "${HOSTD:-bin/thymerackd}" \
-		--set "host.name=$name" --set "host.place=$place" --set "platform.addr=127.0.0.1:$BASE" \
+		--set "host.name=$name" --set "host.failure_domain=$domain" --set "platform.addr=127.0.0.1:$BASE" \
 		--set "callers.listen=$callers" --set "peers.listen=$peers" "${sets[@]}"
 	HOST_PIDS+=("${PIDS[-1]}")
 }
 
 # start_fleet lays the fleet out and starts platform, runners and hosts.
-start_fleet() { # start_fleet HOSTS RUNNERS TENANTS MODELS
+start_fleet() { # start_fleet HOSTS RUNNERS CUSTOMERS MODELS
 	local services=$(($2 / 5))
 	[ "$services" -le 15 ] || services=15
 	bin/standin fleet --base-port "$BASE" --out "$OUT" --hosts "$1" --engines "$(($2 - services))" \
-		--service-runners "$services" --models "$4" --tenants "$(($3 > 3 ? $3 - 3 : 0))"
+		--service-runners "$services" --models "$4" --customers "$(($3 > 3 ? $3 - 3 : 0))"
 	start platform bin/standin platform --listen "127.0.0.1:$BASE" --hosts "$OUT/hosts.json" --config "$OUT/config.json" \
 		--host-lag 1s --writes "${WRITES:-500}" --reads "${READS:-2000}"
 	PLATFORM_PID=${PIDS[-1]}
 	await "http://127.0.0.1:$BASE/stats"
 	start_runners $(($1 / 16 + 1))
-	local name place callers peers
-	while read -r name place callers peers; do
-		start_host "$name" "$place" "$callers" "$peers"
-	done < <(jq -r '.hosts[] | [.name, .place, .caller_addr, .peer_addr] | join(" ")' "$OUT/plan.json")
+	local name domain callers peers
+	while read -r name domain callers peers; do
+		start_host "$name" "$domain" "$callers" "$peers"
+	done < <(jq -r '.hosts[] | [.name, .failure_domain, .caller_addr, .peer_addr] | join(" ")' "$OUT/plan.json")
 	jq -r '.hosts[].caller_addr' "$OUT/plan.json" >"$OUT/addrs"
 	while read -r addr; do await "http://$addr/readyz"; done <"$OUT/addrs"
 }
@@ -92,7 +92,7 @@
 	date +%s.%N >"$OUT/$1.time"
 }
 
-row() { # row HOSTS RUNNERS TENANTS MODELS
+row() { # row HOSTS RUNNERS CUSTOMERS MODELS
 	local took platform runners
 	took=$(echo "$(cat "$OUT/after.time") - $(cat "$OUT/before.time")" | bc -l)
 	platform=$(jq -rn --slurpfile a "$OUT/before.platform" --slurpfile b "$OUT/after.platform" --argjson t "$took" \
--- a/scripts/capacity/request.sh
+++ b/scripts/capacity/request.sh
@@ -51,9 +51,9 @@
 	# shellcheck disable=SC2086
 	start "$name" bin/standin $args
 done < <(jq -r '.processes[] | select(.name != "platform") | .name + " " + .addr + " " + (.args | join(" "))' "$OUT/plan.json")
-while read -r name place callers peers; do
-	start_host "$name" "$place" "$callers" "$peers" streams.keep_ended_ms=5000
-done < <(jq -r '.hosts[] | [.name, .place, .caller_addr, .peer_addr] | join(" ")' "$OUT/plan.json")
+while read -r name domain callers peers; do
+	start_host "$name" "$domain" "$callers" "$peers" streams.keep_ended_ms=5000
+done < <(jq -r '.hosts[] | [.name, .failure_domain, .caller_addr, .peer_addr] | join(" ")' "$OUT/plan.json")
 jq -r '.hosts[].caller_addr' "$OUT/plan.json" >"$OUT/addrs"
 while read -r addr; do await "http://$addr/readyz"; done <"$OUT/addrs"
 
--- a/scripts/capacity/row.awk
+++ b/scripts/capacity/row.awk
@@ -19,7 +19,7 @@
 	split(size, s, " ")
 	split(platform, p, " ")
 	split(runners, r, " ")
-	print "hosts\trunners\ttenants\tmodels\tload1\tcpu%\tcpu%max\trss_MB\trss_max\tanon_MB\theap_MB\tgoroutines\tpeer_out_B/s\tpeer_in_B/s\tget/s\tput/s\tlist/s\twatch/s\thosts/s\tplat_sent_B/s\tplat_recv_B/s\tprobe_calls/s\tprobe_B/s\tprobe_conns/s\tplat_total_calls/s\tplat_refused/s\tplat_total_B/s\tplat_cpu%\tprocs"
+	print "hosts\trunners\tcustomers\tmodels\tload1\tcpu%\tcpu%max\trss_MB\trss_max\tanon_MB\theap_MB\tgoroutines\tpeer_out_B/s\tpeer_in_B/s\tget/s\tput/s\tlist/s\twatch/s\thosts/s\tplat_sent_B/s\tplat_recv_B/s\tprobe_calls/s\tprobe_B/s\tprobe_conns/s\tplat_total_calls/s\tplat_refused/s\tplat_total_B/s\tplat_cpu%\tprocs"
 	printf "%d\t%d\t%d\t%d\t%s\t%.2f\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f\t%.0f\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.1f\t%.0f\t%.2f\t%.2f\t%.2f\t%.0f\t%.1f\t%d\n", \
 		s[1], s[2], s[3], s[4], load, cpus / NR, cpu_max, rss / NR, rss_max, anon / NR, heap / NR, goroutines / NR, \
 		rate[5] / NR, rate[6] / NR, rate[7] / NR, rate[8] / NR, rate[10] / NR, rate[11] / NR, rate[12] / NR, rate[13] / NR, rate[14] / NR, \
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs the main job on stand-ins: a platform, 12 engines, 3 service runners and 3
-# hosts, one a place, as separate processes on loopback. Sends the rostering mix,
+# hosts, one a failure domain, as separate processes on loopback. Sends the rostering mix,
 # stops one host by SIGTERM and kills one engine in the middle, and prints what
 # the callers saw. Exits non-zero if an answer was cut, mixed up or doubled.
 set -euo pipefail
@@ -60,14 +60,14 @@
 done < <(jq -r '.processes[] | select(.name != "platform") | .name + " " + .addr + " " + (.args | join(" "))' "$OUT/plan.json")
 
 TARGETS=()
-while read -r name place callers peers; do
+while read -r name domain callers peers; do
 	start "$name" bin/thymerackd \
-		--set "host.name=$name" --set "host.place=$place" --set "platform.addr=127.0.0.1:$BASE" \
+		--set "host.name=$name" --set "host.failure_domain=$domain" --set "platform.addr=127.0.0.1:$BASE" \
 		--set "callers.listen=$callers" --set "peers.listen=$peers" \
 		--set callers.unready_grace_ms=2000 --set streams.keep_ended_ms=5000
 	TARGETS+=("$callers")
 	HOST=${PIDS[-1]}
-done < <(jq -r '.hosts[:3][] | [.name, .place, .caller_addr, .peer_addr] | join(" ")' "$OUT/plan.json")
+done < <(jq -r '.hosts[:3][] | [.name, .failure_domain, .caller_addr, .peer_addr] | join(" ")' "$OUT/plan.json")
 for addr in "${TARGETS[@]}"; do await "http://$addr/readyz"; done
 if [ -n "${KEEP:-}" ]; then
 	echo "demo: hosts at ${TARGETS[*]}; press Enter to stop"
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -100,15 +100,15 @@
 sleep 0.3
 
 SEEDS=$(for i in $(seq 1 "$HOSTS"); do printf '127.0.0.1:%d,' $((BASE + 240 + i)); done)
-while read -r name place; do
+while read -r name domain; do
 	i=${name#host-}
 	start "$name" bin/thymerackd \
-		--set "host.name=$name" --set "host.place=$place" --set "platform.addr=127.0.0.1:$((BASE + 220 + i))" \
+		--set "host.name=$name" --set "host.failure_domain=$domain" --set "platform.addr=127.0.0.1:$((BASE + 220 + i))" \
 		--set "callers.listen=127.0.0.1:$((BASE + 9 + i))" --set "peers.listen=127.0.0.1:$((BASE + 39 + i))" \
 		--set "peers.advertise=127.0.0.1:$((BASE + 240 + i))" --set "peers.seeds=$SEEDS" \
 		--set platform.timeout_ms=1000 --set streams.keep_ended_ms=10000 --set streams.stall_timeout_ms=2000 \
 		--set orders.drain_timeout_ms=8000
-done < <(jq -r --argjson n "$HOSTS" '.hosts[:$n][] | .name + " " + .place' "$OUT/plan.json")
+done < <(jq -r --argjson n "$HOSTS" '.hosts[:$n][] | .name + " " + .failure_domain' "$OUT/plan.json")
 for addr in "${CALLERS[@]}"; do await "http://$addr/readyz"; done
 
 # The configuration in force at every host, by incarnation, sampled all the time.
@@ -147,8 +147,8 @@
 	local base a b
 	bin/thymectl --host "${CALLERS[0]}" -o json config get >"$OUT/get.json" 2>/dev/null || return 0
 	base=$(jq .version "$OUT/get.json")
-	jq ".value.tenants[0].weight = $((RANDOM % 9 + 1))" "$OUT/get.json" | jq .value >"$OUT/a.json"
-	jq ".value.tenants[1].weight = $((RANDOM % 9 + 1))" "$OUT/get.json" | jq .value >"$OUT/b.json"
+	jq ".value.customers[0].weight = $((RANDOM % 9 + 1))" "$OUT/get.json" | jq .value >"$OUT/a.json"
+	jq ".value.customers[1].weight = $((RANDOM % 9 + 1))" "$OUT/get.json" | jq .value >"$OUT/b.json"
 	ctl config apply "$OUT/a.json" --base "$base" --wait 0s && a=0 || a=$?
 	ctl config apply "$OUT/b.json" --base "$base" --wait 0s && b=0 || b=$?
 	if [ "$a" = 0 ] && [ "$b" = 0 ]; then
--- a/scripts/timings.sh
+++ b/scripts/timings.sh
@@ -33,7 +33,7 @@
 for _ in $(seq "$ROUNDS"); do
 	ctl -o json config get >"$OUT/now.json"
 	base=$(jq .version "$OUT/now.json")
-	jq ".value | .tenants[0].weight = $((RANDOM % 9 + 1))" "$OUT/now.json" >"$OUT/next.json"
+	jq ".value | .customers[0].weight = $((RANDOM % 9 + 1))" "$OUT/now.json" >"$OUT/next.json"
 	ctl config apply "$OUT/next.json" --base "$base" --wait 0s >"$OUT/applied" 2>&1
 	at=$(now_ms)
 	version=$(grep -o 'version [0-9]*' "$OUT/applied" | head -n 1 | cut -d' ' -f2)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -29,8 +29,8 @@
 type Host struct {
 	// Name is unique over the fleet.
 	Name string `ini:"name"`
-	// Place is the failure domain.
-	Place string `ini:"place"`
+	// FailureDomain is the failure domain.
+	FailureDomain string `ini:"failure_domain"`
 }
 
 // Platform is the way to the platform's object API.
@@ -198,8 +198,8 @@
 			return &KeyError{"host.name", fmt.Sprintf("holds the character %q", r), "use letters, digits, dots and dashes"}
 		}
 	}
-	if s.Host.Place == "" {
-		return &KeyError{"host.place", "is empty", "name the failure domain that this host runs in"}
+	if s.Host.FailureDomain == "" {
+		return &KeyError{"host.failure_domain", "is empty", "name the failure domain that this host runs in"}
 	}
 	if err := s.validateAddrs(); err != nil {
 		return err
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -14,7 +14,7 @@
 const good = `
 [host]
 name = hall-nord-1
-place = hall-nord
+failure_domain = hall-nord
 [platform]
 addr = 127.0.0.1:7000
 timeout_ms = 1500
@@ -33,11 +33,11 @@
 
 func TestLaterSourcesGoFirst(t *testing.T) {
 	is := is.New(t)
-	env := []string{"HOME=/nowhere", "THYMERACK_PLATFORM_TIMEOUT_MS=1600", "THYMERACK_HOST_PLACE=hall-sud"}
+	env := []string{"HOME=/nowhere", "THYMERACK_PLATFORM_TIMEOUT_MS=1600", "THYMERACK_HOST_FAILURE_DOMAIN=hall-sud"}
 	s, err := Load(file(t, good), env, []string{"platform.timeout_ms=1700"})
 	is.NoErr(err)
 	is.Equal(s.Host.Name, "hall-nord-1")
-	is.Equal(s.Host.Place, "hall-sud")
+	is.Equal(s.Host.FailureDomain, "hall-sud")
 	is.Equal(s.Platform.Timeout, 1700*time.Millisecond)
 	is.Equal(s.Platform.WatchWait, Default().Platform.WatchWait)
 }
--- a/standin/fleet/command.go
+++ b/standin/fleet/command.go
@@ -28,7 +28,7 @@
 	Engines        int `arg:"--engines" help:"engines, instead of the deployment's, served idle by one process"`
 	Models         int `arg:"--models" default:"1" help:"engine services that share them"`
 	ServiceRunners int `arg:"--service-runners" help:"runners of the plain service, beside --engines"`
-	Tenants        int `arg:"--tenants" help:"tenants to add to the deployment's"`
+	Customers      int `arg:"--customers" help:"customers to add to the deployment's"`
 }
 
 // Run writes the files.
@@ -37,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	d = d.Resized(Size{Hosts: c.Hosts, Engines: c.Engines, Models: c.Models, ServiceRunners: c.ServiceRunners, Tenants: c.Tenants})
+	d = d.Resized(Size{Hosts: c.Hosts, Engines: c.Engines, Models: c.Models, ServiceRunners: c.ServiceRunners, Customers: c.Customers})
 	if last := maxPort - d.PortsUsed(); c.BasePort < 1 || c.BasePort > last {
 		return fmt.Errorf("base port %d is outside 1 to %d; choose another", c.BasePort, last)
 	}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -17,15 +17,15 @@
 	Hay       = "hay"
 )
 
-// Deployment is one example: its places, services, classes and tenants.
+// Deployment is one example: its failure domains, services, classes and customers.
 type Deployment struct {
-	Name   string
-	Places []string
+	Name           string
+	FailureDomains []string
 	// Hosts is the number of hosts.
-	Hosts    int
-	Services []Runners
-	Classes  []state.Class
-	Tenants  []state.Tenant
+	Hosts     int
+	Services  []Runners
+	Classes   []state.Class
+	Customers []state.Customer
 	// SharedRunners has one process serve all runners, idle.
 	SharedRunners bool
 }
@@ -40,15 +40,15 @@
 
 // Config returns the shared configuration of the deployment.
 func (d Deployment) Config() state.Config {
-	c := state.Config{Classes: d.Classes, Tenants: d.Tenants}
+	c := state.Config{Classes: d.Classes, Customers: d.Customers}
 	for _, r := range d.Services {
 		c.Services = append(c.Services, r.Service)
 	}
 	return c
 }
 
-// DemoKey returns the caller's key of a tenant. It is for examples only.
-func DemoKey(tenant string) string { return "demo-" + tenant }
+// DemoKey returns the caller's key of a customer. It is for examples only.
+func DemoKey(customer string) string { return "demo-" + customer }
 
 // Find returns the deployment of that name.
 func Find(name string) (Deployment, error) {
@@ -63,9 +63,9 @@
 
 func rostering() Deployment {
 	return Deployment{
-		Name:   Rostering,
-		Places: []string{"hall-nord", "hall-sud", "hall-depot"},
-		Hosts:  7,
+		Name:           Rostering,
+		FailureDomains: []string{"hall-nord", "hall-sud", "hall-depot"},
+		Hosts:          7,
 		Services: []Runners{
 			{Service: engines("roster-llm", 1, 0.3), Count: 12, ChecksFence: true},
 			{Service: once("dispatch-app"), Count: 3},
@@ -76,19 +76,19 @@
 			{Name: "swap", DeadlineMillis: 2_000, Urgent: true},
 			{Name: "alert", DeadlineMillis: 2_000, Urgent: true},
 		},
-		Tenants: []state.Tenant{
-			tenant("depot", "rota"),
-			tenant("driver", "chat"),
-			tenant("dispatcher", "swap"),
+		Customers: []state.Customer{
+			customer("depot", "rota"),
+			customer("driver", "chat"),
+			customer("dispatcher", "swap"),
 		},
 	}
 }
 
 func hay() Deployment {
 	return Deployment{
-		Name:   Hay,
-		Places: []string{"temuco-a", "temuco-b", "victoria"},
-		Hosts:  7,
+		Name:           Hay,
+		FailureDomains: []string{"temuco-a", "temuco-b", "victoria"},
+		Hosts:          7,
 		Services: []Runners{
 			{Service: engines("tasador", 0.5, 1), Count: 12},
 			{Service: once("remate"), Count: 3},
@@ -99,10 +99,10 @@
 			{Name: "bid", DeadlineMillis: 2_000, Urgent: true},
 			{Name: "haulage", DeadlineMillis: 2_000, Urgent: true},
 		},
-		Tenants: []state.Tenant{
-			tenant("exchange", "verdict"),
-			tenant("farmer", "reply"),
-			tenant("auction", "bid"),
+		Customers: []state.Customer{
+			customer("exchange", "verdict"),
+			customer("farmer", "reply"),
+			customer("auction", "bid"),
 		},
 	}
 }
@@ -124,7 +124,7 @@
 	return state.Service{Name: name, Kind: state.KindService, NotRepeatable: true, RetryShare: 0.1}
 }
 
-func tenant(name, class string) state.Tenant {
+func customer(name, class string) state.Customer {
 	digest := sha256.Sum256([]byte(DemoKey(name)))
-	return state.Tenant{Name: name, KeySHA256: hex.EncodeToString(digest[:]), Weight: 1, Class: class}
+	return state.Customer{Name: name, KeySHA256: hex.EncodeToString(digest[:]), Weight: 1, Class: class}
 }
--- a/standin/fleet/plan.go
+++ b/standin/fleet/plan.go
@@ -46,16 +46,16 @@
 
 // Host is one host of the system: where its daemon is to listen.
 type Host struct {
-	Name       string `json:"name"`
-	Place      string `json:"place"`
-	CallerAddr string `json:"caller_addr"`
-	PeerAddr   string `json:"peer_addr"`
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	CallerAddr    string `json:"caller_addr"`
+	PeerAddr      string `json:"peer_addr"`
 }
 
-// Key is the key of one tenant's callers.
+// Key is the key of one customer's callers.
 type Key struct {
-	Tenant string `json:"tenant"`
-	Key    string `json:"key"`
+	Customer string `json:"customer"`
+	Key      string `json:"key"`
 }
 
 // Plan is a deployment laid out on ports of one machine.
@@ -93,8 +93,8 @@
 			Name: "runners", Addr: addr(basePort + ports.runners), Args: []string{"engines", "--list", out + "/" + hostsFile},
 		})
 	}
-	for _, t := range d.Tenants {
-		p.Keys = append(p.Keys, Key{Tenant: t.Name, Key: DemoKey(t.Name)})
+	for _, t := range d.Customers {
+		p.Keys = append(p.Keys, Key{Customer: t.Name, Key: DemoKey(t.Name)})
 	}
 	return p
 }
@@ -103,35 +103,35 @@
 	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 }
 
-// place spreads numbered machines over the places.
-func (d Deployment) place(i int) string { return d.Places[i%len(d.Places)] }
+// failureDomain spreads numbered machines over the failure domains.
+func (d Deployment) failureDomain(i int) string { return d.FailureDomains[i%len(d.FailureDomains)] }
 
 func (p *Plan) addHost(d Deployment, i, basePort int, ports ports) {
 	h := Host{
-		Name:       fmt.Sprintf("host-%d", i+1),
-		Place:      d.place(i),
-		CallerAddr: addr(basePort + callerPorts + i),
-		PeerAddr:   addr(basePort + ports.peers + i),
+		Name:          fmt.Sprintf("host-%d", i+1),
+		FailureDomain: d.failureDomain(i),
+		CallerAddr:    addr(basePort + callerPorts + i),
+		PeerAddr:      addr(basePort + ports.peers + i),
 	}
 	p.Hosts = append(p.Hosts, h)
 	p.Listed = append(p.Listed, state.Listed{
-		Name:  h.Name,
-		Kind:  state.ListedHost,
-		State: state.ListedLive,
-		Addr:  h.PeerAddr,
-		Place: h.Place,
+		Name:          h.Name,
+		Kind:          state.ListedHost,
+		State:         state.ListedLive,
+		Addr:          h.PeerAddr,
+		FailureDomain: h.FailureDomain,
 	})
 }
 
 func (p *Plan) addRunner(d Deployment, r Runners, i int, at string) {
 	row := state.Listed{
-		Name:        fmt.Sprintf("%s-%02d", r.Service.Name, i+1),
-		Kind:        state.ListedService,
-		State:       state.ListedLive,
-		Addr:        at,
-		Place:       d.place(i),
-		Service:     r.Service.Name,
-		ChecksFence: r.ChecksFence,
+		Name:          fmt.Sprintf("%s-%02d", r.Service.Name, i+1),
+		Kind:          state.ListedService,
+		State:         state.ListedLive,
+		Addr:          at,
+		FailureDomain: d.failureDomain(i),
+		Service:       r.Service.Name,
+		ChecksFence:   r.ChecksFence,
 	}
 	args := []string{"service", "--listen", at, "--name", row.Name}
 	if r.Service.Kind == state.KindEngine {
--- a/standin/fleet/size.go
+++ b/standin/fleet/size.go
@@ -14,8 +14,8 @@
 	Engines, Models int
 	// ServiceRunners counts with Engines only.
 	ServiceRunners int
-	// Tenants are added to the deployment's own.
-	Tenants int
+	// Customers are added to the deployment's own.
+	Customers int
 }
 
 // Resized returns the deployment in another size. With a number of engines its
@@ -28,9 +28,9 @@
 		d.SharedRunners = true
 		d.Services = resizedServices(d.Services, s)
 	}
-	d.Tenants = slices.Clone(d.Tenants)
-	for i := range s.Tenants {
-		d.Tenants = append(d.Tenants, tenant(fmt.Sprintf("customer-%04d", i+1), d.Classes[i%len(d.Classes)].Name))
+	d.Customers = slices.Clone(d.Customers)
+	for i := range s.Customers {
+		d.Customers = append(d.Customers, customer(fmt.Sprintf("customer-%04d", i+1), d.Classes[i%len(d.Classes)].Name))
 	}
 	return d
 }
--- a/standin/fleet/size_test.go
+++ b/standin/fleet/size_test.go
@@ -8,12 +8,12 @@
 
 func TestResizedSpreadsTheEnginesAndKeepsPortsApart(t *testing.T) {
 	is := is.New(t)
-	d := rostering().Resized(Size{Hosts: 320, Engines: 1785, Models: 16, ServiceRunners: 15, Tenants: 1697})
+	d := rostering().Resized(Size{Hosts: 320, Engines: 1785, Models: 16, ServiceRunners: 15, Customers: 1697})
 	plan := Lay(d, 10000, "out")
 	is.NoErr(plan.Config.Validate())
 	is.Equal(len(plan.Hosts), 320)
 	is.Equal(len(plan.Listed), 320+1785+15)
-	is.Equal(len(plan.Config.Tenants), 1700)
+	is.Equal(len(plan.Config.Customers), 1700)
 	is.Equal(len(plan.Processes), 2) // the platform and one for all runners
 	addrs := map[string]bool{}
 	perService := map[string]int{}
--- a/standin/load/command.go
+++ b/standin/load/command.go
@@ -66,7 +66,7 @@
 	return encoder.Encode(r)
 }
 
-// keys reads the tenants' keys, or takes those of the example deployment.
+// keys reads the customers' keys, or takes those of the example deployment.
 func (c *Command) keys() (map[string]string, error) {
 	if c.Keys == "" {
 		return exampleKeys(c.Preset)
@@ -81,7 +81,7 @@
 	}
 	keys := map[string]string{}
 	for _, k := range list {
-		keys[k.Tenant] = k.Key
+		keys[k.Customer] = k.Key
 	}
 	return keys, nil
 }
@@ -92,7 +92,7 @@
 		return nil, err
 	}
 	keys := map[string]string{}
-	for _, t := range d.Tenants {
+	for _, t := range d.Customers {
 		keys[t.Name] = fleet.DemoKey(t.Name)
 	}
 	return keys, nil
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -34,7 +34,7 @@
 	Seed     uint64
 	// Swing is the period of the mix's shift; 0 keeps the mix.
 	Swing time.Duration
-	// Keys maps tenants to their callers' keys.
+	// Keys maps customers to their callers' keys.
 	Keys map[string]string
 	// Patience is how long after its deadline an answer is still waited for.
 	Patience time.Duration
@@ -56,8 +56,8 @@
 		return errors.New("idle, ready-every or max-in-flight isn't positive; raise it")
 	}
 	for _, s := range shapes {
-		if o.Keys[s.Tenant] == "" {
-			return fmt.Errorf("tenant %q has no key; add it to the keys", s.Tenant)
+		if o.Keys[s.Customer] == "" {
+			return fmt.Errorf("customer %q has no key; add it to the keys", s.Customer)
 		}
 	}
 	return nil
@@ -140,7 +140,7 @@
 		return s.final(VerdictRefused, outcome{reason: "no id: " + err.Error()})
 	}
 	s.result.RequestID = id.String()
-	key := r.o.Keys[request.Shape.Tenant]
+	key := r.o.Keys[request.Shape.Customer]
 	if request.Shape.Path != "" {
 		s.result.Key = id.String()
 		return s.run(ctx, &callExchange{
--- a/standin/load/shape.go
+++ b/standin/load/shape.go
@@ -7,9 +7,9 @@
 
 // Shape is one kind of request of a mix.
 type Shape struct {
-	// Class and Tenant name the request's class and the account that sends it.
-	Class  string
-	Tenant string
+	// Class and Customer name the request's class and the account that sends it.
+	Class    string
+	Customer string
 	// Share is the weight of the shape in the mix.
 	Share float64
 	// Swing moves the share over time: at the top of a swing the share is
@@ -52,7 +52,7 @@
 // measuring what a request, a token, a prompt and a call cost.
 func single(name string) (Shape, bool) {
 	short := Shape{
-		Class: "chat", Tenant: "driver", Share: 1, Deadline: 8 * time.Second,
+		Class: "chat", Customer: "driver", Share: 1, Deadline: 8 * time.Second,
 		Model: "roster-llm", Books: 1, BookWords: 64, Words: [2]int{16, 16}, Output: [2]int{1, 1}, MaxTokens: 1,
 	}
 	switch name {
@@ -63,7 +63,7 @@
 		short.Words = [2]int{4000, 4000}
 	case "one-call":
 		return Shape{
-			Class: "swap", Tenant: "dispatcher", Share: 1, Deadline: 2 * time.Second, Path: "/services/dispatch-app/swaps",
+			Class: "swap", Customer: "dispatcher", Share: 1, Deadline: 2 * time.Second, Path: "/services/dispatch-app/swaps",
 		}, true
 	default:
 		return Shape{}, false
@@ -74,21 +74,21 @@
 func rostering() []Shape {
 	return []Shape{
 		{
-			Class: "rota", Tenant: "depot", Share: 0.35, Swing: 0.6, Deadline: 20 * time.Second,
+			Class: "rota", Customer: "depot", Share: 0.35, Swing: 0.6, Deadline: 20 * time.Second,
 			Model: "roster-llm", Books: 40, BookWords: 3000, Words: [2]int{100, 1200},
 			Output: [2]int{8, 24}, MaxTokens: 64,
 		},
 		{
-			Class: "chat", Tenant: "driver", Share: 0.4, Swing: -0.6, Deadline: 8 * time.Second,
+			Class: "chat", Customer: "driver", Share: 0.4, Swing: -0.6, Deadline: 8 * time.Second,
 			Model: "roster-llm", Chat: true, Books: 1, BookWords: 128, Words: [2]int{20, 120},
 			Output: [2]int{20, 80}, MaxTokens: 160,
 		},
 		{
-			Class: "swap", Tenant: "dispatcher", Share: 0.15, Deadline: 2 * time.Second,
+			Class: "swap", Customer: "dispatcher", Share: 0.15, Deadline: 2 * time.Second,
 			Path: "/services/dispatch-app/swaps",
 		},
 		{
-			Class: "alert", Tenant: "dispatcher", Share: 0.1, Deadline: 2 * time.Second,
+			Class: "alert", Customer: "dispatcher", Share: 0.1, Deadline: 2 * time.Second,
 			Path: "/services/dispatch-app/alerts",
 		},
 	}
@@ -97,21 +97,21 @@
 func hay() []Shape {
 	return []Shape{
 		{
-			Class: "verdict", Tenant: "exchange", Share: 0.4, Swing: 0.6, Deadline: 15 * time.Second,
+			Class: "verdict", Customer: "exchange", Share: 0.4, Swing: 0.6, Deadline: 15 * time.Second,
 			Model: "tasador", Books: 4, BookWords: 1000, Words: [2]int{500, 4000},
 			Output: [2]int{4, 12}, MaxTokens: 32,
 		},
 		{
-			Class: "reply", Tenant: "farmer", Share: 0.3, Swing: -0.6, Deadline: 10 * time.Second,
+			Class: "reply", Customer: "farmer", Share: 0.3, Swing: -0.6, Deadline: 10 * time.Second,
 			Model: "tasador", Chat: true, Books: 1, BookWords: 128, Words: [2]int{20, 150},
 			Output: [2]int{60, 200}, MaxTokens: 256,
 		},
 		{
-			Class: "bid", Tenant: "auction", Share: 0.2, Deadline: 2 * time.Second,
+			Class: "bid", Customer: "auction", Share: 0.2, Deadline: 2 * time.Second,
 			Path: "/services/remate/bids",
 		},
 		{
-			Class: "haulage", Tenant: "auction", Share: 0.1, Deadline: 2 * time.Second,
+			Class: "haulage", Customer: "auction", Share: 0.1, Deadline: 2 * time.Second,
 			Path: "/services/remate/holds",
 		},
 	}
--- a/state/claim.go
+++ b/state/claim.go
@@ -16,10 +16,10 @@
 // Claim is the record of one key.
 type Claim struct {
 	// Key is the caller's Idempotency-Key, a UUIDv7 in canonical form.
-	Key    string     `json:"key"`
-	Tenant string     `json:"tenant"`
-	State  ClaimState `json:"state"`
-	Holder HostID     `json:"holder"`
+	Key      string     `json:"key"`
+	Customer string     `json:"customer"`
+	State    ClaimState `json:"state"`
+	Holder   HostID     `json:"holder"`
 	// Fingerprint is the xxhash of the request, so that a key reused for
 	// another request is refused.
 	Fingerprint uint64 `json:"fingerprint"`
--- a/state/config.go
+++ b/state/config.go
@@ -17,11 +17,11 @@
 // valid as a whole or not at all.
 type Config struct {
 	// Version is the platform's version of the object; it isn't stored in it.
-	Version  uint64    `json:"-" msgpack:"v"`
-	Services []Service `json:"services" msgpack:"s"`
-	Classes  []Class   `json:"classes" msgpack:"c"`
-	Tenants  []Tenant  `json:"tenants" msgpack:"t"`
-	Policies []Policy  `json:"policies,omitempty" msgpack:"p"`
+	Version   uint64     `json:"-" msgpack:"v"`
+	Services  []Service  `json:"services" msgpack:"s"`
+	Classes   []Class    `json:"classes" msgpack:"c"`
+	Customers []Customer `json:"customers" msgpack:"t"`
+	Policies  []Policy   `json:"policies,omitempty" msgpack:"p"`
 }
 
 // Service is a group of runners that answer the same calls.
@@ -37,7 +37,7 @@
 	// GoodputWeight and RoleChangeWeight steer the rebalancer.
 	GoodputWeight    float64 `json:"goodput_weight,omitempty" msgpack:"g"`
 	RoleChangeWeight float64 `json:"role_change_weight,omitempty" msgpack:"h"`
-	// MinPerRole is the least number of engines of each role, per place.
+	// MinPerRole is the least number of engines of each role, per failure domain.
 	MinPerRole int `json:"min_per_role,omitempty" msgpack:"f"`
 }
 
@@ -57,12 +57,12 @@
 	return time.Duration(c.DeadlineMillis) * time.Millisecond
 }
 
-// Tenant is the account that a caller's key belongs to.
-type Tenant struct {
+// Customer is the account that a caller's key belongs to.
+type Customer struct {
 	Name string `json:"name" msgpack:"n"`
 	// KeySHA256 is the hex digest of the caller's key; the key itself is kept nowhere.
 	KeySHA256 string `json:"key_sha256" msgpack:"k"`
-	// Weight is the tenant's share in tokens.
+	// Weight is the customer's share in tokens.
 	Weight float64 `json:"weight,omitempty" msgpack:"w"`
 	// Class is the class of requests that name none.
 	Class string `json:"class" msgpack:"c"`
@@ -116,7 +116,7 @@
 	if err != nil {
 		return err
 	}
-	if err := c.validateTenants(classes); err != nil {
+	if err := c.validateCustomers(classes); err != nil {
 		return err
 	}
 	return c.validatePolicies()
@@ -177,13 +177,13 @@
 	return seen, nil
 }
 
-func (c *Config) validateTenants(classes map[string]bool) error {
+func (c *Config) validateCustomers(classes map[string]bool) error {
 	names := map[string]bool{}
 	keys := map[string]string{}
-	for i, t := range c.Tenants {
-		where := fmt.Sprintf("tenants[%d]", i)
+	for i, t := range c.Customers {
+		where := fmt.Sprintf("customers[%d]", i)
 		if t.Name == "" {
-			return &ConfigError{where + ".name", "the name is empty", "name the tenant"}
+			return &ConfigError{where + ".name", "the name is empty", "name the customer"}
 		}
 		if names[t.Name] {
 			return &ConfigError{where + ".name", fmt.Sprintf("%q is defined twice", t.Name), "remove or rename one of the two"}
@@ -193,7 +193,7 @@
 			return &ConfigError{where + ".key_sha256", "not a SHA-256 digest", "give the 64 hex digits of the key's SHA-256"}
 		}
 		if other, ok := keys[t.KeySHA256]; ok {
-			return &ConfigError{where + ".key_sha256", fmt.Sprintf("the same key belongs to %q", other), "give each tenant a key of its own"}
+			return &ConfigError{where + ".key_sha256", fmt.Sprintf("the same key belongs to %q", other), "give each customer a key of its own"}
 		}
 		keys[t.KeySHA256] = t.Name
 		if !classes[t.Class] {
--- a/state/host.go
+++ b/state/host.go
@@ -20,8 +20,8 @@
 // Member is the object that a host writes at the platform before it serves.
 type Member struct {
 	ID HostID `json:"id"`
-	// Place is the failure domain that the host runs in.
-	Place string `json:"place"`
+	// FailureDomain is the failure domain that the host runs in.
+	FailureDomain string `json:"failure_domain"`
 	// PeerAddr is the ip:port of the host's peer listener.
 	PeerAddr string `json:"peer_addr"`
 	// CallerAddr is the ip:port of the host's callers' listener.
@@ -58,9 +58,9 @@
 	Kind  ListedKind  `json:"kind" msgpack:"k"`
 	State ListedState `json:"state" msgpack:"s"`
 	// Incarnation tells runs of the same name apart; empty when unknown.
-	Incarnation string `json:"incarnation,omitempty" msgpack:"i"`
-	Addr        string `json:"addr" msgpack:"a"`
-	Place       string `json:"place" msgpack:"p"`
+	Incarnation   string `json:"incarnation,omitempty" msgpack:"i"`
+	Addr          string `json:"addr" msgpack:"a"`
+	FailureDomain string `json:"failure_domain" msgpack:"p"`
 	// Service is the service that an upstream belongs to; empty for hosts.
 	Service string `json:"service,omitempty" msgpack:"v"`
 	// ChecksFence tells whether an engine refuses orders with an old fence.
--- a/state/upstream.go
+++ b/state/upstream.go
@@ -28,11 +28,11 @@
 
 // Upstream is one runner of a service: where it is and what it is.
 type Upstream struct {
-	Name    string       `json:"name" msgpack:"n"`
-	Service string       `json:"service" msgpack:"s"`
-	Kind    UpstreamKind `json:"kind" msgpack:"k"`
-	Addr    string       `json:"addr" msgpack:"a"`
-	Place   string       `json:"place" msgpack:"p"`
+	Name          string       `json:"name" msgpack:"n"`
+	Service       string       `json:"service" msgpack:"s"`
+	Kind          UpstreamKind `json:"kind" msgpack:"k"`
+	Addr          string       `json:"addr" msgpack:"a"`
+	FailureDomain string       `json:"failure_domain" msgpack:"p"`
 	// Incarnation tells runs of the same name apart.
 	Incarnation string `json:"incarnation,omitempty" msgpack:"i"`
 	// ChecksFence tells whether an engine refuses orders with an old fence.
--- a/traces/gen/main.go
+++ b/traces/gen/main.go
@@ -57,7 +57,7 @@
 	d   deployment
 	s   shape
 	rnd *rand.Rand
-	// documents are the present prefix of each tenant and class.
+	// documents are the present prefix of each customer and class.
 	documents map[string]*document
 	prefixes  int
 }
@@ -72,7 +72,7 @@
 	for _, e := range g.s.events {
 		fmt.Fprintf(w, "event %d %s %s\n", e.atMillis, e.what, e.engine)
 	}
-	fmt.Fprintf(w, "# request at tenant class prefix prefix_tokens prompt_tokens output_tokens\n")
+	fmt.Fprintf(w, "# request at customer class prefix prefix_tokens prompt_tokens output_tokens\n")
 	g.requests(w)
 }
 
@@ -95,7 +95,7 @@
 		c := &g.d.classes[i]
 		rate := g.s.rate(c, t)
 		if x < rate {
-			g.request(w, c, t, g.tenant())
+			g.request(w, c, t, g.customer())
 			return
 		}
 		x -= rate
@@ -113,13 +113,13 @@
 	return sum
 }
 
-// tenant draws one of the tenants but the first, which is kept for floods.
-func (g *generator) tenant() int { return 1 + g.rnd.IntN(g.d.tenants-1) }
+// customer draws one of the customers but the first, which is kept for floods.
+func (g *generator) customer() int { return 1 + g.rnd.IntN(g.d.customers-1) }
 
-func (g *generator) request(w io.Writer, c *class, t float64, tenant int) {
-	doc := g.document(c, t, tenant)
+func (g *generator) request(w io.Writer, c *class, t float64, customer int) {
+	doc := g.document(c, t, customer)
 	own := c.own.draw(g.rnd)
-	fmt.Fprintf(w, "%d %s%02d %s %d %d %d %d\n", int(t*1000), g.d.tenantPrefix, tenant, c.name,
+	fmt.Fprintf(w, "%d %s%02d %s %d %d %d %d\n", int(t*1000), g.d.customerPrefix, customer, c.name,
 		doc.id, doc.tokens, doc.tokens+own, c.output.draw(g.rnd))
 }
 
@@ -129,9 +129,9 @@
 	until      float64
 }
 
-// document returns the text that the tenant's prompts begin with at the moment.
-func (g *generator) document(c *class, t float64, tenant int) *document {
-	key := fmt.Sprintf("%s/%d", c.name, tenant%c.documents)
+// document returns the text that the customer's prompts begin with at the moment.
+func (g *generator) document(c *class, t float64, customer int) *document {
+	key := fmt.Sprintf("%s/%d", c.name, customer%c.documents)
 	doc := g.documents[key]
 	if doc == nil || t >= doc.until {
 		g.prefixes++
--- a/traces/gen/shapes.go
+++ b/traces/gen/shapes.go
@@ -36,16 +36,16 @@
 
 // deployment is one user's workload.
 type deployment struct {
-	name         string
-	tenants      int
-	tenantPrefix string
-	classes      []class
+	name           string
+	customers      int
+	customerPrefix string
+	classes        []class
 }
 
 // rostering is the rostering office: whole rota books with a short verdict,
 // drivers' questions, and short texts for dispatchers.
 func rostering() deployment {
-	return deployment{name: "rostering", tenants: 24, tenantPrefix: "d", classes: []class{
+	return deployment{name: "rostering", customers: 24, customerPrefix: "d", classes: []class{
 		{
 			name: "rota", deadlineMillis: 10000, maxTokens: 128,
 			prefix: length{2500, 5000}, own: length{1000, 3000}, output: length{20, 60},
@@ -70,7 +70,7 @@
 // hay is the hay exchange: lot dossiers against shared rules with a stamp of a
 // verdict, price replies for farmers, and bid texts.
 func hay() deployment {
-	return deployment{name: "hay", tenants: 30, tenantPrefix: "c", classes: []class{
+	return deployment{name: "hay", customers: 30, customerPrefix: "c", classes: []class{
 		{
 			name: "dossier", deadlineMillis: 12000, maxTokens: 64,
 			prefix: length{2500, 2500}, own: length{4000, 8500}, output: length{10, 30},
@@ -111,7 +111,7 @@
 	seconds float64
 	spans   []span
 	events  []event
-	// flood is the rate of the flooding tenant between floodFrom and floodTo.
+	// flood is the rate of the flooding customer between floodFrom and floodTo.
 	flood, floodFrom, floodTo float64
 }
 
--- a/transport/elsewhere/elsewhere.go
+++ b/transport/elsewhere/elsewhere.go
@@ -48,9 +48,9 @@
 
 // Read asks for the tokens of an answer from an index on.
 type Read struct {
-	ID     string `msgpack:"i"`
-	Tenant string `msgpack:"t"`
-	From   int    `msgpack:"f"`
+	ID       string `msgpack:"i"`
+	Customer string `msgpack:"t"`
+	From     int    `msgpack:"f"`
 }
 
 // Rest answers a Read.
@@ -170,12 +170,12 @@
 }
 
 // Fetch implements front.Elsewhere.
-func (f *Finder) Fetch(ctx context.Context, id, tenant string, from int) (front.RemoteChunk, error) {
+func (f *Finder) Fetch(ctx context.Context, id, customer string, from int) (front.RemoteChunk, error) {
 	for _, holder := range f.holdersOf(ctx, id) {
 		if holder == f.o.Self {
 			continue
 		}
-		rest, err := call[Read, Rest](ctx, f, holder, peerapi.KindAnswer, Read{ID: id, Tenant: tenant, From: from})
+		rest, err := call[Read, Rest](ctx, f, holder, peerapi.KindAnswer, Read{ID: id, Customer: customer, From: from})
 		if err != nil {
 			f.o.Log.Debug("holder did not answer", "request_id", id, "holder", holder.Name, "error", err)
 			continue
@@ -282,7 +282,7 @@
 // read gives another host's caller the rest of an answer held here. The reader
 // counts as attached, so that the answer isn't abandoned meanwhile.
 func (f *Finder) read(ctx context.Context, _ state.HostID, r Read) (Rest, error) {
-	a := f.o.Answers.Find(r.ID, r.Tenant)
+	a := f.o.Answers.Find(r.ID, r.Customer)
 	if a == nil {
 		return Rest{}, nil
 	}
--- a/transport/front/answers.go
+++ b/transport/front/answers.go
@@ -37,19 +37,19 @@
 	if v.Config == nil {
 		return nil, nil, s.takesWork(v)
 	}
-	tenant, err := tenantOf(c, v)
+	customer, err := customerOf(c, v)
 	if err != nil {
 		return nil, nil, err
 	}
-	if a := s.o.Answers.Find(id, tenant.Name); a != nil && s.o.Answers.Attach(a) {
+	if a := s.o.Answers.Find(id, customer.Name); a != nil && s.o.Answers.Attach(a) {
 		return &localSource{answer: a}, func() { s.detach(a) }, nil
 	}
-	return s.remote(id, tenant.Name, from)
+	return s.remote(id, customer.Name, from)
 }
 
 // remote returns the answer that another host holds.
-func (s *Server) remote(id, tenant string, from int) (source, func(), error) {
-	src := &remoteSource{elsewhere: s.o.Elsewhere, id: id, tenant: tenant}
+func (s *Server) remote(id, customer string, from int) (source, func(), error) {
+	src := &remoteSource{elsewhere: s.o.Elsewhere, id: id, customer: customer}
 	// The first fetch tells whether anybody holds the answer, and its kind.
 	if _, err := src.read(s.base, from, callerPoll); err != nil {
 		return nil, nil, err
@@ -61,12 +61,12 @@
 type remoteSource struct {
 	elsewhere Elsewhere
 	id        string
-	tenant    string
+	customer  string
 	meta      RemoteChunk
 }
 
 func (r *remoteSource) read(ctx context.Context, from int, _ time.Duration) (answer.Chunk, error) {
-	got, err := r.elsewhere.Fetch(ctx, r.id, r.tenant, from)
+	got, err := r.elsewhere.Fetch(ctx, r.id, r.customer, from)
 	if err != nil {
 		return answer.Chunk{}, err
 	}
--- a/transport/front/classify.go
+++ b/transport/front/classify.go
@@ -23,7 +23,7 @@
 type ClassifyInput struct {
 	// ID is the request id.
 	ID           string
-	Tenant       string
+	Customer     string
 	Class        string
 	Service      string
 	Model        string
@@ -40,17 +40,17 @@
 	Admit(in ClassifyInput) string
 }
 
-// tenantOf finds the tenant of the caller's key. The key is all that counts: no
-// header can choose another tenant.
-func tenantOf(c fiber.Ctx, v *snapshot.View) (*state.Tenant, error) {
+// customerOf finds the customer of the caller's key. The key is all that counts: no
+// header can choose another customer.
+func customerOf(c fiber.Ctx, v *snapshot.View) (*state.Customer, error) {
 	key, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
 	if !ok || key == "" {
-		return nil, bad("no_key", "the request carries no key; send Authorization: Bearer with your tenant's key")
+		return nil, bad("no_key", "the request carries no key; send Authorization: Bearer with your customer's key")
 	}
 	sum := sha256.Sum256([]byte(key))
-	t := v.TenantOfKey(hex.EncodeToString(sum[:]))
+	t := v.CustomerOfKey(hex.EncodeToString(sum[:]))
 	if t == nil {
-		return nil, bad("unknown_tenant", "the key belongs to no tenant; check it, or ask the operators to add the tenant")
+		return nil, bad("unknown_customer", "the key belongs to no customer; check it, or ask the operators to add the customer")
 	}
 	return t, nil
 }
@@ -120,10 +120,10 @@
 }
 
 // request classifies a call: class by policy, deadline by header or class.
-func (s *Server) request(c fiber.Ctx, v *snapshot.View, t *state.Tenant, in ClassifyInput) (*dispatch.Request, error) {
+func (s *Server) request(c fiber.Ctx, v *snapshot.View, t *state.Customer, in ClassifyInput) (*dispatch.Request, error) {
 	now := time.Now()
 	s.requests.Add(1)
-	in.Tenant = t.Name
+	in.Customer = t.Name
 	in.Class = t.Class
 	if asked := c.Get(callerapi.HeaderClass); asked != "" {
 		if v.Class(asked) == nil {
@@ -141,8 +141,8 @@
 		return nil, err
 	}
 	return &dispatch.Request{
-		Tenant: t.Name, Class: class.Name, Urgent: class.Urgent, Weight: t.Weight,
-		Service: in.Service, Place: s.o.Place, ArrivedAt: now, Deadline: deadline, Explain: true,
+		Customer: t.Name, Class: class.Name, Urgent: class.Urgent, Weight: t.Weight,
+		Service: in.Service, FailureDomain: s.o.FailureDomain, ArrivedAt: now, Deadline: deadline, Explain: true,
 	}, nil
 }
 
@@ -152,7 +152,7 @@
 	if v.Class(class) != nil {
 		return class
 	}
-	s.o.Log.Warn("a policy chose an undefined class; define it or mend the policy", "class", class, "tenant", in.Tenant)
+	s.o.Log.Warn("a policy chose an undefined class; define it or mend the policy", "class", class, "customer", in.Customer)
 	return in.Class
 }
 
--- a/transport/front/completions.go
+++ b/transport/front/completions.go
@@ -25,10 +25,10 @@
 
 // modelRequest is a checked model request.
 type modelRequest struct {
-	view   *snapshot.View
-	tenant *state.Tenant
-	chat   bool
-	body   callerapi.CompletionRequest
+	view     *snapshot.View
+	customer *state.Customer
+	chat     bool
+	body     callerapi.CompletionRequest
 	// id names the answer; chosen tells that the caller made it.
 	id     string
 	chosen bool
@@ -82,7 +82,7 @@
 	if m.view.Config == nil {
 		return s.takesWork(m.view)
 	}
-	if m.tenant, err = tenantOf(c, m.view); err != nil {
+	if m.customer, err = customerOf(c, m.view); err != nil {
 		return err
 	}
 	raw, err := bodyOf(c)
@@ -132,7 +132,7 @@
 	if !m.chosen {
 		return nil, nil, nil
 	}
-	a := s.o.Answers.Find(m.id, m.tenant.Name)
+	a := s.o.Answers.Find(m.id, m.customer.Name)
 	if a != nil && (m.from > 0 || !a.GaveUp()) {
 		if a.Fingerprint != m.fingerprint {
 			return nil, nil, errIDUsed
@@ -142,7 +142,7 @@
 		}
 	}
 	if m.from > 0 {
-		return s.remote(m.id, m.tenant.Name, m.from)
+		return s.remote(m.id, m.customer.Name, m.from)
 	}
 	return nil, nil, nil
 }
@@ -159,13 +159,13 @@
 		return nil, nil, &badRequest{fiber.StatusNotFound, "unknown_model", "no service serves the model " + quote(m.body.Model) + "; name a configured model"}
 	}
 	comp := completionOf(m.body, m.chat)
-	r, err := s.request(c, m.view, m.tenant, ClassifyInput{ID: m.id, Service: service.Name, Model: m.body.Model, PromptTokens: comp.PromptTokens, MaxTokens: comp.MaxTokens})
+	r, err := s.request(c, m.view, m.customer, ClassifyInput{ID: m.id, Service: service.Name, Model: m.body.Model, PromptTokens: comp.PromptTokens, MaxTokens: comp.MaxTokens})
 	if err != nil {
 		return nil, nil, err
 	}
 	r.ID = m.id
 	r.MaxTokens = comp.MaxTokens
-	comp.ExpectedOutput = s.o.Estimator.Expected(r.Tenant, r.Class, comp.MaxTokens)
+	comp.ExpectedOutput = s.o.Estimator.Expected(r.Customer, r.Class, comp.MaxTokens)
 	return s.open(m, r, comp)
 }
 
@@ -174,7 +174,7 @@
 func (s *Server) open(m *modelRequest, r *dispatch.Request, comp *dispatch.Completion) (source, func(), error) {
 	ctx, cancel := context.WithCancel(s.base)
 	meta := answer.Meta{
-		ID: m.id, Tenant: r.Tenant, Class: r.Class, Model: m.body.Model, Chat: m.chat,
+		ID: m.id, Customer: r.Customer, Class: r.Class, Model: m.body.Model, Chat: m.chat,
 		PromptTokens: comp.PromptTokens, Fingerprint: m.fingerprint,
 	}
 	for {
@@ -216,7 +216,7 @@
 	if err := s.o.Dispatcher.Generate(ctx, r, comp, sink); err != nil {
 		a.Fail(err)
 	} else {
-		s.o.Estimator.Learn(r.Tenant, r.Class, len(a.Given()))
+		s.o.Estimator.Learn(r.Customer, r.Class, len(a.Given()))
 	}
 	s.o.Answers.Expire(s.base, a)
 }
@@ -255,9 +255,9 @@
 func (m *measuredSink) Append(token string) {
 	now := time.Now()
 	if m.some {
-		m.s.o.Observer.BetweenTokens(m.r.Tenant, m.r.Class, now.Sub(m.last))
+		m.s.o.Observer.BetweenTokens(m.r.Customer, m.r.Class, now.Sub(m.last))
 	} else {
-		m.s.o.Observer.FirstToken(m.r.Tenant, m.r.Class, now.Sub(m.r.ArrivedAt))
+		m.s.o.Observer.FirstToken(m.r.Customer, m.r.Class, now.Sub(m.r.ArrivedAt))
 	}
 	m.some = true
 	m.last = now
@@ -267,7 +267,7 @@
 // Finish implements dispatch.Sink.
 func (m *measuredSink) Finish(reason string) {
 	now := time.Now()
-	m.s.o.Observer.Whole(m.r.Tenant, m.r.Class, now.Sub(m.r.ArrivedAt), !now.After(m.r.Deadline))
+	m.s.o.Observer.Whole(m.r.Customer, m.r.Class, now.Sub(m.r.ArrivedAt), !now.After(m.r.Deadline))
 	m.Answer.Finish(reason)
 }
 
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -31,8 +31,8 @@
 
 // Estimator predicts the output of a model request, in tokens.
 type Estimator interface {
-	Expected(tenant, class string, maxTokens int) int
-	Learn(tenant, class string, tokens int)
+	Expected(customer, class string, maxTokens int) int
+	Learn(customer, class string, tokens int)
 }
 
 // Elsewhere finds answers that other hosts hold.
@@ -42,7 +42,7 @@
 	// Fetch reads an answer held elsewhere, from the given token on. It waits a
 	// moment for new tokens; a found but silent answer gives an empty chunk.
 	// It returns an *UnknownAnswerError when nobody is known to hold it.
-	Fetch(ctx context.Context, id, tenant string, from int) (RemoteChunk, error)
+	Fetch(ctx context.Context, id, customer string, from int) (RemoteChunk, error)
 }
 
 // RemoteChunk is a part of an answer held by another host.
@@ -60,9 +60,9 @@
 // Observer takes the measures of the callers' side. Durations are from the
 // arrival of the request, or from the token before.
 type Observer interface {
-	FirstToken(tenant, class string, d time.Duration)
-	BetweenTokens(tenant, class string, d time.Duration)
-	Whole(tenant, class string, d time.Duration, inTime bool)
+	FirstToken(customer, class string, d time.Duration)
+	BetweenTokens(customer, class string, d time.Duration)
+	Whole(customer, class string, d time.Duration, inTime bool)
 	Refused(reason string)
 }
 
@@ -87,17 +87,17 @@
 
 // Options configures a Server. All fields but Mount are required.
 type Options struct {
-	Host       string
-	Place      string
-	Keeper     *snapshot.Keeper
-	Dispatcher Dispatcher
-	Estimator  Estimator
-	Answers    *answer.Registry
-	Elsewhere  Elsewhere
-	Observer   Observer
-	Policies   Policies
-	Log        *slog.Logger
-	Limits     Limits
+	Host          string
+	FailureDomain string
+	Keeper        *snapshot.Keeper
+	Dispatcher    Dispatcher
+	Estimator     Estimator
+	Answers       *answer.Registry
+	Elsewhere     Elsewhere
+	Observer      Observer
+	Policies      Policies
+	Log           *slog.Logger
+	Limits        Limits
 	// ProbeInterval is how often a silent stream is given a comment line, and
 	// how soon its headers are sent.
 	ProbeInterval time.Duration
--- a/transport/front/harness_test.go
+++ b/transport/front/harness_test.go
@@ -33,7 +33,7 @@
 	maxTokens   = 50
 )
 
-// Keys of the two tenants.
+// Keys of the two customers.
 const (
 	keyA = "key-a"
 	keyB = "key-b"
@@ -157,7 +157,7 @@
 			{Name: "post", Kind: state.KindService, NotRepeatable: true},
 		},
 		Classes: []state.Class{{Name: "chat", DeadlineMillis: 5000}, {Name: "alert", DeadlineMillis: 1000, Urgent: true}},
-		Tenants: []state.Tenant{
+		Customers: []state.Customer{
 			{Name: "a", KeySHA256: digest(keyA), Class: "chat"},
 			{Name: "b", KeySHA256: digest(keyB), Class: "chat"},
 		},
@@ -186,7 +186,7 @@
 	}
 	h.answers = answer.NewRegistry(wallclock.Clock{}, time.Millisecond, time.Hour)
 	o := front.Options{
-		Host: "h", Place: "p", Keeper: keeper, Dispatcher: h.dispatcher, Estimator: fixedEstimator{}, Answers: h.answers,
+		Host: "h", FailureDomain: "p", Keeper: keeper, Dispatcher: h.dispatcher, Estimator: fixedEstimator{}, Answers: h.answers,
 		Elsewhere: elsewhere{}, Observer: h.observer, Policies: policies{}, Log: slog.New(slog.DiscardHandler),
 		ProbeInterval: time.Minute, Isolated: func() bool { return false }, Ready: func() bool { return true },
 		Limits: front.Limits{
--- a/transport/front/input_test.go
+++ b/transport/front/input_test.go
@@ -41,7 +41,7 @@
 		{"OPTIONS", message("OPTIONS", completions, ""), 405, "bad_method"},
 		{"unknown method", message("FETCH", completions, ""), 501, "bad_method"},
 		{"no key", post(prompt, "Authorization: "), 400, "no_key"},
-		{"unknown key", post(prompt, "Authorization: Bearer nobody"), 400, "unknown_tenant"},
+		{"unknown key", post(prompt, "Authorization: Bearer nobody"), 400, "unknown_customer"},
 		{"unknown class", post(prompt, "X-Class: other"), 400, "unknown_class"},
 		{"deadline past", post(prompt, "X-Deadline-Ms: 0"), 400, "deadline_past"},
 		{"deadline long past", post(prompt, "X-Deadline-Ms: -99999999999"), 400, "deadline_past"},
@@ -132,7 +132,7 @@
 	is.Equal(got.status, 400)
 	is.Equal(got.problem.Type, "request_id_used")
 	is.Equal(h.dispatcher.ran(), 1)
-	// Another tenant's ids are its own.
+	// Another customer's ids are its own.
 	is.Equal(h.ask(t, "POST", completions, prompt, id, "Authorization: Bearer "+keyB).status, 200)
 	is.Equal(h.dispatcher.ran(), 2)
 	is.Equal(h.ask(t, "GET", "/v1/answers/r", "", "Authorization: Bearer nobody").status, 400)
@@ -189,7 +189,7 @@
 }
 
 func TestPolicyDecides(t *testing.T) {
-	t.Run("an undefined class leaves the tenant's own", func(t *testing.T) {
+	t.Run("an undefined class leaves the customer's own", func(t *testing.T) {
 		is := is.New(t)
 		h := newHost(t, func(_ *host, o *front.Options) { o.Policies = policies{class: "undefined"} })
 		is.Equal(h.ask(t, "POST", completions, prompt).status, 200)
--- a/transport/front/services.go
+++ b/transport/front/services.go
@@ -48,7 +48,7 @@
 	if err := s.takesWork(v); err != nil {
 		return nil, call, err
 	}
-	tenant, err := tenantOf(c, v)
+	customer, err := customerOf(c, v)
 	if err != nil {
 		return nil, call, err
 	}
@@ -64,7 +64,7 @@
 	if service.NotRepeatable && key == "" {
 		return nil, call, bad("no_key_of_call", "calls of %s may not be repeated and need a key; send a UUIDv7 in %s", service.Name, callerapi.HeaderKey)
 	}
-	r, err := s.request(c, v, tenant, ClassifyInput{ID: id, Service: service.Name})
+	r, err := s.request(c, v, customer, ClassifyInput{ID: id, Service: service.Name})
 	if err != nil {
 		return nil, call, err
 	}
@@ -109,7 +109,7 @@
 	defer s.watch.Remove(watched)
 	a, err := s.o.Dispatcher.Call(ctx, r, call)
 	if err == nil {
-		s.o.Observer.Whole(r.Tenant, r.Class, time.Since(r.ArrivedAt), !time.Now().After(r.Deadline))
+		s.o.Observer.Whole(r.Customer, r.Class, time.Since(r.ArrivedAt), !time.Now().After(r.Deadline))
 	}
 	return a, err
 }
--- a/transport/front/shutdown_test.go
+++ b/transport/front/shutdown_test.go
@@ -84,13 +84,13 @@
 	t.Helper()
 	k := snapshot.NewKeeper()
 	k.SetConfig(&state.Config{
-		Version:  1,
-		Services: []state.Service{{Name: "llm", Kind: state.KindEngine, Models: []string{"m"}}, {Name: "app", Kind: state.KindService}},
-		Classes:  []state.Class{{Name: "chat", DeadlineMillis: 60000}},
-		Tenants:  []state.Tenant{{Name: "depot", KeySHA256: testSHA256, Class: "chat"}},
+		Version:   1,
+		Services:  []state.Service{{Name: "llm", Kind: state.KindEngine, Models: []string{"m"}}, {Name: "app", Kind: state.KindService}},
+		Classes:   []state.Class{{Name: "chat", DeadlineMillis: 60000}},
+		Customers: []state.Customer{{Name: "depot", KeySHA256: testSHA256, Class: "chat"}},
 	})
 	s, err := New(Options{
-		Host: "h1", Place: "p", Keeper: k, Dispatcher: d, Estimator: noEstimates{},
+		Host: "h1", FailureDomain: "p", Keeper: k, Dispatcher: d, Estimator: noEstimates{},
 		Answers:   answer.NewRegistry(wallclock.Clock{}, time.Minute, 50*time.Millisecond),
 		Elsewhere: nobodyElsewhere{}, Observer: noObserver{}, Policies: builtIn{}, Log: slog.New(slog.DiscardHandler),
 		Limits:        Limits{BodyBytes: 1 << 16, HeaderBytes: 4096, MaxTokens: 100, Connections: 1000},
--- a/transport/measure/measure.go
+++ b/transport/measure/measure.go
@@ -1,5 +1,5 @@
-// Package measure keeps a host's metrics: histograms per tenant and class, and
-// counts by reason, with label sets that stay bounded however many tenants
+// Package measure keeps a host's metrics: histograms per customer and class, and
+// counts by reason, with label sets that stay bounded however many customers
 // there are.
 package measure
 
@@ -15,21 +15,21 @@
 	"github.com/thymerack/thymerack/coordination/dispatch"
 )
 
-// OtherTenant is the label of all tenants past the bound.
-const OtherTenant = "other"
+// OtherCustomer is the label of all customers past the bound.
+const OtherCustomer = "other"
 
 // Set is one host's metrics. It is safe for concurrent use.
 type Set struct {
 	set *metrics.Set
-	// series holds the histograms of a tenant and class.
+	// series holds the histograms of a customer and class.
 	series sync.Map
-	// tenants holds the tenants that have a label of their own.
-	tenants    sync.Map
-	named      atomic.Int64
-	maxTenants int64
+	// customers holds the customers that have a label of their own.
+	customers    sync.Map
+	named        atomic.Int64
+	maxCustomers int64
 }
 
-type seriesKey struct{ tenant, class string }
+type seriesKey struct{ customer, class string }
 
 type series struct {
 	firstToken *metrics.Histogram
@@ -39,10 +39,10 @@
 	late       *metrics.Counter
 }
 
-// New returns an empty set. The first maxTenants tenants that send requests get
-// a label of their own; the rest share OtherTenant.
-func New(maxTenants int) *Set {
-	return &Set{set: metrics.NewSet(), maxTenants: int64(maxTenants)}
+// New returns an empty set. The first maxCustomers customers that send requests get
+// a label of their own; the rest share OtherCustomer.
+func New(maxCustomers int) *Set {
+	return &Set{set: metrics.NewSet(), maxCustomers: int64(maxCustomers)}
 }
 
 // Gauge adds a value that is read when the metrics are.
@@ -54,24 +54,24 @@
 	metrics.WriteProcessMetrics(w)
 }
 
-func (s *Set) label(tenant string) string {
-	if _, ok := s.tenants.Load(tenant); ok {
-		return tenant
+func (s *Set) label(customer string) string {
+	if _, ok := s.customers.Load(customer); ok {
+		return customer
 	}
-	if s.named.Add(1) > s.maxTenants {
+	if s.named.Add(1) > s.maxCustomers {
 		s.named.Add(-1)
-		return OtherTenant
+		return OtherCustomer
 	}
-	s.tenants.Store(tenant, true)
-	return tenant
+	s.customers.Store(customer, true)
+	return customer
 }
 
-func (s *Set) of(tenant, class string) *series {
-	key := seriesKey{s.label(tenant), class}
+func (s *Set) of(customer, class string) *series {
+	key := seriesKey{s.label(customer), class}
 	if found, ok := s.series.Load(key); ok {
 		return found.(*series)
 	}
-	labels := fmt.Sprintf("{tenant=%q,class=%q}", key.tenant, key.class)
+	labels := fmt.Sprintf("{customer=%q,class=%q}", key.customer, key.class)
 	made := &series{
 		firstToken: s.set.GetOrCreateHistogram("thymerack_first_token_seconds" + labels),
 		between:    s.set.GetOrCreateHistogram("thymerack_between_tokens_seconds" + labels),
@@ -84,18 +84,18 @@
 }
 
 // FirstToken implements front.Observer.
-func (s *Set) FirstToken(tenant, class string, d time.Duration) {
-	s.of(tenant, class).firstToken.Update(d.Seconds())
+func (s *Set) FirstToken(customer, class string, d time.Duration) {
+	s.of(customer, class).firstToken.Update(d.Seconds())
 }
 
 // BetweenTokens implements front.Observer.
-func (s *Set) BetweenTokens(tenant, class string, d time.Duration) {
-	s.of(tenant, class).between.Update(d.Seconds())
+func (s *Set) BetweenTokens(customer, class string, d time.Duration) {
+	s.of(customer, class).between.Update(d.Seconds())
 }
 
 // Whole implements front.Observer.
-func (s *Set) Whole(tenant, class string, d time.Duration, inTime bool) {
-	of := s.of(tenant, class)
+func (s *Set) Whole(customer, class string, d time.Duration, inTime bool) {
+	of := s.of(customer, class)
 	of.whole.Update(d.Seconds())
 	if inTime {
 		of.inTime.Inc()
--- a/transport/measure/measure_test.go
+++ b/transport/measure/measure_test.go
@@ -10,14 +10,14 @@
 	"github.com/matryer/is"
 )
 
-// fill observes one answer of each tenant in each of three classes.
-func fill(s *Set, tenants int) {
-	for i := range tenants {
+// fill observes one answer of each customer in each of three classes.
+func fill(s *Set, customers int) {
+	for i := range customers {
 		for _, class := range []string{"rota", "chat", "swap"} {
-			tenant := fmt.Sprintf("tenant-%04d", i)
-			s.FirstToken(tenant, class, 100*time.Millisecond)
-			s.BetweenTokens(tenant, class, 20*time.Millisecond)
-			s.Whole(tenant, class, time.Second, i%2 == 0)
+			customer := fmt.Sprintf("customer-%04d", i)
+			s.FirstToken(customer, class, 100*time.Millisecond)
+			s.BetweenTokens(customer, class, 20*time.Millisecond)
+			s.Whole(customer, class, time.Second, i%2 == 0)
 		}
 	}
 }
@@ -29,10 +29,10 @@
 	var page bytes.Buffer
 	s.set.WritePrometheus(&page)
 	is.Equal(strings.Count(page.String(), "thymerack_answers_in_time_total{"), 33) // ten and the rest, three classes
-	is.True(strings.Contains(page.String(), `thymerack_answers_in_time_total{tenant="other",class="rota"} 20`))
+	is.True(strings.Contains(page.String(), `thymerack_answers_in_time_total{customer="other",class="rota"} 20`))
 }
 
-// BenchmarkPage writes the metrics page of a host that has seen 1,700 tenants.
+// BenchmarkPage writes the metrics page of a host that has seen 1,700 customers.
 func BenchmarkPage(b *testing.B) {
 	s := New(200)
 	fill(s, 1700)
