--- /dev/null
+++ b/coordination/follow/follow_test.go
@@ -0,0 +1,276 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/store"
+	"github.com/thymerack/thymerack/coordination/store/storetest"
+	"github.com/thymerack/thymerack/state"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// follower is a mirror over a test platform with the copies it gave out.
+type follower struct {
+	*Mirror
+	seen []Copy
+}
+
+func newFollower(t testing.TB, p *storetest.Platform, gather time.Duration) *follower {
+	f := &follower{}
+	m, err := New(Options{
+		Store: p.Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", Gather: gather,
+		Changed: func(c Copy) { f.seen = append(f.seen, c) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Mirror = m
+	return f
+}
+
+func put(t testing.TB, p *storetest.Platform, name, value string, version uint64) uint64 {
+	v, err := p.Client("operator").Put(context.Background(), "things", name, version, []byte(value))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+func values(c Copy) []string {
+	var out []string
+	for _, o := range c.Objects {
+		out = append(out, o.Name+"="+string(o.Value))
+	}
+	slices.Sort(out)
+	return out
+}
+
+// run starts the mirror; the returned function ends it.
+func run(t *testing.T, m *Mirror) func() {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); m.Run(ctx) }()
+	return func() { cancel(); <-done }
+}
+
+func TestChangesComeWithoutPolling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := storetest.NewPlatform(20 * time.Second)
+		v := put(t, p, "a", "1", store.Absent)
+		f := newFollower(t, p, 0)
+		defer run(t, f.Mirror)()
+		time.Sleep(10 * time.Second)
+		before := p.Calls()
+		put(t, p, "a", "2", v)
+		synctest.Wait()
+		is.Equal(values(f.Export()), []string{"a=2"})
+		time.Sleep(15 * time.Second)
+		is.True(p.Calls()-before <= 3) // the write and a watch or two
+	})
+}
+
+func TestChangesInQuickSuccessionCostOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := storetest.NewPlatform(20 * time.Second)
+		v := put(t, p, "a", "0", store.Absent)
+		f := newFollower(t, p, time.Second)
+		defer run(t, f.Mirror)()
+		time.Sleep(2 * time.Second)
+		before := p.Calls()
+		for i := range 10 {
+			v = put(t, p, "a", strconv.Itoa(i), v)
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(values(f.Export()), []string{"a=9"})
+		is.True(p.Calls()-before <= 10+3)
+	})
+}
+
+func TestForgottenHistoryIsListedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := storetest.NewPlatform(20 * time.Second)
+		v := put(t, p, "a", "1", store.Absent)
+		f := newFollower(t, p, 0)
+		defer run(t, f.Mirror)()
+		time.Sleep(time.Second)
+		p.SetScript(func(c storetest.Call) storetest.Fault {
+			if c.Caller == "h" {
+				return storetest.Refuse
+			}
+			return storetest.None
+		})
+		put(t, p, "a", "2", v)
+		p.Forget()
+		time.Sleep(30 * time.Second)
+		is.True(f.Lost())
+		p.SetScript(nil)
+		time.Sleep(3 * time.Second)
+		is.True(!f.Lost())
+		is.True(f.AwayWithin(10 * time.Second))
+		is.Equal(values(f.Export()), []string{"a=2"})
+	})
+}
+
+func TestPeersCopyIsTakenOnlyIfNewer(t *testing.T) {
+	is := is.New(t)
+	f := newFollower(t, storetest.NewPlatform(0), 0)
+	object := func(v uint64, value string) store.Object {
+		return store.Object{Name: "a", Version: v, Value: []byte(value)}
+	}
+	is.True(f.Adopt(Copy{Revision: 5, Objects: []store.Object{object(5, "new")}}, "p"))
+	is.True(!f.Adopt(Copy{Revision: 4, Objects: []store.Object{object(4, "old")}}, "p"))
+	is.True(!f.Adopt(Copy{Revision: 5, Objects: nil}, "p"))
+	is.Equal(values(f.Export()), []string{"a=new"})
+}
+
+// TestHoldsConfigNeverReverts mixes the store's changes, lost answers, outages,
+// forgotten history and peers' older copies.
+func TestHoldsRoutesNeverRevert(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 5, 30).Draw(rt, "steps")
+		var problem string
+		synctest.Test(t, func(t *testing.T) { problem = playConfig(t, steps) })
+		if problem != "" {
+			rt.Fatal(problem)
+		}
+	})
+}
+
+func playConfig(t *testing.T, steps []int) string {
+	p := storetest.NewPlatform(2 * time.Second)
+	decode := func(value []byte) (*state.RoutingConfig, error) {
+		v, err := strconv.ParseUint(string(value), 10, 64)
+		return &state.RoutingConfig{Version: v}, err
+	}
+	config := NewConfig("main", decode, quiet)
+	problem, last := "", uint64(0)
+	m, err := New(Options{
+		Store: p.Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things",
+		Changed: func(c Copy) {
+			config.Changed(c)
+			if table := config.Table(); table != nil {
+				if table.Version < last {
+					problem = fmt.Sprintf("version %d after %d", table.Version, last)
+				}
+				last = table.Version
+			}
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	version := uint64(10)
+	rev := put(t, p, "main", "10", store.Absent)
+	stop := run(t, m)
+	time.Sleep(time.Second)
+	var old []Copy
+	for _, step := range steps {
+		old = append(old, m.Export())
+		switch step {
+		case 0, 1:
+			version += 3
+			rev = put(t, p, "main", strconv.FormatUint(version, 10), rev)
+		case 2:
+			p.SetScript(func(c storetest.Call) storetest.Fault {
+				if c.Caller == "h" {
+					return storetest.Refuse
+				}
+				return storetest.None
+			})
+		case 3:
+			p.SetScript(nil)
+		case 4:
+			p.Forget()
+		case 5:
+			m.Adopt(old[len(old)/2], "peer")
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	p.SetScript(nil)
+	time.Sleep(5 * time.Second)
+	stop()
+	if table := config.Table(); problem == "" && (table == nil || table.Version != version) {
+		problem = fmt.Sprintf("the last version %d is not in force", version)
+	}
+	return problem
+}
+
+func TestUnreadableConfigKeepsTheLast(t *testing.T) {
+	is := is.New(t)
+	config := NewConfig("main", func(v []byte) (*state.RoutingConfig, error) {
+		if string(v) == "bad" {
+			return nil, errors.New("bad")
+		}
+		return &state.RoutingConfig{Version: 7}, nil
+	}, quiet)
+	is.True(config.Table() == nil)
+	config.Changed(Copy{Objects: []store.Object{{Name: "main", Value: []byte("good")}}})
+	config.Changed(Copy{Objects: []store.Object{{Name: "main", Value: []byte("bad")}}})
+	is.Equal(config.Table().Version, uint64(7))
+}
+
+func newInstances(outage *bool, published *[]string) *Instances {
+	return NewInstances(InstancesOptions{
+		Clock: clocktest.Bubble{}, Log: quiet, HoldFor: time.Second, Outage: func() bool { return *outage },
+		Decode: func(id string, v []byte) (state.Instance, error) {
+			return state.Instance{ID: id, Draining: string(v) == "draining"}, nil
+		},
+		Publish: func(list []state.Instance) {
+			*published = nil
+			for _, i := range list {
+				*published = append(*published, i.ID)
+			}
+			slices.Sort(*published)
+		},
+	})
+}
+
+func entries(names ...string) Copy {
+	var c Copy
+	for i, n := range names {
+		c.Objects = append(c.Objects, store.Object{Name: n, Version: uint64(i + 1), Value: []byte("ready")})
+	}
+	return c
+}
+
+func TestMissingInstanceIsGoneAtOnceWhileTheStoreIsSound(t *testing.T) {
+	is := is.New(t)
+	outage, published := false, []string{}
+	l := newInstances(&outage, &published)
+	l.Changed(entries("a", "b"))
+	l.Changed(entries("a"))
+	is.Equal(published, []string{"a"})
+}
+
+func TestMissingInstanceIsHeldAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		outage, published := true, []string{}
+		l := newInstances(&outage, &published)
+		l.Changed(entries("a", "b", "c"))
+		l.Changed(entries("a"))
+		is.Equal(published, []string{"a", "b", "c"})
+		time.Sleep(500 * time.Millisecond)
+		l.Changed(entries("a", "b")) // b is back
+		time.Sleep(600 * time.Millisecond)
+		l.sweep()
+		is.Equal(published, []string{"a", "b"})
+	})
+}
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/store"
@@ -87,12 +88,21 @@
 	Nonce string `json:"nonce"`
 }
 
-// Lessor acquires and keeps one lease. It is used by one goroutine at a time.
+// Lessor acquires and keeps one lease. It is used by one goroutine at a time, but
+// for Held, Fence and First, which the work under the lease may ask.
 type Lessor struct {
 	opts Options
 	// seen and seenAt are the last version found and when it was first found.
 	seen   uint64
 	seenAt time.Time
+	writes uint64
+
+	mu   sync.Mutex // guards term
+	term term
+}
+
+// term is what is known of the time for which the lease is held.
+type term struct {
 	// held is the version of this host's own last write; 0 when not held.
 	held uint64
 	// fence is the version at which the present term began.
@@ -101,7 +111,20 @@
 	first bool
 	// renewedAt is when the last successful write was started.
 	renewedAt time.Time
-	writes    uint64
+}
+
+// present returns the present term.
+func (l *Lessor) present() term {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term
+}
+
+// change changes the present term.
+func (l *Lessor) change(f func(t *term)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(&l.term)
 }
 
 // New validates the options and returns a Lessor that holds nothing yet.
@@ -120,7 +143,8 @@
 
 // Held reports whether this host believes to hold the lease, by its own clock.
 func (l *Lessor) Held() bool {
-	return l.held != store.Absent && l.opts.Clock.Now().Sub(l.renewedAt) < l.opts.TTL
+	t := l.present()
+	return t.held != store.Absent && l.opts.Clock.Now().Sub(t.renewedAt) < l.opts.TTL
 }
 
 // Try looks at the lease once and takes it if it is free, released, this host's
@@ -159,7 +183,7 @@
 func (l *Lessor) take(ctx context.Context, version uint64) (bool, error) {
 	err := l.write(ctx, version, l.opts.Holder)
 	if err == nil {
-		l.fence, l.first = l.held, version == store.Absent
+		l.change(func(t *term) { t.fence, t.first = t.held, version == store.Absent })
 	}
 	if store.IsConflict(err) {
 		return false, nil
@@ -169,19 +193,20 @@
 
 // Fence is the version at which the present term began: a number that grows from
 // holder to holder.
-func (l *Lessor) Fence() uint64 { return l.fence }
+func (l *Lessor) Fence() uint64 { return l.present().fence }
 
 // First reports whether nobody held the lease before the present term.
-func (l *Lessor) First() bool { return l.first }
+func (l *Lessor) First() bool { return l.present().first }
 
 // Renew extends a held lease. It returns ErrLost if the object has changed, and
 // the store's error if the platform gave no answer: the lease is then held until
 // the TTL passes on this host's clock.
 func (l *Lessor) Renew(ctx context.Context) error {
-	if l.held == store.Absent {
+	held := l.present().held
+	if held == store.Absent {
 		return ErrLost
 	}
-	err := l.write(ctx, l.held, l.opts.Holder)
+	err := l.write(ctx, held, l.opts.Holder)
 	if !store.IsConflict(err) {
 		return err
 	}
@@ -201,24 +226,28 @@
 			return err
 		}
 	}
-	l.held = store.Absent
+	l.drop()
 	return ErrLost
 }
 
 // Release gives a held lease up, so that a waiter needn't wait for the TTL.
 // Releasing a lease that isn't held is no error.
 func (l *Lessor) Release(ctx context.Context) error {
-	if l.held == store.Absent {
+	held := l.present().held
+	if held == store.Absent {
 		return nil
 	}
-	err := l.write(ctx, l.held, state.HostID{})
+	err := l.write(ctx, held, state.HostID{})
 	if err == nil || store.IsConflict(err) {
-		l.held = store.Absent
+		l.drop()
 		return nil
 	}
 	return err
 }
 
+// drop forgets that the lease is held.
+func (l *Lessor) drop() { l.change(func(t *term) { t.held = store.Absent }) }
+
 // write stores a record over version. An answer that was lost is read back and
 // recognised by its nonce.
 func (l *Lessor) write(ctx context.Context, version uint64, holder state.HostID) error {
@@ -236,7 +265,7 @@
 	if err != nil {
 		return err
 	}
-	l.held, l.renewedAt = v, started
+	l.change(func(t *term) { t.held, t.renewedAt = v, started })
 	return nil
 }
 
--- a/coordination/lease/run.go
+++ b/coordination/lease/run.go
@@ -102,7 +102,7 @@
 // renewInTime bounds the renewal by what is left of the TTL, so that a call that
 // hangs can't keep the belief alive.
 func (l *Lessor) renewInTime(ctx context.Context) error {
-	left := l.opts.TTL - l.opts.Clock.Now().Sub(l.renewedAt)
+	left := l.opts.TTL - l.opts.Clock.Now().Sub(l.present().renewedAt)
 	ctx, cancel := context.WithTimeout(ctx, max(left, l.opts.TTL/callsPerTTL))
 	defer cancel()
 	return l.Renew(ctx)
--- /dev/null
+++ b/coordination/placement/fleet_test.go
@@ -0,0 +1,166 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/state"
+)
+
+func newFleet(domain string, n int, role state.Role) *Fleet {
+	f := NewFleet(Options{Clock: clocktest.Bubble{}, FailureDomain: domain})
+	var list []state.Instance
+	for i := range n {
+		list = append(list, state.Instance{ID: fmt.Sprintf("e%02d", i), Service: "s", FailureDomain: fmt.Sprint("d", i%3), Role: role})
+	}
+	f.Update(list)
+	return f
+}
+
+func TestHostsAgreeOnASessionsEngine(t *testing.T) {
+	is := is.New(t)
+	a, b := newFleet("d0", 9, state.RolePrefill), newFleet("d1", 9, state.RolePrefill)
+	used := map[string]int{}
+	const sessions = 900
+	for i := range sessions {
+		session := fmt.Sprint("session-", i)
+		x, home := a.Prefill("s", session, nil)
+		y, _ := b.Prefill("s", session, nil)
+		is.Equal(x.Instance.ID, y.Instance.ID)
+		is.True(home == nil)
+		used[x.Instance.ID]++
+	}
+	for _, n := range used {
+		is.True(n > sessions/9/2 && n < sessions/9*2) // spread evenly
+	}
+}
+
+func TestOnlyTheSessionsOfALeavingEngineMove(t *testing.T) {
+	is := is.New(t)
+	f, smaller := newFleet("d0", 9, state.RolePrefill), newFleet("d0", 8, state.RolePrefill)
+	for i := range 500 {
+		session := fmt.Sprint("session-", i)
+		before, _ := f.Prefill("s", session, nil)
+		after, _ := smaller.Prefill("s", session, nil)
+		if before.Instance.ID != "e08" {
+			is.Equal(before.Instance.ID, after.Instance.ID)
+		}
+	}
+}
+
+func TestBusySessionEngineIsPassedOverAndNamed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("d0", 9, state.RolePrefill)
+	home, _ := f.Prefill("s", "x", nil)
+	for range 10 {
+		home.Begin()
+	}
+	chosen, named := f.Prefill("s", "x", nil)
+	is.True(chosen.Instance.ID != home.Instance.ID)
+	is.Equal(named.Instance.ID, home.Instance.ID)
+}
+
+func TestGenerationStaysInTheOwnFailureDomain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("d1", 9, state.RoleDecode)
+	for i := range 50 {
+		for _, session := range []string{"", fmt.Sprint(i)} {
+			is.Equal(f.Decode("s", session, nil).Instance.FailureDomain, "d1")
+		}
+	}
+	for _, r := range f.Runners("s") {
+		if r.Instance.FailureDomain == "d1" {
+			for range 20 {
+				r.Begin()
+			}
+		}
+	}
+	for _, session := range []string{"", "x"} {
+		is.True(f.Decode("s", session, nil).Instance.FailureDomain != "d1") // not at any price
+	}
+}
+
+func TestRoleIsKept(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("d0", 3, state.RoleDecode)
+	chosen, _ := f.Prefill("s", "x", nil)
+	is.True(chosen == nil)
+	is.True(f.Decode("s", "x", nil) != nil)
+	is.True(f.Decode("s", "x", []string{"e00", "e01", "e02"}) == nil)
+	is.True(f.Call("other", nil) == nil)
+}
+
+func TestDrainingInstanceIsNeverChosen(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("d0", 2, "")
+	f.Update([]state.Instance{{ID: "e00", Service: "s", Draining: true}, {ID: "e01", Service: "s"}})
+	is.True(!f.Has("e00"))
+	is.True(f.Has("e01"))
+	for range 20 {
+		is.Equal(f.Call("s", nil).Instance.ID, "e01")
+	}
+}
+
+func TestBrokenRunnerIsAvoidedAndTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet("d0", 2, "")
+		broken := f.Runners("s")[0]
+		broken.Broken()
+		for range 20 {
+			is.True(f.Call("s", nil).Instance.ID != broken.Instance.ID)
+		}
+		is.Equal(f.Call("s", []string{f.Runners("s")[1].Instance.ID}), broken) // when nothing else is left
+		time.Sleep(suspectFirst + 20*failureHalfLife)
+		is.True(!broken.Suspect(time.Now()))
+		other := f.Runners("s")[1]
+		for range 5 {
+			other.Begin()
+		}
+		is.Equal(f.Call("s", nil), broken)
+	})
+}
+
+func TestSilenceIsAvoidedLongerEachTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLoad(clocktest.Bubble{})
+		for range 20 {
+			l.Broken()
+		}
+		is.True(l.Suspect(time.Now().Add(suspectMost - time.Millisecond)))
+		is.True(!l.Suspect(time.Now().Add(suspectMost)))
+		l.Answered(time.Millisecond)
+		is.True(!l.Suspect(time.Now()))
+	})
+}
+
+func TestGreyRunnerGetsLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet("d0", 2, "")
+		grey, sound := f.Runners("s")[0], f.Runners("s")[1]
+		for i := range 20 {
+			if i%2 == 0 {
+				grey.Failed()
+			} else {
+				grey.Answered(latencyStart)
+			}
+			sound.Answered(latencyStart)
+		}
+		sound.Begin() // one more in flight than at the grey one
+		is.Equal(f.Call("s", nil), sound)
+	})
+}
+
+func BenchmarkPrefillAmong1200(b *testing.B) {
+	f := newFleet("d0", 1200, state.RolePrefill)
+	for b.Loop() {
+		f.Prefill("s", "session", nil)
+	}
+}
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -95,8 +95,10 @@
 // Manager gives orders while it holds the lease.
 type Manager struct {
 	o Options
-	// ordered holds the orders given, by instance.
+	// ordered holds the orders given, by instance, and pausing until when an engine
+	// that took none is left alone.
 	ordered map[string]given
+	pausing map[string]time.Time
 	// since is when a service's split began to differ from the plan.
 	since map[string]time.Time
 	// stood is set for services whose split has stood as planned since the plan
@@ -127,7 +129,7 @@
 // hold gives orders for one term of the lease.
 func (m *Manager) hold(ctx context.Context) error {
 	m.ordered, m.since, m.stood = map[string]given{}, map[string]time.Time{}, map[string]bool{}
-	m.demand = map[string]*demand{}
+	m.pausing, m.demand = map[string]time.Time{}, map[string]*demand{}
 	if !m.o.Lease.First() {
 		m.o.Log.Info("waiting before the first order", "silence", m.o.TakeOver, "fence", m.o.Lease.Fence())
 		if m.o.Clock.Sleep(ctx, m.o.TakeOver) != nil {
@@ -252,6 +254,11 @@
 	for _, e := range engines {
 		listed[e.ID] = e.Role
 	}
+	for id, until := range m.pausing {
+		if now.After(until) {
+			delete(m.pausing, id)
+		}
+	}
 	for id, g := range m.ordered {
 		if role, ok := listed[id]; !ok || role == g.role || now.After(g.until) {
 			delete(m.ordered, id)
@@ -263,14 +270,17 @@
 // accepted is read first: an order that another holder gave in between makes the
 // engine refuse this one.
 func (m *Manager) order(ctx context.Context, c Change) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	i := &c.Instance
 	now := m.o.Clock.Now()
+	if now.Before(m.pausing[i.ID]) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	report, err := m.o.Engines.Report(ctx, i)
 	if err != nil || report.Busy {
 		m.o.Log.Info("engine not ordered", "instance", i.ID, "busy", report.Busy, "cause", fmt.Sprint(err))
-		m.ordered[i.ID] = given{i.Role, now.Add(retryOrder)}
+		m.pausing[i.ID] = now.Add(retryOrder)
 		return
 	}
 	if report.Role == c.Role {
@@ -284,7 +294,7 @@
 	result, err := m.o.Engines.Order(ctx, i, o)
 	m.o.Log.Info("engine ordered", "instance", i.ID, "role", string(c.Role), "fence", o.Fence, "accepted", o.Accepted, "result", string(result), "cause", fmt.Sprint(err))
 	if err == nil && result != ResultAccepted {
-		m.ordered[i.ID] = given{i.Role, now.Add(retryOrder)}
+		m.pausing[i.ID] = now.Add(retryOrder)
 		return
 	}
 	m.ordered[i.ID] = given{c.Role, now.Add(lateBound)}
--- /dev/null
+++ b/coordination/stages/stages_test.go
@@ -0,0 +1,324 @@
+package stages
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/lease"
+	"github.com/thymerack/thymerack/coordination/store/storetest"
+	"github.com/thymerack/thymerack/state"
+)
+
+func engines(prefill, decode int) []state.Instance {
+	var out []state.Instance
+	for i := range prefill + decode {
+		role := state.RolePrefill
+		if i >= prefill {
+			role = state.RoleDecode
+		}
+		out = append(out, state.Instance{ID: fmt.Sprintf("e%02d", i), FailureDomain: fmt.Sprint("d", i%3), Role: role, Slots: 10})
+	}
+	return out
+}
+
+func TestTarget(t *testing.T) {
+	for _, c := range []struct {
+		n     int
+		share float64
+		want  int
+	}{{12, 0.68, 8}, {57, 0.68, 39}, {12, 0.99, 10}, {12, 0.01, 2}, {4, 0.9, 2}, {3, 0.9, 1}, {2, 0.5, 1}} {
+		is := is.New(t)
+		is.Equal(Target(c.n, c.share), c.want)
+	}
+}
+
+func TestPlanKeepsEachFailureDomainServed(t *testing.T) {
+	is := is.New(t)
+	list := engines(4, 8)
+	changes := Plan(list, 9)
+	is.Equal(len(changes), 5)
+	left := map[string]int{}
+	for _, e := range list {
+		if e.Role == state.RoleDecode {
+			left[e.FailureDomain]++
+		}
+	}
+	for _, c := range changes {
+		is.Equal(c.Role, state.RolePrefill)
+		left[c.Instance.FailureDomain]--
+	}
+	for domain, n := range left {
+		is.True(n >= 1) // domain keeps an engine that generates
+		_ = domain
+	}
+	is.Equal(len(Plan(list, 4)), 0)
+	is.Equal(Plan(list, 3)[0].Role, state.RoleDecode)
+}
+
+func TestDemandIgnoresSwingsAndTakesGrossLoad(t *testing.T) {
+	is := is.New(t)
+	d := newDemand(0.7)
+	now := time.Now()
+	for i := range 40 { // seconds of a load that swings around 1
+		now = now.Add(time.Second)
+		is.True(!d.note(now, 0.4+1.2*float64(i/3%2), 12))
+	}
+	changed := 0
+	for range 60 {
+		now = now.Add(time.Second)
+		if d.note(now, 4, 12) {
+			changed++
+		}
+	}
+	is.True(changed >= 2)
+	is.True(d.share < 0.7 && d.share >= leastShare-1.0/12)
+	before := d.share
+	is.True(!d.note(now.Add(time.Hour), 0, 12)) // no traffic tells nothing
+	is.Equal(d.share, before)
+}
+
+// given is one order as an engine got it.
+type received struct {
+	at     time.Time
+	holder string
+	fence  uint64
+}
+
+// fakeEngines carry orders out as the platform's do, at once or late, and note them.
+type fakeEngines struct {
+	mu       sync.Mutex
+	engines  map[string]*fakeEngine
+	rng      *rand.Rand
+	late     float64
+	orders   []received
+	problems []string
+}
+
+type fakeEngine struct {
+	instance state.Instance
+	accepted uint64
+	busyTill time.Time
+}
+
+const switchTime = 3 * time.Second
+
+func newFakeEngines(list []state.Instance, late float64, seed uint64) *fakeEngines {
+	f := &fakeEngines{engines: map[string]*fakeEngine{}, rng: rand.New(rand.NewPCG(seed, 7)), late: late}
+	for _, i := range list {
+		f.engines[i.ID] = &fakeEngine{instance: i}
+	}
+	return f
+}
+
+func (f *fakeEngines) list(string) []state.Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []state.Instance
+	for _, e := range f.engines {
+		if time.Now().After(e.busyTill) {
+			out = append(out, e.instance)
+		} else {
+			before := e.instance
+			before.Role = other(before.Role)
+			out = append(out, before)
+		}
+	}
+	return out
+}
+
+func other(r state.Role) state.Role {
+	if r == state.RolePrefill {
+		return state.RoleDecode
+	}
+	return state.RolePrefill
+}
+
+func (f *fakeEngines) Report(_ context.Context, i *state.Instance) (Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[i.ID]
+	return Report{Role: e.instance.Role, Busy: time.Now().Before(e.busyTill), Accepted: e.accepted, Active: 5}, nil
+}
+
+func (f *fakeEngines) Order(ctx context.Context, i *state.Instance, o Order) (Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.judge(o)
+	if f.rng.Float64() < f.late {
+		wait := time.Duration(2+f.rng.IntN(10)) * time.Second
+		time.AfterFunc(wait, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.apply(i.ID, o)
+		})
+		return "", errors.New("no answer")
+	}
+	return f.apply(i.ID, o), nil
+}
+
+func (f *fakeEngines) apply(id string, o Order) Result {
+	e := f.engines[id]
+	switch {
+	case o.Accepted != e.accepted || time.Now().Before(e.busyTill):
+		return ResultConflict
+	case o.Role == e.instance.Role:
+		return ResultAccepted
+	}
+	e.accepted++
+	e.instance.Role = o.Role
+	e.busyTill = time.Now().Add(switchTime)
+	return ResultAccepted
+}
+
+const leaseTime = 3 * time.Second
+
+// judge checks an order against those before it.
+func (f *fakeEngines) judge(o Order) {
+	now := time.Now()
+	for _, r := range f.orders {
+		switch {
+		case r.holder != o.Holder && r.fence == o.Fence:
+			f.problems = append(f.problems, fmt.Sprintf("%s and %s share the fence %d", r.holder, o.Holder, o.Fence))
+		case o.Fence < r.fence:
+			f.problems = append(f.problems, fmt.Sprintf("fence %d after %d", o.Fence, r.fence))
+		case r.holder != o.Holder && now.Sub(r.at) < leaseTime:
+			f.problems = append(f.problems, fmt.Sprintf("%s orders %s after %s", o.Holder, now.Sub(r.at), r.holder))
+		}
+	}
+	f.orders = append(f.orders, received{now, o.Holder, o.Fence})
+}
+
+func newManager(t testing.TB, p *storetest.Platform, f *fakeEngines, host string, run int) *Manager {
+	lessor, err := lease.New(lease.Options{
+		Store: p.Client(host), Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(uint64(run), uint64(len(host)))),
+		Name: "engine-roles", Holder: state.HostID{Name: host, Incarnation: fmt.Sprint(run)}, TTL: 6 * time.Second, LookEvery: 2 * time.Second,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := New(Options{
+		Engines: f, Lease: lessor, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), Host: host,
+		Services: func() []string { return []string{"llm"} }, Instances: f.list, Share: 0.68, TakeOver: leaseTime + time.Second,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func TestSplitIsOrderedOnceAndThenLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeEngines(engines(4, 8), 0, 1)
+		p := storetest.NewPlatform(time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		for i := range 3 {
+			done.Go(func() { _ = newManager(t, p, f, fmt.Sprint("h", i), 1).Run(ctx) })
+		}
+		time.Sleep(time.Minute)
+		cancel()
+		done.Wait()
+		is.Equal(len(f.orders), 4) // from 4 to 8 of 12
+		is.Equal(len(f.problems), 0)
+		is.Equal(f.orders[0].holder, f.orders[3].holder)
+	})
+}
+
+func TestCrashOfSecondsMovesNoRole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeEngines(engines(8, 4), 0, 1)
+		p := storetest.NewPlatform(time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		done.Go(func() { _ = newManager(t, p, f, "h", 1).Run(ctx) })
+		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		gone := []*fakeEngine{f.engines["e00"], f.engines["e01"], f.engines["e02"]}
+		for _, e := range gone {
+			delete(f.engines, e.instance.ID)
+		}
+		f.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		f.mu.Lock()
+		for _, e := range gone {
+			f.engines[e.instance.ID] = e
+		}
+		f.mu.Unlock()
+		time.Sleep(time.Minute)
+		cancel()
+		done.Wait()
+		is.Equal(len(f.orders), 0)
+	})
+}
+
+// TestHoldsNoConflictingRoleOrders kills, restarts and cuts off hosts at random
+// while orders are answered late or never.
+func TestHoldsNoConflictingRoleOrders(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		late := rapid.SampledFrom([]float64{0, 0.4, 0.9}).Draw(rt, "late")
+		cuts := rapid.SliceOfN(rapid.IntRange(0, 5), 4, 12).Draw(rt, "troubles")
+		var problems []string
+		synctest.Test(t, func(t *testing.T) { problems = playHolders(t, seed, late, cuts) })
+		if len(problems) > 0 {
+			rt.Fatal(problems[0])
+		}
+	})
+}
+
+func playHolders(t *testing.T, seed uint64, late float64, troubles []int) []string {
+	f := newFakeEngines(engines(4, 8), late, seed)
+	p := storetest.NewPlatform(time.Second)
+	cut := map[string]bool{}
+	var mu sync.Mutex
+	p.SetScript(func(c storetest.Call) storetest.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if cut[c.Caller] {
+			return storetest.Refuse
+		}
+		return storetest.None
+	})
+	var done sync.WaitGroup
+	stops := make([]context.CancelFunc, 3)
+	start := func(i, run int) {
+		ctx, cancel := context.WithCancel(t.Context())
+		stops[i] = cancel
+		done.Go(func() { _ = newManager(t, p, f, fmt.Sprint("h", i), run).Run(ctx) })
+	}
+	for i := range stops {
+		start(i, 1)
+	}
+	for n, trouble := range troubles {
+		time.Sleep(time.Duration(500+700*n) * time.Millisecond)
+		i := trouble % len(stops)
+		if trouble < len(stops) { // a restart at once
+			stops[i]()
+			start(i, n+2)
+			continue
+		}
+		mu.Lock()
+		cut[fmt.Sprint("h", i)] = !cut[fmt.Sprint("h", i)]
+		mu.Unlock()
+	}
+	time.Sleep(30 * time.Second)
+	for _, stop := range stops {
+		stop()
+	}
+	done.Wait()
+	time.Sleep(15 * time.Second) // orders that come late
+	return f.problems
+}
--- /dev/null
+++ b/transport/runners/pool_test.go
@@ -0,0 +1,280 @@
+package runners
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/thymerack/thymerack/coordination/forward"
+	"github.com/thymerack/thymerack/state"
+)
+
+const idHeader = "X-Id"
+
+type testCodec struct{}
+
+func (testCodec) EncodeAttempt(a *forward.Attempt, req *fasthttp.Request) {
+	req.Header.SetMethod("POST")
+	req.Header.SetRequestURI(a.Request.URI)
+	req.Header.SetHost("runner")
+	req.Header.Set(idHeader, a.Request.ID)
+	req.SetBodyRaw(a.Request.Body)
+}
+
+func (testCodec) EncodeDiscard(handle string, req *fasthttp.Request) {
+	req.Header.SetMethod("DELETE")
+	req.Header.SetRequestURI("/" + handle)
+}
+
+func (testCodec) DecodeHead(resp *fasthttp.Response) *forward.Head {
+	return &forward.Head{Status: resp.StatusCode(), Sealed: true}
+}
+
+func (testCodec) OfRequest(resp *fasthttp.Response, id string) bool {
+	return string(resp.Header.Peek(idHeader)) == id
+}
+
+func (testCodec) IdleTimeout(resp *fasthttp.Response) time.Duration {
+	if len(resp.Header.Peek("Keep-Alive")) > 0 {
+		return 100 * time.Millisecond
+	}
+	return 0
+}
+
+func (testCodec) PrefillHandle(body []byte) (string, error) { return string(body), nil }
+
+// runner answers each connection by a function and counts connections.
+type runner struct {
+	addr  string
+	conns atomic.Int64
+}
+
+func newRunner(t *testing.T, serve func(c net.Conn, br *bufio.Reader)) *runner {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &runner{addr: ln.Addr().String()}
+	var running sync.WaitGroup
+	running.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			r.conns.Add(1)
+			running.Go(func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = ln.Close()
+		running.Wait()
+	})
+	return r
+}
+
+func newPool(t *testing.T, limit int) *Pool {
+	t.Helper()
+	p, err := New(Options{Codec: testCodec{}, ConnLimit: func(string) int { return limit }, MaxHeaderBytes: 4096})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Retain(func(string) bool { return false }) })
+	return p
+}
+
+func attemptAt(r *runner, id string, body int) *forward.Attempt {
+	return &forward.Attempt{
+		Request:  &forward.Request{ID: id, URI: "/x", Body: make([]byte, body)},
+		Instance: &state.Instance{ID: "i-1", Service: "s", Addr: r.addr}, Left: 2 * time.Second,
+	}
+}
+
+func responseText(id, body, extra string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", idHeader, id, extra, len(body), body)
+}
+
+// send makes one attempt and reads its body.
+func send(t *testing.T, p *Pool, a *forward.Attempt) (string, error) {
+	t.Helper()
+	resp, err := p.Send(t.Context(), a)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(struct{ io.Reader }{resp})
+	if err != nil {
+		resp.Cut()
+		return "", err
+	}
+	resp.Finish()
+	return string(body), nil
+}
+
+// requestOf reads a request and returns its id, or "" at the end.
+func requestOf(br *bufio.Reader) string {
+	var req fasthttp.Request
+	if req.Read(br) != nil {
+		return ""
+	}
+	return string(req.Header.Peek(idHeader))
+}
+
+func TestAnswerToAnotherRequestIsDropped(t *testing.T) {
+	is := is.New(t)
+	r := newRunner(t, func(c net.Conn, br *bufio.Reader) {
+		for {
+			id := requestOf(br)
+			if id == "" {
+				return
+			}
+			// A second answer to the request before comes where this one's is due.
+			_, _ = io.WriteString(c, responseText("before", "foreign", "")+responseText(id, "own of "+id, ""))
+		}
+	})
+	p := newPool(t, 4)
+	body, err := send(t, p, attemptAt(r, "a", 0))
+	is.NoErr(err)
+	is.Equal(body, "own of a")
+}
+
+func TestConnectionWithBytesBehindAnAnswerIsNotUsedAgain(t *testing.T) {
+	is := is.New(t)
+	r := newRunner(t, func(c net.Conn, br *bufio.Reader) {
+		for id := requestOf(br); id != ""; id = requestOf(br) {
+			_, _ = io.WriteString(c, responseText(id, "x", "")+responseText(id, "once more", ""))
+		}
+	})
+	p := newPool(t, 4)
+	for _, id := range []string{"a", "b", "c"} {
+		body, err := send(t, p, attemptAt(r, id, 0))
+		is.NoErr(err)
+		is.Equal(body, "x")
+	}
+	is.Equal(r.conns.Load(), int64(3))
+}
+
+func TestEarlyAnswerToALongBodyIsDeliveredAndItsConnectionDropped(t *testing.T) {
+	is := is.New(t)
+	r := newRunner(t, func(c net.Conn, br *bufio.Reader) {
+		head, err := br.ReadString('\n')
+		for err == nil && head != "\r\n" {
+			head, err = br.ReadString('\n')
+		}
+		_, _ = io.WriteString(c, responseText("a", "early", ""))
+		time.Sleep(50 * time.Millisecond) // the body stays unread meanwhile
+	})
+	p := newPool(t, 4)
+	body, err := send(t, p, attemptAt(r, "a", 8<<20))
+	is.NoErr(err)
+	is.Equal(body, "early")
+	_, err = send(t, p, attemptAt(r, "b", 0))
+	var failed *forward.SendError
+	is.True(err == nil || errors.As(err, &failed))
+	is.Equal(r.conns.Load(), int64(2)) // no request follows on a half-read body
+}
+
+func TestCutAnswerIsNoAnswer(t *testing.T) {
+	for name, text := range map[string]string{
+		"in the body":    "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 10\r\n\r\nabc",
+		"in a chunk":     "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
+		"without a mark": "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"in the head":    "HTTP/1.1 200 OK\r\nX-Id",
+		"no HTTP":        "\x00\x01\x02 nothing of the kind\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRunner(t, func(c net.Conn, br *bufio.Reader) {
+				requestOf(br)
+				_, _ = io.WriteString(c, text)
+			})
+			_, err := send(t, newPool(t, 4), attemptAt(r, "a", 0))
+			is.True(err != nil)
+		})
+	}
+}
+
+func TestBodyThatEndsWithItsConnectionIsWholeOnlyIfClosedInOrder(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		is := is.New(t)
+		r := newRunner(t, func(c net.Conn, br *bufio.Reader) {
+			requestOf(br)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nuntil the end")
+			if reset {
+				time.Sleep(20 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		body, err := send(t, newPool(t, 4), attemptAt(r, "a", 0))
+		is.Equal(err != nil, reset)
+		if !reset {
+			is.Equal(body, "until the end")
+		}
+	}
+}
+
+func TestUnusedConnectionIsRetiredBeforeTheRunnersLimit(t *testing.T) {
+	is := is.New(t)
+	r := newRunner(t, func(c net.Conn, br *bufio.Reader) {
+		for id := requestOf(br); id != ""; id = requestOf(br) {
+			_, _ = io.WriteString(c, responseText(id, "x", "Keep-Alive: timeout=1\r\n"))
+		}
+	})
+	p := newPool(t, 4)
+	for _, id := range []string{"a", "b"} {
+		_, err := send(t, p, attemptAt(r, id, 0))
+		is.NoErr(err)
+	}
+	is.Equal(r.conns.Load(), int64(1)) // used again at once
+	time.Sleep(60 * time.Millisecond)  // over half of the limit
+	_, err := send(t, p, attemptAt(r, "c", 0))
+	is.NoErr(err)
+	is.Equal(r.conns.Load(), int64(2))
+}
+
+func TestHostKeepsToItsShareOfConnections(t *testing.T) {
+	is := is.New(t)
+	r := newRunner(t, func(c net.Conn, br *bufio.Reader) { requestOf(br); _, _ = br.ReadByte() })
+	p := newPool(t, 2)
+	ctx, cancel := context.WithCancel(t.Context())
+	var waiting sync.WaitGroup
+	for _, id := range []string{"a", "b"} {
+		waiting.Go(func() { _, _ = p.Send(ctx, attemptAt(r, id, 0)) })
+	}
+	for r.conns.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := p.Send(ctx, attemptAt(r, "c", 0))
+	var failed *forward.SendError
+	is.True(errors.As(err, &failed))
+	is.True(failed.Busy && !failed.Sent)
+	cancel()
+	waiting.Wait()
+}
+
+func TestUnreachableRunnerIsSaidToHaveGotNothing(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	r := &runner{addr: ln.Addr().String()}
+	is.NoErr(ln.Close())
+	_, err = send(t, newPool(t, 4), attemptAt(r, "a", 0))
+	var failed *forward.SendError
+	is.True(errors.As(err, &failed))
+	is.True(!failed.Sent)
+	is.True(strings.Contains(err.Error(), "another runner"))
+}
