Take no older events into a newer copy; deliver a runner's failure when nothing better came

Cause: read in review. (1) A watch that began before a peer's newer copy was adopted brought back entries that the copy lacked (test: [gone=11 kept=15] in place of [kept=15]). (2) A repeatable call whose first runner answered 500 and whose second was lost got 502 in place of the answer that was there. (4) The configuration's limit on bodies was decoded and not used.

Change: events up to the copy's revision are skipped, deletions spare what was created again; the first failure is kept as the answer; caches that were not taken are freed; the limit is used.

Measured: the tests, each failing before its change but (4).

--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -274,3 +274,25 @@
 		is.Equal(published, []string{"a", "b"})
 	})
 }
+
+func TestOldEventsDoNotBringBackWhatANewerCopyLacks(t *testing.T) {
+	is := is.New(t)
+	f := newFollower(t, storetest.NewPlatform(0), 0)
+	object := func(name string, v uint64) store.Object {
+		return store.Object{Name: name, Version: v, Value: []byte(fmt.Sprint(v))}
+	}
+	is.True(f.Adopt(Copy{Revision: 20, Objects: []store.Object{object("kept", 15)}}, "peer"))
+	// A watch that began before the copy was adopted ends now.
+	f.apply(store.Batch{Revision: 12, Events: []store.Event{
+		{Object: object("gone", 11)}, {Object: object("kept", 10), Deleted: true},
+	}})
+	is.Equal(values(f.Export()), []string{"kept=15"})
+	is.Equal(f.Revision(), uint64(20))
+	// One that goes beyond the copy tells what the copy has, too.
+	f.apply(store.Batch{Revision: 22, Events: []store.Event{
+		{Object: object("gone", 11)}, {Object: object("kept", 10), Deleted: true}, {Object: object("new", 21)},
+	}})
+	is.Equal(values(f.Export()), []string{"kept=15", "new=21"})
+	f.apply(store.Batch{Revision: 24, Events: []store.Event{{Object: object("kept", 15), Deleted: true}}})
+	is.Equal(values(f.Export()), []string{"new=21"})
+}
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -185,28 +185,42 @@
 	return true
 }
 
-// apply takes the events of a watch; those that the copy has already are skipped.
+// apply takes the events of a watch. Those that the copy has already are skipped:
+// a peer's copy may have come while the watch was waiting.
 func (m *Mirror) apply(b store.Batch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if b.Revision <= m.revision {
+		return
+	}
 	changed := false
 	for _, e := range b.Events {
-		known, have := m.objects[e.Object.Name]
-		switch {
-		case e.Deleted && have && known.Version <= max(e.Object.Version, b.Revision):
-			delete(m.objects, e.Object.Name)
-			changed = true
-		case !e.Deleted && (!have || known.Version < e.Object.Version):
-			m.objects[e.Object.Name] = e.Object
-			changed = true
-		}
+		changed = m.applyEvent(e) || changed
 	}
-	m.revision = max(m.revision, b.Revision)
+	m.revision = b.Revision
 	if changed {
 		m.o.Changed(m.copyLocked())
 	}
 }
 
+// applyEvent takes one event and reports whether it changed the copy. A deletion
+// carries the object's last version, so that it spares one created again since.
+func (m *Mirror) applyEvent(e store.Event) bool {
+	known, have := m.objects[e.Object.Name]
+	if e.Deleted {
+		if !have || known.Version > e.Object.Version {
+			return false
+		}
+		delete(m.objects, e.Object.Name)
+		return true
+	}
+	if e.Object.Version <= m.revision {
+		return false
+	}
+	m.objects[e.Object.Name] = e.Object
+	return true
+}
+
 func (m *Mirror) answered() {
 	if !m.lost.Swap(false) {
 		return
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -83,6 +83,10 @@
 	d.o.Budget.Seen(r.Service)
 	rec := &record{}
 	answer, err := d.serve(ctx, r, rec)
+	if err != nil && rec.failed != nil {
+		answer, err = rec.failed, nil
+	}
+	d.discard(rec)
 	if answer != nil && answer.Stream != nil {
 		return answer, nil // logged at its end
 	}
@@ -94,7 +98,15 @@
 	return answer, err
 }
 
-// Log notes a request that was answered without being dispatched.
+// discard frees a KV cache that no engine was asked to take.
+func (d *Dispatcher) discard(rec *record) {
+	if rec.cached == nil || rec.mayHaveRun {
+		return
+	}
+	go d.o.Upstream.Discard(rec.cached.instance, rec.cached.handle)
+}
+
+// log writes the one line of a request.
 func (d *Dispatcher) log(ctx context.Context, r *Request, rec *record, status int, err error) {
 	attrs := []slog.Attr{
 		slog.String("request_id", r.ID), slog.String("route", r.Route.Name), slog.String("service", r.Service),
@@ -129,13 +141,13 @@
 		if answer != nil && !d.repeatFailure(r, rec, answer) {
 			return answer, nil
 		}
+		if answer != nil {
+			rec.failed = answer
+		}
 		switch {
 		case end == outcomeUnsent && unsent < maxUnsent:
 			unsent++
 		case !d.mayRepeat(r, rec):
-			if answer != nil {
-				return answer, nil
-			}
 			if err := d.over(ctx, r, rec); err != nil {
 				return nil, err
 			}
@@ -232,7 +244,6 @@
 		drain(resp)
 		done()
 		runner.Refused()
-		rec.refused = true
 		rec.add(a.Instance, "run", outcomeNotRun, took, nil)
 		return nil, outcomeNotRun
 	}
--- a/coordination/forward/forward_test.go
+++ b/coordination/forward/forward_test.go
@@ -34,6 +34,8 @@
 	replies  []reply
 	attempts []Attempt
 	cuts     int
+	// discarded gets the handles that are freed.
+	discarded chan string
 }
 
 func (u *fakeUpstream) Send(ctx context.Context, a *Attempt) (Response, error) {
@@ -60,7 +62,7 @@
 	return string(body), nil
 }
 
-func (u *fakeUpstream) Discard(*state.Instance, string) {}
+func (u *fakeUpstream) Discard(_ *state.Instance, handle string) { u.discarded <- handle }
 
 type fakeResponse struct {
 	u    *fakeUpstream
@@ -115,7 +117,7 @@
 
 func newWorld(t *testing.T, budget int, replies ...reply) *world {
 	t.Helper()
-	up := &fakeUpstream{t: t, replies: replies}
+	up := &fakeUpstream{t: t, replies: replies, discarded: make(chan string, 4)}
 	fleet := placement.NewFleet(placement.Options{Clock: clocktest.Bubble{}, FailureDomain: "d1"})
 	var list []state.Instance
 	for _, id := range []string{"1", "2", "3", "4", "5"} {
@@ -208,12 +210,13 @@
 		sends   int
 		status  int
 	}{
-		"after a lost answer":             {plenty, []reply{{err: errSent}, ok}, 2, 200},
-		"after the runner's failure":      {plenty, []reply{{status: 500}, ok}, 2, 200},
-		"the second failure is given":     {plenty, []reply{{status: 500}, {status: 500}}, 2, 500},
-		"never more than its attempts":    {plenty, []reply{{err: errSent}, {err: errSent}}, 2, 0},
-		"not without budget":              {0, []reply{{err: errSent}}, 1, 0},
-		"failure is given without budget": {0, []reply{{status: 500}}, 1, 500},
+		"after a lost answer":              {plenty, []reply{{err: errSent}, ok}, 2, 200},
+		"after the runner's failure":       {plenty, []reply{{status: 500}, ok}, 2, 200},
+		"the second failure is given":      {plenty, []reply{{status: 500}, {status: 500}}, 2, 500},
+		"never more than its attempts":     {plenty, []reply{{err: errSent}, {err: errSent}}, 2, 0},
+		"the failure, after a lost answer": {plenty, []reply{{status: 500}, {err: errSent}}, 2, 500},
+		"not without budget":               {0, []reply{{err: errSent}}, 1, 0},
+		"failure is given without budget":  {0, []reply{{status: 500}}, 1, 500},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -391,3 +394,13 @@
 		is.True(!runner.Suspect(time.Now()))
 	}
 }
+
+func TestCacheThatNobodyTakesIsFreed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{status: 200, body: "h1"}, reply{status: 503, notRun: true}, reply{status: 503, notRun: true})
+	_, err := w.Forward(t.Context(), modelRequest(9000, true))
+	var refusal *Refusal
+	is.True(errors.As(err, &refusal))
+	is.True(refusal.NotRun)
+	is.Equal(<-w.up.discarded, "h1")
+}
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -39,9 +39,18 @@
 	sends int
 	// mayHaveRun is set once a runner may have begun.
 	mayHaveRun bool
-	// refused is set once a runner has refused.
-	refused bool
-	tried   []string
+	tried      []string
+	// failed is a runner's own failure that another runner was asked after; it is
+	// the answer if nobody has a better one.
+	failed *Answer
+	// cached is where the prompt's KV cache waits to be taken, or nil.
+	cached *cached
+}
+
+// cached is a KV cache at an engine that read the prompt.
+type cached struct {
+	instance *state.Instance
+	handle   string
 }
 
 func (r *record) add(i *state.Instance, part string, o outcome, took time.Duration, err error) {
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -121,6 +121,7 @@
 	}
 	runner.Answered(took)
 	rec.add(a.Instance, part, outcomePrefill, took, nil)
+	rec.cached = &cached{a.Instance, handle}
 	return &KVSource{Addr: a.Instance.Addr, Handle: handle}, false
 }
 
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -92,7 +92,10 @@
 	// for the runtime, stacks and socket buffers.
 	memoryShare = 0.6
 	// reservedFDs are kept for files, connections to runners, the store and peers.
-	reservedFDs    = 1200
-	maxHeaderBytes = 16 << 10
-	maxBodyBytes   = 4 << 20
+	reservedFDs = 1200
+	// maxHeaderBytes and maxBodyBytes bound what is read before the configuration's
+	// own limits are looked at: those that the platform's example names are 16 KiB
+	// and 4 MiB.
+	maxHeaderBytes = 20 << 10
+	maxBodyBytes   = 8 << 20
 )
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -255,6 +255,10 @@
 		s.reject(ctx, "no_request_id", fasthttp.StatusBadRequest, "the request has no id; send one of its own for each attempt")
 		return
 	}
+	if limit := table.Config.MaxBodyBytes; limit > 0 && len(r.Body) > limit {
+		s.reject(ctx, "body_too_large", fasthttp.StatusRequestEntityTooLarge, "the body is over the configured limit; send less")
+		return
+	}
 	r.Service = routing.Backend(route, r.ID)
 	r.Deadline = arrived.Add(shortest(left, route.Timeout))
 	if s.tooLate(r) {
