Keep one copy of the scripts' process functions and of the tests' clock

Cause: start, await and stop stood in three scripts, the bubble's clock in two packages. Change: scripts/processes.sh; membertest uses clocktest. Measured: make demo ends as before (nothing doubled, status 0), tests of member and rollout pass; the capacity scripts were not run.

--- a/coordination/member/membertest/fleet.go
+++ b/coordination/member/membertest/fleet.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/member"
 	"github.com/thymerack/thymerack/coordination/rollout"
 	"github.com/thymerack/thymerack/coordination/store/storetest"
@@ -194,7 +195,7 @@
 // checkHealth is the platform's own check of the hosts. While the platform is
 // down for everyone nobody is dropped.
 func (f *Fleet) checkHealth() {
-	for (Clock{}).Sleep(f.ctx, listInterval/2) == nil {
+	for (clocktest.Bubble{}).Sleep(f.ctx, listInterval/2) == nil {
 		f.mu.Lock()
 		for _, h := range f.byAddr {
 			if f.down[Everyone] || (!f.down[h.ID.Name] && !h.paused()) {
--- a/coordination/member/membertest/host.go
+++ b/coordination/member/membertest/host.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/member"
 	"github.com/thymerack/thymerack/coordination/rollout"
 	"github.com/thymerack/thymerack/coordination/snapshot"
@@ -13,24 +14,6 @@
 	"github.com/thymerack/thymerack/state"
 )
 
-// Clock is the virtual clock of a synctest bubble.
-type Clock struct{}
-
-// Now implements state.Clock.
-func (Clock) Now() time.Time { return time.Now() }
-
-// Sleep implements state.Clock.
-func (Clock) Sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Host is one run of one host.
 type Host struct {
 	*member.Manager
@@ -232,7 +215,7 @@
 func (c clock) Now() time.Time { return time.Now() }
 
 func (c clock) Sleep(ctx context.Context, d time.Duration) error {
-	err := Clock{}.Sleep(ctx, d)
+	err := clocktest.Bubble{}.Sleep(ctx, d)
 	c.h.Wait()
 	return err
 }
--- a/coordination/member/membertest/wire.go
+++ b/coordination/member/membertest/wire.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/member"
 	"github.com/thymerack/thymerack/coordination/rollout"
 	"github.com/thymerack/thymerack/coordination/store"
@@ -19,7 +20,7 @@
 func (w *wire) send(ctx context.Context, address string) (*Host, error) {
 	w.h.Wait()
 	delay, lost := w.h.fleet.fate()
-	if err := (Clock{}).Sleep(ctx, delay); err != nil {
+	if err := (clocktest.Bubble{}).Sleep(ctx, delay); err != nil {
 		return nil, err
 	}
 	to := w.h.fleet.reach(w.h, address)
@@ -32,7 +33,7 @@
 // back carries an answer.
 func (w *wire) back(ctx context.Context, from *Host) error {
 	delay, lost := w.h.fleet.fate()
-	if err := (Clock{}).Sleep(ctx, delay); err != nil {
+	if err := (clocktest.Bubble{}).Sleep(ctx, delay); err != nil {
 		return err
 	}
 	cut := !w.h.fleet.connected(from, w.h)
--- a/coordination/member/plan_test.go
+++ b/coordination/member/plan_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/member"
 	"github.com/thymerack/thymerack/coordination/member/membertest"
 	"github.com/thymerack/thymerack/coordination/store"
@@ -31,7 +32,7 @@
 	defer r.truth.settle(engine)
 	_, issued, ok := r.move(h, engine, state.OrderIssued, func(now state.Order) bool { return now.Fence == o.Fence })
 	if ok && issued > version {
-		_ = membertest.Clock{}.Sleep(h.Context, changeTime)
+		_ = clocktest.Bubble{}.Sleep(h.Context, changeTime)
 		r.truth.settle(engine)
 		r.move(h, engine, state.OrderSettled, nil)
 	}
@@ -67,7 +68,7 @@
 		if missing == 0 {
 			return true
 		}
-		if (membertest.Clock{}).Sleep(h.Context, 250*time.Millisecond) != nil {
+		if (clocktest.Bubble{}).Sleep(h.Context, 250*time.Millisecond) != nil {
 			return false
 		}
 		h.Wait()
--- a/coordination/member/sim_test.go
+++ b/coordination/member/sim_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/member"
 	"github.com/thymerack/thymerack/coordination/member/membertest"
 	"github.com/thymerack/thymerack/coordination/snapshot"
@@ -134,7 +135,7 @@
 	h := r.Start(membertest.Name(i), fmt.Sprintf("%04d", r.runs))
 	r.routines.Go(func() {
 		random := rand.New(rand.NewPCG(uint64(i), uint64(len(h.ID.Incarnation))))
-		for (membertest.Clock{}).Sleep(h.Context, time.Duration(random.Int64N(int64(600*time.Millisecond)))) == nil {
+		for (clocktest.Bubble{}).Sleep(h.Context, time.Duration(random.Int64N(int64(600*time.Millisecond)))) == nil {
 			engine := r.names[random.IntN(len(r.names))]
 			length := longest
 			if random.IntN(longOneIn) > 0 {
@@ -167,7 +168,7 @@
 		return
 	}
 	r.truth.begin(engine, h)
-	_ = membertest.Clock{}.Sleep(h.Context, min(length, time.Until(deadline)))
+	_ = clocktest.Bubble{}.Sleep(h.Context, min(length, time.Until(deadline)))
 	r.truth.end(engine)
 	h.Wait()
 }
@@ -235,7 +236,7 @@
 
 func (r *run) later(after time.Duration, undo func()) {
 	r.routines.Go(func() {
-		if (membertest.Clock{}).Sleep(r.ctx, after) == nil {
+		if (clocktest.Bubble{}).Sleep(r.ctx, after) == nil {
 			undo()
 		}
 	})
@@ -276,7 +277,7 @@
 // keepPlanning lets random hosts change engines.
 func (r *run) keepPlanning() {
 	random := rand.New(rand.NewPCG(9, 9))
-	for (membertest.Clock{}).Sleep(r.ctx, 5*time.Second+time.Duration(random.Int64N(int64(10*time.Second)))) == nil {
+	for (clocktest.Bubble{}).Sleep(r.ctx, 5*time.Second+time.Duration(random.Int64N(int64(10*time.Second)))) == nil {
 		r.planAt(random.IntN(fuzzHosts))
 	}
 }
@@ -298,7 +299,7 @@
 	ctx, cancel := context.WithTimeout(h.Context, 30*time.Second)
 	defer cancel()
 	for h.Leave(ctx) != nil && ctx.Err() == nil {
-		_ = membertest.Clock{}.Sleep(ctx, time.Second)
+		_ = clocktest.Bubble{}.Sleep(ctx, time.Second)
 	}
 	h.Kill()
 }
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/fuzztest"
-	"github.com/thymerack/thymerack/coordination/member/membertest"
 	"github.com/thymerack/thymerack/coordination/rollout"
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/coordination/store/storetest"
@@ -29,7 +29,7 @@
 func newManager(t *testing.T, s store.Store, name string) *rollout.Manager {
 	t.Helper()
 	m, err := rollout.New(rollout.Options{
-		Self: state.HostID{Name: name, Incarnation: "1"}, Store: s, Peers: lone{}, Clock: membertest.Clock{},
+		Self: state.HostID{Name: name, Incarnation: "1"}, Store: s, Peers: lone{}, Clock: clocktest.Bubble{},
 		Check: func(c *state.Config) error {
 			if len(c.Policies) > 0 {
 				return &state.ConfigError{Where: "policies[0]", Problem: "doesn't compile", Remedy: "correct it"}
@@ -138,7 +138,7 @@
 		p := storetest.NewPlatform(time.Second)
 		p.SetScript(func(storetest.Call) storetest.Fault { return storetest.Refuse })
 		m, err := rollout.New(rollout.Options{
-			Self: state.HostID{Name: "a", Incarnation: "1"}, Store: p.Client("a"), Clock: membertest.Clock{},
+			Self: state.HostID{Name: "a", Incarnation: "1"}, Store: p.Client("a"), Clock: clocktest.Bubble{},
 			Peers: &forgetful{value: rollout.Versioned{Version: 7, Value: config(1)}, lose: 2},
 			Apply: func(*state.Config) bool { return true },
 		})
--- a/coordination/rollout/sim_test.go
+++ b/coordination/rollout/sim_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/member/membertest"
 	"github.com/thymerack/thymerack/coordination/rollout"
 	"github.com/thymerack/thymerack/coordination/store"
@@ -213,7 +214,7 @@
 
 func (r *run) later(after time.Duration, undo func()) {
 	r.routines.Go(func() {
-		if (membertest.Clock{}).Sleep(r.ctx, after) == nil {
+		if (clocktest.Bubble{}).Sleep(r.ctx, after) == nil {
 			undo()
 		}
 	})
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -28,29 +28,15 @@
 
 # shellcheck disable=SC2317
 stop() {
-	for pid in "${PIDS[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-	wait 2>/dev/null || true
+	end_all
 	[ -z "$KEEP" ] || cp -r "$OUT" "$KEEP"
 	rm -rf "$OUT"
 }
 trap stop EXIT
 
-start() { # start LOGNAME COMMAND...
-	local name=$1
-	shift
-	"$@" >"$OUT/$name.log" 2>&1 &
-	PIDS+=($!)
-}
-
-await() { # await URL
-	for _ in $(seq 1 100); do
-		curl -fsS -o /dev/null "$1" 2>/dev/null && return 0
-		sleep 0.1
-	done
-	echo "bench: $1 did not become ready; logs:" >&2
-	tail -n 5 "$OUT"/*.log >&2
-	return 1
-}
+WHO=bench
+# shellcheck source=scripts/processes.sh
+. scripts/processes.sh
 
 PLATFORM=127.0.0.1:$BASE SERVICE=127.0.0.1:$((BASE + 1)) HOST=127.0.0.1:$((BASE + 2)) PEERS=127.0.0.1:$((BASE + 3)) PPROF=127.0.0.1:$((BASE + 4))
 RELAY=127.0.0.1:$((BASE + 5)) HOST2=127.0.0.1:$((BASE + 6)) PEERS2=127.0.0.1:$((BASE + 7)) PPROF2=127.0.0.1:$((BASE + 8))
--- a/scripts/capacity/lib.sh
+++ b/scripts/capacity/lib.sh
@@ -2,27 +2,13 @@
 
 # shellcheck disable=SC2317
 stop() {
-	for pid in "${PIDS[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-	wait 2>/dev/null || true
+	end_all
 	[ -n "${KEEP_OUT:-}" ] || rm -rf "$OUT"
 }
 
-start() { # start LOGNAME COMMAND...
-	local name=$1
-	shift
-	"$@" >"$OUT/$name.log" 2>&1 &
-	PIDS+=($!)
-}
-
-await() { # await URL
-	for _ in $(seq 1 300); do
-		curl -fsS -o /dev/null "$1" 2>/dev/null && return 0
-		sleep 0.2
-	done
-	echo "capacity: $1 did not become ready; logs:" >&2
-	tail -n 3 "$OUT"/*.log >&2
-	return 1
-}
+WHO=capacity
+# shellcheck source=scripts/processes.sh
+. scripts/processes.sh
 
 start_host() { # start_host NAME PLACE CALLERS PEERS [SETTING...]
 	local name=$1 domain=$2 callers=$3 peers=$4 sets=()
@@ -43,14 +29,14 @@
 	start platform bin/standin platform --listen "127.0.0.1:$BASE" --hosts "$OUT/hosts.json" --config "$OUT/config.json" \
 		--host-lag 1s --writes "${WRITES:-500}" --reads "${READS:-2000}"
 	PLATFORM_PID=${PIDS[-1]}
-	await "http://127.0.0.1:$BASE/stats"
+	await "http://127.0.0.1:$BASE/stats" 300 0.2
 	start_runners $(($1 / 16 + 1))
 	local name domain callers peers
 	while read -r name domain callers peers; do
 		start_host "$name" "$domain" "$callers" "$peers"
 	done < <(jq -r '.hosts[] | [.name, .failure_domain, .caller_addr, .peer_addr] | join(" ")' "$OUT/plan.json")
 	jq -r '.hosts[].caller_addr' "$OUT/plan.json" >"$OUT/addrs"
-	while read -r addr; do await "http://$addr/readyz"; done <"$OUT/addrs"
+	while read -r addr; do await "http://$addr/readyz" 300 0.2; done <"$OUT/addrs"
 }
 
 # start_runners serves the runners from a few processes: each connection of each
@@ -62,7 +48,7 @@
 		start "runners-$part" bin/standin engines --list "$OUT/hosts.json" --part "$part" --parts "$1"
 		RUNNER_ADDRS+=("$(jq -r "[.[] | select(.kind != \"host\")][$part].addr" "$OUT/hosts.json")")
 	done
-	for addr in "${RUNNER_ADDRS[@]}"; do await "http://$addr/stats"; done
+	for addr in "${RUNNER_ADDRS[@]}"; do await "http://$addr/stats" 300 0.2; done
 }
 
 # runner_stats sums what the hosts spent on all runners.
--- a/scripts/capacity/request.sh
+++ b/scripts/capacity/request.sh
@@ -41,7 +41,7 @@
 bin/standin fleet --deployment rostering --base-port "$BASE" --out "$OUT" --hosts "$HOSTS"
 jq "[.[] | select(.kind != \"host\" or (.name | ltrimstr(\"host-\") | tonumber) <= $HOSTS)]" "$OUT/hosts.json" >"$OUT/listed.json"
 start platform bin/standin platform --listen "127.0.0.1:$BASE" --hosts "$OUT/listed.json" --config "$OUT/config.json" --writes 5000 --reads 20000
-await "http://127.0.0.1:$BASE/stats"
+await "http://127.0.0.1:$BASE/stats" 300 0.2
 SERVICES=()
 while read -r name addr args; do
 	case $args in
@@ -55,7 +55,7 @@
 	start_host "$name" "$domain" "$callers" "$peers" streams.keep_ended_ms=5000
 done < <(jq -r '.hosts[] | [.name, .failure_domain, .caller_addr, .peer_addr] | join(" ")' "$OUT/plan.json")
 jq -r '.hosts[].caller_addr' "$OUT/plan.json" >"$OUT/addrs"
-while read -r addr; do await "http://$addr/readyz"; done <"$OUT/addrs"
+while read -r addr; do await "http://$addr/readyz" 300 0.2; done <"$OUT/addrs"
 
 printf 'hosts\tkind\trate\tload1\tcpu_ms/s\tRSS_MB\tanswers/s\ttokens/s\tplat_calls/s\tplat_B/s\tpeer_B/s\tcpu_us/answer\tplat_calls/answer\tplat_B/answer\n'
 IDLE=
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -15,28 +15,14 @@
 
 # shellcheck disable=SC2317
 stop() {
-	for pid in "${PIDS[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-	wait 2>/dev/null || true
+	end_all
 	rm -rf "$OUT"
 }
 trap stop EXIT
 
-start() { # start LOGNAME COMMAND...
-	local name=$1
-	shift
-	"$@" >"$OUT/$name.log" 2>&1 &
-	PIDS+=($!)
-}
-
-await() { # await URL
-	for _ in $(seq 1 100); do
-		curl -fsS -o /dev/null "$1" 2>/dev/null && return 0
-		sleep 0.1
-	done
-	echo "demo: $1 did not become ready; logs:" >&2
-	tail -n 5 "$OUT"/*.log >&2
-	return 1
-}
+WHO=demo
+# shellcheck source=scripts/processes.sh
+. scripts/processes.sh
 
 bin/standin fleet --deployment "$DEPLOYMENT" --base-port "$BASE" --out "$OUT" >/dev/null
 # Only the three hosts of the demo are listed.
