Hold missing entries no longer than the time after an outage; notice a quiet store's return

The return itself was noticed 3 s late, since a watch answers with the next change only.

Ruled out: a sending between choice and list (the host held the entry, as its log says).

Change: entries are held until 2.1 s after the store's return and for 1.8 s at most; a store that did not answer is asked without waiting first. Both with tests that failed before.

--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -296,3 +296,51 @@
 	f.apply(store.Batch{Revision: 24, Events: []store.Event{{Object: object("kept", 15), Deleted: true}}})
 	is.Equal(values(f.Export()), []string{"new=21"})
 }
+
+func TestInstanceIsHeldNoLongerThanTheTimeAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		outage, published := true, []string{}
+		l := newInstances(&outage, &published)
+		l.Changed(entries("a", "b"))
+		l.Changed(entries("a")) // late in that time
+		is.Equal(published, []string{"a", "b"})
+		time.Sleep(100 * time.Millisecond)
+		outage = false
+		l.sweep()
+		is.Equal(published, []string{"a"}) // it left in earnest
+	})
+}
+
+// polling is a test store with a watch that doesn't wait.
+type polling struct {
+	*storetest.Client
+	p *storetest.Platform
+}
+
+func (s polling) Poll(ctx context.Context, kind string, after uint64) (store.Batch, error) {
+	if _, _, err := s.List(ctx, kind); err != nil {
+		return store.Batch{}, err
+	}
+	return store.Batch{Revision: after}, nil
+}
+
+func TestReturnOfAStoreWithoutChangesIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := storetest.NewPlatform(20 * time.Second)
+		put(t, p, "a", "1", store.Absent)
+		m, err := New(Options{
+			Store: polling{p.Client("h"), p}, Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", Changed: func(Copy) {},
+		})
+		is.NoErr(err)
+		defer run(t, m)()
+		time.Sleep(time.Second)
+		p.SetScript(func(storetest.Call) storetest.Fault { return storetest.Refuse })
+		time.Sleep(25 * time.Second) // the waiting watch ends and the next ones fail
+		is.True(m.Lost())
+		p.SetScript(nil)
+		time.Sleep(3 * time.Second)
+		is.True(!m.Lost()) // though nothing has changed
+	})
+}
--- a/coordination/follow/instances.go
+++ b/coordination/follow/instances.go
@@ -18,16 +18,16 @@
 	Decode func(id string, value []byte) (state.Instance, error)
 	// Publish gets each new list.
 	Publish func([]state.Instance)
-	// Outage reports that the store was away within the last OutageWindow, when
-	// entries of living instances may be missing.
+	// Outage reports that the store is away or has come back lately, so that entries
+	// of living instances may be missing.
 	Outage func() bool
-	// HoldFor is how long an entry that went missing after an outage still counts.
+	// HoldFor bounds how long a missing entry still counts meanwhile.
 	HoldFor time.Duration
 }
 
-// Instances turns copies of the list into instances. An entry that is missing
-// right after an outage of the store counts for HoldFor more, because living
-// instances need a moment to register again.
+// Instances turns copies of the list into instances. An entry that goes missing
+// around an outage of the store counts until the outage is over and for HoldFor at
+// most, because living instances need a moment to register again.
 type Instances struct {
 	o InstancesOptions
 
@@ -105,9 +105,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.o.Clock.Now()
+	outage := l.o.Outage()
 	dropped := false
 	for id, e := range l.entries {
-		if e.missing.IsZero() || now.Sub(e.missing) < l.o.HoldFor {
+		if e.missing.IsZero() || (outage && now.Sub(e.missing) < l.o.HoldFor) {
 			continue
 		}
 		delete(l.entries, id)
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -21,11 +21,18 @@
 	// not answer: each call is priced, and the bound for a new configuration
 	// (2 s and more) counts from when the store has been back for some seconds.
 	retryFirst = 200 * time.Millisecond
-	retryMost  = 1500 * time.Millisecond
+	retryMost  = time.Second
 )
 
+// Poller is a store whose changes can be asked for without waiting.
+type Poller interface {
+	// Poll returns the changes after a revision at once, as store.Store's Watch.
+	Poll(ctx context.Context, kind string, after uint64) (store.Batch, error)
+}
+
 // Options configure a Mirror. All fields are required.
 type Options struct {
+	// Store may be a Poller; then its return is noticed though nothing changes.
 	Store store.Store
 	Clock state.Clock
 	Log   *slog.Logger
@@ -153,7 +160,7 @@
 
 // watch waits for changes. listed is false when the copy has to be read anew.
 func (m *Mirror) watch(ctx context.Context) (listed bool, err error) {
-	batch, err := m.o.Store.Watch(ctx, m.o.Kind, m.Revision())
+	batch, err := m.next(ctx)
 	if err != nil {
 		return true, err
 	}
@@ -169,6 +176,15 @@
 	return true, nil
 }
 
+// next returns the next changes. A store that didn't answer is asked without
+// waiting first: a watch would tell its return only with the next change.
+func (m *Mirror) next(ctx context.Context) (store.Batch, error) {
+	if p, ok := m.o.Store.(Poller); ok && m.Lost() {
+		return p.Poll(ctx, m.o.Kind, m.Revision())
+	}
+	return m.o.Store.Watch(ctx, m.o.Kind, m.Revision())
+}
+
 // replace puts a whole newer copy in place.
 func (m *Mirror) replace(objects []store.Object, revision uint64) bool {
 	m.mu.Lock()
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -57,8 +57,10 @@
 	gatherConfig    = 800 * time.Millisecond
 	gatherInstances = time.Second
 	// outageWindow is how long after the store's return entries of living runners
-	// may be missing: about two seconds, and holdFor bounds the trust in one.
-	outageWindow = 2500 * time.Millisecond
+	// may be missing: "about two seconds", by the platform's pages. holdFor bounds
+	// the trust in one while the store is still away: a leaving runner may be sent
+	// to for 2 s, and a peer's word of it may be a moment old.
+	outageWindow = 2100 * time.Millisecond
 	holdFor      = 1800 * time.Millisecond
 	// leaseTTL is how long a holder of the engines' lease may be silent; seedLook
 	// and otherLook are how often the hosts named as seeds and all others look,
