--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -42,6 +42,9 @@
 // ErrStreamCut says that a stream ended before its last event.
 var ErrStreamCut = errors.New("the stream was cut and can't be resumed; ask again")
 
+// ErrCallerLeft says that a stream's caller closed its connection.
+var ErrCallerLeft = errors.New("the caller left before the stream's end; nothing is to be done")
+
 // streamBuffer is how much of a stream is read at once; events of the platform's
 // runners have some hundred bytes.
 const streamBuffer = 4 << 10
@@ -80,11 +83,19 @@
 			return s.rest()
 		}
 		if err := s.fill(); err != nil && !s.resume(err) {
-			return nil, ErrStreamCut
+			return nil, s.ended()
 		}
 	}
 }
 
+// ended is why a stream ends before its last event.
+func (s *Stream) ended() error {
+	if errors.Is(s.ctx.Err(), context.Canceled) {
+		return ErrCallerLeft
+	}
+	return ErrStreamCut
+}
+
 // rest returns what stands behind the last whole event at the end.
 func (s *Stream) rest() ([]byte, error) {
 	if len(s.buf) == 0 {
