Keep one count of callers' connections; split the gateway

Cause: front and gateway counted active connections by the same code, and gateway.go held leaving and bodies as well. Change: callerconn.Activity serves both; gateway/leave.go, gateway/body.go; make soak.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test lint race replay fuzz faults measure capacity timings demo bench clean
+.PHONY: all build test lint race replay fuzz faults soak measure capacity timings demo bench clean
 
 all: build
 
@@ -42,6 +42,13 @@
 faults: build
 	scripts/faults.sh
 
+# Real hosts of the users' platform under seeded faults (docs/SOAK.md):
+# make soak SEED=500 SEEDS=50
+SEEDS ?= 6
+soak:
+	$(GO) test ./soak -run 'TestSoak$$' -count 1 -timeout 60m -parallel 6 \
+		-soak.seed=$${SEED:-$$(date +%s)} -soak.seeds=$(SEEDS) -soak.keep=out/soak
+
 # The tables of docs/MEASUREMENTS.md, of docs/CAPACITY.md and of docs/BENCHMARKS.md.
 measure:
 	$(GO) test ./coordination/replay -run TestMeasure -measure -v -timeout 30m
--- a/transport/callerconn/conn.go
+++ b/transport/callerconn/conn.go
@@ -36,10 +36,6 @@
 	active atomic.Bool
 }
 
-// SetActive notes whether a request is read or a response written, and reports
-// whether that is a change.
-func (c *Conn) SetActive(active bool) bool { return c.active.Swap(active) != active }
-
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	written := 0
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -12,7 +12,6 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/google/uuid"
-	"github.com/valyala/fasthttp"
 
 	"github.com/thymerack/thymerack/coordination/answer"
 	"github.com/thymerack/thymerack/coordination/dispatch"
@@ -120,9 +119,7 @@
 	inFlight atomic.Int64
 	requests atomic.Uint64
 	watch    *callerconn.Watch
-	// active counts the connections that a request is read from or a response
-	// written to. A response is written after its request has left inFlight.
-	active atomic.Int64
+	conns    callerconn.Activity
 }
 
 // The phases of a server's life.
@@ -156,7 +153,7 @@
 		DisableHeaderNormalizing: false,
 	})
 	server := s.app.Server()
-	server.ConnState = s.connState
+	server.ConnState = s.conns.Note
 	server.Handler = s.knownMethods(server.Handler)
 	s.routes()
 	return s, nil
@@ -230,7 +227,7 @@
 // looks at the phase and Drain sets the phase before it looks at the counts, so
 // one of the two always sees the other.
 func (s *Server) idle() bool {
-	return s.inFlight.Load() == 0 && s.o.Answers.Len() == 0 && s.o.Dispatcher.Running() == 0 && s.active.Load() == 0
+	return s.inFlight.Load() == 0 && s.o.Answers.Len() == 0 && s.o.Dispatcher.Running() == 0 && s.conns.Active() == 0
 }
 
 // drainPoll is how often Drain looks whether all work is finished.
@@ -259,20 +256,3 @@
 	}
 	return ""
 }
-
-// connState counts the active connections.
-func (s *Server) connState(conn net.Conn, state fasthttp.ConnState) {
-	c, ok := conn.(*callerconn.Conn)
-	if !ok {
-		return
-	}
-	active := state == fasthttp.StateActive
-	if !c.SetActive(active) {
-		return
-	}
-	if active {
-		s.active.Add(1)
-	} else {
-		s.active.Add(-1)
-	}
-}
--- /dev/null
+++ b/transport/gateway/body.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/thymerack/thymerack/coordination/forward"
+)
+
+// eventBody is the body of a streamed answer. The goroutine of the connection
+// takes the events from it.
+type eventBody struct {
+	stream *forward.Stream
+	done   func()
+	err    error
+	left   []byte
+	closed bool
+}
+
+// SupportsBodyWriteTo implements fasthttp.BodyWriterTo.
+func (b *eventBody) SupportsBodyWriteTo() bool { return true }
+
+// WriteTo implements io.WriterTo; an error makes the library close the connection
+// without the mark that ends a whole body.
+func (b *eventBody) WriteTo(w io.Writer) (int64, error) {
+	written := int64(0)
+	for {
+		events, err := b.stream.Next()
+		if err == io.EOF {
+			return written, nil
+		}
+		if err != nil {
+			b.err = err
+			return written, err
+		}
+		n, err := w.Write(events)
+		written += int64(n)
+		if err != nil {
+			b.err = fmt.Errorf("write to the caller: %w", err)
+			return written, b.err
+		}
+	}
+}
+
+// Read implements io.Reader, as WriteTo.
+func (b *eventBody) Read(p []byte) (int, error) {
+	if len(b.left) == 0 {
+		events, err := b.stream.Next()
+		if err != nil {
+			if err != io.EOF {
+				b.err = err
+			}
+			return 0, err
+		}
+		b.left = events
+	}
+	n := copy(p, b.left)
+	b.left = b.left[n:]
+	return n, nil
+}
+
+// Close implements io.Closer; the library calls it however the answer ends.
+func (b *eventBody) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	b.stream.Close(b.err)
+	b.done()
+	return nil
+}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -6,12 +6,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -79,11 +76,7 @@
 	base     context.Context
 	stopBase context.CancelFunc
 	leaving  atomic.Pointer[Departure]
-	active   atomic.Int64
-
-	mu sync.Mutex
-	// unused are the connections between two requests.
-	unused map[*callerconn.Conn]struct{}
+	conns    callerconn.Activity
 }
 
 // New validates the options.
@@ -94,12 +87,12 @@
 	if o.MaxBodyBytes <= 0 || o.MaxHeaderBytes <= 0 || o.MaxConnections <= 0 {
 		return nil, errors.New("gateway: MaxBodyBytes, MaxHeaderBytes and MaxConnections must be positive")
 	}
-	s := &Server{o: o, watch: callerconn.NewWatch(callerPoll), unused: map[*callerconn.Conn]struct{}{}}
+	s := &Server{o: o, watch: callerconn.NewWatch(callerPoll)}
 	s.base, s.stopBase = context.WithCancel(context.Background())
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
 		ErrorHandler:          s.malformed,
-		ConnState:             s.connState,
+		ConnState:             s.conns.Note,
 		Concurrency:           o.MaxConnections,
 		ReadBufferSize:        o.MaxHeaderBytes,
 		MaxRequestBodySize:    o.MaxBodyBytes,
@@ -127,28 +120,6 @@
 	return s.http.Serve(&callerconn.Listener{Listener: ln, WriteLimit: writeTimeout})
 }
 
-// Departure is the planned end of a server.
-type Departure struct {
-	// TurnedAway is when callers go elsewhere if they can.
-	TurnedAway time.Time
-	// End is when everything is cut.
-	End time.Time
-}
-
-// Leave closes callers' connections after their next answer. Requests are still
-// served, but for those that come after callers have been turned away and may
-// last beyond the end: they are refused as not run.
-func (s *Server) Leave(d Departure) { s.leaving.Store(&d) }
-
-// tooLate reports whether a request comes too late to be served to its end.
-func (s *Server) tooLate(r *forward.Request) bool {
-	d := s.leaving.Load()
-	return d != nil && r.ArrivedAt.After(d.TurnedAway) && r.Deadline.After(d.End)
-}
-
-// Active counts the connections on which a request is read or answered.
-func (s *Server) Active() int64 { return s.active.Load() }
-
 // Close cuts everything that is left.
 func (s *Server) Close() error {
 	s.stopBase()
@@ -160,49 +131,6 @@
 // closeTimeout bounds the end of the listener.
 const closeTimeout = 200 * time.Millisecond
 
-func (s *Server) connState(c net.Conn, state fasthttp.ConnState) {
-	conn, ok := c.(*callerconn.Conn)
-	if !ok {
-		return
-	}
-	s.noteUnused(conn, state == fasthttp.StateIdle)
-	active := state == fasthttp.StateActive
-	if !conn.SetActive(active) {
-		return
-	}
-	if active {
-		s.active.Add(1)
-	} else {
-		s.active.Add(-1)
-	}
-}
-
-func (s *Server) noteUnused(conn *callerconn.Conn, unused bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if unused {
-		s.unused[conn] = struct{}{}
-	} else {
-		delete(s.unused, conn)
-	}
-}
-
-// CloseUnused closes the connections between two requests. A request that arrives
-// at that moment is not read, so that its caller may send it again. A connection
-// that has just become unused may be missed: call it until nothing is open.
-func (s *Server) CloseUnused() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn := range s.unused {
-		// The server's read ends at once and it closes the connection; a request
-		// whose first byte it has read is served.
-		_ = conn.SetReadDeadline(longAgo)
-	}
-}
-
-// longAgo ends a wait at once.
-var longAgo = time.Unix(1, 0)
-
 func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
 	s.o.Observer.Rejected("malformed")
 	status := fasthttp.StatusBadRequest
@@ -360,66 +288,3 @@
 		ctx.SetConnectionClose()
 	}
 }
-
-// eventBody is the body of a streamed answer. The goroutine of the connection
-// takes the events from it.
-type eventBody struct {
-	stream *forward.Stream
-	done   func()
-	err    error
-	left   []byte
-	closed bool
-}
-
-// SupportsBodyWriteTo implements fasthttp.BodyWriterTo.
-func (b *eventBody) SupportsBodyWriteTo() bool { return true }
-
-// WriteTo implements io.WriterTo; an error makes the library close the connection
-// without the mark that ends a whole body.
-func (b *eventBody) WriteTo(w io.Writer) (int64, error) {
-	written := int64(0)
-	for {
-		events, err := b.stream.Next()
-		if err == io.EOF {
-			return written, nil
-		}
-		if err != nil {
-			b.err = err
-			return written, err
-		}
-		n, err := w.Write(events)
-		written += int64(n)
-		if err != nil {
-			b.err = fmt.Errorf("write to the caller: %w", err)
-			return written, b.err
-		}
-	}
-}
-
-// Read implements io.Reader, as WriteTo.
-func (b *eventBody) Read(p []byte) (int, error) {
-	if len(b.left) == 0 {
-		events, err := b.stream.Next()
-		if err != nil {
-			if err != io.EOF {
-				b.err = err
-			}
-			return 0, err
-		}
-		b.left = events
-	}
-	n := copy(p, b.left)
-	b.left = b.left[n:]
-	return n, nil
-}
-
-// Close implements io.Closer; the library calls it however the answer ends.
-func (b *eventBody) Close() error {
-	if b.closed {
-		return nil
-	}
-	b.closed = true
-	b.stream.Close(b.err)
-	b.done()
-	return nil
-}
--- /dev/null
+++ b/transport/gateway/leave.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/forward"
+)
+
+// Departure is the planned end of a server.
+type Departure struct {
+	// TurnedAway is when callers go elsewhere if they can.
+	TurnedAway time.Time
+	// End is when everything is cut.
+	End time.Time
+}
+
+// Leave closes callers' connections after their next answer. Requests are still
+// served, but for those that come after callers have been turned away and may
+// last beyond the end: they are refused as not run.
+func (s *Server) Leave(d Departure) { s.leaving.Store(&d) }
+
+// tooLate reports whether a request comes too late to be served to its end.
+func (s *Server) tooLate(r *forward.Request) bool {
+	d := s.leaving.Load()
+	return d != nil && r.ArrivedAt.After(d.TurnedAway) && r.Deadline.After(d.End)
+}
+
+// CloseUnused closes callers' connections between two requests.
+func (s *Server) CloseUnused() { s.conns.CloseUnused() }
+
+// Active counts the connections on which a request is read or answered.
+func (s *Server) Active() int64 { return s.conns.Active() }
