--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -44,7 +44,7 @@
 
 // readShare is the part of the objective in which a prompt should be read; the
 // rest is for the first token (5 ms and a step of some 30 ms) and the way.
-const readShare = 0.5
+const readShare = 0.6
 
 // prefill has the prompt read and returns where its KV cache is. Without one the
 // engine that generates reads the prompt itself. The first reading that an
--- a/coordination/throttle/limiter.go
+++ b/coordination/throttle/limiter.go
@@ -19,7 +19,7 @@
 	minLimit = 1
 	maxLimit = 256
 	// growth is added for a limit's worth of answers in time.
-	growth = 1.0
+	growth = 2.0
 	// shrink is what is left of the bound after a late answer; answers that were
 	// under way together shrink it once.
 	shrink = 0.85
