Stop the soak's hosts before its verdict is read

Besides, the verdict was read while a host's end was noted (a data race).

Ruled out: the product: the process that ended by itself could not listen.

Change: hosts are stopped, then the verdict is read; a host that never started can be stopped.

Measured: go test -race ./soak passes, no process left.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -73,13 +73,17 @@
 func play(o options) ([]string, []string, error) {
 	f := &fleet{
 		o: o, rng: rand.New(rand.NewPCG(o.seed, 1)), ledger: platformtest.NewLedger(),
-		inForce: map[string]uint64{}, written: map[uint64]time.Time{},
+		inForce: map[string]uint64{}, written: map[uint64]time.Time{}, began: time.Now(),
 	}
 	if err := f.build(); err != nil {
 		return nil, nil, err
 	}
-	defer f.stop()
-	f.began = time.Now()
+	stopped := false
+	defer func() {
+		if !stopped {
+			f.stop()
+		}
+	}()
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	for n := range o.callers {
@@ -94,6 +98,10 @@
 	callers.Wait()
 	f.judgeRuns()
 	f.recovered(proven)
+	f.stop()
+	stopped = true
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return f.problems, f.log, nil
 }
 
--- a/soak/host.go
+++ b/soak/host.go
@@ -73,7 +73,9 @@
 	if s == syscall.SIGTERM || s == syscall.SIGKILL {
 		h.expected = true
 	}
-	_ = h.cmd.Process.Signal(s) // a process that has just ended needs none
+	if h.cmd != nil {
+		_ = h.cmd.Process.Signal(s) // a process that has just ended needs none
+	}
 }
 
 // kill ends the process at once and starts another after the pause.
@@ -117,6 +119,8 @@
 
 func (h *host) stop() {
 	h.signal(syscall.SIGKILL)
-	<-h.ended()
+	if ends := h.ended(); ends != nil {
+		<-ends
+	}
 	h.store.close()
 }
