--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -137,7 +137,6 @@
 // Prefill chooses the engine that reads a session's prompts. All hosts put a
 // session at the same engine without talking, so that its shared parts stay
 // there; an engine with far more from this host than the others is passed over.
-//
 // home is the session's engine when another was chosen, or nil.
 func (f *Fleet) Prefill(service, session string, tried []string) (chosen, home *Runner) {
 	runners := withRole(f.Runners(service), state.RolePrefill)
@@ -181,11 +180,6 @@
 	return loadFactor*float64(total)/float64(len(runners)) + loadSlack
 }
 
-// Count returns how many engines of a service have the role.
-func (f *Fleet) Count(service string, role state.Role) int {
-	return len(withRole(f.Runners(service), role))
-}
-
 func withRole(runners []*Runner, role state.Role) []*Runner {
 	out := make([]*Runner, 0, len(runners))
 	for _, r := range runners {
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -57,7 +57,7 @@
 	Order(ctx context.Context, i *state.Instance, o Order) (Result, error)
 }
 
-// Options configure a Manager. All fields but Elapsed are required.
+// Options configure a Manager. All fields are required.
 type Options struct {
 	Engines Engines
 	Lease   *lease.Lessor
