Test the wiring of a host; say comments in our own words

Change: tests of options, readiness, shares and peers; comments and a test's name only elsewhere. Measured: the tests pass; no behaviour changed.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -71,7 +71,7 @@
 	// with one in five out of reach, four in a row are one in six hundred.
 	maxUnsent = 4
 	// retryCalls and retryModel are when a refused request may come back: within
-	// a quarter of the objectives that DEPLOY's sheets name (100 ms and more for
+	// a quarter of the objectives on the sites' sheets (100 ms and more for
 	// calls, 120 ms and more for model requests), so that it can still be in time.
 	retryCalls = 40 * time.Millisecond
 	retryModel = 60 * time.Millisecond
@@ -211,7 +211,7 @@
 }
 
 // minLeft is the least time with which a request is sent once more: the shortest
-// service time on DEPLOY's sheets is 15 ms.
+// service time on the sites' sheets is 15 ms.
 const minLeft = 15 * time.Millisecond
 
 // repeatFailure reports whether a runner's own failure is to be tried elsewhere:
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -99,7 +99,7 @@
 }
 
 // farCost makes a runner of another failure domain look slower by the time that
-// a request and its answer take between domains (2.8 ms on about 17 ms, DEPLOY).
+// a request and its answer take between domains (2.8 ms on about 17 ms on the sites of today).
 const farCost = 1.15
 
 // farLoad is how many more requests an engine of the own failure domain may have
@@ -115,9 +115,9 @@
 	return f.least(runners, tried, func(r *Runner) float64 {
 		far := r.Instance.FailureDomain != f.o.FailureDomain
 		if session == "" {
-			return float64(r.InFlight()+1) + farLoad*weight(far)
+			return float64(r.InFlight()+1) + farLoad*oneIf(far)
 		}
-		return score(session, r) + weight(far) + 2*weight(float64(r.InFlight()) > bound)
+		return score(session, r) + oneIf(far) + 2*oneIf(float64(r.InFlight()) > bound)
 	})
 }
 
@@ -126,8 +126,8 @@
 	return float64(xxhash.Sum64String(session+r.Instance.ID)) / (1 << 64)
 }
 
-// weight is 1 for true.
-func weight(is bool) float64 {
+// oneIf is 1 for true and 0 for false.
+func oneIf(is bool) float64 {
 	if is {
 		return 1
 	}
--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -154,20 +154,20 @@
 	})
 }
 
-func TestGreyRunnerGetsLess(t *testing.T) {
+func TestRunnerThatOftenFailsGetsLess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet("d0", 2, "")
-		grey, sound := f.Runners("s")[0], f.Runners("s")[1]
+		failing, sound := f.Runners("s")[0], f.Runners("s")[1]
 		for i := range 20 {
 			if i%2 == 0 {
-				grey.Failed()
+				failing.Failed()
 			} else {
-				grey.Answered(latencyStart)
+				failing.Answered(latencyStart)
 			}
 			sound.Answered(latencyStart)
 		}
-		sound.Begin() // one more in flight than at the grey one
+		sound.Begin() // one more in flight than at the other
 		is.Equal(f.Call("s", nil), sound)
 	})
 }
--- /dev/null
+++ b/daemon/routed/host_test.go
@@ -0,0 +1,102 @@
+package routed
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/store"
+	"github.com/thymerack/thymerack/platform"
+	"github.com/thymerack/thymerack/platform/platformtest"
+)
+
+func testOptions(t *testing.T) Options {
+	t.Helper()
+	s, err := platform.DecodeSettings(platformtest.SettingsFile(platformtest.HostAddrs{
+		Name: "h", IP: "127.0.0.9", Domain: "d", Store: "127.0.0.1:1", Seeds: []string{"127.0.0.9:1", "127.0.0.8:1"},
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Options{
+		Settings: s, Log: slog.New(slog.DiscardHandler), PrefillShare: 0.68, SplitTokens: 600,
+		LinesDropped: func() uint64 { return 0 },
+	}
+}
+
+func newHost(t *testing.T) *Host {
+	t.Helper()
+	h, err := New(testOptions(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// configure puts the test deployment's first configuration in force.
+func configure(t *testing.T, h *Host) {
+	t.Helper()
+	value, err := json.Marshal(platformtest.Config(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.config.Changed(follow.Copy{Revision: 1, Objects: []store.Object{{Name: platform.ConfigName, Value: value}}})
+}
+
+func TestWrongOptionsNameTheRemedy(t *testing.T) {
+	for remedy, change := range map[string]func(*Options){
+		"pass both":                    func(o *Options) { o.Log = nil },
+		"share of prefill in the work": func(o *Options) { o.PrefillShare = 1 },
+	} {
+		is := is.New(t)
+		o := testOptions(t)
+		change(&o)
+		_, err := New(o)
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), remedy))
+	}
+}
+
+func TestHostIsReadyOnceItKnowsRoutesAndRunners(t *testing.T) {
+	is := is.New(t)
+	h := newHost(t)
+	is.True(!h.isReady())
+	configure(t, h)
+	is.True(!h.isReady())
+	is.True(h.listed.Adopt(follow.Copy{Revision: 2}, "peer"))
+	is.True(h.isReady())
+}
+
+func TestSharedLimitsAreDividedByTheHosts(t *testing.T) {
+	is := is.New(t)
+	h := newHost(t)
+	is.Equal(h.members.Hosts(), assumedHosts) // as if the fleet were large, until the list is read
+	is.Equal(h.connLimit(platformtest.ServicePlain), minConns)    // no configuration yet
+	configure(t, h)
+	var peers []string
+	for i := range 10 {
+		peers = append(peers, fmt.Sprintf("127.0.0.%d:17660", i))
+	}
+	h.members.peers.Store(&peers)
+	is.Equal(h.connLimit(platformtest.ServicePlain), 24) // of 300, with a fifth left free
+	is.Equal(h.connLimit("unknown"), minConns)
+	total := h.retrySlack() * float64(len(peers))
+	is.True(total < h.s.Bounds.RetrySlack)
+}
+
+func TestPeersAreTheSeedsUntilTheListIsRead(t *testing.T) {
+	is := is.New(t)
+	h := newHost(t)
+	is.True(h.isSeed())
+	is.Equal(h.members.Peers(), []string{"127.0.0.8:17660"}) // never itself
+	h.Reload(platform.Settings{Seeds: []string{"127.0.0.7:1"}})
+	is.Equal(h.members.Peers(), []string{"127.0.0.7:17660"})
+	listed := []string{"127.0.0.9:17660", "127.0.0.5:17660"}
+	h.members.peers.Store(&listed)
+	is.Equal(h.members.Peers(), []string{"127.0.0.5:17660"})
+}
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -46,7 +46,7 @@
 	// watchWait is how long a watch waits at the store; the platform allows 30 s.
 	watchWait = 20 * time.Second
 	// storeUserTimeout and storeKeepAlive find a store that is cut off while a
-	// watch waits there, within the 3 s after which a host counts as in touch.
+	// watch waits there, well before the bounds on configuration apply to a host again (3 s).
 	storeUserTimeout = 2500 * time.Millisecond
 	storeKeepAlive   = time.Second
 	storeConns       = 8
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -9,7 +9,7 @@
 )
 
 // calm is how long before a request nothing may have been disturbed for it to
-// count as undisturbed; the platform's pages call a host in touch after 3 s.
+// count as undisturbed; the platform's bounds apply to a host after 3 s without a fault.
 const calm = 3 * time.Second
 
 // span is a time in which something was disturbed.
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -54,7 +54,7 @@
 }
 
 const (
-	// callerPoll is how often a waiting caller is looked for; PROTOCOL wants work
+	// callerPoll is how often a waiting caller is looked for; the platform wants work
 	// for callers that left ended within half a second.
 	callerPoll = 150 * time.Millisecond
 	// readTimeout bounds the reading of one request, writeTimeout the writing of
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -230,7 +230,7 @@
 	<-entered
 	left := time.Now()
 	is.NoErr(conn.Close())
-	is.True((<-ended).Sub(left) < 450*time.Millisecond) // PROTOCOL allows half a second
+	is.True((<-ended).Sub(left) < 450*time.Millisecond) // the platform allows half a second
 }
 
 func TestLeavingServerRefusesWhatItCannotFinish(t *testing.T) {
