--- a/daemon/routed/host_test.go
+++ b/daemon/routed/host_test.go
@@ -75,8 +75,8 @@
 func TestSharedLimitsAreDividedByTheHosts(t *testing.T) {
 	is := is.New(t)
 	h := newHost(t)
-	is.Equal(h.members.Hosts(), assumedHosts) // as if the fleet were large, until the list is read
-	is.Equal(h.connLimit(platformtest.ServicePlain), minConns)    // no configuration yet
+	is.Equal(h.members.Hosts(), assumedHosts)                  // as if the fleet were large, until the list is read
+	is.Equal(h.connLimit(platformtest.ServicePlain), minConns) // no configuration yet
 	configure(t, h)
 	var peers []string
 	for i := range 10 {
