Count prefilling engines in one place; note the store's answer once

Cause: read of the whole change: the plan and the check for starved roles counted the same by the same loop; a mirror noted the store's answer twice a call; a check for a missing pool could never be true. Change: one function, one call, no check; behaviour as before.

--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -131,7 +131,6 @@
 			listed, err = m.watch(ctx)
 		}
 		if err == nil {
-			m.answered()
 			pause = retryFirst
 			continue
 		}
@@ -164,11 +163,11 @@
 	if err != nil {
 		return true, err
 	}
+	m.answered()
 	if batch.Gap {
 		m.o.Log.Info("history is gone; listing again", "kind", m.o.Kind, "revision", m.Revision())
 		return false, nil
 	}
-	m.answered()
 	m.apply(batch)
 	if len(batch.Events) > 0 && m.o.Gather > 0 {
 		return true, m.o.Clock.Sleep(ctx, m.o.Gather)
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -218,12 +218,7 @@
 
 // starved reports whether a role has fewer engines than it may.
 func (m *Manager) starved(engines []state.Instance) bool {
-	prefill := 0
-	for _, e := range engines {
-		if e.Role == state.RolePrefill {
-			prefill++
-		}
-	}
+	prefill := prefilling(engines)
 	return len(engines) >= 2*minEach && (prefill < minEach || len(engines)-prefill < minEach)
 }
 
--- a/coordination/stages/plan.go
+++ b/coordination/stages/plan.go
@@ -35,12 +35,7 @@
 // takes engines from the failure domain that has most of the role that is too
 // many, so that each domain keeps some of both; equal choices go by id.
 func Plan(engines []state.Instance, want int) []Change {
-	present := 0
-	for _, e := range engines {
-		if e.Role == state.RolePrefill {
-			present++
-		}
-	}
+	present := prefilling(engines)
 	from, to := state.RoleDecode, state.RolePrefill
 	if present > want {
 		from, to = to, from
@@ -65,6 +60,17 @@
 	return out
 }
 
+// prefilling counts the engines that read prompts.
+func prefilling(engines []state.Instance) int {
+	n := 0
+	for _, e := range engines {
+		if e.Role == state.RolePrefill {
+			n++
+		}
+	}
+	return n
+}
+
 func fullest(byDomain map[string][]state.Instance) string {
 	best := ""
 	for domain, list := range byDomain {
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -118,9 +118,7 @@
 // publish puts a new list of instances in force.
 func (h *Host) publish(instances []state.Instance) {
 	h.fleet.Update(instances)
-	if h.pool != nil {
-		h.pool.Retain(h.fleet.Has)
-	}
+	h.pool.Retain(h.fleet.Has)
 }
 
 func (h *Host) buildPool() error {
