Hand over orders that a leaving planner issued a moment ago

Cause: a planner that leaves hands over the orders that its watch shows as issued. The watch lags behind the planner's own write, so an order issued just before was never handed over, and the successor waited until the leaver counted as gone (ten minutes) instead of for the lease. Ruled out: the lease (taken over in 9 s in the failing runs), a write that fails (the object named the leaver as issuer). Change: draining orders are read at the end as well; the object decides.

--- a/coordination/order/fleet_test.go
+++ b/coordination/order/fleet_test.go
@@ -39,6 +39,8 @@
 	readyAt  time.Time
 	hosts    []*fleetHost
 	recorded []state.Decision
+	// onRecord, if set, is called with each decision before it is kept.
+	onRecord func(h *fleetHost, d state.Decision)
 }
 
 type fleetHost struct {
@@ -130,6 +132,9 @@
 }
 
 func (h *fleetHost) Record(d state.Decision) {
+	if h.fleet.onRecord != nil {
+		h.fleet.onRecord(h, d)
+	}
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
 	h.fleet.recorded = append(h.fleet.recorded, d)
@@ -258,6 +263,29 @@
 	}
 }
 
+// A planner that leaves right after it wrote an order, before its own watch shows
+// it the write, must hand the order over like any other.
+func TestPlannerThatLeavesWhileItIssuesHandsOver(t *testing.T) {
+	t.Parallel()
+	const lapse = 3 * lease.DefaultTTL
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := startFleet(ctx, 4, false)
+		var once sync.Once
+		f.onRecord = func(h *fleetHost, d state.Decision) {
+			if d.Chosen == "issued" {
+				once.Do(h.leave)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		_ = must(f.hosts[0].desk.Request(ctx, "engine", testService, targets[1], "operator", "test"))
+		f.until(t, time.Minute, func(o state.Order) bool { return o.State == state.OrderIssued })
+		f.until(t, lapse, settled)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // The platform is asked no more often when there are more engines.
 func TestIdlePlannerCallsDontGrowWithEngines(t *testing.T) {
 	t.Parallel()
--- a/coordination/order/run.go
+++ b/coordination/order/run.go
@@ -89,12 +89,14 @@
 }
 
 // handOver tells successors through the objects that this host sends nothing any
-// more, so that they needn't wait until it is gone. It is tried once.
+// more, so that they needn't wait until it is gone. It is tried once. The watch lags
+// behind this host's own writes, so draining orders are read as well: this host may
+// have issued one a moment ago.
 func (p *Planner) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.opts.StepTimeout)
 	defer cancel()
 	for _, o := range p.opts.Book.Orders() {
-		if o.Service == p.opts.Service && o.State == state.OrderIssued && slices.Contains(o.IssuedBy, p.opts.Host) {
+		if o.Service == p.opts.Service && changing(o) {
 			if err := p.HandOver(ctx, o.Engine); err != nil {
 				p.opts.Log.Debug("order not handed over", "engine", o.Engine, "error", err)
 			}
