Read peers' copies over the calls between hosts

Cause: transport/relay had frames, limits and a server of its own beside transport/peer, which carries the same kind of calls: the logic stood twice. Change: relay registers a call at a peer.Server and asks through a peer.Client; its frames and accept loop are gone (its two tests of frames with them: FuzzFrame and the test of oversized frames of transport/peer cover the only frames left).

--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -23,6 +23,7 @@
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/gateway"
 	"github.com/thymerack/thymerack/transport/httpclient"
+	"github.com/thymerack/thymerack/transport/peer"
 	"github.com/thymerack/thymerack/transport/relay"
 	"github.com/thymerack/thymerack/transport/runners"
 	"github.com/thymerack/thymerack/transport/wallclock"
@@ -50,6 +51,9 @@
 	manager   *stages.Manager
 	metrics   *measures
 	ready     *readiness
+	// peers calls other hosts, peerServer answers them.
+	peers      *peer.Client
+	peerServer *peer.Server
 }
 
 // New wires a host; nothing is started.
@@ -58,7 +62,7 @@
 		return nil, err
 	}
 	h := &Host{o: o, s: o.Settings, log: o.Log.With("host", o.Settings.Host), metrics: newMeasures()}
-	for _, build := range []func() error{h.buildStore, h.buildLists, h.buildPool, h.buildGateway, h.buildManager} {
+	for _, build := range []func() error{h.buildStore, h.buildLists, h.buildPeers, h.buildPool, h.buildGateway, h.buildManager} {
 		if err := build(); err != nil {
 			return nil, err
 		}
@@ -115,6 +119,28 @@
 	return err
 }
 
+// buildPeers makes the calls between hosts. Hosts know each other by their entries
+// in the store; the settings have no key for them to share.
+func (h *Host) buildPeers() error {
+	self := state.HostID{Name: h.s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
+	var err error
+	h.peers, err = peer.NewClient(peer.ClientOptions{
+		Self: self, MaxBodyBytes: relay.MaxBodyBytes, Log: h.log,
+		DialTimeout: peerDialTimeout, GreetTimeout: peerDialTimeout, SilenceTimeout: peerSilence,
+	})
+	if err != nil {
+		return err
+	}
+	h.peerServer, err = peer.NewServer(peer.ServerOptions{
+		Self: self, MaxBodyBytes: relay.MaxBodyBytes, Log: h.log, GreetTimeout: peerDialTimeout, SilenceTimeout: peerSilence,
+	})
+	if err != nil {
+		return err
+	}
+	relay.Register(h.peerServer, h.mirrors())
+	return nil
+}
+
 // publish puts a new list of instances in force.
 func (h *Host) publish(instances []state.Instance) {
 	h.fleet.Update(instances)
@@ -259,11 +285,12 @@
 			h.log.Error("orders to engines ended", "cause", err.Error())
 		}
 	})
-	h.serve(listeners)
+	h.serve(work, listeners)
 	<-stop.Done()
 	resign()
 	h.leave()
 	end()
+	h.peers.Close()
 	listeners.close()
 	group.Wait()
 	h.log.Info("stopped")
@@ -303,9 +330,9 @@
 		if len(peers) == 0 {
 			continue
 		}
-		peer := peers[rand.IntN(len(peers))]
-		if err := relay.Ask(ctx, peer, h.s.Host, mirrors); err != nil {
-			h.log.Info("peer not reached", "peer", peer, "cause", err.Error())
+		addr := peers[rand.IntN(len(peers))]
+		if err := relay.Ask(ctx, h.peers, addr, mirrors); err != nil {
+			h.log.Info("peer not reached", "peer", addr, "cause", err.Error())
 		}
 	}
 }
--- a/daemon/routed/listen.go
+++ b/daemon/routed/listen.go
@@ -1,14 +1,13 @@
 package routed
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"strconv"
 	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
-
-	"github.com/thymerack/thymerack/transport/relay"
 )
 
 // listeners are a host's open ports.
@@ -53,8 +52,9 @@
 	}
 }
 
-// serve answers all ports, each in a goroutine that ends with its listener.
-func (h *Host) serve(l *listeners) {
+// serve answers all ports, each in a goroutine that ends with its listener; that of
+// peers ends with serving.
+func (h *Host) serve(serving context.Context, l *listeners) {
 	run := func(use string, serve func() error) {
 		go func() {
 			if err := serve(); err != nil {
@@ -64,7 +64,7 @@
 	}
 	run("callers", func() error { return h.gateway.Serve(l.callers) })
 	run("readiness checks", func() error { return h.ready.server.Serve(l.ready) })
-	run("peers", func() error { return relay.NewServer(h.mirrors(), h.log).Serve(l.peers) })
+	run("peers", func() error { return h.peerServer.Serve(serving, l.peers) })
 	if l.metrics != nil {
 		run("metrics", func() error { return h.metrics.server().Serve(l.metrics) })
 	}
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -71,6 +71,11 @@
 	// relayEvery is how often a host that lost the store asks a peer for newer
 	// copies.
 	relayEvery = 500 * time.Millisecond
+	// peerDialTimeout bounds the making of a connection to a peer, which takes two
+	// round trips between failure domains (2.8 ms); peerSilence is how long nothing
+	// may be heard on one before it counts as silent, with three pings in it.
+	peerDialTimeout = time.Second
+	peerSilence     = 6 * time.Second
 	// membersSettle lets hosts that start together list themselves first.
 	membersSettle = 1500 * time.Millisecond
 	// membersEvery is how often the list of hosts is read, from a stale copy.
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -66,6 +66,8 @@
 	KindRelease Kind = 9
 	// KindDemand tells a contender for a planner what work arrives at a host.
 	KindDemand Kind = 10
+	// KindCopies reads copies of the store's objects that are newer than one's own.
+	KindCopies Kind = 11
 )
 
 // FrameType tells how a frame's body is meant.
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -1,39 +1,28 @@
 // Package relay lets a host that has lost the store read a peer's copies of the
-// configuration and of the list of instances: one request and one answer over
-// framed TCP with msgpack.
+// configuration and of the list of instances, in one call between hosts.
 package relay
 
 import (
 	"context"
-	"encoding/binary"
-	"errors"
-	"fmt"
-	"io"
-	"log/slog"
-	"net"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/store"
+	"github.com/thymerack/thymerack/protocol/peerapi"
+	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/peer"
 )
 
 const (
-	// lengthBytes is the size of a frame's length.
-	lengthBytes = 4
-	// maxFrame bounds a frame: a configuration of some hundred routes has about
+	// MaxBodyBytes bounds a call: a configuration of some hundred routes has about
 	// 100 KB, the list of 1,800 instances about 500 KB.
-	maxFrame = 8 << 20
-	// exchangeTimeout bounds one exchange with a peer.
-	exchangeTimeout = time.Second
-	// maxServed bounds the peers that are answered at once.
-	maxServed = 32
+	MaxBodyBytes = 8 << 20
+	// callTimeout bounds one call of a peer.
+	callTimeout = time.Second
 )
 
 // Request names the revisions that the asking host has, by kind.
 type Request struct {
-	Host      string            `msgpack:"h"`
 	Revisions map[string]uint64 `msgpack:"r"`
 }
 
@@ -65,93 +54,19 @@
 // Mirrors are the copies of a host by kind.
 type Mirrors map[string]Mirror
 
-// FrameError says that a peer sent something that is no frame.
-type FrameError struct{ Bytes uint32 }
-
-// Error implements error.
-func (e *FrameError) Error() string {
-	return fmt.Sprintf("relay: a frame of %d bytes is over the limit of %d; check that the peer runs this program", e.Bytes, maxFrame)
-}
-
-func writeFrame(w io.Writer, message any) error {
-	body, err := msgpack.Marshal(message)
-	if err != nil {
-		return fmt.Errorf("relay: encode a message: %w", err)
-	}
-	frame := binary.BigEndian.AppendUint32(make([]byte, 0, lengthBytes+len(body)), uint32(len(body)))
-	_, err = w.Write(append(frame, body...))
-	return err
-}
-
-func readFrame(r io.Reader, into any) error {
-	var head [lengthBytes]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return err
-	}
-	length := binary.BigEndian.Uint32(head[:])
-	if length > maxFrame {
-		return &FrameError{length}
-	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return err
-	}
-	return msgpack.Unmarshal(body, into)
-}
-
-// Server answers peers.
-type Server struct {
-	mirrors Mirrors
-	log     *slog.Logger
-}
-
-// NewServer returns a server of the host's copies.
-func NewServer(mirrors Mirrors, log *slog.Logger) *Server { return &Server{mirrors, log} }
-
-// Serve answers the connections of ln until it is closed.
-func (s *Server) Serve(ln net.Listener) error {
-	slots := make(chan struct{}, maxServed)
-	for {
-		conn, err := ln.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return fmt.Errorf("relay: accept: %w", err)
-		}
-		select {
-		case slots <- struct{}{}:
-			go func() {
-				defer func() { <-slots }()
-				s.answer(conn)
-			}()
-		default:
-			_ = conn.Close()
-		}
-	}
-}
-
-func (s *Server) answer(conn net.Conn) {
-	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(exchangeTimeout)); err != nil {
-		return
-	}
-	var q Request
-	if err := readFrame(conn, &q); err != nil {
-		s.log.Debug("peer not understood", "peer", conn.RemoteAddr().String(), "cause", err.Error())
-		return
-	}
-	if err := writeFrame(conn, s.newer(q)); err != nil {
-		s.log.Debug("peer not answered", "peer", q.Host, "cause", err.Error())
-	}
+// Register lets the server answer peers from the host's copies.
+func Register(s *peer.Server, mirrors Mirrors) {
+	s.Handle(peerapi.KindCopies, peer.HandleMsg(func(_ context.Context, _ state.HostID, q Request) (Response, error) {
+		return mirrors.newer(q), nil
+	}))
 }
 
 // newer returns the copies that the asking host lacks.
-func (s *Server) newer(q Request) Response {
+func (m Mirrors) newer(q Request) Response {
 	out := Response{Copies: map[string]Copy{}}
-	for kind, m := range s.mirrors {
-		if m.Revision() > q.Revisions[kind] {
-			out.Copies[kind] = encode(m.Export())
+	for kind, mirror := range m {
+		if mirror.Revision() > q.Revisions[kind] {
+			out.Copies[kind] = encode(mirror.Export())
 		}
 	}
 	return out
@@ -174,27 +89,15 @@
 }
 
 // Ask reads the newer copies of the peer at addr into the mirrors.
-func Ask(ctx context.Context, addr, host string, mirrors Mirrors) error {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+func Ask(ctx context.Context, c *peer.Client, addr string, mirrors Mirrors) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(exchangeTimeout)); err != nil {
-		return err
-	}
-	q := Request{Host: host, Revisions: map[string]uint64{}}
+	q := Request{Revisions: map[string]uint64{}}
 	for kind, m := range mirrors {
 		q.Revisions[kind] = m.Revision()
 	}
-	if err := writeFrame(conn, q); err != nil {
-		return err
-	}
-	var a Response
-	if err := readFrame(conn, &a); err != nil {
+	a, err := peer.CallMsg[Request, Response](ctx, c, addr, peerapi.KindCopies, q)
+	if err != nil {
 		return err
 	}
 	for kind, c := range a.Copies {
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -1,11 +1,7 @@
 package relay
 
 import (
-	"bytes"
 	"context"
-	"encoding/binary"
-	"errors"
-	"log/slog"
 	"net"
 	"testing"
 
@@ -13,6 +9,8 @@
 
 	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/store"
+	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/peer"
 )
 
 // mirror is a copy in memory.
@@ -29,16 +27,34 @@
 	return true
 }
 
+func hostID(name string) state.HostID { return state.HostID{Name: name, Incarnation: "1"} }
+
+func newClient(t *testing.T) *peer.Client {
+	t.Helper()
+	c, err := peer.NewClient(peer.ClientOptions{Self: hostID("asks"), MaxBodyBytes: MaxBodyBytes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
 func serve(t *testing.T, mirrors Mirrors) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	s, err := peer.NewServer(peer.ServerOptions{Self: hostID("answers"), MaxBodyBytes: MaxBodyBytes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	Register(s, mirrors)
+	ctx, stop := context.WithCancel(context.Background())
 	served := make(chan error, 1)
-	go func() { served <- NewServer(mirrors, slog.New(slog.DiscardHandler)).Serve(ln) }()
+	go func() { served <- s.Serve(ctx, ln) }()
 	t.Cleanup(func() {
-		_ = ln.Close()
+		stop()
 		if err := <-served; err != nil {
 			t.Error(err)
 		}
@@ -51,7 +67,7 @@
 	newer := follow.Copy{Revision: 9, Objects: []store.Object{{Kind: "a", Name: "x", Version: 8, Value: []byte(`{"v":1}`)}}}
 	addr := serve(t, Mirrors{"a": &mirror{copy: newer}, "b": &mirror{copy: follow.Copy{Revision: 3}}})
 	a, b := &mirror{copy: follow.Copy{Revision: 2}}, &mirror{copy: follow.Copy{Revision: 3}}
-	is.NoErr(Ask(t.Context(), addr, "h", Mirrors{"a": a, "b": b}))
+	is.NoErr(Ask(t.Context(), newClient(t), addr, Mirrors{"a": a, "b": b}))
 	is.Equal(a.copy, newer)
 	is.Equal(b.adopted, 0)
 }
@@ -62,25 +78,5 @@
 	is.NoErr(err)
 	addr := ln.Addr().String()
 	is.NoErr(ln.Close())
-	is.True(Ask(context.Background(), addr, "h", Mirrors{}) != nil)
-}
-
-func TestOversizedFrameIsRefusedBeforeItIsRead(t *testing.T) {
-	is := is.New(t)
-	var q Request
-	err := readFrame(bytes.NewReader(binary.BigEndian.AppendUint32(nil, maxFrame+1)), &q)
-	var frame *FrameError
-	is.True(errors.As(err, &frame))
-}
-
-func FuzzFrame(f *testing.F) {
-	var buf bytes.Buffer
-	if err := writeFrame(&buf, Request{Host: "h", Revisions: map[string]uint64{"a": 1}}); err != nil {
-		f.Fatal(err)
-	}
-	f.Add(buf.Bytes())
-	f.Fuzz(func(t *testing.T, data []byte) {
-		var q Request
-		_ = readFrame(bytes.NewReader(data), &q) // must not panic or take the length's word for memory
-	})
+	is.True(Ask(context.Background(), newClient(t), addr, Mirrors{}) != nil)
 }
