Count the prompts of all hosts at one host for each engine

Cause: in bursts of long prompts, prompts wait at their prefill engine while others are idle. Ruled out: the generating leg (4 ms to its first event), the share of prefill engines (0.75, 0.84: worse), reading at generating engines (worse). Change: coordination/occupancy keeps, at one host for each engine, what all hosts have there; forward asks for a place at the session's engine and at the next three before it puts a prompt behind the others.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/throttle"
 	"github.com/thymerack/thymerack/state"
@@ -32,14 +33,20 @@
 
 // Observer takes the dispatcher's measures.
 type Observer interface {
-	// Prompt notes a prompt that is read apart, and whether behind the others.
-	Prompt(deferred bool)
+	// Prompt notes a prompt that is read apart and how it got its turn.
+	Prompt(t Turn)
+}
+
+// Gate gives places at the engines that read prompts, over all hosts.
+type Gate interface {
+	Enter(ctx context.Context, a occupancy.Ask) (*occupancy.Place, occupancy.Verdict)
 }
 
 // Options configure a Dispatcher. All fields are required.
 type Options struct {
 	Upstream Upstream
 	Placer   Placer
+	Gate     Gate
 	Budget   Budget
 	Observer Observer
 	Clock    state.Clock
@@ -54,13 +61,14 @@
 	o Options
 
 	mu sync.Mutex
-	// limiters bound the prompts in flight, by route.
+	// limiters bound this host's prompts in flight, by route, while the keepers of
+	// the engines' counts can't be asked.
 	limiters map[string]*throttle.Limiter
 }
 
 // New validates the options.
 func New(o Options) (*Dispatcher, error) {
-	if o.Upstream == nil || o.Placer == nil || o.Budget == nil || o.Observer == nil || o.Clock == nil || o.Log == nil {
+	if o.Upstream == nil || o.Placer == nil || o.Gate == nil || o.Budget == nil || o.Observer == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("forward: a field of Options is nil; set all of them")
 	}
 	return &Dispatcher{o: o, limiters: map[string]*throttle.Limiter{}}, nil
@@ -110,7 +118,7 @@
 func (d *Dispatcher) log(ctx context.Context, r *Request, rec *record, status int, err error) {
 	attrs := []slog.Attr{
 		slog.String("request_id", r.ID), slog.String("route", r.Route.Name), slog.String("service", r.Service),
-		slog.Uint64("config_version", r.ConfigVersion), slog.Int64("took_ms", d.o.Clock.Now().Sub(r.ArrivedAt).Milliseconds()), slog.Bool("deferred", r.Deferred),
+		slog.Uint64("config_version", r.ConfigVersion), slog.Int64("took_ms", d.o.Clock.Now().Sub(r.ArrivedAt).Milliseconds()), slog.String("prompt", string(rec.prompt)),
 		slog.Int("status", status), slog.Any("sendings", rec),
 	}
 	level := slog.LevelInfo
--- a/coordination/forward/forward_test.go
+++ b/coordination/forward/forward_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/state"
 )
@@ -106,13 +107,30 @@
 
 type noObserver struct{}
 
-func (noObserver) Prompt(bool) {}
+func (noObserver) Prompt(Turn) {}
+
+// scriptedGate gives the verdicts in order and then every place.
+type scriptedGate struct {
+	verdicts []occupancy.Verdict
+	asks     []occupancy.Ask
+}
+
+func (g *scriptedGate) Enter(_ context.Context, a occupancy.Ask) (*occupancy.Place, occupancy.Verdict) {
+	g.asks = append(g.asks, a)
+	if len(g.verdicts) > 0 {
+		v := g.verdicts[0]
+		g.verdicts = g.verdicts[1:]
+		return nil, v
+	}
+	return nil, occupancy.Given
+}
 
 // world is a dispatcher with its fakes and five runners of each kind.
 type world struct {
 	*Dispatcher
 	up    *fakeUpstream
 	fleet *placement.Fleet
+	gate  *scriptedGate
 }
 
 func newWorld(t *testing.T, budget int, replies ...reply) *world {
@@ -127,14 +145,15 @@
 			state.Instance{ID: "d" + id, Service: "model", Addr: "d" + id + ":1", FailureDomain: "d1", Role: state.RoleDecode})
 	}
 	fleet.Update(list)
+	gate := &scriptedGate{}
 	d, err := New(Options{
-		Upstream: up, Placer: fleet, Budget: &countingBudget{budget}, Observer: noObserver{}, Clock: clocktest.Bubble{},
+		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Clock: clocktest.Bubble{},
 		Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &world{d, up, fleet}
+	return &world{d, up, fleet, gate}
 }
 
 func request(kind state.RouteKind, attempts int, resumable bool) *Request {
@@ -378,18 +397,73 @@
 	}
 }
 
+var (
+	promptRead = reply{status: 200, body: "h1"}
+	generated  = reply{status: 200, events: true, body: "id: 1\n\n"}
+)
+
+// served forwards a long prompt that is answered.
+func (w *world) served(t *testing.T) {
+	t.Helper()
+	answer, err := w.Forward(t.Context(), modelRequest(9000, true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := readAll(answer.Stream); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestPromptIsReadAtTheFirstEngineWithRoom(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, promptRead, generated)
+	w.gate.verdicts = []occupancy.Verdict{occupancy.Full, occupancy.Full, occupancy.Given}
+	w.served(t)
+	is.Equal(len(w.gate.asks), 3)
+	is.Equal(w.up.attempts[0].Instance.ID, w.gate.asks[2].Engine)
+	is.True(!w.up.attempts[0].Deferred)
+	home, _ := w.fleet.Prefill("model", "b", nil)
+	is.Equal(w.gate.asks[0].Engine, home.Instance.ID)
+	is.Equal(w.up.attempts[0].FetchFrom, home.Instance.Addr) // shared parts aren't read again
+}
+
+func TestPromptIsDeferredWhenAllAskedEnginesAreFull(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, promptRead, generated)
+	for range maxAsked {
+		w.gate.verdicts = append(w.gate.verdicts, occupancy.Full)
+	}
+	w.served(t)
+	is.Equal(len(w.gate.asks), maxAsked)
+	is.True(w.up.attempts[0].PrefillOnly)
+	is.True(w.up.attempts[0].Deferred)
+	is.True(!w.up.attempts[1].Deferred) // what was read generates in its turn
+}
+
+func TestHostKeepsToItsOwnBoundWhileNoKeeperAnswers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, promptRead, generated, promptRead, generated)
+	w.gate.verdicts = []occupancy.Verdict{occupancy.Unknown, occupancy.Unknown}
+	w.served(t)
+	is.True(!w.up.attempts[0].Deferred)
+	route := modelRequest(9000, true).Route
+	for l := w.limiter(route); l.Acquire(1, time.Second) != nil; {
+	}
+	w.served(t)
+	is.True(w.up.attempts[2].Deferred)
+}
+
 func TestDeferredPromptThatIsNotReadSaysNothingOfItsEngine(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, plenty, reply{hang: true})
 	r := modelRequest(9000, true)
-	for d := w.limiter(r.Route); d.Acquire(1) != nil; {
-	}
+	w.gate.verdicts = []occupancy.Verdict{occupancy.Full, occupancy.Full, occupancy.Full, occupancy.Full}
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
 	r.Deadline = time.Now().Add(20 * time.Millisecond)
 	_, err := w.Forward(ctx, r)
 	is.True(err != nil)
-	is.True(r.Deferred)
+	is.True(w.up.attempts[0].Deferred)
 	for _, runner := range w.fleet.Runners("model") {
 		is.True(!runner.Suspect(time.Now()))
 	}
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -21,6 +21,8 @@
 	outcomeFailed   outcome = "failed"
 	outcomePrefill  outcome = "prefilled"
 	outcomeCut      outcome = "cut"
+	// outcomeFull is an engine that has as many prompts as it reads in time.
+	outcomeFull outcome = "full"
 )
 
 // step is one sending of a request.
@@ -43,6 +45,8 @@
 	// failed is a runner's own failure that another runner was asked after; it is
 	// the answer if nobody has a better one.
 	failed *Answer
+	// prompt is how a prompt that is read apart got its turn; "" for others.
+	prompt Turn
 	// cached is where the prompt's KV cache waits to be taken, or nil.
 	cached *cached
 }
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -67,9 +67,6 @@
 	ArrivedAt     time.Time
 	// Deadline is the caller's or the route's, whichever comes first.
 	Deadline time.Time
-	// Deferred requests came beyond what can be served in time; runners put them
-	// behind the others.
-	Deferred bool
 	// Generation is nil for calls of plain services.
 	Generation *Generation
 }
@@ -92,6 +89,9 @@
 	FetchFrom string
 	// Source is the KV cache to go on from, or nil.
 	Source *KVSource
+	// Deferred attempts came beyond what is served in time; the runner puts them
+	// behind the others.
+	Deferred bool
 	// LastEventID is the last event that the caller has; "" is the start.
 	LastEventID string
 }
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/thymerack/thymerack/coordination/placement"
-	"github.com/thymerack/thymerack/coordination/throttle"
-	"github.com/thymerack/thymerack/state"
 )
 
 // splits reports whether the request's prompt is read at an engine of its own.
@@ -14,78 +11,56 @@
 	return r.Generation != nil && r.LastEventID == "" && r.Generation.PromptTokens >= d.o.SplitTokens
 }
 
-// readPrompt has the prompt read, behind other prompts if this host has as many
-// in flight as are read in time.
+// readPrompt has the prompt read in its turn and returns where its KV cache is.
+// Without one the engine that generates reads the prompt itself.
 func (d *Dispatcher) readPrompt(ctx context.Context, r *Request, rec *record) *KVSource {
-	ticket := d.limiter(r.Route).Acquire(float64(r.Generation.OwnTokens()))
-	r.Deferred = ticket == nil
-	d.o.Observer.Prompt(r.Deferred)
-	source := d.prefill(ctx, r, rec)
-	if source == nil {
-		ticket.Cancel()
-	} else {
-		ticket.Done()
-	}
-	return source
-}
-
-// limiter returns the bound of a route's prompts.
-func (d *Dispatcher) limiter(r *state.Route) *throttle.Limiter {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	l := d.limiters[r.Name]
-	if l == nil {
-		target := time.Duration(float64(r.Objective) * readShare)
-		l = throttle.New(throttle.Options{Clock: d.o.Clock, Target: target})
-		d.limiters[r.Name] = l
-	}
-	return l
+	t := d.takeTurn(ctx, r, rec)
+	rec.prompt = t.kind
+	d.o.Observer.Prompt(t.kind)
+	return d.prefill(ctx, r, rec, t)
 }
 
-// readShare is the part of the objective in which a prompt should be read; the
-// rest is for the first token (5 ms and a step of some 30 ms) and the way.
-const readShare = 0.6
-
-// prefill has the prompt read and returns where its KV cache is. Without one the
-// engine that generates reads the prompt itself. The first reading that an
-// engine accepts is free; others draw on the attempts and the budget.
-func (d *Dispatcher) prefill(ctx context.Context, r *Request, rec *record) *KVSource {
+// prefill has the prompt read, at the engine of its turn first. The first reading
+// that an engine accepts is free; others draw on the attempts and the budget.
+func (d *Dispatcher) prefill(ctx context.Context, r *Request, rec *record, t turn) *KVSource {
 	var tried []string
 	for try := 0; try < maxPrefills; try++ {
 		if d.over(ctx, r, rec) != nil {
-			return nil
+			break
 		}
 		if try > 0 && !d.o.Budget.Allow(r.Service) {
-			return nil
+			break
+		}
+		if t.runner == nil {
+			t.runner, t.home = d.o.Placer.Prefill(r.Service, r.Generation.Session(), tried)
 		}
-		runner, home := d.o.Placer.Prefill(r.Service, r.Generation.Session(), tried)
-		if runner == nil {
-			return nil
+		if t.runner == nil {
+			break
 		}
-		tried = append(tried, runner.Instance.ID)
-		source, retry := d.prefillAt(ctx, r, runner, home, rec)
+		tried = append(tried, t.runner.Instance.ID)
+		source, retry := d.prefillAt(ctx, r, t, rec)
+		t.end(source != nil)
 		if source != nil || !retry {
 			return source
 		}
+		t = turn{kind: t.kind}
 	}
+	t.end(false)
 	return nil
 }
 
 // maxPrefills bounds the engines that one prompt is sent to for reading.
 const maxPrefills = 2
 
-func (d *Dispatcher) prefillAt(ctx context.Context, r *Request, runner, home *placement.Runner, rec *record) (source *KVSource, retry bool) {
+func (d *Dispatcher) prefillAt(ctx context.Context, r *Request, t turn, rec *record) (source *KVSource, retry bool) {
 	const part = "prefill"
+	runner := t.runner
 	if !d.o.Placer.Has(runner.Instance.ID) {
 		return nil, true
 	}
-	a := &Attempt{Request: r, Instance: runner.Instance, Left: d.left(r), PrefillOnly: true}
-	if home != nil {
-		a.FetchFrom = home.Instance.Addr
-	} else if x := d.o.Placer.Decode(r.Service, r.Generation.Session(), nil); x != nil {
-		a.FetchFrom = x.Instance.Addr
-	}
-	ctx, stop := d.patience(ctx, r)
+	deferred := t.kind == TurnDeferred
+	a := &Attempt{Request: r, Instance: runner.Instance, Left: d.left(r), PrefillOnly: true, Deferred: deferred, FetchFrom: d.keepsParts(r, t.home)}
+	ctx, stop := d.patience(ctx, r, deferred)
 	defer stop()
 	started := d.o.Clock.Now()
 	done := runner.Begin()
@@ -101,7 +76,7 @@
 	if err != nil {
 		// Reading a prompt runs nothing, so a lost response breaks no promise. That
 		// a deferred prompt isn't read in its time says nothing of the engine.
-		if !r.Deferred || ctx.Err() == nil {
+		if !deferred || ctx.Err() == nil {
 			d.noteBroken(ctx, runner)
 		}
 		rec.add(a.Instance, part, outcomeUnknown, took, err)
@@ -125,10 +100,22 @@
 	return &KVSource{Addr: a.Instance.Addr, Handle: handle}, false
 }
 
+// keepsParts is the address of an engine that may keep shared parts of the prompt:
+// the session's own, or the one that generates for it; "" if there is none.
+func (d *Dispatcher) keepsParts(r *Request, home *placement.Runner) string {
+	if home == nil {
+		home = d.o.Placer.Decode(r.Service, r.Generation.Session(), nil)
+	}
+	if home == nil {
+		return ""
+	}
+	return home.Instance.Addr
+}
+
 // patience bounds the wait for a prompt that should be read in time: after it the
 // engine counts as dark and another is tried.
-func (d *Dispatcher) patience(ctx context.Context, r *Request) (context.Context, context.CancelFunc) {
-	if r.Deferred || r.Route.Objective <= 0 {
+func (d *Dispatcher) patience(ctx context.Context, r *Request, deferred bool) (context.Context, context.CancelFunc) {
+	if deferred || r.Route.Objective <= 0 {
 		return context.WithCancel(ctx)
 	}
 	return context.WithTimeout(ctx, patienceShare*r.Route.Objective)
--- /dev/null
+++ b/coordination/forward/turn.go
@@ -0,0 +1,133 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/coordination/throttle"
+	"github.com/thymerack/thymerack/state"
+)
+
+// Turn is how a prompt that is read apart got its place among the others.
+type Turn string
+
+// The turns of a prompt.
+const (
+	// TurnCounted prompts have a place among those of all hosts that their engine
+	// reads in time.
+	TurnCounted Turn = "counted"
+	// TurnOwn prompts are within this host's own bound; the keeper of the engine's
+	// count could not be asked.
+	TurnOwn Turn = "own"
+	// TurnDeferred prompts came beyond what is read in time and are put behind the
+	// others.
+	TurnDeferred Turn = "deferred"
+)
+
+// turn is a prompt's turn at an engine.
+type turn struct {
+	kind Turn
+	// runner is the engine to read at, home the session's own if that is another;
+	// both are nil if any engine will do.
+	runner, home *placement.Runner
+	// place and ticket are what is to be ended; at most one is set.
+	place  *occupancy.Place
+	ticket *throttle.Ticket
+}
+
+// end counts the prompt out; done says that it was read.
+func (t turn) end(done bool) {
+	if done {
+		t.place.Done()
+		t.ticket.Done()
+		return
+	}
+	t.place.Cancel()
+	t.ticket.Cancel()
+}
+
+// maxAsked bounds the engines whose counts are asked for one prompt: with two
+// thirds of them full, four in five prompts find room at one of four.
+const maxAsked = 4
+
+// takeTurn looks for an engine that reads the prompt in time: the session's own
+// first, then the next by the session's order.
+func (d *Dispatcher) takeTurn(ctx context.Context, r *Request, rec *record) turn {
+	var home *placement.Runner
+	var asked []string
+	for range maxAsked {
+		runner, own := d.o.Placer.Prefill(r.Service, r.Generation.Session(), asked)
+		if runner == nil {
+			break
+		}
+		if home == nil {
+			home = runner
+			if own != nil {
+				home = own
+			}
+		}
+		began := d.o.Clock.Now()
+		place, verdict := d.o.Gate.Enter(ctx, d.ask(r, runner))
+		switch verdict {
+		case occupancy.Given:
+			return turn{kind: TurnCounted, runner: runner, home: otherThan(home, runner), place: place}
+		case occupancy.Unknown:
+			return d.ownTurn(r)
+		}
+		rec.add(runner.Instance, "place", outcomeFull, d.o.Clock.Now().Sub(began), nil)
+		asked = append(asked, runner.Instance.ID)
+	}
+	return turn{kind: TurnDeferred}
+}
+
+// otherThan is home, or nil if it is the runner itself.
+func otherThan(home, runner *placement.Runner) *placement.Runner {
+	if home.Instance.ID == runner.Instance.ID {
+		return nil
+	}
+	return home
+}
+
+func (d *Dispatcher) ask(r *Request, runner *placement.Runner) occupancy.Ask {
+	return occupancy.Ask{
+		Engine: runner.Instance.ID, Size: float64(r.Generation.OwnTokens()),
+		Target: readTarget(r.Route), Keep: d.left(r),
+	}
+}
+
+// ownTurn bounds the prompt by this host's own.
+func (d *Dispatcher) ownTurn(r *Request) turn {
+	ticket := d.limiter(r.Route).Acquire(float64(r.Generation.OwnTokens()), readTarget(r.Route))
+	if ticket == nil {
+		return turn{kind: TurnDeferred}
+	}
+	return turn{kind: TurnOwn, ticket: ticket}
+}
+
+// limiter returns this host's bound of a route's prompts.
+func (d *Dispatcher) limiter(r *state.Route) *throttle.Limiter {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.limiters[r.Name]
+	if l == nil {
+		l = throttle.New(throttle.Options{Clock: d.o.Clock, Start: ownLimit})
+		d.limiters[r.Name] = l
+	}
+	return l
+}
+
+// ownLimit is the first bound of a host's own prompts: it has one or two in flight
+// in a calm minute.
+const ownLimit = 8
+
+// readTarget is the time in which a prompt of mean size should be read.
+func readTarget(r *state.Route) time.Duration {
+	return time.Duration(float64(r.Objective) * readShare)
+}
+
+// readShare is the part of the objective in which a prompt of mean size should be
+// read. The bound settles where half of the prompts take that long and the slowest
+// tenth twice as long; 0.6 and 0.45 served fewer in time (docs/MEASUREMENTS.md).
+const readShare = 0.4
--- /dev/null
+++ b/coordination/occupancy/gate.go
@@ -0,0 +1,238 @@
+package occupancy
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+const (
+	// maxKeepers bounds the hosts that keep counts, and with them each host's
+	// connections to peers, at any size of the fleet. Hosts of a lower class are
+	// taken only while there are fewer than minKeepers.
+	maxKeepers = 16
+	minKeepers = 4
+	// enterTimeout is some round trips between failure domains (2.8 ms) behind two
+	// or three bodies on a slow link (7 ms each), and a fifth of the shortest
+	// objective: a keeper that takes longer is of no help.
+	enterTimeout = 25 * time.Millisecond
+	// leaveTimeout bounds the telling of an end, which nobody waits for.
+	leaveTimeout = time.Second
+	// avoidFirst is how long a keeper that didn't answer is passed over; each
+	// further failure in a row doubles it up to avoidMost.
+	avoidFirst = 500 * time.Millisecond
+	avoidMost  = 16 * time.Second
+)
+
+// Verdict is the answer to an Ask.
+type Verdict string
+
+// The verdicts.
+const (
+	// Given places are counted until their end.
+	Given Verdict = "given"
+	// Full says that as much is under way at the engine as is done in time.
+	Full Verdict = "full"
+	// Unknown says that no keeper could be asked.
+	Unknown Verdict = "unknown"
+)
+
+// Peers reaches the books of other hosts.
+type Peers interface {
+	Enter(ctx context.Context, addr string, a Ask) (id uint64, given bool, err error)
+	Leave(ctx context.Context, addr, engine string, id uint64, done bool) error
+}
+
+// GateOptions configure a Gate. All fields are required.
+type GateOptions struct {
+	Book  *Book
+	Peers Peers
+	// Self is this host's peer address, and Hosts lists all hosts.
+	Self  string
+	Hosts func() []Host
+	Clock state.Clock
+	Log   *slog.Logger
+}
+
+// Host is a host that may keep counts.
+type Host struct {
+	// Addr is where its peers reach it.
+	Addr string
+	// Class is higher for hosts with more processor time and a faster link. A count
+	// is of use only while its keeper answers within milliseconds.
+	Class int
+}
+
+// Gate asks the keepers for places. It is safe for concurrent use.
+type Gate struct {
+	o GateOptions
+
+	mu      sync.Mutex
+	ranked  ranking
+	avoided map[string]avoidance
+}
+
+// ranking is the hosts in the order in which they become keepers.
+type ranking struct {
+	of    []Host
+	order []Host
+}
+
+// avoidance passes over a host that didn't answer.
+type avoidance struct {
+	until    time.Time
+	failures int
+}
+
+// NewGate validates the options.
+func NewGate(o GateOptions) (*Gate, error) {
+	if o.Book == nil || o.Peers == nil || o.Self == "" || o.Hosts == nil || o.Clock == nil || o.Log == nil {
+		return nil, errors.New("occupancy: a field of GateOptions is missing; set all of them")
+	}
+	return &Gate{o: o, avoided: map[string]avoidance{}}, nil
+}
+
+// Place is a place at an engine. Exactly one of Done and Cancel is to be called;
+// both may be called on nil.
+type Place struct {
+	gate   *Gate
+	keeper string
+	engine string
+	id     uint64
+}
+
+// Enter asks the engine's keeper for a place. The place is nil unless Given.
+func (g *Gate) Enter(ctx context.Context, a Ask) (*Place, Verdict) {
+	keeper := g.keeper(a.Engine)
+	switch keeper {
+	case "":
+		return nil, Unknown
+	case g.o.Self:
+		id, given := g.o.Book.Enter(a)
+		return g.place(keeper, a.Engine, id, given)
+	}
+	bounded, cancel := context.WithTimeout(ctx, enterTimeout)
+	defer cancel()
+	id, given, err := g.o.Peers.Enter(bounded, keeper, a)
+	if err != nil {
+		if ctx.Err() == nil {
+			g.avoid(keeper, err)
+		}
+		return nil, Unknown
+	}
+	g.trust(keeper)
+	return g.place(keeper, a.Engine, id, given)
+}
+
+func (g *Gate) place(keeper, engine string, id uint64, given bool) (*Place, Verdict) {
+	if !given {
+		return nil, Full
+	}
+	return &Place{g, keeper, engine, id}, Given
+}
+
+// Done ends a place whose work was done.
+func (p *Place) Done() { p.leave(true) }
+
+// Cancel ends a place whose time says nothing of the load.
+func (p *Place) Cancel() { p.leave(false) }
+
+func (p *Place) leave(done bool) {
+	if p == nil {
+		return
+	}
+	if p.keeper == p.gate.o.Self {
+		p.gate.o.Book.Leave(p.engine, p.id, done)
+		return
+	}
+	go p.tell(done)
+}
+
+// tell tells another host of the end. One that isn't told ends the place when its
+// time is over.
+func (p *Place) tell(done bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := p.gate.o.Peers.Leave(ctx, p.keeper, p.engine, p.id, done); err != nil {
+		p.gate.o.Log.Debug("end of a place not told", "keeper", p.keeper, "engine", p.engine, "cause", err.Error())
+	}
+}
+
+// keeper is the host that keeps the engine's count, or "" if none is known.
+func (g *Gate) keeper(engine string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Clock.Now()
+	best, bestScore, seen, class := "", uint64(0), 0, 0
+	for _, host := range g.order() {
+		if seen == maxKeepers || (seen >= minKeepers && host.Class < class) {
+			break
+		}
+		if now.Before(g.avoided[host.Addr].until) {
+			continue
+		}
+		seen++
+		class = host.Class
+		if score := xxhash.Sum64String(engine + host.Addr); best == "" || score > bestScore {
+			best, bestScore = host.Addr, score
+		}
+	}
+	return best
+}
+
+// order returns the hosts in their order, the same at all hosts that know the same
+// ones; g.mu is held.
+func (g *Gate) order() []Host {
+	hosts := g.o.Hosts()
+	if slices.Equal(hosts, g.ranked.of) {
+		return g.ranked.order
+	}
+	order := slices.Clone(hosts)
+	slices.SortFunc(order, func(a, b Host) int {
+		return cmp.Or(
+			cmp.Compare(b.Class, a.Class),
+			cmp.Compare(xxhash.Sum64String(a.Addr), xxhash.Sum64String(b.Addr)),
+			strings.Compare(a.Addr, b.Addr),
+		)
+	})
+	g.ranked = ranking{slices.Clone(hosts), order}
+	for addr := range g.avoided {
+		if !slices.ContainsFunc(hosts, func(h Host) bool { return h.Addr == addr }) {
+			delete(g.avoided, addr)
+		}
+	}
+	return order
+}
+
+// avoid passes over a keeper that didn't answer, for longer each time.
+func (g *Gate) avoid(keeper string, cause error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Clock.Now()
+	a := g.avoided[keeper]
+	if now.Before(a.until) {
+		return // another request has noticed it already
+	}
+	pause := min(avoidFirst<<min(a.failures, 8), avoidMost)
+	g.avoided[keeper] = avoidance{now.Add(pause), a.failures + 1}
+	g.o.Log.Info("keeper of counts not reached", "keeper", keeper, "avoided", pause, "failures", a.failures+1, "cause", cause.Error())
+}
+
+// trust forgets the failures of a keeper that answers.
+func (g *Gate) trust(keeper string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if a, known := g.avoided[keeper]; known {
+		delete(g.avoided, keeper)
+		g.o.Log.Info("keeper of counts answers again", "keeper", keeper, "failures", a.failures)
+	}
+}
--- /dev/null
+++ b/coordination/occupancy/gate_test.go
@@ -0,0 +1,188 @@
+package occupancy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+)
+
+// network joins the books of some hosts; lost ones don't answer.
+type network struct {
+	books map[string]*Book
+	lost  map[string]bool
+	asked []string
+}
+
+func (n *network) Enter(_ context.Context, addr string, a Ask) (uint64, bool, error) {
+	n.asked = append(n.asked, addr)
+	if n.lost[addr] {
+		return 0, false, errors.New("no answer")
+	}
+	id, given := n.books[addr].Enter(a)
+	return id, given, nil
+}
+
+func (n *network) Leave(_ context.Context, addr, engine string, id uint64, done bool) error {
+	if n.lost[addr] {
+		return errors.New("no answer")
+	}
+	n.books[addr].Leave(engine, id, done)
+	return nil
+}
+
+// fleet returns the gates of hosts of the given classes.
+func fleet(t *testing.T, classes ...int) (*network, []*Gate) {
+	t.Helper()
+	n := &network{books: map[string]*Book{}, lost: map[string]bool{}}
+	var hosts []Host
+	for i, class := range classes {
+		hosts = append(hosts, Host{Addr: fmt.Sprint("host-", i), Class: class})
+	}
+	var gates []*Gate
+	for _, h := range hosts {
+		n.books[h.Addr] = NewBook(clocktest.Bubble{})
+		g, err := NewGate(GateOptions{
+			Book: n.books[h.Addr], Peers: n, Self: h.Addr, Hosts: func() []Host { return hosts },
+			Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		gates = append(gates, g)
+	}
+	return n, gates
+}
+
+func TestHostsShareOneCountForEachEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, gates := fleet(t, 1, 1, 1, 1, 1, 1, 1, 1)
+		for engine := range 20 {
+			given := 0
+			var last *Place
+			for _, g := range gates {
+				place, verdict := g.Enter(t.Context(), ask(fmt.Sprint("engine-", engine)))
+				if verdict == Given {
+					given++
+					last = place
+				}
+			}
+			is.Equal(given, startLimit)
+			last.Cancel()
+			synctest.Wait()
+			_, verdict := gates[0].Enter(t.Context(), ask(fmt.Sprint("engine-", engine)))
+			is.Equal(verdict, Given) // the end was told to the keeper
+		}
+	})
+}
+
+func TestStrongHostsKeepTheCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for _, c := range []struct {
+			classes []int
+			keepers int
+		}{
+			{[]int{1, 1, 9, 9, 9, 9, 1}, 4},
+			{[]int{1, 1, 1, 9}, 4}, // too few of the best class
+		} {
+			_, gates := fleet(t, c.classes...)
+			keepers := map[string]bool{}
+			for engine := range 200 {
+				keepers[gates[0].keeper(fmt.Sprint("engine-", engine))] = true
+			}
+			is.Equal(len(keepers), c.keepers)
+		}
+	})
+}
+
+func TestKeepersAreFewInALargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, gates := fleet(t, make([]int, 320)...)
+		keepers := map[string]bool{}
+		for engine := range 1800 {
+			keepers[gates[7].keeper(fmt.Sprint("engine-", engine))] = true
+		}
+		is.Equal(len(keepers), maxKeepers)
+	})
+}
+
+func TestLostKeeperIsReplacedAndTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, gates := fleet(t, 1, 1, 1, 1, 1, 1)
+		keeper := gates[0].keeper("engine")
+		asker := gates[0]
+		if keeper == asker.o.Self {
+			asker = gates[1]
+		}
+		n.lost[keeper] = true
+		_, verdict := asker.Enter(t.Context(), ask("engine"))
+		is.Equal(verdict, Unknown)
+		_, verdict = asker.Enter(t.Context(), ask("engine"))
+		is.Equal(verdict, Given) // another host keeps the count meanwhile
+		n.lost[keeper] = false
+		time.Sleep(avoidFirst + time.Millisecond)
+		is.Equal(asker.keeper("engine"), keeper)
+		_, verdict = asker.Enter(t.Context(), ask("engine"))
+		is.Equal(verdict, Given)
+		is.Equal(len(asker.avoided), 0)
+	})
+}
+
+func TestKeeperThatStaysAwayIsAskedLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, gates := fleet(t, 1, 1)
+		for _, g := range gates {
+			n.lost[g.o.Self] = true
+		}
+		other := gates[1].o.Self
+		engine := ""
+		for i := 0; engine == ""; i++ {
+			if name := fmt.Sprint("engine-", i); gates[0].keeper(name) == other {
+				engine = name
+			}
+		}
+		for range 600 {
+			gates[0].Enter(t.Context(), ask(engine))
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(len(n.asked) <= 9) // 0.5, 1, 2, 4, 8 and then every 16 s of a minute
+	})
+}
+
+// A caller who leaves says nothing of the keeper.
+func TestCancelledAskBlamesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, gates := fleet(t, 1, 1)
+		for addr := range n.books {
+			n.lost[addr] = true
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		for i := range 10 {
+			gates[0].Enter(ctx, ask(fmt.Sprint("engine-", i)))
+		}
+		is.Equal(len(gates[0].avoided), 0)
+	})
+}
+
+func TestWithoutHostsNothingIsKnown(t *testing.T) {
+	is := is.New(t)
+	_, gates := fleet(t, 1)
+	gates[0].o.Hosts = func() []Host { return nil }
+	place, verdict := gates[0].Enter(t.Context(), ask("engine"))
+	is.Equal(verdict, Unknown)
+	place.Done() // nothing to end
+}
--- a/coordination/throttle/limiter.go
+++ b/coordination/throttle/limiter.go
@@ -1,7 +1,7 @@
-// Package throttle bounds what a host has in flight at a service by the times
-// that it sees: while answers come in time the bound grows, when they come late
-// it shrinks. Requests beyond the bound are put behind the others, so that a
-// burst makes few requests late instead of all.
+// Package throttle bounds what is in flight at one place by the times that are
+// seen there: while answers come in time the bound grows, when they come late it
+// shrinks. Requests beyond the bound are put behind the others, so that a burst
+// makes few requests late instead of all.
 package throttle
 
 import (
@@ -12,10 +12,7 @@
 )
 
 const (
-	// startLimit is the bound before anything is known; a host has one or two
-	// prompts in flight in a calm minute.
-	startLimit = 8
-	// minLimit keeps a host working whatever it sees.
+	// minLimit keeps the place working whatever is seen.
 	minLimit = 1
 	maxLimit = 256
 	// growth is added for a limit's worth of answers in time.
@@ -27,50 +24,57 @@
 	meanGain = 0.05
 	// sizeShare is the part of the target that grows with a request's size.
 	sizeShare = 0.6
-	// largest bounds the size that the target grows with, against the mean.
-	largest = 4
+	// smallest and largest bound what a request counts for, against the mean.
+	smallest = 0.25
+	largest  = 4
 )
 
 // Options configure a Limiter. All fields are required.
 type Options struct {
 	Clock state.Clock
-	// Target is the time in which an answer to a request of mean size should come.
-	Target time.Duration
+	// Start is the bound before anything is known, in requests of mean size.
+	Start float64
 }
 
-// Limiter bounds the requests in flight. It is safe for concurrent use.
+// Limiter bounds the requests in flight, counted in requests of mean size. It is
+// safe for concurrent use.
 type Limiter struct {
 	o Options
 
 	mu       sync.Mutex
 	limit    float64
-	inFlight int
+	inFlight float64
 	meanSize float64
 	// shrunkAt is when the bound last shrank.
 	shrunkAt time.Time
 }
 
 // New returns a limiter.
-func New(o Options) *Limiter { return &Limiter{o: o, limit: startLimit} }
+func New(o Options) *Limiter { return &Limiter{o: o, limit: o.Start} }
 
 // Ticket is one request within the bound.
 type Ticket struct {
-	l       *Limiter
-	size    float64
+	l *Limiter
+	// weight is the request's size against the mean when it was counted in.
+	weight  float64
+	target  time.Duration
 	started time.Time
 }
 
-// Acquire counts a request in. It returns nil when the bound is reached; such a
-// request isn't counted and needs no end.
-func (l *Limiter) Acquire(size float64) *Ticket {
+// Acquire counts a request in whose answer should come within target if it is of
+// mean size. It returns nil when the bound is reached; such a request isn't counted
+// and needs no end. A large request passes as easily as a small one and leaves less
+// room behind it.
+func (l *Limiter) Acquire(size float64, target time.Duration) *Ticket {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.learn(size)
-	if l.inFlight >= int(l.limit) {
+	if l.inFlight+1 > l.limit {
 		return nil
 	}
-	l.inFlight++
-	return &Ticket{l: l, size: size, started: l.o.Clock.Now()}
+	t := &Ticket{l: l, weight: l.weight(size), target: target, started: l.o.Clock.Now()}
+	l.inFlight += t.weight
+	return t
 }
 
 func (l *Limiter) learn(size float64) {
@@ -80,6 +84,13 @@
 	l.meanSize += meanGain * (size - l.meanSize)
 }
 
+func (l *Limiter) weight(size float64) float64 {
+	if l.meanSize <= 0 {
+		return 1
+	}
+	return min(max(size/l.meanSize, smallest), largest)
+}
+
 // Done counts an answered request out; its time moves the bound. It is called
 // once, and may be called on nil.
 func (t *Ticket) Done() {
@@ -89,7 +100,7 @@
 	t.l.mu.Lock()
 	defer t.l.mu.Unlock()
 	t.l.adapt(t)
-	t.l.inFlight--
+	t.l.release(t)
 }
 
 // Cancel counts out a request whose time says nothing of the load.
@@ -99,14 +110,17 @@
 	}
 	t.l.mu.Lock()
 	defer t.l.mu.Unlock()
-	t.l.inFlight--
+	t.l.release(t)
 }
 
+func (l *Limiter) release(t *Ticket) { l.inFlight = max(0, l.inFlight-t.weight) }
+
 // adapt moves the bound by one answer.
 func (l *Limiter) adapt(t *Ticket) {
 	now := l.o.Clock.Now()
-	if now.Sub(t.started) <= l.target(t.size) {
-		if l.inFlight >= int(l.limit) {
+	due := time.Duration(float64(t.target) * (1 - sizeShare + sizeShare*t.weight))
+	if now.Sub(t.started) <= due {
+		if l.inFlight+1 > l.limit {
 			l.limit = min(maxLimit, l.limit+growth/l.limit)
 		}
 		return
@@ -117,17 +131,8 @@
 	}
 }
 
-// target is the time in which a request of that size should be answered.
-func (l *Limiter) target(size float64) time.Duration {
-	relative := 1.0
-	if l.meanSize > 0 {
-		relative = min(size/l.meanSize, largest)
-	}
-	return time.Duration(float64(l.o.Target) * (1 - sizeShare + sizeShare*relative))
-}
-
-// Limit returns the bound and what is in flight.
-func (l *Limiter) Limit() (limit float64, inFlight int) {
+// Limit returns the bound and what is in flight, in requests of mean size.
+func (l *Limiter) Limit() (limit, inFlight float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.limit, l.inFlight
--- a/coordination/throttle/limiter_test.go
+++ b/coordination/throttle/limiter_test.go
@@ -12,13 +12,15 @@
 
 const target = 100 * time.Millisecond
 
-func newLimiter() *Limiter { return New(Options{Clock: clocktest.Bubble{}, Target: target}) }
+const startLimit = 8
+
+func newLimiter() *Limiter { return New(Options{Clock: clocktest.Bubble{}, Start: startLimit}) }
 
 // fill takes tickets up to the bound.
 func fill(l *Limiter) []*Ticket {
 	var out []*Ticket
 	for {
-		t := l.Acquire(1)
+		t := l.Acquire(1, target)
 		if t == nil {
 			return out
 		}
@@ -33,8 +35,8 @@
 		before := len(fill(l))
 		for range 50 {
 			limit, inFlight := l.Limit()
-			is.True(inFlight <= int(limit))
-			ticket := &Ticket{l: l, size: 1, started: time.Now()}
+			is.True(inFlight <= limit)
+			ticket := &Ticket{l: l, weight: 1, target: target, started: time.Now()}
 			time.Sleep(target / 2)
 			ticket.Done()
 			fill(l)
@@ -56,7 +58,7 @@
 		}
 		limit, inFlight := l.Limit()
 		is.Equal(limit, startLimit*shrink)
-		is.Equal(inFlight, 0)
+		is.Equal(inFlight, 0.0)
 	})
 }
 
@@ -65,7 +67,7 @@
 		is := is.New(t)
 		l := newLimiter()
 		for range 100 {
-			ticket := l.Acquire(1)
+			ticket := l.Acquire(1, target)
 			is.True(ticket != nil)
 			time.Sleep(3 * target)
 			ticket.Done()
@@ -80,9 +82,9 @@
 		is := is.New(t)
 		l := newLimiter()
 		for range 100 {
-			l.Acquire(1).Cancel()
+			l.Acquire(1, target).Cancel()
 		}
-		large := l.Acquire(3)
+		large := l.Acquire(3, target)
 		time.Sleep(target + target/2)
 		large.Done()
 		limit, _ := l.Limit()
@@ -95,9 +97,22 @@
 		is := is.New(t)
 		l := newLimiter()
 		for range 100 {
-			l.Acquire(1).Done()
+			l.Acquire(1, target).Done()
 		}
 		limit, _ := l.Limit()
 		is.Equal(limit, float64(startLimit))
 	})
 }
+
+func TestLargeRequestsLeaveLessRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLimiter()
+		for range 100 {
+			l.Acquire(1, target).Cancel()
+		}
+		is.True(l.Acquire(3, target) != nil)
+		is.True(len(fill(l)) < startLimit-1)
+		is.True(l.Acquire(3, target) == nil)
+	})
+}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -16,6 +16,7 @@
 	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/coordination/lease"
+	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/retry"
 	"github.com/thymerack/thymerack/coordination/stages"
@@ -24,6 +25,7 @@
 	"github.com/thymerack/thymerack/transport/gateway"
 	"github.com/thymerack/thymerack/transport/httpclient"
 	"github.com/thymerack/thymerack/transport/peer"
+	"github.com/thymerack/thymerack/transport/places"
 	"github.com/thymerack/thymerack/transport/relay"
 	"github.com/thymerack/thymerack/transport/runners"
 	"github.com/thymerack/thymerack/transport/wallclock"
@@ -54,6 +56,8 @@
 	// peers calls other hosts, peerServer answers them.
 	peers      *peer.Client
 	peerServer *peer.Server
+	// gate counts prompts over all hosts.
+	gate *occupancy.Gate
 }
 
 // New wires a host; nothing is started.
@@ -138,7 +142,18 @@
 		return err
 	}
 	relay.Register(h.peerServer, h.mirrors())
-	return nil
+	return h.buildGate()
+}
+
+func (h *Host) buildGate() error {
+	book := occupancy.NewBook(h.clock)
+	places.Register(h.peerServer, book)
+	var err error
+	h.gate, err = occupancy.NewGate(occupancy.GateOptions{
+		Book: book, Peers: places.Peers{Client: h.peers}, Self: h.members.addr(h.s.IP), Hosts: h.members.All,
+		Clock: h.clock, Log: h.log,
+	})
+	return err
 }
 
 // publish puts a new list of instances in force.
@@ -178,7 +193,7 @@
 		return err
 	}
 	dispatcher, err := forward.New(forward.Options{
-		Upstream: h.pool, Placer: h.fleet, Budget: budget, Clock: h.clock, Log: h.log, SplitTokens: h.o.SplitTokens,
+		Upstream: h.pool, Placer: h.fleet, Gate: h.gate, Budget: budget, Clock: h.clock, Log: h.log, SplitTokens: h.o.SplitTokens,
 		Observer: h.metrics,
 	})
 	if err != nil {
--- a/daemon/routed/host_test.go
+++ b/daemon/routed/host_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/platform"
 	"github.com/thymerack/thymerack/platform/platformtest"
@@ -78,14 +79,14 @@
 	is.Equal(h.members.Hosts(), assumedHosts)                  // as if the fleet were large, until the list is read
 	is.Equal(h.connLimit(platformtest.ServicePlain), minConns) // no configuration yet
 	configure(t, h)
-	var peers []string
+	var hosts []occupancy.Host
 	for i := range 10 {
-		peers = append(peers, fmt.Sprintf("127.0.0.%d:17660", i))
+		hosts = append(hosts, occupancy.Host{Addr: fmt.Sprintf("127.0.0.%d:17660", i)})
 	}
-	h.members.peers.Store(&peers)
+	h.members.listed.Store(&hosts)
 	is.Equal(h.connLimit(platformtest.ServicePlain), 24) // of 300, with a fifth left free
 	is.Equal(h.connLimit("unknown"), minConns)
-	total := h.retrySlack() * float64(len(peers))
+	total := h.retrySlack() * float64(len(hosts))
 	is.True(total < h.s.Bounds.RetrySlack)
 }
 
@@ -96,7 +97,16 @@
 	is.Equal(h.members.Peers(), []string{"127.0.0.8:17660"}) // never itself
 	h.Reload(platform.Settings{Seeds: []string{"127.0.0.7:1"}})
 	is.Equal(h.members.Peers(), []string{"127.0.0.7:17660"})
-	listed := []string{"127.0.0.9:17660", "127.0.0.5:17660"}
-	h.members.peers.Store(&listed)
+	listed := []occupancy.Host{{Addr: "127.0.0.9:17660"}, {Addr: "127.0.0.5:17660"}}
+	h.members.listed.Store(&listed)
 	is.Equal(h.members.Peers(), []string{"127.0.0.5:17660"})
 }
+
+func TestStrongerHostsAreOfAHigherClass(t *testing.T) {
+	is := is.New(t)
+	small := platform.Limits{Cores: 0.192, LinkBits: 10e6}
+	big := platform.Limits{Cores: 0.8, LinkBits: 200e6}
+	is.True(classOf(big) > classOf(small))
+	is.Equal(classOf(small), classOf(platform.Limits{Cores: 0.2, LinkBits: 12e6})) // small differences don't count
+	is.Equal(classOf(platform.Limits{}), 0)                                        // nothing is known
+}
--- a/daemon/routed/measures.go
+++ b/daemon/routed/measures.go
@@ -6,6 +6,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
+
+	"github.com/thymerack/thymerack/coordination/forward"
 )
 
 // measures are the host's counters and histograms.
@@ -24,13 +26,9 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_rejected_total{reason=%q}`, reason)).Inc()
 }
 
-// Prompt notes a prompt and whether it was put behind the others.
-func (m *measures) Prompt(deferred bool) {
-	order := "first"
-	if deferred {
-		order = "deferred"
-	}
-	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_prompts_total{order=%q}`, order)).Inc()
+// Prompt implements forward.Observer.
+func (m *measures) Prompt(t forward.Turn) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_prompts_total{turn=%q}`, t)).Inc()
 }
 
 // gauge reports a value that is read when the metrics are.
--- a/daemon/routed/members.go
+++ b/daemon/routed/members.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math"
 	"net"
 	"strconv"
 	"sync/atomic"
 
+	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/platform"
 	"github.com/thymerack/thymerack/transport/wallclock"
@@ -19,6 +21,8 @@
 // member is a host's own entry.
 type member struct {
 	Addr string `json:"addr"`
+	// Class is higher for stronger hosts.
+	Class int `json:"class"`
 }
 
 // members is the list of hosts: where peers are and how many share the limits.
@@ -29,14 +33,14 @@
 	s     platform.Settings
 	log   *slog.Logger
 	clock wallclock.Clock
-	// seeds and peers are replaced whole.
-	seeds atomic.Pointer[[]string]
-	peers atomic.Pointer[[]string]
+	// seeds and listed are replaced whole.
+	seeds  atomic.Pointer[[]string]
+	listed atomic.Pointer[[]occupancy.Host]
 }
 
 func newMembers(s *platform.Store, settings platform.Settings, log *slog.Logger) *members {
 	m := &members{store: s, s: settings, log: log}
-	m.peers.Store(&[]string{})
+	m.listed.Store(&[]occupancy.Host{})
 	m.reload(settings.Seeds)
 	return m
 }
@@ -46,19 +50,22 @@
 
 // Hosts is the number of hosts that share the limits.
 func (m *members) Hosts() int {
-	if n := len(*m.peers.Load()); n > 0 {
+	if n := len(m.All()); n > 0 {
 		return n
 	}
 	return assumedHosts
 }
 
+// All are the listed hosts, this one among them.
+func (m *members) All() []occupancy.Host { return *m.listed.Load() }
+
 // Peers are the other hosts' addresses, the seeds before the list is read.
 func (m *members) Peers() []string {
 	own := m.addr(m.s.IP)
 	var out []string
-	for _, addr := range *m.peers.Load() {
-		if addr != own {
-			out = append(out, addr)
+	for _, h := range m.All() {
+		if h.Addr != own {
+			out = append(out, h.Addr)
 		}
 	}
 	if len(out) > 0 {
@@ -95,7 +102,7 @@
 // register writes this host's entry; one that is there from an earlier run has
 // the same address.
 func (m *members) register(ctx context.Context) bool {
-	value, err := json.Marshal(member{Addr: m.addr(m.s.IP)})
+	value, err := json.Marshal(member{Addr: m.addr(m.s.IP), Class: classOf(m.s.Limits)})
 	if err != nil {
 		return false
 	}
@@ -114,15 +121,26 @@
 		m.log.Warn("list of hosts not read", "cause", err.Error())
 		return
 	}
-	var peers []string
+	var hosts []occupancy.Host
 	for _, o := range objects {
 		var e member
 		if err := json.Unmarshal(o.Value, &e); err != nil || e.Addr == "" {
 			m.log.Error("entry of a host not readable", "host", o.Name)
 			continue
 		}
-		peers = append(peers, e.Addr)
+		hosts = append(hosts, occupancy.Host{Addr: e.Addr, Class: e.Class})
+	}
+	m.listed.Store(&hosts)
+	m.log.Info("hosts listed", "hosts", len(hosts))
+}
+
+// classOf orders hosts by processor time and link; each doubling of either is a
+// class.
+func classOf(l platform.Limits) int { return doublings(l.Cores*100) + doublings(l.LinkBits/1e6) }
+
+func doublings(x float64) int {
+	if x < 1 {
+		return 0
 	}
-	m.peers.Store(&peers)
-	m.log.Info("hosts listed", "hosts", len(peers))
+	return int(math.Log2(x))
 }
