Blame no engine for a deferred prompt whose time is over in its queue

Change: such a refusal doesn't count against the engine, and a request that was sent before isn't sent again with under 15 ms left. Test: TestDeferredPromptThatIsRefusedAtItsEndSaysNothingOfItsEngine, seen failing with a second sending.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -176,8 +176,13 @@
 }
 
 // over returns the refusal of a request whose caller has left or whose time is up.
+// One that was sent before isn't sent again for the last moment.
 func (d *Dispatcher) over(ctx context.Context, r *Request, rec *record) error {
-	if ctx.Err() == nil && d.left(r) > 0 {
+	least := time.Duration(1)
+	if len(rec.steps) > 0 {
+		least = minLeft
+	}
+	if ctx.Err() == nil && d.left(r) >= least {
 		return nil
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
@@ -212,7 +217,7 @@
 	if rec.mayHaveRun && !r.Route.Repeatable() {
 		return false
 	}
-	if rec.sends >= r.Route.MaxAttempts || d.left(r) < minLeft {
+	if rec.sends >= r.Route.MaxAttempts {
 		return false
 	}
 	return d.o.Budget.Allow(r.Service)
--- a/coordination/forward/forward_test.go
+++ b/coordination/forward/forward_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -27,6 +28,8 @@
 	readErr error
 	// hang waits for the end of the context.
 	hang bool
+	// after is how long the response takes.
+	after time.Duration
 }
 
 // fakeUpstream answers sendings in order and notes them.
@@ -53,6 +56,7 @@
 	if r.err != nil {
 		return nil, r.err
 	}
+	time.Sleep(r.after)
 	return &fakeResponse{u: u, r: r, head: &Head{Status: r.status, Sealed: !r.unseal, NotRun: r.notRun, Events: r.events}}, nil
 }
 
@@ -469,6 +473,26 @@
 	}
 }
 
+// An engine refuses a deferred prompt whose time is over in its queue: it is as sound
+// as before, and nothing is left to be read elsewhere.
+func TestDeferredPromptThatIsRefusedAtItsEndSaysNothingOfItsEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, plenty, reply{status: 503, notRun: true, after: 1990 * time.Millisecond})
+		w.gate.verdicts = []occupancy.Verdict{occupancy.Full, occupancy.Full, occupancy.Full, occupancy.Full}
+		r := modelRequest(9000, true)
+		ctx, cancel := context.WithDeadline(t.Context(), r.Deadline)
+		defer cancel()
+		_, err := w.Forward(ctx, r)
+		is.True(err != nil)
+		is.Equal(len(w.up.attempts), 1)
+		for _, runner := range w.fleet.Runners("model") {
+			is.True(!runner.Suspect(time.Now()))
+			is.Equal(runner.FailureRate(time.Now()), 0.0)
+		}
+	})
+}
+
 func TestCacheThatNobodyTakesIsFreed(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, plenty, reply{status: 200, body: "h1"}, reply{status: 503, notRun: true}, reply{status: 503, notRun: true})
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -84,7 +84,9 @@
 	}
 	resp.Finish()
 	if resp.Head().Status != statusOK {
-		runner.Refused()
+		if !deferred {
+			runner.Refused()
+		}
 		rec.add(a.Instance, part, outcomeNotRun, took, nil)
 		return nil, true
 	}
