Count the slots of generating engines over all hosts

Each of 66 hosts has some four streams in flight and chooses by its own, so that slots fill unevenly. Ruled out: the first event of those that start at once (20 ms). Change: a question asks the keepers for a free slot at up to four engines and goes behind the others when all are taken, so that it doesn't make newer ones late.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -33,8 +33,8 @@
 
 // Observer takes the dispatcher's measures.
 type Observer interface {
-	// Prompt notes a prompt that is read apart and how it got its turn.
-	Prompt(t Turn)
+	// Turn notes how a part of a model request got its place among the others.
+	Turn(w Work, t Turn)
 }
 
 // Gate gives places at the engines that read prompts, over all hosts.
@@ -118,7 +118,7 @@
 func (d *Dispatcher) log(ctx context.Context, r *Request, rec *record, status int, err error) {
 	attrs := []slog.Attr{
 		slog.String("request_id", r.ID), slog.String("route", r.Route.Name), slog.String("service", r.Service),
-		slog.Uint64("config_version", r.ConfigVersion), slog.Int64("took_ms", d.o.Clock.Now().Sub(r.ArrivedAt).Milliseconds()), slog.String("prompt", string(rec.prompt)),
+		slog.Uint64("config_version", r.ConfigVersion), slog.Int64("took_ms", d.o.Clock.Now().Sub(r.ArrivedAt).Milliseconds()), slog.String("turn", string(rec.turn)),
 		slog.Int("status", status), slog.Any("sendings", rec),
 	}
 	level := slog.LevelInfo
@@ -140,12 +140,12 @@
 		if err := d.over(ctx, r, rec); err != nil {
 			return nil, err
 		}
-		runner := d.choose(r, rec)
-		if runner == nil {
+		c := d.choose(ctx, r, rec)
+		if c.Runner == nil {
 			return nil, d.refuse(r, rec, ReasonNoRunner)
 		}
-		a := &Attempt{Request: r, Instance: runner.Instance, Source: source, LastEventID: r.LastEventID}
-		answer, end := d.attempt(ctx, a, runner, rec)
+		a := &Attempt{Request: r, Instance: c.Instance, Source: source, LastEventID: r.LastEventID, Deferred: c.deferred}
+		answer, end := d.attempt(ctx, a, c, rec)
 		if answer != nil && !d.repeatFailure(r, rec, answer) {
 			return answer, nil
 		}
@@ -200,15 +200,15 @@
 }
 
 // choose picks a runner that generates or serves the call.
-func (d *Dispatcher) choose(r *Request, rec *record) *placement.Runner {
-	if r.Generation != nil {
-		session := ""
-		if d.splits(r) {
-			session = r.Generation.Session()
-		}
-		return d.o.Placer.Decode(r.Service, session, rec.tried)
+func (d *Dispatcher) choose(ctx context.Context, r *Request, rec *record) choice {
+	switch {
+	case r.Generation == nil:
+		return choice{Runner: d.o.Placer.Call(r.Service, rec.tried)}
+	case d.splits(r):
+		return choice{Runner: d.o.Placer.Decode(r.Service, r.Generation.Session(), rec.tried)}
+	default:
+		return d.takePlace(ctx, r, rec)
 	}
-	return d.o.Placer.Call(r.Service, rec.tried)
 }
 
 // mayRepeat reports whether the request may be sent once more, and takes it from
@@ -237,14 +237,15 @@
 
 // attempt sends the request to one runner. It returns an answer, or how the
 // sending ended without one.
-func (d *Dispatcher) attempt(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record) (*Answer, outcome) {
+func (d *Dispatcher) attempt(ctx context.Context, a *Attempt, c choice, rec *record) (*Answer, outcome) {
+	runner, done := c.Runner, c.begin()
 	rec.exclude(a.Instance)
 	if !d.o.Placer.Has(a.Instance.ID) {
+		done()
 		return nil, outcomeUnsent
 	}
 	a.Left = d.left(a.Request)
 	started := d.o.Clock.Now()
-	done := runner.Begin()
 	resp, err := d.o.Upstream.Send(ctx, a)
 	took := d.o.Clock.Now().Sub(started)
 	if err != nil {
--- a/coordination/forward/forward_test.go
+++ b/coordination/forward/forward_test.go
@@ -107,11 +107,14 @@
 	errSent   = &SendError{Sent: true, Cause: errors.New("reset")}
 )
 
-const plenty = 100
+const (
+	plenty      = 100
+	engineSlots = 16
+)
 
 type noObserver struct{}
 
-func (noObserver) Prompt(Turn) {}
+func (noObserver) Turn(Work, Turn) {}
 
 // scriptedGate gives the verdicts in order and then every place.
 type scriptedGate struct {
@@ -146,7 +149,7 @@
 		list = append(list,
 			state.Instance{ID: "s" + id, Service: "plain", Addr: "s" + id + ":1", FailureDomain: "d1"},
 			state.Instance{ID: "p" + id, Service: "model", Addr: "p" + id + ":1", FailureDomain: "d1", Role: state.RolePrefill},
-			state.Instance{ID: "d" + id, Service: "model", Addr: "d" + id + ":1", FailureDomain: "d1", Role: state.RoleDecode})
+			state.Instance{ID: "d" + id, Service: "model", Addr: "d" + id + ":1", FailureDomain: "d1", Role: state.RoleDecode, Slots: engineSlots})
 	}
 	fleet.Update(list)
 	gate := &scriptedGate{}
@@ -444,6 +447,44 @@
 	is.True(!w.up.attempts[1].Deferred) // what was read generates in its turn
 }
 
+func TestQuestionTakesAFreeSlotWhereItFindsOne(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, generated)
+	w.gate.verdicts = []occupancy.Verdict{occupancy.Full, occupancy.Given}
+	answer, err := w.Forward(t.Context(), modelRequest(500, true))
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.Equal(w.up.attempts[0].Instance.ID, w.gate.asks[1].Engine)
+	is.Equal(w.gate.asks[1].Most, engineSlots)
+	is.True(!w.up.attempts[0].Deferred)
+}
+
+func TestQuestionGoesBehindTheOthersWhenAllSlotsAreTaken(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, generated)
+	for range maxAsked {
+		w.gate.verdicts = append(w.gate.verdicts, occupancy.Full)
+	}
+	answer, err := w.Forward(t.Context(), modelRequest(500, true))
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.Equal(w.up.attempts[0].Instance.ID, w.gate.asks[0].Engine)
+	is.True(w.up.attempts[0].Deferred)
+}
+
+func TestQuestionIsNotHeldBackWhileNoKeeperAnswers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, generated)
+	w.gate.verdicts = []occupancy.Verdict{occupancy.Unknown}
+	answer, err := w.Forward(t.Context(), modelRequest(500, true))
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.True(!w.up.attempts[0].Deferred)
+}
+
 func TestHostKeepsToItsOwnBoundWhileNoKeeperAnswers(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, plenty, promptRead, generated, promptRead, generated)
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -15,8 +15,8 @@
 // Without one the engine that generates reads the prompt itself.
 func (d *Dispatcher) readPrompt(ctx context.Context, r *Request, rec *record) *KVSource {
 	t := d.takeTurn(ctx, r, rec)
-	rec.prompt = t.kind
-	d.o.Observer.Prompt(t.kind)
+	rec.turn = t.kind
+	d.o.Observer.Turn(WorkRead, t.kind)
 	return d.prefill(ctx, r, rec, t)
 }
 
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -154,23 +154,23 @@
 	s.d.noteBroken(s.ctx, s.runner)
 	s.rec.add(s.a.Instance, "run", outcomeUnknown, s.d.o.Clock.Now().Sub(s.started), cause)
 	for s.d.over(s.ctx, r, s.rec) == nil && s.d.mayRepeat(r, s.rec) {
-		runner := s.d.choose(r, s.rec)
-		if runner == nil {
+		c := s.d.choose(s.ctx, r, s.rec)
+		if c.Runner == nil {
 			return false
 		}
-		if s.resumeAt(runner) {
+		if s.resumeAt(c) {
 			return true
 		}
 	}
 	return false
 }
 
-func (s *Stream) resumeAt(runner *placement.Runner) bool {
-	a := &Attempt{Request: s.a.Request, Instance: runner.Instance, LastEventID: s.lastID}
+func (s *Stream) resumeAt(c choice) bool {
+	runner, done := c.Runner, c.begin()
+	a := &Attempt{Request: s.a.Request, Instance: runner.Instance, LastEventID: s.lastID, Deferred: c.deferred}
 	s.rec.exclude(a.Instance)
 	a.Left = s.d.left(a.Request)
 	started := s.d.o.Clock.Now()
-	done := runner.Begin()
 	resp, err := s.d.o.Upstream.Send(s.ctx, a)
 	took := s.d.o.Clock.Now().Sub(started)
 	if err != nil {
--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/occupancy"
@@ -10,22 +12,33 @@
 	"github.com/thymerack/thymerack/state"
 )
 
-// Turn is how a prompt that is read apart got its place among the others.
+// Turn is how a part of a model request got its place among the others.
 type Turn string
 
-// The turns of a prompt.
+// The turns.
 const (
-	// TurnCounted prompts have a place among those of all hosts that their engine
-	// reads in time.
+	// TurnCounted work has a place among that of all hosts which its engine does in
+	// time.
 	TurnCounted Turn = "counted"
-	// TurnOwn prompts are within this host's own bound; the keeper of the engine's
-	// count could not be asked.
+	// TurnOwn work is within this host's own bound, if there is one; the keeper of
+	// the engine's count could not be asked.
 	TurnOwn Turn = "own"
-	// TurnDeferred prompts came beyond what is read in time and are put behind the
+	// TurnDeferred work came beyond what is done in time and is put behind the
 	// others.
 	TurnDeferred Turn = "deferred"
 )
 
+// Work is a part of a model request.
+type Work string
+
+// The parts of a model request that take turns.
+const (
+	// WorkRead is the reading of a long prompt at an engine of its own.
+	WorkRead Work = "read"
+	// WorkGenerate is a request with a short prompt, read where it generates.
+	WorkGenerate Work = "generate"
+)
+
 // turn is a prompt's turn at an engine.
 type turn struct {
 	kind Turn
@@ -131,3 +144,59 @@
 // read. The bound settles where half of the prompts take that long and the slowest
 // tenth twice as long; 0.6 and 0.45 served fewer in time (docs/MEASUREMENTS.md).
 const readShare = 0.4
+
+// choice is a runner for one sending, with its place there if it has one.
+type choice struct {
+	*placement.Runner
+	place    *occupancy.Place
+	deferred bool
+}
+
+// begin counts the sending in; end counts it out and may be called twice.
+func (c choice) begin() (end func()) {
+	done := c.Runner.Begin()
+	return sync.OnceFunc(func() {
+		done()
+		c.place.Cancel()
+	})
+}
+
+// takePlace looks for an engine with a free slot for a request that generates at
+// length. When all that are asked are full it goes behind the others at the first,
+// where it starts once nothing newer wants the slot.
+func (d *Dispatcher) takePlace(ctx context.Context, r *Request, rec *record) choice {
+	var first *placement.Runner
+	asked := rec.tried
+	for range maxAsked {
+		runner := d.o.Placer.Decode(r.Service, "", asked)
+		if runner == nil {
+			break
+		}
+		if first == nil {
+			first = runner
+		}
+		ask := occupancy.Ask{Engine: runner.Instance.ID, Most: max(1, runner.Instance.Slots), Keep: d.left(r)}
+		began := d.o.Clock.Now()
+		place, verdict := d.o.Gate.Enter(ctx, ask)
+		switch verdict {
+		case occupancy.Given:
+			d.noteTurn(rec, TurnCounted)
+			return choice{Runner: runner, place: place}
+		case occupancy.Unknown:
+			d.noteTurn(rec, TurnOwn)
+			return choice{Runner: runner}
+		}
+		rec.add(runner.Instance, "place", outcomeFull, d.o.Clock.Now().Sub(began), nil)
+		asked = append(slices.Clone(asked), runner.Instance.ID)
+	}
+	if first == nil {
+		return choice{}
+	}
+	d.noteTurn(rec, TurnDeferred)
+	return choice{Runner: first, deferred: true}
+}
+
+func (d *Dispatcher) noteTurn(rec *record, t Turn) {
+	rec.turn = t
+	d.o.Observer.Turn(WorkGenerate, t)
+}
--- a/coordination/occupancy/book.go
+++ b/coordination/occupancy/book.go
@@ -26,6 +26,9 @@
 type Ask struct {
 	// Engine is the instance's id.
 	Engine string
+	// Most is a fixed bound in requests; 0 leaves the bound to the times seen, with
+	// Size and Target.
+	Most int
 	// Size is the work in tokens.
 	Size float64
 	// Target is the time in which work of mean size should be done.
@@ -52,6 +55,7 @@
 
 // held is one place that was given.
 type held struct {
+	// ticket is nil under a fixed bound.
 	ticket *throttle.Ticket
 	until  time.Time
 }
@@ -67,8 +71,12 @@
 	now := b.clock.Now()
 	e := b.engine(a.Engine, now)
 	e.expire(now)
-	ticket := e.limiter.Acquire(a.Size, a.Target)
-	if ticket == nil {
+	var ticket *throttle.Ticket
+	if a.Most > 0 {
+		if len(e.places) >= a.Most {
+			return 0, false
+		}
+	} else if ticket = e.limiter.Acquire(a.Size, a.Target); ticket == nil {
 		return 0, false
 	}
 	b.nextID++
--- a/coordination/occupancy/book_test.go
+++ b/coordination/occupancy/book_test.go
@@ -69,6 +69,22 @@
 	})
 }
 
+func TestFixedBoundCountsRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := NewBook(clocktest.Bubble{})
+		a := Ask{Engine: "a", Most: 2, Keep: keep}
+		first, _ := b.Enter(a)
+		_, given := b.Enter(a)
+		is.True(given)
+		_, given = b.Enter(a)
+		is.True(!given)
+		b.Leave("a", first, false)
+		_, given = b.Enter(a)
+		is.True(given)
+	})
+}
+
 // A host that was lost tells no end; its places must not block the engine.
 func TestPlaceWithoutEndIsFreeAfterItsTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/daemon/routed/measures.go
+++ b/daemon/routed/measures.go
@@ -26,9 +26,9 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_rejected_total{reason=%q}`, reason)).Inc()
 }
 
-// Prompt implements forward.Observer.
-func (m *measures) Prompt(t forward.Turn) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_prompts_total{turn=%q}`, t)).Inc()
+// Turn implements forward.Observer.
+func (m *measures) Turn(w forward.Work, t forward.Turn) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_turns_total{work=%q,turn=%q}`, w, t)).Inc()
 }
 
 // gauge reports a value that is read when the metrics are.
--- a/transport/places/places.go
+++ b/transport/places/places.go
@@ -14,6 +14,7 @@
 // Enter asks for a place at an engine.
 type Enter struct {
 	Engine   string  `msgpack:"e"`
+	Most     int     `msgpack:"m"`
 	Size     float64 `msgpack:"s"`
 	TargetMS int64   `msgpack:"t"`
 	KeepMS   int64   `msgpack:"k"`
@@ -37,7 +38,7 @@
 // Register lets the server answer peers from the host's book.
 func Register(s *peer.Server, book *occupancy.Book) {
 	s.Handle(peerapi.KindEnter, peer.HandleMsg(func(_ context.Context, _ state.HostID, q Enter) (Entered, error) {
-		id, _ := book.Enter(occupancy.Ask{Engine: q.Engine, Size: q.Size, Target: millis(q.TargetMS), Keep: millis(q.KeepMS)})
+		id, _ := book.Enter(occupancy.Ask{Engine: q.Engine, Most: q.Most, Size: q.Size, Target: millis(q.TargetMS), Keep: millis(q.KeepMS)})
 		return Entered{id}, nil
 	}))
 	s.Handle(peerapi.KindLeave, peer.HandleMsg(func(_ context.Context, _ state.HostID, q Leave) (Left, error) {
@@ -55,7 +56,7 @@
 
 // Enter implements occupancy.Peers.
 func (p Peers) Enter(ctx context.Context, addr string, a occupancy.Ask) (uint64, bool, error) {
-	q := Enter{Engine: a.Engine, Size: a.Size, TargetMS: a.Target.Milliseconds(), KeepMS: a.Keep.Milliseconds()}
+	q := Enter{Engine: a.Engine, Most: a.Most, Size: a.Size, TargetMS: a.Target.Milliseconds(), KeepMS: a.Keep.Milliseconds()}
 	got, err := peer.CallMsg[Enter, Entered](ctx, p.Client, addr, peerapi.KindEnter, q)
 	return got.ID, got.ID != 0, err
 }
