Let the first hosts of the list look for the engines' lease

The hosts' log shows no look in between; 'lease acquired' at 59.3 s. Ruled out: the store (regained by all hosts at 8.5 s), the lease's version (unchanged since 7.9 s). Change: the three hosts that come first among the keepers of counts, by what a host knows of its peers, look every 2 s; the others still every 30 s, and step in when the first don't answer. Lessor asks LookEvery anew at each third of the TTL. Tests: TestHostThatBeginsToLookOftenTakesOver, TestOthersStepInForTheFirstHosts, TestFewHostsLookForTheLeaseOften (the last failed before: a host without seeds).

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -47,8 +47,10 @@
 	// TTL is how long a lease that isn't renewed stays with its holder. Three
 	// platform calls are made in each TTL, whatever the load. Default DefaultTTL.
 	TTL time.Duration
-	// LookEvery is how often a waiter looks; default a third of the TTL.
-	LookEvery time.Duration
+	// LookEvery is how often a waiter looks, asked anew at each third of the TTL, so
+	// that few hosts of many look often and others step in for them; nil stands for a
+	// third of the TTL.
+	LookEvery func() time.Duration
 	// Log gets acquisitions and losses; nil means none.
 	Log *slog.Logger
 }
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,6 +112,44 @@
 	})
 }
 
+// Of many hosts few look often; the lease is taken over by one that has become one of
+// the few, and costs no more calls for the others.
+func TestHostThatBeginsToLookOftenTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		p := storetest.NewPlatform(0)
+		var h holders
+		go h.run(ctx, newLessor(t, p, "a", 0), "a")
+		synctest.Wait()
+		var often atomic.Bool
+		look := func() time.Duration {
+			if often.Load() {
+				return lease.DefaultTTL / 3
+			}
+			return time.Hour
+		}
+		waiter, err := lease.New(lease.Options{
+			Store: p.Client("bb"), Clock: skewedClock{}, Rand: rand.New(rand.NewPCG(2, 1)),
+			Name: "planner.roster-llm", Holder: state.HostID{Name: "bb", Incarnation: "1"}, LookEvery: look,
+		})
+		is.NoErr(err)
+		go h.run(ctx, waiter, "bb")
+		time.Sleep(time.Minute)
+		calls := p.Calls()
+		time.Sleep(30 * time.Minute)
+		is.True(p.Calls()-calls <= 30*60/2+1) // the holder's renewals alone, every 2.4 s or more
+		p.SetScript(without("a"))
+		time.Sleep(5 * time.Minute)
+		is.True(!h.holds("bb"))
+		often.Store(true)
+		time.Sleep(2 * lease.DefaultTTL)
+		is.True(h.holds("bb"))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestLeaseIsReleasedAtTheEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/coordination/lease/run.go
+++ b/coordination/lease/run.go
@@ -9,7 +9,8 @@
 )
 
 // Acquire waits until the lease is held or ctx ends. It looks three times in a
-// TTL; a platform that gives no answer is asked again at the same pace.
+// TTL, or as often as LookEvery says; a platform that gives no answer is asked again
+// at the same pace.
 func (l *Lessor) Acquire(ctx context.Context) error {
 	for {
 		held, err := l.Try(ctx)
@@ -20,28 +21,41 @@
 		if err != nil && ctx.Err() == nil {
 			l.opts.Log.Debug("lease not readable", "lease", l.opts.Name, "error", err)
 		}
-		if err := l.opts.Clock.Sleep(ctx, l.spread(l.look())); err != nil {
+		if err := l.untilDue(ctx); err != nil {
 			return err
 		}
 	}
 }
 
-// look is the time between two looks of a waiter.
-func (l *Lessor) look() time.Duration {
-	if l.opts.LookEvery > 0 {
-		return l.opts.LookEvery
+// untilDue waits until a waiter's next look is due.
+func (l *Lessor) untilDue(ctx context.Context) error {
+	looked := l.opts.Clock.Now()
+	for {
+		if err := l.opts.Clock.Sleep(ctx, l.pause()); err != nil {
+			return err
+		}
+		if l.opts.LookEvery == nil {
+			return nil
+		}
+		every := l.opts.LookEvery()
+		if l.opts.Clock.Now().Sub(looked) >= every-every/spreadPart {
+			return nil
+		}
 	}
-	return l.opts.TTL / callsPerTTL
 }
 
-// pause is the time between two renewals: a third of the TTL.
+// pause is the time between two renewals, or two questions of a waiter whether a look
+// is due: a third of the TTL.
 func (l *Lessor) pause() time.Duration { return l.spread(l.opts.TTL / callsPerTTL) }
 
 // spread takes up to a fifth off, so that hosts that started together drift apart.
 func (l *Lessor) spread(whole time.Duration) time.Duration {
-	return whole - time.Duration(l.opts.Rand.Int64N(int64(whole)/5+1))
+	return whole - time.Duration(l.opts.Rand.Int64N(int64(whole)/spreadPart+1))
 }
 
+// spreadPart is the part of a pause by which hosts drift apart.
+const spreadPart = 5
+
 // Run acquires the lease and calls work with a context that is cancelled with
 // cause ErrLost once the lease is lost; it then waits for work to return and
 // acquires again. Run returns when work returns by itself, with its error, or
--- a/coordination/occupancy/gate.go
+++ b/coordination/occupancy/gate.go
@@ -167,6 +167,26 @@
 	}
 }
 
+// Among reports whether this host is one of the first n that it believes to be
+// there, in the order in which hosts become keepers.
+func (g *Gate) Among(n int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Clock.Now()
+	for _, host := range g.order() {
+		if n == 0 {
+			return false
+		}
+		if host.Addr == g.o.Self {
+			return true
+		}
+		if !now.Before(g.avoided[host.Addr].until) {
+			n--
+		}
+	}
+	return false
+}
+
 // keeper is the host that keeps the engine's count, or "" if none is known.
 func (g *Gate) keeper(engine string) string {
 	g.mu.Lock()
--- a/coordination/occupancy/gate_test.go
+++ b/coordination/occupancy/gate_test.go
@@ -116,6 +116,40 @@
 	})
 }
 
+func TestOthersStepInForTheFirstHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, gates := fleet(t, 1, 1, 1, 1, 1, 1)
+		among := func() (count int, of map[string]bool) {
+			of = map[string]bool{}
+			for _, g := range gates {
+				if g.Among(2) {
+					of[g.o.Self] = true
+				}
+			}
+			return len(of), of
+		}
+		count, first := among()
+		is.Equal(count, 2)
+		for addr := range first {
+			n.lost[addr] = true
+		}
+		for i := range 50 { // all notice that they don't answer
+			for _, g := range gates {
+				g.Enter(t.Context(), ask(fmt.Sprint("engine-", i)))
+			}
+		}
+		_, second := among()
+		count = 0
+		for addr := range second {
+			if !first[addr] {
+				count++
+			}
+		}
+		is.True(count >= 2)
+	})
+}
+
 func TestLostKeeperIsReplacedAndTakenBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -202,7 +202,7 @@
 func newManager(t testing.TB, p *storetest.Platform, f *fakeEngines, host string, run int) *Manager {
 	lessor, err := lease.New(lease.Options{
 		Store: p.Client(host), Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(uint64(run), uint64(len(host)))),
-		Name: "engine-roles", Holder: state.HostID{Name: host, Incarnation: fmt.Sprint(run)}, TTL: 6 * time.Second, LookEvery: 2 * time.Second,
+		Name: "engine-roles", Holder: state.HostID{Name: host, Incarnation: fmt.Sprint(run)}, TTL: 6 * time.Second,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"runtime/debug"
-	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -214,14 +212,10 @@
 }
 
 func (h *Host) buildManager() error {
-	look := otherLook
-	if h.isSeed() {
-		look = seedLook
-	}
 	lessor, err := lease.New(lease.Options{
 		Store: h.store, Clock: h.clock, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Name: leaseName, Holder: state.HostID{Name: h.s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()},
-		TTL: leaseTTL, LookEvery: look, Log: h.log,
+		TTL: leaseTTL, LookEvery: h.lookEvery, Log: h.log,
 	})
 	if err != nil {
 		return err
@@ -238,12 +232,14 @@
 // takeOverMargin covers an order that the last holder sent in its last moment.
 const takeOverMargin = time.Second
 
-// isSeed reports whether the settings name this host as one that others know.
-func (h *Host) isSeed() bool {
-	return slices.ContainsFunc(h.s.Seeds, func(seed string) bool {
-		ip, _, err := net.SplitHostPort(seed)
-		return err == nil && ip == h.s.IP
-	})
+// lookEvery is how often this host looks whether the engines' lease is free. A few
+// hosts look often; the settings' seeds don't say which, as they are empty where no
+// role serves peers of the platform's own kind.
+func (h *Host) lookEvery() time.Duration {
+	if h.gate.Among(lookers) {
+		return lookOften
+	}
+	return lookSeldom
 }
 
 func (h *Host) engineServices() []string {
--- a/daemon/routed/host_test.go
+++ b/daemon/routed/host_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 
@@ -90,10 +91,24 @@
 	is.True(total < h.s.Bounds.RetrySlack)
 }
 
+func TestFewHostsLookForTheLeaseOften(t *testing.T) {
+	is := is.New(t)
+	h := newHost(t)
+	is.Equal(h.lookEvery(), lookSeldom) // the list of hosts isn't read yet
+	alone := []occupancy.Host{{Addr: h.members.addr(h.s.IP)}}
+	h.members.listed.Store(&alone)
+	is.Equal(h.lookEvery(), lookOften) // whether or not the settings name it as a seed
+	many := slices.Clone(alone)
+	for i := range lookers {
+		many = append(many, occupancy.Host{Addr: fmt.Sprint("stronger-", i), Class: 1})
+	}
+	h.members.listed.Store(&many)
+	is.Equal(h.lookEvery(), lookSeldom)
+}
+
 func TestPeersAreTheSeedsUntilTheListIsRead(t *testing.T) {
 	is := is.New(t)
 	h := newHost(t)
-	is.True(h.isSeed())
 	is.Equal(h.members.Peers(), []string{"127.0.0.8:17660"}) // never itself
 	h.Reload(platform.Settings{Seeds: []string{"127.0.0.7:1"}})
 	is.Equal(h.members.Peers(), []string{"127.0.0.7:17660"})
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -62,12 +62,13 @@
 	// to for 2 s, and a peer's word of it may be a moment old.
 	outageWindow = 2100 * time.Millisecond
 	holdFor      = 1800 * time.Millisecond
-	// leaseTTL is how long a holder of the engines' lease may be silent; seedLook
-	// and otherLook are how often the hosts named as seeds and all others look,
-	// so that the calls for it don't grow with the fleet.
-	leaseTTL  = 6 * time.Second
-	seedLook  = 2 * time.Second
-	otherLook = 30 * time.Second
+	// leaseTTL is how long a holder of the engines' lease may be silent. lookers hosts
+	// look every lookOften and all others every lookSeldom, so that the calls for it
+	// don't grow with the fleet and a lost holder is replaced within ten seconds.
+	leaseTTL   = 6 * time.Second
+	lookers    = 3
+	lookOften  = 2 * time.Second
+	lookSeldom = 30 * time.Second
 	// relayEvery is how often a host that lost the store asks a peer for newer
 	// copies.
 	relayEvery = 500 * time.Millisecond
