Take over the split of engines as it stands

Change: in a term that follows another's a difference must last three seconds, as within a term, before it is acted on. Test: TestCrashDuringATakeOverMovesNoRole, seen failing with one order.

--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -102,8 +102,10 @@
 	// since is when a service's split began to differ from the plan.
 	since map[string]time.Time
 	// stood is set for services whose split has stood as planned since the plan
-	// last changed.
+	// last changed; in a term that follows another's it is so from the start.
 	stood map[string]bool
+	// followed is set in such a term.
+	followed bool
 	// demand follows the load of the engines that generate, by service.
 	demand map[string]*demand
 }
@@ -130,7 +132,8 @@
 func (m *Manager) hold(ctx context.Context) error {
 	m.ordered, m.since, m.stood = map[string]given{}, map[string]time.Time{}, map[string]bool{}
 	m.pausing, m.demand = map[string]time.Time{}, map[string]*demand{}
-	if !m.o.Lease.First() {
+	m.followed = !m.o.Lease.First()
+	if m.followed {
 		m.o.Log.Info("waiting before the first order", "silence", m.o.TakeOver, "fence", m.o.Lease.Fence())
 		if m.o.Clock.Sleep(ctx, m.o.TakeOver) != nil {
 			return nil
@@ -154,6 +157,9 @@
 	}
 	now := m.o.Clock.Now()
 	m.forget(engines, now)
+	if _, known := m.stood[service]; !known {
+		m.stood[service] = m.followed
+	}
 	want := Target(len(engines), m.share(ctx, service, engines, now))
 	changes := Plan(m.asOrdered(engines), want)
 	if len(changes) == 0 {
--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -199,6 +199,24 @@
 	f.orders = append(f.orders, received{now, o.Holder, o.Fence})
 }
 
+// crash takes engines out of the list until back is called.
+func (f *fakeEngines) crash(ids ...string) (back func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var gone []*fakeEngine
+	for _, id := range ids {
+		gone = append(gone, f.engines[id])
+		delete(f.engines, id)
+	}
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, e := range gone {
+			f.engines[e.instance.ID] = e
+		}
+	}
+}
+
 func newManager(t testing.TB, p *storetest.Platform, f *fakeEngines, host string, run int) *Manager {
 	lessor, err := lease.New(lease.Options{
 		Store: p.Client(host), Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(uint64(run), uint64(len(host)))),
@@ -245,18 +263,9 @@
 		var done sync.WaitGroup
 		done.Go(func() { _ = newManager(t, p, f, "h", 1).Run(ctx) })
 		time.Sleep(10 * time.Second)
-		f.mu.Lock()
-		gone := []*fakeEngine{f.engines["e00"], f.engines["e01"], f.engines["e02"]}
-		for _, e := range gone {
-			delete(f.engines, e.instance.ID)
-		}
-		f.mu.Unlock()
+		back := f.crash("e00", "e01", "e02")
 		time.Sleep(2 * time.Second)
-		f.mu.Lock()
-		for _, e := range gone {
-			f.engines[e.instance.ID] = e
-		}
-		f.mu.Unlock()
+		back()
 		time.Sleep(time.Minute)
 		cancel()
 		done.Wait()
@@ -264,6 +273,36 @@
 	})
 }
 
+// A holder that takes over in the middle of a crash finds the split of the one before
+// it, not a first split to be ordered.
+func TestCrashDuringATakeOverMovesNoRole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeEngines(engines(8, 4), 0, 1)
+		p := storetest.NewPlatform(time.Second)
+		run := func(host string) (stop func()) {
+			ctx, cancel := context.WithCancel(t.Context())
+			var done sync.WaitGroup
+			done.Go(func() { _ = newManager(t, p, f, host, 1).Run(ctx) })
+			return func() {
+				cancel()
+				done.Wait()
+			}
+		}
+		stop := run("h1")
+		time.Sleep(10 * time.Second)
+		stop()
+		stop = run("h2")
+		time.Sleep(leaseTime) // it keeps silence for a second more
+		back := f.crash("e00", "e01", "e02")
+		time.Sleep(3 * time.Second)
+		back()
+		time.Sleep(time.Minute)
+		stop()
+		is.Equal(len(f.orders), 0)
+	})
+}
+
 // TestHoldsNoConflictingRoleOrders kills, restarts and cuts off hosts at random
 // while orders are answered late or never.
 func TestHoldsNoConflictingRoleOrders(t *testing.T) {
