Let the copies of a host ask a lost store together

Cause: calls to the store are the largest price on the grown sites. Change: one copy asks while the store is lost, the other waits for its answer, five seconds at most. Tests: TestMirrorsAskALostStoreTogether (seen failing without the wait), TestMirrorDoesNotWaitForeverForAnother.

--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -31,7 +31,8 @@
 func newFollower(t testing.TB, p *storetest.Platform, gather time.Duration) *follower {
 	f := &follower{}
 	m, err := New(Options{
-		Store: p.Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", Gather: gather,
+		Outage: &Outage{},
+		Store:  p.Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", Gather: gather,
 		Changed: func(c Copy) { f.seen = append(f.seen, c) },
 	})
 	if err != nil {
@@ -102,6 +103,81 @@
 	})
 }
 
+// In an outage the store's refusals are priced like answers: two copies of a host cost
+// no more calls than one, and both are up to date soon after its end.
+func TestMirrorsAskALostStoreTogether(t *testing.T) {
+	polled := func(t *testing.T, mirrors int) int {
+		is := is.New(t)
+		p := storetest.NewPlatform(20 * time.Second)
+		v := put(t, p, "a", "1", store.Absent)
+		outage := &Outage{}
+		var all []*Mirror
+		for range mirrors {
+			m, err := New(Options{
+				Store: polling{p.Client("h")}, Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", Outage: outage, Changed: func(Copy) {},
+			})
+			is.NoErr(err)
+			defer run(t, m)()
+			all = append(all, m)
+		}
+		time.Sleep(time.Second)
+		p.SetScript(func(c storetest.Call) storetest.Fault {
+			if c.Caller == "h" {
+				return storetest.Refuse
+			}
+			return storetest.None
+		})
+		put(t, p, "a", "2", v) // ends the waiting watches
+		before := p.Calls()
+		time.Sleep(waitMost - time.Second)
+		calls := p.Calls() - before
+		p.SetScript(nil)
+		time.Sleep(2 * retryMost)
+		for _, m := range all {
+			is.Equal(values(m.Export()), []string{"a=2"})
+			is.True(!m.Lost())
+		}
+		return calls
+	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		one, two := polled(t, 1), polled(t, 2)
+		is.True(one >= 4)
+		is.True(two <= one+3)
+	})
+}
+
+// A mirror whose fellow isn't answered asks by itself after a while.
+func TestMirrorDoesNotWaitForeverForAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := storetest.NewPlatform(20 * time.Second)
+		outage := &Outage{}
+		mirror := func(kind, caller string) *Mirror {
+			m, err := New(Options{
+				Store: polling{p.Client(caller)}, Clock: clocktest.Bubble{}, Log: quiet, Kind: kind, Outage: outage, Changed: func(Copy) {},
+			})
+			is.NoErr(err)
+			return m
+		}
+		p.SetScript(func(storetest.Call) storetest.Fault { return storetest.Refuse })
+		first, second := mirror("things", "never"), mirror("others", "soon")
+		defer run(t, first)()
+		synctest.Wait()
+		defer run(t, second)()
+		time.Sleep(time.Second)
+		p.SetScript(func(c storetest.Call) storetest.Fault {
+			if c.Caller == "never" {
+				return storetest.Refuse
+			}
+			return storetest.None
+		})
+		time.Sleep(waitMost + time.Second)
+		is.True(first.Lost())
+		is.True(!second.Lost())
+	})
+}
+
 func TestForgottenHistoryIsListedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -162,7 +238,8 @@
 	config := NewConfig("main", decode, quiet)
 	problem, last := "", uint64(0)
 	m, err := New(Options{
-		Store: p.Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things",
+		Outage: &Outage{},
+		Store:  p.Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things",
 		Changed: func(c Copy) {
 			config.Changed(c)
 			if table := config.Table(); table != nil {
@@ -313,10 +390,7 @@
 }
 
 // polling is a test store with a watch that doesn't wait.
-type polling struct {
-	*storetest.Client
-	p *storetest.Platform
-}
+type polling struct{ *storetest.Client }
 
 func (s polling) Poll(ctx context.Context, kind string, after uint64) (store.Batch, error) {
 	if _, _, err := s.List(ctx, kind); err != nil {
@@ -331,7 +405,8 @@
 		p := storetest.NewPlatform(20 * time.Second)
 		put(t, p, "a", "1", store.Absent)
 		m, err := New(Options{
-			Store: polling{p.Client("h"), p}, Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", Changed: func(Copy) {},
+			Outage: &Outage{},
+			Store:  polling{p.Client("h")}, Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", Changed: func(Copy) {},
 		})
 		is.NoErr(err)
 		defer run(t, m)()
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -40,6 +40,8 @@
 	Kind string
 	// Changed gets the whole copy after each change, one call at a time.
 	Changed func(Copy)
+	// Outage is shared by the mirrors that follow the same store.
+	Outage *Outage
 	// Gather is the pause after a watch that brought changes, so that changes in
 	// quick succession cost one call; it delays the later ones. May be zero.
 	Gather time.Duration
@@ -68,7 +70,7 @@
 
 // New validates the options.
 func New(o Options) (*Mirror, error) {
-	if o.Store == nil || o.Clock == nil || o.Log == nil || o.Kind == "" || o.Changed == nil {
+	if o.Store == nil || o.Clock == nil || o.Log == nil || o.Kind == "" || o.Changed == nil || o.Outage == nil {
 		return nil, errors.New("follow: a field of Options is missing; set all of them")
 	}
 	return &Mirror{o: o, objects: map[string]store.Object{}}, nil
@@ -135,7 +137,7 @@
 			continue
 		}
 		m.failed(ctx, err)
-		if m.o.Clock.Sleep(ctx, jitter(pause)) != nil {
+		if m.rest(ctx, pause) != nil {
 			return
 		}
 		pause = min(2*pause, retryMost)
@@ -237,6 +239,7 @@
 }
 
 func (m *Mirror) answered() {
+	m.o.Outage.answered(m)
 	if !m.lost.Swap(false) {
 		return
 	}
--- /dev/null
+++ b/coordination/follow/outage.go
@@ -0,0 +1,57 @@
+package follow
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Outage lets the mirrors of one host ask a store that doesn't answer together: one
+// of them asks, the others wait until it is answered. It is safe for concurrent use.
+type Outage struct {
+	mu sync.Mutex
+	// asker is the mirror that asks; nil while the store answers.
+	asker *Mirror
+	// over is closed when the asker is answered.
+	over chan struct{}
+}
+
+// leads reports whether m is to ask, and otherwise what is closed when the store
+// answers again.
+func (o *Outage) leads(m *Mirror) (bool, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.asker == nil {
+		o.asker, o.over = m, make(chan struct{})
+	}
+	return o.asker == m, o.over
+}
+
+// answered ends the outage if m is the one that asks.
+func (o *Outage) answered(m *Mirror) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.asker == m {
+		o.asker = nil
+		close(o.over)
+	}
+}
+
+// waitMost bounds the wait for another mirror's answer. A mirror that has waited for
+// so long asks by itself: its own connections may be the ones that work.
+const waitMost = 5 * time.Second
+
+// rest waits until a mirror that wasn't answered should ask again.
+func (m *Mirror) rest(ctx context.Context, pause time.Duration) error {
+	leads, over := m.o.Outage.leads(m)
+	if leads {
+		return m.o.Clock.Sleep(ctx, jitter(pause))
+	}
+	bounded, cancel := context.WithTimeout(ctx, waitMost)
+	defer cancel()
+	select {
+	case <-over:
+	case <-bounded.Done():
+	}
+	return ctx.Err()
+}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -112,12 +112,13 @@
 		Outage:  func() bool { return h.listed.AwayWithin(outageWindow) },
 		HoldFor: holdFor,
 	})
+	outage := &follow.Outage{}
 	var err error
-	h.configs, err = follow.New(follow.Options{Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig})
+	h.configs, err = follow.New(follow.Options{Outage: outage, Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig})
 	if err != nil {
 		return err
 	}
-	h.listed, err = follow.New(follow.Options{Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindInstances, Changed: h.instances.Changed, Gather: gatherInstances})
+	h.listed, err = follow.New(follow.Options{Outage: outage, Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindInstances, Changed: h.instances.Changed, Gather: gatherInstances})
 	return err
 }
 
