Notice a cut from the store within three seconds

Change: two unanswered keepalives in place of three end a connection to the store. One copy of a host now waits 2 s at most for the other's answer, so that a call that hangs can't hold news back beyond its bound.

--- a/coordination/follow/outage.go
+++ b/coordination/follow/outage.go
@@ -37,9 +37,9 @@
 	}
 }
 
-// waitMost bounds the wait for another mirror's answer. A mirror that has waited for
-// so long asks by itself: its own connections may be the ones that work.
-const waitMost = 5 * time.Second
+// waitMost bounds the wait for another mirror's answer: the call that it waits for may
+// be lost, while changes must be in force 2 s and more after the store's return.
+const waitMost = 2 * time.Second
 
 // rest waits until a mirror that wasn't answered should ask again.
 func (m *Mirror) rest(ctx context.Context, pause time.Duration) error {
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -91,7 +91,7 @@
 func (h *Host) buildStore() error {
 	client, err := httpclient.New(httpclient.Options{
 		Addr: h.s.StoreAddr, DialTimeout: storeTimeout, WriteTimeout: storeTimeout,
-		UserTimeout: storeUserTimeout, KeepAlive: storeKeepAlive,
+		UserTimeout: storeUserTimeout, KeepAlive: storeKeepAlive, KeepAliveCount: storeKeepAliveCount,
 		MaxConns: storeConns, MaxIdle: storeIdle, MaxHeaderBytes: storeHeaderBytes,
 	})
 	if err != nil {
--- a/daemon/routed/host_test.go
+++ b/daemon/routed/host_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -91,6 +92,18 @@
 	is.True(total < h.s.Bounds.RetrySlack)
 }
 
+// A host counts as in touch with the store again 3 s after a cut. A watch that waits
+// through a cut is sent its changes again 0.2, 0.6, 1.4, 3.0 and 6.2 s after they were
+// lost, so that cuts longer than 3 s must be noticed by silence.
+func TestCutFromTheStoreIsNoticedInTime(t *testing.T) {
+	is := is.New(t)
+	const secondLastRetransmission = 3 * time.Second
+	silence := storeKeepAlive * (1 + storeKeepAliveCount)
+	is.True(silence <= secondLastRetransmission)
+	is.True(storeUserTimeout <= silence)
+	is.Equal(storeKeepAlive%time.Second, time.Duration(0)) // the kernel rounds up
+}
+
 func TestFewHostsLookForTheLeaseOften(t *testing.T) {
 	is := is.New(t)
 	h := newHost(t)
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -45,10 +45,14 @@
 	listTimeout = 8 * time.Second
 	// watchWait is how long a watch waits at the store; the platform allows 30 s.
 	watchWait = 20 * time.Second
-	// storeUserTimeout and storeKeepAlive find a store that is cut off while a
-	// watch waits there, well before the bounds on configuration apply to a host again (3 s).
-	storeUserTimeout = 2500 * time.Millisecond
-	storeKeepAlive   = time.Second
+	// storeUserTimeout and storeKeepAlive find a store that is cut off while a watch
+	// waits there, 3 s after its last sign. The kernel counts keepalives in whole
+	// seconds. Of a cut that isn't noticed the watch learns by the store's next
+	// retransmission: up to 1.6 s after a cut of 3 s, 3.2 s after one of 4 s, while the
+	// bounds on configuration apply to a host again 3 s after any.
+	storeUserTimeout    = 2500 * time.Millisecond
+	storeKeepAlive      = time.Second
+	storeKeepAliveCount = 2
 	storeConns       = 8
 	storeIdle        = 20 * time.Second
 	storeHeaderBytes = 4 << 10
--- a/transport/httpclient/conn_linux.go
+++ b/transport/httpclient/conn_linux.go
@@ -26,6 +26,9 @@
 	if o.KeepAlive > 0 {
 		k.Idle, k.Interval = o.KeepAlive, o.KeepAlive
 	}
+	if o.KeepAliveCount > 0 {
+		k.Count = o.KeepAliveCount
+	}
 	return k
 }
 
--- a/transport/httpclient/options.go
+++ b/transport/httpclient/options.go
@@ -27,6 +27,9 @@
 	// KeepAlive is the time between two keepalive probes of a silent connection,
 	// a whole number of seconds; 0 stands for the package's own times.
 	KeepAlive time.Duration
+	// KeepAliveCount is how many probes in a row may stay unanswered; 0 takes the
+	// default.
+	KeepAliveCount int
 	// MaxConns bounds the open connections.
 	MaxConns int
 	// MaxIdle is how long an unused connection is kept. Keep it well below the
