--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -53,9 +53,9 @@
 	storeUserTimeout    = 2500 * time.Millisecond
 	storeKeepAlive      = time.Second
 	storeKeepAliveCount = 2
-	storeConns       = 8
-	storeIdle        = 20 * time.Second
-	storeHeaderBytes = 4 << 10
+	storeConns          = 8
+	storeIdle           = 20 * time.Second
+	storeHeaderBytes    = 4 << 10
 	// gatherConfig and gatherInstances let changes in quick succession cost one
 	// call; the shortest bound on either change is 2 s.
 	gatherConfig    = 800 * time.Millisecond
