Keep one type for a prompt's KV cache; log one that isn't freed

Change: KVSource names the instance and the handle; Discard returns its error and the dispatcher logs it with the request's id. Behaviour otherwise as before.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -94,7 +94,7 @@
 	if err != nil && rec.failed != nil {
 		answer, err = rec.failed, nil
 	}
-	d.discard(rec)
+	d.discard(r, rec)
 	if answer != nil && answer.Stream != nil {
 		return answer, nil // logged at its end
 	}
@@ -106,12 +106,17 @@
 	return answer, err
 }
 
-// discard frees a KV cache that no engine was asked to take.
-func (d *Dispatcher) discard(rec *record) {
+// discard frees a KV cache that no engine was asked to take. One that can't be freed
+// lapses at its engine by itself.
+func (d *Dispatcher) discard(r *Request, rec *record) {
 	if rec.cached == nil || rec.mayHaveRun {
 		return
 	}
-	go d.o.Upstream.Discard(rec.cached.instance, rec.cached.handle)
+	go func() {
+		if err := d.o.Upstream.Discard(rec.cached); err != nil {
+			d.o.Log.Info("KV cache not freed", "request_id", r.ID, "instance", rec.cached.Instance.ID, "cause", err.Error())
+		}
+	}()
 }
 
 // log writes the one line of a request.
--- a/coordination/forward/forward_test.go
+++ b/coordination/forward/forward_test.go
@@ -67,7 +67,10 @@
 	return string(body), nil
 }
 
-func (u *fakeUpstream) Discard(_ *state.Instance, handle string) { u.discarded <- handle }
+func (u *fakeUpstream) Discard(source *KVSource) error {
+	u.discarded <- source.Handle
+	return errors.New("the engine is gone")
+}
 
 type fakeResponse struct {
 	u    *fakeUpstream
@@ -275,7 +278,7 @@
 	is.True(w.up.attempts[0].PrefillOnly)
 	is.Equal(w.up.attempts[0].Instance.Role, state.RolePrefill)
 	is.Equal(w.up.attempts[1].Instance.Role, state.RoleDecode)
-	is.Equal(*w.up.attempts[1].Source, KVSource{Addr: w.up.attempts[0].Instance.Addr, Handle: "h1"})
+	is.Equal(*w.up.attempts[1].Source, KVSource{Instance: w.up.attempts[0].Instance, Handle: "h1"})
 }
 
 func TestShortPromptGoesToAnEngineThatGenerates(t *testing.T) {
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -48,13 +48,7 @@
 	// turn is how a model request got its place among the others; "" for calls.
 	turn Turn
 	// cached is where the prompt's KV cache waits to be taken, or nil.
-	cached *cached
-}
-
-// cached is a KV cache at an engine that read the prompt.
-type cached struct {
-	instance *state.Instance
-	handle   string
+	cached *KVSource
 }
 
 func (r *record) add(i *state.Instance, part string, o outcome, took time.Duration, err error) {
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -71,10 +71,10 @@
 	Generation *Generation
 }
 
-// KVSource names a prefilled KV cache at a runner.
+// KVSource names the KV cache of a prompt at the engine that read it.
 type KVSource struct {
-	Addr   string
-	Handle string
+	Instance *state.Instance
+	Handle   string
 }
 
 // Attempt is one sending of a request to a runner.
@@ -128,7 +128,7 @@
 	// with PrefillOnly.
 	PrefillHandle(body []byte) (string, error)
 	// Discard frees a KV cache that nobody will take.
-	Discard(instance *state.Instance, handle string)
+	Discard(source *KVSource) error
 }
 
 // SendError says that an attempt gave no usable response.
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -98,8 +98,8 @@
 	}
 	runner.Answered(took)
 	rec.add(a.Instance, part, outcomePrefill, took, nil)
-	rec.cached = &cached{a.Instance, handle}
-	return &KVSource{Addr: a.Instance.Addr, Handle: handle}, false
+	rec.cached = &KVSource{a.Instance, handle}
+	return rec.cached, false
 }
 
 // keepsParts is the address of an engine that may keep shared parts of the prompt:
--- a/transport/runners/pool.go
+++ b/transport/runners/pool.go
@@ -155,14 +155,13 @@
 // PrefillHandle implements forward.Upstream.
 func (p *Pool) PrefillHandle(body []byte) (string, error) { return p.o.Codec.PrefillHandle(body) }
 
-// Discard implements forward.Upstream. A cache that can't be freed lapses at the
-// engine by itself.
-func (p *Pool) Discard(i *state.Instance, handle string) {
+// Discard implements forward.Upstream.
+func (p *Pool) Discard(source *forward.KVSource) error {
 	ctx, cancel := context.WithTimeout(context.Background(), discardTimeout)
 	defer cancel()
 	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
-	p.o.Codec.EncodeDiscard(handle, req)
-	_ = p.Do(ctx, i, req, resp, discardTimeout)
+	p.o.Codec.EncodeDiscard(source.Handle, req)
+	return p.Do(ctx, source.Instance, req, resp, discardTimeout)
 }
 
 // Do makes a call of the system's own at an instance and reads the whole answer.
