--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -181,7 +181,7 @@
 }
 
 // over returns the refusal of a request whose caller has left or whose time is up.
-// One that was sent before isn't sent again for the last moment.
+// One that has been worked on isn't sent again for the last moment.
 func (d *Dispatcher) over(ctx context.Context, r *Request, rec *record) error {
 	least := time.Duration(1)
 	if len(rec.steps) > 0 {
