Keep one loop over engines and one name of a host's run

A host made two incarnations, one for its peers and one for the lease: both take the same. The gate compared the whole list of hosts under its lock for every place: it compares the slice, which is replaced whole. Two comments still spoke of prompts only. Behaviour as before; tests unchanged.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -37,7 +37,7 @@
 	Turn(w Work, t Turn)
 }
 
-// Gate gives places at the engines that read prompts, over all hosts.
+// Gate gives places at engines, counted over all hosts.
 type Gate interface {
 	Enter(ctx context.Context, a occupancy.Ask) (*occupancy.Place, occupancy.Verdict)
 }
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -21,7 +21,8 @@
 	outcomeFailed   outcome = "failed"
 	outcomePrefill  outcome = "prefilled"
 	outcomeCut      outcome = "cut"
-	// outcomeFull is an engine that has as many prompts as it reads in time.
+	// outcomeFull is an engine that has as many prompts as it reads in time, or no
+	// free slot.
 	outcomeFull outcome = "full"
 )
 
--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -69,30 +69,53 @@
 // first, then the next by the session's order.
 func (d *Dispatcher) takeTurn(ctx context.Context, r *Request, rec *record) turn {
 	var home *placement.Runner
-	var asked []string
-	for range maxAsked {
+	next := func(asked []string) *placement.Runner {
 		runner, own := d.o.Placer.Prefill(r.Service, r.Generation.Session(), asked)
-		if runner == nil {
-			break
-		}
 		if home == nil {
 			home = runner
 			if own != nil {
 				home = own
 			}
 		}
+		return runner
+	}
+	size := func(*placement.Runner) occupancy.Ask {
+		return occupancy.Ask{Size: float64(r.Generation.OwnTokens()), Target: readTarget(r.Route)}
+	}
+	runner, place, verdict := d.findRoom(ctx, r, rec, nil, next, size)
+	switch verdict {
+	case occupancy.Given:
+		return turn{kind: TurnCounted, runner: runner, home: otherThan(home, runner), place: place}
+	case occupancy.Unknown:
+		return d.ownTurn(r)
+	default:
+		return turn{kind: TurnDeferred}
+	}
+}
+
+// findRoom asks for a place at one engine after the other, as next names them, until
+// one has room or its count can't be asked. The verdict is Full if none is found among
+// maxAsked. size says what a place at an engine is for; tried engines are not asked.
+func (d *Dispatcher) findRoom(ctx context.Context, r *Request, rec *record, tried []string,
+	next func(asked []string) *placement.Runner, size func(*placement.Runner) occupancy.Ask,
+) (*placement.Runner, *occupancy.Place, occupancy.Verdict) {
+	asked := slices.Clone(tried)
+	for range maxAsked {
+		runner := next(asked)
+		if runner == nil {
+			break
+		}
+		ask := size(runner)
+		ask.Engine, ask.Keep = runner.Instance.ID, d.left(r)
 		began := d.o.Clock.Now()
-		place, verdict := d.o.Gate.Enter(ctx, d.ask(r, runner))
-		switch verdict {
-		case occupancy.Given:
-			return turn{kind: TurnCounted, runner: runner, home: otherThan(home, runner), place: place}
-		case occupancy.Unknown:
-			return d.ownTurn(r)
+		place, verdict := d.o.Gate.Enter(ctx, ask)
+		if verdict != occupancy.Full {
+			return runner, place, verdict
 		}
 		rec.add(runner.Instance, "place", outcomeFull, d.o.Clock.Now().Sub(began), nil)
 		asked = append(asked, runner.Instance.ID)
 	}
-	return turn{kind: TurnDeferred}
+	return nil, nil, occupancy.Full
 }
 
 // otherThan is home, or nil if it is the runner itself.
@@ -103,13 +126,6 @@
 	return home
 }
 
-func (d *Dispatcher) ask(r *Request, runner *placement.Runner) occupancy.Ask {
-	return occupancy.Ask{
-		Engine: runner.Instance.ID, Size: float64(r.Generation.OwnTokens()),
-		Target: readTarget(r.Route), Keep: d.left(r),
-	}
-}
-
 // ownTurn bounds the prompt by this host's own.
 func (d *Dispatcher) ownTurn(r *Request) turn {
 	ticket := d.limiter(r.Route).Acquire(float64(r.Generation.OwnTokens()), readTarget(r.Route))
@@ -166,34 +182,30 @@
 // where it starts once nothing newer wants the slot.
 func (d *Dispatcher) takePlace(ctx context.Context, r *Request, rec *record) choice {
 	var first *placement.Runner
-	asked := rec.tried
-	for range maxAsked {
+	next := func(asked []string) *placement.Runner {
 		runner := d.o.Placer.Decode(r.Service, "", asked)
-		if runner == nil {
-			break
-		}
 		if first == nil {
 			first = runner
 		}
-		ask := occupancy.Ask{Engine: runner.Instance.ID, Most: max(1, runner.Instance.Slots), Keep: d.left(r)}
-		began := d.o.Clock.Now()
-		place, verdict := d.o.Gate.Enter(ctx, ask)
-		switch verdict {
-		case occupancy.Given:
-			d.noteTurn(rec, TurnCounted)
-			return choice{Runner: runner, place: place}
-		case occupancy.Unknown:
-			d.noteTurn(rec, TurnOwn)
-			return choice{Runner: runner}
-		}
-		rec.add(runner.Instance, "place", outcomeFull, d.o.Clock.Now().Sub(began), nil)
-		asked = append(slices.Clone(asked), runner.Instance.ID)
+		return runner
+	}
+	slots := func(runner *placement.Runner) occupancy.Ask {
+		return occupancy.Ask{Most: max(1, runner.Instance.Slots)}
 	}
-	if first == nil {
+	runner, place, verdict := d.findRoom(ctx, r, rec, rec.tried, next, slots)
+	switch {
+	case first == nil:
 		return choice{}
+	case verdict == occupancy.Given:
+		d.noteTurn(rec, TurnCounted)
+		return choice{Runner: runner, place: place}
+	case verdict == occupancy.Unknown:
+		d.noteTurn(rec, TurnOwn)
+		return choice{Runner: runner}
+	default:
+		d.noteTurn(rec, TurnDeferred)
+		return choice{Runner: first, deferred: true}
 	}
-	d.noteTurn(rec, TurnDeferred)
-	return choice{Runner: first, deferred: true}
 }
 
 func (d *Dispatcher) noteTurn(rec *record, t Turn) {
--- a/coordination/occupancy/gate.go
+++ b/coordination/occupancy/gate.go
@@ -56,7 +56,8 @@
 type GateOptions struct {
 	Book  *Book
 	Peers Peers
-	// Self is this host's peer address, and Hosts lists all hosts.
+	// Self is this host's peer address, and Hosts lists all hosts. A list that has
+	// been returned is never changed: another list is another slice.
 	Self  string
 	Hosts func() []Host
 	Clock state.Clock
@@ -213,7 +214,7 @@
 // ones; g.mu is held.
 func (g *Gate) order() []Host {
 	hosts := g.o.Hosts()
-	if slices.Equal(hosts, g.ranked.of) {
+	if sameList(hosts, g.ranked.of) {
 		return g.ranked.order
 	}
 	order := slices.Clone(hosts)
@@ -224,7 +225,7 @@
 			strings.Compare(a.Addr, b.Addr),
 		)
 	})
-	g.ranked = ranking{slices.Clone(hosts), order}
+	g.ranked = ranking{hosts, order}
 	for addr := range g.avoided {
 		if !slices.ContainsFunc(hosts, func(h Host) bool { return h.Addr == addr }) {
 			delete(g.avoided, addr)
@@ -233,6 +234,12 @@
 	return order
 }
 
+// sameList reports whether a and b are one slice, without looking at its hosts: this
+// is asked for each place.
+func sameList(a, b []Host) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // avoid passes over a keeper that didn't answer, for longer each time.
 func (g *Gate) avoid(keeper string, cause error) {
 	g.mu.Lock()
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -34,8 +34,10 @@
 
 // Host is one host. Create it with New.
 type Host struct {
-	o     Options
-	s     platform.Settings
+	o Options
+	s platform.Settings
+	// id names this run of the host to its peers and in the lease.
+	id    state.HostID
 	log   *slog.Logger
 	clock wallclock.Clock
 
@@ -64,6 +66,7 @@
 		return nil, err
 	}
 	h := &Host{o: o, s: o.Settings, log: o.Log.With("host", o.Settings.Host), metrics: newMeasures()}
+	h.id = state.HostID{Name: h.s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
 	for _, build := range []func() error{h.buildStore, h.buildLists, h.buildPeers, h.buildPool, h.buildGateway, h.buildManager} {
 		if err := build(); err != nil {
 			return nil, err
@@ -125,17 +128,16 @@
 // buildPeers makes the calls between hosts. Hosts know each other by their entries
 // in the store; the settings have no key for them to share.
 func (h *Host) buildPeers() error {
-	self := state.HostID{Name: h.s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
 	var err error
 	h.peers, err = peer.NewClient(peer.ClientOptions{
-		Self: self, MaxBodyBytes: relay.MaxBodyBytes, Log: h.log,
+		Self: h.id, MaxBodyBytes: relay.MaxBodyBytes, Log: h.log,
 		DialTimeout: peerDialTimeout, GreetTimeout: peerDialTimeout, SilenceTimeout: peerSilence,
 	})
 	if err != nil {
 		return err
 	}
 	h.peerServer, err = peer.NewServer(peer.ServerOptions{
-		Self: self, MaxBodyBytes: relay.MaxBodyBytes, Log: h.log, GreetTimeout: peerDialTimeout, SilenceTimeout: peerSilence,
+		Self: h.id, MaxBodyBytes: relay.MaxBodyBytes, Log: h.log, GreetTimeout: peerDialTimeout, SilenceTimeout: peerSilence,
 	})
 	if err != nil {
 		return err
@@ -215,7 +217,7 @@
 func (h *Host) buildManager() error {
 	lessor, err := lease.New(lease.Options{
 		Store: h.store, Clock: h.clock, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Name: leaseName, Holder: state.HostID{Name: h.s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()},
+		Name: leaseName, Holder: h.id,
 		TTL: leaseTTL, LookEvery: h.lookEvery, Log: h.log,
 	})
 	if err != nil {
