--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -139,7 +139,9 @@
 		put(t, p, "a", "2", v) // ends the waiting watches
 		time.Sleep(outageTime)
 		p.SetScript(nil)
+		mu.Lock()
 		most, least := max(refused["h1"], refused["h2"]), min(refused["h1"], refused["h2"])
+		mu.Unlock()
 		is.True(most >= int(outageTime/(3*retryMost/2)))
 		is.True(least <= int(outageTime/waitMost)+1)
 		time.Sleep(2 * retryMost)
