Let a stand-in engine's cut stream hold the events before the cut

The stand-in wrote a stream into fasthttp's pipe, which takes four writes before anything is on the wire, and a cut closed the connection from beside: events, and at times the head, were lost with it, so that the caller saw a connection closed without any answer. Ruled out: reuse of an idle connection that the server had closed (1,440 runs of the test alone, one processor each, none failed; the new test fails without any connection being reused). Change: the stream is an io.Pipe whose writer ends it with an error; the server passes on each event before the next is made and then closes the connection.

--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -84,7 +84,7 @@
 	c.Set(fiber.HeaderContentType, "text/event-stream")
 	c.Set(fiber.HeaderCacheControl, "no-cache")
 	c.Response().ImmediateHeaderFlush = true
-	return c.SendStreamWriter(out.write)
+	return c.SendStream(out.body())
 }
 
 // request reads a GenerateRequest; the header names the attempt if the body
--- a/standin/engine/server_test.go
+++ b/standin/engine/server_test.go
@@ -142,6 +142,21 @@
 	is.True(err != nil) // the connection broke
 }
 
+// TestCutStreamHoldsTheEventsBefore: what an engine gave out before it breaks off
+// reaches the caller, head and events alike.
+func TestCutStreamHoldsTheEventsBefore(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, fast("e1"))
+	is.NoErr(s.SetFault(engine.Fault{Fault: engine.FaultCutAfter, Tokens: 3}))
+	const rounds = 200
+	for range rounds {
+		chunks, ended, err := s.stream(t, ask("hello", "a1"))
+		is.Equal(len(chunks), 3)
+		is.True(!ended)
+		is.True(err != nil) // the connection broke
+	}
+}
+
 func TestOrderCutsStreamsWithoutEndMark(t *testing.T) {
 	is := is.New(t)
 	s := serve(t, stuck("e1"))
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 
@@ -39,34 +41,48 @@
 	return answer.Key(answer.Text(r.Prompt, r.Messages))
 }
 
+// errCut ends the body of a stream that breaks off: the server closes the
+// connection without the body's end, after all that was written before.
+var errCut = errors.New("the engine broke off the stream")
+
+// body returns the stream as the body of an answer. Each event is taken up by the
+// server before the next is made, so that a cut loses nothing of what went before.
+func (s *stream) body() io.Reader {
+	r, w := io.Pipe()
+	go func() { _ = w.CloseWithError(s.write(bufio.NewWriter(w))) }()
+	return r
+}
+
 // write sends the tokens as SSE events. The end mark follows only a whole
-// answer; else the connection is cut.
-func (s *stream) write(w *bufio.Writer) {
+// answer; else the stream is cut.
+func (s *stream) write(w *bufio.Writer) error {
 	for t := range readTokens(s.engine, s.seq, s.conn) {
 		s.engine.waitHang()
 		if s.faults.cut && s.sent >= s.faults.cutAfter {
 			s.engine.Abandon(s.seq)
-			s.cut()
-			return
+			return s.cut()
 		}
 		if err := s.token(w, t); err != nil {
 			s.engine.Abandon(s.seq)
-			return
+			return err
 		}
 	}
 	if s.seq.End != Done {
-		_ = s.conn.Close()
-		return
+		return errCut
 	}
-	_, _ = fmt.Fprintf(w, "data: %s\n\n", engineapi.DoneMark)
-	_ = w.Flush()
+	if _, err := fmt.Fprintf(w, "data: %s\n\n", engineapi.DoneMark); err != nil {
+		return err
+	}
+	return w.Flush()
 }
 
-// cut ends the stream before its end mark.
-func (s *stream) cut() {
-	if !s.faults.cutClean {
-		_ = s.conn.Close()
+// cut ends the stream before its end mark: with the body's end if the fault asks
+// for it.
+func (s *stream) cut() error {
+	if s.faults.cutClean {
+		return nil
 	}
+	return errCut
 }
 
 // token sends one token, changed as the faults ask.
