Close connections without a request when a host's front ends

HTTP clients connect ahead of need; the server waits 5 s for the first request of such a connection, Close gives it 1 s. Ruled out: requests in flight (the test had seen Drain end) and idle connections (the server closes these itself).

--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -236,9 +236,13 @@
 // Close ends everything that is left and closes the listener.
 func (s *Server) Close() error {
 	s.stopBase()
-	return s.app.ShutdownWithTimeout(time.Second)
+	return s.conns.Shutdown(func() error { return s.app.ShutdownWithTimeout(closeTimeout) })
 }
 
+// closeTimeout bounds the end of the connections: by then nothing is left to
+// answer, and the host's process ends after it.
+const closeTimeout = time.Second
+
 // newID makes a request id that names the host, so that any host finds it.
 func (s *Server) newID() string {
 	return s.o.Host + hostSeparator + uuid.Must(uuid.NewV7()).String()
--- a/transport/front/shutdown_test.go
+++ b/transport/front/shutdown_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -222,3 +223,21 @@
 	}
 	is.Equal(got, map[string]int{want.String(): 2 * each, "done": each})
 }
+
+// TestCloseEndsConnectionsWithoutARequest: a caller that has connected and sent
+// nothing yet, as HTTP clients do ahead of need, doesn't hold up the end.
+func TestCloseEndsConnectionsWithoutARequest(t *testing.T) {
+	is := is.New(t)
+	s, addr := startServer(t, &gatedDispatcher{})
+	silent, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	defer silent.Close()
+	ready, err := http.Get("http://" + addr + "/readyz") // accepted after the silent one
+	is.NoErr(err)
+	is.NoErr(ready.Body.Close())
+
+	is.NoErr(s.Drain(t.Context()))
+	is.NoErr(s.Close())
+	_, err = silent.Read(make([]byte, 1))
+	is.True(errors.Is(err, io.EOF))
+}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -125,7 +125,7 @@
 	s.stopBase()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	return s.http.ShutdownWithContext(ctx)
+	return s.conns.Shutdown(func() error { return s.http.ShutdownWithContext(ctx) })
 }
 
 // closeTimeout bounds the end of the listener.
