Count sendings after a refused prompt against the retry budget

Ruled out: the repeats of runs and of calls, which are paid one by one. Change: a record counts what arrived and what was paid; before each further sending what arrived is paid. A request for which nothing is left is refused as not run. Steps of the log name the status of a refusal.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -140,6 +140,9 @@
 	if d.splits(r) {
 		source = d.readPrompt(ctx, r, rec)
 	}
+	if !d.pay(r, rec) {
+		return nil, d.refuse(r, rec, ReasonBudget)
+	}
 	unsent := 0
 	for {
 		if err := d.over(ctx, r, rec); err != nil {
@@ -225,7 +228,19 @@
 	if rec.sends >= r.Route.MaxAttempts {
 		return false
 	}
-	return d.o.Budget.Allow(r.Service)
+	return d.pay(r, rec)
+}
+
+// pay takes from the budget for what arrived before, so that one more sending of the
+// request may arrive. It takes nothing twice.
+func (d *Dispatcher) pay(r *Request, rec *record) bool {
+	for rec.paid < rec.arrivals {
+		if !d.o.Budget.Allow(r.Service) {
+			return false
+		}
+		rec.paid++
+	}
+	return true
 }
 
 // minLeft is the least time with which a request is sent once more: the shortest
@@ -257,13 +272,13 @@
 		done()
 		return nil, d.sendFailed(ctx, a, runner, rec, "run", took, err)
 	}
-	rec.sends++
+	rec.noteRun()
 	head := resp.Head()
 	if head.NotRun {
 		drain(resp)
 		done()
 		runner.Refused()
-		rec.add(a.Instance, "run", outcomeNotRun, took, nil)
+		rec.add(a.Instance, "run", outcomeNotRun, took, &statusError{head.Status})
 		return nil, outcomeNotRun
 	}
 	rec.mayHaveRun = true
@@ -308,7 +323,7 @@
 		rec.add(a.Instance, part, outcomeUnsent, took, err)
 		return outcomeUnsent
 	}
-	rec.sends++
+	rec.noteRun()
 	rec.mayHaveRun = true
 	rec.add(a.Instance, part, outcomeUnknown, took, err)
 	return outcomeUnknown
--- a/coordination/forward/forward_test.go
+++ b/coordination/forward/forward_test.go
@@ -304,6 +304,43 @@
 	is.True(w.up.attempts[2].Source == nil)
 }
 
+// Refused readings arrive at engines too: what is sent after one is a repeat.
+func TestSendingAfterARefusedPromptIsARepeat(t *testing.T) {
+	refused := reply{status: 421, notRun: true}
+	for _, c := range []struct {
+		name     string
+		budget   int
+		replies  []reply
+		attempts int
+		served   bool
+	}{
+		{"none left", 0, []reply{refused}, 1, false},
+		{"one left for the second reading and the run", 1, []reply{refused, promptRead, generated}, 3, true},
+		{"one left, refused twice", 1, []reply{refused, refused}, 2, false},
+		{"two left, refused twice", 2, []reply{refused, refused, generated}, 3, true},
+		{"a second reading counts after a lost one", 0, []reply{{err: errSent}, promptRead, generated}, 2, false},
+		{"one that never left doesn't", 0, []reply{{err: errUnsent}, promptRead, generated}, 3, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, c.budget, c.replies...)
+			answer, err := w.Forward(t.Context(), modelRequest(9000, true))
+			is.Equal(len(w.up.attempts), c.attempts)
+			if c.served {
+				is.NoErr(err)
+				_, err = readAll(answer.Stream)
+				is.NoErr(err)
+				return
+			}
+			var refusal *Refusal
+			is.True(errors.As(err, &refusal))
+			is.True(refusal.NotRun)
+			is.True(refusal.RetryAfter > 0)
+			is.Equal(refusal.Reason, ReasonBudget)
+		})
+	}
+}
+
 func TestResumableStreamGoesOnAfterTheLastWholeEvent(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, plenty,
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -35,11 +35,22 @@
 	cause    string
 }
 
+// statusError is a runner's refusal, for the log.
+type statusError struct{ status int }
+
+// Error implements error.
+func (e *statusError) Error() string { return "the runner answered " + strconv.Itoa(e.status) }
+
 // record is what became of one request. One goroutine uses it at a time.
 type record struct {
 	steps []step
 	// sends counts what draws on the route's attempts.
 	sends int
+	// arrivals counts what runners got of the request, refused sendings among them;
+	// all but the first are repeats, of which paid have been taken from the budget.
+	// The first reading of the prompt that an engine takes doesn't count.
+	arrivals, paid int
+	promptTaken    bool
 	// mayHaveRun is set once a runner may have begun.
 	mayHaveRun bool
 	tried      []string
@@ -60,6 +71,21 @@
 	r.steps = append(r.steps, s)
 }
 
+// notePrefill counts a sending of the prompt that may have reached an engine.
+func (r *record) notePrefill(refused bool) {
+	if !refused && !r.promptTaken {
+		r.promptTaken = true
+		return
+	}
+	r.arrivals++
+}
+
+// noteRun counts a sending of the request that may have reached a runner.
+func (r *record) noteRun() {
+	r.sends++
+	r.arrivals++
+}
+
 // exclude keeps later choices from the instance.
 func (r *record) exclude(i *state.Instance) { r.tried = append(r.tried, i.ID) }
 
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -156,8 +156,11 @@
 
 // The reasons of a Refusal.
 const (
-	ReasonNoRunner  Reason = "no_runner"
-	ReasonFull      Reason = "runners_full"
+	ReasonNoRunner Reason = "no_runner"
+	ReasonFull     Reason = "runners_full"
+	// ReasonBudget says that engines refused to read the prompt and that this host
+	// has no repeat left to send it on.
+	ReasonBudget    Reason = "no_repeat_left"
 	ReasonUnknown   Reason = "outcome_unknown"
 	ReasonDeadline  Reason = "deadline_passed"
 	ReasonCancelled Reason = "caller_left"
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/thymerack/thymerack/coordination/placement"
 )
@@ -21,14 +22,14 @@
 }
 
 // prefill has the prompt read, at the engine of its turn first. The first reading
-// that an engine accepts is free; others draw on the attempts and the budget.
+// that an engine takes is free; others draw on the budget.
 func (d *Dispatcher) prefill(ctx context.Context, r *Request, rec *record, t turn) *KVSource {
 	var tried []string
 	for try := 0; try < maxPrefills; try++ {
 		if d.over(ctx, r, rec) != nil {
 			break
 		}
-		if try > 0 && !d.o.Budget.Allow(r.Service) {
+		if !d.pay(r, rec) {
 			break
 		}
 		if t.runner == nil {
@@ -74,6 +75,9 @@
 	}
 	took := d.o.Clock.Now().Sub(started)
 	if err != nil {
+		if wasSent(err) {
+			rec.notePrefill(false)
+		}
 		// Reading a prompt runs nothing, so a lost response breaks no promise. That
 		// a deferred prompt isn't read in its time says nothing of the engine.
 		if !deferred || ctx.Err() == nil {
@@ -83,11 +87,12 @@
 		return nil, true
 	}
 	resp.Finish()
+	rec.notePrefill(resp.Head().Status != statusOK)
 	if resp.Head().Status != statusOK {
 		if !deferred {
 			runner.Refused()
 		}
-		rec.add(a.Instance, part, outcomeNotRun, took, nil)
+		rec.add(a.Instance, part, outcomeNotRun, took, &statusError{resp.Head().Status})
 		return nil, true
 	}
 	handle, err := d.o.Upstream.PrefillHandle(body)
@@ -129,3 +134,9 @@
 const patienceShare = 3
 
 const statusOK = 200
+
+// wasSent reports whether a sending that failed may have reached its runner.
+func wasSent(err error) bool {
+	var failed *SendError
+	return !errors.As(err, &failed) || failed.Sent
+}
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -178,13 +178,13 @@
 		s.d.sendFailed(s.ctx, a, runner, s.rec, "resume", took, err)
 		return false
 	}
-	s.rec.sends++
+	s.rec.noteRun()
 	head := resp.Head()
 	if head.NotRun || !head.Events || !head.Sealed || head.Status != statusOK {
 		resp.Cut()
 		done()
 		runner.Refused()
-		s.rec.add(a.Instance, "resume", outcomeNotRun, took, nil)
+		s.rec.add(a.Instance, "resume", outcomeNotRun, took, &statusError{head.Status})
 		return false
 	}
 	s.a, s.runner, s.resp, s.done, s.started = a, runner, resp, done, started
