Serve engines that read and generate as well

The view keeps the engines of each role, so that a request no longer makes such lists. Requests' log lines name their tokens. The dispatcher's tests are split by subject, none changed. Tests first: of the new ones five failed on the code before.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -20,6 +20,8 @@
 	Call(service string, tried []string) *placement.Runner
 	Decode(service, session string, tried []string) *placement.Runner
 	Prefill(service, session string, tried []string) (chosen, home *placement.Runner)
+	// ReadsApart reports whether some of the service's engines only read prompts.
+	ReadsApart(service string) bool
 	// Has reports whether work may be sent to the instance at this moment.
 	Has(id string) bool
 }
@@ -126,6 +128,9 @@
 		slog.Uint64("config_version", r.ConfigVersion), slog.Int64("took_ms", d.o.Clock.Now().Sub(r.ArrivedAt).Milliseconds()), slog.String("turn", string(rec.turn)),
 		slog.Int("status", status), slog.Any("sendings", rec),
 	}
+	if g := r.Generation; g != nil {
+		attrs = append(attrs, slog.Int("prompt_tokens", g.PromptTokens), slog.Int("max_output", g.MaxOutput))
+	}
 	level := slog.LevelInfo
 	if err != nil {
 		level = slog.LevelWarn
@@ -137,7 +142,8 @@
 // serve tries runners until one answers or nothing more may be tried.
 func (d *Dispatcher) serve(ctx context.Context, r *Request, rec *record) (*Answer, error) {
 	var source *KVSource
-	if d.splits(r) {
+	rec.apart = d.long(r) && d.o.Placer.ReadsApart(r.Service)
+	if rec.apart {
 		source = d.readPrompt(ctx, r, rec)
 	}
 	if !d.pay(r, rec) {
@@ -152,7 +158,7 @@
 		if c.Runner == nil {
 			return nil, d.refuse(r, rec, ReasonNoRunner)
 		}
-		a := &Attempt{Request: r, Instance: c.Instance, Source: source, LastEventID: r.LastEventID, Deferred: c.deferred}
+		a := &Attempt{Request: r, Instance: c.Instance, Source: source, LastEventID: r.LastEventID, Deferred: c.deferred, FetchFrom: c.fetchFrom()}
 		answer, end := d.attempt(ctx, a, c, rec)
 		if answer != nil && !d.repeatFailure(r, rec, answer) {
 			return answer, nil
@@ -212,8 +218,10 @@
 	switch {
 	case r.Generation == nil:
 		return choice{Runner: d.o.Placer.Call(r.Service, rec.tried)}
-	case d.splits(r):
+	case rec.apart:
 		return choice{Runner: d.o.Placer.Decode(r.Service, r.Generation.Session(), rec.tried)}
+	case d.long(r):
+		return d.takeReadingPlace(ctx, r, rec)
 	default:
 		return d.takePlace(ctx, r, rec)
 	}
@@ -258,10 +266,10 @@
 // attempt sends the request to one runner. It returns an answer, or how the
 // sending ended without one.
 func (d *Dispatcher) attempt(ctx context.Context, a *Attempt, c choice, rec *record) (*Answer, outcome) {
-	runner, done := c.Runner, c.begin()
+	runner, sent := c.Runner, c.begin()
 	rec.exclude(a.Instance)
 	if !d.o.Placer.Has(a.Instance.ID) {
-		done()
+		sent.end()
 		return nil, outcomeUnsent
 	}
 	a.Left = d.left(a.Request)
@@ -269,23 +277,23 @@
 	resp, err := d.o.Upstream.Send(ctx, a)
 	took := d.o.Clock.Now().Sub(started)
 	if err != nil {
-		done()
+		sent.end()
 		return nil, d.sendFailed(ctx, a, runner, rec, "run", took, err)
 	}
 	rec.noteRun()
 	head := resp.Head()
 	if head.NotRun {
 		drain(resp)
-		done()
+		sent.end()
 		runner.Refused()
 		rec.add(a.Instance, "run", outcomeNotRun, took, &statusError{head.Status})
 		return nil, outcomeNotRun
 	}
 	rec.mayHaveRun = true
 	if head.Events && head.Status < 300 {
-		return d.openStream(ctx, a, runner, rec, resp, done, started)
+		return d.openStream(ctx, a, runner, rec, resp, sent, started)
 	}
-	defer done()
+	defer sent.end()
 	body, err := readWhole(resp)
 	took = d.o.Clock.Now().Sub(started)
 	if err == nil && head.Status < 300 && !head.Sealed {
@@ -298,6 +306,7 @@
 		return nil, outcomeUnknown
 	}
 	resp.Finish()
+	sent.answered()
 	if head.Status >= 500 {
 		runner.Failed()
 		rec.add(a.Instance, "run", outcomeFailed, took, nil)
--- /dev/null
+++ b/coordination/forward/harness_test.go
@@ -0,0 +1,208 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/state"
+)
+
+// reply is what the fake upstream does with one sending.
+type reply struct {
+	err     error
+	status  int
+	notRun  bool
+	unseal  bool
+	events  bool
+	body    string
+	readErr error
+	// hang waits for the end of the context.
+	hang bool
+	// after is how long the response takes.
+	after time.Duration
+}
+
+// fakeUpstream answers sendings in order and notes them.
+type fakeUpstream struct {
+	t        *testing.T
+	replies  []reply
+	attempts []Attempt
+	cuts     int
+	// discarded gets the handles that are freed.
+	discarded chan string
+}
+
+func (u *fakeUpstream) Send(ctx context.Context, a *Attempt) (Response, error) {
+	u.attempts = append(u.attempts, *a)
+	if len(u.replies) == 0 {
+		u.t.Fatalf("sending %d was not expected", len(u.attempts))
+	}
+	r := u.replies[0]
+	u.replies = u.replies[1:]
+	if r.hang {
+		<-ctx.Done()
+		return nil, &SendError{Sent: true, Cause: ctx.Err()}
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	time.Sleep(r.after)
+	return &fakeResponse{u: u, r: r, head: &Head{Status: r.status, Sealed: !r.unseal, NotRun: r.notRun, Events: r.events}}, nil
+}
+
+func (u *fakeUpstream) PrefillHandle(body []byte) (string, error) {
+	if len(body) == 0 {
+		return "", errors.New("no handle")
+	}
+	return string(body), nil
+}
+
+func (u *fakeUpstream) Discard(source *KVSource) error {
+	u.discarded <- source.Handle
+	return errors.New("the engine is gone")
+}
+
+type fakeResponse struct {
+	u    *fakeUpstream
+	r    reply
+	head *Head
+}
+
+func (f *fakeResponse) Head() *Head { return f.head }
+
+func (f *fakeResponse) Read(p []byte) (int, error) {
+	if f.r.body == "" {
+		if f.r.readErr != nil {
+			return 0, f.r.readErr
+		}
+		return 0, io.EOF
+	}
+	n := copy(p, f.r.body)
+	f.r.body = f.r.body[n:]
+	return n, nil
+}
+
+func (f *fakeResponse) Finish() {}
+func (f *fakeResponse) Cut()    { f.u.cuts++ }
+
+// countingBudget allows a number of repeats.
+type countingBudget struct{ left int }
+
+func (b *countingBudget) Seen(string) {}
+
+func (b *countingBudget) Allow(string) bool {
+	b.left--
+	return b.left >= 0
+}
+
+var (
+	errUnsent = &SendError{Cause: errors.New("refused")}
+	errSent   = &SendError{Sent: true, Cause: errors.New("reset")}
+)
+
+const (
+	plenty      = 100
+	engineSlots = 16
+)
+
+type noObserver struct{}
+
+func (noObserver) Turn(Work, Turn) {}
+
+// scriptedGate gives the verdicts in order and then every place.
+type scriptedGate struct {
+	verdicts []occupancy.Verdict
+	asks     []occupancy.Ask
+}
+
+func (g *scriptedGate) Enter(_ context.Context, a occupancy.Ask) (*occupancy.Place, occupancy.Verdict) {
+	g.asks = append(g.asks, a)
+	if len(g.verdicts) > 0 {
+		v := g.verdicts[0]
+		g.verdicts = g.verdicts[1:]
+		return nil, v
+	}
+	return nil, occupancy.Given
+}
+
+// world is a dispatcher with its fakes and five runners of each kind.
+type world struct {
+	*Dispatcher
+	up    *fakeUpstream
+	fleet *placement.Fleet
+	gate  *scriptedGate
+}
+
+func newWorld(t *testing.T, budget int, replies ...reply) *world {
+	t.Helper()
+	up := &fakeUpstream{t: t, replies: replies, discarded: make(chan string, 4)}
+	fleet := placement.NewFleet(placement.Options{Clock: clocktest.Bubble{}, FailureDomain: "d1"})
+	var list []state.Instance
+	for _, id := range []string{"1", "2", "3", "4", "5"} {
+		list = append(list,
+			state.Instance{ID: "s" + id, Service: "plain", Addr: "s" + id + ":1", FailureDomain: "d1"},
+			state.Instance{ID: "p" + id, Service: "model", Addr: "p" + id + ":1", FailureDomain: "d1", Role: state.RolePrefill},
+			state.Instance{ID: "d" + id, Service: "model", Addr: "d" + id + ":1", FailureDomain: "d1", Role: state.RoleDecode, Slots: engineSlots})
+	}
+	fleet.Update(list)
+	gate := &scriptedGate{}
+	d, err := New(Options{
+		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Clock: clocktest.Bubble{},
+		Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &world{d, up, fleet, gate}
+}
+
+// newMixedWorld is newWorld with engines that read and generate.
+func newMixedWorld(t *testing.T, budget int, replies ...reply) *world {
+	t.Helper()
+	w := newWorld(t, budget, replies...)
+	var list []state.Instance
+	for _, id := range []string{"1", "2", "3", "4", "5"} {
+		list = append(list, state.Instance{ID: "m" + id, Service: "model", Addr: "m" + id + ":1", FailureDomain: "d1", Role: state.RoleMixed, Slots: engineSlots})
+	}
+	w.fleet.Update(list)
+	return w
+}
+
+func request(kind state.RouteKind, attempts int, resumable bool) *Request {
+	now := time.Now()
+	return &Request{
+		ID: "r1", Service: "plain", ArrivedAt: now, Deadline: now.Add(2 * time.Second),
+		Route: &state.Route{Name: "r", Kind: kind, MaxAttempts: attempts, Resumable: resumable, Timeout: 2 * time.Second},
+	}
+}
+
+func modelRequest(tokens int, resumable bool) *Request {
+	r := request(state.RouteStream, 2, resumable)
+	r.Service = "model"
+	r.Generation = &Generation{Model: "m", PromptTokens: tokens, Parts: []PromptPart{{"a", 100}, {"b", 300}, {"c", tokens - 400}}}
+	return r
+}
+
+// readAll reads a stream to its end.
+func readAll(s *Stream) (string, error) {
+	out := ""
+	for {
+		events, err := s.Next()
+		if err == io.EOF {
+			s.Close(nil)
+			return out, nil
+		}
+		if err != nil {
+			s.Close(err)
+			return out, err
+		}
+		out += string(events)
+	}
+}
--- /dev/null
+++ b/coordination/forward/mixed_test.go
@@ -0,0 +1,70 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/occupancy"
+)
+
+func TestLongPromptGoesWholeToAnEngineThatDoesBoth(t *testing.T) {
+	is := is.New(t)
+	w := newMixedWorld(t, plenty, generated)
+	w.gate.verdicts = []occupancy.Verdict{occupancy.Full, occupancy.Given}
+	w.served(t)
+	is.Equal(len(w.up.attempts), 1)
+	a := w.up.attempts[0]
+	is.True(!a.PrefillOnly)
+	is.True(!a.Deferred)
+	is.True(a.Source == nil)
+	// The second engine asked has room; it fetches what the session's own keeps.
+	is.Equal(a.Instance.ID, w.gate.asks[1].Engine)
+	is.Equal(a.FetchFrom, w.gate.asks[0].Engine+":1")
+	// The place is for the reading, by size and time, not one of the slots.
+	is.Equal(w.gate.asks[0].Most, 0)
+	is.True(w.gate.asks[0].Size > 0)
+}
+
+func TestLongPromptWaitsBehindTheOthersAtAnEngineThatDoesBoth(t *testing.T) {
+	is := is.New(t)
+	w := newMixedWorld(t, plenty, generated)
+	w.gate.verdicts = []occupancy.Verdict{occupancy.Full, occupancy.Full, occupancy.Full, occupancy.Full}
+	w.served(t)
+	is.Equal(len(w.up.attempts), 1)
+	is.True(w.up.attempts[0].Deferred)
+	is.Equal(w.up.attempts[0].Instance.ID, w.gate.asks[0].Engine) // the session's own
+}
+
+func TestShortPromptTakesASlotOfAnEngineThatDoesBoth(t *testing.T) {
+	is := is.New(t)
+	w := newMixedWorld(t, plenty, generated)
+	answer, err := w.Forward(t.Context(), modelRequest(500, false))
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.Equal(w.gate.asks[0].Most, engineSlots)
+}
+
+func TestRefusedPromptIsTakenToAnotherEngineThatDoesBoth(t *testing.T) {
+	is := is.New(t)
+	w := newMixedWorld(t, 1, reply{status: 503, notRun: true}, generated)
+	w.served(t)
+	is.Equal(len(w.up.attempts), 2)
+	is.True(w.up.attempts[0].Instance.ID != w.up.attempts[1].Instance.ID)
+	for _, r := range w.fleet.Runners("model") {
+		is.Equal(r.Suspect(time.Now()), r.Instance.ID == w.up.attempts[0].Instance.ID)
+		is.Equal(r.InFlight(), int64(0))
+	}
+}
+
+// A session's prompts meet at one engine, whichever host asks.
+func TestSessionKeepsToOneEngineThatDoesBoth(t *testing.T) {
+	is := is.New(t)
+	first := newMixedWorld(t, plenty, generated)
+	first.served(t)
+	second := newMixedWorld(t, plenty, generated)
+	second.served(t)
+	is.Equal(first.up.attempts[0].Instance.ID, second.up.attempts[0].Instance.ID)
+}
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -57,6 +57,8 @@
 	// failed is a runner's own failure that another runner was asked after; it is
 	// the answer if nobody has a better one.
 	failed *Answer
+	// apart is set for a prompt that is read at an engine of its own.
+	apart bool
 	// turn is how a model request got its place among the others; "" for calls.
 	turn Turn
 	// cached is where the prompt's KV cache waits to be taken, or nil.
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -7,8 +7,9 @@
 	"github.com/thymerack/thymerack/coordination/placement"
 )
 
-// splits reports whether the request's prompt is read at an engine of its own.
-func (d *Dispatcher) splits(r *Request) bool {
+// long reports whether the prompt is read at an engine of its own, if the service has
+// such engines, and counts as a prompt in any case.
+func (d *Dispatcher) long(r *Request) bool {
 	return r.Generation != nil && r.LastEventID == "" && r.Generation.PromptTokens >= d.o.SplitTokens
 }
 
@@ -16,8 +17,7 @@
 // Without one the engine that generates reads the prompt itself.
 func (d *Dispatcher) readPrompt(ctx context.Context, r *Request, rec *record) *KVSource {
 	t := d.takeTurn(ctx, r, rec)
-	rec.turn = t.kind
-	d.o.Observer.Turn(WorkRead, t.kind)
+	d.noteTurn(rec, WorkRead, t.kind)
 	return d.prefill(ctx, r, rec, t)
 }
 
--- /dev/null
+++ b/coordination/forward/split_test.go
@@ -0,0 +1,127 @@
+package forward
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+func TestPromptIsReadApartAndHandedOn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{status: 200, body: "h1"}, reply{status: 200, events: true, body: "id: 1\ndata: x\n\n"})
+	answer, err := w.Forward(t.Context(), modelRequest(9000, true))
+	is.NoErr(err)
+	got, err := readAll(answer.Stream)
+	is.NoErr(err)
+	is.Equal(got, "id: 1\ndata: x\n\n")
+	is.True(w.up.attempts[0].PrefillOnly)
+	is.Equal(w.up.attempts[0].Instance.Role, state.RolePrefill)
+	is.Equal(w.up.attempts[1].Instance.Role, state.RoleDecode)
+	is.Equal(*w.up.attempts[1].Source, KVSource{Instance: w.up.attempts[0].Instance, Handle: "h1"})
+}
+
+func TestShortPromptGoesToAnEngineThatGenerates(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{status: 200, events: true, body: "id: 1\ndata: x\n\n"})
+	answer, err := w.Forward(t.Context(), modelRequest(500, false))
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.Equal(w.up.attempts[0].Instance.Role, state.RoleDecode)
+	is.True(w.up.attempts[0].Source == nil)
+}
+
+func TestFailedPrefillFallsBackToTheGeneratingEngine(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, reply{err: errSent}, reply{status: 503, notRun: true}, reply{status: 200, events: true, body: "id: 1\n\n"})
+	answer, err := w.Forward(t.Context(), modelRequest(9000, true))
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.True(w.up.attempts[1].PrefillOnly)
+	is.True(w.up.attempts[1].Instance.ID != w.up.attempts[0].Instance.ID)
+	is.True(w.up.attempts[2].Source == nil)
+}
+
+// Refused readings arrive at engines too: what is sent after one is a repeat.
+func TestSendingAfterARefusedPromptIsARepeat(t *testing.T) {
+	refused := reply{status: 421, notRun: true}
+	for _, c := range []struct {
+		name     string
+		budget   int
+		replies  []reply
+		attempts int
+		served   bool
+	}{
+		{"none left", 0, []reply{refused}, 1, false},
+		{"one left for the second reading and the run", 1, []reply{refused, promptRead, generated}, 3, true},
+		{"one left, refused twice", 1, []reply{refused, refused}, 2, false},
+		{"two left, refused twice", 2, []reply{refused, refused, generated}, 3, true},
+		{"a second reading counts after a lost one", 0, []reply{{err: errSent}, promptRead, generated}, 2, false},
+		{"one that never left doesn't", 0, []reply{{err: errUnsent}, promptRead, generated}, 3, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, c.budget, c.replies...)
+			answer, err := w.Forward(t.Context(), modelRequest(9000, true))
+			is.Equal(len(w.up.attempts), c.attempts)
+			if c.served {
+				is.NoErr(err)
+				_, err = readAll(answer.Stream)
+				is.NoErr(err)
+				return
+			}
+			var refusal *Refusal
+			is.True(errors.As(err, &refusal))
+			is.True(refusal.NotRun)
+			is.True(refusal.RetryAfter > 0)
+			is.Equal(refusal.Reason, ReasonBudget)
+		})
+	}
+}
+
+func TestDarkPrefillEngineIsLeftForAnother(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{hang: true}, reply{status: 200, body: "h2"}, reply{status: 200, events: true, body: "id: 1\n\n"})
+	r := modelRequest(9000, true)
+	r.Route.Objective = 10 * time.Millisecond
+	answer, err := w.Forward(t.Context(), r)
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.Equal(w.up.attempts[2].Source.Handle, "h2")
+	for _, runner := range w.fleet.Runners("model") {
+		is.Equal(runner.Suspect(time.Now()), runner.Instance.ID == w.up.attempts[0].Instance.ID)
+	}
+}
+
+var (
+	promptRead = reply{status: 200, body: "h1"}
+	generated  = reply{status: 200, events: true, body: "id: 1\n\n"}
+)
+
+// served forwards a long prompt that is answered.
+func (w *world) served(t *testing.T) {
+	t.Helper()
+	answer, err := w.Forward(t.Context(), modelRequest(9000, true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := readAll(answer.Stream); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCacheThatNobodyTakesIsFreed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{status: 200, body: "h1"}, reply{status: 503, notRun: true}, reply{status: 503, notRun: true})
+	_, err := w.Forward(t.Context(), modelRequest(9000, true))
+	var refusal *Refusal
+	is.True(errors.As(err, &refusal))
+	is.True(refusal.NotRun)
+	is.Equal(<-w.up.discarded, "h1")
+}
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -19,7 +19,7 @@
 	rec    *record
 	runner *placement.Runner
 	resp   Response
-	done   func()
+	sent   *sending
 
 	started time.Time
 	// buf holds what was read; the first whole bytes of it are whole events that
@@ -50,8 +50,8 @@
 const streamBuffer = 4 << 10
 
 // openStream waits for the first event.
-func (d *Dispatcher) openStream(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record, resp Response, done func(), started time.Time) (*Answer, outcome) {
-	s := &Stream{d: d, ctx: ctx, a: a, rec: rec, runner: runner, resp: resp, done: done, started: started, lastID: a.LastEventID}
+func (d *Dispatcher) openStream(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record, resp Response, sent *sending, started time.Time) (*Answer, outcome) {
+	s := &Stream{d: d, ctx: ctx, a: a, rec: rec, runner: runner, resp: resp, sent: sent, started: started, lastID: a.LastEventID}
 	var err error
 	if !resp.Head().Sealed {
 		err = errUnsealed
@@ -67,6 +67,7 @@
 		return nil, outcomeUnknown
 	}
 	runner.Answered(took)
+	sent.answered()
 	return &Answer{Head: resp.Head(), Stream: s}, outcomeAnswered
 }
 
@@ -166,7 +167,7 @@
 }
 
 func (s *Stream) resumeAt(c choice) bool {
-	runner, done := c.Runner, c.begin()
+	runner, sent := c.Runner, c.begin()
 	a := &Attempt{Request: s.a.Request, Instance: runner.Instance, LastEventID: s.lastID, Deferred: c.deferred}
 	s.rec.exclude(a.Instance)
 	a.Left = s.d.left(a.Request)
@@ -174,7 +175,7 @@
 	resp, err := s.d.o.Upstream.Send(s.ctx, a)
 	took := s.d.o.Clock.Now().Sub(started)
 	if err != nil {
-		done()
+		sent.end()
 		s.d.sendFailed(s.ctx, a, runner, s.rec, "resume", took, err)
 		return false
 	}
@@ -182,12 +183,13 @@
 	head := resp.Head()
 	if head.NotRun || !head.Events || !head.Sealed || head.Status != statusOK {
 		resp.Cut()
-		done()
+		sent.end()
 		runner.Refused()
 		s.rec.add(a.Instance, "resume", outcomeNotRun, took, &statusError{head.Status})
 		return false
 	}
-	s.a, s.runner, s.resp, s.done, s.started = a, runner, resp, done, started
+	sent.answered()
+	s.a, s.runner, s.resp, s.sent, s.started = a, runner, resp, sent, started
 	s.buf, s.whole, s.eof, s.closed = nil, 0, false, false
 	return true
 }
@@ -199,7 +201,7 @@
 	}
 	s.closed = true
 	s.resp.Cut()
-	s.done()
+	s.sent.end()
 }
 
 // Close ends the stream. A stream that isn't read to its end is cut, which
@@ -215,7 +217,7 @@
 			s.resp.Cut()
 			s.rec.add(s.a.Instance, "run", outcomeCut, took, err)
 		}
-		s.done()
+		s.sent.end()
 	}
 	s.d.log(s.ctx, s.a.Request, s.rec, s.resp.Head().Status, err)
 }
--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -82,7 +82,7 @@
 	size := func(*placement.Runner) occupancy.Ask {
 		return occupancy.Ask{Size: float64(r.Generation.OwnTokens()), Target: readTarget(r.Route)}
 	}
-	runner, place, verdict := d.findRoom(ctx, r, rec, nil, next, size)
+	runner, place, verdict := d.findRoom(ctx, r, rec, rec.tried, next, size)
 	switch verdict {
 	case occupancy.Given:
 		return turn{kind: TurnCounted, runner: runner, home: otherThan(home, runner), place: place}
@@ -164,17 +164,59 @@
 // choice is a runner for one sending, with its place there if it has one.
 type choice struct {
 	*placement.Runner
-	place    *occupancy.Place
+	turn     turn
 	deferred bool
+	// reads is set if the place is for reading the prompt and ends with that.
+	reads bool
 }
 
-// begin counts the sending in; end counts it out and may be called twice.
-func (c choice) begin() (end func()) {
-	done := c.Runner.Begin()
-	return sync.OnceFunc(func() {
-		done()
-		c.place.Cancel()
-	})
+// begin counts the sending in.
+func (c choice) begin() *sending {
+	return &sending{done: c.Runner.Begin(), turn: c.turn, reads: c.reads}
+}
+
+// fetchFrom is the address of the session's own engine if another was chosen; "".
+func (c choice) fetchFrom() string {
+	if c.turn.home == nil {
+		return ""
+	}
+	return c.turn.home.Instance.Addr
+}
+
+// sending is one sending that is counted in at its runner and at its place.
+type sending struct {
+	done  func()
+	turn  turn
+	reads bool
+	once  sync.Once
+}
+
+// answered notes the first part of the answer.
+func (s *sending) answered() {
+	if s.reads {
+		s.once.Do(func() { s.turn.end(true) })
+	}
+}
+
+// end counts the sending out. It may be called twice.
+func (s *sending) end() {
+	s.done()
+	s.once.Do(func() { s.turn.end(false) })
+}
+
+// takeReadingPlace looks for an engine that reads a long prompt in time and generates
+// as well, as takeTurn does for engines that only read.
+func (d *Dispatcher) takeReadingPlace(ctx context.Context, r *Request, rec *record) choice {
+	t := d.takeTurn(ctx, r, rec)
+	d.noteTurn(rec, WorkRead, t.kind)
+	c := choice{Runner: t.runner, turn: t, deferred: t.kind == TurnDeferred, reads: true}
+	if c.Runner == nil {
+		c.Runner, _ = d.o.Placer.Prefill(r.Service, r.Generation.Session(), rec.tried)
+	}
+	if c.Runner == nil {
+		t.end(false)
+	}
+	return c
 }
 
 // takePlace looks for an engine with a free slot for a request that generates at
@@ -197,18 +239,18 @@
 	case first == nil:
 		return choice{}
 	case verdict == occupancy.Given:
-		d.noteTurn(rec, TurnCounted)
-		return choice{Runner: runner, place: place}
+		d.noteTurn(rec, WorkGenerate, TurnCounted)
+		return choice{Runner: runner, turn: turn{place: place}}
 	case verdict == occupancy.Unknown:
-		d.noteTurn(rec, TurnOwn)
+		d.noteTurn(rec, WorkGenerate, TurnOwn)
 		return choice{Runner: runner}
 	default:
-		d.noteTurn(rec, TurnDeferred)
+		d.noteTurn(rec, WorkGenerate, TurnDeferred)
 		return choice{Runner: first, deferred: true}
 	}
 }
 
-func (d *Dispatcher) noteTurn(rec *record, t Turn) {
+func (d *Dispatcher) noteTurn(rec *record, w Work, t Turn) {
 	rec.turn = t
-	d.o.Observer.Turn(WorkGenerate, t)
+	d.o.Observer.Turn(w, t)
 }
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -22,10 +22,36 @@
 
 // view is one version of the list. It is never changed.
 type view struct {
-	byService map[string][]*Runner
+	byService map[string]*runners
 	byID      map[string]*Runner
 }
 
+// runners are the instances of a service that take work.
+type runners struct {
+	all []*Runner
+	// reading and generating are the engines of either role; those of both are in
+	// both. apart is set if some only read prompts.
+	reading, generating []*Runner
+	apart               bool
+}
+
+func (s *runners) add(r *Runner) {
+	s.all = append(s.all, r)
+	switch r.Instance.Role {
+	case state.RolePrefill:
+		s.apart = true
+		s.reading = append(s.reading, r)
+	case state.RoleDecode:
+		s.generating = append(s.generating, r)
+	default:
+		s.reading = append(s.reading, r)
+		s.generating = append(s.generating, r)
+	}
+}
+
+// none stands for a service without instances.
+var none = &runners{}
+
 // Options configure a Fleet.
 type Options struct {
 	Clock state.Clock
@@ -46,7 +72,7 @@
 // NewFleet returns an empty fleet.
 func NewFleet(o Options) *Fleet {
 	f := &Fleet{o: o, loads: map[string]*Load{}}
-	f.view.Store(&view{byService: map[string][]*Runner{}, byID: map[string]*Runner{}})
+	f.view.Store(&view{byService: map[string]*runners{}, byID: map[string]*Runner{}})
 	return f
 }
 
@@ -54,7 +80,7 @@
 func (f *Fleet) Update(instances []state.Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := &view{byService: map[string][]*Runner{}, byID: make(map[string]*Runner, len(instances))}
+	v := &view{byService: map[string]*runners{}, byID: make(map[string]*Runner, len(instances))}
 	for i := range instances {
 		inst := &instances[i]
 		load := f.loads[inst.ID]
@@ -65,7 +91,7 @@
 		r := &Runner{inst, load}
 		v.byID[inst.ID] = r
 		if !inst.Draining {
-			v.byService[inst.Service] = append(v.byService[inst.Service], r)
+			v.add(r)
 		}
 	}
 	for id, load := range f.loads {
@@ -76,8 +102,27 @@
 	f.view.Store(v)
 }
 
+func (v *view) add(r *Runner) {
+	s := v.byService[r.Instance.Service]
+	if s == nil {
+		s = &runners{}
+		v.byService[r.Instance.Service] = s
+	}
+	s.add(r)
+}
+
+func (f *Fleet) service(name string) *runners {
+	if s := f.view.Load().byService[name]; s != nil {
+		return s
+	}
+	return none
+}
+
 // Runners returns the instances of a service that take work.
-func (f *Fleet) Runners(service string) []*Runner { return f.view.Load().byService[service] }
+func (f *Fleet) Runners(service string) []*Runner { return f.service(service).all }
+
+// ReadsApart reports whether some of the service's engines only read prompts.
+func (f *Fleet) ReadsApart(service string) bool { return f.service(service).apart }
 
 // Has reports whether work may be sent to the instance.
 func (f *Fleet) Has(id string) bool {
@@ -110,7 +155,7 @@
 // this host. A session's requests go to the same one of the own failure domain
 // while it isn't far busier than the others, so that its parts stay there.
 func (f *Fleet) Decode(service, session string, tried []string) *Runner {
-	runners := withRole(f.Runners(service), state.RoleDecode)
+	runners := f.service(service).generating
 	bound := f.bound(runners) + farLoad
 	return f.least(runners, tried, func(r *Runner) float64 {
 		far := r.Instance.FailureDomain != f.o.FailureDomain
@@ -139,7 +184,7 @@
 // there; an engine with far more from this host than the others is passed over.
 // home is the session's engine when another was chosen, or nil.
 func (f *Fleet) Prefill(service, session string, tried []string) (chosen, home *Runner) {
-	runners := withRole(f.Runners(service), state.RolePrefill)
+	runners := f.service(service).reading
 	if session == "" {
 		return f.least(runners, tried, func(r *Runner) float64 { return float64(r.InFlight() + 1) }), nil
 	}
@@ -180,16 +225,6 @@
 	return loadFactor*float64(total)/float64(len(runners)) + loadSlack
 }
 
-func withRole(runners []*Runner, role state.Role) []*Runner {
-	out := make([]*Runner, 0, len(runners))
-	for _, r := range runners {
-		if r.Instance.Role == role || r.Instance.Role == state.RoleMixed {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
 // least returns the runner of least cost; runners that lately failed cost more,
 // and suspects are taken only when nothing else is left. Ties are broken at
 // random, so that hosts don't all choose the same one.
