Measure answers by class

Change: counters and histograms by service, kind and rank of the route; their names are made once for each class, not for each answer.

--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -71,6 +71,16 @@
 	Generation *Generation
 }
 
+// Class is a kind of request, as measures tell them apart. A configuration has few.
+type Class struct {
+	Service  string
+	Kind     state.RouteKind
+	Priority int
+}
+
+// Class returns the request's class.
+func (r *Request) Class() Class { return Class{r.Service, r.Route.Kind, r.Route.Priority} }
+
 // KVSource names the KV cache of a prompt at the engine that read it.
 type KVSource struct {
 	Instance *state.Instance
--- a/daemon/routed/measures.go
+++ b/daemon/routed/measures.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,14 +12,44 @@
 )
 
 // measures are the host's counters and histograms.
-type measures struct{ set *metrics.Set }
+type measures struct {
+	set *metrics.Set
+	// answers holds the *answerMeasures of each answered, so that a request doesn't
+	// make their names.
+	answers sync.Map
+}
+
+// answered is what answers are counted by.
+type answered struct {
+	class  forward.Class
+	status int
+}
+
+type answerMeasures struct {
+	count *metrics.Counter
+	took  *metrics.Histogram
+}
 
-func newMeasures() *measures { return &measures{metrics.NewSet()} }
+func newMeasures() *measures { return &measures{set: metrics.NewSet()} }
 
 // Answered implements gateway.Observer.
-func (m *measures) Answered(service string, status int, took time.Duration) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_answers_total{service=%q,status="%d"}`, service, status)).Inc()
-	m.set.GetOrCreateHistogram(fmt.Sprintf(`thymerack_answer_seconds{service=%q}`, service)).Update(took.Seconds())
+func (m *measures) Answered(c forward.Class, status int, took time.Duration) {
+	by := answered{c, status}
+	known, ok := m.answers.Load(by)
+	if !ok {
+		known, _ = m.answers.LoadOrStore(by, m.answerMeasures(by))
+	}
+	a := known.(*answerMeasures)
+	a.count.Inc()
+	a.took.Update(took.Seconds())
+}
+
+func (m *measures) answerMeasures(by answered) *answerMeasures {
+	class := fmt.Sprintf(`service=%q,kind=%q,priority="%d"`, by.class.Service, by.class.Kind, by.class.Priority)
+	return &answerMeasures{
+		count: m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_answers_total{%s,status="%d"}`, class, by.status)),
+		took:  m.set.GetOrCreateHistogram(fmt.Sprintf(`thymerack_answer_seconds{%s}`, class)),
+	}
 }
 
 // Rejected implements gateway.Observer.
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -34,7 +34,7 @@
 type Observer interface {
 	// Answered notes an answer or refusal, and the time since the arrival; for a
 	// stream, the time to its first event.
-	Answered(service string, status int, took time.Duration)
+	Answered(c forward.Class, status int, took time.Duration)
 	// Rejected notes a request that was not dispatched.
 	Rejected(reason string)
 }
@@ -244,7 +244,7 @@
 		s.refuse(ctx, r, err, took)
 		return
 	}
-	s.o.Observer.Answered(r.Service, answer.Head.Status, took)
+	s.o.Observer.Answered(r.Class(), answer.Head.Status, took)
 	s.writeHead(ctx, answer.Head)
 	if answer.Stream != nil {
 		ctx.Response.ImmediateHeaderFlush = true
@@ -279,7 +279,7 @@
 	case refusal.Reason == forward.ReasonDeadline:
 		status = fasthttp.StatusGatewayTimeout
 	}
-	s.o.Observer.Answered(r.Service, status, took)
+	s.o.Observer.Answered(r.Class(), status, took)
 	s.problem(ctx, status, refusal.Error())
 	if refusal.NotRun && refusal.RetryAfter > 0 {
 		setRetryAfter(ctx, refusal.RetryAfter)
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -36,8 +36,8 @@
 
 type noObserver struct{}
 
-func (noObserver) Answered(string, int, time.Duration) {}
-func (noObserver) Rejected(string)                     {}
+func (noObserver) Answered(forward.Class, int, time.Duration) {}
+func (noObserver) Rejected(string)                            {}
 
 func testTable() *routing.Table {
 	return routing.NewTable(&state.RoutingConfig{Version: 1, Routes: []state.Route{{
