Fill a role whose engines are lost for good, however few are left

Cause: with fewer than four engines a role without any counted as a difference of one engine, which is left alone once a split has stood; a single engine was never looked at. Ruled out: the lease, which was held throughout. Change: a role is starved if it has fewer than the least of two and half of the engines, or none that generates; the last engine generates, since it reads as well. Test first: four of five cases failed before.

--- a/coordination/stages/demand_test.go
+++ b/coordination/stages/demand_test.go
@@ -85,6 +85,12 @@
 	return prefilling(f.instances())
 }
 
+func (f *fakeEngines) setLoad(perEngine float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.perEngine = perEngine
+}
+
 func TestNextHolderKeepsTheSplitThatWasLearnt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -96,7 +102,7 @@
 		stop()
 		learnt := f.reading()
 		is.True(learnt <= 4)
-		f.perEngine = 0.7 // no reason to change anything
+		f.setLoad(0.7) // no reason to change anything
 
 		stop = runHolder(t, p, f, "h2")
 		time.Sleep(40 * time.Second)
@@ -115,6 +121,11 @@
 		p := storetest.NewPlatform(time.Second)
 		var mu sync.Mutex
 		down, refused := "", 0
+		timesRefused := func() int {
+			mu.Lock()
+			defer mu.Unlock()
+			return refused
+		}
 		p.SetScript(func(c storetest.Call) storetest.Fault {
 			mu.Lock()
 			defer mu.Unlock()
@@ -134,10 +145,8 @@
 		time.Sleep(20 * time.Second)
 		learnt := f.reading()
 		is.True(learnt <= 4)
-		is.True(refused > 0)
-		f.mu.Lock()
-		f.perEngine = 0.7
-		f.mu.Unlock()
+		is.True(timesRefused() > 0)
+		f.setLoad(0.7)
 		set(" ") // the lease lapses
 		time.Sleep(10 * time.Second)
 		set("")
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -156,7 +156,7 @@
 // service compares one service's roles with the plan.
 func (m *Manager) service(ctx context.Context, service string) {
 	engines := m.o.Instances(service)
-	if len(engines) < 2 {
+	if len(engines) == 0 {
 		return
 	}
 	now := m.o.Clock.Now()
@@ -290,10 +290,12 @@
 	return n
 }
 
-// starved reports whether a role has fewer engines than it may.
+// starved reports whether a role has fewer engines than it may. The last engine of a
+// service generates: it reads prompts as well, while one that reads does nothing else.
 func (m *Manager) starved(engines []state.Instance) bool {
 	prefill := prefilling(engines)
-	return len(engines) >= 2*minEach && (prefill < minEach || len(engines)-prefill < minEach)
+	least := min(minEach, len(engines)/2)
+	return prefill < least || len(engines)-prefill < max(1, least)
 }
 
 func (m *Manager) settled(service string, now time.Time) bool {
--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -299,6 +299,37 @@
 	})
 }
 
+// A service whose engines of one role are lost for good gets others for it, however
+// few are left.
+func TestLostRoleIsFilledAgain(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		prefill, decode int
+		lost            []string
+		reading         int
+	}{
+		{"all that generate, two left", 2, 2, []string{"e02", "e03"}, 1},
+		{"all that read, two left", 2, 2, []string{"e00", "e01"}, 1},
+		{"all that generate, one left", 1, 1, []string{"e01"}, 0},
+		{"all that read, one left", 1, 1, []string{"e00"}, 0},
+		{"all that generate, three left", 3, 2, []string{"e03", "e04"}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFakeEngines(engines(c.prefill, c.decode), 0, 1)
+				stop := runHolder(t, storetest.NewPlatform(time.Second), f, "h")
+				time.Sleep(10 * time.Second)
+				f.crash(c.lost...)
+				time.Sleep(20 * time.Second)
+				stop()
+				is.Equal(f.reading(), c.reading)
+				is.Equal(len(f.problems), 0)
+			})
+		})
+	}
+}
+
 // TestHoldsNoConflictingRoleOrders kills, restarts and cuts off hosts at random
 // while orders are answered late or never.
 func TestHoldsNoConflictingRoleOrders(t *testing.T) {
