Split the engines once all are listed

Cause: runners list themselves within a heartbeat of each other; a first plan of some of them left a difference of one engine to the plan of all, which is then tolerated. Change: the first plan of a term waits until the number of listed engines has stood for 1.2 s; the share of the settings is 0.64, the same 8 of 12 and fewer of 45 and 57. Test first: a list that grows gave 6 orders for 4.

--- a/cmd/thymerackd/main.go
+++ b/cmd/thymerackd/main.go
@@ -27,7 +27,7 @@
 
 	Platform     bool    `arg:"--platform" help:"serve the routes of the users' platform, whose settings file the environment names"`
 	MetricsPort  int     `arg:"--metrics-port" help:"port of the metrics with --platform; 0 serves none" default:"0"`
-	PrefillShare float64 `arg:"--prefill-share" help:"share of a service's engines that read prompts, with --platform" default:"0.68"`
+	PrefillShare float64 `arg:"--prefill-share" help:"share of a service's engines that read prompts, with --platform" default:"0.64"`
 	SplitTokens  int     `arg:"--split-tokens" help:"prompt size from which a prompt is read at an engine of its own, with --platform" default:"600"`
 	LogLevel     string  `arg:"--log-level" help:"debug, info, warn or error, with --platform" default:"info"`
 }
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -84,6 +84,9 @@
 	// settle is how long a difference must last before it is acted on, so that a
 	// crash of a few seconds or a restart in a release moves no role.
 	settle = 3 * time.Second
+	// listing is how long the number of engines must stand before the first plan: when
+	// a deployment starts, its runners list themselves within a heartbeat (1.2 s).
+	listing = 1200 * time.Millisecond
 	// callTimeout bounds an order or report.
 	callTimeout = time.Second
 	// lateBound is how long an order without an answer may still be carried out,
@@ -108,12 +111,20 @@
 	stood map[string]bool
 	// followed is set in such a term.
 	followed bool
+	// counted is how many engines of a service are listed, until the term's first plan.
+	counted map[string]count
 	// demand follows the load of both roles, by service.
 	demand map[string]*demand
 	// kept are the saved shares by service; they outlive a term.
 	kept map[string]kept
 }
 
+// count is a number of engines that has been listed for some time.
+type count struct {
+	n     int
+	since time.Time
+}
+
 // given is an order on its way.
 type given struct {
 	role state.Role
@@ -135,7 +146,7 @@
 // hold gives orders for one term of the lease.
 func (m *Manager) hold(ctx context.Context) error {
 	m.ordered, m.since, m.stood = map[string]given{}, map[string]time.Time{}, map[string]bool{}
-	m.pausing, m.demand = map[string]time.Time{}, map[string]*demand{}
+	m.pausing, m.demand, m.counted = map[string]time.Time{}, map[string]*demand{}, map[string]count{}
 	m.followed = !m.o.Lease.First()
 	if m.followed {
 		m.o.Log.Info("waiting before the first order", "silence", m.o.TakeOver, "fence", m.o.Lease.Fence())
@@ -156,10 +167,10 @@
 // service compares one service's roles with the plan.
 func (m *Manager) service(ctx context.Context, service string) {
 	engines := m.o.Instances(service)
-	if len(engines) == 0 {
+	now := m.o.Clock.Now()
+	if len(engines) == 0 || !m.listed(service, len(engines), now) {
 		return
 	}
-	now := m.o.Clock.Now()
 	m.forget(engines, now)
 	if _, known := m.stood[service]; !known {
 		m.stood[service] = m.followed
@@ -184,6 +195,20 @@
 	}
 }
 
+// listed reports whether the service's engines are listed as far as can be known: a
+// first split of those that were listed first would differ from that of all.
+func (m *Manager) listed(service string, n int, now time.Time) bool {
+	if _, begun := m.stood[service]; begun {
+		return true
+	}
+	c := m.counted[service]
+	if c.n != n {
+		m.counted[service] = count{n, now}
+		return false
+	}
+	return now.Sub(c.since) >= listing
+}
+
 // share is the share of engines that should read prompts by the load seen.
 func (m *Manager) share(ctx context.Context, service string, engines []state.Instance, now time.Time) float64 {
 	d := m.demand[service]
--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -299,6 +299,29 @@
 	})
 }
 
+// Runners list themselves one after the other when a deployment starts: a first plan of
+// some of them would give a split near that of all, which is then left alone.
+func TestFirstSplitIsOfAllEngines(t *testing.T) {
+	for _, early := range []int{1, 2, 5, 8, 11} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeEngines(engines(4, 8), 0, 1)
+			var later []string
+			for i := early; i < 12; i++ {
+				later = append(later, fmt.Sprintf("e%02d", i))
+			}
+			back := f.crash(later...) // not listed yet
+			stop := runHolder(t, storetest.NewPlatform(time.Second), f, "h")
+			time.Sleep(time.Second)
+			back()
+			time.Sleep(20 * time.Second)
+			stop()
+			is.Equal(f.reading(), 8)
+			is.Equal(len(f.orders), 4)
+		})
+	}
+}
+
 // A service whose engines of one role are lost for good gets others for it, however
 // few are left.
 func TestLostRoleIsFilledAgain(t *testing.T) {
