Let small prompts go first among those put behind the others

Cause: in bursts of prompts at twice what the engines read, those beyond the bound wait in the order in which they came, up to 170 at an engine, and expire there at their deadline; a large one in front makes several small ones late. Change: a prompt's size against its route's mean gives four classes, which order deferred prompts at the engine. Prompts within the bound are not told apart.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -60,7 +60,8 @@
 
 // Dispatcher carries requests to runners. It is safe for concurrent use.
 type Dispatcher struct {
-	o Options
+	o     Options
+	sizes sizes
 
 	mu sync.Mutex
 	// limiters bound this host's prompts in flight, by route, while the keepers of
@@ -158,7 +159,7 @@
 		if c.Runner == nil {
 			return nil, d.refuse(r, rec, ReasonNoRunner)
 		}
-		a := &Attempt{Request: r, Instance: c.Instance, Source: source, LastEventID: r.LastEventID, Deferred: c.deferred, FetchFrom: c.fetchFrom()}
+		a := &Attempt{Request: r, Instance: c.Instance, Source: source, LastEventID: r.LastEventID, Deferred: c.deferred, Size: rec.size, FetchFrom: c.fetchFrom()}
 		answer, end := d.attempt(ctx, a, c, rec)
 		if answer != nil && !d.repeatFailure(r, rec, answer) {
 			return answer, nil
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -59,6 +59,8 @@
 	failed *Answer
 	// apart is set for a prompt that is read at an engine of its own.
 	apart bool
+	// size is the class of a long prompt.
+	size SizeClass
 	// turn is how a model request got its place among the others; "" for calls.
 	turn Turn
 	// cached is where the prompt's KV cache waits to be taken, or nil.
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -102,6 +102,9 @@
 	// Deferred attempts came beyond what is served in time; the runner puts them
 	// behind the others.
 	Deferred bool
+	// Size orders deferred prompts among each other: in a burst small ones come in
+	// time that would wait behind a large one.
+	Size SizeClass
 	// LastEventID is the last event that the caller has; "" is the start.
 	LastEventID string
 }
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -16,6 +16,7 @@
 // readPrompt has the prompt read in its turn and returns where its KV cache is.
 // Without one the engine that generates reads the prompt itself.
 func (d *Dispatcher) readPrompt(ctx context.Context, r *Request, rec *record) *KVSource {
+	rec.size = d.sizes.class(r.Route.Name, r.Generation.OwnTokens())
 	t := d.takeTurn(ctx, r, rec)
 	d.noteTurn(rec, WorkRead, t.kind)
 	return d.prefill(ctx, r, rec, t)
@@ -60,7 +61,7 @@
 		return nil, true
 	}
 	deferred := t.kind == TurnDeferred
-	a := &Attempt{Request: r, Instance: runner.Instance, Left: d.left(r), PrefillOnly: true, Deferred: deferred, FetchFrom: d.keepsParts(r, t.home)}
+	a := &Attempt{Request: r, Instance: runner.Instance, Left: d.left(r), PrefillOnly: true, Deferred: deferred, Size: rec.size, FetchFrom: d.keepsParts(r, t.home)}
 	ctx, stop := d.patience(ctx, r, deferred)
 	defer stop()
 	started := d.o.Clock.Now()
--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -207,6 +207,7 @@
 // takeReadingPlace looks for an engine that reads a long prompt in time and generates
 // as well, as takeTurn does for engines that only read.
 func (d *Dispatcher) takeReadingPlace(ctx context.Context, r *Request, rec *record) choice {
+	rec.size = d.sizes.class(r.Route.Name, r.Generation.OwnTokens())
 	t := d.takeTurn(ctx, r, rec)
 	d.noteTurn(rec, WorkRead, t.kind)
 	c := choice{Runner: t.runner, turn: t, deferred: t.kind == TurnDeferred, reads: true}
