--- a/coordination/stages/shares.go
+++ b/coordination/stages/shares.go
@@ -52,11 +52,3 @@
 	}
 	return version, nil
 }
-
-// kept is what this host knows of a service's saved share.
-type kept struct {
-	share   float64
-	version uint64
-	// unsaved is set while the store has an older one.
-	unsaved bool
-}
