--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -28,6 +28,7 @@
 	Claims    *ClaimsCommand    `arg:"subcommand:claims" help:"calls that may not be repeated"`
 	Log       *LogCommand       `arg:"subcommand:log-level" help:"change what a host logs"`
 	Top       *TopCommand       `arg:"subcommand:top" help:"live view of the upstreams"`
+	Bound     *BoundCommand     `arg:"subcommand:bound" help:"what a deployment could earn at best on the days of a site file; asks no host"`
 }
 
 // Description implements arg.Described.
@@ -166,6 +167,8 @@
 		return t.logLevel(ctx, f.Log.Level)
 	case f.Top != nil:
 		return t.top(ctx, f.Top)
+	case f.Bound != nil:
+		return t.bound(f.Bound)
 	}
 	return t.orders(ctx, f)
 }
--- a/ctl/show.go
+++ b/ctl/show.go
@@ -51,7 +51,7 @@
 	if t.JSON {
 		return printJSON(t.Out, hosts)
 	}
-	return t.table("NAME\tPLACE\tCALLERS\tPEERS\tLIVE\tCONFIG\tHEARD", len(hosts), func(i int) string {
+	return t.table("NAME\tFAILURE DOMAIN\tCALLERS\tPEERS\tLIVE\tCONFIG\tHEARD", len(hosts), func(i int) string {
 		h := hosts[i]
 		return fmt.Sprintf("%s\t%s\t%s\t%s\t%v\t%d\t%d ms ago", h.ID.Name, h.FailureDomain, h.CallerAddr, h.PeerAddr, h.Live, h.ConfigVersion, h.AgeMillis)
 	})
@@ -65,7 +65,7 @@
 	if t.JSON {
 		return printJSON(t.Out, ups)
 	}
-	return t.table("NAME\tSERVICE\tPLACE\tROLE\tMODEL\tSTATE\tIN FLIGHT\tPEERS'\tPREFILL BACKLOG\tDECODING\tREPORT", len(ups), func(i int) string {
+	return t.table("NAME\tSERVICE\tFAILURE DOMAIN\tROLE\tMODEL\tSTATE\tIN FLIGHT\tPEERS'\tPREFILL BACKLOG\tDECODING\tREPORT", len(ups), func(i int) string {
 		u := ups[i]
 		age := "none"
 		if u.ReportAgeMillis >= 0 {
--- a/ctl/steer.go
+++ b/ctl/steer.go
@@ -149,7 +149,7 @@
 	if s.Problem != "" {
 		fmt.Fprintln(t.Out, "refused:", s.Problem)
 	}
-	return t.table("HOST\tPLACE\tVERSION\tHEARD\tANSWERS", len(s.Hosts), func(i int) string {
+	return t.table("HOST\tFAILURE DOMAIN\tVERSION\tHEARD\tANSWERS", len(s.Hosts), func(i int) string {
 		h := s.Hosts[i]
 		return fmt.Sprintf("%s\t%s\t%d\t%d ms ago\t%v", h.Host.Name, h.FailureDomain, h.Version, h.AgeMillis, h.Answers)
 	})
--- a/scripts/capacity/lib.sh
+++ b/scripts/capacity/lib.sh
@@ -10,7 +10,7 @@
 # shellcheck source=scripts/processes.sh
 . scripts/processes.sh
 
-start_host() { # start_host NAME PLACE CALLERS PEERS [SETTING...]
+start_host() { # start_host NAME FAILURE_DOMAIN CALLERS PEERS [SETTING...]
 	local name=$1 domain=$2 callers=$3 peers=$4 sets=()
 	shift 4
 	for s in $SET "$@"; do sets+=(--set "$s"); done
