--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -49,9 +49,6 @@
 	}
 }
 
-// none stands for a service without instances.
-var none = &runners{}
-
 // Options configure a Fleet.
 type Options struct {
 	Clock state.Clock
@@ -111,11 +108,12 @@
 	s.add(r)
 }
 
-func (f *Fleet) service(name string) *runners {
+// service returns the runners of a service; none if it isn't known.
+func (f *Fleet) service(name string) runners {
 	if s := f.view.Load().byService[name]; s != nil {
-		return s
+		return *s
 	}
-	return none
+	return runners{}
 }
 
 // Runners returns the instances of a service that take work.
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -110,15 +110,15 @@
 	// followed is set in such a term.
 	followed bool
 	// counted is how many engines of a service are listed, until the term's first plan.
-	counted map[string]count
+	counted map[string]listedCount
 	// demand follows the load of both roles, by service.
 	demand map[string]*demand
 	// kept are the saved shares by service; they outlive a term.
 	kept map[string]kept
 }
 
-// count is a number of engines that has been listed for some time.
-type count struct {
+// listedCount is a number of engines and since when it has been listed.
+type listedCount struct {
 	n     int
 	since time.Time
 }
@@ -144,7 +144,7 @@
 // hold gives orders for one term of the lease.
 func (m *Manager) hold(ctx context.Context) error {
 	m.ordered, m.since, m.stood = map[string]given{}, map[string]time.Time{}, map[string]bool{}
-	m.pausing, m.demand, m.counted = map[string]time.Time{}, map[string]*demand{}, map[string]count{}
+	m.pausing, m.demand, m.counted = map[string]time.Time{}, map[string]*demand{}, map[string]listedCount{}
 	m.followed = !m.o.Lease.First()
 	if m.followed {
 		m.o.Log.Info("waiting before the first order", "silence", m.o.TakeOver, "fence", m.o.Lease.Fence())
@@ -201,7 +201,7 @@
 	}
 	c := m.counted[service]
 	if c.n != n {
-		m.counted[service] = count{n, now}
+		m.counted[service] = listedCount{n, now}
 		return false
 	}
 	return now.Sub(c.since) >= listing
--- a/coordination/stages/shares.go
+++ b/coordination/stages/shares.go
@@ -12,8 +12,8 @@
 // kindShares is the kind of the objects that keep the shares, one a service.
 const kindShares = "engine-shares"
 
-// record is a share as it is kept.
-type record struct {
+// savedShare is a share as it is kept.
+type savedShare struct {
 	Share float64 `json:"share"`
 }
 
@@ -32,7 +32,7 @@
 	if err != nil {
 		return 0, store.Absent, fmt.Errorf("read the share of %s: %w", service, err)
 	}
-	var r record
+	var r savedShare
 	if err := json.Unmarshal(o.Value, &r); err != nil || r.Share <= 0 || r.Share >= 1 {
 		return 0, o.Version, fmt.Errorf("the share of %s is not readable (%q); delete the object %s/%s", service, o.Value, kindShares, service)
 	}
@@ -42,7 +42,7 @@
 // Save keeps a service's share in place of that of the given version and returns its
 // own.
 func (s Shares) Save(ctx context.Context, service string, share float64, over uint64) (uint64, error) {
-	value, err := json.Marshal(record{share})
+	value, err := json.Marshal(savedShare{share})
 	if err != nil {
 		return over, fmt.Errorf("encode the share of %s: %w", service, err)
 	}
