--- a/coordination/stages/demand_test.go
+++ b/coordination/stages/demand_test.go
@@ -1,7 +1,6 @@
 package stages
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"sync"
@@ -67,18 +66,6 @@
 	is.True(12-Target(12, d.share) >= minEach)
 }
 
-// runHolder runs a manager until the returned function is called.
-func runHolder(t *testing.T, p *storetest.Platform, f *fakeEngines, host string) (stop func()) {
-	ctx, cancel := context.WithCancel(t.Context())
-	var done sync.WaitGroup
-	m := newManager(t, p, f, host, 1)
-	done.Go(func() { _ = m.Run(ctx) })
-	return func() {
-		cancel()
-		done.Wait()
-	}
-}
-
 func (f *fakeEngines) reading() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -231,6 +231,18 @@
 	return m
 }
 
+// runHolder runs a manager until the returned function is called.
+func runHolder(t *testing.T, p *storetest.Platform, f *fakeEngines, host string) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	m := newManager(t, p, f, host, 1)
+	done.Go(func() { _ = m.Run(ctx) })
+	return func() {
+		cancel()
+		done.Wait()
+	}
+}
+
 func TestSplitIsOrderedOnceAndThenLeftAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -254,17 +266,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFakeEngines(engines(8, 4), 0, 1)
-		p := storetest.NewPlatform(time.Second)
-		ctx, cancel := context.WithCancel(t.Context())
-		var done sync.WaitGroup
-		done.Go(func() { _ = newManager(t, p, f, "h", 1).Run(ctx) })
+		stop := runHolder(t, storetest.NewPlatform(time.Second), f, "h")
 		time.Sleep(10 * time.Second)
 		back := f.crash("e00", "e01", "e02")
 		time.Sleep(2 * time.Second)
 		back()
 		time.Sleep(time.Minute)
-		cancel()
-		done.Wait()
+		stop()
 		is.Equal(len(f.orders), 0)
 	})
 }
@@ -276,19 +284,10 @@
 		is := is.New(t)
 		f := newFakeEngines(engines(8, 4), 0, 1)
 		p := storetest.NewPlatform(time.Second)
-		run := func(host string) (stop func()) {
-			ctx, cancel := context.WithCancel(t.Context())
-			var done sync.WaitGroup
-			done.Go(func() { _ = newManager(t, p, f, host, 1).Run(ctx) })
-			return func() {
-				cancel()
-				done.Wait()
-			}
-		}
-		stop := run("h1")
+		stop := runHolder(t, p, f, "h1")
 		time.Sleep(10 * time.Second)
 		stop()
-		stop = run("h2")
+		stop = runHolder(t, p, f, "h2")
 		time.Sleep(leaseTime) // it keeps silence for a second more
 		back := f.crash("e00", "e01", "e02")
 		time.Sleep(3 * time.Second)
