Read a failed sending in one place; let a choice's turn tell that it is deferred

From the last read of the change: wasSent looked for a SendError as sendFailed did; a choice kept beside its turn whether it is deferred; the soak marked a runner as gone in two places. Behaviour and tests as before.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -159,7 +159,7 @@
 		if c.Runner == nil {
 			return nil, d.refuse(r, rec, ReasonNoRunner)
 		}
-		a := &Attempt{Request: r, Instance: c.Instance, Source: source, LastEventID: r.LastEventID, Deferred: c.deferred, Size: rec.size, FetchFrom: c.fetchFrom()}
+		a := &Attempt{Request: r, Instance: c.Instance, Source: source, LastEventID: r.LastEventID, Deferred: c.deferred(), Size: rec.size, FetchFrom: c.fetchFrom()}
 		answer, end := d.attempt(ctx, a, c, rec)
 		if answer != nil && !d.repeatFailure(r, rec, answer) {
 			return answer, nil
@@ -322,10 +322,7 @@
 
 // sendFailed notes a sending without a response.
 func (d *Dispatcher) sendFailed(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record, part string, took time.Duration, err error) outcome {
-	var failed *SendError
-	if !errors.As(err, &failed) {
-		failed = &SendError{Sent: true, Cause: err}
-	}
+	failed := sendError(err)
 	if !failed.Busy {
 		d.noteBroken(ctx, runner)
 	}
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -164,6 +165,15 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Cause }
 
+// sendError is the SendError in err; of any other error it isn't known what was sent.
+func sendError(err error) *SendError {
+	var failed *SendError
+	if errors.As(err, &failed) {
+		return failed
+	}
+	return &SendError{Sent: true, Cause: err}
+}
+
 // Reason is why a request got no answer from a runner.
 type Reason string
 
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/thymerack/thymerack/coordination/placement"
 )
@@ -76,7 +75,7 @@
 	}
 	took := d.o.Clock.Now().Sub(started)
 	if err != nil {
-		if wasSent(err) {
+		if sendError(err).Sent {
 			rec.notePrefill(false)
 		}
 		// Reading a prompt runs nothing, so a lost response breaks no promise. That
@@ -135,9 +134,3 @@
 const patienceShare = 3
 
 const statusOK = 200
-
-// wasSent reports whether a sending that failed may have reached its runner.
-func wasSent(err error) bool {
-	var failed *SendError
-	return !errors.As(err, &failed) || failed.Sent
-}
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -168,7 +168,7 @@
 
 func (s *Stream) resumeAt(c choice) bool {
 	runner, sent := c.Runner, c.begin()
-	a := &Attempt{Request: s.a.Request, Instance: runner.Instance, LastEventID: s.lastID, Deferred: c.deferred}
+	a := &Attempt{Request: s.a.Request, Instance: runner.Instance, LastEventID: s.lastID, Deferred: c.deferred()}
 	s.rec.exclude(a.Instance)
 	a.Left = s.d.left(a.Request)
 	started := s.d.o.Clock.Now()
--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -164,12 +164,14 @@
 // choice is a runner for one sending, with its place there if it has one.
 type choice struct {
 	*placement.Runner
-	turn     turn
-	deferred bool
+	turn turn
 	// reads is set if the place is for reading the prompt and ends with that.
 	reads bool
 }
 
+// deferred reports whether the sending goes behind the others.
+func (c choice) deferred() bool { return c.turn.kind == TurnDeferred }
+
 // begin counts the sending in.
 func (c choice) begin() *sending {
 	return &sending{done: c.Runner.Begin(), turn: c.turn, reads: c.reads}
@@ -210,7 +212,7 @@
 	rec.size = d.sizes.class(r.Route.Name, r.Generation.OwnTokens())
 	t := d.takeTurn(ctx, r, rec)
 	d.noteTurn(rec, WorkRead, t.kind)
-	c := choice{Runner: t.runner, turn: t, deferred: t.kind == TurnDeferred, reads: true}
+	c := choice{Runner: t.runner, turn: t, reads: true}
 	if c.Runner == nil {
 		c.Runner, _ = d.o.Placer.Prefill(r.Service, r.Generation.Session(), rec.tried)
 	}
@@ -240,17 +242,19 @@
 	case first == nil:
 		return choice{}
 	case verdict == occupancy.Given:
-		d.noteTurn(rec, WorkGenerate, TurnCounted)
-		return choice{Runner: runner, turn: turn{place: place}}
+		return d.generateAt(runner, turn{kind: TurnCounted, place: place}, rec)
 	case verdict == occupancy.Unknown:
-		d.noteTurn(rec, WorkGenerate, TurnOwn)
-		return choice{Runner: runner}
+		return d.generateAt(runner, turn{kind: TurnOwn}, rec)
 	default:
-		d.noteTurn(rec, WorkGenerate, TurnDeferred)
-		return choice{Runner: first, deferred: true}
+		return d.generateAt(first, turn{kind: TurnDeferred}, rec)
 	}
 }
 
+func (d *Dispatcher) generateAt(runner *placement.Runner, t turn, rec *record) choice {
+	d.noteTurn(rec, WorkGenerate, t.kind)
+	return choice{Runner: runner, turn: t}
+}
+
 func (d *Dispatcher) noteTurn(rec *record, w Work, t Turn) {
 	rec.turn = t
 	d.o.Observer.Turn(w, t)
--- a/coordination/stages/learn.go
+++ b/coordination/stages/learn.go
@@ -58,8 +58,7 @@
 	case version == store.Absent:
 		share = m.o.Share
 	default:
-		own = kept{share: share, version: version}
-		m.kept[service] = own
+		m.kept[service] = kept{share: share, version: version}
 	}
 	m.o.Log.Info("share of a new term", "service", service, "prefill_share", share, "version", version)
 	return share
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -231,15 +231,20 @@
 	return living[rng.IntN(len(living))]
 }
 
+// retire marks a runner as gone; it is false if it was so before.
+func (f *fleet) retire(r *runner) bool {
+	f.runnersMu.Lock()
+	defer f.runnersMu.Unlock()
+	was := r.gone
+	r.gone = true
+	return !was
+}
+
 // leave has a runner drain and end while another takes its part.
 func (f *fleet) leave(r *runner) error {
-	f.runnersMu.Lock()
-	if r.gone {
-		f.runnersMu.Unlock()
+	if !f.retire(r) {
 		return nil
 	}
-	r.gone = true
-	f.runnersMu.Unlock()
 	stage, _ := r.Entry("", "")["stage"].(string)
 	if err := f.addRunner(r.Service, stage); err != nil {
 		return err
@@ -256,13 +261,9 @@
 
 // crash ends a runner at once; another takes its part after a while.
 func (f *fleet) crash(r *runner) error {
-	f.runnersMu.Lock()
-	if r.gone {
-		f.runnersMu.Unlock()
+	if !f.retire(r) {
 		return nil
 	}
-	r.gone = true
-	f.runnersMu.Unlock()
 	stage, _ := r.Entry("", "")["stage"].(string)
 	r.Crash()
 	r.link.close()
