Give idle generating engines to prompts by the peak that was seen

Cause: with 18 engines, 64% reading, prompts waited at each reading engine (6 to 13 a sample) while the others were at 0.06 to 0.3 of their slots; the rule gave away one engine every 8 s, and only below 0.1. Ruled out: a lasting mean alone (it forgets a burst before the next one comes). Change: the engines that generate keep what carries the peak of the last seconds at 0.4 of their slots, and one in sixteen to spare; the others go over at once, three seconds after the first sample.

--- a/coordination/stages/demand.go
+++ b/coordination/stages/demand.go
@@ -20,25 +20,29 @@
 	generatingHigh = 1.2
 	// generatingWanted is the load that a change aims at.
 	generatingWanted = 0.8
-	// generatingLow is the load below which engines are taken to read prompts, step of
-	// the service's at a time, if more than waitingSome of them wait: in the middle of
-	// a burst the seconds without an engine cost more than it brings
-	// (docs/MEASUREMENTS.md).
-	generatingLow = 0.1
-	waitingSome   = 0.3
-	step          = 1.0 / 16
+	// generatingRoom is the load that the engines which are left to generate may have at
+	// the peak that was seen lately, and spareShare the part of all engines that is kept
+	// beside them for those that may be lost, rounded up. The others read prompts if more
+	// than waitingSome of them wait at an engine.
+	generatingRoom = 0.4
+	spareShare     = 1.0 / 16
+	waitingSome    = 0.3
+	// peakDecay is what is left of a peak at the next look: half after ten seconds, the
+	// time between two bursts on today's sheets.
+	peakDecay = 0.9
 	// waitingLow prompts at an engine are read in time: an engine reads one in some
 	// 28 ms, and four at a time still in a shortest objective of 120 ms.
 	waitingLow = 4
 	// idleLoad and less is no traffic, which tells nothing of the mix.
 	idleLoad = 0.02
-	// generatingGross is a load that no swing of the mix reaches on the standard days;
-	// it is acted on after holdGross.
+	// generatingGross is a load that no swing of the mix reaches on the standard days.
 	generatingGross = 2
-	holdGross       = 3 * time.Second
-	// holdAfter is how long a changed share, or the first sample, stands: a change of
-	// role takes some seconds, and its effect some more to show.
+	// holdAfter is how long a changed share stands: a change of role takes some seconds,
+	// and its effect some more to show. holdFirst is how long the first one does, from
+	// the first sample, unless engines that read would be taken for less than a gross
+	// load.
 	holdAfter = 8 * time.Second
+	holdFirst = 3 * time.Second
 	// mostMoved is the part of the engines that read prompts which one change takes.
 	mostMoved = 0.5
 )
@@ -53,8 +57,10 @@
 
 // demand turns samples into the share of engines that read prompts.
 type demand struct {
-	share     float64
-	mean      sample
+	share float64
+	mean  sample
+	// peak is the highest load of the generating engines lately, as if there were one.
+	peak      float64
 	sampledAt time.Time
 	// changedAt is when the share changed, or of the first sample.
 	changedAt time.Time
@@ -80,11 +86,9 @@
 	}
 	d.mean.generating += sampleGain * (s.generating - d.mean.generating)
 	d.mean.waiting += sampleGain * (s.waiting - d.mean.waiting)
-	if now.Sub(d.changedAt) < d.hold() {
-		return false
-	}
+	d.peak = max(d.peak*peakDecay, s.generating*float64(n-reading))
 	moved := d.wanted(n, reading)
-	if moved == 0 {
+	if moved == 0 || now.Sub(d.changedAt) < d.hold(moved) {
 		return false
 	}
 	d.share = float64(reading-moved) / float64(n)
@@ -93,12 +97,12 @@
 	return true
 }
 
-// hold is how long the present share stands at least.
-func (d *demand) hold() time.Duration {
-	if !d.moved && d.mean.generating > generatingGross {
-		return holdGross
+// hold is how long the present share stands at least against a wish to move engines.
+func (d *demand) hold(moved int) time.Duration {
+	if d.moved || (moved > 0 && d.mean.generating <= generatingGross) {
+		return holdAfter
 	}
-	return holdAfter
+	return holdFirst
 }
 
 // wanted is the number of n engines, of which reading read prompts, that should leave
@@ -109,8 +113,9 @@
 	case d.mean.generating > generatingHigh && d.mean.waiting < waitingLow:
 		missing := math.Ceil(float64(generating) * (d.mean.generating/generatingWanted - 1))
 		return max(0, min(int(missing), int(mostMoved*float64(reading)), reading-minEach))
-	case d.mean.generating < generatingLow && d.mean.waiting > waitingSome:
-		return -max(0, min(max(1, int(step*float64(n))), generating-minEach))
+	case d.mean.waiting > waitingSome:
+		needed := int(math.Ceil(d.peak/generatingRoom) + math.Ceil(spareShare*float64(n)))
+		return -max(0, generating-max(needed, minEach))
 	default:
 		return 0
 	}
--- a/coordination/stages/demand_test.go
+++ b/coordination/stages/demand_test.go
@@ -66,6 +66,48 @@
 	is.True(12-Target(12, d.share) >= minEach)
 }
 
+// A day begins with cold caches: prompts wait at twelve engines of 18, and the other six
+// have work for one. Some of these are given to prompts within seconds; what is left
+// carries the peak at less than half of its places, with an engine in sixteen to spare.
+func TestIdleGeneratingEnginesReadWhileCachesAreCold(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		n          int
+		load       float64
+		generating int
+	}{
+		{"18 engines, work for one", 18, 1, 5},
+		{"90 engines, work for five", 90, 5, 19},
+		{"18 engines, work for five", 18, 5, 6}, // nothing is to be had
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDemand(0.64)
+			changes := play(d, c.n, 30, func(_, reading int) sample {
+				return sample{generating: c.load / float64(c.n-reading), waiting: 3}
+			})
+			is.Equal(c.n-Target(c.n, d.share), c.generating)
+			is.True(len(changes) <= 1)
+			for _, at := range changes {
+				is.True(at <= 4)
+			}
+		})
+	}
+}
+
+// A burst of answers that is over still counts for some seconds: the next one may come.
+func TestPeakOfAnswersIsRememberedBetweenBursts(t *testing.T) {
+	is := is.New(t)
+	d := newDemand(0.64)
+	changes := play(d, 12, 12, func(s, _ int) sample {
+		if s < 3 {
+			return sample{generating: 0.8}
+		}
+		return sample{generating: 0.1, waiting: 5}
+	})
+	is.Equal(len(changes), 0)
+}
+
 func (f *fakeEngines) reading() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
