Read the list of hosts at once when a host starts

Cause: a host that starts again waited 1.5 s before it read the list, and counted only its own work meanwhile: after all hosts were killed 157 prompts of four seconds took 3.5 times as long as its forecast. Change: the list is read at once, and again after 1.5 s while nobody else is in it.

--- a/daemon/routed/members.go
+++ b/daemon/routed/members.go
@@ -89,11 +89,12 @@
 		if !registered {
 			registered = m.register(ctx)
 		}
-		if m.clock.Sleep(ctx, membersSettle) != nil {
-			return
-		}
 		m.read(ctx)
-		if m.clock.Sleep(ctx, membersEvery) != nil {
+		pause := membersEvery
+		if len(m.All()) <= 1 {
+			pause = membersSettle
+		}
+		if m.clock.Sleep(ctx, pause) != nil {
 			return
 		}
 	}
