--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -5,12 +5,10 @@
 	"errors"
 	"io"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
-	"github.com/thymerack/thymerack/coordination/throttle"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -18,7 +16,8 @@
 // method returns nil when there is none.
 type Placer interface {
 	Call(service string, tried []string) *placement.Runner
-	Decode(service, session string, tried []string) *placement.Runner
+	// Decode prefers engines of the failure domain near, "" for the host's own.
+	Decode(service, session, near string, tried []string) *placement.Runner
 	Prefill(service, session string, tried []string) (chosen, home *placement.Runner)
 	// ReadsApart reports whether some of the service's engines only read prompts.
 	ReadsApart(service string) bool
@@ -41,7 +40,7 @@
 
 // Gate gives places at engines, counted over all hosts.
 type Gate interface {
-	Enter(ctx context.Context, a occupancy.Ask) (*occupancy.Place, occupancy.Verdict)
+	Enter(ctx context.Context, a occupancy.Ask) occupancy.Verdict
 }
 
 // Options configure a Dispatcher. All fields are required.
@@ -61,12 +60,7 @@
 // Dispatcher carries requests to runners. It is safe for concurrent use.
 type Dispatcher struct {
 	o     Options
-	sizes sizes
-
-	mu sync.Mutex
-	// limiters bound this host's prompts in flight, by route, while the keepers of
-	// the engines' counts can't be asked.
-	limiters map[string]*throttle.Limiter
+	leads leads
 }
 
 // New validates the options.
@@ -74,7 +68,7 @@
 	if o.Upstream == nil || o.Placer == nil || o.Gate == nil || o.Budget == nil || o.Observer == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("forward: a field of Options is nil; set all of them")
 	}
-	return &Dispatcher{o: o, limiters: map[string]*throttle.Limiter{}}, nil
+	return &Dispatcher{o: o}, nil
 }
 
 const (
@@ -145,7 +139,10 @@
 	var source *KVSource
 	rec.apart = d.long(r) && d.o.Placer.ReadsApart(r.Service)
 	if rec.apart {
-		source = d.readPrompt(ctx, r, rec)
+		var err error
+		if source, err = d.readPrompt(ctx, r, rec); err != nil {
+			return nil, err
+		}
 	}
 	if !d.pay(r, rec) {
 		return nil, d.refuse(r, rec, ReasonBudget)
@@ -155,11 +152,14 @@
 		if err := d.over(ctx, r, rec); err != nil {
 			return nil, err
 		}
-		c := d.choose(ctx, r, rec)
+		c, err := d.choose(ctx, r, rec)
+		if err != nil {
+			return nil, err
+		}
 		if c.Runner == nil {
 			return nil, d.refuse(r, rec, ReasonNoRunner)
 		}
-		a := &Attempt{Request: r, Instance: c.Instance, Source: source, LastEventID: r.LastEventID, Deferred: c.deferred(), Size: rec.size, FetchFrom: c.fetchFrom()}
+		a := &Attempt{Request: r, Instance: c.Instance, Source: source, LastEventID: r.LastEventID, Rank: c.rank(r), FetchFrom: c.fetchFrom()}
 		answer, end := d.attempt(ctx, a, c, rec)
 		if answer != nil && !d.repeatFailure(r, rec, answer) {
 			return answer, nil
@@ -215,16 +215,16 @@
 }
 
 // choose picks a runner that generates or serves the call.
-func (d *Dispatcher) choose(ctx context.Context, r *Request, rec *record) choice {
+func (d *Dispatcher) choose(ctx context.Context, r *Request, rec *record) (choice, error) {
 	switch {
 	case r.Generation == nil:
-		return choice{Runner: d.o.Placer.Call(r.Service, rec.tried)}
+		return choice{Runner: d.o.Placer.Call(r.Service, rec.tried)}, nil
 	case rec.apart:
-		return choice{Runner: d.o.Placer.Decode(r.Service, r.Generation.Session(), rec.tried)}
+		return choice{Runner: d.o.Placer.Decode(r.Service, r.Generation.Session(), generateNear(r, rec.cached), rec.tried)}, nil
 	case d.long(r):
 		return d.takeReadingPlace(ctx, r, rec)
 	default:
-		return d.takePlace(ctx, r, rec)
+		return d.takePlace(ctx, r, rec), nil
 	}
 }
 
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
@@ -116,22 +117,46 @@
 
 func (noObserver) Turn(Work, Turn) {}
 
-// scriptedGate gives the verdicts in order and then every place.
+// scriptedGate refuses places with the forecasts in order, and then asks the host's own
+// book. A forecast that is given is used in place of the book's.
 type scriptedGate struct {
-	verdicts []occupancy.Verdict
-	asks     []occupancy.Ask
+	*occupancy.Gate
+	book    *occupancy.Book
+	refusal []backlog.Forecast
+	given   *backlog.Forecast
+	asks    []occupancy.Ask
 }
 
-func (g *scriptedGate) Enter(_ context.Context, a occupancy.Ask) (*occupancy.Place, occupancy.Verdict) {
+func newScriptedGate(t *testing.T) *scriptedGate {
+	t.Helper()
+	book := occupancy.NewBook(clocktest.Bubble{})
+	gate, err := occupancy.NewGate(occupancy.GateOptions{
+		Book: book, Peers: noPeers{}, Self: "self", Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
+		Hosts: func() []occupancy.Host { return []occupancy.Host{{Addr: "self"}} },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &scriptedGate{Gate: gate, book: book}
+}
+
+func (g *scriptedGate) Enter(ctx context.Context, a occupancy.Ask) occupancy.Verdict {
 	g.asks = append(g.asks, a)
-	if len(g.verdicts) > 0 {
-		v := g.verdicts[0]
-		g.verdicts = g.verdicts[1:]
-		return nil, v
+	if len(g.refusal) > 0 {
+		f := g.refusal[0]
+		g.refusal = g.refusal[1:]
+		return occupancy.Verdict{Answer: occupancy.Answer{Forecast: f}}
 	}
-	return nil, occupancy.Given
+	v := g.Gate.Enter(ctx, a)
+	if g.given != nil {
+		v.Forecast = *g.given
+	}
+	return v
 }
 
+// noPeers are the peers of a host that is alone.
+type noPeers struct{ occupancy.Peers }
+
 // world is a dispatcher with its fakes and five runners of each kind.
 type world struct {
 	*Dispatcher
@@ -152,7 +177,7 @@
 			state.Instance{ID: "d" + id, Service: "model", Addr: "d" + id + ":1", FailureDomain: "d1", Role: state.RoleDecode, Slots: engineSlots})
 	}
 	fleet.Update(list)
-	gate := &scriptedGate{}
+	gate := newScriptedGate(t)
 	d, err := New(Options{
 		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Clock: clocktest.Bubble{},
 		Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
@@ -179,7 +204,7 @@
 	now := time.Now()
 	return &Request{
 		ID: "r1", Service: "plain", ArrivedAt: now, Deadline: now.Add(2 * time.Second),
-		Route: &state.Route{Name: "r", Kind: kind, MaxAttempts: attempts, Resumable: resumable, Timeout: 2 * time.Second},
+		Route: &state.Route{Name: "r", Kind: kind, MaxAttempts: attempts, Resumable: resumable, Timeout: 2 * time.Second, Objective: 500 * time.Millisecond},
 	}
 }
 
--- a/coordination/forward/mixed_test.go
+++ b/coordination/forward/mixed_test.go
@@ -6,34 +6,35 @@
 
 	"github.com/matryer/is"
 
-	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/coordination/backlog"
 )
 
 func TestLongPromptGoesWholeToAnEngineThatDoesBoth(t *testing.T) {
 	is := is.New(t)
 	w := newMixedWorld(t, plenty, generated)
-	w.gate.verdicts = []occupancy.Verdict{occupancy.Full, occupancy.Given}
+	w.gate.refusal = []backlog.Forecast{{Wait: 300 * time.Millisecond, Finish: 320 * time.Millisecond, Kept: 400, Coming: 400}}
 	w.served(t)
 	is.Equal(len(w.up.attempts), 1)
 	a := w.up.attempts[0]
 	is.True(!a.PrefillOnly)
-	is.True(!a.Deferred)
+	is.True(a.Rank < backlog.Classes)
 	is.True(a.Source == nil)
 	// The second engine asked has room; it fetches what the session's own keeps.
 	is.Equal(a.Instance.ID, w.gate.asks[1].Engine)
 	is.Equal(a.FetchFrom, w.gate.asks[0].Engine+":1")
-	// The place is for the reading, by size and time, not one of the slots.
+	// The place is for the reading, not one of the slots.
 	is.Equal(w.gate.asks[0].Most, 0)
-	is.True(w.gate.asks[0].Size > 0)
+	is.True(w.gate.asks[0].Reading.Work.Own > 0)
 }
 
-func TestLongPromptWaitsBehindTheOthersAtAnEngineThatDoesBoth(t *testing.T) {
+func TestLatePromptWaitsBehindTheOthersAtAnEngineThatDoesBoth(t *testing.T) {
 	is := is.New(t)
 	w := newMixedWorld(t, plenty, generated)
-	w.gate.verdicts = []occupancy.Verdict{occupancy.Full, occupancy.Full, occupancy.Full, occupancy.Full}
+	w.gate.refusal = busyFor(time.Second, true)
+	w.gate.given = &backlog.Forecast{Rank: backlog.Classes + 2}
 	w.served(t)
 	is.Equal(len(w.up.attempts), 1)
-	is.True(w.up.attempts[0].Deferred)
+	is.Equal(w.up.attempts[0].Rank, backlog.Classes+2)
 	is.Equal(w.up.attempts[0].Instance.ID, w.gate.asks[0].Engine) // the session's own
 }
 
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -32,7 +32,9 @@
 	part     string
 	outcome  outcome
 	took     time.Duration
-	cause    string
+	// predicted is what took was predicted to be; 0 if nothing was.
+	predicted time.Duration
+	cause     string
 }
 
 // statusError is a runner's refusal, for the log.
@@ -59,8 +61,6 @@
 	failed *Answer
 	// apart is set for a prompt that is read at an engine of its own.
 	apart bool
-	// size is the class of a long prompt.
-	size SizeClass
 	// turn is how a model request got its place among the others; "" for calls.
 	turn Turn
 	// cached is where the prompt's KV cache waits to be taken, or nil.
@@ -75,6 +75,9 @@
 	r.steps = append(r.steps, s)
 }
 
+// predict notes what the time of the last sending was predicted to be.
+func (r *record) predict(d time.Duration) { r.steps[len(r.steps)-1].predicted = d }
+
 // notePrefill counts a sending of the prompt that may have reached an engine.
 func (r *record) notePrefill(refused bool) {
 	if !refused && !r.promptTaken {
@@ -102,6 +105,9 @@
 			b.WriteByte(' ')
 		}
 		b.WriteString(s.part + ":" + s.instance + ":" + string(s.outcome) + ":" + strconv.FormatInt(s.took.Milliseconds(), 10) + "ms")
+		if s.predicted > 0 {
+			b.WriteString("/" + strconv.FormatInt(s.predicted.Milliseconds(), 10) + "ms")
+		}
 		if s.cause != "" {
 			cause = s.cause
 		}
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -70,6 +70,8 @@
 	Deadline time.Time
 	// Generation is nil for calls of plain services.
 	Generation *Generation
+	// Engine describes the service's engines; nil for plain services.
+	Engine *state.EngineSpec
 }
 
 // Class is a kind of request, as measures tell them apart. A configuration has few.
@@ -100,12 +102,8 @@
 	FetchFrom string
 	// Source is the KV cache to go on from, or nil.
 	Source *KVSource
-	// Deferred attempts came beyond what is served in time; the runner puts them
-	// behind the others.
-	Deferred bool
-	// Size orders deferred prompts among each other: in a burst small ones come in
-	// time that would wait behind a large one.
-	Size SizeClass
+	// Rank is the attempt's order at the runner, 0 to 9; a lower one goes first.
+	Rank int
 	// LastEventID is the last event that the caller has; "" is the start.
 	LastEventID string
 }
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-
-	"github.com/thymerack/thymerack/coordination/placement"
+	"math/rand/v2"
+	"time"
 )
 
 // long reports whether the prompt is read at an engine of its own, if the service has
@@ -13,56 +13,75 @@
 }
 
 // readPrompt has the prompt read in its turn and returns where its KV cache is.
-// Without one the engine that generates reads the prompt itself.
-func (d *Dispatcher) readPrompt(ctx context.Context, r *Request, rec *record) *KVSource {
-	rec.size = d.sizes.class(r.Route.Name, r.Generation.OwnTokens())
-	t := d.takeTurn(ctx, r, rec)
-	d.noteTurn(rec, WorkRead, t.kind)
-	return d.prefill(ctx, r, rec, t)
-}
-
-// prefill has the prompt read, at the engine of its turn first. The first reading
-// that an engine takes is free; others draw on the budget.
-func (d *Dispatcher) prefill(ctx context.Context, r *Request, rec *record, t turn) *KVSource {
+// Without one the engine that generates reads the prompt itself. The first reading that
+// an engine takes is free; others draw on the budget.
+func (d *Dispatcher) readPrompt(ctx context.Context, r *Request, rec *record) (*KVSource, error) {
 	var tried []string
 	for try := 0; try < maxPrefills; try++ {
-		if d.over(ctx, r, rec) != nil {
-			break
+		if d.over(ctx, r, rec) != nil || !d.pay(r, rec) {
+			return nil, nil
 		}
-		if !d.pay(r, rec) {
-			break
-		}
-		if t.runner == nil {
-			t.runner, t.home = d.o.Placer.Prefill(r.Service, r.Generation.Session(), tried)
+		t, err := d.takeTurn(ctx, r, rec, tried)
+		if err != nil {
+			return nil, err
 		}
+		d.noteTurn(rec, WorkRead, t.kind)
 		if t.runner == nil {
-			break
+			return nil, nil
 		}
 		tried = append(tried, t.runner.Instance.ID)
-		source, retry := d.prefillAt(ctx, r, t, rec)
+		source := d.prefillAt(ctx, r, t, rec)
+		rec.predict(t.forecast.Finish)
 		t.end(source != nil)
-		if source != nil || !retry {
-			return source
+		if source != nil {
+			return source, nil
 		}
-		t = turn{kind: t.kind}
+		if d.left(r) > 0 && d.readLeft(r) <= 0 {
+			return nil, d.giveUp(r, rec, t.forecast.Finish)
+		}
+	}
+	return nil, nil
+}
+
+// readLeft is the time in which the prompt must be read so that its caller is still
+// there at the first event.
+func (d *Dispatcher) readLeft(r *Request) time.Duration {
+	return d.answerBy(r).Sub(d.o.Clock.Now()) - d.leads.of(r.Service) - givenUpMargin
+}
+
+// givenUpMargin is the way of a refusal to a caller that is about to leave: 3 ms one way
+// on today's sheets, and as much as the host may be held up.
+const givenUpMargin = 50 * time.Millisecond
+
+// giveUp refuses a prompt that was not read while its caller waits, so that the caller
+// may come back. It hasn't run.
+func (d *Dispatcher) giveUp(r *Request, rec *record, after time.Duration) error {
+	if rec.mayHaveRun {
+		return nil
 	}
-	t.end(false)
-	return nil
+	return &Refusal{Reason: ReasonOverload, NotRun: true, RetryAfter: d.spread(after)}
 }
 
+// spread spreads those that are told to come back over half of the time more, so that
+// they don't meet.
+func (d *Dispatcher) spread(after time.Duration) time.Duration {
+	return after + time.Duration(rand.Float64()*spreadReturns*float64(after))
+}
+
+const spreadReturns = 0.5
+
 // maxPrefills bounds the engines that one prompt is sent to for reading.
 const maxPrefills = 2
 
-func (d *Dispatcher) prefillAt(ctx context.Context, r *Request, t turn, rec *record) (source *KVSource, retry bool) {
+func (d *Dispatcher) prefillAt(ctx context.Context, r *Request, t turn, rec *record) *KVSource {
 	const part = "prefill"
 	runner := t.runner
 	if !d.o.Placer.Has(runner.Instance.ID) {
-		return nil, true
+		return nil
 	}
-	deferred := t.kind == TurnDeferred
-	a := &Attempt{Request: r, Instance: runner.Instance, Left: d.left(r), PrefillOnly: true, Deferred: deferred, Size: rec.size, FetchFrom: d.keepsParts(r, t.home)}
-	ctx, stop := d.patience(ctx, r, deferred)
-	defer stop()
+	a := &Attempt{Request: r, Instance: runner.Instance, Left: d.left(r), PrefillOnly: true, Rank: t.forecast.Rank, FetchFrom: d.keepsParts(r, t)}
+	ctx, p := d.patience(ctx, r, t)
+	defer p.end()
 	started := d.o.Clock.Now()
 	done := runner.Begin()
 	defer done()
@@ -79,58 +98,60 @@
 			rec.notePrefill(false)
 		}
 		// Reading a prompt runs nothing, so a lost response breaks no promise. That
-		// a deferred prompt isn't read in its time says nothing of the engine.
-		if !deferred || ctx.Err() == nil {
-			d.noteBroken(ctx, runner)
+		// a prompt isn't read in its time says nothing of an engine that reads others.
+		if ctx.Err() == nil || p.dark.Load() {
+			runner.Broken()
 		}
 		rec.add(a.Instance, part, outcomeUnknown, took, err)
-		return nil, true
+		return nil
 	}
 	resp.Finish()
 	rec.notePrefill(resp.Head().Status != statusOK)
 	if resp.Head().Status != statusOK {
-		if !deferred {
+		if ctx.Err() == nil {
 			runner.Refused()
 		}
 		rec.add(a.Instance, part, outcomeNotRun, took, &statusError{resp.Head().Status})
-		return nil, true
+		return nil
 	}
 	handle, err := d.o.Upstream.PrefillHandle(body)
 	if err != nil {
 		runner.Failed()
 		rec.add(a.Instance, part, outcomeFailed, took, err)
-		return nil, true
+		return nil
 	}
 	runner.Answered(took)
 	rec.add(a.Instance, part, outcomePrefill, took, nil)
 	rec.cached = &KVSource{a.Instance, handle}
-	return rec.cached, false
+	return rec.cached
 }
 
-// keepsParts is the address of an engine that may keep shared parts of the prompt:
-// the session's own, or the one that generates for it; "" if there is none.
-func (d *Dispatcher) keepsParts(r *Request, home *placement.Runner) string {
-	if home == nil {
-		home = d.o.Placer.Decode(r.Service, r.Generation.Session(), nil)
-	}
-	if home == nil {
+// generateNear is the failure domain in which the answer should be generated: that of
+// the engine that keeps the prompt's memory if moving it between domains takes longer
+// than the request's way there; "" for the host's own.
+func generateNear(r *Request, source *KVSource) string {
+	if source == nil || moveTime(r, r.Generation.PromptTokens)*(farMove-1) < domainRoundTrip {
 		return ""
 	}
-	return home.Instance.Addr
+	return source.Instance.FailureDomain
 }
 
-// patience bounds the wait for a prompt that should be read in time: after it the
-// engine counts as dark and another is tried.
-func (d *Dispatcher) patience(ctx context.Context, r *Request, deferred bool) (context.Context, context.CancelFunc) {
-	if deferred || r.Route.Objective <= 0 {
-		return context.WithCancel(ctx)
+// domainRoundTrip is the time of a round trip between failure domains: 1.8 to 2.8 ms on
+// today's sheets.
+const domainRoundTrip = 3 * time.Millisecond
+
+// keepsParts is the address of an engine that may keep shared parts of the prompt which
+// the turn's doesn't: the one that is known to, or the one that generates for the
+// session; "" if there is none.
+func (d *Dispatcher) keepsParts(r *Request, t turn) string {
+	if t.source != nil {
+		return t.source.Instance.Addr
 	}
-	return context.WithTimeout(ctx, patienceShare*r.Route.Objective)
+	generates := d.o.Placer.Decode(r.Service, r.Generation.Session(), t.runner.Instance.FailureDomain, nil)
+	if generates == nil {
+		return ""
+	}
+	return generates.Instance.Addr
 }
 
-// patienceShare times the objective is longer than a prompt of the largest size
-// waits at an engine that reads in time, and leaves two thirds of the shortest
-// deadline (2 s for an objective of 200 ms) for another engine.
-const patienceShare = 3
-
 const statusOK = 200
--- a/coordination/forward/split_test.go
+++ b/coordination/forward/split_test.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -85,18 +87,35 @@
 }
 
 func TestDarkPrefillEngineIsLeftForAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, plenty, reply{hang: true}, reply{status: 200, body: "h2"}, reply{status: 200, events: true, body: "id: 1\n\n"})
+		w.gate.given = &backlog.Forecast{Known: true, Finish: 90 * time.Millisecond}
+		r := modelRequest(9000, true)
+		answer, err := w.Forward(t.Context(), r)
+		is.NoErr(err)
+		is.True(time.Since(r.ArrivedAt) < time.Second) // long before the caller leaves
+		_, err = readAll(answer.Stream)
+		is.NoErr(err)
+		is.Equal(w.up.attempts[2].Source.Handle, "h2")
+		for _, runner := range w.fleet.Runners("model") {
+			is.Equal(runner.Suspect(time.Now()), runner.Instance.ID == w.up.attempts[0].Instance.ID)
+		}
+	})
+}
+
+// Memory that takes long to move stays in its failure domain; bytes that move at once
+// don't decide.
+func TestAnswerIsGeneratedNearMemoryThatIsSlowToMove(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, plenty, reply{hang: true}, reply{status: 200, body: "h2"}, reply{status: 200, events: true, body: "id: 1\n\n"})
-	r := modelRequest(9000, true)
-	r.Route.Objective = 10 * time.Millisecond
-	answer, err := w.Forward(t.Context(), r)
-	is.NoErr(err)
-	_, err = readAll(answer.Stream)
-	is.NoErr(err)
-	is.Equal(w.up.attempts[2].Source.Handle, "h2")
-	for _, runner := range w.fleet.Runners("model") {
-		is.Equal(runner.Suspect(time.Now()), runner.Instance.ID == w.up.attempts[0].Instance.ID)
-	}
+	r := modelRequest(17000, false)
+	source := &KVSource{Instance: &state.Instance{FailureDomain: "d2"}}
+	is.Equal(generateNear(r, source), "") // links are not known
+	r.Engine = &state.EngineSpec{KVTokenBytes: 163_840, LinkBits: 1.6e12}
+	is.Equal(generateNear(r, source), "d2") // 14 ms more
+	r.Engine.LinkBits = 8.8e12
+	is.Equal(generateNear(r, source), "") // 2.5 ms more
+	is.Equal(generateNear(r, nil), "")
 }
 
 var (
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -68,6 +68,9 @@
 	}
 	runner.Answered(took)
 	sent.answered()
+	if a.Source != nil {
+		d.leads.note(a.Request.Service, took)
+	}
 	return &Answer{Head: resp.Head(), Stream: s}, outcomeAnswered
 }
 
@@ -155,8 +158,8 @@
 	s.d.noteBroken(s.ctx, s.runner)
 	s.rec.add(s.a.Instance, "run", outcomeUnknown, s.d.o.Clock.Now().Sub(s.started), cause)
 	for s.d.over(s.ctx, r, s.rec) == nil && s.d.mayRepeat(r, s.rec) {
-		c := s.d.choose(s.ctx, r, s.rec)
-		if c.Runner == nil {
+		c, err := s.d.choose(s.ctx, r, s.rec)
+		if err != nil || c.Runner == nil {
 			return false
 		}
 		if s.resumeAt(c) {
@@ -168,7 +171,7 @@
 
 func (s *Stream) resumeAt(c choice) bool {
 	runner, sent := c.Runner, c.begin()
-	a := &Attempt{Request: s.a.Request, Instance: runner.Instance, LastEventID: s.lastID, Deferred: c.deferred()}
+	a := &Attempt{Request: s.a.Request, Instance: runner.Instance, LastEventID: s.lastID, Rank: c.rank(s.a.Request)}
 	s.rec.exclude(a.Instance)
 	a.Left = s.d.left(a.Request)
 	started := s.d.o.Clock.Now()
--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -1,15 +1,19 @@
 package forward
 
 import (
+	"cmp"
 	"context"
+	"log/slog"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
-	"github.com/thymerack/thymerack/coordination/throttle"
-	"github.com/thymerack/thymerack/state"
 )
 
 // Turn is how a part of a model request got its place among the others.
@@ -17,14 +21,13 @@
 
 // The turns.
 const (
-	// TurnCounted work has a place among that of all hosts which its engine does in
-	// time.
+	// TurnCounted work has a place among that of all hosts which its engine is
+	// predicted to do in time.
 	TurnCounted Turn = "counted"
-	// TurnOwn work is within this host's own bound, if there is one; the keeper of
-	// the engine's count could not be asked.
+	// TurnOwn work is counted at this host alone; the keeper of the engine's count
+	// could not be asked.
 	TurnOwn Turn = "own"
-	// TurnDeferred work came beyond what is done in time and is put behind the
-	// others.
+	// TurnDeferred work found all slots taken and is put behind the others.
 	TurnDeferred Turn = "deferred"
 )
 
@@ -42,124 +45,183 @@
 // turn is a prompt's turn at an engine.
 type turn struct {
 	kind Turn
-	// runner is the engine to read at, home the session's own if that is another;
-	// both are nil if any engine will do.
-	runner, home *placement.Runner
-	// place and ticket are what is to be ended; at most one is set.
-	place  *occupancy.Place
-	ticket *throttle.Ticket
+	// runner is the engine to read at, or nil if there is none; source is one that
+	// keeps shared parts which runner lacks, or nil.
+	runner, source *placement.Runner
+	place          *occupancy.Place
+	forecast       backlog.Forecast
 }
 
 // end counts the prompt out; done says that it was read.
 func (t turn) end(done bool) {
 	if done {
 		t.place.Done()
-		t.ticket.Done()
 		return
 	}
 	t.place.Cancel()
-	t.ticket.Cancel()
 }
 
-// maxAsked bounds the engines whose counts are asked for one prompt: with two
-// thirds of them full, four in five prompts find room at one of four.
-const maxAsked = 4
-
-// takeTurn looks for an engine that reads the prompt in time: the session's own
-// first, then the next by the session's order.
-func (d *Dispatcher) takeTurn(ctx context.Context, r *Request, rec *record) turn {
-	var home *placement.Runner
-	next := func(asked []string) *placement.Runner {
-		runner, own := d.o.Placer.Prefill(r.Service, r.Generation.Session(), asked)
-		if home == nil {
-			home = runner
-			if own != nil {
-				home = own
-			}
-		}
-		return runner
-	}
-	size := func(*placement.Runner) occupancy.Ask {
-		return occupancy.Ask{Size: float64(r.Generation.OwnTokens()), Target: readTarget(r.Route)}
-	}
-	runner, place, verdict := d.findRoom(ctx, r, rec, rec.tried, next, size)
-	switch verdict {
-	case occupancy.Given:
-		return turn{kind: TurnCounted, runner: runner, home: otherThan(home, runner), place: place}
-	case occupancy.Unknown:
-		return d.ownTurn(r)
-	default:
-		return turn{kind: TurnDeferred}
+const (
+	// maxAsked bounds the engines whose counts are asked for one prompt: with two
+	// thirds of them full, four in five prompts find room at one of four.
+	maxAsked = 4
+	// shortWait is the predicted wait with which an engine is taken without asking
+	// others: twenty round trips to a keeper of another failure domain (2 ms each).
+	shortWait = 40 * time.Millisecond
+	// anyTime puts no bound on a forecast.
+	anyTime = math.MaxInt32 * time.Millisecond
+)
+
+// offer is what an engine's keeper predicted.
+type offer struct {
+	runner *placement.Runner
+	occupancy.Verdict
+}
+
+// cost is what choosing the engine costs if it fetches parts from source: the time
+// until the prompt is read, and once more that of the reading itself, by which those
+// that come after wait longer.
+func (o offer) cost(r *Request, p prompt, source offer) time.Duration {
+	f := o.Forecast
+	saved := time.Duration(0)
+	if missing := p.shared() - f.Coming; source.Forecast.Kept > f.Coming {
+		found := source.Forecast.Kept - f.Coming
+		saved = time.Duration(float64(f.Cold)*float64(found)/float64(missing)) - moving(r, found, source.runner, o.runner)
 	}
+	return 2*(f.Finish-saved) - f.Wait
 }
 
-// findRoom asks for a place at one engine after the other, as next names them, until
-// one has room or its count can't be asked. The verdict is Full if none is found among
-// maxAsked. size says what a place at an engine is for; tried engines are not asked.
-func (d *Dispatcher) findRoom(ctx context.Context, r *Request, rec *record, tried []string,
-	next func(asked []string) *placement.Runner, size func(*placement.Runner) occupancy.Ask,
-) (*placement.Runner, *occupancy.Place, occupancy.Verdict) {
+// takeTurn finds the engine at which the prompt is read soonest: the session's own if
+// hardly anything waits there and all shared parts are kept, else the best of those that
+// are asked. What another of them keeps is fetched. A prompt that would be read after
+// its caller has left is refused.
+func (d *Dispatcher) takeTurn(ctx context.Context, r *Request, rec *record, tried []string) (turn, error) {
+	p := promptWork(r.Generation)
+	limit := d.readBy(r).Sub(d.o.Clock.Now())
+	var offers []offer
 	asked := slices.Clone(tried)
 	for range maxAsked {
-		runner := next(asked)
+		runner, _ := d.o.Placer.Prefill(r.Service, r.Generation.Session(), asked)
 		if runner == nil {
 			break
 		}
-		ask := size(runner)
-		ask.Engine, ask.Keep = runner.Instance.ID, d.left(r)
-		began := d.o.Clock.Now()
-		place, verdict := d.o.Gate.Enter(ctx, ask)
-		if verdict != occupancy.Full {
-			return runner, place, verdict
+		ask := d.readingAsk(r, runner, backlog.Work(p), shortWait, limit)
+		ask.Reading.Warm = true
+		o := offer{runner, d.o.Gate.Enter(ctx, ask)}
+		if o.Place != nil {
+			return turnAt(o, nil), nil
 		}
-		rec.add(runner.Instance, "place", outcomeFull, d.o.Clock.Now().Sub(began), nil)
+		rec.add(runner.Instance, "place", outcomeFull, o.Forecast.Finish, nil)
+		offers = append(offers, o)
 		asked = append(asked, runner.Instance.ID)
 	}
-	return nil, nil, occupancy.Full
+	if len(offers) == 0 {
+		return turn{kind: TurnOwn}, nil
+	}
+	source := slices.MaxFunc(offers, func(a, b offer) int { return cmp.Compare(a.Forecast.Kept, b.Forecast.Kept) })
+	best := slices.MinFunc(offers, func(a, b offer) int { return cmp.Compare(a.cost(r, p, source), b.cost(r, p, source)) })
+	if err := d.hopeless(r, rec, best); err != nil {
+		return turn{}, err
+	}
+	work := backlog.Work(p)
+	var from *placement.Runner
+	if kept := source.Forecast.Kept; kept > best.Forecast.Coming {
+		from = source.runner
+		work.Fetched = kept
+		work.FetchMS = float64(moving(r, kept, from, best.runner)) / float64(time.Millisecond)
+	}
+	ask := d.readingAsk(r, best.runner, work, anyTime, limit)
+	ask.Reading.Late = true
+	best.Verdict = d.o.Gate.Enter(ctx, ask)
+	return turnAt(best, from), nil
+}
+
+func turnAt(o offer, source *placement.Runner) turn {
+	t := turn{kind: TurnCounted, runner: o.runner, source: source, place: o.Place, forecast: o.Forecast}
+	if o.Own {
+		t.kind = TurnOwn
+	}
+	return t
 }
 
-// otherThan is home, or nil if it is the runner itself.
-func otherThan(home, runner *placement.Runner) *placement.Runner {
-	if home.Instance.ID == runner.Instance.ID {
+// hopeless refuses a prompt that would be read after its caller has left, and tells the
+// caller when it would be read in time.
+func (d *Dispatcher) hopeless(r *Request, rec *record, best offer) error {
+	left := d.readLeft(r)
+	if best.Own || !best.Forecast.Known || best.Forecast.Finish < left {
 		return nil
 	}
-	return home
+	d.o.Log.LogAttrs(context.Background(), slog.LevelInfo, "request is hopeless", slog.String("request_id", r.ID),
+		slog.String("instance", best.runner.Instance.ID), slog.Duration("predicted", best.Forecast.Finish),
+		slog.Duration("left", left))
+	return d.giveUp(r, rec, max(best.Forecast.Finish-r.Route.Objective, shortWait))
+}
+
+// readBy is when a prompt should be read so that the first event is in time.
+func (d *Dispatcher) readBy(r *Request) time.Time {
+	return r.ArrivedAt.Add(r.Route.Objective - d.leads.of(r.Service))
+}
+
+// answerBy is when the first event is of no use any more: its caller has left.
+func (d *Dispatcher) answerBy(r *Request) time.Time {
+	if r.Route.CallerSilence <= 0 {
+		return r.Deadline
+	}
+	if by := r.ArrivedAt.Add(r.Route.CallerSilence); by.Before(r.Deadline) {
+		return by
+	}
+	return r.Deadline
 }
 
-// ownTurn bounds the prompt by this host's own.
-func (d *Dispatcher) ownTurn(r *Request) turn {
-	ticket := d.limiter(r.Route).Acquire(float64(r.Generation.OwnTokens()), readTarget(r.Route))
-	if ticket == nil {
-		return turn{kind: TurnDeferred}
+// prompt is a prompt's work at an engine that keeps nothing of it.
+type prompt backlog.Work
+
+func promptWork(g *Generation) prompt {
+	p := prompt{Own: g.OwnTokens()}
+	for _, part := range g.Parts[:max(0, len(g.Parts)-1)] {
+		p.Shared = append(p.Shared, backlog.Part{ID: xxhash.Sum64String(part.ID), Tokens: part.Tokens})
 	}
-	return turn{kind: TurnOwn, ticket: ticket}
+	return p
 }
 
-// limiter returns this host's bound of a route's prompts.
-func (d *Dispatcher) limiter(r *state.Route) *throttle.Limiter {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	l := d.limiters[r.Name]
-	if l == nil {
-		l = throttle.New(throttle.Options{Clock: d.o.Clock, Start: ownLimit})
-		d.limiters[r.Name] = l
+// shared is the size of the parts before the prompt's own.
+func (p prompt) shared() int {
+	out := 0
+	for _, part := range p.Shared {
+		out += part.Tokens
 	}
-	return l
+	return out
 }
 
-// ownLimit is the first bound of a host's own prompts: it has one or two in flight
-// in a calm minute.
-const ownLimit = 8
+// farMove is how much longer memory moves between failure domains.
+const farMove = 2
+
+// moveTime is the time in which the memory of tokens moves within a failure domain.
+func moveTime(r *Request, tokens int) time.Duration {
+	if r.Engine == nil || r.Engine.LinkBits <= 0 {
+		return 0
+	}
+	bits := float64(tokens) * float64(r.Engine.KVTokenBytes) * 8
+	return time.Duration(bits / r.Engine.LinkBits * float64(time.Second))
+}
 
-// readTarget is the time in which a prompt of mean size should be read.
-func readTarget(r *state.Route) time.Duration {
-	return time.Duration(float64(r.Objective) * readShare)
+// moving is the time in which the memory of tokens moves from one engine to another.
+func moving(r *Request, tokens int, from, to *placement.Runner) time.Duration {
+	took := moveTime(r, tokens)
+	if from.Instance.FailureDomain != to.Instance.FailureDomain {
+		took *= farMove
+	}
+	return took
 }
 
-// readShare is the part of the objective in which a prompt of mean size should be
-// read. The bound settles where half of the prompts take that long and the slowest
-// tenth twice as long; 0.6 and 0.45 served fewer in time (docs/MEASUREMENTS.md).
-const readShare = 0.4
+// readingAsk asks for a place at which the prompt is read.
+func (d *Dispatcher) readingAsk(r *Request, at *placement.Runner, w backlog.Work, wait, limit time.Duration) occupancy.Ask {
+	reading := &occupancy.Reading{Service: r.Service, Work: w, MaxWait: wait, Limit: limit}
+	if r.Engine != nil {
+		reading.Memory = r.Engine.KVTokens
+	}
+	return occupancy.Ask{Engine: at.Instance.ID, Reading: reading, Keep: d.left(r)}
+}
 
 // choice is a runner for one sending, with its place there if it has one.
 type choice struct {
@@ -169,20 +231,38 @@
 	reads bool
 }
 
-// deferred reports whether the sending goes behind the others.
-func (c choice) deferred() bool { return c.turn.kind == TurnDeferred }
+// rank is the order of the sending at its runner.
+func (c choice) rank(r *Request) int {
+	rank := min(max(0, r.Route.Priority), usualRank)
+	switch {
+	case c.reads:
+		return c.turn.forecast.Rank
+	case c.turn.kind == TurnDeferred:
+		return min(deferredRank+rank, lowestRank)
+	default:
+		return rank
+	}
+}
+
+// The ranks that engines know; a lower one goes first.
+const (
+	// usualRank is that of requests which name none, deferredRank the first behind it.
+	usualRank    = 5
+	deferredRank = usualRank + 1
+	lowestRank   = 9
+)
 
 // begin counts the sending in.
 func (c choice) begin() *sending {
 	return &sending{done: c.Runner.Begin(), turn: c.turn, reads: c.reads}
 }
 
-// fetchFrom is the address of the session's own engine if another was chosen; "".
+// fetchFrom is the address of the engine that keeps shared parts; "" if none is known.
 func (c choice) fetchFrom() string {
-	if c.turn.home == nil {
+	if c.turn.source == nil {
 		return ""
 	}
-	return c.turn.home.Instance.Addr
+	return c.turn.source.Instance.Addr
 }
 
 // sending is one sending that is counted in at its runner and at its place.
@@ -208,18 +288,13 @@
 
 // takeReadingPlace looks for an engine that reads a long prompt in time and generates
 // as well, as takeTurn does for engines that only read.
-func (d *Dispatcher) takeReadingPlace(ctx context.Context, r *Request, rec *record) choice {
-	rec.size = d.sizes.class(r.Route.Name, r.Generation.OwnTokens())
-	t := d.takeTurn(ctx, r, rec)
-	d.noteTurn(rec, WorkRead, t.kind)
-	c := choice{Runner: t.runner, turn: t, reads: true}
-	if c.Runner == nil {
-		c.Runner, _ = d.o.Placer.Prefill(r.Service, r.Generation.Session(), rec.tried)
-	}
-	if c.Runner == nil {
-		t.end(false)
+func (d *Dispatcher) takeReadingPlace(ctx context.Context, r *Request, rec *record) (choice, error) {
+	t, err := d.takeTurn(ctx, r, rec, rec.tried)
+	if err != nil {
+		return choice{}, err
 	}
-	return c
+	d.noteTurn(rec, WorkRead, t.kind)
+	return choice{Runner: t.runner, turn: t, reads: true}, nil
 }
 
 // takePlace looks for an engine with a free slot for a request that generates at
@@ -227,27 +302,26 @@
 // where it starts once nothing newer wants the slot.
 func (d *Dispatcher) takePlace(ctx context.Context, r *Request, rec *record) choice {
 	var first *placement.Runner
-	next := func(asked []string) *placement.Runner {
-		runner := d.o.Placer.Decode(r.Service, "", asked)
+	asked := slices.Clone(rec.tried)
+	for range maxAsked {
+		runner := d.o.Placer.Decode(r.Service, "", "", asked)
+		if runner == nil {
+			break
+		}
 		if first == nil {
 			first = runner
 		}
-		return runner
-	}
-	slots := func(runner *placement.Runner) occupancy.Ask {
-		return occupancy.Ask{Most: max(1, runner.Instance.Slots)}
+		v := d.o.Gate.Enter(ctx, occupancy.Ask{Engine: runner.Instance.ID, Most: max(1, runner.Instance.Slots), Keep: d.left(r)})
+		if v.Place != nil {
+			return d.generateAt(runner, turnAt(offer{runner, v}, nil), rec)
+		}
+		rec.add(runner.Instance, "place", outcomeFull, 0, nil)
+		asked = append(asked, runner.Instance.ID)
 	}
-	runner, place, verdict := d.findRoom(ctx, r, rec, rec.tried, next, slots)
-	switch {
-	case first == nil:
+	if first == nil {
 		return choice{}
-	case verdict == occupancy.Given:
-		return d.generateAt(runner, turn{kind: TurnCounted, place: place}, rec)
-	case verdict == occupancy.Unknown:
-		return d.generateAt(runner, turn{kind: TurnOwn}, rec)
-	default:
-		return d.generateAt(first, turn{kind: TurnDeferred}, rec)
 	}
+	return d.generateAt(first, turn{kind: TurnDeferred}, rec)
 }
 
 func (d *Dispatcher) generateAt(runner *placement.Runner, t turn, rec *record) choice {
--- a/coordination/forward/turn_test.go
+++ b/coordination/forward/turn_test.go
@@ -2,115 +2,132 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
-	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/coordination/backlog"
 )
 
-func TestPromptIsReadAtTheFirstEngineWithRoom(t *testing.T) {
+// All caches are cold: a session's first prompt asks several engines whether they keep
+// its parts; those after it go to the one that reads them.
+func TestColdSessionIsReadAtOneEngine(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, promptRead, generated, promptRead, generated)
+	home, _ := w.fleet.Prefill("model", "b", nil)
+	w.served(t)
+	is.Equal(len(w.gate.asks), maxAsked+1)
+	is.Equal(w.up.attempts[0].Instance.ID, home.Instance.ID)
+	w.served(t)
+	is.Equal(len(w.gate.asks), maxAsked+2)
+	is.Equal(w.up.attempts[2].Instance.ID, home.Instance.ID)
+}
+
+// The session's engine has a long queue: another one reads the prompt and fetches the
+// shared parts.
+func TestPromptIsReadWhereItIsReadSoonest(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, plenty, promptRead, generated)
-	w.gate.verdicts = []occupancy.Verdict{occupancy.Full, occupancy.Full, occupancy.Given}
+	w.gate.refusal = []backlog.Forecast{
+		{Wait: 300 * time.Millisecond, Finish: 320 * time.Millisecond, Kept: 400, Coming: 400},
+		{Wait: 100 * time.Millisecond, Finish: 150 * time.Millisecond, Cold: 30 * time.Millisecond},
+		{Wait: 50 * time.Millisecond, Finish: 100 * time.Millisecond, Cold: 30 * time.Millisecond},
+		{Wait: 250 * time.Millisecond, Finish: 300 * time.Millisecond, Cold: 30 * time.Millisecond},
+	}
 	w.served(t)
-	is.Equal(len(w.gate.asks), 3)
-	is.Equal(w.up.attempts[0].Instance.ID, w.gate.asks[2].Engine)
-	is.True(!w.up.attempts[0].Deferred)
 	home, _ := w.fleet.Prefill("model", "b", nil)
 	is.Equal(w.gate.asks[0].Engine, home.Instance.ID)
-	is.Equal(w.up.attempts[0].FetchFrom, home.Instance.Addr) // shared parts aren't read again
+	is.Equal(w.up.attempts[0].Instance.ID, w.gate.asks[2].Engine)
+	is.Equal(w.up.attempts[0].FetchFrom, home.Instance.Addr)
+	is.Equal(w.gate.asks[4].Reading.Work.Fetched, 400)
+	is.True(w.gate.asks[4].Reading.Late)
 }
 
-func TestPromptIsDeferredWhenAllAskedEnginesAreFull(t *testing.T) {
+// A session's engine was replaced: the next one by its order still keeps the parts.
+func TestPartsAreFetchedFromWhoeverKeepsThem(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, plenty, promptRead, generated)
-	for range maxAsked {
-		w.gate.verdicts = append(w.gate.verdicts, occupancy.Full)
+	w.gate.refusal = []backlog.Forecast{
+		{Finish: 90 * time.Millisecond, Cold: 50 * time.Millisecond},
+		{Wait: 200 * time.Millisecond, Finish: 240 * time.Millisecond, Kept: 400, Coming: 400},
+		{Wait: 200 * time.Millisecond, Finish: 290 * time.Millisecond, Cold: 50 * time.Millisecond},
+		{Wait: 200 * time.Millisecond, Finish: 290 * time.Millisecond, Cold: 50 * time.Millisecond},
 	}
 	w.served(t)
-	is.Equal(len(w.gate.asks), maxAsked)
-	is.True(w.up.attempts[0].PrefillOnly)
-	is.True(w.up.attempts[0].Deferred)
-	is.True(!w.up.attempts[1].Deferred) // what was read generates in its turn
+	is.Equal(w.up.attempts[0].Instance.ID, w.gate.asks[0].Engine)
+	is.Equal(w.up.attempts[0].FetchFrom, w.gate.asks[1].Engine+":1")
 }
 
-func TestQuestionTakesAFreeSlotWhereItFindsOne(t *testing.T) {
-	is := is.New(t)
-	w := newWorld(t, plenty, generated)
-	w.gate.verdicts = []occupancy.Verdict{occupancy.Full, occupancy.Given}
-	answer, err := w.Forward(t.Context(), modelRequest(500, true))
-	is.NoErr(err)
-	_, err = readAll(answer.Stream)
-	is.NoErr(err)
-	is.Equal(w.up.attempts[0].Instance.ID, w.gate.asks[1].Engine)
-	is.Equal(w.gate.asks[1].Most, engineSlots)
-	is.True(!w.up.attempts[0].Deferred)
+func busyFor(d time.Duration, known bool) []backlog.Forecast {
+	out := make([]backlog.Forecast, maxAsked)
+	for i := range out {
+		out[i] = backlog.Forecast{Wait: d, Finish: d, Known: known}
+	}
+	return out
 }
 
-func TestQuestionGoesBehindTheOthersWhenAllSlotsAreTaken(t *testing.T) {
+// Every engine has more to read than any caller waits for: the request is refused before
+// it costs anybody time.
+func TestHopelessPromptIsRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, plenty, generated)
-	for range maxAsked {
-		w.gate.verdicts = append(w.gate.verdicts, occupancy.Full)
-	}
-	answer, err := w.Forward(t.Context(), modelRequest(500, true))
-	is.NoErr(err)
-	_, err = readAll(answer.Stream)
-	is.NoErr(err)
-	is.Equal(w.up.attempts[0].Instance.ID, w.gate.asks[0].Engine)
-	is.True(w.up.attempts[0].Deferred)
+	w := newWorld(t, plenty)
+	w.gate.refusal = busyFor(5*time.Second, true)
+	_, err := w.Forward(t.Context(), modelRequest(9000, true))
+	var refusal *Refusal
+	is.True(errors.As(err, &refusal))
+	is.True(refusal.NotRun)
+	is.Equal(refusal.Reason, ReasonOverload)
+	is.True(refusal.RetryAfter >= 4*time.Second) // when it would be read in time
+	is.Equal(len(w.up.attempts), 0)
 }
 
-func TestQuestionIsNotHeldBackWhileNoKeeperAnswers(t *testing.T) {
-	is := is.New(t)
-	w := newWorld(t, plenty, generated)
-	w.gate.verdicts = []occupancy.Verdict{occupancy.Unknown}
-	answer, err := w.Forward(t.Context(), modelRequest(500, true))
-	is.NoErr(err)
-	_, err = readAll(answer.Stream)
-	is.NoErr(err)
-	is.True(!w.up.attempts[0].Deferred)
+func TestPromptIsTriedWhileNothingIsKnown(t *testing.T) {
+	w := newWorld(t, plenty, promptRead, generated)
+	w.gate.refusal = busyFor(5*time.Second, false)
+	w.served(t)
 }
 
-func TestHostKeepsToItsOwnBoundWhileNoKeeperAnswers(t *testing.T) {
+func TestLatePromptIsReadBehindTheOthers(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, plenty, promptRead, generated, promptRead, generated)
-	w.gate.verdicts = []occupancy.Verdict{occupancy.Unknown, occupancy.Unknown}
-	w.served(t)
-	is.True(!w.up.attempts[0].Deferred)
-	route := modelRequest(9000, true).Route
-	for l := w.limiter(route); l.Acquire(1, time.Second) != nil; {
-	}
+	w := newWorld(t, plenty, promptRead, generated)
+	w.gate.refusal = busyFor(time.Second, true)
+	w.gate.given = &backlog.Forecast{Rank: backlog.Classes + 1}
 	w.served(t)
-	is.True(w.up.attempts[2].Deferred)
+	is.Equal(w.up.attempts[0].Rank, backlog.Classes+1)
+	is.Equal(w.up.attempts[1].Rank, 0) // what was read generates in its turn
 }
 
-func TestDeferredPromptThatIsNotReadSaysNothingOfItsEngine(t *testing.T) {
-	is := is.New(t)
-	w := newWorld(t, plenty, reply{hang: true})
-	r := modelRequest(9000, true)
-	w.gate.verdicts = []occupancy.Verdict{occupancy.Full, occupancy.Full, occupancy.Full, occupancy.Full}
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
-	defer cancel()
-	r.Deadline = time.Now().Add(20 * time.Millisecond)
-	_, err := w.Forward(ctx, r)
-	is.True(err != nil)
-	is.True(w.up.attempts[0].Deferred)
-	for _, runner := range w.fleet.Runners("model") {
-		is.True(!runner.Suspect(time.Now()))
-	}
+// A prompt that isn't read in its time is given up while its caller still waits, and
+// says nothing of an engine that may be busy with others.
+func TestPromptIsGivenUpBeforeItsCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, plenty, reply{hang: true})
+		r := modelRequest(9000, true)
+		r.Deadline = r.ArrivedAt.Add(6 * time.Second)
+		r.Route.CallerSilence = 2 * time.Second
+		_, err := w.Forward(t.Context(), r)
+		took := time.Since(r.ArrivedAt)
+		is.True(took > 1800*time.Millisecond && took < 2*time.Second)
+		var refusal *Refusal
+		is.True(errors.As(err, &refusal))
+		is.True(refusal.NotRun)
+		is.True(refusal.RetryAfter > 0)
+		for _, runner := range w.fleet.Runners("model") {
+			is.True(!runner.Suspect(time.Now()))
+		}
+	})
 }
 
-// An engine refuses a deferred prompt whose time is over in its queue: it is as sound
-// as before, and nothing is left to be read elsewhere.
-func TestDeferredPromptThatIsRefusedAtItsEndSaysNothingOfItsEngine(t *testing.T) {
+// An engine refuses a prompt whose time is over in its queue: it is as sound as before,
+// and nothing is left to be read elsewhere.
+func TestPromptThatIsRefusedAtItsEndSaysNothingOfItsEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, plenty, reply{status: 503, notRun: true, after: 1990 * time.Millisecond})
-		w.gate.verdicts = []occupancy.Verdict{occupancy.Full, occupancy.Full, occupancy.Full, occupancy.Full}
 		r := modelRequest(9000, true)
 		ctx, cancel := context.WithDeadline(t.Context(), r.Deadline)
 		defer cancel()
@@ -123,3 +140,58 @@
 		}
 	})
 }
+
+// The prompt takes longer than predicted, but its engine has much to read.
+func TestPromptIsLeftWhereItsTurnComes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, plenty, reply{status: 200, body: "h1", after: time.Second}, generated)
+		w.gate.given = &backlog.Forecast{Known: true, Finish: 10 * time.Millisecond}
+		r := modelRequest(200_000, true) // 4 s of reading by the book
+		_, err := w.Forward(t.Context(), r)
+		is.NoErr(err)
+		is.Equal(len(w.up.attempts), 2)
+	})
+}
+
+func TestQuestionTakesAFreeSlotWhereItFindsOne(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, generated)
+	w.gate.refusal = make([]backlog.Forecast, 1)
+	answer, err := w.Forward(t.Context(), modelRequest(500, true))
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.Equal(w.up.attempts[0].Instance.ID, w.gate.asks[1].Engine)
+	is.Equal(w.gate.asks[1].Most, engineSlots)
+	is.Equal(w.up.attempts[0].Rank, 0)
+}
+
+func TestQuestionGoesBehindTheOthersWhenAllSlotsAreTaken(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, generated)
+	w.gate.refusal = make([]backlog.Forecast, maxAsked)
+	answer, err := w.Forward(t.Context(), modelRequest(500, true))
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.Equal(w.up.attempts[0].Instance.ID, w.gate.asks[0].Engine)
+	is.Equal(w.up.attempts[0].Rank, deferredRank)
+}
+
+func TestRanksStayWithinThoseThatEnginesKnow(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		priority int
+		kind     Turn
+		rank     int
+	}{
+		{-1, TurnCounted, 0}, {0, TurnCounted, 0}, {2, TurnCounted, 2}, {7, TurnCounted, usualRank},
+		{0, TurnDeferred, deferredRank}, {2, TurnDeferred, deferredRank + 2}, {9, TurnDeferred, lowestRank},
+	} {
+		r := modelRequest(500, true)
+		r.Route.Priority = c.priority
+		is.Equal(choice{turn: turn{kind: c.kind}}.rank(r), c.rank)
+	}
+	is.True(2*backlog.Classes-1 <= lowestRank)
+}
--- a/coordination/occupancy/book.go
+++ b/coordination/occupancy/book.go
@@ -2,41 +2,59 @@
 // way there, so that a host knows of the others' work before it adds its own.
 //
 // The keeper of an engine's count is chosen by rendezvous hashing over the hosts'
-// addresses. Counts only help to place requests: while a keeper is lost, new or
-// known to some hosts only, requests are placed less well, and no answer is wrong.
+// addresses. Counts and forecasts only help to place requests: while a keeper is lost,
+// new or known to some hosts only, requests are placed less well, and no answer is
+// wrong.
 package occupancy
 
 import (
 	"sync"
 	"time"
 
-	"github.com/thymerack/thymerack/coordination/throttle"
+	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/state"
 )
 
-const (
-	// startLimit is an engine's bound before anything is known: four prompts of
-	// some 28 ms fill three fifths of the shortest objective of today's sheets.
-	startLimit = 4
-	// forgetAfter is how long an engine that nobody asks for is remembered.
-	forgetAfter = time.Minute
-)
+// forgetAfter is how long an engine that nobody asks for is remembered.
+const forgetAfter = time.Minute
 
 // Ask is a request for a place at an engine.
 type Ask struct {
 	// Engine is the instance's id.
 	Engine string
-	// Most is a fixed bound in requests; 0 leaves the bound to the times seen, with
-	// Size and Target.
+	// Most bounds the places in requests, of work that isn't a reading.
 	Most int
-	// Size is the work in tokens.
-	Size float64
-	// Target is the time in which work of mean size should be done.
-	Target time.Duration
+	// Reading is the prompt that is to be read; nil for other work.
+	Reading *Reading
 	// Keep is how long the place is kept if its end isn't told.
 	Keep time.Duration
 }
 
+// Reading is a prompt that is to be read at an engine.
+type Reading struct {
+	// Service is that of the engine; engines of one service have like speeds.
+	Service string
+	Work    backlog.Work
+	// Memory is the engine's memory in tokens.
+	Memory int
+	// MaxWait is the longest predicted wait with which a place is wanted.
+	MaxWait time.Duration
+	// Limit is when the prompt should have been read, and Late says that a place is
+	// wanted also if it is predicted to be read later.
+	Limit time.Duration
+	Late  bool
+	// Warm says that a place is wanted only where all shared parts are kept.
+	Warm bool
+}
+
+// Answer is a keeper's answer to an Ask.
+type Answer struct {
+	// ID names the place; 0 if none was given.
+	ID uint64
+	// Forecast is set for readings, given a place or not.
+	Forecast backlog.Forecast
+}
+
 // Book holds the counts that this host keeps. It is safe for concurrent use.
 type Book struct {
 	clock state.Clock
@@ -44,44 +62,86 @@
 	mu      sync.Mutex
 	nextID  uint64
 	engines map[string]*engine
+	// estimators are by service.
+	estimators map[string]*backlog.Estimator
 }
 
 // engine is what is under way at one engine.
 type engine struct {
-	limiter *throttle.Limiter
+	// queue is nil until a reading is asked for.
+	queue   *backlog.Queue
 	places  map[uint64]held
 	askedAt time.Time
 }
 
 // held is one place that was given.
 type held struct {
-	// ticket is nil under a fixed bound.
-	ticket *throttle.Ticket
-	until  time.Time
+	reading bool
+	until   time.Time
 }
 
 // NewBook returns an empty book.
-func NewBook(clock state.Clock) *Book { return &Book{clock: clock, engines: map[string]*engine{}} }
+func NewBook(clock state.Clock) *Book {
+	return &Book{clock: clock, engines: map[string]*engine{}, estimators: map[string]*backlog.Estimator{}}
+}
 
 // Enter gives a place at the engine, or none if as much is under way there as is
 // done in time.
-func (b *Book) Enter(a Ask) (id uint64, given bool) {
+func (b *Book) Enter(a Ask) Answer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	e := b.engine(a.Engine, now)
 	e.expire(now)
-	var ticket *throttle.Ticket
-	if a.Most > 0 {
-		if len(e.places) >= a.Most {
-			return 0, false
-		}
-	} else if ticket = e.limiter.Acquire(a.Size, a.Target); ticket == nil {
-		return 0, false
+	if a.Reading != nil {
+		return b.read(e, a, now)
+	}
+	if len(e.places) >= a.Most {
+		return Answer{}
 	}
+	return Answer{ID: b.place(e, held{until: now.Add(a.Keep)})}
+}
+
+// read gives a place for a reading.
+func (b *Book) read(e *engine, a Ask, now time.Time) Answer {
+	r := a.Reading
+	if e.queue == nil {
+		e.queue = backlog.NewQueue(b.estimator(r.Service))
+	}
+	out := Answer{Forecast: e.queue.Forecast(now, r.Work, r.Limit)}
+	late := out.Forecast.Rank >= backlog.Classes
+	if (r.Warm && out.Forecast.Cold > 0) || out.Forecast.Wait > r.MaxWait || (late && !r.Late) {
+		return out
+	}
+	out.ID = b.place(e, held{reading: true, until: now.Add(a.Keep)})
+	e.queue.Add(now, out.ID, r.Work, out.Forecast.Rank, r.Memory)
+	return out
+}
+
+func (b *Book) place(e *engine, h held) uint64 {
 	b.nextID++
-	e.places[b.nextID] = held{ticket, now.Add(a.Keep)}
-	return b.nextID, true
+	e.places[b.nextID] = h
+	return b.nextID
+}
+
+func (b *Book) estimator(service string) *backlog.Estimator {
+	out := b.estimators[service]
+	if out == nil {
+		out = backlog.NewEstimator()
+		b.estimators[service] = out
+	}
+	return out
+}
+
+// Remaining predicts when the reading of a place ends.
+func (b *Book) Remaining(engine string, id uint64) (backlog.Forecast, backlog.Progress) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.engines[engine]
+	if e == nil || e.queue == nil {
+		return backlog.Forecast{}, backlog.Unknown
+	}
+	return e.queue.Remaining(b.clock.Now(), id)
 }
 
 // Leave ends a place. done says that the work was done, so that its time tells how
@@ -94,15 +154,8 @@
 	if e == nil {
 		return
 	}
-	place, known := e.places[id]
-	if !known {
-		return
-	}
-	delete(e.places, id)
-	if done {
-		place.ticket.Done()
-	} else {
-		place.ticket.Cancel()
+	if _, known := e.places[id]; known {
+		e.end(b.clock.Now(), id, done)
 	}
 }
 
@@ -116,7 +169,7 @@
 				delete(b.engines, other)
 			}
 		}
-		e = &engine{limiter: throttle.New(throttle.Options{Clock: b.clock, Start: startLimit}), places: map[uint64]held{}}
+		e = &engine{places: map[uint64]held{}}
 		b.engines[id] = e
 	}
 	e.askedAt = now
@@ -127,8 +180,14 @@
 func (e *engine) expire(now time.Time) {
 	for id, p := range e.places {
 		if now.After(p.until) {
-			delete(e.places, id)
-			p.ticket.Cancel()
+			e.end(now, id, false)
 		}
 	}
 }
+
+func (e *engine) end(now time.Time, id uint64, done bool) {
+	if e.places[id].reading {
+		e.queue.Remove(now, id, done)
+	}
+	delete(e.places, id)
+}
--- a/coordination/occupancy/book_test.go
+++ b/coordination/occupancy/book_test.go
@@ -7,22 +7,31 @@
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/clocktest"
 )
 
 const (
-	target = 100 * time.Millisecond
-	keep   = 2 * time.Second
+	keep  = 2 * time.Second
+	slots = 4
 )
 
-func ask(engine string) Ask { return Ask{Engine: engine, Size: 1, Target: target, Keep: keep} }
+// ask asks for one of an engine's slots.
+func ask(engine string) Ask { return Ask{Engine: engine, Most: slots, Keep: keep} }
+
+// readAsk asks for the reading of a prompt of some 43 ms, before anything is learnt.
+func readAsk(engine string) Ask {
+	return Ask{Engine: engine, Keep: keep, Reading: &Reading{
+		Service: "s", Work: backlog.Work{Own: 4000}, Memory: 1e6, MaxWait: time.Second, Limit: time.Second,
+	}}
+}
 
 // fill takes all places at an engine.
 func fill(b *Book, engine string) []uint64 {
 	var out []uint64
 	for {
-		id, given := b.Enter(ask(engine))
-		if !given {
+		id := b.Enter(ask(engine)).ID
+		if id == 0 {
 			return out
 		}
 		out = append(out, id)
@@ -34,54 +43,71 @@
 		is := is.New(t)
 		b := NewBook(clocktest.Bubble{})
 		ids := fill(b, "a")
-		is.Equal(len(ids), startLimit)
-		is.Equal(len(fill(b, "b")), startLimit)
+		is.Equal(len(ids), slots)
+		is.Equal(len(fill(b, "b")), slots)
 		b.Leave("a", ids[0], false)
 		is.Equal(len(fill(b, "a")), 1)
 	})
 }
 
-func TestWorkDoneInTimeMakesRoomForMore(t *testing.T) {
+func TestReadingsAreBoundedByTheirPredictedWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := NewBook(clocktest.Bubble{})
-		for range 10 {
-			for _, id := range fill(b, "a") {
-				b.Leave("a", id, true)
-			}
+		a := readAsk("a")
+		a.Reading.MaxWait = 100 * time.Millisecond
+		var last Answer
+		given := 0
+		for last = b.Enter(a); last.ID != 0; last = b.Enter(a) {
+			given++
 		}
-		is.True(len(fill(b, "a")) > startLimit)
+		is.Equal(given, 3) // 0, 43 and 86 ms
+		is.True(last.Forecast.Wait > a.Reading.MaxWait)
+		is.True(b.Enter(readAsk("b")).ID != 0) // another engine
 	})
 }
 
-func TestLateWorkLeavesRoomForLess(t *testing.T) {
+func TestLateReadingGetsAPlaceOnlyIfItIsWanted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := NewBook(clocktest.Bubble{})
-		for range 3 {
-			ids := fill(b, "a")
-			time.Sleep(2 * target)
-			for _, id := range ids {
-				b.Leave("a", id, true)
-			}
-		}
-		is.True(len(fill(b, "a")) < startLimit)
+		a := readAsk("a")
+		a.Reading.Limit = 10 * time.Millisecond
+		is.Equal(b.Enter(a).ID, uint64(0))
+		a.Reading.Late = true
+		is.True(b.Enter(a).ID != 0)
+	})
+}
+
+func TestWarmReadingIsOneWhosePartsAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := NewBook(clocktest.Bubble{})
+		a := readAsk("a")
+		a.Reading.Work.Shared = []backlog.Part{{ID: 3, Tokens: 9000}}
+		a.Reading.Warm = true
+		is.Equal(b.Enter(a).ID, uint64(0))
+		a.Reading.Warm = false
+		b.Leave("a", b.Enter(a).ID, true)
+		a.Reading.Warm = true
+		is.True(b.Enter(a).ID != 0)
 	})
 }
 
-func TestFixedBoundCountsRequests(t *testing.T) {
+func TestRemainingTimeOfAPlace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := NewBook(clocktest.Bubble{})
-		a := Ask{Engine: "a", Most: 2, Keep: keep}
-		first, _ := b.Enter(a)
-		_, given := b.Enter(a)
-		is.True(given)
-		_, given = b.Enter(a)
-		is.True(!given)
-		b.Leave("a", first, false)
-		_, given = b.Enter(a)
-		is.True(given)
+		id := b.Enter(readAsk("a")).ID
+		f, progress := b.Remaining("a", id)
+		is.Equal(progress, backlog.Underway)
+		time.Sleep(10 * time.Millisecond)
+		later, _ := b.Remaining("a", id)
+		is.Equal(f.Finish-later.Finish, 10*time.Millisecond)
+		_, progress = b.Remaining("a", id+1)
+		is.Equal(progress, backlog.Unknown)
+		_, progress = b.Remaining("b", id)
+		is.Equal(progress, backlog.Unknown)
 	})
 }
 
@@ -91,10 +117,13 @@
 		is := is.New(t)
 		b := NewBook(clocktest.Bubble{})
 		ids := fill(b, "a")
+		reading := b.Enter(readAsk("r")).ID
 		time.Sleep(keep + time.Millisecond)
-		is.Equal(len(fill(b, "a")), startLimit)
+		is.Equal(len(fill(b, "a")), slots)
 		b.Leave("a", ids[0], true) // told late: nothing is counted out twice
 		is.Equal(len(fill(b, "a")), 0)
+		is.Equal(b.Enter(readAsk("r")).Forecast.Wait, time.Duration(0))
+		b.Leave("r", reading, true)
 	})
 }
 
@@ -103,7 +132,7 @@
 		is := is.New(t)
 		b := NewBook(clocktest.Bubble{})
 		b.Leave("a", 7, true)
-		is.Equal(len(fill(b, "a")), startLimit)
+		is.Equal(len(fill(b, "a")), slots)
 		b.Leave("a", 77, false)
 		is.Equal(len(fill(b, "a")), 0)
 	})
--- a/coordination/occupancy/gate.go
+++ b/coordination/occupancy/gate.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -25,6 +26,9 @@
 	// or three bodies on a slow link (7 ms each), and a fifth of the shortest
 	// objective: a keeper that takes longer is of no help.
 	enterTimeout = 25 * time.Millisecond
+	// maxKeepersAsked bounds the keepers that are asked for one place: the next one by
+	// the engine's order is asked when the first doesn't answer.
+	maxKeepersAsked = 2
 	// leaveTimeout bounds the telling of an end, which nobody waits for.
 	leaveTimeout = time.Second
 	// avoidFirst is how long a keeper that didn't answer is passed over; each
@@ -33,22 +37,10 @@
 	avoidMost  = 16 * time.Second
 )
 
-// Verdict is the answer to an Ask.
-type Verdict string
-
-// The verdicts.
-const (
-	// Given places are counted until their end.
-	Given Verdict = "given"
-	// Full says that as much is under way at the engine as is done in time.
-	Full Verdict = "full"
-	// Unknown says that no keeper could be asked.
-	Unknown Verdict = "unknown"
-)
-
 // Peers reaches the books of other hosts.
 type Peers interface {
-	Enter(ctx context.Context, addr string, a Ask) (id uint64, given bool, err error)
+	Enter(ctx context.Context, addr string, a Ask) (Answer, error)
+	Remaining(ctx context.Context, addr, engine string, id uint64) (backlog.Forecast, backlog.Progress, error)
 	Leave(ctx context.Context, addr, engine string, id uint64, done bool) error
 }
 
@@ -111,34 +103,75 @@
 	id     uint64
 }
 
-// Enter asks the engine's keeper for a place. The place is nil unless Given.
-func (g *Gate) Enter(ctx context.Context, a Ask) (*Place, Verdict) {
-	keeper := g.keeper(a.Engine)
-	switch keeper {
-	case "":
-		return nil, Unknown
-	case g.o.Self:
-		id, given := g.o.Book.Enter(a)
-		return g.place(keeper, a.Engine, id, given)
+// Verdict is what an Ask came to.
+type Verdict struct {
+	// Place is nil if none was given.
+	Place *Place
+	Answer
+	// Own says that no keeper could be asked, and that this host's own work alone was
+	// counted.
+	Own bool
+}
+
+// Enter asks the engine's keeper for a place, or this host's own book while the keeper
+// doesn't answer.
+func (g *Gate) Enter(ctx context.Context, a Ask) Verdict {
+	for range maxKeepersAsked {
+		keeper := g.keeper(a.Engine)
+		if keeper == "" || keeper == g.o.Self {
+			return g.own(a, keeper == "")
+		}
+		answer, err := g.ask(ctx, keeper, a)
+		if err == nil {
+			return g.verdict(keeper, a, answer, false)
+		}
 	}
+	return g.own(a, true)
+}
+
+// ask asks one keeper, and passes it over from then on if it doesn't answer.
+func (g *Gate) ask(ctx context.Context, keeper string, a Ask) (Answer, error) {
 	bounded, cancel := context.WithTimeout(ctx, enterTimeout)
 	defer cancel()
-	id, given, err := g.o.Peers.Enter(bounded, keeper, a)
-	if err != nil {
-		if ctx.Err() == nil {
-			g.avoid(keeper, err)
-		}
-		return nil, Unknown
+	answer, err := g.o.Peers.Enter(bounded, keeper, a)
+	switch {
+	case err == nil:
+		g.trust(keeper)
+	case ctx.Err() == nil:
+		g.avoid(keeper, err)
 	}
-	g.trust(keeper)
-	return g.place(keeper, a.Engine, id, given)
+	return answer, err
 }
 
-func (g *Gate) place(keeper, engine string, id uint64, given bool) (*Place, Verdict) {
-	if !given {
-		return nil, Full
+// own asks this host's book; instead is set if another should have been asked.
+func (g *Gate) own(a Ask, instead bool) Verdict {
+	return g.verdict(g.o.Self, a, g.o.Book.Enter(a), instead)
+}
+
+func (g *Gate) verdict(keeper string, a Ask, answer Answer, own bool) Verdict {
+	v := Verdict{Answer: answer, Own: own}
+	if answer.ID != 0 {
+		v.Place = &Place{g, keeper, a.Engine, answer.ID}
+	}
+	return v
+}
+
+// Remaining predicts when the reading of the place ends. It is unknown if the keeper
+// doesn't answer. It may be called on nil.
+func (p *Place) Remaining(ctx context.Context) (backlog.Forecast, backlog.Progress) {
+	if p == nil {
+		return backlog.Forecast{}, backlog.Unknown
+	}
+	if p.keeper == p.gate.o.Self {
+		return p.gate.o.Book.Remaining(p.engine, p.id)
+	}
+	bounded, cancel := context.WithTimeout(ctx, enterTimeout)
+	defer cancel()
+	f, progress, err := p.gate.o.Peers.Remaining(bounded, p.keeper, p.engine, p.id)
+	if err != nil {
+		return backlog.Forecast{}, backlog.Unknown
 	}
-	return &Place{g, keeper, engine, id}, Given
+	return f, progress
 }
 
 // Done ends a place whose work was done.
--- a/coordination/occupancy/gate_test.go
+++ b/coordination/occupancy/gate_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/clocktest"
 )
 
@@ -21,13 +22,20 @@
 	asked []string
 }
 
-func (n *network) Enter(_ context.Context, addr string, a Ask) (uint64, bool, error) {
+func (n *network) Enter(_ context.Context, addr string, a Ask) (Answer, error) {
 	n.asked = append(n.asked, addr)
 	if n.lost[addr] {
-		return 0, false, errors.New("no answer")
+		return Answer{}, errors.New("no answer")
 	}
-	id, given := n.books[addr].Enter(a)
-	return id, given, nil
+	return n.books[addr].Enter(a), nil
+}
+
+func (n *network) Remaining(_ context.Context, addr, engine string, id uint64) (backlog.Forecast, backlog.Progress, error) {
+	if n.lost[addr] {
+		return backlog.Forecast{}, backlog.Underway, errors.New("no answer")
+	}
+	f, progress := n.books[addr].Remaining(engine, id)
+	return f, progress, nil
 }
 
 func (n *network) Leave(_ context.Context, addr, engine string, id uint64, done bool) error {
@@ -69,17 +77,17 @@
 			given := 0
 			var last *Place
 			for _, g := range gates {
-				place, verdict := g.Enter(t.Context(), ask(fmt.Sprint("engine-", engine)))
-				if verdict == Given {
+				if v := g.Enter(t.Context(), ask(fmt.Sprint("engine-", engine))); v.Place != nil {
 					given++
-					last = place
+					last = v.Place
 				}
 			}
-			is.Equal(given, startLimit)
+			is.Equal(given, slots)
 			last.Cancel()
 			synctest.Wait()
-			_, verdict := gates[0].Enter(t.Context(), ask(fmt.Sprint("engine-", engine)))
-			is.Equal(verdict, Given) // the end was told to the keeper
+			v := gates[0].Enter(t.Context(), ask(fmt.Sprint("engine-", engine)))
+			is.True(v.Place != nil) // the end was told to the keeper
+			is.True(!v.Own)
 		}
 	})
 }
@@ -160,15 +168,15 @@
 			asker = gates[1]
 		}
 		n.lost[keeper] = true
-		_, verdict := asker.Enter(t.Context(), ask("engine"))
-		is.Equal(verdict, Unknown)
-		_, verdict = asker.Enter(t.Context(), ask("engine"))
-		is.Equal(verdict, Given) // another host keeps the count meanwhile
+		v := asker.Enter(t.Context(), ask("engine"))
+		is.True(v.Place != nil) // another host keeps the count meanwhile
+		is.True(asker.keeper("engine") != keeper)
 		n.lost[keeper] = false
 		time.Sleep(avoidFirst + time.Millisecond)
 		is.Equal(asker.keeper("engine"), keeper)
-		_, verdict = asker.Enter(t.Context(), ask("engine"))
-		is.Equal(verdict, Given)
+		v = asker.Enter(t.Context(), ask("engine"))
+		is.True(v.Place != nil)
+		is.True(!v.Own)
 		is.Equal(len(asker.avoided), 0)
 	})
 }
@@ -212,11 +220,35 @@
 	})
 }
 
-func TestWithoutHostsNothingIsKnown(t *testing.T) {
+// A host that knows no others, or reaches none, counts its own work and says so.
+func TestHostAloneCountsItsOwnWork(t *testing.T) {
 	is := is.New(t)
 	_, gates := fleet(t, 1)
 	gates[0].o.Hosts = func() []Host { return nil }
-	place, verdict := gates[0].Enter(t.Context(), ask("engine"))
-	is.Equal(verdict, Unknown)
-	place.Done() // nothing to end
+	for range slots {
+		v := gates[0].Enter(t.Context(), ask("engine"))
+		is.True(v.Place != nil)
+		is.True(v.Own)
+	}
+	v := gates[0].Enter(t.Context(), ask("engine"))
+	is.True(v.Place == nil)
+	v.Place.Done() // nothing to end
+	_, progress := v.Place.Remaining(t.Context())
+	is.Equal(progress, backlog.Unknown)
+}
+
+func TestRemainingTimeIsAskedOfTheKeeper(t *testing.T) {
+	is := is.New(t)
+	n, gates := fleet(t, 1, 1, 1, 1)
+	for i := range 20 {
+		v := gates[0].Enter(t.Context(), readAsk(fmt.Sprint("engine-", i)))
+		_, progress := v.Place.Remaining(t.Context())
+		is.Equal(progress, backlog.Underway)
+		if v.Place.keeper != gates[0].o.Self {
+			n.lost[v.Place.keeper] = true
+			_, progress = v.Place.Remaining(t.Context())
+			is.Equal(progress, backlog.Unknown) // a keeper that is lost says nothing of the engine
+			n.lost[v.Place.keeper] = false
+		}
+	}
 }
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -150,13 +150,17 @@
 const farLoad = 3
 
 // Decode chooses an engine that generates: the one with the least in flight from
-// this host. A session's requests go to the same one of the own failure domain
-// while it isn't far busier than the others, so that its parts stay there.
-func (f *Fleet) Decode(service, session string, tried []string) *Runner {
+// this host, near the failure domain that is named or else near the host itself. A
+// session's requests go to the same one of that domain while it isn't far busier than
+// the others, so that its parts stay there.
+func (f *Fleet) Decode(service, session, near string, tried []string) *Runner {
+	if near == "" {
+		near = f.o.FailureDomain
+	}
 	runners := f.service(service).generating
 	bound := f.bound(runners) + farLoad
 	return f.least(runners, tried, func(r *Runner) float64 {
-		far := r.Instance.FailureDomain != f.o.FailureDomain
+		far := r.Instance.FailureDomain != near
 		if session == "" {
 			return float64(r.InFlight()+1) + farLoad*oneIf(far)
 		}
--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -70,7 +70,7 @@
 	f := newFleet("d1", 9, state.RoleDecode)
 	for i := range 50 {
 		for _, session := range []string{"", fmt.Sprint(i)} {
-			is.Equal(f.Decode("s", session, nil).Instance.FailureDomain, "d1")
+			is.Equal(f.Decode("s", session, "", nil).Instance.FailureDomain, "d1")
 		}
 	}
 	for _, r := range f.Runners("s") {
@@ -81,7 +81,7 @@
 		}
 	}
 	for _, session := range []string{"", "x"} {
-		is.True(f.Decode("s", session, nil).Instance.FailureDomain != "d1") // not at any price
+		is.True(f.Decode("s", session, "", nil).Instance.FailureDomain != "d1") // not at any price
 	}
 }
 
@@ -90,8 +90,8 @@
 	f := newFleet("d0", 3, state.RoleDecode)
 	chosen, _ := f.Prefill("s", "x", nil)
 	is.True(chosen == nil)
-	is.True(f.Decode("s", "x", nil) != nil)
-	is.True(f.Decode("s", "x", []string{"e00", "e01", "e02"}) == nil)
+	is.True(f.Decode("s", "x", "", nil) != nil)
+	is.True(f.Decode("s", "x", "", []string{"e00", "e01", "e02"}) == nil)
 	is.True(f.Call("other", nil) == nil)
 }
 
@@ -144,13 +144,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet("d0", 9, state.RoleDecode)
-		home := f.Decode("s", "x", nil)
+		home := f.Decode("s", "x", "", nil)
 		home.Refused() // its role has changed, which the list doesn't say yet
 		for range 20 {
-			is.True(f.Decode("s", "x", nil) != home)
+			is.True(f.Decode("s", "x", "", nil) != home)
 		}
 		time.Sleep(refusedFirst + 20*failureHalfLife)
-		is.Equal(f.Decode("s", "x", nil), home)
+		is.Equal(f.Decode("s", "x", "", nil), home)
 	})
 }
 
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -72,6 +72,8 @@
 	KindEnter Kind = 12
 	// KindLeave ends a place at an engine.
 	KindLeave Kind = 13
+	// KindRemain asks when the reading of a place at an engine ends.
+	KindRemain Kind = 14
 )
 
 // FrameType tells how a frame's body is meant.
--- a/state/routing.go
+++ b/state/routing.go
@@ -41,6 +41,9 @@
 	Objective time.Duration
 	// EventGap is the longest pause between two events that is still in time.
 	EventGap time.Duration
+	// CallerSilence is how long a caller of a stream waits for the first event or the
+	// next one before it leaves; 0 if it isn't known.
+	CallerSilence time.Duration
 	// Priority orders kinds of request; 0 is the most urgent.
 	Priority int
 	// MaxAttempts bounds the runners that one request may be sent to.
@@ -60,6 +63,10 @@
 	Slots int
 	// KVTokens is an engine's memory, in tokens.
 	KVTokens int
+	// KVTokenBytes is the memory of one token, and LinkBits the speed of an engine's
+	// link, in bits a second: what it costs to move a prompt. 0 if they aren't known.
+	KVTokenBytes int
+	LinkBits     float64
 	// HandleTTL is how long a prefilled KV cache waits to be taken.
 	HandleTTL time.Duration
 	// SwitchTime is how long a change of role takes an idle engine away.
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -188,6 +188,9 @@
 		return
 	}
 	r.Service = routing.Backend(route, r.ID)
+	if spec := table.Service(r.Service); spec != nil {
+		r.Engine = spec.Engine
+	}
 	r.Deadline = arrived.Add(shortest(left, route.Timeout))
 	if s.tooLate(r) {
 		s.reject(ctx, "leaving", fasthttp.StatusServiceUnavailable, "this host is about to stop and did not run the request; send it again")
--- a/transport/places/places.go
+++ b/transport/places/places.go
@@ -3,8 +3,11 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/protocol/peerapi"
 	"github.com/thymerack/thymerack/state"
@@ -13,16 +16,50 @@
 
 // Enter asks for a place at an engine.
 type Enter struct {
-	Engine   string  `msgpack:"e"`
-	Most     int     `msgpack:"m"`
-	Size     float64 `msgpack:"s"`
-	TargetMS int64   `msgpack:"t"`
-	KeepMS   int64   `msgpack:"k"`
+	Engine  string   `msgpack:"e"`
+	Most    int      `msgpack:"m,omitempty"`
+	KeepMS  int64    `msgpack:"k"`
+	Reading *Reading `msgpack:"r,omitempty"`
+}
+
+// Reading is the prompt of an Enter.
+type Reading struct {
+	Service   string   `msgpack:"s"`
+	Parts     []uint64 `msgpack:"p"`
+	Tokens    []int    `msgpack:"t"`
+	Own       int      `msgpack:"o"`
+	Fetched   int      `msgpack:"f,omitempty"`
+	FetchMS   float64  `msgpack:"fm,omitempty"`
+	Memory    int      `msgpack:"m"`
+	MaxWaitMS int64    `msgpack:"w"`
+	LimitMS   int64    `msgpack:"l"`
+	Late      bool     `msgpack:"b,omitempty"`
+	Warm      bool     `msgpack:"c,omitempty"`
 }
 
 // Entered answers an Enter; ID is 0 if no place was given.
 type Entered struct {
-	ID uint64 `msgpack:"i"`
+	ID       uint64  `msgpack:"i"`
+	WaitMS   float64 `msgpack:"w,omitempty"`
+	FinishMS float64 `msgpack:"f,omitempty"`
+	Rank     int     `msgpack:"r,omitempty"`
+	Kept     int     `msgpack:"k,omitempty"`
+	Coming   int     `msgpack:"g,omitempty"`
+	ColdMS   float64 `msgpack:"c,omitempty"`
+	Error    float64 `msgpack:"e,omitempty"`
+	Known    bool    `msgpack:"n,omitempty"`
+}
+
+// Remain asks when the reading of a place ends.
+type Remain struct {
+	Engine string `msgpack:"e"`
+	ID     uint64 `msgpack:"i"`
+}
+
+// Remains answers a Remain.
+type Remains struct {
+	Progress int     `msgpack:"p"`
+	Forecast Entered `msgpack:"f"`
 }
 
 // Leave ends a place.
@@ -38,8 +75,16 @@
 // Register lets the server answer peers from the host's book.
 func Register(s *peer.Server, book *occupancy.Book) {
 	s.Handle(peerapi.KindEnter, peer.HandleMsg(func(_ context.Context, _ state.HostID, q Enter) (Entered, error) {
-		id, _ := book.Enter(occupancy.Ask{Engine: q.Engine, Most: q.Most, Size: q.Size, Target: millis(q.TargetMS), Keep: millis(q.KeepMS)})
-		return Entered{id}, nil
+		a, err := q.ask()
+		if err != nil {
+			return Entered{}, err
+		}
+		return entered(book.Enter(a)), nil
+	}))
+	s.Handle(peerapi.KindRemain, peer.HandleMsg(func(_ context.Context, _ state.HostID, q Remain) (Remains, error) {
+		f, progress := book.Remaining(q.Engine, q.ID)
+		out := entered(occupancy.Answer{ID: q.ID, Forecast: f})
+		return Remains{Progress: int(progress), Forecast: out}, nil
 	}))
 	s.Handle(peerapi.KindLeave, peer.HandleMsg(func(_ context.Context, _ state.HostID, q Leave) (Left, error) {
 		book.Leave(q.Engine, q.ID, q.Done)
@@ -47,7 +92,59 @@
 	}))
 }
 
-func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// errParts says that a prompt's parts and their sizes don't match.
+var errParts = errors.New("places: a prompt's parts have no sizes, or negative ones; run the same version on all hosts")
+
+func negative(n int) bool { return n < 0 }
+
+func enter(a occupancy.Ask) Enter {
+	q := Enter{Engine: a.Engine, Most: a.Most, KeepMS: a.Keep.Milliseconds()}
+	if r := a.Reading; r != nil {
+		q.Reading = &Reading{
+			Service: r.Service, Own: r.Work.Own, Fetched: r.Work.Fetched, FetchMS: r.Work.FetchMS, Memory: r.Memory,
+			MaxWaitMS: r.MaxWait.Milliseconds(), LimitMS: r.Limit.Milliseconds(), Late: r.Late, Warm: r.Warm,
+		}
+		for _, p := range r.Work.Shared {
+			q.Reading.Parts = append(q.Reading.Parts, p.ID)
+			q.Reading.Tokens = append(q.Reading.Tokens, p.Tokens)
+		}
+	}
+	return q
+}
+
+func (q Enter) ask() (occupancy.Ask, error) {
+	a := occupancy.Ask{Engine: q.Engine, Most: q.Most, Keep: millis(float64(q.KeepMS))}
+	r := q.Reading
+	if r == nil {
+		return a, nil
+	}
+	if len(r.Parts) != len(r.Tokens) || r.Own < 0 || r.Fetched < 0 || slices.ContainsFunc(r.Tokens, negative) {
+		return a, errParts
+	}
+	a.Reading = &occupancy.Reading{
+		Service: r.Service, Work: backlog.Work{Own: r.Own, Fetched: r.Fetched, FetchMS: r.FetchMS}, Memory: r.Memory,
+		MaxWait: millis(float64(r.MaxWaitMS)), Limit: millis(float64(r.LimitMS)), Late: r.Late, Warm: r.Warm,
+	}
+	for i, id := range r.Parts {
+		a.Reading.Work.Shared = append(a.Reading.Work.Shared, backlog.Part{ID: id, Tokens: r.Tokens[i]})
+	}
+	return a, nil
+}
+
+func entered(a occupancy.Answer) Entered {
+	f := a.Forecast
+	return Entered{ID: a.ID, WaitMS: inMillis(f.Wait), FinishMS: inMillis(f.Finish), Rank: f.Rank, Kept: f.Kept, Coming: f.Coming, ColdMS: inMillis(f.Cold), Error: f.Error, Known: f.Known}
+}
+
+func (e Entered) answer() occupancy.Answer {
+	return occupancy.Answer{ID: e.ID, Forecast: backlog.Forecast{
+		Wait: millis(e.WaitMS), Finish: millis(e.FinishMS), Rank: e.Rank, Kept: e.Kept, Coming: e.Coming, Cold: millis(e.ColdMS), Error: e.Error, Known: e.Known,
+	}}
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func inMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // Peers calls the books of other hosts.
 type Peers struct{ Client *peer.Client }
@@ -55,10 +152,15 @@
 var _ occupancy.Peers = Peers{}
 
 // Enter implements occupancy.Peers.
-func (p Peers) Enter(ctx context.Context, addr string, a occupancy.Ask) (uint64, bool, error) {
-	q := Enter{Engine: a.Engine, Most: a.Most, Size: a.Size, TargetMS: a.Target.Milliseconds(), KeepMS: a.Keep.Milliseconds()}
-	got, err := peer.CallMsg[Enter, Entered](ctx, p.Client, addr, peerapi.KindEnter, q)
-	return got.ID, got.ID != 0, err
+func (p Peers) Enter(ctx context.Context, addr string, a occupancy.Ask) (occupancy.Answer, error) {
+	got, err := peer.CallMsg[Enter, Entered](ctx, p.Client, addr, peerapi.KindEnter, enter(a))
+	return got.answer(), err
+}
+
+// Remaining implements occupancy.Peers.
+func (p Peers) Remaining(ctx context.Context, addr, engine string, id uint64) (backlog.Forecast, backlog.Progress, error) {
+	got, err := peer.CallMsg[Remain, Remains](ctx, p.Client, addr, peerapi.KindRemain, Remain{engine, id})
+	return got.Forecast.answer().Forecast, backlog.Progress(got.Progress), err
 }
 
 // Leave implements occupancy.Peers.
--- a/transport/places/places_test.go
+++ b/transport/places/places_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/peer"
@@ -48,21 +50,56 @@
 func TestPlacesAreGivenAndEndedOverTheNetwork(t *testing.T) {
 	is := is.New(t)
 	addr, peers := serve(t)
-	a := occupancy.Ask{Engine: "e", Size: 2890, Target: time.Minute, Keep: time.Hour}
+	a := occupancy.Ask{Engine: "e", Most: 3, Keep: time.Hour}
 	var ids []uint64
 	for {
-		id, given, err := peers.Enter(t.Context(), addr, a)
+		answer, err := peers.Enter(t.Context(), addr, a)
 		is.NoErr(err)
-		if !given {
+		if answer.ID == 0 {
 			break
 		}
-		ids = append(ids, id)
+		ids = append(ids, answer.ID)
 	}
-	is.True(len(ids) > 0)
+	is.Equal(len(ids), a.Most)
 	is.NoErr(peers.Leave(t.Context(), addr, "e", ids[0], false))
-	_, given, err := peers.Enter(t.Context(), addr, a)
+	answer, err := peers.Enter(t.Context(), addr, a)
 	is.NoErr(err)
-	is.True(given)
+	is.True(answer.ID != 0)
+}
+
+// A keeper far away answers for a reading what it would answer at home.
+func TestReadingsAreForecastOverTheNetwork(t *testing.T) {
+	is := is.New(t)
+	addr, peers := serve(t)
+	a := occupancy.Ask{Engine: "e", Keep: time.Hour, Reading: &occupancy.Reading{
+		Service: "s", Memory: 1e6, MaxWait: time.Hour, Limit: time.Hour, Warm: true,
+		Work: backlog.Work{Shared: []backlog.Part{{ID: 1 << 63, Tokens: 6000}, {ID: 2, Tokens: 300}}, Own: 3000, Fetched: 6000, FetchMS: 2.5},
+	}}
+	want := occupancy.NewBook(wallclock.Clock{}).Enter(a)
+	got, err := peers.Enter(t.Context(), addr, a)
+	is.NoErr(err)
+	is.Equal(got, want)
+	is.Equal(got.ID, uint64(0)) // 300 tokens aren't kept
+	a.Reading.Warm, a.Reading.Late, a.Reading.Limit = false, true, time.Millisecond
+	got, err = peers.Enter(t.Context(), addr, a)
+	is.NoErr(err)
+	is.True(got.ID != 0)
+	is.True(got.Forecast.Rank >= backlog.Classes)
+	f, progress, err := peers.Remaining(t.Context(), addr, "e", got.ID)
+	is.NoErr(err)
+	is.Equal(progress, backlog.Underway)
+	is.True(f.Finish > 0 && f.Finish <= got.Forecast.Finish)
+	_, progress, err = peers.Remaining(t.Context(), addr, "e", got.ID+1)
+	is.NoErr(err)
+	is.Equal(progress, backlog.Unknown)
+}
+
+func TestReadingWithoutSizesIsRefused(t *testing.T) {
+	is := is.New(t)
+	_, err := Enter{Engine: "e", Reading: &Reading{Parts: []uint64{1}}}.ask()
+	is.True(errors.Is(err, errParts))
+	_, err = Enter{Engine: "e", Reading: &Reading{Parts: []uint64{1}, Tokens: []int{-5}}}.ask()
+	is.True(errors.Is(err, errParts))
 }
 
 func TestKeeperOutOfReachIsAnError(t *testing.T) {
@@ -72,7 +109,10 @@
 	is.NoErr(err)
 	addr := ln.Addr().String()
 	is.NoErr(ln.Close())
-	_, given, err := peers.Enter(t.Context(), addr, occupancy.Ask{Engine: "e"})
+	answer, err := peers.Enter(t.Context(), addr, occupancy.Ask{Engine: "e"})
+	is.True(err != nil)
+	is.Equal(answer.ID, uint64(0))
+	_, progress, err := peers.Remaining(t.Context(), addr, "e", 1)
 	is.True(err != nil)
-	is.True(!given)
+	is.Equal(progress, backlog.Unknown)
 }
