--- a/coordination/forward/patience.go
+++ b/coordination/forward/patience.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/thymerack/thymerack/coordination/backlog"
 )
 
@@ -27,70 +28,63 @@
 	d      *Dispatcher
 	r      *Request
 	t      turn
-	cancel context.CancelFunc
 	ctx    context.Context
-	// dark is set if the engine ended nothing for too long.
-	dark atomic.Bool
-
+	cancel context.CancelFunc
+	looks  conc.WaitGroup
 	// unsure is set once the keeper knew nothing of the reading.
 	unsure bool
-
-	mu    sync.Mutex
-	timer *time.Timer
-	ended bool
+	// dark is set if the engine ended nothing for too long.
+	dark atomic.Bool
 }
 
-// patience begins the wait for a reading.
+// patience begins the wait for a reading. It is to be ended.
 func (d *Dispatcher) patience(ctx context.Context, r *Request, t turn) (context.Context, *patience) {
 	ctx, cancel := context.WithCancel(ctx)
 	p := &patience{d: d, r: r, t: t, cancel: cancel, ctx: ctx}
-	first := d.readLeft(r)
-	if t.forecast.Known {
-		first = min(first, wait(t.forecast.Finish, t.forecast.Error))
-	}
-	p.again(first)
+	p.looks.Go(p.run)
 	return ctx, p
 }
 
-// wait is how long a reading may take that is predicted to take so long.
-func wait(predicted time.Duration, meanError float64) time.Duration {
-	return predicted + time.Duration(patienceErrors*meanError*float64(predicted)) + patienceSlack
-}
-
-// again looks after the reading some time later.
-func (p *patience) again(after time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.ended {
-		p.timer = time.AfterFunc(max(after, 0), p.look)
+// run looks after the reading until the wait is over.
+func (p *patience) run() {
+	next := p.d.readLeft(p.r)
+	if f := p.t.forecast; f.Known {
+		next = min(next, expected(f))
+	}
+	for p.d.o.Clock.Sleep(p.ctx, max(next, 0)) == nil {
+		left := p.d.readLeft(p.r)
+		if left <= 0 || !p.progresses() {
+			p.cancel()
+			return
+		}
+		next = min(left, lookEvery)
 	}
 }
 
-// look ends the wait if the caller is about to leave or if the engine is dark.
-func (p *patience) look() {
-	left := p.d.readLeft(p.r)
-	if left <= 0 {
-		p.cancel()
-		return
-	}
+// progresses reports whether the reading may still end. What a keeper that was lost
+// can't tell is taken for granted once.
+func (p *patience) progresses() bool {
 	_, progress := p.t.place.Remaining(p.ctx)
-	switch {
-	case progress == backlog.Underway:
-		p.again(min(left, lookEvery))
-	case progress == backlog.Unknown && !p.unsure:
+	switch progress {
+	case backlog.Underway:
+		return true
+	case backlog.Unknown:
+		before := p.unsure
 		p.unsure = true
-		p.again(min(left, wait(p.t.forecast.Finish, p.t.forecast.Error)))
+		return !before
 	default:
-		p.dark.Store(progress == backlog.Lost)
-		p.cancel()
+		p.dark.Store(true)
+		return false
 	}
 }
 
-// end ends the look after the reading.
+// expected is how long a reading takes at most, as far as is foreseen.
+func expected(f backlog.Forecast) time.Duration {
+	return f.Finish + time.Duration(patienceErrors*f.Error*float64(f.Finish)) + patienceSlack
+}
+
+// end ends the wait.
 func (p *patience) end() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.ended = true
-	p.timer.Stop()
 	p.cancel()
+	p.looks.Wait()
 }
