Tell all hosts which engines are about to change their role

A host learnt of the change by its own refusals, and again each second. Ruled out: sending such requests again (most routes allow one engine); smaller changes (each costs as much a engine). Change: the holder announces a change to all peers 100 ms before the order; they avoid the engines until the list shows the new role, 13 s at most.

--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -85,6 +86,7 @@
 			load = newLoad(f.o.Clock)
 			f.loads[inst.ID] = load
 		}
+		load.listed(inst.Role)
 		r := &Runner{inst, load}
 		v.byID[inst.ID] = r
 		if !inst.Draining {
@@ -122,6 +124,17 @@
 // ReadsApart reports whether some of the service's engines only read prompts.
 func (f *Fleet) ReadsApart(service string) bool { return f.service(service).apart }
 
+// Expect avoids engines that are about to take a role until the list shows it, for so
+// long at most: an engine refuses work while it changes.
+func (f *Fleet) Expect(engines []string, role state.Role, within time.Duration) {
+	v := f.view.Load()
+	for _, id := range engines {
+		if r := v.byID[id]; r != nil && r.Instance.Role != role {
+			r.expect(role, within)
+		}
+	}
+}
+
 // Has reports whether work may be sent to the instance.
 func (f *Fleet) Has(id string) bool {
 	r := f.view.Load().byID[id]
--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -95,6 +95,35 @@
 	is.True(f.Call("other", nil) == nil)
 }
 
+// Engines that change their role refuse all work for some seconds: those that are about
+// to are left before the first refusal.
+func TestEngineThatIsAboutToChangeItsRoleIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet("d0", 3, state.RoleDecode)
+		f.Expect([]string{"e00", "e01", "gone"}, state.RolePrefill, 8*time.Second)
+		for range 20 {
+			chosen := f.Decode("s", "", "", nil)
+			is.Equal(chosen.Instance.ID, "e02")
+			chosen.Answered(time.Millisecond)
+		}
+		changing := f.Decode("s", "", "", []string{"e02"}) // when nothing else is left
+		is.True(changing != nil)
+		changing.Answered(time.Millisecond) // what it had taken before
+		is.Equal(f.Decode("s", "", "", nil).Instance.ID, "e02")
+
+		f.Update([]state.Instance{
+			{ID: "e00", Service: "s", Role: state.RolePrefill}, {ID: "e01", Service: "s", Role: state.RoleDecode}, {ID: "e02", Service: "s", Role: state.RoleDecode},
+		})
+		reads, _ := f.Prefill("s", "", nil)
+		is.Equal(reads.Instance.ID, "e00")
+		is.True(!reads.Suspect(time.Now()))
+		is.Equal(f.Decode("s", "", "", nil).Instance.ID, "e02")
+		time.Sleep(8*time.Second + time.Millisecond) // e01's order was lost
+		is.True(!f.Decode("s", "", "", []string{"e02"}).Suspect(time.Now()))
+	})
+}
+
 func TestDrainingInstanceIsNeverChosen(t *testing.T) {
 	is := is.New(t)
 	f := newFleet("d0", 2, "")
--- a/coordination/placement/load.go
+++ b/coordination/placement/load.go
@@ -38,7 +38,9 @@
 	suspectUntil atomic.Int64
 	started      time.Time
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// expected is the role that the instance is about to take; "" if none is known.
+	expected  state.Role
 	latency   float64 // seconds
 	failures  float64 // 0 to 1
 	failedAt  time.Time
@@ -78,7 +80,9 @@
 	l.failures = l.decayed(l.clock.Now()) * (1 - failureGain)
 	l.failedAt = l.clock.Now()
 	l.rowLength = 0
-	l.suspectUntil.Store(0)
+	if l.expected == "" {
+		l.suspectUntil.Store(0)
+	}
 }
 
 // Failed notes a response that says the runner can't do its part.
@@ -115,7 +119,8 @@
 func (l *Load) avoid(first, most time.Duration) {
 	pause := min(first<<min(l.rowLength, 8), most)
 	l.rowLength++
-	l.suspectUntil.Store(int64(l.clock.Now().Sub(l.started) + pause))
+	until := int64(l.clock.Now().Sub(l.started) + pause)
+	l.suspectUntil.Store(max(until, l.suspectUntil.Load()))
 }
 
 // Suspect reports whether the runner is avoided for now.
@@ -123,6 +128,24 @@
 	return int64(now.Sub(l.started)) < l.suspectUntil.Load()
 }
 
+// expect avoids the runner until it has the role, for so long at most.
+func (l *Load) expect(role state.Role, within time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expected = role
+	l.suspectUntil.Store(int64(l.clock.Now().Sub(l.started) + within))
+}
+
+// listed takes the runner back if it has the role that was expected.
+func (l *Load) listed(role state.Role) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.expected != "" && l.expected == role {
+		l.expected = ""
+		l.suspectUntil.Store(0)
+	}
+}
+
 // FailureRate is the share of lately failed requests, 0 to 1.
 func (l *Load) FailureRate(now time.Time) float64 {
 	l.mu.Lock()
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/lease"
@@ -70,6 +71,9 @@
 	Instances func(service string) []state.Instance
 	// Share is the share of a service's engines that read prompts at first.
 	Share float64
+	// Announce tells all hosts which engines are about to change, before they are
+	// ordered to.
+	Announce func(ctx context.Context, changes []Change)
 	// TakeOver is the silence between another holder's last order and the first
 	// of this one.
 	TakeOver time.Duration
@@ -90,6 +94,11 @@
 	// lateBound is how long an order without an answer may still be carried out,
 	// by the platform's list of faults (2 to 12 s).
 	lateBound = 13 * time.Second
+	// AnnounceLead is the time between the announcement of a change and its order, in
+	// which what was chosen before reaches the engine; SettleWithin is how long hosts
+	// avoid it at most.
+	AnnounceLead = 100 * time.Millisecond
+	SettleWithin = lateBound
 	// tolerance is the difference in engines that is left alone once the first
 	// split stands: a change takes an engine away for seconds.
 	tolerance = 1
@@ -132,7 +141,7 @@
 
 // New validates the options.
 func New(o Options) (*Manager, error) {
-	if o.Engines == nil || o.Lease == nil || o.Shares.Store == nil || o.Clock == nil || o.Log == nil || o.Services == nil || o.Instances == nil || o.Share <= 0 {
+	if o.Engines == nil || o.Lease == nil || o.Shares.Store == nil || o.Clock == nil || o.Log == nil || o.Services == nil || o.Instances == nil || o.Announce == nil || o.Share <= 0 {
 		return nil, errors.New("stages: a field of Options is nil; set all of them")
 	}
 	return &Manager{o: o, kept: map[string]kept{}}, nil
@@ -185,6 +194,19 @@
 	if m.stood[service] && !m.settled(service, now) {
 		return
 	}
+	m.change(ctx, changes, now)
+}
+
+// change announces changes and orders them.
+func (m *Manager) change(ctx context.Context, changes []Change, now time.Time) {
+	changes = slices.DeleteFunc(changes, func(c Change) bool { return now.Before(m.pausing[c.Instance.ID]) })
+	if len(changes) == 0 {
+		return
+	}
+	m.o.Announce(ctx, changes)
+	if m.o.Clock.Sleep(ctx, AnnounceLead) != nil {
+		return
+	}
 	for _, c := range changes {
 		if !m.o.Lease.Held() || ctx.Err() != nil {
 			return
@@ -260,9 +282,6 @@
 func (m *Manager) order(ctx context.Context, c Change) {
 	i := &c.Instance
 	now := m.o.Clock.Now()
-	if now.Before(m.pausing[i.ID]) {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	report, err := m.o.Engines.Report(ctx, i)
--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -81,6 +81,8 @@
 	late     float64
 	orders   []received
 	problems []string
+	// announced is when a change of each engine was announced last.
+	announced map[string]time.Time
 	// perEngine is what an engine that generates would have active and waiting if
 	// all did.
 	perEngine float64
@@ -95,7 +97,7 @@
 const switchTime = 3 * time.Second
 
 func newFakeEngines(list []state.Instance, late float64, seed uint64) *fakeEngines {
-	f := &fakeEngines{engines: map[string]*fakeEngine{}, rng: rand.New(rand.NewPCG(seed, 7)), late: late}
+	f := &fakeEngines{engines: map[string]*fakeEngine{}, announced: map[string]time.Time{}, rng: rand.New(rand.NewPCG(seed, 7)), late: late}
 	for _, i := range list {
 		f.engines[i.ID] = &fakeEngine{instance: i}
 	}
@@ -151,6 +153,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.judge(o)
+	if since := time.Since(f.announced[i.ID]); since < AnnounceLead || since > 5*time.Second {
+		f.problems = append(f.problems, fmt.Sprintf("%s was ordered %s after its announcement", i.ID, since))
+	}
 	if f.rng.Float64() < f.late {
 		wait := time.Duration(2+f.rng.IntN(10)) * time.Second
 		time.AfterFunc(wait, func() {
@@ -163,6 +168,15 @@
 	return f.apply(i.ID, o), nil
 }
 
+// announce notes which engines are about to change.
+func (f *fakeEngines) announce(_ context.Context, changes []Change) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range changes {
+		f.announced[c.Instance.ID] = time.Now()
+	}
+}
+
 func (f *fakeEngines) apply(id string, o Order) Result {
 	e := f.engines[id]
 	switch {
@@ -223,7 +237,7 @@
 	}
 	m, err := New(Options{
 		Engines: f, Lease: lessor, Shares: Shares{p.Client(host)}, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), Host: host,
-		Services: func() []string { return []string{"llm"} }, Instances: f.list, Share: 0.68, TakeOver: leaseTime + time.Second,
+		Services: func() []string { return []string{"llm"} }, Instances: f.list, Announce: f.announce, Share: 0.68, TakeOver: leaseTime + time.Second,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -25,6 +25,7 @@
 	"github.com/thymerack/thymerack/transport/peer"
 	"github.com/thymerack/thymerack/transport/places"
 	"github.com/thymerack/thymerack/transport/relay"
+	"github.com/thymerack/thymerack/transport/roles"
 	"github.com/thymerack/thymerack/transport/runners"
 	"github.com/thymerack/thymerack/transport/wallclock"
 )
@@ -149,6 +150,7 @@
 func (h *Host) buildGate() error {
 	book := occupancy.NewBook(h.clock)
 	places.Register(h.peerServer, book)
+	roles.Register(h.peerServer, h.fleet.Expect)
 	var err error
 	h.gate, err = occupancy.NewGate(occupancy.GateOptions{
 		Book: book, Peers: places.Peers{Client: h.peers}, Self: h.members.addr(h.s.IP), Hosts: h.members.All,
@@ -226,12 +228,32 @@
 	h.manager, err = stages.New(stages.Options{
 		Engines: platform.Engines{Caller: h.pool, Timeout: storeTimeout}, Lease: lessor, Shares: stages.Shares{Store: h.store}, Clock: h.clock, Log: h.log, Host: h.s.Host,
 		Services: h.engineServices, Instances: h.engines,
+		Announce: h.announce,
 		Share:    h.o.PrefillShare,
 		TakeOver: h.s.Bounds.LeaseTime + h.s.Bounds.ThawTime + takeOverMargin,
 	})
 	return err
 }
 
+// announce tells all hosts, this one too, which engines are about to change their role.
+func (h *Host) announce(ctx context.Context, changes []stages.Change) {
+	byRole := map[state.Role][]string{}
+	for _, c := range changes {
+		byRole[c.Role] = append(byRole[c.Role], c.Instance.ID)
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	announcer := roles.Announcer{Client: h.peers, Peers: h.members.Peers, Log: h.log}
+	for role, engines := range byRole {
+		h.fleet.Expect(engines, role, stages.SettleWithin)
+		announcer.Announce(ctx, roles.Change{Engines: engines, Role: string(role), WithinMS: stages.SettleWithin.Milliseconds()})
+	}
+}
+
+// announceTimeout bounds the wait for hosts that don't answer: the others have heard of
+// the change long before.
+const announceTimeout = 500 * time.Millisecond
+
 // takeOverMargin covers an order that the last holder sent in its last moment.
 const takeOverMargin = time.Second
 
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -74,6 +74,8 @@
 	KindLeave Kind = 13
 	// KindRemain asks when the reading of a place at an engine ends.
 	KindRemain Kind = 14
+	// KindRoles tells that engines are about to change their role.
+	KindRoles Kind = 15
 )
 
 // FrameType tells how a frame's body is meant.
