Let the holder's machine go on at once, and look at the load during a silence

Ruled out: a shorter lease (it would be lost in each short outage of the store). Change: the lease's object names the machine of the last holder; a run there takes it at once and needs no silence, as nobody else can have ordered since. During a silence the engines' load is looked at already.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -44,6 +44,10 @@
 	Name string
 	// Holder is this host.
 	Holder state.HostID
+	// Machine names the machine that the host runs on, which runs one host at a time:
+	// a lease that an earlier run there held is free, since that run has ended. "" if
+	// it isn't known.
+	Machine string
 	// TTL is how long a lease that isn't renewed stays with its holder. Three
 	// platform calls are made in each TTL, whatever the load. Default DefaultTTL.
 	TTL time.Duration
@@ -88,6 +92,8 @@
 	Holder state.HostID `json:"holder"`
 	// Nonce marks the last write, so that its writer recognises it.
 	Nonce string `json:"nonce"`
+	// Machine is that of the last holder; it stands after a release.
+	Machine string `json:"machine,omitempty"`
 }
 
 // Lessor acquires and keeps one lease. It is used by one goroutine at a time, but
@@ -109,8 +115,9 @@
 	held uint64
 	// fence is the version at which the present term began.
 	fence uint64
-	// first says that nobody held the lease before the present term.
-	first bool
+	// first says that nobody held the lease before the present term, and own that a
+	// run on this machine did.
+	first, own bool
 	// renewedAt is when the last successful write was started.
 	renewedAt time.Time
 }
@@ -155,25 +162,27 @@
 	now := l.opts.Clock.Now()
 	obj, err := l.opts.Store.Get(ctx, store.KindLease, l.opts.Name)
 	if errors.Is(err, store.ErrNotFound) {
-		return l.take(ctx, store.Absent)
+		return l.take(ctx, store.Absent, false)
 	}
 	if err != nil {
 		return false, err
 	}
-	if l.free(obj, now) {
-		return l.take(ctx, obj.Version)
+	var r record
+	readable := json.Unmarshal(obj.Value, &r) == nil
+	own := readable && l.own(r)
+	if own || (readable && r.Holder.Zero()) || l.lapsed(obj, now) {
+		return l.take(ctx, obj.Version, own)
 	}
 	return false, nil
 }
 
-// free reports whether obj may be taken, and remembers when it was first seen.
-func (l *Lessor) free(obj store.Object, now time.Time) bool {
-	var r record
-	if err := json.Unmarshal(obj.Value, &r); err == nil {
-		if r.Holder.Zero() || r.Holder == l.opts.Holder {
-			return true
-		}
-	}
+// own reports whether this run or an earlier one on this machine wrote the record last.
+func (l *Lessor) own(r record) bool {
+	return r.Holder == l.opts.Holder || (l.opts.Machine != "" && r.Machine == l.opts.Machine)
+}
+
+// lapsed reports whether the lease's object has stood unchanged for a TTL.
+func (l *Lessor) lapsed(obj store.Object, now time.Time) bool {
 	if obj.Version != l.seen {
 		l.seen, l.seenAt = obj.Version, now
 		return false
@@ -182,10 +191,10 @@
 }
 
 // take writes the lease over version. Losing the race to another host is no error.
-func (l *Lessor) take(ctx context.Context, version uint64) (bool, error) {
+func (l *Lessor) take(ctx context.Context, version uint64, own bool) (bool, error) {
 	err := l.write(ctx, version, l.opts.Holder)
 	if err == nil {
-		l.change(func(t *term) { t.fence, t.first = t.held, version == store.Absent })
+		l.change(func(t *term) { t.fence, t.first, t.own = t.held, version == store.Absent, own })
 	}
 	if store.IsConflict(err) {
 		return false, nil
@@ -200,6 +209,10 @@
 // First reports whether nobody held the lease before the present term.
 func (l *Lessor) First() bool { return l.present().first }
 
+// Own reports whether the last holder before the present term was a run on this machine,
+// so that no other has held the lease since.
+func (l *Lessor) Own() bool { return l.present().own }
+
 // Renew extends a held lease. It returns ErrLost if the object has changed, and
 // the store's error if the platform gave no answer: the lease is then held until
 // the TTL passes on this host's clock.
@@ -255,7 +268,7 @@
 func (l *Lessor) write(ctx context.Context, version uint64, holder state.HostID) error {
 	started := l.opts.Clock.Now()
 	l.writes++
-	r := record{Holder: holder, Nonce: fmt.Sprintf("%s/%d", l.opts.Holder, l.writes)}
+	r := record{Holder: holder, Machine: l.opts.Machine, Nonce: fmt.Sprintf("%s/%d", l.opts.Holder, l.writes)}
 	value, err := json.Marshal(r)
 	if err != nil {
 		return fmt.Errorf("lease %s: %w", l.opts.Name, err)
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -43,6 +43,45 @@
 	return l
 }
 
+// A host that starts again on the machine of the last holder needn't wait until that
+// lease lapses: the run that held it has ended.
+func TestNextRunOnTheSameMachineTakesTheLeaseAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := storetest.NewPlatform(0)
+		run := func(incarnation, machine string) *lease.Lessor {
+			l, err := lease.New(lease.Options{
+				Store: p.Client(machine), Clock: skewedClock{}, Rand: rand.New(rand.NewPCG(1, 1)), Machine: machine,
+				Name: "planner.roster-llm", Holder: state.HostID{Name: "h", Incarnation: incarnation},
+			})
+			is.NoErr(err)
+			return l
+		}
+		first, second := run("1", "m1"), run("2", "m1")
+		held, err := first.Try(t.Context())
+		is.NoErr(err)
+		is.True(held)
+		is.True(!first.Own())
+		for _, elsewhere := range []*lease.Lessor{run("3", "m2"), run("4", "")} {
+			held, err = elsewhere.Try(t.Context())
+			is.NoErr(err)
+			is.True(!held)
+		}
+		held, err = second.Try(t.Context())
+		is.NoErr(err)
+		is.True(held)
+		is.True(second.Own())
+		is.True(second.Fence() > first.Fence())
+		is.True(errors.Is(first.Renew(t.Context()), lease.ErrLost)) // had it been alive
+		is.NoErr(second.Release(t.Context()))
+		other := run("5", "m2")
+		held, err = other.Try(t.Context())
+		is.NoErr(err)
+		is.True(held)
+		is.True(!other.Own())
+	})
+}
+
 // holders notes who runs the work at each moment.
 type holders struct {
 	mu  sync.Mutex
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -118,6 +118,8 @@
 	stood map[string]bool
 	// followed is set in such a term.
 	followed bool
+	// silentUntil is when the first order of the term may be given.
+	silentUntil time.Time
 	// counted is how many engines of a service are listed, until the term's first plan.
 	counted map[string]listedCount
 	// demand follows the load of both roles, by service.
@@ -155,11 +157,10 @@
 	m.ordered, m.since, m.stood = map[string]given{}, map[string]time.Time{}, map[string]bool{}
 	m.pausing, m.demand, m.counted = map[string]time.Time{}, map[string]*demand{}, map[string]listedCount{}
 	m.followed = !m.o.Lease.First()
-	if m.followed {
+	m.silentUntil = m.o.Clock.Now()
+	if m.followed && !m.o.Lease.Own() {
+		m.silentUntil = m.silentUntil.Add(m.o.TakeOver)
 		m.o.Log.Info("waiting before the first order", "silence", m.o.TakeOver, "fence", m.o.Lease.Fence())
-		if m.o.Clock.Sleep(ctx, m.o.TakeOver) != nil {
-			return nil
-		}
 	}
 	for {
 		for _, service := range m.o.Services() {
@@ -171,7 +172,8 @@
 	}
 }
 
-// service compares one service's roles with the plan.
+// service compares one service's roles with the plan. While this host keeps silence it
+// only looks at the engines' load.
 func (m *Manager) service(ctx context.Context, service string) {
 	engines := m.o.Instances(service)
 	now := m.o.Clock.Now()
@@ -183,6 +185,9 @@
 		m.stood[service] = m.followed
 	}
 	want := Target(len(engines), m.share(ctx, service, engines, now))
+	if now.Before(m.silentUntil) {
+		return
+	}
 	changes := Plan(m.asOrdered(engines), want)
 	if len(changes) == 0 {
 		m.stood[service] = true
--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -230,7 +230,7 @@
 func newManager(t testing.TB, p *storetest.Platform, f *fakeEngines, host string, run int) *Manager {
 	lessor, err := lease.New(lease.Options{
 		Store: p.Client(host), Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(uint64(run), uint64(len(host)))),
-		Name: "engine-roles", Holder: state.HostID{Name: host, Incarnation: fmt.Sprint(run)}, TTL: 6 * time.Second,
+		Name: "engine-roles", Holder: state.HostID{Name: host, Incarnation: fmt.Sprint(run)}, TTL: 6 * time.Second, Machine: host,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -312,6 +312,59 @@
 	})
 }
 
+// A holder knows the load of the engines when its silence ends: it acts on it at once,
+// and not before.
+func TestLoadIsLookedAtDuringTheSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeEngines(engines(8, 4), 0, 1)
+		p := storetest.NewPlatform(time.Second)
+		stop := runHolder(t, p, f, "h1")
+		time.Sleep(10 * time.Second)
+		stop()
+		f.setLoad(8)
+		began := time.Now()
+		stop = runHolder(t, p, f, "h2")
+		time.Sleep(leaseTime + time.Second)
+		is.Equal(len(f.orders), 0)
+		time.Sleep(3 * time.Second) // the list stands for 1.2 s before the first look
+		stop()
+		is.True(len(f.orders) > 0)
+		is.True(f.orders[0].at.Sub(began) < leaseTime+4*time.Second)
+		is.Equal(len(f.problems), 0)
+	})
+}
+
+// All hosts were killed: the holder's machine goes on without a silence, as nobody else
+// can have ordered since.
+func TestNextRunOnTheSameMachineKeepsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeEngines(engines(8, 4), 0, 1)
+		p := storetest.NewPlatform(time.Second)
+		ctx, kill := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		first := newManager(t, p, f, "h1", 1)
+		done.Go(func() { _ = first.Run(ctx) })
+		time.Sleep(10 * time.Second)
+		p.SetScript(func(storetest.Call) storetest.Fault { return storetest.Refuse }) // it can't give the lease back
+		kill()
+		done.Wait()
+		p.SetScript(nil)
+		f.setLoad(8)
+		began := time.Now()
+		second := newManager(t, p, f, "h1", 2)
+		ctx, stop := context.WithCancel(t.Context())
+		done.Go(func() { _ = second.Run(ctx) })
+		time.Sleep(6 * time.Second)
+		stop()
+		done.Wait()
+		is.True(len(f.orders) > 0)
+		is.True(f.orders[0].at.Sub(began) < 5*time.Second)
+		is.Equal(len(f.problems), 0)
+	})
+}
+
 // Runners list themselves one after the other when a deployment starts: a first plan of
 // some of them would give a split near that of all, which is then left alone.
 func TestFirstSplitIsOfAllEngines(t *testing.T) {
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -219,7 +219,7 @@
 func (h *Host) buildManager() error {
 	lessor, err := lease.New(lease.Options{
 		Store: h.store, Clock: h.clock, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Name: leaseName, Holder: h.id,
+		Name: leaseName, Holder: h.id, Machine: h.s.Host + "@" + h.s.IP,
 		TTL: leaseTTL, LookEvery: h.lookEvery, Log: h.log,
 	})
 	if err != nil {
