Let a holder that takes its own lease again go on with what it knew

Cause: a holder that lost its lease for a moment forgot the load it had seen and the orders on their way, though nobody else had held the lease. Change: what a term knows is dropped only if another machine held the lease in between.

--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -154,8 +154,9 @@
 
 // hold gives orders for one term of the lease.
 func (m *Manager) hold(ctx context.Context) error {
-	m.ordered, m.since, m.stood = map[string]given{}, map[string]time.Time{}, map[string]bool{}
-	m.pausing, m.demand, m.counted = map[string]time.Time{}, map[string]*demand{}, map[string]listedCount{}
+	if m.demand == nil || !m.o.Lease.Own() {
+		m.forgetTerm()
+	}
 	m.followed = !m.o.Lease.First()
 	m.silentUntil = m.o.Clock.Now()
 	if m.followed && !m.o.Lease.Own() {
@@ -172,6 +173,12 @@
 	}
 }
 
+// forgetTerm begins a term that doesn't go on with this run's last one.
+func (m *Manager) forgetTerm() {
+	m.ordered, m.since, m.stood = map[string]given{}, map[string]time.Time{}, map[string]bool{}
+	m.pausing, m.demand, m.counted = map[string]time.Time{}, map[string]*demand{}, map[string]listedCount{}
+}
+
 // service compares one service's roles with the plan. While this host keeps silence it
 // only looks at the engines' load.
 func (m *Manager) service(ctx context.Context, service string) {
