Note a reading's prediction with its step

Cause: a host panicked when an engine left the list between its keeper's answer and the sending: no step had been noted, and the prediction was written to the last one. Ruled out: the list's own update (the check before the sending did its work). Change: the prediction is set before the sending.

--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -125,6 +125,8 @@
 	refusal []backlog.Forecast
 	given   *backlog.Forecast
 	asks    []occupancy.Ask
+	// asked is called with each ask, before the answer.
+	asked func(a occupancy.Ask)
 }
 
 func newScriptedGate(t *testing.T) *scriptedGate {
@@ -142,6 +144,9 @@
 
 func (g *scriptedGate) Enter(ctx context.Context, a occupancy.Ask) occupancy.Verdict {
 	g.asks = append(g.asks, a)
+	if g.asked != nil {
+		g.asked(a)
+	}
 	if len(g.refusal) > 0 {
 		f := g.refusal[0]
 		g.refusal = g.refusal[1:]
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -59,6 +59,8 @@
 	// failed is a runner's own failure that another runner was asked after; it is
 	// the answer if nobody has a better one.
 	failed *Answer
+	// predicted is what the present sending is predicted to take; 0 if nothing is.
+	predicted time.Duration
 	// apart is set for a prompt that is read at an engine of its own.
 	apart bool
 	// turn is how a model request got its place among the others; "" for calls.
@@ -68,16 +70,13 @@
 }
 
 func (r *record) add(i *state.Instance, part string, o outcome, took time.Duration, err error) {
-	s := step{instance: i.ID, part: part, outcome: o, took: took}
+	s := step{instance: i.ID, part: part, outcome: o, took: took, predicted: r.predicted}
 	if err != nil {
 		s.cause = err.Error()
 	}
 	r.steps = append(r.steps, s)
 }
 
-// predict notes what the time of the last sending was predicted to be.
-func (r *record) predict(d time.Duration) { r.steps[len(r.steps)-1].predicted = d }
-
 // notePrefill counts a sending of the prompt that may have reached an engine.
 func (r *record) notePrefill(refused bool) {
 	if !refused && !r.promptTaken {
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -31,7 +31,6 @@
 		}
 		tried = append(tried, t.runner.Instance.ID)
 		source := d.prefillAt(ctx, r, t, rec)
-		rec.predict(t.forecast.Finish)
 		t.end(source != nil)
 		if source != nil {
 			return source, nil
@@ -76,6 +75,8 @@
 func (d *Dispatcher) prefillAt(ctx context.Context, r *Request, t turn, rec *record) *KVSource {
 	const part = "prefill"
 	runner := t.runner
+	rec.predicted = t.forecast.Finish
+	defer func() { rec.predicted = 0 }()
 	if !d.o.Placer.Has(runner.Instance.ID) {
 		return nil
 	}
--- a/coordination/forward/split_test.go
+++ b/coordination/forward/split_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/thymerack/thymerack/coordination/backlog"
+	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -118,6 +119,32 @@
 	is.Equal(generateNear(r, nil), "")
 }
 
+// The engine leaves the list while its keeper is asked: nothing is sent to it, and the
+// prompt is read elsewhere.
+func TestEngineThatLeavesWhileItsKeeperIsAskedIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, promptRead, generated, promptRead, generated)
+	w.served(t) // its session's engine is warm from now on
+	var gone string
+	w.gate.asked = func(a occupancy.Ask) {
+		if gone != "" {
+			return
+		}
+		gone = a.Engine
+		var left []state.Instance
+		for _, r := range w.fleet.Runners("model") {
+			if r.Instance.ID != gone {
+				left = append(left, *r.Instance)
+			}
+		}
+		w.fleet.Update(left)
+	}
+	w.served(t)
+	is.True(gone != "")
+	is.Equal(w.up.attempts[0].Instance.ID, gone)
+	is.True(w.up.attempts[2].Instance.ID != gone)
+}
+
 var (
 	promptRead = reply{status: 200, body: "h1"}
 	generated  = reply{status: 200, events: true, body: "id: 1\n\n"}
