Give engines over to prompts a sixteenth at a time

Ruled out: remembering a peak for longer (nothing had been seen yet). Change: at most one in sixteen of all engines goes over at a time, rounded up.

--- a/coordination/stages/demand.go
+++ b/coordination/stages/demand.go
@@ -22,8 +22,9 @@
 	generatingWanted = 0.8
 	// generatingRoom is the load that the engines which are left to generate may have at
 	// the peak that was seen lately, and spareShare the part of all engines that is kept
-	// beside them for those that may be lost, rounded up. The others read prompts if more
-	// than waitingSome of them wait at an engine.
+	// beside them for those that may be lost, rounded up. Of the others as many again read
+	// prompts, if more than waitingSome of them wait at an engine: what was seen for some
+	// seconds isn't the mix of a day.
 	generatingRoom = 0.4
 	spareShare     = 1.0 / 16
 	waitingSome    = 0.3
@@ -114,8 +115,9 @@
 		missing := math.Ceil(float64(generating) * (d.mean.generating/generatingWanted - 1))
 		return max(0, min(int(missing), int(mostMoved*float64(reading)), reading-minEach))
 	case d.mean.waiting > waitingSome:
-		needed := int(math.Ceil(d.peak/generatingRoom) + math.Ceil(spareShare*float64(n)))
-		return -max(0, generating-max(needed, minEach))
+		spare := int(math.Ceil(spareShare * float64(n)))
+		needed := int(math.Ceil(d.peak/generatingRoom)) + spare
+		return -max(0, min(generating-max(needed, minEach), spare))
 	default:
 		return 0
 	}
