Measure how long readings take against what was predicted

Cause: late prompts were counted as in time, and nothing showed an operator whether the predictions that place prompts are right. Change: a histogram of seen over predicted time by service; late readings have the turn deferred again.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -36,6 +36,9 @@
 type Observer interface {
 	// Turn notes how a part of a model request got its place among the others.
 	Turn(w Work, t Turn)
+	// Read notes how long the reading of a prompt took, waiting included, against what
+	// was predicted of it.
+	Read(service string, predicted, took time.Duration)
 }
 
 // Gate gives places at engines, counted over all hosts.
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -117,6 +117,8 @@
 
 func (noObserver) Turn(Work, Turn) {}
 
+func (noObserver) Read(string, time.Duration, time.Duration) {}
+
 // scriptedGate refuses places with the forecasts in order, and then asks the host's own
 // book. A forecast that is given is used in place of the book's.
 type scriptedGate struct {
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -122,6 +122,9 @@
 		return nil
 	}
 	runner.Answered(took)
+	if t.forecast.Known {
+		d.o.Observer.Read(r.Service, t.forecast.Finish, took)
+	}
 	rec.add(a.Instance, part, outcomePrefill, took, nil)
 	rec.cached = &KVSource{a.Instance, handle}
 	return rec.cached
--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -27,7 +27,8 @@
 	// TurnOwn work is counted at this host alone; the keeper of the engine's count
 	// could not be asked.
 	TurnOwn Turn = "own"
-	// TurnDeferred work found all slots taken and is put behind the others.
+	// TurnDeferred work is predicted to be late or found all slots taken, and is put
+	// behind the others.
 	TurnDeferred Turn = "deferred"
 )
 
@@ -138,8 +139,11 @@
 
 func turnAt(o offer, source *placement.Runner) turn {
 	t := turn{kind: TurnCounted, runner: o.runner, source: source, place: o.Place, forecast: o.Forecast}
-	if o.Own {
+	switch {
+	case o.Own:
 		t.kind = TurnOwn
+	case o.Forecast.Rank >= backlog.Classes:
+		t.kind = TurnDeferred
 	}
 	return t
 }
--- a/coordination/forward/turn_test.go
+++ b/coordination/forward/turn_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/thymerack/thymerack/coordination/backlog"
+	"github.com/thymerack/thymerack/coordination/occupancy"
 )
 
 // All caches are cold: a session's first prompt asks several engines whether they keep
@@ -98,6 +99,7 @@
 	w.served(t)
 	is.Equal(w.up.attempts[0].Rank, backlog.Classes+1)
 	is.Equal(w.up.attempts[1].Rank, 0) // what was read generates in its turn
+	is.Equal(turnAt(offer{Verdict: occupancy.Verdict{Answer: occupancy.Answer{Forecast: *w.gate.given}}}, nil).kind, TurnDeferred)
 }
 
 // A prompt that isn't read in its time is given up while its caller still waits, and
--- a/daemon/routed/measures.go
+++ b/daemon/routed/measures.go
@@ -62,6 +62,13 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_turns_total{work=%q,turn=%q}`, w, t)).Inc()
 }
 
+// Read implements forward.Observer.
+func (m *measures) Read(service string, predicted, took time.Duration) {
+	if predicted > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`thymerack_reading_ratio{service=%q}`, service)).Update(took.Seconds() / predicted.Seconds())
+	}
+}
+
 // gauge reports a value that is read when the metrics are.
 func (m *measures) gauge(name string, read func() float64) { m.set.NewGauge(name, read) }
 
