--- a/daemon/routed/measures_test.go
+++ b/daemon/routed/measures_test.go
@@ -22,7 +22,7 @@
 	m.Answered(urgent, 200, 60*time.Millisecond)
 	m.Answered(urgent, 503, time.Millisecond)
 	m.Answered(question, 200, 3*time.Second)
-	m.Read("llm", 100*time.Millisecond, 150*time.Millisecond)
+	m.Read("llm", 500*time.Millisecond, time.Second)
 	m.Read("llm", 0, time.Second) // nothing was predicted
 	var out strings.Builder
 	m.set.WritePrometheus(&out)
@@ -32,7 +32,7 @@
 		`thymerack_answers_total{service="llm",kind="stream",priority="1",status="200"} 1`,
 		`thymerack_answer_seconds_count{service="llm",kind="stream",priority="0"} 3`,
 		`thymerack_answer_seconds_count{service="llm",kind="stream",priority="1"} 1`,
-		`thymerack_reading_ratio_sum{service="llm"} 1.5`,
+		`thymerack_reading_ratio_sum{service="llm"} 2`,
 		`thymerack_reading_ratio_count{service="llm"} 1`,
 	} {
 		is.True(strings.Contains(out.String(), line+"\n")) // the class's measure
