Bound what a keeper remembers, check what peers send it, and say when an engine is slow

Cause: the parts of an engine whose memory isn't known were remembered without end; a fuzz target for the new message found a panic within a second (a time that is no number became a rank); a belief of the keeper, that an engine is slow, left no line in the log. Ruled out: - Change: 8,192 parts an engine; sizes and times of a peer's message are checked, and a time that can't be one has the middle class; one line when an engine becomes slow or sound.

--- a/coordination/backlog/estimator.go
+++ b/coordination/backlog/estimator.go
@@ -149,7 +149,7 @@
 func (e *Estimator) class(ms float64) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.meanMS == 0 || ms <= 0 {
+	if e.meanMS == 0 || !(ms > 0) || math.IsInf(ms, 1) { // what can't be a time tells nothing
 		return middleClass
 	}
 	doublings := math.Round(math.Log2(ms / e.meanMS))
--- a/coordination/backlog/kept.go
+++ b/coordination/backlog/kept.go
@@ -2,6 +2,10 @@
 
 import "container/list"
 
+// mostParts bounds the parts that are remembered of an engine, whatever its memory: some
+// 800 prompts of the least size that is read apart fill the memories of today's sheets.
+const mostParts = 8192
+
 // kept is the parts that an engine is believed to keep: the least recently used yield
 // when its memory is full, as at the engine itself.
 type kept struct {
@@ -65,9 +69,9 @@
 	k.tokens += p.tokens
 }
 
-// yield drops parts while there are more tokens than memory.
+// yield drops parts while there are more than the memory holds or than are remembered.
 func (k *kept) yield() {
-	for k.capacity > 0 && k.tokens > k.capacity && k.order.Len() > 0 {
+	for k.order.Len() > mostParts || (k.capacity > 0 && k.tokens > k.capacity && k.order.Len() > 0) {
 		k.remove(k.order.Back())
 	}
 }
--- a/coordination/backlog/queue.go
+++ b/coordination/backlog/queue.go
@@ -322,12 +322,15 @@
 // sick is the engine's factor if it is far from usual, else 1: what all engines have in
 // common is the estimator's to learn.
 func (q *Queue) sick() float64 {
-	if q.factor > sickFrom {
+	if q.Slow() {
 		return q.factor
 	}
 	return 1
 }
 
+// Slow reports whether the engine is far slower than the others.
+func (q *Queue) Slow() bool { return q.factor > sickFrom }
+
 // Len is how many prompts are under way.
 func (q *Queue) Len() int { return len(q.entries) }
 
--- a/coordination/backlog/queue_test.go
+++ b/coordination/backlog/queue_test.go
@@ -105,6 +105,19 @@
 	is.Equal(kept(5), 100_000)
 }
 
+// An engine whose memory isn't known, or parts without tokens, must not fill the keeper's.
+func TestPartsThatAreRememberedAreBounded(t *testing.T) {
+	is := is.New(t)
+	for _, memory := range []int{0, 470_000} {
+		k := newKept()
+		for id := range uint64(3 * mostParts) {
+			k.use(Work{Shared: []Part{{ID: id}}}, memory)
+		}
+		is.True(k.order.Len() <= mostParts)
+		is.True(len(k.byID) <= mostParts)
+	}
+}
+
 func TestFetchedPartsAreNotRead(t *testing.T) {
 	is := is.New(t)
 	q := NewQueue(known())
--- a/coordination/occupancy/book.go
+++ b/coordination/occupancy/book.go
@@ -8,6 +8,7 @@
 package occupancy
 
 import (
+	"log/slog"
 	"sync"
 	"time"
 
@@ -58,6 +59,7 @@
 // Book holds the counts that this host keeps. It is safe for concurrent use.
 type Book struct {
 	clock state.Clock
+	log   *slog.Logger
 
 	mu      sync.Mutex
 	nextID  uint64
@@ -81,8 +83,8 @@
 }
 
 // NewBook returns an empty book.
-func NewBook(clock state.Clock) *Book {
-	return &Book{clock: clock, engines: map[string]*engine{}, estimators: map[string]*backlog.Estimator{}}
+func NewBook(clock state.Clock, log *slog.Logger) *Book {
+	return &Book{clock: clock, log: log, engines: map[string]*engine{}, estimators: map[string]*backlog.Estimator{}}
 }
 
 // Enter gives a place at the engine, or none if as much is under way there as is
@@ -155,10 +157,22 @@
 		return
 	}
 	if _, known := e.places[id]; known {
-		e.end(b.clock.Now(), id, done)
+		b.end(e, engine, id, done)
 	}
 }
 
+// end ends a known place, and logs when the engine begins or ceases to be slow.
+func (b *Book) end(e *engine, name string, id uint64, done bool) {
+	slow := e.slow()
+	e.end(b.clock.Now(), id, done)
+	if e.slow() != slow {
+		b.log.Info("engine's speed changed", "instance", name, "slow", !slow, "factor", e.queue.Factor(), "waiting", e.queue.Len())
+	}
+}
+
+// slow reports whether the engine reads far more slowly than the others.
+func (e *engine) slow() bool { return e.queue != nil && e.queue.Slow() }
+
 // engine returns the engine's count; b.mu is held. A new one drops those that
 // nobody has asked for lately.
 func (b *Book) engine(id string, now time.Time) *engine {
--- /dev/null
+++ b/coordination/occupancy/log_test.go
@@ -0,0 +1,37 @@
+package occupancy
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+)
+
+// A keeper that finds an engine slow, or sound again, says so once.
+func TestChangeOfAnEnginesSpeedIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		b := NewBook(clocktest.Bubble{}, slog.New(slog.NewTextHandler(&out, nil)))
+		read := func(engine string, took time.Duration, times int) {
+			for range times {
+				id := b.Enter(readAsk(engine)).ID
+				time.Sleep(took)
+				b.Leave(engine, id, true)
+			}
+		}
+		read("a", 50*time.Millisecond, 40)
+		is.Equal(out.Len(), 0)
+		read("b", 250*time.Millisecond, 12)
+		is.Equal(strings.Count(out.String(), "slow=true"), 1)
+		read("b", 50*time.Millisecond, 20)
+		is.Equal(strings.Count(out.String(), "slow=false"), 1)
+		is.Equal(strings.Count(out.String(), "instance=b"), 2)
+	})
+}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -148,7 +148,7 @@
 }
 
 func (h *Host) buildGate() error {
-	book := occupancy.NewBook(h.clock)
+	book := occupancy.NewBook(h.clock, h.log)
 	places.Register(h.peerServer, book)
 	roles.Register(h.peerServer, h.fleet.Expect)
 	var err error
--- a/transport/places/places.go
+++ b/transport/places/places.go
@@ -92,10 +92,18 @@
 	}))
 }
 
-// errParts says that a prompt's parts and their sizes don't match.
-var errParts = errors.New("places: a prompt's parts have no sizes, or negative ones; run the same version on all hosts")
+// errParts says that a prompt's parts and their sizes can't be right.
+var errParts = errors.New("places: a prompt's parts have no sizes, or ones out of range; run the same version on all hosts")
+
+const (
+	// mostTokens is above every engine's memory, in tokens.
+	mostTokens = 1 << 32
+	// mostFetchMS is above every time in which an engine fetches: it doesn't begin what
+	// would wait for more than two seconds.
+	mostFetchMS = 60_000
+)
 
-func negative(n int) bool { return n < 0 }
+func outOfRange(tokens int) bool { return tokens < 0 || tokens > mostTokens }
 
 func enter(a occupancy.Ask) Enter {
 	q := Enter{Engine: a.Engine, Most: a.Most, KeepMS: a.Keep.Milliseconds()}
@@ -118,7 +126,8 @@
 	if r == nil {
 		return a, nil
 	}
-	if len(r.Parts) != len(r.Tokens) || r.Own < 0 || r.Fetched < 0 || slices.ContainsFunc(r.Tokens, negative) {
+	sizes := append([]int{r.Own, r.Fetched, r.Memory}, r.Tokens...)
+	if len(r.Parts) != len(r.Tokens) || slices.ContainsFunc(sizes, outOfRange) || !(r.FetchMS >= 0 && r.FetchMS < mostFetchMS) {
 		return a, errParts
 	}
 	a.Reading = &occupancy.Reading{
