--- a/coordination/occupancy/gate.go
+++ b/coordination/occupancy/gate.go
@@ -23,8 +23,8 @@
 	maxKeepers = 16
 	minKeepers = 4
 	// enterTimeout is some round trips between failure domains (2.8 ms) behind two
-	// or three bodies on a slow link (7 ms each), and a fifth of the shortest
-	// objective: a keeper that takes longer is of no help.
+	// or three bodies on a slow link (7 ms each): a keeper that takes longer is dark or
+	// held up, and the next one answers sooner.
 	enterTimeout = 25 * time.Millisecond
 	// maxKeepersAsked bounds the keepers that are asked for one place: the next one by
 	// the engine's order is asked when the first doesn't answer.
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -28,6 +28,7 @@
 	Claims    *ClaimsCommand    `arg:"subcommand:claims" help:"calls that may not be repeated"`
 	Log       *LogCommand       `arg:"subcommand:log-level" help:"change what a host logs"`
 	Top       *TopCommand       `arg:"subcommand:top" help:"live view of the upstreams"`
+	Account   *AccountCommand   `arg:"subcommand:account" help:"how requests ended by route, from the hosts' logs; asks no host"`
 	Bound     *BoundCommand     `arg:"subcommand:bound" help:"what a deployment could earn at best on the days of a site file; asks no host"`
 }
 
@@ -167,6 +168,8 @@
 		return t.logLevel(ctx, f.Log.Level)
 	case f.Top != nil:
 		return t.top(ctx, f.Top)
+	case f.Account != nil:
+		return t.account(f.Account)
 	case f.Bound != nil:
 		return t.bound(f.Bound)
 	}
