--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -177,6 +177,13 @@
 	}
 }
 
+// orderCount is the number of orders that engines got so far.
+func (f *fakeEngines) orderCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.orders)
+}
+
 func (f *fakeEngines) apply(id string, o Order) Result {
 	e := f.engines[id]
 	switch {
@@ -326,7 +333,7 @@
 		began := time.Now()
 		stop = runHolder(t, p, f, "h2")
 		time.Sleep(leaseTime + time.Second)
-		is.Equal(len(f.orders), 0)
+		is.Equal(f.orderCount(), 0)
 		time.Sleep(3 * time.Second) // the list stands for 1.2 s before the first look
 		stop()
 		is.True(len(f.orders) > 0)
