Let the keeper's lock guard what it learns of readings

Cause: the estimator of readings had a lock of its own, though each of its callers holds the book's; a forecast took it five times, and predictSum was predict with the lock around it. Ruled out: callers without the book's lock (queues are reached through Book alone). Change: the lock and predictSum go; the type says who may use it. Behaviour as before, tests unchanged; make test under the race detector.

--- a/coordination/backlog/estimator.go
+++ b/coordination/backlog/estimator.go
@@ -1,9 +1,6 @@
 package backlog
 
-import (
-	"math"
-	"sync"
-)
+import "math"
 
 const (
 	// forgetting weighs older samples: some 400 count, which the keeper of two engines
@@ -34,10 +31,9 @@
 // millisecond, which lies between the engines met so far (64 to 350).
 var firstCoefficients = features{3, 10, 0.3}
 
-// Estimator learns how long engines of one service take to read. It is safe for
-// concurrent use.
+// Estimator learns how long engines of one service take to read. It isn't safe for
+// concurrent use: the queues that share one are used by one keeper.
 type Estimator struct {
-	mu      sync.Mutex
 	coef    features
 	p       [3][3]float64
 	samples int
@@ -57,35 +53,28 @@
 
 // Predict returns the time of a reading at an engine of usual speed, in milliseconds.
 func (e *Estimator) Predict(r reading) float64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	return e.predict(r.features()) + r.fetchMS
 }
 
+// predict returns the time of readings with features x, summed up.
 func (e *Estimator) predict(x features) float64 {
 	return max(dot(e.coef, x), leastMS*max(1, x[0]))
 }
 
 // Known reports whether enough has been seen to rely on predictions.
 func (e *Estimator) Known() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	return e.samples >= knownAfter
 }
 
 // Error is the mean relative error of late predictions, against the longer of the
 // predicted and the seen time: 0 to 1.
 func (e *Estimator) Error() float64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	return e.meanErr
 }
 
 // learn takes the time that readings with features x, summed up, took at an engine of
 // usual speed, by recursive least squares on the relative error.
 func (e *Estimator) learn(x features, tookMS float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	predicted := e.predict(x)
 	known := e.samples >= knownAfter
 	if known && (tookMS > outlier*predicted || predicted > outlier*tookMS) {
@@ -119,17 +108,8 @@
 
 func dot(a, b features) float64 { return a[0]*b[0] + a[1]*b[1] + a[2]*b[2] }
 
-// predictSum returns the time of readings with features x, summed up.
-func (e *Estimator) predictSum(x features) float64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.predict(x)
-}
-
 // tokensMS is the time that so many tokens take within a prompt, in milliseconds.
 func (e *Estimator) tokensMS(tokens int) float64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	return e.coef[1] * float64(tokens) / thousand
 }
 
@@ -147,8 +127,6 @@
 // class is that of a reading that takes so long: short ones first, a class for each
 // doubling, so that a burst makes few large prompts late and not many small ones.
 func (e *Estimator) class(ms float64) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	if e.meanMS == 0 || !(ms > 0) || math.IsInf(ms, 1) { // what can't be a time tells nothing
 		return middleClass
 	}
@@ -158,8 +136,6 @@
 
 // met takes the time of a reading that was asked for into account.
 func (e *Estimator) met(ms float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	if e.meanMS == 0 {
 		e.meanMS = ms
 	}
--- a/coordination/backlog/queue.go
+++ b/coordination/backlog/queue.go
@@ -115,7 +115,7 @@
 func (q *Queue) sample() {
 	if !q.spoiled {
 		q.estimator.learn(q.sum, q.sumMS/q.sick())
-		seen := q.sumMS / q.estimator.predictSum(q.sum) / q.factor
+		seen := q.sumMS / q.estimator.predict(q.sum) / q.factor
 		q.factor *= math.Pow(min(max(seen, 1.0/mostSeen), mostSeen), factorGain)
 		q.factor = min(max(q.factor, fastest), slowest)
 	}
