--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -310,14 +310,14 @@
 
 func newInstances(outage *bool, published *[]string) *Instances {
 	return NewInstances(InstancesOptions{
-		Clock: clocktest.Bubble{}, Log: quiet, HoldFor: time.Second, Outage: func() bool { return *outage },
+		Clock: clocktest.Bubble{}, Log: quiet, HoldFor: time.Second, Unusable: func() {}, Outage: func() bool { return *outage },
 		Decode: func(id string, v []byte) (state.Instance, error) {
-			return state.Instance{ID: id, Draining: string(v) == "draining"}, nil
+			return state.Instance{ID: state.InstanceID{Name: id}, Draining: string(v) == "draining"}, nil
 		},
 		Publish: func(list []state.Instance) {
 			*published = nil
 			for _, i := range list {
-				*published = append(*published, i.ID)
+				*published = append(*published, i.ID.Name)
 			}
 			slices.Sort(*published)
 		},
@@ -332,6 +332,69 @@
 	return c
 }
 
+// A runner restarts under its name: the list has the new run alone, and the order of the
+// store's versions decides, not that of the clocks.
+func TestRestartUnderTheSameNameIsAnotherInstance(t *testing.T) {
+	is := is.New(t)
+	var published []state.Instance
+	l := NewInstances(InstancesOptions{
+		Clock: clocktest.Bubble{}, Log: quiet, Outage: func() bool { return false }, Unusable: func() {},
+		Decode: func(id string, v []byte) (state.Instance, error) {
+			born, err := strconv.ParseInt(string(v), 10, 64)
+			return state.Instance{ID: state.InstanceID{Name: id, Born: born}}, err
+		},
+		Publish: func(list []state.Instance) { published = list },
+	})
+	for version, born := range []int64{500, 700, 600} { // the last run's clock is behind
+		l.Changed(Copy{Objects: []store.Object{{Name: "a", Version: uint64(version + 1), Value: []byte(fmt.Sprint(born))}}})
+		is.Equal(len(published), 1)
+		is.Equal(published[0].ID, state.InstanceID{Name: "a", Born: born})
+	}
+}
+
+// An entry that can't be used, also one that replaces a good one, names no instance; the
+// others hold, and the good one counts again when it is back.
+func TestUnusableEntryNamesNoInstance(t *testing.T) {
+	is := is.New(t)
+	var published []string
+	unusable := 0
+	l := NewInstances(InstancesOptions{
+		Clock: clocktest.Bubble{}, Log: quiet, Outage: func() bool { return true }, HoldFor: time.Minute,
+		Unusable: func() { unusable++ },
+		Decode: func(id string, v []byte) (state.Instance, error) {
+			if string(v) != "ready" {
+				return state.Instance{}, errors.New("not a runner's entry")
+			}
+			return state.Instance{ID: state.InstanceID{Name: id}}, nil
+		},
+		Publish: func(list []state.Instance) {
+			published = nil
+			for _, i := range list {
+				published = append(published, i.ID.Name)
+			}
+			slices.Sort(published)
+		},
+	})
+	list := func(version uint64, values ...string) Copy {
+		var c Copy
+		for i, v := range values {
+			c.Objects = append(c.Objects, store.Object{Name: string(rune('a' + i)), Version: version, Value: []byte(v)})
+		}
+		return c
+	}
+	l.Changed(list(1, "ready", "ready", "nonsense"))
+	is.Equal(published, []string{"a", "b"})
+	l.Changed(list(2, "ready", "nonsense", "nonsense"))
+	is.Equal(published, []string{"a"})
+	is.Equal(unusable, 3)
+	l.Changed(list(2, "ready", "nonsense", "nonsense")) // the same again
+	is.Equal(unusable, 3)
+	l.Changed(list(3, "ready", "ready", "nonsense"))
+	is.Equal(published, []string{"a", "b"})
+	l.Changed(list(4, "ready", "ready")) // it was no instance, so that nothing is held
+	is.Equal(published, []string{"a", "b"})
+}
+
 func TestMissingInstanceIsGoneAtOnceWhileTheStoreIsSound(t *testing.T) {
 	is := is.New(t)
 	outage, published := false, []string{}
--- a/coordination/follow/instances.go
+++ b/coordination/follow/instances.go
@@ -18,6 +18,8 @@
 	Decode func(id string, value []byte) (state.Instance, error)
 	// Publish gets each new list.
 	Publish func([]state.Instance)
+	// Unusable is told of each version of an entry that names no instance.
+	Unusable func()
 	// Outage reports that the store is away or has come back lately, so that entries
 	// of living instances may be missing.
 	Outage func() bool
@@ -27,7 +29,8 @@
 
 // Instances turns copies of the list into instances. An entry that goes missing
 // around an outage of the store counts until the outage is over and for HoldFor at
-// most, because living instances need a moment to register again.
+// most, because living instances need a moment to register again. An entry that can't
+// be used names no instance, also where it has replaced one that could; the others hold.
 type Instances struct {
 	o InstancesOptions
 
@@ -38,6 +41,8 @@
 type entry struct {
 	version  uint64
 	instance state.Instance
+	// unusable is set for an entry that names no instance.
+	unusable bool
 	// missing is when the entry went missing; zero while it is listed.
 	missing time.Time
 }
@@ -62,7 +67,7 @@
 		if listed[id] || !e.missing.IsZero() {
 			continue
 		}
-		if hold && !e.instance.Draining {
+		if hold && !e.instance.Draining && !e.unusable {
 			e.missing = now
 			l.o.Log.Info("instance missing after an outage; held", "instance", id, "revision", c.Revision)
 			continue
@@ -73,7 +78,8 @@
 	l.publish()
 }
 
-// take decodes a new or changed entry. One that can't be read leaves the last.
+// take decodes a new or changed entry. The store's order of versions decides between
+// two runs under one name: their clocks may differ.
 func (l *Instances) take(object store.Object) {
 	known := l.entries[object.Name]
 	if known != nil && known.version == object.Version {
@@ -82,11 +88,13 @@
 	}
 	instance, err := l.o.Decode(object.Name, object.Value)
 	if err != nil {
-		l.o.Log.Error("entry not readable; the last one is kept", "instance", object.Name, "version", object.Version, "cause", err.Error())
+		l.o.Unusable()
+		l.o.Log.Warn("entry names no instance", "entry", object.Name, "version", object.Version, "replaces", known != nil && !known.unusable, "cause", err.Error())
+		l.entries[object.Name] = &entry{version: object.Version, unusable: true}
 		return
 	}
-	if known == nil || known.instance.Draining != instance.Draining || known.instance.Role != instance.Role {
-		l.o.Log.Info("instance listed", "instance", object.Name, "service", instance.Service, "draining", instance.Draining, "role", string(instance.Role), "version", object.Version)
+	if known == nil || known.instance.ID != instance.ID || known.instance.Draining != instance.Draining || known.instance.Role != instance.Role {
+		l.o.Log.Info("instance listed", "instance", instance.ID, "service", instance.Service, "draining", instance.Draining, "role", string(instance.Role), "version", object.Version)
 	}
 	l.entries[object.Name] = &entry{version: object.Version, instance: instance}
 }
@@ -123,7 +131,9 @@
 func (l *Instances) publish() {
 	out := make([]state.Instance, 0, len(l.entries))
 	for _, e := range l.entries {
-		out = append(out, e.instance)
+		if !e.unusable {
+			out = append(out, e.instance)
+		}
 	}
 	l.o.Publish(out)
 }
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -15,14 +15,14 @@
 // Placer chooses runners; tried names instances not to be chosen again. Each
 // method returns nil when there is none.
 type Placer interface {
-	Call(service string, tried []string) *placement.Runner
+	Call(service string, tried []state.InstanceID) *placement.Runner
 	// Decode prefers engines of the failure domain near, "" for the host's own.
-	Decode(service, session, near string, tried []string) *placement.Runner
-	Prefill(service, session string, tried []string) *placement.Runner
+	Decode(service, session, near string, tried []state.InstanceID) *placement.Runner
+	Prefill(service, session string, tried []state.InstanceID) *placement.Runner
 	// ReadsApart reports whether some of the service's engines only read prompts.
 	ReadsApart(service string) bool
 	// Has reports whether work may be sent to the instance at this moment.
-	Has(id string) bool
+	Has(id state.InstanceID) bool
 }
 
 // Budget limits further sendings over all hosts.
--- a/coordination/forward/forward_test.go
+++ b/coordination/forward/forward_test.go
@@ -72,7 +72,7 @@
 			}
 			is.NoErr(err)
 			is.Equal(answer.Head.Status, c.status)
-			seen := map[string]bool{}
+			seen := map[state.InstanceID]bool{}
 			for _, a := range w.up.attempts {
 				is.True(!seen[a.Instance.ID]) // another runner each time
 				seen[a.Instance.ID] = true
@@ -123,7 +123,7 @@
 func TestLeavingInstanceIsNotSentTo(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, plenty)
-	w.fleet.Update([]state.Instance{{ID: "s1", Service: "plain", Draining: true}})
+	w.fleet.Update([]state.Instance{{ID: state.InstanceID{Name: "s1"}, Service: "plain", Draining: true}})
 	_, err := w.Forward(t.Context(), request(state.RouteSafe, 2, false))
 	var refusal *Refusal
 	is.True(errors.As(err, &refusal))
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -179,9 +179,9 @@
 	var list []state.Instance
 	for _, id := range []string{"1", "2", "3", "4", "5"} {
 		list = append(list,
-			state.Instance{ID: "s" + id, Service: "plain", Addr: "s" + id + ":1", FailureDomain: "d1"},
-			state.Instance{ID: "p" + id, Service: "model", Addr: "p" + id + ":1", FailureDomain: "d1", Role: state.RolePrefill},
-			state.Instance{ID: "d" + id, Service: "model", Addr: "d" + id + ":1", FailureDomain: "d1", Role: state.RoleDecode, Slots: engineSlots})
+			state.Instance{ID: state.InstanceID{Name: "s" + id}, Service: "plain", Addr: "s" + id + ":1", FailureDomain: "d1"},
+			state.Instance{ID: state.InstanceID{Name: "p" + id}, Service: "model", Addr: "p" + id + ":1", FailureDomain: "d1", Role: state.RolePrefill},
+			state.Instance{ID: state.InstanceID{Name: "d" + id}, Service: "model", Addr: "d" + id + ":1", FailureDomain: "d1", Role: state.RoleDecode, Slots: engineSlots})
 	}
 	fleet.Update(list)
 	gate := newScriptedGate(t)
@@ -201,7 +201,7 @@
 	w := newWorld(t, budget, replies...)
 	var list []state.Instance
 	for _, id := range []string{"1", "2", "3", "4", "5"} {
-		list = append(list, state.Instance{ID: "m" + id, Service: "model", Addr: "m" + id + ":1", FailureDomain: "d1", Role: state.RoleMixed, Slots: engineSlots})
+		list = append(list, state.Instance{ID: state.InstanceID{Name: "m" + id}, Service: "model", Addr: "m" + id + ":1", FailureDomain: "d1", Role: state.RoleMixed, Slots: engineSlots})
 	}
 	w.fleet.Update(list)
 	return w
--- a/coordination/forward/mixed_test.go
+++ b/coordination/forward/mixed_test.go
@@ -21,7 +21,7 @@
 	is.True(a.Source == nil)
 	// The second engine asked has room; it fetches what the session's own keeps.
 	is.Equal(a.Instance.ID, w.gate.asks[1].Engine)
-	is.Equal(a.FetchFrom, w.gate.asks[0].Engine+":1")
+	is.Equal(a.FetchFrom, w.gate.asks[0].Engine.Name+":1")
 	// The place is for the reading, not one of the slots.
 	is.Equal(w.gate.asks[0].Most, 0)
 	is.True(w.gate.asks[0].Reading.Work.Own > 0)
--- a/coordination/forward/offer.go
+++ b/coordination/forward/offer.go
@@ -13,6 +13,7 @@
 	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/state"
 )
 
 const (
@@ -49,7 +50,7 @@
 // hardly anything waits there and all shared parts are kept, else the best of those that
 // are asked. What another of them keeps is fetched. A prompt that would be read after
 // its caller has left is refused.
-func (d *Dispatcher) takeTurn(ctx context.Context, r *Request, rec *record, tried []string) (turn, error) {
+func (d *Dispatcher) takeTurn(ctx context.Context, r *Request, rec *record, tried []state.InstanceID) (turn, error) {
 	p := promptWork(r.Generation)
 	limit := d.readBy(r).Sub(d.o.Clock.Now())
 	var offers []offer
@@ -98,7 +99,7 @@
 		return nil
 	}
 	d.o.Log.LogAttrs(context.Background(), slog.LevelInfo, "request is hopeless", slog.String("request_id", r.ID),
-		slog.String("instance", best.runner.Instance.ID), slog.Duration("predicted", best.Forecast.Finish),
+		slog.Any("instance", best.runner.Instance.ID), slog.Duration("predicted", best.Forecast.Finish),
 		slog.Duration("left", left))
 	return d.giveUp(r, rec, max(best.Forecast.Finish-r.Route.Objective, shortWait))
 }
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -28,7 +28,7 @@
 
 // step is one sending of a request.
 type step struct {
-	instance string
+	instance state.InstanceID
 	part     string
 	outcome  outcome
 	took     time.Duration
@@ -55,7 +55,7 @@
 	promptTaken    bool
 	// mayHaveRun is set once a runner may have begun.
 	mayHaveRun bool
-	tried      []string
+	tried      []state.InstanceID
 	// failed is a runner's own failure that another runner was asked after; it is
 	// the answer if nobody has a better one.
 	failed *Answer
@@ -103,7 +103,7 @@
 		if n > 0 {
 			b.WriteByte(' ')
 		}
-		b.WriteString(s.part + ":" + s.instance + ":" + string(s.outcome) + ":" + strconv.FormatInt(s.took.Milliseconds(), 10) + "ms")
+		b.WriteString(s.part + ":" + s.instance.String() + ":" + string(s.outcome) + ":" + strconv.FormatInt(s.took.Milliseconds(), 10) + "ms")
 		if s.predicted > 0 {
 			b.WriteString("/" + strconv.FormatInt(s.predicted.Milliseconds(), 10) + "ms")
 		}
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/thymerack/thymerack/state"
 )
 
 // long reports whether the prompt is read at an engine of its own, if the service has
@@ -16,7 +18,7 @@
 // Without one the engine that generates reads the prompt itself. The first reading that
 // an engine takes is free; others draw on the budget.
 func (d *Dispatcher) readPrompt(ctx context.Context, r *Request, rec *record) (*KVSource, error) {
-	var tried []string
+	var tried []state.InstanceID
 	for try := 0; try < maxPrefills; try++ {
 		if d.over(ctx, r, rec) != nil || !d.pay(r, rec) {
 			return nil, nil
--- a/coordination/forward/split_test.go
+++ b/coordination/forward/split_test.go
@@ -125,9 +125,9 @@
 	is := is.New(t)
 	w := newWorld(t, plenty, promptRead, generated, promptRead, generated)
 	w.served(t) // its session's engine is warm from now on
-	var gone string
+	var gone state.InstanceID
 	w.gate.asked = func(a occupancy.Ask) {
-		if gone != "" {
+		if gone != (state.InstanceID{}) {
 			return
 		}
 		gone = a.Engine
@@ -140,7 +140,7 @@
 		w.fleet.Update(left)
 	}
 	w.served(t)
-	is.True(gone != "")
+	is.True(gone != state.InstanceID{})
 	is.Equal(w.up.attempts[0].Instance.ID, gone)
 	is.True(w.up.attempts[2].Instance.ID != gone)
 }
--- a/coordination/forward/turn_test.go
+++ b/coordination/forward/turn_test.go
@@ -59,7 +59,7 @@
 	}
 	w.served(t)
 	is.Equal(w.up.attempts[0].Instance.ID, w.gate.asks[0].Engine)
-	is.Equal(w.up.attempts[0].FetchFrom, w.gate.asks[1].Engine+":1")
+	is.Equal(w.up.attempts[0].FetchFrom, w.gate.asks[1].Engine.Name+":1")
 }
 
 func busyFor(d time.Duration, known bool) []backlog.Forecast {
--- a/coordination/occupancy/book.go
+++ b/coordination/occupancy/book.go
@@ -21,8 +21,7 @@
 
 // Ask is a request for a place at an engine.
 type Ask struct {
-	// Engine is the instance's id.
-	Engine string
+	Engine state.InstanceID
 	// Most bounds the places in requests, of work that isn't a reading.
 	Most int
 	// Reading is the prompt that is to be read; nil for other work.
@@ -63,7 +62,7 @@
 
 	mu      sync.Mutex
 	nextID  uint64
-	engines map[string]*engine
+	engines map[state.InstanceID]*engine
 	// estimators are by service.
 	estimators map[string]*backlog.Estimator
 }
@@ -84,7 +83,7 @@
 
 // NewBook returns an empty book.
 func NewBook(clock state.Clock, log *slog.Logger) *Book {
-	return &Book{clock: clock, log: log, engines: map[string]*engine{}, estimators: map[string]*backlog.Estimator{}}
+	return &Book{clock: clock, log: log, engines: map[state.InstanceID]*engine{}, estimators: map[string]*backlog.Estimator{}}
 }
 
 // Enter gives a place at the engine, or none if as much is under way there as is
@@ -136,7 +135,7 @@
 }
 
 // Remaining predicts when the reading of a place ends.
-func (b *Book) Remaining(engine string, id uint64) (backlog.Forecast, backlog.Progress) {
+func (b *Book) Remaining(engine state.InstanceID, id uint64) (backlog.Forecast, backlog.Progress) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.engines[engine]
@@ -149,7 +148,7 @@
 // Leave ends a place. done says that the work was done, so that its time tells how
 // loaded the engine is. An unknown place, such as one of an earlier run of this
 // host, is passed over.
-func (b *Book) Leave(engine string, id uint64, done bool) {
+func (b *Book) Leave(engine state.InstanceID, id uint64, done bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.engines[engine]
@@ -162,7 +161,7 @@
 }
 
 // end ends a known place, and logs when the engine begins or ceases to be slow.
-func (b *Book) end(e *engine, name string, id uint64, done bool) {
+func (b *Book) end(e *engine, name state.InstanceID, id uint64, done bool) {
 	slow := e.slow()
 	e.end(b.clock.Now(), id, done)
 	if e.slow() != slow {
@@ -175,7 +174,7 @@
 
 // engine returns the engine's count; b.mu is held. A new one drops those that
 // nobody has asked for lately.
-func (b *Book) engine(id string, now time.Time) *engine {
+func (b *Book) engine(id state.InstanceID, now time.Time) *engine {
 	e := b.engines[id]
 	if e == nil {
 		for other, old := range b.engines {
--- a/coordination/occupancy/book_test.go
+++ b/coordination/occupancy/book_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/state"
 )
 
 const (
@@ -17,12 +18,15 @@
 	slots = 4
 )
 
+// named is the only run of an engine.
+func named(engine string) state.InstanceID { return state.InstanceID{Name: engine} }
+
 // ask asks for one of an engine's slots.
-func ask(engine string) Ask { return Ask{Engine: engine, Most: slots, Keep: keep} }
+func ask(engine string) Ask { return Ask{Engine: named(engine), Most: slots, Keep: keep} }
 
 // readAsk asks for the reading of a prompt of some 43 ms, before anything is learnt.
 func readAsk(engine string) Ask {
-	return Ask{Engine: engine, Keep: keep, Reading: &Reading{
+	return Ask{Engine: named(engine), Keep: keep, Reading: &Reading{
 		Service: "s", Work: backlog.Work{Own: 4000}, Memory: 1e6, MaxWait: time.Second, Limit: time.Second,
 	}}
 }
@@ -46,7 +50,7 @@
 		ids := fill(b, "a")
 		is.Equal(len(ids), slots)
 		is.Equal(len(fill(b, "b")), slots)
-		b.Leave("a", ids[0], false)
+		b.Leave(named("a"), ids[0], false)
 		is.Equal(len(fill(b, "a")), 1)
 	})
 }
@@ -89,7 +93,7 @@
 		a.Reading.Warm = true
 		is.Equal(b.Enter(a).ID, uint64(0))
 		a.Reading.Warm = false
-		b.Leave("a", b.Enter(a).ID, true)
+		b.Leave(named("a"), b.Enter(a).ID, true)
 		a.Reading.Warm = true
 		is.True(b.Enter(a).ID != 0)
 	})
@@ -100,14 +104,14 @@
 		is := is.New(t)
 		b := NewBook(clocktest.Bubble{}, slog.New(slog.DiscardHandler))
 		id := b.Enter(readAsk("a")).ID
-		f, progress := b.Remaining("a", id)
+		f, progress := b.Remaining(named("a"), id)
 		is.Equal(progress, backlog.Underway)
 		time.Sleep(10 * time.Millisecond)
-		later, _ := b.Remaining("a", id)
+		later, _ := b.Remaining(named("a"), id)
 		is.Equal(f.Finish-later.Finish, 10*time.Millisecond)
-		_, progress = b.Remaining("a", id+1)
+		_, progress = b.Remaining(named("a"), id+1)
 		is.Equal(progress, backlog.Unknown)
-		_, progress = b.Remaining("b", id)
+		_, progress = b.Remaining(named("b"), id)
 		is.Equal(progress, backlog.Unknown)
 	})
 }
@@ -121,10 +125,10 @@
 		reading := b.Enter(readAsk("r")).ID
 		time.Sleep(keep + time.Millisecond)
 		is.Equal(len(fill(b, "a")), slots)
-		b.Leave("a", ids[0], true) // told late: nothing is counted out twice
+		b.Leave(named("a"), ids[0], true) // told late: nothing is counted out twice
 		is.Equal(len(fill(b, "a")), 0)
 		is.Equal(b.Enter(readAsk("r")).Forecast.Wait, time.Duration(0))
-		b.Leave("r", reading, true)
+		b.Leave(named("r"), reading, true)
 	})
 }
 
@@ -132,9 +136,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := NewBook(clocktest.Bubble{}, slog.New(slog.DiscardHandler))
-		b.Leave("a", 7, true)
+		b.Leave(named("a"), 7, true)
 		is.Equal(len(fill(b, "a")), slots)
-		b.Leave("a", 77, false)
+		b.Leave(named("a"), 77, false)
 		is.Equal(len(fill(b, "a")), 0)
 	})
 }
@@ -149,3 +153,25 @@
 		is.Equal(len(b.engines), 1)
 	})
 }
+
+// An engine that restarts under its name keeps nothing and has nothing under way; the end
+// of work of its former run frees no place of the new one.
+func TestRestartedEngineIsCountedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := NewBook(clocktest.Bubble{}, slog.New(slog.DiscardHandler))
+		a := readAsk("a")
+		a.Reading.Work.Shared = []backlog.Part{{ID: 1, Tokens: 6000}}
+		first := b.Enter(a)
+		b.Leave(a.Engine, first.ID, true)
+		is.Equal(b.Enter(a).Forecast.Kept, 6000)
+		former := a.Engine
+		a.Engine.Born = 2
+		again := b.Enter(a)
+		is.Equal(again.Forecast.Kept, 0)
+		is.Equal(again.Forecast.Wait, time.Duration(0))
+		b.Leave(former, again.ID, true)
+		_, progress := b.Remaining(a.Engine, again.ID)
+		is.Equal(progress, backlog.Underway)
+	})
+}
--- a/coordination/occupancy/gate.go
+++ b/coordination/occupancy/gate.go
@@ -40,8 +40,8 @@
 // Peers reaches the books of other hosts.
 type Peers interface {
 	Enter(ctx context.Context, addr string, a Ask) (Answer, error)
-	Remaining(ctx context.Context, addr, engine string, id uint64) (backlog.Forecast, backlog.Progress, error)
-	Leave(ctx context.Context, addr, engine string, id uint64, done bool) error
+	Remaining(ctx context.Context, addr string, engine state.InstanceID, id uint64) (backlog.Forecast, backlog.Progress, error)
+	Leave(ctx context.Context, addr string, engine state.InstanceID, id uint64, done bool) error
 }
 
 // GateOptions configure a Gate. All fields are required.
@@ -99,7 +99,7 @@
 type Place struct {
 	gate   *Gate
 	keeper string
-	engine string
+	engine state.InstanceID
 	id     uint64
 }
 
@@ -222,7 +222,7 @@
 }
 
 // keeper is the host that keeps the engine's count, or "" if none is known.
-func (g *Gate) keeper(engine string) string {
+func (g *Gate) keeper(engine state.InstanceID) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Clock.Now()
@@ -236,7 +236,7 @@
 		}
 		seen++
 		class = host.Class
-		if score := xxhash.Sum64String(engine + host.Addr); best == "" || score > bestScore {
+		if score := xxhash.Sum64String(engine.Name + host.Addr); best == "" || score > bestScore {
 			best, bestScore = host.Addr, score
 		}
 	}
--- a/coordination/occupancy/gate_test.go
+++ b/coordination/occupancy/gate_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/state"
 )
 
 // network joins the books of some hosts; lost ones don't answer.
@@ -30,7 +31,7 @@
 	return n.books[addr].Enter(a), nil
 }
 
-func (n *network) Remaining(_ context.Context, addr, engine string, id uint64) (backlog.Forecast, backlog.Progress, error) {
+func (n *network) Remaining(_ context.Context, addr string, engine state.InstanceID, id uint64) (backlog.Forecast, backlog.Progress, error) {
 	if n.lost[addr] {
 		return backlog.Forecast{}, backlog.Underway, errors.New("no answer")
 	}
@@ -38,7 +39,7 @@
 	return f, progress, nil
 }
 
-func (n *network) Leave(_ context.Context, addr, engine string, id uint64, done bool) error {
+func (n *network) Leave(_ context.Context, addr string, engine state.InstanceID, id uint64, done bool) error {
 	if n.lost[addr] {
 		return errors.New("no answer")
 	}
@@ -105,7 +106,7 @@
 			_, gates := fleet(t, c.classes...)
 			keepers := map[string]bool{}
 			for engine := range 200 {
-				keepers[gates[0].keeper(fmt.Sprint("engine-", engine))] = true
+				keepers[gates[0].keeper(named(fmt.Sprint("engine-", engine)))] = true
 			}
 			is.Equal(len(keepers), c.keepers)
 		}
@@ -118,7 +119,7 @@
 		_, gates := fleet(t, make([]int, 320)...)
 		keepers := map[string]bool{}
 		for engine := range 1800 {
-			keepers[gates[7].keeper(fmt.Sprint("engine-", engine))] = true
+			keepers[gates[7].keeper(named(fmt.Sprint("engine-", engine)))] = true
 		}
 		is.Equal(len(keepers), maxKeepers)
 	})
@@ -162,7 +163,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n, gates := fleet(t, 1, 1, 1, 1, 1, 1)
-		keeper := gates[0].keeper("engine")
+		keeper := gates[0].keeper(named("engine"))
 		asker := gates[0]
 		if keeper == asker.o.Self {
 			asker = gates[1]
@@ -170,10 +171,10 @@
 		n.lost[keeper] = true
 		v := asker.Enter(t.Context(), ask("engine"))
 		is.True(v.Place != nil) // another host keeps the count meanwhile
-		is.True(asker.keeper("engine") != keeper)
+		is.True(asker.keeper(named("engine")) != keeper)
 		n.lost[keeper] = false
 		time.Sleep(avoidFirst + time.Millisecond)
-		is.Equal(asker.keeper("engine"), keeper)
+		is.Equal(asker.keeper(named("engine")), keeper)
 		v = asker.Enter(t.Context(), ask("engine"))
 		is.True(v.Place != nil)
 		is.True(!v.Own)
@@ -191,7 +192,7 @@
 		other := gates[1].o.Self
 		engine := ""
 		for i := 0; engine == ""; i++ {
-			if name := fmt.Sprint("engine-", i); gates[0].keeper(name) == other {
+			if name := fmt.Sprint("engine-", i); gates[0].keeper(named(name)) == other {
 				engine = name
 			}
 		}
--- a/coordination/occupancy/log_test.go
+++ b/coordination/occupancy/log_test.go
@@ -23,7 +23,7 @@
 			for range times {
 				id := b.Enter(readAsk(engine)).ID
 				time.Sleep(took)
-				b.Leave(engine, id, true)
+				b.Leave(named(engine), id, true)
 			}
 		}
 		read("a", 50*time.Millisecond, 40)
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -24,7 +24,7 @@
 // view is one version of the list. It is never changed.
 type view struct {
 	byService map[string]*runners
-	byID      map[string]*Runner
+	byID      map[state.InstanceID]*Runner
 }
 
 // runners are the instances of a service that take work.
@@ -64,13 +64,13 @@
 	view atomic.Pointer[view]
 
 	mu    sync.Mutex
-	loads map[string]*Load
+	loads map[state.InstanceID]*Load
 }
 
 // NewFleet returns an empty fleet.
 func NewFleet(o Options) *Fleet {
-	f := &Fleet{o: o, loads: map[string]*Load{}}
-	f.view.Store(&view{byService: map[string]*runners{}, byID: map[string]*Runner{}})
+	f := &Fleet{o: o, loads: map[state.InstanceID]*Load{}}
+	f.view.Store(&view{byService: map[string]*runners{}, byID: map[state.InstanceID]*Runner{}})
 	return f
 }
 
@@ -78,7 +78,7 @@
 func (f *Fleet) Update(instances []state.Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := &view{byService: map[string]*runners{}, byID: make(map[string]*Runner, len(instances))}
+	v := &view{byService: map[string]*runners{}, byID: make(map[state.InstanceID]*Runner, len(instances))}
 	for i := range instances {
 		inst := &instances[i]
 		load := f.loads[inst.ID]
@@ -126,7 +126,7 @@
 
 // Expect avoids engines that are about to take a role until the list shows it, for so
 // long at most: an engine refuses work while it changes.
-func (f *Fleet) Expect(engines []string, role state.Role, within time.Duration) {
+func (f *Fleet) Expect(engines []state.InstanceID, role state.Role, within time.Duration) {
 	v := f.view.Load()
 	for _, id := range engines {
 		if r := v.byID[id]; r != nil && r.Instance.Role != role {
@@ -136,7 +136,7 @@
 }
 
 // Has reports whether work may be sent to the instance.
-func (f *Fleet) Has(id string) bool {
+func (f *Fleet) Has(id state.InstanceID) bool {
 	r := f.view.Load().byID[id]
 	return r != nil && !r.Instance.Draining
 }
@@ -144,7 +144,7 @@
 // Call chooses a runner for a call of a plain service: the one with the shortest
 // expected wait. tried names instances that are not to be chosen again. It
 // returns nil when there is none.
-func (f *Fleet) Call(service string, tried []string) *Runner {
+func (f *Fleet) Call(service string, tried []state.InstanceID) *Runner {
 	return f.least(f.Runners(service), tried, func(r *Runner) float64 {
 		cost := float64(r.InFlight()+1) * r.Latency().Seconds()
 		if r.Instance.FailureDomain != f.o.FailureDomain {
@@ -166,7 +166,7 @@
 // this host, near the failure domain that is named or else near the host itself. A
 // session's requests go to the same one of that domain while it isn't far busier than
 // the others, so that its parts stay there.
-func (f *Fleet) Decode(service, session, near string, tried []string) *Runner {
+func (f *Fleet) Decode(service, session, near string, tried []state.InstanceID) *Runner {
 	if near == "" {
 		near = f.o.FailureDomain
 	}
@@ -181,9 +181,10 @@
 	})
 }
 
-// score orders the engines of a session, the same way at all hosts, from 0 to 1.
+// score orders the engines of a session, the same way at all hosts, from 0 to 1. An engine
+// that restarts under its name keeps its sessions.
 func score(session string, r *Runner) float64 {
-	return float64(xxhash.Sum64String(session+r.Instance.ID)) / (1 << 64)
+	return float64(xxhash.Sum64String(session+r.Instance.ID.Name)) / (1 << 64)
 }
 
 // oneIf is 1 for true and 0 for false.
@@ -198,7 +199,7 @@
 // session at the same engine without talking, so that its shared parts stay
 // there, and name the same others after it; an engine with far more from this host
 // than the others is passed over.
-func (f *Fleet) Prefill(service, session string, tried []string) *Runner {
+func (f *Fleet) Prefill(service, session string, tried []state.InstanceID) *Runner {
 	runners := f.service(service).reading
 	if session == "" {
 		return f.least(runners, tried, func(r *Runner) float64 { return float64(r.InFlight() + 1) })
@@ -231,7 +232,7 @@
 // least returns the runner of least cost; runners that lately failed cost more,
 // and suspects are taken only when nothing else is left. Ties are broken at
 // random, so that hosts don't all choose the same one.
-func (f *Fleet) least(runners []*Runner, tried []string, cost func(*Runner) float64) *Runner {
+func (f *Fleet) least(runners []*Runner, tried []state.InstanceID, cost func(*Runner) float64) *Runner {
 	now := f.o.Clock.Now()
 	var best *Runner
 	bestCost := 0.0
--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -12,20 +12,50 @@
 	"github.com/thymerack/thymerack/state"
 )
 
+func named(name string) state.InstanceID { return state.InstanceID{Name: name} }
+
 func newFleet(domain string, n int, role state.Role) *Fleet {
 	f := NewFleet(Options{Clock: clocktest.Bubble{}, FailureDomain: domain})
 	var list []state.Instance
 	for i := range n {
-		list = append(list, state.Instance{ID: fmt.Sprintf("e%02d", i), Service: "s", FailureDomain: fmt.Sprint("d", i%3), Role: role})
+		list = append(list, state.Instance{ID: named(fmt.Sprintf("e%02d", i)), Service: "s", FailureDomain: fmt.Sprint("d", i%3), Role: role})
 	}
 	f.Update(list)
 	return f
 }
 
+// What was believed of a run ends with it: one that restarts under its name begins anew,
+// and late news of the former run changes nothing.
+func TestRestartedRunnerBeginsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := NewFleet(Options{Clock: clocktest.Bubble{}})
+		run := func(born int64) state.Instance {
+			return state.Instance{ID: state.InstanceID{Name: "e", Born: born}, Service: "s", Role: state.RoleDecode}
+		}
+		f.Update([]state.Instance{run(1)})
+		before := f.Runners("s")[0]
+		end := before.Begin()
+		before.Broken()
+		f.Expect([]state.InstanceID{run(1).ID}, state.RolePrefill, time.Minute)
+		f.Update([]state.Instance{run(2)})
+		is.True(!f.Has(run(1).ID)) // what was chosen before isn't sent any more
+		is.True(f.Has(run(2).ID))
+		after := f.Runners("s")[0]
+		before.Broken()
+		f.Expect([]state.InstanceID{run(1).ID}, state.RolePrefill, time.Minute)
+		end()
+		is.True(!after.Suspect(time.Now()))
+		is.Equal(after.FailureRate(time.Now()), 0.0)
+		is.Equal(after.InFlight(), int64(0))
+		is.Equal(score("x", before), score("x", after)) // its sessions stay
+	})
+}
+
 func TestHostsAgreeOnASessionsEngine(t *testing.T) {
 	is := is.New(t)
 	a, b := newFleet("d0", 9, state.RolePrefill), newFleet("d1", 9, state.RolePrefill)
-	used := map[string]int{}
+	used := map[state.InstanceID]int{}
 	const sessions = 900
 	for i := range sessions {
 		session := fmt.Sprint("session-", i)
@@ -46,7 +76,7 @@
 		session := fmt.Sprint("session-", i)
 		before := f.Prefill("s", session, nil)
 		after := smaller.Prefill("s", session, nil)
-		if before.Instance.ID != "e08" {
+		if before.Instance.ID != named("e08") {
 			is.Equal(before.Instance.ID, after.Instance.ID)
 		}
 	}
@@ -61,7 +91,7 @@
 	}
 	chosen := f.Prefill("s", "x", nil)
 	is.True(chosen.Instance.ID != home.Instance.ID)
-	again := f.Prefill("s", "x", []string{chosen.Instance.ID})
+	again := f.Prefill("s", "x", []state.InstanceID{chosen.Instance.ID})
 	is.True(again.Instance.ID != chosen.Instance.ID)
 }
 
@@ -91,7 +121,7 @@
 	chosen := f.Prefill("s", "x", nil)
 	is.True(chosen == nil)
 	is.True(f.Decode("s", "x", "", nil) != nil)
-	is.True(f.Decode("s", "x", "", []string{"e00", "e01", "e02"}) == nil)
+	is.True(f.Decode("s", "x", "", []state.InstanceID{named("e00"), named("e01"), named("e02")}) == nil)
 	is.True(f.Call("other", nil) == nil)
 }
 
@@ -101,37 +131,37 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet("d0", 3, state.RoleDecode)
-		f.Expect([]string{"e00", "e01", "gone"}, state.RolePrefill, 8*time.Second)
+		f.Expect([]state.InstanceID{named("e00"), named("e01"), named("gone")}, state.RolePrefill, 8*time.Second)
 		for range 20 {
 			chosen := f.Decode("s", "", "", nil)
-			is.Equal(chosen.Instance.ID, "e02")
+			is.Equal(chosen.Instance.ID, named("e02"))
 			chosen.Answered(time.Millisecond)
 		}
-		changing := f.Decode("s", "", "", []string{"e02"}) // when nothing else is left
+		changing := f.Decode("s", "", "", []state.InstanceID{named("e02")}) // when nothing else is left
 		is.True(changing != nil)
 		changing.Answered(time.Millisecond) // what it had taken before
-		is.Equal(f.Decode("s", "", "", nil).Instance.ID, "e02")
+		is.Equal(f.Decode("s", "", "", nil).Instance.ID, named("e02"))
 
 		f.Update([]state.Instance{
-			{ID: "e00", Service: "s", Role: state.RolePrefill}, {ID: "e01", Service: "s", Role: state.RoleDecode}, {ID: "e02", Service: "s", Role: state.RoleDecode},
+			{ID: named("e00"), Service: "s", Role: state.RolePrefill}, {ID: named("e01"), Service: "s", Role: state.RoleDecode}, {ID: named("e02"), Service: "s", Role: state.RoleDecode},
 		})
 		reads := f.Prefill("s", "", nil)
-		is.Equal(reads.Instance.ID, "e00")
+		is.Equal(reads.Instance.ID, named("e00"))
 		is.True(!reads.Suspect(time.Now()))
-		is.Equal(f.Decode("s", "", "", nil).Instance.ID, "e02")
+		is.Equal(f.Decode("s", "", "", nil).Instance.ID, named("e02"))
 		time.Sleep(8*time.Second + time.Millisecond) // e01's order was lost
-		is.True(!f.Decode("s", "", "", []string{"e02"}).Suspect(time.Now()))
+		is.True(!f.Decode("s", "", "", []state.InstanceID{named("e02")}).Suspect(time.Now()))
 	})
 }
 
 func TestDrainingInstanceIsNeverChosen(t *testing.T) {
 	is := is.New(t)
 	f := newFleet("d0", 2, "")
-	f.Update([]state.Instance{{ID: "e00", Service: "s", Draining: true}, {ID: "e01", Service: "s"}})
-	is.True(!f.Has("e00"))
-	is.True(f.Has("e01"))
+	f.Update([]state.Instance{{ID: named("e00"), Service: "s", Draining: true}, {ID: named("e01"), Service: "s"}})
+	is.True(!f.Has(named("e00")))
+	is.True(f.Has(named("e01")))
 	for range 20 {
-		is.Equal(f.Call("s", nil).Instance.ID, "e01")
+		is.Equal(f.Call("s", nil).Instance.ID, named("e01"))
 	}
 }
 
@@ -144,7 +174,7 @@
 		for range 20 {
 			is.True(f.Call("s", nil).Instance.ID != broken.Instance.ID)
 		}
-		is.Equal(f.Call("s", []string{f.Runners("s")[1].Instance.ID}), broken) // when nothing else is left
+		is.Equal(f.Call("s", []state.InstanceID{f.Runners("s")[1].Instance.ID}), broken) // when nothing else is left
 		time.Sleep(suspectFirst + 20*failureHalfLife)
 		is.True(!broken.Suspect(time.Now()))
 		other := f.Runners("s")[1]
--- a/coordination/stages/learn.go
+++ b/coordination/stages/learn.go
@@ -112,6 +112,9 @@
 			continue
 		}
 		report, err := m.o.Engines.Report(ctx, i)
+		if err == nil && !report.of(i) {
+			err = &anotherRunError{Instance: i.ID, Born: report.Born}
+		}
 		if err != nil {
 			m.o.Log.Info("engine not sampled", "instance", i.ID, "cause", err.Error())
 			continue
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -14,6 +14,8 @@
 
 // Report is what an engine says of itself.
 type Report struct {
+	// Born is the start of the run that reports, as in state.InstanceID; 0 if it isn't said.
+	Born int64
 	Role state.Role
 	// Busy is set while an order is carried out.
 	Busy bool
@@ -25,6 +27,23 @@
 	KVUsed, KVTotal int
 }
 
+// of reports whether the run that reports is the one that is meant. The number of
+// orders that another run has accepted says nothing of this one.
+func (r Report) of(i *state.Instance) bool {
+	return r.Born == 0 || i.ID.Born == 0 || r.Born == i.ID.Born
+}
+
+// anotherRunError says that an engine has restarted since it was listed.
+type anotherRunError struct {
+	Instance state.InstanceID
+	Born     int64
+}
+
+// Error implements error.
+func (e *anotherRunError) Error() string {
+	return fmt.Sprintf("engine %s has restarted as of %d; wait until the list shows the new run", e.Instance, e.Born)
+}
+
 // Order asks an engine to change its role.
 type Order struct {
 	Role state.Role
@@ -109,8 +128,8 @@
 	o Options
 	// ordered holds the orders given, by instance, and pausing until when an engine
 	// that took none is left alone.
-	ordered map[string]given
-	pausing map[string]time.Time
+	ordered map[state.InstanceID]given
+	pausing map[state.InstanceID]time.Time
 	// since is when a service's split began to differ from the plan.
 	since map[string]time.Time
 	// stood is set for services whose split has stood as planned since the plan
@@ -175,8 +194,8 @@
 
 // forgetTerm begins a term that doesn't go on with this run's last one.
 func (m *Manager) forgetTerm() {
-	m.ordered, m.since, m.stood = map[string]given{}, map[string]time.Time{}, map[string]bool{}
-	m.pausing, m.demand, m.counted = map[string]time.Time{}, map[string]*demand{}, map[string]listedCount{}
+	m.ordered, m.since, m.stood = map[state.InstanceID]given{}, map[string]time.Time{}, map[string]bool{}
+	m.pausing, m.demand, m.counted = map[state.InstanceID]time.Time{}, map[string]*demand{}, map[string]listedCount{}
 }
 
 // service compares one service's roles with the plan. While this host keeps silence it
@@ -272,7 +291,7 @@
 
 // forget drops orders that have been carried out or count as lost.
 func (m *Manager) forget(engines []state.Instance, now time.Time) {
-	listed := map[string]state.Role{}
+	listed := map[state.InstanceID]state.Role{}
 	for _, e := range engines {
 		listed[e.ID] = e.Role
 	}
@@ -297,6 +316,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	report, err := m.o.Engines.Report(ctx, i)
+	if err == nil && !report.of(i) {
+		err = &anotherRunError{Instance: i.ID, Born: report.Born}
+	}
 	if err != nil || report.Busy {
 		m.o.Log.Info("engine not ordered", "instance", i.ID, "busy", report.Busy, "cause", fmt.Sprint(err))
 		m.pausing[i.ID] = now.Add(retryOrder)
--- a/coordination/stages/plan.go
+++ b/coordination/stages/plan.go
@@ -53,7 +53,7 @@
 			break
 		}
 		list := byDomain[domain]
-		slices.SortFunc(list, func(a, b state.Instance) int { return cmp.Compare(a.ID, b.ID) })
+		slices.SortFunc(list, func(a, b state.Instance) int { return cmp.Compare(a.ID.Name, b.ID.Name) })
 		out = append(out, Change{list[0], to})
 		byDomain[domain] = list[1:]
 	}
--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -27,7 +27,7 @@
 		if i >= prefill {
 			role = state.RoleDecode
 		}
-		out = append(out, state.Instance{ID: fmt.Sprintf("e%02d", i), FailureDomain: fmt.Sprint("d", i%3), Role: role, Slots: 10})
+		out = append(out, state.Instance{ID: state.InstanceID{Name: fmt.Sprintf("e%02d", i)}, FailureDomain: fmt.Sprint("d", i%3), Role: role, Slots: 10})
 	}
 	return out
 }
@@ -76,13 +76,13 @@
 // fakeEngines carry orders out as the platform's do, at once or late, and note them.
 type fakeEngines struct {
 	mu       sync.Mutex
-	engines  map[string]*fakeEngine
+	engines  map[state.InstanceID]*fakeEngine
 	rng      *rand.Rand
 	late     float64
 	orders   []received
 	problems []string
 	// announced is when a change of each engine was announced last.
-	announced map[string]time.Time
+	announced map[state.InstanceID]time.Time
 	// perEngine is what an engine that generates would have active and waiting if
 	// all did.
 	perEngine float64
@@ -97,7 +97,7 @@
 const switchTime = 3 * time.Second
 
 func newFakeEngines(list []state.Instance, late float64, seed uint64) *fakeEngines {
-	f := &fakeEngines{engines: map[string]*fakeEngine{}, announced: map[string]time.Time{}, rng: rand.New(rand.NewPCG(seed, 7)), late: late}
+	f := &fakeEngines{engines: map[state.InstanceID]*fakeEngine{}, announced: map[state.InstanceID]time.Time{}, rng: rand.New(rand.NewPCG(seed, 7)), late: late}
 	for _, i := range list {
 		f.engines[i.ID] = &fakeEngine{instance: i}
 	}
@@ -140,8 +140,8 @@
 func (f *fakeEngines) Report(_ context.Context, i *state.Instance) (Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := f.engines[i.ID]
-	r := Report{Role: e.instance.Role, Busy: time.Now().Before(e.busyTill), Accepted: e.accepted, Active: 5}
+	e := f.runOf(i.ID)
+	r := Report{Born: e.instance.ID.Born, Role: e.instance.Role, Busy: time.Now().Before(e.busyTill), Accepted: e.accepted, Active: 5}
 	if f.perEngine > 0 && r.Role == state.RoleDecode {
 		generating := len(f.engines) - prefilling(f.instances())
 		r.Active = int(f.perEngine * float64(len(f.engines)) / float64(generating))
@@ -149,6 +149,20 @@
 	return r, nil
 }
 
+// runOf is the run that answers for an engine: that of the id, or the one that has
+// restarted under its name.
+func (f *fakeEngines) runOf(id state.InstanceID) *fakeEngine {
+	if e := f.engines[id]; e != nil {
+		return e
+	}
+	for other, e := range f.engines {
+		if other.Name == id.Name {
+			return e
+		}
+	}
+	return nil
+}
+
 func (f *fakeEngines) Order(ctx context.Context, i *state.Instance, o Order) (Result, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -184,8 +198,8 @@
 	return len(f.orders)
 }
 
-func (f *fakeEngines) apply(id string, o Order) Result {
-	e := f.engines[id]
+func (f *fakeEngines) apply(id state.InstanceID, o Order) Result {
+	e := f.runOf(id)
 	switch {
 	case o.Accepted != e.accepted || time.Now().Before(e.busyTill):
 		return ResultConflict
@@ -222,8 +236,8 @@
 	defer f.mu.Unlock()
 	var gone []*fakeEngine
 	for _, id := range ids {
-		gone = append(gone, f.engines[id])
-		delete(f.engines, id)
+		gone = append(gone, f.engines[state.InstanceID{Name: id}])
+		delete(f.engines, state.InstanceID{Name: id})
 	}
 	return func() {
 		f.mu.Lock()
@@ -283,6 +297,65 @@
 	})
 }
 
+// restart lets an engine start again under its name, with the role that it had at first.
+func (f *fakeEngines) restart(name string, born int64, role state.Role) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.runOf(state.InstanceID{Name: name}).instance
+	delete(f.engines, before.ID)
+	before.ID.Born, before.Role = born, role
+	f.engines[before.ID] = &fakeEngine{instance: before}
+}
+
+// An engine that restarts under its name has carried out no order: what was ordered of
+// the former run counts no more, and the new one is brought to the split.
+func TestOrdersOfAFormerRunDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeEngines(engines(4, 8), 0, 1)
+		stop := runHolder(t, storetest.NewPlatform(time.Second), f, "h")
+		time.Sleep(5 * time.Second) // four of eight have just been ordered to read
+		is.Equal(len(f.orders), 4)
+		var changed []string
+		f.mu.Lock()
+		for id, e := range f.engines {
+			if e.accepted > 0 {
+				changed = append(changed, id.Name)
+			}
+		}
+		f.mu.Unlock()
+		for i, name := range changed {
+			f.restart(name, int64(i+1), state.RoleDecode)
+		}
+		time.Sleep(time.Minute)
+		stop()
+		is.Equal(f.reading(), 8)
+		is.Equal(len(f.problems), 0)
+	})
+}
+
+// The list still shows the former run while another answers the report: nothing is
+// ordered by the count of orders of a run that isn't listed.
+func TestEngineThatRestartedSinceItWasListedIsNotOrdered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeEngines(engines(4, 8), 0, 1)
+		listed := f.list("llm")
+		for i := range listed {
+			listed[i].ID.Born = 1
+		}
+		for i, e := range listed {
+			f.restart(e.ID.Name, int64(i+2), e.Role)
+		}
+		m := newManager(t, storetest.NewPlatform(time.Second), f, "h", 1)
+		m.o.Instances = func(string) []state.Instance { return listed }
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		is.NoErr(m.Run(ctx))
+		is.Equal(len(f.orders), 0)
+	})
+}
+
 func TestCrashOfSecondsMovesNoRole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -112,7 +112,7 @@
 	h.fleet = placement.NewFleet(placement.Options{Clock: h.clock, FailureDomain: h.s.FailureDomain})
 	h.config = follow.NewConfig(platform.ConfigName, platform.DecodeConfig, h.log)
 	h.instances = follow.NewInstances(follow.InstancesOptions{
-		Clock: h.clock, Log: h.log, Decode: platform.DecodeInstance, Publish: h.publish,
+		Clock: h.clock, Log: h.log, Decode: platform.DecodeInstance, Publish: h.publish, Unusable: h.metrics.unusableEntry,
 		Outage:  func() bool { return h.listed.AwayWithin(outageWindow) },
 		HoldFor: holdFor,
 	})
@@ -237,7 +237,7 @@
 
 // announce tells all hosts, this one too, which engines are about to change their role.
 func (h *Host) announce(ctx context.Context, changes []stages.Change) {
-	byRole := map[state.Role][]string{}
+	byRole := map[state.Role][]state.InstanceID{}
 	for _, c := range changes {
 		byRole[c.Role] = append(byRole[c.Role], c.Instance.ID)
 	}
@@ -246,7 +246,7 @@
 	announcer := roles.Announcer{Client: h.peers, Peers: h.members.Peers, Log: h.log}
 	for role, engines := range byRole {
 		h.fleet.Expect(engines, role, stages.SettleWithin)
-		announcer.Announce(ctx, roles.Change{Engines: engines, Role: string(role), WithinMS: stages.SettleWithin.Milliseconds()})
+		announcer.Announce(ctx, roles.NewChange(engines, role, stages.SettleWithin))
 	}
 }
 
--- a/daemon/routed/measures.go
+++ b/daemon/routed/measures.go
@@ -69,6 +69,11 @@
 	}
 }
 
+// unusableEntry counts versions of entries in the list of instances that name none.
+func (m *measures) unusableEntry() {
+	m.set.GetOrCreateCounter("thymerack_unusable_entries_total").Inc()
+}
+
 // gauge reports a value that is read when the metrics are.
 func (m *measures) gauge(name string, read func() float64) { m.set.NewGauge(name, read) }
 
--- a/state/routing.go
+++ b/state/routing.go
@@ -1,6 +1,10 @@
 package state
 
-import "time"
+import (
+	"log/slog"
+	"strconv"
+	"time"
+)
 
 // RouteKind says what may be repeated of a route's requests.
 type RouteKind string
@@ -92,9 +96,29 @@
 	MaxBodyBytes int
 }
 
+// InstanceID names one run of a runner: a runner that restarts may keep its name, and
+// then knows nothing of what it held and was told before.
+type InstanceID struct {
+	Name string
+	// Born is when the run started, in Unix milliseconds by the runner's own clock; 0
+	// where runners don't say. It tells runs apart and orders nothing, as clocks differ.
+	Born int64
+}
+
+// String implements fmt.Stringer.
+func (id InstanceID) String() string {
+	if id.Born == 0 {
+		return id.Name
+	}
+	return id.Name + "@" + strconv.FormatInt(id.Born, 10)
+}
+
+// LogValue implements slog.LogValuer.
+func (id InstanceID) LogValue() slog.Value { return slog.StringValue(id.String()) }
+
 // Instance is one run of a runner. A restart is another instance.
 type Instance struct {
-	ID            string
+	ID            InstanceID
 	Service       string
 	Addr          string
 	FailureDomain string
--- a/transport/places/places.go
+++ b/transport/places/places.go
@@ -17,6 +17,7 @@
 // Enter asks for a place at an engine.
 type Enter struct {
 	Engine  string   `msgpack:"e"`
+	Born    int64    `msgpack:"b,omitempty"`
 	Most    int      `msgpack:"m,omitempty"`
 	KeepMS  int64    `msgpack:"k"`
 	Reading *Reading `msgpack:"r,omitempty"`
@@ -53,6 +54,7 @@
 // Remain asks when the reading of a place ends.
 type Remain struct {
 	Engine string `msgpack:"e"`
+	Born   int64  `msgpack:"b,omitempty"`
 	ID     uint64 `msgpack:"i"`
 }
 
@@ -65,6 +67,7 @@
 // Leave ends a place.
 type Leave struct {
 	Engine string `msgpack:"e"`
+	Born   int64  `msgpack:"b,omitempty"`
 	ID     uint64 `msgpack:"i"`
 	Done   bool   `msgpack:"d"`
 }
@@ -82,12 +85,12 @@
 		return entered(book.Enter(a)), nil
 	}))
 	s.Handle(peerapi.KindRemain, peer.HandleMsg(func(_ context.Context, _ state.HostID, q Remain) (Remains, error) {
-		f, progress := book.Remaining(q.Engine, q.ID)
+		f, progress := book.Remaining(state.InstanceID{Name: q.Engine, Born: q.Born}, q.ID)
 		out := entered(occupancy.Answer{ID: q.ID, Forecast: f})
 		return Remains{Progress: int(progress), Forecast: out}, nil
 	}))
 	s.Handle(peerapi.KindLeave, peer.HandleMsg(func(_ context.Context, _ state.HostID, q Leave) (Left, error) {
-		book.Leave(q.Engine, q.ID, q.Done)
+		book.Leave(state.InstanceID{Name: q.Engine, Born: q.Born}, q.ID, q.Done)
 		return Left{}, nil
 	}))
 }
@@ -106,7 +109,7 @@
 func outOfRange(tokens int) bool { return tokens < 0 || tokens > mostTokens }
 
 func enter(a occupancy.Ask) Enter {
-	q := Enter{Engine: a.Engine, Most: a.Most, KeepMS: a.Keep.Milliseconds()}
+	q := Enter{Engine: a.Engine.Name, Born: a.Engine.Born, Most: a.Most, KeepMS: a.Keep.Milliseconds()}
 	if r := a.Reading; r != nil {
 		q.Reading = &Reading{
 			Service: r.Service, Own: r.Work.Own, Fetched: r.Work.Fetched, FetchMS: r.Work.FetchMS, Memory: r.Memory,
@@ -121,7 +124,7 @@
 }
 
 func (q Enter) ask() (occupancy.Ask, error) {
-	a := occupancy.Ask{Engine: q.Engine, Most: q.Most, Keep: millis(float64(q.KeepMS))}
+	a := occupancy.Ask{Engine: state.InstanceID{Name: q.Engine, Born: q.Born}, Most: q.Most, Keep: millis(float64(q.KeepMS))}
 	r := q.Reading
 	if r == nil {
 		return a, nil
@@ -167,13 +170,13 @@
 }
 
 // Remaining implements occupancy.Peers.
-func (p Peers) Remaining(ctx context.Context, addr, engine string, id uint64) (backlog.Forecast, backlog.Progress, error) {
-	got, err := peer.CallMsg[Remain, Remains](ctx, p.Client, addr, peerapi.KindRemain, Remain{engine, id})
+func (p Peers) Remaining(ctx context.Context, addr string, engine state.InstanceID, id uint64) (backlog.Forecast, backlog.Progress, error) {
+	got, err := peer.CallMsg[Remain, Remains](ctx, p.Client, addr, peerapi.KindRemain, Remain{engine.Name, engine.Born, id})
 	return got.Forecast.answer().Forecast, backlog.Progress(got.Progress), err
 }
 
 // Leave implements occupancy.Peers.
-func (p Peers) Leave(ctx context.Context, addr, engine string, id uint64, done bool) error {
-	_, err := peer.CallMsg[Leave, Left](ctx, p.Client, addr, peerapi.KindLeave, Leave{engine, id, done})
+func (p Peers) Leave(ctx context.Context, addr string, engine state.InstanceID, id uint64, done bool) error {
+	_, err := peer.CallMsg[Leave, Left](ctx, p.Client, addr, peerapi.KindLeave, Leave{engine.Name, engine.Born, id, done})
 	return err
 }
--- a/transport/places/places_test.go
+++ b/transport/places/places_test.go
@@ -20,6 +20,9 @@
 func hostID(name string) state.HostID { return state.HostID{Name: name, Incarnation: "1"} }
 
 // serve answers for a book and returns its address and calls to it.
+// engine is a run that has a start of its own.
+var engine = state.InstanceID{Name: "e", Born: 1_790_000_000_123}
+
 func serve(t *testing.T) (string, Peers) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -51,7 +54,7 @@
 func TestPlacesAreGivenAndEndedOverTheNetwork(t *testing.T) {
 	is := is.New(t)
 	addr, peers := serve(t)
-	a := occupancy.Ask{Engine: "e", Most: 3, Keep: time.Hour}
+	a := occupancy.Ask{Engine: engine, Most: 3, Keep: time.Hour}
 	var ids []uint64
 	for {
 		answer, err := peers.Enter(t.Context(), addr, a)
@@ -62,7 +65,7 @@
 		ids = append(ids, answer.ID)
 	}
 	is.Equal(len(ids), a.Most)
-	is.NoErr(peers.Leave(t.Context(), addr, "e", ids[0], false))
+	is.NoErr(peers.Leave(t.Context(), addr, engine, ids[0], false))
 	answer, err := peers.Enter(t.Context(), addr, a)
 	is.NoErr(err)
 	is.True(answer.ID != 0)
@@ -72,7 +75,7 @@
 func TestReadingsAreForecastOverTheNetwork(t *testing.T) {
 	is := is.New(t)
 	addr, peers := serve(t)
-	a := occupancy.Ask{Engine: "e", Keep: time.Hour, Reading: &occupancy.Reading{
+	a := occupancy.Ask{Engine: engine, Keep: time.Hour, Reading: &occupancy.Reading{
 		Service: "s", Memory: 1e6, MaxWait: time.Hour, Limit: time.Hour, Warm: true,
 		Work: backlog.Work{Shared: []backlog.Part{{ID: 1 << 63, Tokens: 6000}, {ID: 2, Tokens: 300}}, Own: 3000, Fetched: 6000, FetchMS: 2.5},
 	}}
@@ -86,11 +89,11 @@
 	is.NoErr(err)
 	is.True(got.ID != 0)
 	is.True(got.Forecast.Rank >= backlog.Classes)
-	f, progress, err := peers.Remaining(t.Context(), addr, "e", got.ID)
+	f, progress, err := peers.Remaining(t.Context(), addr, engine, got.ID)
 	is.NoErr(err)
 	is.Equal(progress, backlog.Underway)
 	is.True(f.Finish > 0 && f.Finish <= got.Forecast.Finish)
-	_, progress, err = peers.Remaining(t.Context(), addr, "e", got.ID+1)
+	_, progress, err = peers.Remaining(t.Context(), addr, engine, got.ID+1)
 	is.NoErr(err)
 	is.Equal(progress, backlog.Unknown)
 }
@@ -110,10 +113,10 @@
 	is.NoErr(err)
 	addr := ln.Addr().String()
 	is.NoErr(ln.Close())
-	answer, err := peers.Enter(t.Context(), addr, occupancy.Ask{Engine: "e"})
+	answer, err := peers.Enter(t.Context(), addr, occupancy.Ask{Engine: engine})
 	is.True(err != nil)
 	is.Equal(answer.ID, uint64(0))
-	_, progress, err := peers.Remaining(t.Context(), addr, "e", 1)
+	_, progress, err := peers.Remaining(t.Context(), addr, engine, 1)
 	is.True(err != nil)
 	is.Equal(progress, backlog.Unknown)
 }
--- a/transport/roles/roles_test.go
+++ b/transport/roles/roles_test.go
@@ -20,8 +20,8 @@
 	s, err := peer.NewServer(peer.ServerOptions{Self: state.HostID{Name: "hears", Incarnation: "1"}})
 	is.NoErr(err)
 	got := make(chan Change, 1)
-	Register(s, func(engines []string, role state.Role, within time.Duration) {
-		got <- Change{engines, string(role), within.Milliseconds()}
+	Register(s, func(engines []state.InstanceID, role state.Role, within time.Duration) {
+		got <- NewChange(engines, role, within)
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	served := make(chan error, 1)
@@ -31,7 +31,7 @@
 	is.NoErr(gone.Close())
 	client, err := peer.NewClient(peer.ClientOptions{Self: state.HostID{Name: "tells", Incarnation: "1"}})
 	is.NoErr(err)
-	c := Change{Engines: []string{"e1", "e2"}, Role: string(state.RolePrefill), WithinMS: 8000}
+	c := NewChange([]state.InstanceID{{Name: "e1"}, {Name: "e2", Born: 1_790_000_000_123}}, state.RolePrefill, 8*time.Second)
 	a := Announcer{Client: client, Log: slog.New(slog.DiscardHandler), Peers: func() []string {
 		return []string{gone.Addr().String(), ln.Addr().String()}
 	}}
--- a/transport/runners/pool.go
+++ b/transport/runners/pool.go
@@ -1,5 +1,5 @@
 // Package runners sends attempts to runners, over connections that are kept for
-// each instance by its id and never by its address alone.
+// each run of a runner and never by its address or name alone.
 package runners
 
 import (
@@ -63,7 +63,7 @@
 	o Options
 
 	mu      sync.Mutex
-	clients map[string]*client
+	clients map[state.InstanceID]*client
 }
 
 // client is the connections to one instance.
@@ -79,11 +79,11 @@
 	if o.Codec == nil || o.ConnLimit == nil || o.MaxHeaderBytes <= 0 {
 		return nil, errors.New("runners: a field of Options is missing; set all of them")
 	}
-	return &Pool{o: o, clients: map[string]*client{}}, nil
+	return &Pool{o: o, clients: map[state.InstanceID]*client{}}, nil
 }
 
 // Retain closes the connections of instances for which keep is false.
-func (p *Pool) Retain(keep func(id string) bool) {
+func (p *Pool) Retain(keep func(id state.InstanceID) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, c := range p.clients {
--- a/transport/runners/pool_test.go
+++ b/transport/runners/pool_test.go
@@ -94,14 +94,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { p.Retain(func(string) bool { return false }) })
+	t.Cleanup(func() { p.Retain(func(state.InstanceID) bool { return false }) })
 	return p
 }
 
 func attemptAt(r *runner, id string, body int) *forward.Attempt {
 	return &forward.Attempt{
 		Request:  &forward.Request{ID: id, URI: "/x", Body: make([]byte, body)},
-		Instance: &state.Instance{ID: "i-1", Service: "s", Addr: r.addr}, Left: 2 * time.Second,
+		Instance: &state.Instance{ID: state.InstanceID{Name: "i-1"}, Service: "s", Addr: r.addr}, Left: 2 * time.Second,
 	}
 }
 
@@ -278,3 +278,26 @@
 	is.True(!failed.Sent)
 	is.True(strings.Contains(err.Error(), "another runner"))
 }
+
+// A runner that restarts under its name gets connections of its own.
+func TestConnectionsOfAFormerRunAreClosed(t *testing.T) {
+	is := is.New(t)
+	accepted := make(chan struct{}, 2)
+	r := newRunner(t, func(c net.Conn, br *bufio.Reader) {
+		accepted <- struct{}{}
+		for id := requestOf(br); id != ""; id = requestOf(br) {
+			_, _ = io.WriteString(c, responseText(id, "body", ""))
+		}
+	})
+	p := newPool(t, 4)
+	a := attemptAt(r, "r1", 0)
+	a.Instance.ID.Born = 1
+	_, err := send(t, p, a)
+	is.NoErr(err)
+	again := attemptAt(r, "r2", 0)
+	again.Instance.ID.Born = 2
+	p.Retain(func(id state.InstanceID) bool { return id == again.Instance.ID })
+	_, err = send(t, p, again)
+	is.NoErr(err)
+	is.Equal(len(accepted), 2)
+}
