--- /dev/null
+++ b/coordination/fanout/fanout_test.go
@@ -0,0 +1,220 @@
+package fanout
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+// fleetSize is the size that the brief gives as where this is going.
+const fleetSize = 320
+
+// inFleet plays a test on a fleet that has settled.
+func inFleet(t *testing.T, n int, play func(is *is.I, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, n)
+		f.start()
+		defer f.end()
+		time.Sleep(10 * time.Second)
+		if late := f.behind(kindThings, "r0", "ready"); len(late) > 0 {
+			t.Fatalf("not started: %s", some(late))
+		}
+		play(is.New(t), f)
+	})
+}
+
+// One change costs a call of each relay, not of each host, and is known everywhere at once.
+func TestCallsAtTheStoreDoNotGrowWithTheFleet(t *testing.T) {
+	inFleet(t, fleetSize, func(is *is.I, f *fleet) {
+		relays := len(f.relays())
+		is.Equal(relays, testDomains*perDomain)
+		f.spent()
+		for i := range 10 {
+			f.write(kindConfig, "main", fmt.Sprint(i+2))
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(f.behind(kindConfig, "main", fmt.Sprint(i+2)), nil)
+		}
+		f.remove(kindThings, "r7")
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(f.behind(kindThings, "r7", ""), nil)
+		time.Sleep(20 * time.Second)
+		is.True(f.spent() <= relays*(11+2*2)) // the changes, and two ends of each waiting watch
+	})
+}
+
+// Domains with a handful of hosts need no relays: all of their hosts follow the store.
+func TestSmallFleetFollowsTheStore(t *testing.T) {
+	inFleet(t, 2*testDomains, func(is *is.I, f *fleet) {
+		is.Equal(len(f.relays()), 2*testDomains)
+	})
+}
+
+// Whatever happens to relays, every host that reaches the store has a change within the
+// bound, counted from the change; those that don't have it from a peer.
+func TestChangesAreKnownInTimeThoughRelaysFail(t *testing.T) {
+	for name, trouble := range map[string]func(f *fleet){
+		"one relay of each domain is killed": func(f *fleet) {
+			for i, h := range f.relays() {
+				if i%2 == 0 {
+					f.set(f.silent, h.self.Addr, true)
+				}
+			}
+		},
+		"all relays of a domain are lost at once": func(f *fleet) {
+			for _, h := range f.relays() {
+				if h.self.FailureDomain == "d1" {
+					f.set(f.silent, h.self.Addr, true)
+				}
+			}
+		},
+		"all relays are lost at once": func(f *fleet) {
+			for _, h := range f.relays() {
+				f.set(f.silent, h.self.Addr, true)
+			}
+		},
+		"a relay is cut off from the store": func(f *fleet) { f.set(f.cut, f.relays()[0].self.Addr, true) },
+		"a domain's relays are cut off from the store": func(f *fleet) {
+			for _, h := range f.relays() {
+				if h.self.FailureDomain == "d2" {
+					f.set(f.cut, h.self.Addr, true)
+				}
+			}
+		},
+		"the store turns a third away": func(f *fleet) {
+			for i, h := range f.hosts {
+				f.set(f.refuse, h.self.Addr, i%3 == 0)
+			}
+		},
+		"the store turns all relays away": func(f *fleet) {
+			for _, h := range f.relays() {
+				f.set(f.refuse, h.self.Addr, true)
+			}
+		},
+		"the store forgets its history": func(f *fleet) { f.store.Forget() },
+		"relays leave": func(f *fleet) {
+			for _, h := range f.relays() {
+				h.Leave()
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, fleetSize, func(is *is.I, f *fleet) {
+				trouble(f)
+				f.write(kindConfig, "main", "2")
+				f.remove(kindThings, "r3")
+				time.Sleep(testBound - time.Second)
+				is.Equal(f.behind(kindConfig, "main", "2"), nil)
+				is.Equal(f.behind(kindThings, "r3", ""), nil)
+				time.Sleep(20 * time.Second)
+				f.write(kindConfig, "main", "3")
+				time.Sleep(testBound - time.Second)
+				is.Equal(f.behind(kindConfig, "main", "3"), nil)
+			})
+		})
+	}
+}
+
+// The store drops its history and cuts all waiting watches: the relays ask again at once,
+// and the others stay with them.
+func TestCutWatchesAreNoLossOfTheStore(t *testing.T) {
+	inFleet(t, fleetSize, func(is *is.I, f *fleet) {
+		f.spent()
+		f.cutWatches()
+		time.Sleep(5 * time.Second)
+		is.Equal(len(f.relays()), testDomains*perDomain)
+		is.True(f.spent() <= 4*len(kinds)*testDomains*perDomain)
+		f.write(kindConfig, "main", "2")
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(f.behind(kindConfig, "main", "2"), nil)
+	})
+}
+
+// While the store is down nobody storms it, and all know what changed soon after its end.
+func TestOutageOfTheStoreEndsForAllAtOnce(t *testing.T) {
+	inFleet(t, fleetSize, func(is *is.I, f *fleet) {
+		f.mu.Lock()
+		f.down = true
+		f.mu.Unlock()
+		f.write(kindConfig, "main", "2")
+		time.Sleep(5 * time.Second)
+		f.spent()
+		const outage = 10
+		time.Sleep(outage * time.Second)
+		is.True(f.spent() <= outage*2*fleetSize) // at most two calls a second of each host
+		f.mu.Lock()
+		f.down = false
+		f.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		is.Equal(f.behind(kindConfig, "main", "2"), nil)
+		for _, h := range f.hosts {
+			is.True(h.copies[kindThings].AwayWithin(10 * time.Second)) // all know that entries may be missing
+		}
+		time.Sleep(10 * time.Second)
+		is.True(len(f.relays()) <= 4*testDomains*perDomain) // the others follow peers again
+	})
+}
+
+// A host that believes in other relays than the rest is served all the same, and two that
+// would follow each other both follow the store.
+func TestHostsThatDisagreeWhoRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 60)
+		weak := func(n int) *host { return f.hosts[30+n] }
+		// Each knows only a few others, so that the weak ones relay by their lists.
+		for n := range 10 {
+			var list []state.Peer
+			for other := range 30 {
+				if other != n {
+					list = append(list, weak(other).self)
+				}
+			}
+			weak(n).list = list
+		}
+		f.start()
+		defer f.end()
+		time.Sleep(10 * time.Second)
+		f.write(kindConfig, "main", "2")
+		time.Sleep(time.Second)
+		is.Equal(f.behind(kindConfig, "main", "2"), nil)
+	})
+}
+
+// Three quarters more hosts at once, and a relay that only they know.
+func TestHostsAreAdded(t *testing.T) {
+	inFleet(t, 160, func(is *is.I, f *fleet) {
+		f.spent()
+		for i := range 120 {
+			f.hosts = append(f.hosts, f.newHost(160+i))
+		}
+		all := f.peers()
+		for _, h := range f.hosts[160:] {
+			h.list = all
+			h.start()
+		}
+		time.Sleep(testWait)
+		is.Equal(f.behind(kindThings, "r0", "ready"), nil)
+		is.True(f.spent() < 100) // they ask relays, not the store
+	})
+}
+
+// All hosts start again at once: each has its copies within two seconds, and the store is
+// asked by the relays alone.
+func TestAllHostsReturnAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, fleetSize)
+		f.start()
+		defer f.end()
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(f.behind(kindThings, "r0", "ready"), nil)
+		is.Equal(len(f.relays()), testDomains*perDomain)
+		is.True(f.spent() <= 3*2*testDomains*perDomain)
+	})
+}
--- /dev/null
+++ b/coordination/fanout/fleet_test.go
@@ -0,0 +1,357 @@
+package fanout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/store"
+	"github.com/thymerack/thymerack/coordination/store/storetest"
+	"github.com/thymerack/thymerack/state"
+)
+
+const (
+	kindConfig  = "config"
+	kindThings  = "things"
+	testWait    = time.Second // a quarter of a bound of 4 s
+	testBound   = 4 * time.Second
+	testDomains = 5
+)
+
+var kinds = []string{kindConfig, kindThings}
+
+// fleet is hosts over one store, each in touch with the others until it is taken away.
+type fleet struct {
+	t     *testing.T
+	store *storetest.Platform
+	hosts []*host
+
+	mu     sync.Mutex
+	silent map[string]bool // answer nobody and ask nobody
+	cut    map[string]bool // don't reach the store, which they learn by silence
+	refuse map[string]bool // are turned away by the store
+	down   bool
+	calls  map[string]int
+	cost   int
+	// watches are ended, with an error, when cutting is closed.
+	cutting chan struct{}
+}
+
+type host struct {
+	*Node
+	f      *fleet
+	self   state.Peer
+	list   []state.Peer
+	copies map[string]*follow.Mirror
+	stop   context.CancelFunc
+	ended  chan struct{}
+}
+
+// noticed is how long a cut from the store goes unnoticed by a waiting watch.
+const noticed = 3 * time.Second
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{
+		t: t, store: storetest.NewPlatform(20 * time.Second),
+		silent: map[string]bool{}, cut: map[string]bool{}, refuse: map[string]bool{}, calls: map[string]int{}, cutting: make(chan struct{}),
+	}
+	f.store.SetScript(f.script)
+	for i := range n {
+		f.hosts = append(f.hosts, f.newHost(i))
+	}
+	for _, h := range f.hosts {
+		h.list = f.peers()
+	}
+	f.write(kindConfig, "main", "1")
+	for i := range 20 {
+		f.write(kindThings, fmt.Sprint("r", i), "ready")
+	}
+	return f
+}
+
+func (f *fleet) peers() []state.Peer {
+	var out []state.Peer
+	for _, h := range f.hosts {
+		out = append(out, h.self)
+	}
+	return out
+}
+
+// newHost makes a host; one in twenty is strong.
+func (f *fleet) newHost(i int) *host {
+	class := 1
+	if i/testDomains%20 == 0 {
+		class = 5
+	}
+	h := &host{f: f, self: state.Peer{Addr: fmt.Sprint("h", i), Class: class, FailureDomain: fmt.Sprint("d", i%testDomains)}}
+	h.copies = map[string]*follow.Mirror{}
+	outage := &follow.Outage{}
+	for _, kind := range kinds {
+		m, err := follow.New(follow.Options{
+			Store: faulty{f.store.Client(h.self.Addr), f, h.self.Addr}, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
+			Kind: kind, Changed: func(follow.Copy) {}, Outage: outage, Notify: func() { h.Notify() },
+		})
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		h.copies[kind] = m
+	}
+	n, err := New(Options{
+		Self: h.self, Hosts: func() []state.Peer { return h.list }, Copies: h.copies, Peers: network{f, h.self.Addr},
+		Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(7, uint64(i))), Log: slog.New(slog.DiscardHandler), Wait: testWait,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	h.Node = n
+	return h
+}
+
+func (h *host) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop, h.ended = cancel, make(chan struct{})
+	go func() {
+		defer close(h.ended)
+		h.Run(ctx)
+	}()
+}
+
+func (h *host) end() {
+	h.stop()
+	<-h.ended
+}
+
+func (f *fleet) start() {
+	for _, h := range f.hosts {
+		h.start()
+	}
+}
+
+func (f *fleet) end() {
+	for _, h := range f.hosts {
+		h.end()
+	}
+}
+
+func (f *fleet) set(state map[string]bool, addr string, is bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state[addr] = is
+}
+
+func (f *fleet) is(state map[string]bool, addr string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return state[addr]
+}
+
+const operator = "operator"
+
+// write changes an object.
+func (f *fleet) write(kind, name, value string) {
+	c := f.store.Client(operator)
+	var version uint64
+	if o, err := c.Get(context.Background(), kind, name); err == nil {
+		version = o.Version
+	}
+	if _, err := c.Put(context.Background(), kind, name, version, []byte(value)); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) remove(kind, name string) {
+	c := f.store.Client(operator)
+	o, err := c.Get(context.Background(), kind, name)
+	if err == nil {
+		err = c.Delete(context.Background(), kind, name, o.Version)
+	}
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// script counts the hosts' calls, and refuses those of hosts that are turned away.
+func (f *fleet) script(c storetest.Call) storetest.Fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.Caller == operator {
+		return storetest.None
+	}
+	f.cost++
+	f.calls[c.Caller]++
+	if f.down || f.refuse[c.Caller] {
+		return storetest.Refuse
+	}
+	return storetest.None
+}
+
+// spent returns the hosts' calls at the store since it was asked last.
+func (f *fleet) spent() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := f.cost
+	f.cost = 0
+	return out
+}
+
+// behind returns the hosts whose copy of an object isn't value ("" for none).
+func (f *fleet) behind(kind, name, value string) []string {
+	var out []string
+	for _, h := range f.hosts {
+		if f.is(f.silent, h.self.Addr) {
+			continue
+		}
+		found := ""
+		for _, o := range h.copies[kind].Export().Objects {
+			if o.Name == name {
+				found = string(o.Value)
+			}
+		}
+		if found != value {
+			out = append(out, h.self.Addr)
+		}
+	}
+	return out
+}
+
+// relays returns the hosts that follow the store.
+func (f *fleet) relays() []*host {
+	var out []*host
+	for _, h := range f.hosts {
+		if h.FollowsStore() {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+var errSilent = errors.New("no answer")
+
+// faulty is the store as a host reaches it: over a cut a call hears nothing until the cut
+// is noticed.
+type faulty struct {
+	*storetest.Client
+	f    *fleet
+	addr string
+}
+
+func (s faulty) List(ctx context.Context, kind string) ([]store.Object, uint64, error) {
+	if err := s.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	return s.Client.List(ctx, kind)
+}
+
+func (s faulty) Watch(ctx context.Context, kind string, after uint64) (store.Batch, error) {
+	if err := s.reach(ctx); err != nil {
+		return store.Batch{}, err
+	}
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer s.f.onCut(cancel)()
+	b, err := s.Client.Watch(bounded, kind, after)
+	if err != nil && ctx.Err() == nil {
+		return b, &store.UnavailableError{Cause: errSilent}
+	}
+	if err == nil {
+		err = s.reach(ctx) // the answer is lost in the cut as well
+	}
+	return b, err
+}
+
+// Poll implements follow.Poller.
+func (s faulty) Poll(ctx context.Context, kind string, after uint64) (store.Batch, error) {
+	if err := s.reach(ctx); err != nil {
+		return store.Batch{}, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, 5*time.Millisecond)
+	defer cancel()
+	b, err := s.Client.Watch(bounded, kind, after)
+	if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
+		return store.Batch{Revision: after}, nil
+	}
+	return b, err
+}
+
+// onCut calls cut when all watches are cut; the returned function ends that.
+func (f *fleet) onCut(cut func()) (done func()) {
+	f.mu.Lock()
+	cutting := f.cutting
+	f.mu.Unlock()
+	over := make(chan struct{})
+	go func() {
+		select {
+		case <-cutting:
+			cut()
+		case <-over:
+		}
+	}()
+	return func() { close(over) }
+}
+
+// cutWatches drops the store's history and cuts all waiting watches.
+func (f *fleet) cutWatches() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.cutting)
+	f.cutting = make(chan struct{})
+	f.store.Forget()
+}
+
+func (s faulty) reach(ctx context.Context) error {
+	if !s.f.is(s.f.cut, s.addr) && !s.f.is(s.f.silent, s.addr) {
+		return nil
+	}
+	if err := (clocktest.Bubble{}).Sleep(ctx, noticed); err != nil {
+		return err
+	}
+	return &store.UnavailableError{Cause: errSilent}
+}
+
+// network carries the hosts' calls.
+type network struct {
+	f    *fleet
+	from string
+}
+
+const oneWay = time.Millisecond
+
+// Follow implements Peers.
+func (n network) Follow(ctx context.Context, addr string, since Revisions, wait time.Duration) (News, error) {
+	clock := clocktest.Bubble{}
+	if err := clock.Sleep(ctx, oneWay); err != nil {
+		return News{}, err
+	}
+	var to *host
+	for _, h := range n.f.hosts {
+		if h.self.Addr == addr {
+			to = h
+		}
+	}
+	if to == nil {
+		return News{}, errors.New("connection refused")
+	}
+	if n.f.is(n.f.silent, addr) || n.f.is(n.f.silent, n.from) {
+		<-ctx.Done()
+		return News{}, ctx.Err()
+	}
+	news := to.Serve(ctx, since, wait)
+	if n.f.is(n.f.silent, addr) {
+		<-ctx.Done()
+		return News{}, ctx.Err()
+	}
+	return news, clock.Sleep(ctx, oneWay)
+}
+
+// some describes hosts, for messages.
+func some(hosts []string) string {
+	return fmt.Sprintf("%d hosts: %s", len(hosts), strings.Join(hosts[:min(5, len(hosts))], " "))
+}
--- /dev/null
+++ b/coordination/fanout/node.go
@@ -0,0 +1,351 @@
+package fanout
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/state"
+)
+
+const (
+	// silenceSlack is how much longer than asked for a relay's answer may take: a host
+	// with a fifth of a core stands still for a tenth of a second at times.
+	silenceSlack = 250 * time.Millisecond
+	// avoidFirst is how long a relay that is of no use is passed over, a quarter more or
+	// less; each further time in a row doubles it up to avoidMost. All sources can be
+	// tried in the meantime, each for silenceSlack.
+	avoidFirst = 2 * time.Second
+	avoidMost  = 4 * time.Second
+	// relayFor is how long a host goes on following the store after it was asked last:
+	// some questions of each follower may be lost.
+	relayFor = 10 * time.Second
+	// checkEvery is how often a host that has nobody to follow looks again.
+	checkEvery = 500 * time.Millisecond
+	// freshPoll is how often a relay that is asked looks whether the store has answered.
+	freshPoll = 10 * time.Millisecond
+)
+
+// Revisions are those of a host's copies, by kind.
+type Revisions map[string]uint64
+
+// News is what a relay answers.
+type News struct {
+	// Lost says that the relay doesn't follow the store at present.
+	Lost bool
+	// Regained is how long ago the store answered the relay again; Ever is false if it
+	// always has.
+	Regained time.Duration
+	Ever     bool
+	// Changes are by kind.
+	Changes map[string]follow.Delta
+}
+
+// Peers reaches other hosts.
+type Peers interface {
+	// Follow asks the host at addr for what it has beyond the revisions, and to wait for
+	// so long if that is nothing.
+	Follow(ctx context.Context, addr string, since Revisions, wait time.Duration) (News, error)
+}
+
+// Options configure a Node. All fields are required.
+type Options struct {
+	Self state.Peer
+	// Hosts lists all hosts. A list that has been returned is never changed.
+	Hosts func() []state.Peer
+	// Copies are this host's, by kind.
+	Copies map[string]*follow.Mirror
+	Peers  Peers
+	Clock  state.Clock
+	// Rand spreads the times at which hosts come back to a relay; Run alone uses it.
+	Rand *rand.Rand
+	Log  *slog.Logger
+	// Wait is how long a question waits at a relay. A relay that is silent for that long
+	// and a moment more is passed over: a quarter of the time in which changes must be
+	// in force leaves room for the next one's answer.
+	Wait time.Duration
+}
+
+// Node keeps one host's copies up to date, and those of the hosts that follow it.
+type Node struct {
+	o Options
+
+	mu      sync.Mutex
+	avoided map[string]avoidance
+	askedAt time.Time
+	leaving bool
+	// changed is closed when a copy or the word of the store changes.
+	changed chan struct{}
+	// interrupt ends the question that waits at a relay.
+	interrupt context.CancelFunc
+	// source is the relay that is followed; "" for the store.
+	source string
+	// planned is the plan for the list of hosts of plannedOf; Run alone uses them.
+	planned   plan
+	plannedOf []state.Peer
+	// stop ends the runs of the copies at the store; nil while a relay is followed.
+	stop func()
+}
+
+// avoidance passes over a relay that was of no use.
+type avoidance struct {
+	until    time.Time
+	failures int
+}
+
+// New validates the options.
+func New(o Options) (*Node, error) {
+	if o.Self.Addr == "" || o.Hosts == nil || len(o.Copies) == 0 || o.Peers == nil || o.Clock == nil || o.Rand == nil || o.Log == nil || o.Wait <= 0 {
+		return nil, errors.New("fanout: a field of Options is missing; set all of them")
+	}
+	return &Node{o: o, avoided: map[string]avoidance{}, changed: make(chan struct{})}, nil
+}
+
+// Notify is to be called when a copy or the word of the store has changed.
+func (n *Node) Notify() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// Leave sends those who follow this host to others.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	n.Notify()
+}
+
+// FollowsStore reports whether this host follows the store itself.
+func (n *Node) FollowsStore() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stop != nil
+}
+
+// Run keeps the copies up to date until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	defer n.followStoreNoMore()
+	for ctx.Err() == nil {
+		n.step(ctx)
+	}
+}
+
+// step asks one relay, or waits if there is none to ask.
+func (n *Node) step(ctx context.Context) {
+	p := n.plan()
+	now := n.o.Clock.Now()
+	asked := n.askedLately(now)
+	relays := p.relays || asked
+	source := n.usable(p.sources, now)
+	if relays || source == "" {
+		n.followStore(ctx)
+	}
+	// A relay follows another one beside the store: what one of them misses in a cut
+	// that it hasn't noticed, it hears from the other.
+	switch {
+	case source != "" && !(relays && !asked && !n.lost()):
+		n.ask(ctx, source, relays)
+	case n.lost() && len(n.plannedOf) > 1:
+		// Some other host may still reach the store.
+		n.ask(ctx, n.plannedOf[n.o.Rand.IntN(len(n.plannedOf))].Addr, true)
+		fallthrough
+	default:
+		_ = n.o.Clock.Sleep(ctx, checkEvery)
+	}
+}
+
+// plan is what this host does by the present list of hosts.
+func (n *Node) plan() plan {
+	hosts := n.o.Hosts()
+	if n.planned.of(n.plannedOf, hosts) {
+		return n.planned
+	}
+	n.planned, n.plannedOf = planOf(n.o.Self, hosts), hosts
+	n.planned.made = true
+	return n.planned
+}
+
+// ask asks a relay for news. One that follows the store is followed from then on, unless
+// this host relays as well.
+func (n *Node) ask(ctx context.Context, source string, relays bool) {
+	wait := n.o.Wait
+	if n.lost() || (!relays && !n.follows(source) && !n.starting()) {
+		wait = 0 // first see whether it is of use
+	}
+	bounded, cancel := context.WithTimeout(ctx, wait+silenceSlack)
+	defer cancel()
+	n.interruptible(cancel, !relays)
+	news, err := n.o.Peers.Follow(bounded, source, n.revisions(), wait)
+	n.interruptible(nil, false)
+	switch {
+	case err == nil:
+		n.take(news, source, relays)
+	case ctx.Err() == nil && !(n.askedLately(n.o.Clock.Now()) && !relays):
+		n.avoid(source, err.Error())
+	}
+}
+
+// take takes a relay's answer.
+func (n *Node) take(news News, source string, relays bool) {
+	if !news.Lost && !relays {
+		for _, m := range n.o.Copies {
+			m.Informed(news.Regained, news.Ever)
+		}
+	}
+	for kind, d := range news.Changes {
+		if m := n.o.Copies[kind]; m != nil {
+			m.Merge(d, source)
+		}
+	}
+	if news.Lost {
+		n.avoid(source, "it doesn't follow the store")
+		return
+	}
+	n.trust(source)
+	if !relays {
+		n.followPeer(source)
+	}
+}
+
+// follows reports whether this host follows that relay.
+func (n *Node) follows(source string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.source == source
+}
+
+// starting reports whether this host lacks a copy: a relay that is starting too needs a
+// moment to have one.
+func (n *Node) starting() bool {
+	for _, m := range n.o.Copies {
+		if m.Revision() == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) revisions() Revisions {
+	out := make(Revisions, len(n.o.Copies))
+	for kind, m := range n.o.Copies {
+		out[kind] = m.Revision()
+	}
+	return out
+}
+
+// lost reports whether the store doesn't answer this host for some kind.
+func (n *Node) lost() bool {
+	for _, m := range n.o.Copies {
+		if m.Lost() {
+			return true
+		}
+	}
+	return false
+}
+
+// fresh reports whether the store answers this host for all kinds.
+func (n *Node) fresh() bool {
+	for _, m := range n.o.Copies {
+		if !m.Fresh() {
+			return false
+		}
+	}
+	return true
+}
+
+// followStore begins to follow the store, unless this host does already.
+func (n *Node) followStore(ctx context.Context) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stop != nil {
+		return
+	}
+	following, cancel := context.WithCancel(ctx)
+	var runs conc.WaitGroup
+	for _, m := range n.o.Copies {
+		runs.Go(func() { m.Run(following) })
+	}
+	n.stop = func() {
+		cancel()
+		runs.Wait()
+	}
+	n.o.Log.Info("following the store", "instead_of", n.source)
+	n.source = ""
+}
+
+// followPeer goes on with a relay alone.
+func (n *Node) followPeer(source string) {
+	n.followStoreNoMore()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.source != source {
+		n.o.Log.Info("following a peer", "peer", source, "instead_of", n.source)
+		n.source = source
+	}
+}
+
+// followStoreNoMore ends the runs of the copies at the store.
+func (n *Node) followStoreNoMore() {
+	n.mu.Lock()
+	stop := n.stop
+	n.stop = nil
+	n.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
+// usable is the first source that isn't passed over, or "".
+func (n *Node) usable(sources []string, now time.Time) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, addr := range sources {
+		if !now.Before(n.avoided[addr].until) {
+			return addr
+		}
+	}
+	return ""
+}
+
+func (n *Node) avoid(source, cause string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	a := n.avoided[source]
+	pause := min(avoidFirst<<min(a.failures, 8), avoidMost)
+	pause = pause*3/4 + time.Duration(n.o.Rand.Int64N(int64(pause/2)))
+	n.avoided[source] = avoidance{n.o.Clock.Now().Add(pause), a.failures + 1}
+	if a.failures == 0 {
+		n.o.Log.Info("relay not followed", "peer", source, "avoided", pause, "cause", cause)
+	}
+}
+
+func (n *Node) trust(source string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.avoided, source)
+}
+
+// interruptible notes how to end the question that waits; only one of a host that
+// doesn't relay is ended when it is asked to.
+func (n *Node) interruptible(cancel context.CancelFunc, may bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.interrupt = nil
+	if may {
+		n.interrupt = cancel
+	}
+}
+
+func (n *Node) askedLately(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.askedAt.IsZero() && now.Sub(n.askedAt) < relayFor
+}
--- /dev/null
+++ b/coordination/fanout/relays.go
@@ -0,0 +1,94 @@
+package fanout
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+const (
+	// perDomain relays of a failure domain are enough for one to be lost at any time.
+	perDomain = 2
+	// leastFollowers is the number of a domain's other hosts for which relays are worth
+	// their detour: fewer follow the store for about the same calls.
+	leastFollowers = 3
+	// farRelays of other domains are asked when those of the own one are lost.
+	farRelays = 2
+)
+
+// plan is what a host does by the list of hosts alone.
+type plan struct {
+	// relays says that the host is one of its domain's relays, or needs none.
+	relays bool
+	// sources are the relays that it asks, in that order: its domain's first, but for a
+	// relay, which asks others so that it isn't lost with its whole domain.
+	sources []string
+	made    bool
+}
+
+// of reports whether the plan for one list holds for another: lists are replaced whole,
+// so that the same slice has the same hosts.
+func (p plan) of(made, now []state.Peer) bool {
+	return p.made && len(made) == len(now) && (len(made) == 0 || &made[0] == &now[0])
+}
+
+// planOf computes the plan of the host self. Its domain's relays are the strongest
+// hosts; each follower asks them in an order of its own, so that they share the load.
+func planOf(self state.Peer, hosts []state.Peer) plan {
+	byDomain := map[string][]state.Peer{}
+	for _, h := range hosts {
+		if h.Addr != self.Addr {
+			byDomain[h.FailureDomain] = append(byDomain[h.FailureDomain], h)
+		}
+	}
+	byDomain[self.FailureDomain] = append(byDomain[self.FailureDomain], self)
+	near := relaysOf(byDomain[self.FailureDomain])
+	p := plan{relays: len(near) == 0 || slices.Contains(near, self.Addr)}
+	var far []string
+	for domain, members := range byDomain {
+		if domain != self.FailureDomain {
+			far = append(far, relaysOf(members)...)
+		}
+	}
+	near = slices.DeleteFunc(near, func(addr string) bool { return addr == self.Addr })
+	far = inOrderOf(self.Addr, far)
+	near, far = inOrderOf(self.Addr, near), far[:min(farRelays, len(far))]
+	if p.relays {
+		near, far = far, near
+	}
+	p.sources = append(near, far...)
+	return p
+}
+
+// relaysOf are the relays of one domain; none if it is too small.
+func relaysOf(members []state.Peer) []string {
+	if len(members) < perDomain+leastFollowers {
+		return nil
+	}
+	order := slices.Clone(members)
+	slices.SortFunc(order, func(a, b state.Peer) int {
+		return cmp.Or(
+			cmp.Compare(b.Class, a.Class),
+			cmp.Compare(xxhash.Sum64String(a.Addr), xxhash.Sum64String(b.Addr)),
+			strings.Compare(a.Addr, b.Addr),
+		)
+	})
+	out := make([]string, 0, perDomain)
+	for _, h := range order[:perDomain] {
+		out = append(out, h.Addr)
+	}
+	return out
+}
+
+// inOrderOf orders relays by rendezvous hashing with the host that asks them.
+func inOrderOf(self string, relays []string) []string {
+	out := slices.Clone(relays)
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(self+b), xxhash.Sum64String(self+a)), strings.Compare(a, b))
+	})
+	return out
+}
--- /dev/null
+++ b/coordination/fanout/serve.go
@@ -0,0 +1,78 @@
+package fanout
+
+import (
+	"context"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/follow"
+)
+
+// Serve answers a host that follows this one: at once if there is news for it or this
+// host is of no use to it, else after wait or the next change.
+func (n *Node) Serve(ctx context.Context, since Revisions, wait time.Duration) News {
+	n.asked()
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	n.becomeFresh(ctx)
+	for {
+		changed := n.changes()
+		news, any := n.news(since)
+		if news.Lost || any {
+			return news
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return news
+		}
+	}
+}
+
+// asked makes this host follow the store, if it doesn't yet.
+func (n *Node) asked() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.askedAt = n.o.Clock.Now()
+	if n.interrupt != nil {
+		n.interrupt()
+		n.interrupt = nil
+	}
+}
+
+// becomeFresh waits until the store has answered, if this host has only begun to follow
+// it: a store that is lost is told at once.
+func (n *Node) becomeFresh(ctx context.Context) {
+	for ctx.Err() == nil && !n.fresh() && !n.lost() && !n.isLeaving() {
+		if n.o.Clock.Sleep(ctx, freshPoll) != nil {
+			return
+		}
+	}
+}
+
+func (n *Node) isLeaving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving
+}
+
+// changes is closed at the next change.
+func (n *Node) changes() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changed
+}
+
+// news is what a host with the revisions lacks, and whether there is any. Changes without
+// content bring the host's revisions on: the store's history reaches some seconds back.
+func (n *Node) news(since Revisions) (out News, any bool) {
+	out = News{Lost: n.isLeaving() || !n.FollowsStore() || !n.fresh(), Changes: map[string]follow.Delta{}}
+	for kind, m := range n.o.Copies {
+		d := m.Since(since[kind])
+		out.Changes[kind] = d
+		any = any || !d.Empty()
+		if ago, ever := m.Regained(); ever && (!out.Ever || ago < out.Regained) {
+			out.Regained, out.Ever = ago, true
+		}
+	}
+	return out, any
+}
--- /dev/null
+++ b/coordination/follow/history.go
@@ -0,0 +1,113 @@
+package follow
+
+import (
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/store"
+)
+
+// mostDeletions bounds the deletions that a mirror remembers: a release that replaces
+// 1,800 runners, each deleted once, fits twice. Whoever lacks older ones gets a whole copy.
+const mostDeletions = 4096
+
+// history is what a mirror needs to tell what changed since a revision that it has had.
+type history struct {
+	// since is the revision from which on no deletion is missing.
+	since uint64
+	// changedAt is the revision of the last change.
+	changedAt uint64
+	// deletions are those since, the oldest first.
+	deletions []deletion
+}
+
+type deletion struct {
+	object store.Object
+	// at is the mirror's revision once it knew.
+	at uint64
+}
+
+// restart begins anew with a whole copy, which doesn't tell what was deleted before it.
+func (h *history) restart(revision uint64) { *h = history{since: revision, changedAt: revision} }
+
+func (h *history) changed(revision uint64) { h.changedAt = revision }
+
+// deleted notes a deletion, also of an object that this mirror never had: a peer may.
+func (h *history) deleted(o store.Object, at uint64) {
+	h.changed(at)
+	h.deletions = append(h.deletions, deletion{o, at})
+	if over := len(h.deletions) - mostDeletions; over > 0 {
+		h.since = h.deletions[over-1].at
+		h.deletions = append([]deletion(nil), h.deletions[over:]...)
+	}
+}
+
+// Delta is what changed in a copy after a revision.
+type Delta struct {
+	// Revision is the store's revision that the copy is valid at with the change.
+	Revision uint64
+	// Whole says that Objects are all there are; otherwise they are those that changed,
+	// and Deleted those that are gone, each with the version that it had last.
+	Whole            bool
+	Objects, Deleted []store.Object
+}
+
+// Empty reports whether nothing changed.
+func (d Delta) Empty() bool { return !d.Whole && len(d.Objects) == 0 && len(d.Deleted) == 0 }
+
+// Since returns what changed after a revision: nothing if that isn't lower than the
+// copy's own, and the whole copy if the history doesn't reach so far back.
+func (m *Mirror) Since(revision uint64) Delta {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := Delta{Revision: m.revision}
+	switch {
+	case revision >= m.history.changedAt:
+	case revision == 0 || revision < m.history.since:
+		d.Whole, d.Objects = true, m.copyLocked().Objects
+	default:
+		m.addChanges(&d, revision)
+	}
+	return d
+}
+
+func (m *Mirror) addChanges(d *Delta, revision uint64) {
+	for _, o := range m.objects {
+		if o.Version > revision {
+			d.Objects = append(d.Objects, o)
+		}
+	}
+	for _, gone := range m.history.deletions {
+		if gone.at > revision {
+			d.Deleted = append(d.Deleted, gone.object)
+		}
+	}
+}
+
+// Merge takes what changed at a peer after a revision that this mirror has had.
+func (m *Mirror) Merge(d Delta, from string) {
+	if d.Whole {
+		m.Adopt(Copy{Revision: d.Revision, Objects: d.Objects}, from)
+		return
+	}
+	b := store.Batch{Revision: d.Revision}
+	for _, o := range d.Deleted {
+		b.Events = append(b.Events, store.Event{Object: o, Deleted: true})
+	}
+	for _, o := range d.Objects {
+		b.Events = append(b.Events, store.Event{Object: o})
+	}
+	m.apply(b)
+}
+
+// Informed notes that a peer which follows the store keeps this mirror up to date.
+// regained is how long ago the store answered that peer again, if ever it did not.
+func (m *Mirror) Informed(regained time.Duration, ever bool) {
+	m.lost.Store(false)
+	if !ever {
+		return
+	}
+	at := m.o.Clock.Now().Add(-regained)
+	if before := m.regainedAt.Load(); before == nil || at.After(*before) {
+		m.regainedAt.Store(&at)
+	}
+}
--- /dev/null
+++ b/coordination/follow/history_test.go
@@ -0,0 +1,128 @@
+package follow
+
+import (
+	"fmt"
+	"maps"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/store"
+	"github.com/thymerack/thymerack/coordination/store/storetest"
+)
+
+// origin is a store that tells every revision's objects, as an oracle.
+type origin struct {
+	revision uint64
+	events   []store.Event // with the revision as their object's version
+	states   []map[string]uint64
+}
+
+func newOrigin() *origin { return &origin{states: []map[string]uint64{{}}} }
+
+func (o *origin) change(name string, deleted bool) {
+	state := maps.Clone(o.states[len(o.states)-1])
+	if _, there := state[name]; deleted && !there {
+		return
+	}
+	o.revision++
+	e := store.Event{Object: store.Object{Name: name, Version: o.revision, Value: []byte(strconv.FormatUint(o.revision, 10))}, Deleted: deleted}
+	if deleted {
+		e.Object.Version = state[name] // the last one that it had
+		e.Object.Value = nil
+		delete(state, name)
+	} else {
+		state[name] = o.revision
+	}
+	o.events = append(o.events, e)
+	o.states = append(o.states, state)
+}
+
+// batch is what a watch after a revision returns.
+func (o *origin) batch(after uint64) store.Batch {
+	return store.Batch{Revision: o.revision, Events: o.events[after:]}
+}
+
+func (o *origin) list() Copy {
+	c := Copy{Revision: o.revision}
+	for name, version := range o.states[o.revision] {
+		c.Objects = append(c.Objects, store.Object{Name: name, Version: version, Value: []byte(strconv.FormatUint(version, 10))})
+	}
+	return c
+}
+
+func stateOf(m *Mirror) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, o := range m.Export().Objects {
+		out[o.Name] = o.Version
+	}
+	return out
+}
+
+// Copies that take lists, watches and each other's changes in any order are always the
+// store's objects at the revision that they name, and never go back.
+func TestHoldsCopiesAreTheStoreAtTheirRevision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := newOrigin()
+		var copies []*Mirror
+		for range 4 {
+			m, err := New(Options{
+				Store: storetest.NewPlatform(0).Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", Outage: &Outage{}, Changed: func(Copy) {},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			copies = append(copies, m)
+		}
+		anyCopy := rapid.SampledFrom(copies)
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				for range rapid.IntRange(1, 4).Draw(t, "changes") {
+					o.change(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), rapid.Bool().Draw(t, "deleted"))
+				}
+			},
+			"list": func(t *rapid.T) { c := o.list(); anyCopy.Draw(t, "copy").replace(c.Objects, c.Revision) },
+			"watch": func(t *rapid.T) {
+				m := anyCopy.Draw(t, "copy")
+				m.apply(o.batch(m.Revision()))
+			},
+			"late watch": func(t *rapid.T) { // one that began at an older revision
+				m := anyCopy.Draw(t, "copy")
+				m.apply(o.batch(rapid.Uint64Range(0, m.Revision()).Draw(t, "after")))
+			},
+			"peer": func(t *rapid.T) {
+				from, to := anyCopy.Draw(t, "from"), anyCopy.Draw(t, "to")
+				to.Merge(from.Since(to.Revision()), "peer")
+			},
+			"late peer": func(t *rapid.T) { // asked at an older revision
+				from, to := anyCopy.Draw(t, "from"), anyCopy.Draw(t, "to")
+				to.Merge(from.Since(rapid.Uint64Range(0, to.Revision()).Draw(t, "since")), "peer")
+			},
+			"": func(t *rapid.T) {
+				for i, m := range copies {
+					if got, want := stateOf(m), o.states[m.Revision()]; !maps.Equal(got, want) {
+						t.Fatalf("copy %d at %d has %v, not %v", i, m.Revision(), got, want)
+					}
+				}
+			},
+		})
+	})
+}
+
+// Deletions that are no longer remembered are told by a whole copy.
+func TestLongHistoryIsForgotten(t *testing.T) {
+	is := is.New(t)
+	f := newFollower(t, storetest.NewPlatform(0), 0)
+	is.True(f.Adopt(Copy{Revision: 1, Objects: []store.Object{{Name: "kept", Version: 1}}}, "peer"))
+	for i := range uint64(mostDeletions + 10) {
+		f.apply(store.Batch{Revision: i + 2, Events: []store.Event{{Object: store.Object{Name: fmt.Sprint(i), Version: 1}, Deleted: true}}})
+	}
+	is.True(f.Since(5).Whole)
+	d := f.Since(mostDeletions)
+	is.True(!d.Whole)
+	is.Equal(len(d.Deleted), 11)
+	is.True(f.Since(f.Revision()).Empty())
+}
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -22,6 +22,10 @@
 	// (2 s and more) counts from when the store has been back for some seconds.
 	retryFirst = 200 * time.Millisecond
 	retryMost  = time.Second
+	// againWithin bounds the second question after a watch that was cut: a store that
+	// drops its waiting watches answers the next call in some milliseconds, and hosts
+	// that follow this one shouldn't all turn to it meanwhile.
+	againWithin = 500 * time.Millisecond
 )
 
 // Poller is a store whose changes can be asked for without waiting.
@@ -40,6 +44,8 @@
 	Kind string
 	// Changed gets the whole copy after each change, one call at a time.
 	Changed func(Copy)
+	// Notify is called when the copy or the word of the store has changed; nil for none.
+	Notify func()
 	// Outage is shared by the mirrors that follow the same store.
 	Outage *Outage
 	// Gather is the pause after a watch that brought changes, so that changes in
@@ -61,11 +67,16 @@
 	mu       sync.Mutex
 	objects  map[string]store.Object
 	revision uint64
+	history  history
 	// lostAt is when the store stopped answering; Run alone uses it.
 	lostAt time.Time
 	// regainedAt is when it answered again; nil if it has always answered.
 	regainedAt atomic.Pointer[time.Time]
 	lost       atomic.Bool
+	// again is set for the question that follows a watch which was cut; Run alone uses it.
+	again bool
+	// fresh is set while Run follows the store and is answered.
+	fresh atomic.Bool
 }
 
 // New validates the options.
@@ -79,14 +90,26 @@
 // Lost reports whether the store doesn't answer this host.
 func (m *Mirror) Lost() bool { return m.lost.Load() }
 
+// Fresh reports whether this mirror follows the store itself and was answered last.
+func (m *Mirror) Fresh() bool { return m.fresh.Load() }
+
 // AwayWithin reports whether the store didn't answer this host at some moment of
 // the last d.
 func (m *Mirror) AwayWithin(d time.Duration) bool {
 	if m.lost.Load() {
 		return true
 	}
+	back, ever := m.Regained()
+	return ever && back < d
+}
+
+// Regained is how long ago the store answered again; ever is false if it always has.
+func (m *Mirror) Regained() (ago time.Duration, ever bool) {
 	at := m.regainedAt.Load()
-	return at != nil && m.o.Clock.Now().Sub(*at) < d
+	if at == nil {
+		return 0, false
+	}
+	return m.o.Clock.Now().Sub(*at), true
 }
 
 // Revision is the store's revision of the copy; 0 before the first.
@@ -120,10 +143,12 @@
 	return true
 }
 
-// Run follows the store until ctx ends.
+// Run follows the store until ctx ends. It may be run again, one run at a time; a copy
+// that it has by then is brought up to date by the changes since.
 func (m *Mirror) Run(ctx context.Context) {
+	defer m.ended()
 	pause := retryFirst
-	listed := false
+	listed := m.Revision() > 0
 	for ctx.Err() == nil {
 		var err error
 		if !listed {
@@ -133,7 +158,11 @@
 			listed, err = m.watch(ctx)
 		}
 		if err == nil {
-			pause = retryFirst
+			pause, m.again = retryFirst, false
+			continue
+		}
+		m.again = !m.again && m.Fresh() && m.mayAskAgain(ctx)
+		if m.again {
 			continue
 		}
 		m.failed(ctx, err)
@@ -144,6 +173,19 @@
 	}
 }
 
+// ended notes that nobody follows the store any more.
+func (m *Mirror) ended() {
+	m.o.Outage.answered(m)
+	m.fresh.Store(false)
+	m.notify()
+}
+
+func (m *Mirror) notify() {
+	if m.o.Notify != nil {
+		m.o.Notify()
+	}
+}
+
 // jitter spreads the calls of hosts that lost the store together.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
@@ -177,13 +219,20 @@
 	return true, nil
 }
 
-// next returns the next changes. A store that didn't answer is asked without
-// waiting first: a watch would tell its return only with the next change.
+// next returns the next changes. A store that didn't answer, or wasn't asked yet, is
+// asked without waiting first: a watch would tell its return only with the next change.
 func (m *Mirror) next(ctx context.Context) (store.Batch, error) {
-	if p, ok := m.o.Store.(Poller); ok && m.Lost() {
+	p, ok := m.o.Store.(Poller)
+	switch {
+	case ok && m.again:
+		bounded, cancel := context.WithTimeout(ctx, againWithin)
+		defer cancel()
+		return p.Poll(bounded, m.o.Kind, m.Revision())
+	case ok && !m.Fresh():
 		return p.Poll(ctx, m.o.Kind, m.Revision())
+	default:
+		return m.o.Store.Watch(ctx, m.o.Kind, m.Revision())
 	}
-	return m.o.Store.Watch(ctx, m.o.Kind, m.Revision())
 }
 
 // replace puts a whole newer copy in place.
@@ -198,7 +247,9 @@
 		m.objects[o.Name] = o
 	}
 	m.revision = revision
+	m.history.restart(revision)
 	m.o.Changed(m.copyLocked())
+	m.notify()
 	return true
 }
 
@@ -210,14 +261,21 @@
 	if b.Revision <= m.revision {
 		return
 	}
-	changed := false
+	changed, before := false, m.history.changedAt
 	for _, e := range b.Events {
+		if e.Deleted {
+			m.history.deleted(e.Object, b.Revision)
+		}
 		changed = m.applyEvent(e) || changed
 	}
 	m.revision = b.Revision
 	if changed {
+		m.history.changed(b.Revision)
 		m.o.Changed(m.copyLocked())
 	}
+	if m.history.changedAt != before {
+		m.notify()
+	}
 }
 
 // applyEvent takes one event and reports whether it changed the copy. A deletion
@@ -240,6 +298,9 @@
 
 func (m *Mirror) answered() {
 	m.o.Outage.answered(m)
+	if !m.fresh.Swap(true) {
+		m.notify()
+	}
 	if !m.lost.Swap(false) {
 		return
 	}
@@ -250,7 +311,13 @@
 }
 
 func (m *Mirror) failed(ctx context.Context, err error) {
-	if ctx.Err() != nil || m.lost.Swap(true) {
+	if ctx.Err() != nil {
+		return
+	}
+	if m.fresh.Swap(false) {
+		m.notify()
+	}
+	if m.lost.Swap(true) {
 		return
 	}
 	m.lostAt = m.o.Clock.Now()
--- a/coordination/follow/outage.go
+++ b/coordination/follow/outage.go
@@ -37,6 +37,23 @@
 	}
 }
 
+// mayAskAgain reports whether m should ask once more before the store counts as lost: of
+// several mirrors whose watches were cut one asks, and the others once it was answered.
+func (m *Mirror) mayAskAgain(ctx context.Context) bool {
+	leads, over := m.o.Outage.leads(m)
+	if leads {
+		return true
+	}
+	bounded, cancel := context.WithTimeout(ctx, againWithin)
+	defer cancel()
+	select {
+	case <-over:
+		return true
+	case <-bounded.Done():
+		return false
+	}
+}
+
 // waitMost bounds the wait for another mirror's answer: the call that it waits for may
 // be lost, while changes must be in force 2 s and more after the store's return.
 const waitMost = 2 * time.Second
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -136,7 +136,7 @@
 	book := occupancy.NewBook(clocktest.Bubble{}, slog.New(slog.DiscardHandler))
 	gate, err := occupancy.NewGate(occupancy.GateOptions{
 		Book: book, Peers: noPeers{}, Self: "self", Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
-		Hosts: func() []occupancy.Host { return []occupancy.Host{{Addr: "self"}} },
+		Hosts: func() []state.Peer { return []state.Peer{{Addr: "self"}} },
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/coordination/occupancy/gate.go
+++ b/coordination/occupancy/gate.go
@@ -19,7 +19,8 @@
 const (
 	// maxKeepers bounds the hosts that keep counts, and with them each host's
 	// connections to peers, at any size of the fleet. Hosts of a lower class are
-	// taken only while there are fewer than minKeepers.
+	// taken only while there are fewer than minKeepers: a count is of use only while its
+	// keeper answers within milliseconds.
 	maxKeepers = 16
 	minKeepers = 4
 	// enterTimeout is some round trips between failure domains (2.8 ms) behind two
@@ -51,20 +52,11 @@
 	// Self is this host's peer address, and Hosts lists all hosts. A list that has
 	// been returned is never changed: another list is another slice.
 	Self  string
-	Hosts func() []Host
+	Hosts func() []state.Peer
 	Clock state.Clock
 	Log   *slog.Logger
 }
 
-// Host is a host that may keep counts.
-type Host struct {
-	// Addr is where its peers reach it.
-	Addr string
-	// Class is higher for hosts with more processor time and a faster link. A count
-	// is of use only while its keeper answers within milliseconds.
-	Class int
-}
-
 // Gate asks the keepers for places. It is safe for concurrent use.
 type Gate struct {
 	o GateOptions
@@ -76,8 +68,8 @@
 
 // ranking is the hosts in the order in which they become keepers.
 type ranking struct {
-	of    []Host
-	order []Host
+	of    []state.Peer
+	order []state.Peer
 }
 
 // avoidance passes over a host that didn't answer.
@@ -245,13 +237,13 @@
 
 // order returns the hosts in their order, the same at all hosts that know the same
 // ones; g.mu is held.
-func (g *Gate) order() []Host {
+func (g *Gate) order() []state.Peer {
 	hosts := g.o.Hosts()
 	if sameList(hosts, g.ranked.of) {
 		return g.ranked.order
 	}
 	order := slices.Clone(hosts)
-	slices.SortFunc(order, func(a, b Host) int {
+	slices.SortFunc(order, func(a, b state.Peer) int {
 		return cmp.Or(
 			cmp.Compare(b.Class, a.Class),
 			cmp.Compare(xxhash.Sum64String(a.Addr), xxhash.Sum64String(b.Addr)),
@@ -260,7 +252,7 @@
 	})
 	g.ranked = ranking{hosts, order}
 	for addr := range g.avoided {
-		if !slices.ContainsFunc(hosts, func(h Host) bool { return h.Addr == addr }) {
+		if !slices.ContainsFunc(hosts, func(h state.Peer) bool { return h.Addr == addr }) {
 			delete(g.avoided, addr)
 		}
 	}
@@ -269,7 +261,7 @@
 
 // sameList reports whether a and b are one slice, without looking at its hosts: this
 // is asked for each place.
-func sameList(a, b []Host) bool {
+func sameList(a, b []state.Peer) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
--- a/coordination/occupancy/gate_test.go
+++ b/coordination/occupancy/gate_test.go
@@ -51,15 +51,15 @@
 func fleet(t *testing.T, classes ...int) (*network, []*Gate) {
 	t.Helper()
 	n := &network{books: map[string]*Book{}, lost: map[string]bool{}}
-	var hosts []Host
+	var hosts []state.Peer
 	for i, class := range classes {
-		hosts = append(hosts, Host{Addr: fmt.Sprint("host-", i), Class: class})
+		hosts = append(hosts, state.Peer{Addr: fmt.Sprint("host-", i), Class: class})
 	}
 	var gates []*Gate
 	for _, h := range hosts {
 		n.books[h.Addr] = NewBook(clocktest.Bubble{}, slog.New(slog.DiscardHandler))
 		g, err := NewGate(GateOptions{
-			Book: n.books[h.Addr], Peers: n, Self: h.Addr, Hosts: func() []Host { return hosts },
+			Book: n.books[h.Addr], Peers: n, Self: h.Addr, Hosts: func() []state.Peer { return hosts },
 			Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
 		})
 		if err != nil {
@@ -225,7 +225,7 @@
 func TestHostAloneCountsItsOwnWork(t *testing.T) {
 	is := is.New(t)
 	_, gates := fleet(t, 1)
-	gates[0].o.Hosts = func() []Host { return nil }
+	gates[0].o.Hosts = func() []state.Peer { return nil }
 	for range slots {
 		v := gates[0].Enter(t.Context(), ask("engine"))
 		is.True(v.Place != nil)
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
+	"github.com/thymerack/thymerack/coordination/fanout"
 	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/coordination/lease"
@@ -57,6 +58,8 @@
 	// peers calls other hosts, peerServer answers them.
 	peers      *peer.Client
 	peerServer *peer.Server
+	// fanout brings the copies of the store up to date, from the store or from peers.
+	fanout *fanout.Node
 	// gate counts prompts over all hosts.
 	gate *occupancy.Gate
 }
@@ -88,6 +91,12 @@
 			return 0
 		})
 	}
+	h.metrics.gauge("thymerack_follows_store", func() float64 {
+		if h.fanout.FollowsStore() {
+			return 1
+		}
+		return 0
+	})
 	h.metrics.gauge("thymerack_hosts", func() float64 { return float64(h.members.Hosts()) })
 	h.metrics.gauge("thymerack_log_lines_dropped_total", func() float64 { return float64(h.o.LinesDropped()) })
 }
@@ -118,14 +127,21 @@
 	})
 	outage := &follow.Outage{}
 	var err error
-	h.configs, err = follow.New(follow.Options{Outage: outage, Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig})
+	h.configs, err = follow.New(follow.Options{Outage: outage, Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig, Notify: h.notifyFollowers})
+	if err != nil {
+		return err
+	}
+	h.listed, err = follow.New(follow.Options{Outage: outage, Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindInstances, Changed: h.instances.Changed, Gather: gatherInstances, Notify: h.notifyFollowers})
 	if err != nil {
 		return err
 	}
-	h.listed, err = follow.New(follow.Options{Outage: outage, Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindInstances, Changed: h.instances.Changed, Gather: gatherInstances})
+	h.members.copy, err = follow.New(follow.Options{Outage: outage, Store: h.store, Clock: h.clock, Log: h.log, Kind: kindHosts, Changed: h.members.changed, Gather: gatherHosts, Notify: h.notifyFollowers})
 	return err
 }
 
+// notifyFollowers wakes the hosts that wait for news of this one.
+func (h *Host) notifyFollowers() { h.fanout.Notify() }
+
 // buildPeers makes the calls between hosts. Hosts know each other by their entries
 // in the store; the settings have no key for them to share.
 func (h *Host) buildPeers() error {
@@ -143,10 +159,29 @@
 	if err != nil {
 		return err
 	}
-	relay.Register(h.peerServer, h.mirrors())
+	h.fanout, err = fanout.New(fanout.Options{
+		Self: h.members.self(), Hosts: h.members.All, Peers: relay.Peers{Client: h.peers}, Clock: h.clock, Rand: newRand(), Log: h.log, Wait: h.relayWait(),
+		Copies: map[string]*follow.Mirror{platform.KindConfig: h.configs, platform.KindInstances: h.listed, kindHosts: h.members.copy},
+	})
+	if err != nil {
+		return err
+	}
+	relay.Register(h.peerServer, h.fanout)
 	return h.buildGate()
 }
 
+// relayWait is how long a question waits at a relay: a quarter of the shortest time in
+// which a change must be in force.
+func (h *Host) relayWait() time.Duration {
+	bound := h.s.Bounds.Drain
+	if config := h.s.Bounds.ConfigInForce; config > 0 {
+		bound = min(bound, config)
+	}
+	return bound / 4
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 func (h *Host) buildGate() error {
 	book := occupancy.NewBook(h.clock, h.log)
 	places.Register(h.peerServer, book)
@@ -218,7 +253,7 @@
 
 func (h *Host) buildManager() error {
 	lessor, err := lease.New(lease.Options{
-		Store: h.store, Clock: h.clock, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Store: h.store, Clock: h.clock, Rand: newRand(),
 		Name: leaseName, Holder: h.id, Machine: h.s.Host + "@" + h.s.IP,
 		TTL: leaseTTL, LookEvery: h.lookEvery, Log: h.log,
 	})
@@ -310,11 +345,12 @@
 	h.log.Info("started", "callers", h.s.CallerAddr, "failure_domain", h.s.FailureDomain, "memory_bytes", h.s.Limits.MemoryBytes)
 	work, end := context.WithCancel(context.Background())
 	var group conc.WaitGroup
-	group.Go(func() { h.configs.Run(work) })
-	group.Go(func() { h.listed.Run(work) })
+	group.Go(func() {
+		h.members.Join(work)
+		h.fanout.Run(work)
+	})
 	group.Go(func() { h.instances.Run(work) })
 	group.Go(func() { h.members.Run(work) })
-	group.Go(func() { h.relay(work) })
 	managing, resign := context.WithCancel(work)
 	group.Go(func() {
 		if err := h.manager.Run(managing); err != nil {
@@ -338,6 +374,7 @@
 func (h *Host) leave() {
 	h.log.Info("leaving", "grace", h.s.Bounds.Grace)
 	h.ready.leave()
+	h.fanout.Leave()
 	began := h.clock.Now()
 	end := h.s.Bounds.Grace - graceMargin
 	h.gateway.Leave(gateway.Departure{TurnedAway: began.Add(turnedAway), End: began.Add(end)})
@@ -354,25 +391,3 @@
 		}
 	}
 }
-
-// relay asks peers for newer copies while the store is lost.
-func (h *Host) relay(ctx context.Context) {
-	mirrors := h.mirrors()
-	for h.clock.Sleep(ctx, relayEvery) == nil {
-		if !h.configs.Lost() && !h.listed.Lost() {
-			continue
-		}
-		peers := h.members.Peers()
-		if len(peers) == 0 {
-			continue
-		}
-		addr := peers[rand.IntN(len(peers))]
-		if err := relay.Ask(ctx, h.peers, addr, mirrors); err != nil {
-			h.log.Info("peer not reached", "peer", addr, "cause", err.Error())
-		}
-	}
-}
-
-func (h *Host) mirrors() relay.Mirrors {
-	return relay.Mirrors{platform.KindConfig: h.configs, platform.KindInstances: h.listed}
-}
--- a/daemon/routed/host_test.go
+++ b/daemon/routed/host_test.go
@@ -12,10 +12,10 @@
 	"github.com/matryer/is"
 
 	"github.com/thymerack/thymerack/coordination/follow"
-	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/platform"
 	"github.com/thymerack/thymerack/platform/platformtest"
+	"github.com/thymerack/thymerack/state"
 )
 
 func testOptions(t *testing.T) Options {
@@ -81,9 +81,9 @@
 	is.Equal(h.members.Hosts(), assumedHosts)                  // as if the fleet were large, until the list is read
 	is.Equal(h.connLimit(platformtest.ServicePlain), minConns) // no configuration yet
 	configure(t, h)
-	var hosts []occupancy.Host
+	var hosts []state.Peer
 	for i := range 10 {
-		hosts = append(hosts, occupancy.Host{Addr: fmt.Sprintf("127.0.0.%d:17660", i)})
+		hosts = append(hosts, state.Peer{Addr: fmt.Sprintf("127.0.0.%d:17660", i)})
 	}
 	h.members.listed.Store(&hosts)
 	is.Equal(h.connLimit(platformtest.ServicePlain), 24) // of 300, with a fifth left free
@@ -108,12 +108,12 @@
 	is := is.New(t)
 	h := newHost(t)
 	is.Equal(h.lookEvery(), lookSeldom) // the list of hosts isn't read yet
-	alone := []occupancy.Host{{Addr: h.members.addr(h.s.IP)}}
+	alone := []state.Peer{{Addr: h.members.addr(h.s.IP)}}
 	h.members.listed.Store(&alone)
 	is.Equal(h.lookEvery(), lookOften) // whether or not the settings name it as a seed
 	many := slices.Clone(alone)
 	for i := range lookers {
-		many = append(many, occupancy.Host{Addr: fmt.Sprint("stronger-", i), Class: 1})
+		many = append(many, state.Peer{Addr: fmt.Sprint("stronger-", i), Class: 1})
 	}
 	h.members.listed.Store(&many)
 	is.Equal(h.lookEvery(), lookSeldom)
@@ -125,7 +125,7 @@
 	is.Equal(h.members.Peers(), []string{"127.0.0.8:17660"}) // never itself
 	h.Reload(platform.Settings{Seeds: []string{"127.0.0.7:1"}})
 	is.Equal(h.members.Peers(), []string{"127.0.0.7:17660"})
-	listed := []occupancy.Host{{Addr: "127.0.0.9:17660"}, {Addr: "127.0.0.5:17660"}}
+	listed := []state.Peer{{Addr: "127.0.0.9:17660"}, {Addr: "127.0.0.5:17660"}}
 	h.members.listed.Store(&listed)
 	is.Equal(h.members.Peers(), []string{"127.0.0.5:17660"})
 }
--- a/daemon/routed/members.go
+++ b/daemon/routed/members.go
@@ -9,9 +9,10 @@
 	"strconv"
 	"sync/atomic"
 
-	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/platform"
+	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
@@ -22,29 +23,40 @@
 type member struct {
 	Addr string `json:"addr"`
 	// Class is higher for stronger hosts.
-	Class int `json:"class"`
+	Class         int    `json:"class"`
+	FailureDomain string `json:"failure_domain"`
 }
 
 // members is the list of hosts: where peers are and how many share the limits.
-// Each host writes itself once; nobody removes an entry, so that the number can
-// only be too high and the shares too small.
+// Each host writes itself once, and again if its entry is gone.
 type members struct {
 	store *platform.Store
 	s     platform.Settings
 	log   *slog.Logger
 	clock wallclock.Clock
+	// copy is this host's copy of the list.
+	copy *follow.Mirror
 	// seeds and listed are replaced whole.
 	seeds  atomic.Pointer[[]string]
-	listed atomic.Pointer[[]occupancy.Host]
+	listed atomic.Pointer[[]state.Peer]
+	// registered is set while this host's entry is believed to be in the list.
+	registered atomic.Bool
+	// unreadable are the versions of entries that were logged; changed alone uses it.
+	unreadable map[string]uint64
 }
 
 func newMembers(s *platform.Store, settings platform.Settings, log *slog.Logger) *members {
-	m := &members{store: s, s: settings, log: log}
-	m.listed.Store(&[]occupancy.Host{})
+	m := &members{store: s, s: settings, log: log, unreadable: map[string]uint64{}}
+	m.listed.Store(&[]state.Peer{})
 	m.reload(settings.Seeds)
 	return m
 }
 
+// self is this host's own entry.
+func (m *members) self() state.Peer {
+	return state.Peer{Addr: m.addr(m.s.IP), Class: classOf(m.s.Limits), FailureDomain: m.s.FailureDomain}
+}
+
 // reload takes changed seeds.
 func (m *members) reload(seeds []string) { m.seeds.Store(&seeds) }
 
@@ -57,7 +69,7 @@
 }
 
 // All are the listed hosts, this one among them.
-func (m *members) All() []occupancy.Host { return *m.listed.Load() }
+func (m *members) All() []state.Peer { return *m.listed.Load() }
 
 // Peers are the other hosts' addresses, the seeds before the list is read.
 func (m *members) Peers() []string {
@@ -82,57 +94,102 @@
 
 func (m *members) addr(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(m.s.PeerPort)) }
 
-// Run lists this host and reads the list, until ctx ends.
-func (m *members) Run(ctx context.Context) {
-	registered := false
-	for {
-		if !registered {
-			registered = m.register(ctx)
-		}
-		m.read(ctx)
-		pause := membersEvery
-		if len(m.All()) <= 1 {
-			pause = membersSettle
+// Join lists this host and reads the list for the first time, from a copy that may be
+// some seconds old: it is enough to know whom to ask for a newer one. When the whole
+// fleet starts for the first time hosts wait for each other's entries.
+func (m *members) Join(ctx context.Context) {
+	m.register(ctx)
+	for range joinReads {
+		if m.s.FirstStart && m.clock.Sleep(ctx, membersSettle) != nil {
+			return
 		}
-		if m.clock.Sleep(ctx, pause) != nil {
+		if m.read(ctx) && (!m.s.FirstStart || len(m.All()) > 1) {
 			return
 		}
 	}
 }
 
-// register writes this host's entry; one that is there from an earlier run has
-// the same address.
-func (m *members) register(ctx context.Context) bool {
-	value, err := json.Marshal(member{Addr: m.addr(m.s.IP), Class: classOf(m.s.Limits)})
+// Run keeps this host's entry in the list until ctx ends.
+func (m *members) Run(ctx context.Context) {
+	for m.clock.Sleep(ctx, registerEvery) == nil {
+		if !m.registered.Load() {
+			m.register(ctx)
+		}
+	}
+}
+
+// register writes this host's entry, in place of one that an earlier run left.
+func (m *members) register(ctx context.Context) {
+	value, err := json.Marshal(member(m.self()))
 	if err != nil {
-		return false
+		m.log.Error("host not listed", "cause", err.Error())
+		return
 	}
 	_, err = m.store.Put(ctx, kindHosts, m.s.Host, store.Absent, value)
-	if err != nil && !store.IsConflict(err) {
+	if store.IsConflict(err) {
+		err = m.replace(ctx, value)
+	}
+	if err != nil {
 		m.log.Warn("host not listed", "cause", err.Error())
-		return false
+		return
 	}
+	m.registered.Store(true)
 	m.log.Info("host listed", "addr", m.addr(m.s.IP))
-	return true
 }
 
-func (m *members) read(ctx context.Context) {
-	objects, err := m.store.ListStale(ctx, kindHosts)
+// replace brings an entry of this host's name up to date.
+func (m *members) replace(ctx context.Context, value []byte) error {
+	present, err := m.store.Get(ctx, kindHosts, m.s.Host)
+	if err != nil {
+		return err
+	}
+	var e member
+	if json.Unmarshal(present.Value, &e) == nil && state.Peer(e) == m.self() {
+		return nil
+	}
+	_, err = m.store.Put(ctx, kindHosts, m.s.Host, present.Version, value)
+	return err
+}
+
+// read takes the list as a stale copy of the store has it.
+func (m *members) read(ctx context.Context) bool {
+	objects, revision, err := m.store.ListStale(ctx, kindHosts)
 	if err != nil {
 		m.log.Warn("list of hosts not read", "cause", err.Error())
-		return
+		return false
 	}
-	var hosts []occupancy.Host
-	for _, o := range objects {
+	m.copy.Adopt(follow.Copy{Revision: revision, Objects: objects}, "the store's stale copy")
+	return true
+}
+
+// changed takes a new copy of the list.
+func (m *members) changed(c follow.Copy) {
+	hosts := []state.Peer{}
+	found := false
+	for _, o := range c.Objects {
 		var e member
 		if err := json.Unmarshal(o.Value, &e); err != nil || e.Addr == "" {
-			m.log.Error("entry of a host not readable", "host", o.Name)
+			m.noteUnreadable(o)
 			continue
 		}
-		hosts = append(hosts, occupancy.Host{Addr: e.Addr, Class: e.Class})
+		found = found || o.Name == m.s.Host
+		hosts = append(hosts, state.Peer(e))
 	}
+	before := len(m.All())
 	m.listed.Store(&hosts)
-	m.log.Info("hosts listed", "hosts", len(hosts))
+	if before != len(hosts) {
+		m.log.Info("hosts listed", "hosts", len(hosts), "before", before, "revision", c.Revision)
+	}
+	if !found && m.copy.Fresh() {
+		m.registered.Store(false)
+	}
+}
+
+func (m *members) noteUnreadable(o store.Object) {
+	if m.unreadable[o.Name] != o.Version {
+		m.unreadable[o.Name] = o.Version
+		m.log.Warn("entry of a host not readable", "host", o.Name, "version", o.Version)
+	}
 }
 
 // classOf orders hosts by processor time and link; each doubling of either is a
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -60,6 +60,7 @@
 	// call; the shortest bound on either change is 2 s.
 	gatherConfig    = 800 * time.Millisecond
 	gatherInstances = time.Second
+	gatherHosts     = time.Second
 	// outageWindow is how long after the store's return entries of living runners
 	// may be missing: "about two seconds", by the platform's pages. holdFor bounds
 	// the trust in one while the store is still away: a leaving runner may be sent
@@ -73,21 +74,20 @@
 	lookers    = 3
 	lookOften  = 2 * time.Second
 	lookSeldom = 30 * time.Second
-	// relayEvery is how often a host that lost the store asks a peer for newer
-	// copies.
-	relayEvery = 500 * time.Millisecond
 	// peerDialTimeout bounds the making of a connection to a peer, which takes two
 	// round trips between failure domains (2.8 ms); peerSilence is how long nothing
 	// may be heard on one before it counts as silent, with three pings in it.
 	peerDialTimeout = time.Second
 	peerSilence     = 6 * time.Second
-	// membersSettle lets hosts that start together list themselves first.
+	// membersSettle lets hosts that start together list themselves first; a stale copy
+	// of the list may lag behind by some seconds, so that it is read joinReads times.
 	membersSettle = 1500 * time.Millisecond
-	// membersEvery is how often the list of hosts is read, from a stale copy.
-	membersEvery = 15 * time.Second
-	// assumedHosts divides the shared limits until the list of hosts is read: the
+	joinReads     = 3
+	// registerEvery is how often a host whose entry isn't listed writes it.
+	registerEvery = time.Second
+	// assumedHosts divides the shared limits until the list of hosts is read: above the
 	// size of the largest deployment's fleet with its spares.
-	assumedHosts = 80
+	assumedHosts = 400
 	// limitShare keeps room below the shared limits for hosts not listed yet.
 	limitShare = 0.8
 	// minConns is the least number of connections to a runner.
--- a/state/routing.go
+++ b/state/routing.go
@@ -87,6 +87,15 @@
 	Engine *EngineSpec
 }
 
+// Peer is another host as its entry in the list of hosts describes it.
+type Peer struct {
+	// Addr is where the hosts' own protocol reaches it.
+	Addr string
+	// Class is higher for hosts with more processor time and a faster link.
+	Class         int
+	FailureDomain string
+}
+
 // RoutingConfig is one version of the operators' routes and services.
 type RoutingConfig struct {
 	Version  uint64
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -1,11 +1,12 @@
-// Package relay lets a host that has lost the store read a peer's copies of the
-// configuration and of the list of instances, in one call between hosts.
+// Package relay carries what changed in the copies of the platform's store from hosts that
+// follow it to those that follow them, in one call between hosts that waits for a change.
 package relay
 
 import (
 	"context"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/fanout"
 	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/protocol/peerapi"
@@ -15,95 +16,99 @@
 
 const (
 	// MaxBodyBytes bounds a call: a configuration of some hundred routes has about
-	// 100 KB, the list of 1,800 instances about 500 KB.
+	// 100 KB, the list of 3,000 instances about 1 MB.
 	MaxBodyBytes = 8 << 20
-	// callTimeout bounds one call of a peer.
-	callTimeout = time.Second
+	// mostWait bounds how long a peer may let a call wait.
+	mostWait = 30 * time.Second
 )
 
 // Request names the revisions that the asking host has, by kind.
 type Request struct {
 	Revisions map[string]uint64 `msgpack:"r"`
+	WaitMS    int64             `msgpack:"w"`
 }
 
-// Object is an object of the store.
+// Object is an object of the store; one that is gone has no value.
 type Object struct {
 	Name    string `msgpack:"n"`
 	Version uint64 `msgpack:"v"`
-	Value   []byte `msgpack:"d"`
+	Value   []byte `msgpack:"d,omitempty"`
 }
 
-// Copy is a newer copy of one kind.
-type Copy struct {
+// Delta is what changed in one kind.
+type Delta struct {
 	Revision uint64   `msgpack:"r"`
-	Objects  []Object `msgpack:"o"`
+	Whole    bool     `msgpack:"w,omitempty"`
+	Objects  []Object `msgpack:"o,omitempty"`
+	Deleted  []Object `msgpack:"d,omitempty"`
 }
 
-// Response has the copies that are newer than the asking host's, by kind.
+// Response is what the asking host lacks, by kind.
 type Response struct {
-	Copies map[string]Copy `msgpack:"c"`
+	Lost bool `msgpack:"l,omitempty"`
+	// RegainedMS is how long ago the store answered again; absent if it always has.
+	RegainedMS *int64           `msgpack:"g,omitempty"`
+	Changes    map[string]Delta `msgpack:"c"`
 }
 
-// Mirror is a copy that can be read and replaced by a newer one.
-type Mirror interface {
-	Export() follow.Copy
-	Revision() uint64
-	Adopt(c follow.Copy, from string) bool
+// Register lets the server answer hosts that follow this one.
+func Register(s *peer.Server, n *fanout.Node) {
+	s.Handle(peerapi.KindCopies, peer.HandleMsg(func(ctx context.Context, _ state.HostID, q Request) (Response, error) {
+		wait := min(max(0, time.Duration(q.WaitMS)*time.Millisecond), mostWait)
+		return encode(n.Serve(ctx, q.Revisions, wait)), nil
+	}))
 }
 
-// Mirrors are the copies of a host by kind.
-type Mirrors map[string]Mirror
+// Peers reaches other hosts.
+type Peers struct{ Client *peer.Client }
 
-// Register lets the server answer peers from the host's copies.
-func Register(s *peer.Server, mirrors Mirrors) {
-	s.Handle(peerapi.KindCopies, peer.HandleMsg(func(_ context.Context, _ state.HostID, q Request) (Response, error) {
-		return mirrors.newer(q), nil
-	}))
+var _ fanout.Peers = Peers{}
+
+// Follow implements fanout.Peers.
+func (p Peers) Follow(ctx context.Context, addr string, since fanout.Revisions, wait time.Duration) (fanout.News, error) {
+	q := Request{Revisions: since, WaitMS: wait.Milliseconds()}
+	a, err := peer.CallMsg[Request, Response](ctx, p.Client, addr, peerapi.KindCopies, q)
+	if err != nil {
+		return fanout.News{}, err
+	}
+	return a.decode(), nil
 }
 
-// newer returns the copies that the asking host lacks.
-func (m Mirrors) newer(q Request) Response {
-	out := Response{Copies: map[string]Copy{}}
-	for kind, mirror := range m {
-		if mirror.Revision() > q.Revisions[kind] {
-			out.Copies[kind] = encode(mirror.Export())
-		}
+func encode(n fanout.News) Response {
+	out := Response{Lost: n.Lost, Changes: map[string]Delta{}}
+	if n.Ever {
+		ms := n.Regained.Milliseconds()
+		out.RegainedMS = &ms
+	}
+	for kind, d := range n.Changes {
+		out.Changes[kind] = Delta{Revision: d.Revision, Whole: d.Whole, Objects: encodeObjects(d.Objects), Deleted: encodeObjects(d.Deleted)}
 	}
 	return out
 }
 
-func encode(c follow.Copy) Copy {
-	out := Copy{Revision: c.Revision, Objects: make([]Object, 0, len(c.Objects))}
-	for _, o := range c.Objects {
-		out.Objects = append(out.Objects, Object{o.Name, o.Version, o.Value})
+func (r Response) decode() fanout.News {
+	out := fanout.News{Lost: r.Lost, Changes: map[string]follow.Delta{}}
+	if r.RegainedMS != nil {
+		out.Ever, out.Regained = true, max(0, time.Duration(*r.RegainedMS)*time.Millisecond)
+	}
+	for kind, d := range r.Changes {
+		out.Changes[kind] = follow.Delta{Revision: d.Revision, Whole: d.Whole, Objects: decodeObjects(kind, d.Objects), Deleted: decodeObjects(kind, d.Deleted)}
 	}
 	return out
 }
 
-func (c Copy) decode(kind string) follow.Copy {
-	out := follow.Copy{Revision: c.Revision, Objects: make([]store.Object, 0, len(c.Objects))}
-	for _, o := range c.Objects {
-		out.Objects = append(out.Objects, store.Object{Kind: kind, Name: o.Name, Version: o.Version, Value: o.Value})
+func encodeObjects(objects []store.Object) []Object {
+	out := make([]Object, 0, len(objects))
+	for _, o := range objects {
+		out = append(out, Object{o.Name, o.Version, o.Value})
 	}
 	return out
 }
 
-// Ask reads the newer copies of the peer at addr into the mirrors.
-func Ask(ctx context.Context, c *peer.Client, addr string, mirrors Mirrors) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	q := Request{Revisions: map[string]uint64{}}
-	for kind, m := range mirrors {
-		q.Revisions[kind] = m.Revision()
-	}
-	a, err := peer.CallMsg[Request, Response](ctx, c, addr, peerapi.KindCopies, q)
-	if err != nil {
-		return err
+func decodeObjects(kind string, objects []Object) []store.Object {
+	out := make([]store.Object, 0, len(objects))
+	for _, o := range objects {
+		out = append(out, store.Object{Kind: kind, Name: o.Name, Version: o.Version, Value: o.Value})
 	}
-	for kind, c := range a.Copies {
-		if m := mirrors[kind]; m != nil {
-			m.Adopt(c.decode(kind), addr)
-		}
-	}
-	return nil
+	return out
 }
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -2,31 +2,24 @@
 
 import (
 	"context"
+	"log/slog"
+	"math/rand/v2"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/thymerack/thymerack/coordination/fanout"
 	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/store"
+	"github.com/thymerack/thymerack/coordination/store/storetest"
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/peer"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
-// mirror is a copy in memory.
-type mirror struct {
-	copy    follow.Copy
-	adopted int
-}
-
-func (m *mirror) Export() follow.Copy { return m.copy }
-func (m *mirror) Revision() uint64    { return m.copy.Revision }
-func (m *mirror) Adopt(c follow.Copy, _ string) bool {
-	m.adopted++
-	m.copy = c
-	return true
-}
-
 func hostID(name string) state.HostID { return state.HostID{Name: name, Incarnation: "1"} }
 
 func newClient(t *testing.T) *peer.Client {
@@ -39,7 +32,28 @@
 	return c
 }
 
-func serve(t *testing.T, mirrors Mirrors) string {
+// newNode makes a host that follows a store.
+func newNode(t *testing.T, p *storetest.Platform) *fanout.Node {
+	t.Helper()
+	var n *fanout.Node
+	m, err := follow.New(follow.Options{
+		Store: p.Client("answers"), Clock: wallclock.Clock{}, Log: slog.New(slog.DiscardHandler), Kind: "a",
+		Changed: func(follow.Copy) {}, Outage: &follow.Outage{}, Notify: func() { n.Notify() },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err = fanout.New(fanout.Options{
+		Self: state.Peer{Addr: "answers"}, Hosts: func() []state.Peer { return nil }, Copies: map[string]*follow.Mirror{"a": m},
+		Peers: Peers{}, Clock: wallclock.Clock{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler), Wait: time.Second,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func serve(t *testing.T, n *fanout.Node) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -49,27 +63,51 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	Register(s, mirrors)
+	Register(s, n)
 	ctx, stop := context.WithCancel(context.Background())
-	served := make(chan error, 1)
+	served, ran := make(chan error, 1), make(chan struct{})
 	go func() { served <- s.Serve(ctx, ln) }()
+	go func() {
+		defer close(ran)
+		n.Run(ctx)
+	}()
 	t.Cleanup(func() {
 		stop()
 		if err := <-served; err != nil {
 			t.Error(err)
 		}
+		<-ran
 	})
 	return ln.Addr().String()
 }
 
-func TestOnlyNewerCopiesAreSent(t *testing.T) {
+func TestChangesAreToldOverTheNetwork(t *testing.T) {
 	is := is.New(t)
-	newer := follow.Copy{Revision: 9, Objects: []store.Object{{Kind: "a", Name: "x", Version: 8, Value: []byte(`{"v":1}`)}}}
-	addr := serve(t, Mirrors{"a": &mirror{copy: newer}, "b": &mirror{copy: follow.Copy{Revision: 3}}})
-	a, b := &mirror{copy: follow.Copy{Revision: 2}}, &mirror{copy: follow.Copy{Revision: 3}}
-	is.NoErr(Ask(t.Context(), newClient(t), addr, Mirrors{"a": a, "b": b}))
-	is.Equal(a.copy, newer)
-	is.Equal(b.adopted, 0)
+	p := storetest.NewPlatform(20 * time.Second)
+	c := p.Client("operator")
+	first, err := c.Put(t.Context(), "a", "x", store.Absent, []byte(`{"v":1}`))
+	is.NoErr(err)
+	addr := serve(t, newNode(t, p))
+	peers := Peers{Client: newClient(t)}
+	news, err := peers.Follow(t.Context(), addr, fanout.Revisions{}, time.Minute)
+	is.NoErr(err)
+	is.True(!news.Lost && !news.Ever)
+	whole := news.Changes["a"]
+	is.True(whole.Whole)
+	is.Equal(whole.Objects, []store.Object{{Kind: "a", Name: "x", Version: first, Value: []byte(`{"v":1}`)}})
+	told := make(chan fanout.News, 1)
+	go func() {
+		news, err := peers.Follow(context.Background(), addr, fanout.Revisions{"a": whole.Revision}, time.Minute)
+		if err != nil {
+			t.Error(err)
+		}
+		told <- news
+	}()
+	is.NoErr(c.Delete(t.Context(), "a", "x", first))
+	news = <-told
+	is.True(!news.Changes["a"].Whole)
+	is.Equal(len(news.Changes["a"].Deleted), 1)
+	is.Equal(news.Changes["a"].Deleted[0].Name, "x")
 }
 
 func TestPeerThatIsGoneIsAnError(t *testing.T) {
@@ -78,5 +116,37 @@
 	is.NoErr(err)
 	addr := ln.Addr().String()
 	is.NoErr(ln.Close())
-	is.True(Ask(context.Background(), newClient(t), addr, Mirrors{}) != nil)
+	_, err = Peers{Client: newClient(t)}.Follow(t.Context(), addr, fanout.Revisions{}, 0)
+	is.True(err != nil)
+}
+
+// Whatever bytes a peer answers with, they are decoded or refused, and what is decoded
+// survives the way back.
+func FuzzResponse(f *testing.F) {
+	regained := int64(-5)
+	for _, r := range []Response{
+		{Lost: true},
+		{RegainedMS: &regained, Changes: map[string]Delta{"a": {Revision: 9, Whole: true, Objects: []Object{{"x", 8, []byte("{}")}}}}},
+		{Changes: map[string]Delta{"a": {Revision: 1 << 63, Deleted: []Object{{"", 1 << 63, nil}}}}},
+	} {
+		body, err := msgpack.Marshal(r)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var r Response
+		if msgpack.Unmarshal(body, &r) != nil {
+			return
+		}
+		news := r.decode()
+		if news.Regained < 0 {
+			t.Errorf("the store is regained in %s", -news.Regained)
+		}
+		again := encode(news).decode()
+		if len(again.Changes) != len(news.Changes) || again.Lost != news.Lost || again.Ever != news.Ever {
+			t.Errorf("%v came back as %v", news, again)
+		}
+	})
 }
