Try reservations and backups for streams that may run once

Hypotheses: a slot reserved ahead (a call that runs nothing) shows a dark engine before the request is sent; a copy of the run's memory at another engine lets the run go on there. Change: both, for streams that may run once; a first event that is overdue ends a repeatable attempt.

--- /dev/null
+++ b/coordination/forward/backup.go
@@ -0,0 +1,143 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+const (
+	// askTimeout bounds a question to an engine whose run is silent or was cut: thirty
+	// round trips between failure domains.
+	askTimeout = 100 * time.Millisecond
+	// goOnTime is what is left of a promised pause for asking a silent engine and for the
+	// first event of another one.
+	goOnTime = askTimeout + 30*time.Millisecond
+	// leastSilence is the shortest silence after which an engine is asked, above the
+	// steps of busy engines (5 to 60 ms).
+	leastSilence = 80 * time.Millisecond
+	// mostMoves bounds the engines at which a run goes on.
+	mostMoves = 2
+)
+
+// backupFor is the engine to which the memory of a run that may run once is copied, so
+// that the run can go on there when its engine is lost; nil if there is none.
+func (d *Dispatcher) backupFor(r *Request, at *state.Instance, tried []state.InstanceID) *state.Instance {
+	if !r.runsOnce() || !r.Engine.Backups {
+		return nil
+	}
+	runner := d.o.Placer.Decode(r.Service, "", at.FailureDomain, append(slices.Clone(tried), at.ID))
+	if runner == nil {
+		return nil
+	}
+	return runner.Instance
+}
+
+// silence is how long an engine may send nothing before it is asked.
+func silence(r *Request) time.Duration { return max(leastSilence, r.Route.EventGap-goOnTime) }
+
+// watch looks after a stream with a backup: one whose engine is silent and doesn't answer
+// is cut, so that it can go on elsewhere within the pause that its caller was promised.
+type watch struct {
+	// heard is when the last bytes came, in nanoseconds since begun.
+	heard atomic.Int64
+	begun time.Time
+	stop  context.CancelFunc
+}
+
+// startWatch begins to look after the present run of the stream, if it has a backup.
+func (s *Stream) startWatch() {
+	s.stopWatch()
+	if s.a.Backup == nil {
+		return
+	}
+	ctx, stop := context.WithCancel(s.ctx)
+	w := &watch{begun: s.d.o.Clock.Now(), stop: stop}
+	s.watch = w
+	go s.d.lookAfter(ctx, w, s.a, s.resp)
+}
+
+func (s *Stream) stopWatch() {
+	if s.watch != nil {
+		s.watch.stop()
+		s.watch = nil
+	}
+}
+
+// noteHeard tells the watch that bytes came.
+func (s *Stream) noteHeard() {
+	if s.watch != nil {
+		s.watch.heard.Store(int64(s.d.o.Clock.Now().Sub(s.watch.begun)))
+	}
+}
+
+// lookAfter asks the engine whenever its run is silent for too long, and cuts the response
+// of one that doesn't answer.
+func (d *Dispatcher) lookAfter(ctx context.Context, w *watch, a *Attempt, resp Response) {
+	patience := silence(a.Request)
+	for {
+		left := w.begun.Add(time.Duration(w.heard.Load()) + patience).Sub(d.o.Clock.Now())
+		if left > 0 {
+			if d.o.Clock.Sleep(ctx, left) != nil {
+				return
+			}
+			continue
+		}
+		if !d.alive(ctx, a.Instance) && ctx.Err() == nil {
+			resp.Cut()
+			return
+		}
+		if d.o.Clock.Sleep(ctx, patience) != nil {
+			return
+		}
+	}
+}
+
+func (d *Dispatcher) alive(ctx context.Context, i *state.Instance) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return d.o.Upstream.Alive(ctx, i)
+}
+
+// goOn lets a run that may run once go on at the engine that has its backup. Its former
+// engine is asked to stop it: one that doesn't answer is lost with its run, and one that
+// has no such run has ended it. One that says anything else may still be at it.
+func (s *Stream) goOn(cause error) bool {
+	r, from, backup := s.a.Request, s.a, s.a.Backup
+	s.drop()
+	s.d.noteBroken(s.ctx, s.runner)
+	s.rec.add(from.Instance, "run", outcomeUnknown, s.d.o.Clock.Now().Sub(s.started), cause)
+	if backup == nil || s.lastID == "" || s.moves >= mostMoves || !s.d.o.Placer.Has(backup.ID) {
+		return false
+	}
+	if s.d.over(s.ctx, r, s.rec) != nil || !s.d.pay(r, s.rec) {
+		return false
+	}
+	s.moves++
+	source := &KVSource{Instance: backup, Handle: r.ID}
+	ctx, cancel := context.WithTimeout(s.ctx, askTimeout)
+	defer cancel()
+	started := s.d.o.Clock.Now()
+	handle, err := s.d.o.Upstream.Move(ctx, from.Instance, r.ID, backup)
+	switch {
+	case err == nil && handle != "":
+		source = &KVSource{Instance: from.Instance, Handle: handle}
+	case err != nil && !unreached(err):
+		s.rec.add(from.Instance, "move", outcomeUnknown, s.d.o.Clock.Now().Sub(started), err)
+		return false
+	}
+	return s.resumeFrom(backup, source)
+}
+
+// resumeFrom goes on at an engine from a copy of the run's memory.
+func (s *Stream) resumeFrom(at *state.Instance, source *KVSource) bool {
+	runner := s.d.o.Placer.Runner(at.ID)
+	if runner == nil {
+		return false
+	}
+	a := &Attempt{Request: s.a.Request, Instance: at, Source: source, LastEventID: s.lastID, Backup: s.d.backupFor(s.a.Request, at, s.rec.tried)}
+	return s.resumeWith(a, choice{Runner: runner})
+}
--- /dev/null
+++ b/coordination/forward/backup_test.go
@@ -0,0 +1,146 @@
+package forward
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+// backedUp is a question that may run once, at engines that back runs up.
+func backedUp() *Request {
+	r := onceRequest()
+	r.Engine.Backups = true
+	r.Route.EventGap = 250 * time.Millisecond
+	return r
+}
+
+// begun is the first half of a stream, and rest what a run that goes on sends.
+const (
+	begun = "id: 1\ndata: x\n\n"
+	rest  = "id: 2\ndata: y\n\n"
+)
+
+// inBackedWorld forwards a question whose first run sends what the first reply says.
+func inBackedWorld(t *testing.T, prepare func(w *world, first state.InstanceID), replies ...reply) (w *world, got string, err error) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w = newWorld(t, plenty, replies...)
+		answer, failed := w.Forward(t.Context(), backedUp())
+		if failed != nil {
+			t.Fatal(failed)
+		}
+		prepare(w, w.up.attempts[0].Instance.ID)
+		got, err = readAll(answer.Stream)
+	})
+	return w, got, err
+}
+
+// An engine falls silent in the middle of answers: each run goes on from its backup within
+// the pause that its caller was promised.
+func TestRunGoesOnWhenItsEngineFallsSilent(t *testing.T) {
+	is := is.New(t)
+	var fell time.Time
+	w, got, err := inBackedWorld(t, func(w *world, first state.InstanceID) {
+		fell = time.Now()
+		w.up.dark = map[state.InstanceID]bool{first: true}
+		w.up.noted = func() { is.True(time.Since(fell) <= 250*time.Millisecond+askTimeout) }
+	}, reply{status: 200, events: true, body: begun, stall: time.Minute}, reply{status: 200, events: true, body: rest})
+	is.NoErr(err)
+	is.Equal(got, begun+rest)
+	a := w.up.attempts
+	is.Equal(a[1].Instance, a[0].Backup)
+	is.Equal(*a[1].Source, KVSource{Instance: a[0].Backup, Handle: "r1"})
+	is.Equal(a[1].LastEventID, "1")
+	is.True(a[1].Backup != nil && a[1].Backup.ID != a[1].Instance.ID) // it may be lost as well
+}
+
+// What the former engine says of the run decides whether and from where it goes on.
+func TestRunGoesOnOnlyOnceTheFormerOneHasEnded(t *testing.T) {
+	for name, c := range map[string]struct {
+		handle string
+		err    error
+		goesOn bool
+	}{
+		"stopped, with its memory":  {handle: "h9", goesOn: true},
+		"no such run any more":      {goesOn: true},
+		"out of reach":              {err: errSent, goesOn: true},
+		"refused, so it may go on":  {err: errors.New("answered 409")},
+		"no connection to ask with": {err: &SendError{Busy: true, Cause: errors.New("busy")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w, got, err := inBackedWorld(t, func(w *world, _ state.InstanceID) {
+				w.up.moveHandle, w.up.moveErr = c.handle, c.err
+			}, reply{status: 200, events: true, body: begun, readErr: errSent}, reply{status: 200, events: true, body: rest})
+			if !c.goesOn {
+				is.Equal(err, ErrStreamCut)
+				is.Equal(len(w.up.attempts), 1)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(got, begun+rest)
+			a := w.up.attempts
+			want := KVSource{Instance: a[0].Backup, Handle: "r1"}
+			if c.handle != "" {
+				want = KVSource{Instance: a[0].Instance, Handle: c.handle}
+			}
+			is.Equal(*a[1].Source, want)
+			is.Equal(a[1].Instance, a[0].Backup)
+		})
+	}
+}
+
+// The copy isn't there, or its engine is lost too: the stream ends cut, and nothing runs.
+func TestRunWithoutItsCopyEnds(t *testing.T) {
+	for name, second := range map[string]reply{
+		"no copy":        {status: 503, notRun: true},
+		"both ends lost": {err: errSent},
+		"another status": {status: 500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w, _, err := inBackedWorld(t, func(*world, state.InstanceID) {}, reply{status: 200, events: true, body: begun, readErr: errSent}, second)
+			is.Equal(err, ErrStreamCut)
+			is.Equal(len(w.up.attempts), 2)
+		})
+	}
+}
+
+// An engine that is only slow answers when it is asked, and keeps its run.
+func TestSlowEngineKeepsItsRun(t *testing.T) {
+	is := is.New(t)
+	w, got, err := inBackedWorld(t, func(*world, state.InstanceID) {}, reply{status: 200, events: true, body: begun, stall: 2 * time.Second})
+	is.NoErr(err)
+	is.Equal(got, begun)
+	is.Equal(len(w.up.attempts), 1)
+	is.Equal(len(w.up.moved), 0)
+}
+
+// Before the first event nobody knows whether the run has begun, and it isn't sent again.
+func TestRunWithoutAnEventIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{status: 200, events: true, readErr: errSent})
+	_, err := w.Forward(t.Context(), backedUp())
+	var refusal *Refusal
+	is.True(errors.As(err, &refusal))
+	is.True(!refusal.NotRun)
+	is.Equal(len(w.up.attempts), 1)
+}
+
+// Backups cost memory at another engine: runs that may be repeated have none.
+func TestRepeatableRunsHaveNoBackup(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, generated)
+	r := backedUp()
+	r.Route.Resumable = true
+	answer, err := w.Forward(t.Context(), r)
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.True(w.up.attempts[0].Backup == nil)
+}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -21,6 +21,8 @@
 	Prefill(service, session string, tried []state.InstanceID) *placement.Runner
 	// ReadsApart reports whether some of the service's engines only read prompts.
 	ReadsApart(service string) bool
+	// Runner is the instance with what is known of it, or nil.
+	Runner(id state.InstanceID) *placement.Runner
 	// Has reports whether work may be sent to the instance at this moment.
 	Has(id state.InstanceID) bool
 }
@@ -277,16 +279,28 @@
 		sent.end()
 		return nil, outcomeUnsent
 	}
+	if d.holds(a.Request) && !d.hold(ctx, a, runner, rec) {
+		sent.end()
+		return nil, outcomeUnsent
+	}
+	a.Backup = d.backupFor(a.Request, a.Instance, rec.tried)
 	a.Left = d.left(a.Request)
 	started := d.o.Clock.Now()
-	resp, err := d.o.Upstream.Send(ctx, a)
+	running, first := d.awaitFirst(ctx, a, rec)
+	resp, err := d.o.Upstream.Send(running, a)
 	took := d.o.Clock.Now().Sub(started)
 	if err != nil {
+		first.cancel()
 		sent.end()
 		return nil, d.sendFailed(ctx, a, runner, rec, "run", took, err)
 	}
 	rec.noteRun()
 	head := resp.Head()
+	if head.Events && head.Status < statusFailed && !head.NotRun {
+		rec.mayHaveRun = true
+		return d.openStream(ctx, a, runner, rec, resp, sent, started, first)
+	}
+	defer first.cancel()
 	if head.NotRun {
 		drain(resp)
 		sent.end()
@@ -295,13 +309,10 @@
 		return nil, outcomeNotRun
 	}
 	rec.mayHaveRun = true
-	if head.Events && head.Status < 300 {
-		return d.openStream(ctx, a, runner, rec, resp, sent, started)
-	}
 	defer sent.end()
 	body, err := readWhole(resp)
 	took = d.o.Clock.Now().Sub(started)
-	if err == nil && head.Status < 300 && !head.Sealed {
+	if err == nil && head.Status < statusFailed && !head.Sealed {
 		err = errUnsealed
 	}
 	if err != nil {
@@ -322,6 +333,9 @@
 	return &Answer{Head: head, Body: body}, outcomeAnswered
 }
 
+// statusFailed is the first status that is no success.
+const statusFailed = 300
+
 var errUnsealed = errors.New("the response has no signature of its runner; it was dropped")
 
 // sendFailed notes a sending without a response.
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 	readErr error
 	// hang waits for the end of the context.
 	hang bool
+	// stall sends nothing more after the body for so long, or until it is cut.
+	stall time.Duration
 	// after is how long the response takes.
 	after time.Duration
 }
@@ -36,12 +39,28 @@
 	replies  []reply
 	attempts []Attempt
 	cuts     int
+	// noted, if set, is called at each sending.
+	noted func()
 	// discarded gets the handles that are freed.
 	discarded chan string
+	// held are the engines that were asked to reserve a slot; those that are dark don't
+	// answer, the others answer hold and holdErr.
+	held    []state.InstanceID
+	dark    map[state.InstanceID]bool
+	hold    string
+	holdErr error
+	// moved are the engines that were asked to stop a run; they answer moveHandle and
+	// moveErr.
+	moved      []state.InstanceID
+	moveHandle string
+	moveErr    error
 }
 
 func (u *fakeUpstream) Send(ctx context.Context, a *Attempt) (Response, error) {
 	u.attempts = append(u.attempts, *a)
+	if u.noted != nil {
+		u.noted()
+	}
 	if len(u.replies) == 0 {
 		u.t.Fatalf("sending %d was not expected", len(u.attempts))
 	}
@@ -55,7 +74,7 @@
 		return nil, r.err
 	}
 	time.Sleep(r.after)
-	return &fakeResponse{u: u, r: r, head: &Head{Status: r.status, Sealed: !r.unseal, NotRun: r.notRun, Events: r.events}}, nil
+	return &fakeResponse{u: u, r: r, cut: make(chan struct{}), head: &Head{Status: r.status, Sealed: !r.unseal, NotRun: r.notRun, Events: r.events}}, nil
 }
 
 func (u *fakeUpstream) PrefillHandle(body []byte) (string, error) {
@@ -65,6 +84,34 @@
 	return string(body), nil
 }
 
+func (u *fakeUpstream) Hold(ctx context.Context, i *state.Instance, _ int, _ time.Duration) (string, error) {
+	u.held = append(u.held, i.ID)
+	if u.dark[i.ID] {
+		<-ctx.Done()
+		return "", &SendError{Sent: true, Cause: ctx.Err()}
+	}
+	return u.hold, u.holdErr
+}
+
+// Move implements Upstream.
+func (u *fakeUpstream) Move(ctx context.Context, from *state.Instance, _ string, _ *state.Instance) (string, error) {
+	u.moved = append(u.moved, from.ID)
+	if u.dark[from.ID] {
+		<-ctx.Done()
+		return "", &SendError{Sent: true, Cause: ctx.Err()}
+	}
+	return u.moveHandle, u.moveErr
+}
+
+// Alive implements Upstream.
+func (u *fakeUpstream) Alive(ctx context.Context, i *state.Instance) bool {
+	if u.dark[i.ID] {
+		<-ctx.Done()
+		return false
+	}
+	return true
+}
+
 func (u *fakeUpstream) Discard(source *KVSource) error {
 	u.discarded <- source.Handle
 	return errors.New("the engine is gone")
@@ -74,12 +121,21 @@
 	u    *fakeUpstream
 	r    reply
 	head *Head
+	cut  chan struct{}
+	once sync.Once
 }
 
 func (f *fakeResponse) Head() *Head { return f.head }
 
 func (f *fakeResponse) Read(p []byte) (int, error) {
 	if f.r.body == "" {
+		if f.r.stall > 0 {
+			select {
+			case <-f.cut:
+				return 0, errSent
+			case <-time.After(f.r.stall):
+			}
+		}
 		if f.r.readErr != nil {
 			return 0, f.r.readErr
 		}
@@ -91,7 +147,12 @@
 }
 
 func (f *fakeResponse) Finish() {}
-func (f *fakeResponse) Cut()    { f.u.cuts++ }
+func (f *fakeResponse) Cut() {
+	f.once.Do(func() {
+		f.u.cuts++
+		close(f.cut)
+	})
+}
 
 // countingBudget allows a number of repeats.
 type countingBudget struct{ left int }
--- /dev/null
+++ b/coordination/forward/hold_test.go
@@ -0,0 +1,127 @@
+package forward
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+// onceRequest is a question that may run once, at engines that reserve slots.
+func onceRequest() *Request {
+	r := modelRequest(200, false)
+	r.Generation.Parts = nil
+	r.Route.MaxAttempts = 1
+	r.Engine = &state.EngineSpec{Slots: engineSlots, HoldTTL: 2 * time.Second}
+	return r
+}
+
+// A fifth of the engines fall silent at once, while questions that may run once arrive
+// at all of them: none is sent to an engine that doesn't answer, and each is served.
+func TestQuestionsThatRunOnceAreNotSentToDarkEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const questions = 200
+		var replies []reply
+		for range questions {
+			replies = append(replies, generated)
+		}
+		w := newWorld(t, plenty, replies...)
+		w.up.hold = "held"
+		w.up.dark = map[state.InstanceID]bool{{Name: "d2"}: true}
+		for range questions {
+			r := onceRequest()
+			answer, err := w.Forward(t.Context(), r)
+			is.NoErr(err)
+			_, err = readAll(answer.Stream)
+			is.NoErr(err)
+			is.True(time.Since(r.ArrivedAt) <= 2*holdTimeout)
+		}
+		is.Equal(len(w.up.attempts), questions)
+		for _, a := range w.up.attempts {
+			is.Equal(a.Hold, "held")
+			is.True(!w.up.dark[a.Instance.ID])
+		}
+	})
+}
+
+func TestReservationIsAHelpNotACondition(t *testing.T) {
+	for name, c := range map[string]struct {
+		hold    string
+		holdErr error
+		change  func(*Request)
+		asked   int
+	}{
+		"no room":                   {asked: 1},
+		"not understood":            {holdErr: errors.New("answered 404"), asked: 1},
+		"no connection left for it": {holdErr: &SendError{Busy: true, Cause: errors.New("busy")}, asked: 1},
+		"engines without":           {change: func(r *Request) { r.Engine.HoldTTL = 0 }},
+		"may be repeated":           {change: func(r *Request) { r.Route.Resumable = true }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, plenty, generated)
+			w.up.hold, w.up.holdErr = c.hold, c.holdErr
+			r := onceRequest()
+			if c.change != nil {
+				c.change(r)
+			}
+			answer, err := w.Forward(t.Context(), r)
+			is.NoErr(err)
+			_, err = readAll(answer.Stream)
+			is.NoErr(err)
+			is.Equal(len(w.up.held), c.asked)
+			is.Equal(w.up.attempts[0].Hold, "")
+		})
+	}
+}
+
+// The engine that should generate is silent: another one is asked as soon as the first
+// event is overdue, and the caller has it in time.
+func TestSilentEngineIsLeftBeforeItsCallerDoes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, plenty, promptRead, reply{hang: true}, generated)
+		r := modelRequest(9000, true)
+		answer, err := w.Forward(t.Context(), r)
+		is.NoErr(err)
+		_, err = readAll(answer.Stream)
+		is.NoErr(err)
+		is.True(w.up.attempts[1].Instance.ID != w.up.attempts[2].Instance.ID)
+		is.True(time.Since(r.ArrivedAt) < r.Route.Objective)
+		silent := w.fleet.Decode("model", "", "", nil)
+		is.True(silent.Instance.ID != w.up.attempts[1].Instance.ID) // others are spared it
+	})
+}
+
+// The wait follows what first events take: a service whose memory moves slowly is given
+// its time.
+func TestWaitForTheFirstEventFollowsTheService(t *testing.T) {
+	is := is.New(t)
+	var l leads
+	for range 100 {
+		l.note("slow", 400*time.Millisecond)
+		l.note("fast", 20*time.Millisecond)
+	}
+	is.True(l.most("slow") > 400*time.Millisecond+leadSlack)
+	is.True(l.most("fast") < 100*time.Millisecond)
+	is.True(l.most("unknown") >= firstLead+leadSlack)
+}
+
+// A request that may not be sent again is waited for.
+func TestLastAttemptIsNotEndedBySilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, plenty, promptRead, reply{status: 200, events: true, body: "id: 1\n\n", after: time.Second})
+		r := modelRequest(9000, true)
+		r.Route.MaxAttempts = 1
+		answer, err := w.Forward(t.Context(), r)
+		is.NoErr(err)
+		_, err = readAll(answer.Stream)
+		is.NoErr(err)
+	})
+}
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -84,7 +84,8 @@
 // Class returns the request's class.
 func (r *Request) Class() Class { return Class{r.Service, r.Route.Kind, r.Route.Priority} }
 
-// KVSource names the KV cache of a prompt at the engine that read it.
+// KVSource names the KV cache of a prompt at the engine that read it, or that of a run at
+// the engine which has its backup, by the request's id.
 type KVSource struct {
 	Instance *state.Instance
 	Handle   string
@@ -106,6 +107,10 @@
 	Rank int
 	// LastEventID is the last event that the caller has; "" is the start.
 	LastEventID string
+	// Hold names the slot and memory that the runner has reserved; "" if none.
+	Hold string
+	// Backup is the engine to which the run's memory is copied as it grows, or nil.
+	Backup *state.Instance
 }
 
 // Head is the beginning of a runner's response.
@@ -136,6 +141,14 @@
 // Upstream sends attempts to runners. Errors are *SendError.
 type Upstream interface {
 	Send(ctx context.Context, a *Attempt) (Response, error)
+	// Hold reserves a slot and memory for so many tokens at an engine, for ttl at most;
+	// "" says that it has no room.
+	Hold(ctx context.Context, i *state.Instance, tokens int, ttl time.Duration) (string, error)
+	// Move stops a run, copies its memory to another engine and returns its handle; ""
+	// says that the engine has no such run. After an error the run may go on.
+	Move(ctx context.Context, from *state.Instance, id string, to *state.Instance) (handle string, err error)
+	// Alive reports whether an engine answers a question that costs it nothing.
+	Alive(ctx context.Context, i *state.Instance) bool
 	// PrefillHandle reads the KV cache's handle from a response to an attempt
 	// with PrefillOnly.
 	PrefillHandle(body []byte) (string, error)
@@ -163,6 +176,12 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Cause }
 
+// unreached reports whether err says that nothing was heard of the runner.
+func unreached(err error) bool {
+	var failed *SendError
+	return errors.As(err, &failed) && !failed.Busy
+}
+
 // sendError is the SendError in err; of any other error it isn't known what was sent.
 func sendError(err error) *SendError {
 	var failed *SendError
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -20,6 +20,11 @@
 	runner *placement.Runner
 	resp   Response
 	sent   *sending
+	// first has ended its watch; its context is that of the attempt.
+	first *firstEvent
+	// watch looks after a run with a backup, or nil; moves is how often it went on from one.
+	watch *watch
+	moves int
 
 	started time.Time
 	// buf holds what was read; the first whole bytes of it are whole events that
@@ -42,6 +47,9 @@
 // ErrStreamCut says that a stream ended before its last event.
 var ErrStreamCut = errors.New("the stream was cut and can't be resumed; ask again")
 
+// errLate says that an engine didn't begin in its time.
+var errLate = errors.New("the first event came too late; another engine was asked")
+
 // ErrCallerLeft says that a stream's caller closed its connection.
 var ErrCallerLeft = errors.New("the caller left before the stream's end; nothing is to be done")
 
@@ -50,8 +58,8 @@
 const streamBuffer = 4 << 10
 
 // openStream waits for the first event.
-func (d *Dispatcher) openStream(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record, resp Response, sent *sending, started time.Time) (*Answer, outcome) {
-	s := &Stream{d: d, ctx: ctx, a: a, rec: rec, runner: runner, resp: resp, sent: sent, started: started, lastID: a.LastEventID}
+func (d *Dispatcher) openStream(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record, resp Response, sent *sending, started time.Time, first *firstEvent) (*Answer, outcome) {
+	s := &Stream{d: d, ctx: ctx, first: first, a: a, rec: rec, runner: runner, resp: resp, sent: sent, started: started, lastID: a.LastEventID}
 	var err error
 	if !resp.Head().Sealed {
 		err = errUnsealed
@@ -59,6 +67,10 @@
 	for err == nil && s.whole == 0 && !s.eof {
 		err = s.fill()
 	}
+	first.came()
+	if err == nil && first.late.Load() {
+		err = errLate // the connection has been cut
+	}
 	took := d.o.Clock.Now().Sub(started)
 	if err != nil {
 		s.drop()
@@ -71,6 +83,7 @@
 	if a.Source != nil {
 		d.leads.note(a.Request.Service, took)
 	}
+	s.startWatch()
 	return &Answer{Head: resp.Head(), Stream: s}, outcomeAnswered
 }
 
@@ -86,7 +99,7 @@
 		if s.eof {
 			return s.rest()
 		}
-		if err := s.fill(); err != nil && !s.resume(err) {
+		if err := s.fill(); err != nil && !s.again(err) {
 			return nil, s.ended()
 		}
 	}
@@ -116,6 +129,7 @@
 		s.buf = append(make([]byte, 0, len(s.buf)+streamBuffer), s.buf...)
 	}
 	n, err := s.resp.Read(s.buf[len(s.buf):cap(s.buf)])
+	s.noteHeard()
 	before := len(s.buf)
 	s.buf = s.buf[:before+n]
 	s.scan(max(0, before-len(eventEnd)))
@@ -150,6 +164,14 @@
 	}
 }
 
+// again goes on with a stream that broke off, if there is a way.
+func (s *Stream) again(cause error) bool {
+	if s.a.Request.runsOnce() {
+		return s.goOn(cause)
+	}
+	return s.resume(cause)
+}
+
 // resume goes on at another runner after the last whole event, if the route
 // allows it. What was read of a later event is dropped.
 func (s *Stream) resume(cause error) bool {
@@ -170,8 +192,12 @@
 }
 
 func (s *Stream) resumeAt(c choice) bool {
+	return s.resumeWith(&Attempt{Request: s.a.Request, Instance: c.Instance, LastEventID: s.lastID, Rank: c.rank(s.a.Request)}, c)
+}
+
+// resumeWith makes an attempt that goes on after the last whole event.
+func (s *Stream) resumeWith(a *Attempt, c choice) bool {
 	runner, sent := c.Runner, c.begin()
-	a := &Attempt{Request: s.a.Request, Instance: runner.Instance, LastEventID: s.lastID, Rank: c.rank(s.a.Request)}
 	s.rec.exclude(a.Instance)
 	a.Left = s.d.left(a.Request)
 	started := s.d.o.Clock.Now()
@@ -194,6 +220,7 @@
 	sent.answered()
 	s.a, s.runner, s.resp, s.sent, s.started = a, runner, resp, sent, started
 	s.buf, s.whole, s.eof, s.closed = nil, 0, false, false
+	s.startWatch()
 	return true
 }
 
@@ -203,7 +230,9 @@
 		return
 	}
 	s.closed = true
+	s.stopWatch()
 	s.resp.Cut()
+	s.first.cancel()
 	s.sent.end()
 }
 
@@ -211,6 +240,7 @@
 // cancels the work. err is why the caller got no more; nil after a whole stream.
 func (s *Stream) Close(err error) {
 	took := s.d.o.Clock.Now().Sub(s.started)
+	s.stopWatch()
 	if !s.closed {
 		s.closed = true
 		if s.eof {
@@ -220,6 +250,7 @@
 			s.resp.Cut()
 			s.rec.add(s.a.Instance, "run", outcomeCut, took, err)
 		}
+		s.first.cancel()
 		s.sent.end()
 	}
 	s.d.log(s.ctx, s.a.Request, s.rec, s.resp.Head().Status, err)
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -135,6 +135,9 @@
 	}
 }
 
+// Runner returns an instance with what is known of it, or nil.
+func (f *Fleet) Runner(id state.InstanceID) *Runner { return f.view.Load().byID[id] }
+
 // Has reports whether work may be sent to the instance.
 func (f *Fleet) Has(id state.InstanceID) bool {
 	r := f.view.Load().byID[id]
--- a/transport/runners/pool.go
+++ b/transport/runners/pool.go
@@ -21,6 +21,13 @@
 type Codec interface {
 	EncodeAttempt(a *forward.Attempt, req *fasthttp.Request)
 	EncodeDiscard(handle string, req *fasthttp.Request)
+	EncodeHold(tokens int, ttl time.Duration, req *fasthttp.Request)
+	// DecodeHold returns "" if the engine has no room.
+	DecodeHold(resp *fasthttp.Response) (string, error)
+	EncodeMove(id, target string, req *fasthttp.Request)
+	// DecodeMove returns "" if the engine has no such run.
+	DecodeMove(resp *fasthttp.Response) (string, error)
+	EncodeProbe(req *fasthttp.Request)
 	DecodeHead(resp *fasthttp.Response) *forward.Head
 	// OfRequest reports whether a response answers the request of that id.
 	OfRequest(resp *fasthttp.Response, id string) bool
@@ -164,6 +171,36 @@
 	return p.Do(ctx, source.Instance, req, resp, discardTimeout)
 }
 
+// Hold implements forward.Upstream.
+func (p *Pool) Hold(ctx context.Context, i *state.Instance, tokens int, ttl time.Duration) (string, error) {
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	p.o.Codec.EncodeHold(tokens, ttl, req)
+	if err := p.Do(ctx, i, req, resp, ttl); err != nil {
+		return "", err
+	}
+	return p.o.Codec.DecodeHold(resp)
+}
+
+// Move implements forward.Upstream.
+func (p *Pool) Move(ctx context.Context, from *state.Instance, id string, to *state.Instance) (string, error) {
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	p.o.Codec.EncodeMove(id, to.Addr, req)
+	if err := p.Do(ctx, from, req, resp, moveTimeout); err != nil {
+		return "", err
+	}
+	return p.o.Codec.DecodeMove(resp)
+}
+
+// moveTimeout is above what a move within a region takes; the context ends it before.
+const moveTimeout = time.Second
+
+// Alive implements forward.Upstream.
+func (p *Pool) Alive(ctx context.Context, i *state.Instance) bool {
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	p.o.Codec.EncodeProbe(req)
+	return p.Do(ctx, i, req, resp, moveTimeout) == nil
+}
+
 // Do makes a call of the system's own at an instance and reads the whole answer.
 func (p *Pool) Do(ctx context.Context, i *state.Instance, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
 	c, err := p.client(i)
