--- a/coordination/forward/hold_test.go
+++ b/coordination/forward/hold_test.go
@@ -86,6 +86,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, plenty, promptRead, reply{hang: true}, generated)
+		w.up.dark = map[state.InstanceID]bool{{Name: "d1"}: true, {Name: "d2"}: true, {Name: "d3"}: true, {Name: "d4"}: true, {Name: "d5"}: true}
 		r := modelRequest(9000, true)
 		answer, err := w.Forward(t.Context(), r)
 		is.NoErr(err)
@@ -125,3 +126,16 @@
 		is.NoErr(err)
 	})
 }
+
+// An engine that answers when it is asked is busy, not dark: the request keeps its place.
+func TestBusyEngineIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, plenty, promptRead, reply{status: 200, events: true, body: "id: 1\n\n", after: time.Second})
+		answer, err := w.Forward(t.Context(), modelRequest(9000, true))
+		is.NoErr(err)
+		_, err = readAll(answer.Stream)
+		is.NoErr(err)
+		is.Equal(len(w.up.attempts), 2)
+	})
+}
--- a/coordination/forward/lead.go
+++ b/coordination/forward/lead.go
@@ -69,8 +69,9 @@
 	return known.mean + leadErrors*known.err + leadSlack
 }
 
-// firstEvent ends the wait for the first event of an attempt at an engine that doesn't
-// begin in its time, so that the request can be sent to another.
+// firstEvent ends the wait for the first event of an attempt at an engine that is dark, so
+// that the request can be sent to another. One that is only busy is waited for: its place
+// in the queue is worth more than a new one elsewhere.
 type firstEvent struct {
 	cancel context.CancelFunc
 	// came ends the watch.
@@ -91,9 +92,12 @@
 	watch, f.came = context.WithCancel(ctx)
 	most := d.leads.most(r.Service)
 	go func() {
-		if d.o.Clock.Sleep(watch, most) == nil {
-			f.late.Store(true)
-			f.cancel()
+		for d.o.Clock.Sleep(watch, most) == nil {
+			if !d.alive(watch, a.Instance) && watch.Err() == nil {
+				f.late.Store(true)
+				f.cancel()
+			}
+			most = max(most, lookEvery)
 		}
 	}()
 	return ctx, f
