Ask an engine before a request that may run once; drop reservations

Change: an engine that hasn't answered this host for 200 ms is asked whether it is there, which needs no slot and no memory; one that doesn't answer within 100 ms gets nothing.

--- a/coordination/forward/backup.go
+++ b/coordination/forward/backup.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// askTimeout bounds a question to an engine whose run is silent or was cut: thirty
-	// round trips between failure domains.
-	askTimeout = 100 * time.Millisecond
 	// goOnTime is what is left of a promised pause for asking a silent engine and for the
 	// first event of another one.
 	goOnTime = askTimeout + 30*time.Millisecond
@@ -26,7 +23,7 @@
 // backupFor is the engine to which the memory of a run that may run once is copied, so
 // that the run can go on there when its engine is lost; nil if there is none.
 func (d *Dispatcher) backupFor(r *Request, at *state.Instance, tried []state.InstanceID) *state.Instance {
-	if !r.runsOnce() || !r.Engine.Backups {
+	if !r.runsOnce() || r.Engine == nil || !r.Engine.Backups {
 		return nil
 	}
 	runner := d.o.Placer.Decode(r.Service, "", at.FailureDomain, append(slices.Clone(tried), at.ID))
@@ -96,12 +93,6 @@
 	}
 }
 
-func (d *Dispatcher) alive(ctx context.Context, i *state.Instance) bool {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	return d.o.Upstream.Alive(ctx, i)
-}
-
 // goOn lets a run that may run once go on at the engine that has its backup. Its former
 // engine is asked to stop it: one that doesn't answer is lost with its run, and one that
 // has no such run has ended it. One that says anything else may still be at it.
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -279,7 +279,7 @@
 		sent.end()
 		return nil, outcomeUnsent
 	}
-	if d.holds(a.Request) && !d.hold(ctx, a, runner, rec) {
+	if !d.reached(ctx, a, runner, rec) {
 		sent.end()
 		return nil, outcomeUnsent
 	}
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -107,8 +107,6 @@
 	Rank int
 	// LastEventID is the last event that the caller has; "" is the start.
 	LastEventID string
-	// Hold names the slot and memory that the runner has reserved; "" if none.
-	Hold string
 	// Backup is the engine to which the run's memory is copied as it grows, or nil.
 	Backup *state.Instance
 }
@@ -141,9 +139,6 @@
 // Upstream sends attempts to runners. Errors are *SendError.
 type Upstream interface {
 	Send(ctx context.Context, a *Attempt) (Response, error)
-	// Hold reserves a slot and memory for so many tokens at an engine, for ttl at most;
-	// "" says that it has no room.
-	Hold(ctx context.Context, i *state.Instance, tokens int, ttl time.Duration) (string, error)
 	// Move stops a run, copies its memory to another engine and returns its handle; ""
 	// says that the engine has no such run. After an error the run may go on.
 	Move(ctx context.Context, from *state.Instance, id string, to *state.Instance) (handle string, err error)
--- a/coordination/placement/load.go
+++ b/coordination/placement/load.go
@@ -34,8 +34,9 @@
 type Load struct {
 	clock    state.Clock
 	inFlight atomic.Int64
-	// suspectUntil is in nanoseconds since the load was made.
+	// suspectUntil and heardAt are in nanoseconds since the load was made; 0 for never.
 	suspectUntil atomic.Int64
+	heardAt      atomic.Int64
 	started      time.Time
 
 	mu sync.Mutex
@@ -72,8 +73,18 @@
 	return time.Duration(l.latency * float64(time.Second))
 }
 
+// Heard notes that the runner answered something.
+func (l *Load) Heard() { l.heardAt.Store(int64(l.clock.Now().Sub(l.started)) + 1) }
+
+// HeardWithin reports whether the runner answered something in the last d.
+func (l *Load) HeardWithin(d time.Duration) bool {
+	at := l.heardAt.Load()
+	return at > 0 && int64(l.clock.Now().Sub(l.started))-at < int64(d)
+}
+
 // Answered notes a response in time.
 func (l *Load) Answered(after time.Duration) {
+	l.Heard()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.latency += latencyGain * (after.Seconds() - l.latency)
--- a/state/routing.go
+++ b/state/routing.go
@@ -75,9 +75,6 @@
 	HandleTTL time.Duration
 	// SwitchTime is how long a change of role takes an idle engine away.
 	SwitchTime time.Duration
-	// HoldTTL is the longest time for which an engine reserves a slot and memory ahead
-	// of a request; 0 if it doesn't.
-	HoldTTL time.Duration
 	// Backups says that engines copy a run's memory to another as it grows, if asked to.
 	Backups bool
 }
--- a/transport/runners/pool.go
+++ b/transport/runners/pool.go
@@ -21,9 +21,6 @@
 type Codec interface {
 	EncodeAttempt(a *forward.Attempt, req *fasthttp.Request)
 	EncodeDiscard(handle string, req *fasthttp.Request)
-	EncodeHold(tokens int, ttl time.Duration, req *fasthttp.Request)
-	// DecodeHold returns "" if the engine has no room.
-	DecodeHold(resp *fasthttp.Response) (string, error)
 	EncodeMove(id, target string, req *fasthttp.Request)
 	// DecodeMove returns "" if the engine has no such run.
 	DecodeMove(resp *fasthttp.Response) (string, error)
@@ -171,16 +168,6 @@
 	return p.Do(ctx, source.Instance, req, resp, discardTimeout)
 }
 
-// Hold implements forward.Upstream.
-func (p *Pool) Hold(ctx context.Context, i *state.Instance, tokens int, ttl time.Duration) (string, error) {
-	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
-	p.o.Codec.EncodeHold(tokens, ttl, req)
-	if err := p.Do(ctx, i, req, resp, ttl); err != nil {
-		return "", err
-	}
-	return p.o.Codec.DecodeHold(resp)
-}
-
 // Move implements forward.Upstream.
 func (p *Pool) Move(ctx context.Context, from *state.Instance, id string, to *state.Instance) (string, error) {
 	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
