Bound the first split by the settings alone to 16 orders

Ruled out: no order before load is seen; small fleets are split whole while nothing runs yet. Change: 16 orders at most until the generating engines are a tenth full or prompts wait. Test: 3,000 engines with and without load.

--- a/coordination/stages/demand.go
+++ b/coordination/stages/demand.go
@@ -36,6 +36,9 @@
 	waitingLow = 4
 	// idleLoad and less is no traffic, which tells nothing of the mix.
 	idleLoad = 0.02
+	// loadedFrom is the load of the generating engines from which the split matters: a
+	// tenth of their places; so do prompts that wait.
+	loadedFrom = 0.1
 	// generatingGross is a load that no swing of the mix reaches on the standard days.
 	generatingGross = 2
 	// holdAfter is how long a changed share stands: a change of role takes some seconds,
@@ -66,6 +69,8 @@
 	// changedAt is when the share changed, or of the first sample.
 	changedAt time.Time
 	known     bool
+	// loaded is set once a load was seen for which the split matters.
+	loaded bool
 	// moved is set once the share has changed.
 	moved bool
 }
@@ -79,6 +84,7 @@
 // and reports whether the share changed.
 func (d *demand) note(now time.Time, s sample, n, reading int) bool {
 	d.sampledAt = now
+	d.loaded = d.loaded || s.generating >= loadedFrom || s.waiting > waitingSome
 	if s.generating < idleLoad && s.waiting == 0 {
 		return false
 	}
--- a/coordination/stages/demand_test.go
+++ b/coordination/stages/demand_test.go
@@ -199,3 +199,22 @@
 		is.True(err != nil && strings.Contains(err.Error(), "engine-shares/llm"))
 	}
 }
+
+// A fleet of 3,000 engines with hardly any work: the split of the settings is worth a few
+// orders at most, until a load is seen for which it matters.
+func TestFirstSplitOfALargeFleetWaitsForLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const n = 3000
+		f := newFakeEngines(engines(n/2, n/2), 0, 1)
+		f.perEngine = 0.01
+		stop := runHolder(t, storetest.NewPlatform(time.Second), f, "h")
+		defer stop()
+		time.Sleep(time.Minute)
+		is.Equal(f.reading(), n/2+guessMost)
+		f.setLoad(2) // a fifth of the slots
+		time.Sleep(10 * time.Second)
+		is.Equal(f.reading(), Target(n, 0.68))
+		is.Equal(len(f.problems), 0)
+	})
+}
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -121,6 +121,11 @@
 	// tolerance is the difference in engines that is left alone once the first
 	// split stands: a change takes an engine away for seconds.
 	tolerance = 1
+	// guessMost bounds the orders of a first split by the settings' share alone, before
+	// any load is seen: each costs an engine seconds, and a large fleet may have hardly
+	// any work. The small fleets of a few dozen engines are split whole before their
+	// first request.
+	guessMost = 16
 )
 
 // Manager gives orders while it holds the lease.
@@ -143,6 +148,8 @@
 	counted map[string]listedCount
 	// demand follows the load of both roles, by service.
 	demand map[string]*demand
+	// guessed counts the orders of the term's first split before any load was seen.
+	guessed map[string]int
 	// kept are the saved shares by service; they outlive a term.
 	kept map[string]kept
 }
@@ -196,6 +203,7 @@
 func (m *Manager) forgetTerm() {
 	m.ordered, m.since, m.stood = map[state.InstanceID]given{}, map[string]time.Time{}, map[string]bool{}
 	m.pausing, m.demand, m.counted = map[state.InstanceID]time.Time{}, map[string]*demand{}, map[string]listedCount{}
+	m.guessed = map[string]int{}
 }
 
 // service compares one service's roles with the plan. While this host keeps silence it
@@ -215,6 +223,12 @@
 		return
 	}
 	changes := Plan(m.asOrdered(engines), want)
+	if m.guesses(service) && len(changes) > 0 {
+		changes = changes[:min(len(changes), guessMost-m.guessed[service])]
+		m.guessed[service] += len(changes)
+		m.change(ctx, changes, now)
+		return
+	}
 	if len(changes) == 0 {
 		m.stood[service] = true
 	}
@@ -228,6 +242,11 @@
 	m.change(ctx, changes, now)
 }
 
+// guesses reports whether the service's first split rests on the settings alone.
+func (m *Manager) guesses(service string) bool {
+	return !m.stood[service] && !m.demand[service].loaded
+}
+
 // change announces changes and orders them.
 func (m *Manager) change(ctx context.Context, changes []Change, now time.Time) {
 	changes = slices.DeleteFunc(changes, func(c Change) bool { return now.Before(m.pausing[c.Instance.ID]) })
