--- a/coordination/fanout/fanout_test.go
+++ b/coordination/fanout/fanout_test.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -218,3 +219,61 @@
 		is.True(f.spent() <= 3*2*testDomains*perDomain)
 	})
 }
+
+// What one host tells all, each hears once and within a third of a second, whichever host
+// it is and though some relays are lost.
+func TestNoticesReachAllHostsOnce(t *testing.T) {
+	for _, lost := range []int{0, 1, 3} {
+		inFleet(t, fleetSize, func(is *is.I, f *fleet) {
+			for _, h := range f.relays()[:lost] {
+				f.set(f.silent, h.self.Addr, true)
+			}
+			time.Sleep(5 * time.Second) // their followers have gone to others
+			for i, h := range []*host{f.hosts[319], f.hosts[200], f.hosts[104]} {
+				h.Publish(context.Background(), "test", fmt.Append(nil, i))
+			}
+			time.Sleep(300 * time.Millisecond)
+			for _, h := range f.hosts {
+				if !f.is(f.silent, h.self.Addr) {
+					f.mu.Lock()
+					is.Equal(len(h.heard), 3)
+					f.mu.Unlock()
+				}
+			}
+		})
+	}
+}
+
+// Small domains have no relays: the host itself tells each.
+func TestNoticesInASmallFleet(t *testing.T) {
+	inFleet(t, 2*testDomains, func(is *is.I, f *fleet) {
+		f.hosts[3].Publish(context.Background(), "test", []byte("x"))
+		time.Sleep(100 * time.Millisecond)
+		for _, h := range f.hosts {
+			f.mu.Lock()
+			is.Equal(h.heard, []string{"x"})
+			f.mu.Unlock()
+		}
+	})
+}
+
+// A relay keeps notices for some seconds, and forgets them.
+func TestOldNoticesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	b := newBoard("relay-1")
+	now := time.Now()
+	for i := range 3 {
+		is.True(b.add(Notice{Origin: "h", Number: uint64(i)}, now))
+	}
+	is.True(!b.add(Notice{Origin: "h", Number: 1}, now))
+	all, read := b.since(Cursor{}, now)
+	is.Equal(len(all), 3)
+	none, read := b.since(read, now)
+	is.Equal(len(none), 0)
+	is.True(b.add(Notice{Origin: "h", Number: 9}, now.Add(2*noticesFor)))
+	one, _ := b.since(read, now.Add(2*noticesFor))
+	is.Equal(len(one), 1)
+	other, _ := b.since(Cursor{Relay: "relay-2", Next: 99}, now.Add(2*noticesFor))
+	is.Equal(len(other), 1)
+	is.Equal(len(b.seen), 1)
+}
--- a/coordination/fanout/fleet_test.go
+++ b/coordination/fanout/fleet_test.go
@@ -51,6 +51,7 @@
 	self   state.Peer
 	list   []state.Peer
 	copies map[string]*follow.Mirror
+	heard  []string // notices, by their bodies
 	stop   context.CancelFunc
 	ended  chan struct{}
 }
@@ -105,13 +106,18 @@
 		h.copies[kind] = m
 	}
 	n, err := New(Options{
-		Self: h.self, Hosts: func() []state.Peer { return h.list }, Copies: h.copies, Peers: network{f, h.self.Addr},
+		Self: h.self, Run: h.self.Addr + "-1", Hosts: func() []state.Peer { return h.list }, Copies: h.copies, Peers: network{f, h.self.Addr},
 		Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(7, uint64(i))), Log: slog.New(slog.DiscardHandler), Wait: testWait,
 	})
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	h.Node = n
+	n.Subscribe("test", func(body []byte) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		h.heard = append(h.heard, string(body))
+	})
 	return h
 }
 
@@ -325,30 +331,43 @@
 const oneWay = time.Millisecond
 
 // Follow implements Peers.
-func (n network) Follow(ctx context.Context, addr string, since Revisions, wait time.Duration) (News, error) {
-	clock := clocktest.Bubble{}
-	if err := clock.Sleep(ctx, oneWay); err != nil {
+func (n network) Follow(ctx context.Context, addr string, q Question) (News, error) {
+	to, err := n.reach(ctx, addr)
+	if err != nil {
 		return News{}, err
 	}
-	var to *host
-	for _, h := range n.f.hosts {
-		if h.self.Addr == addr {
-			to = h
-		}
+	news := to.Serve(ctx, q)
+	if n.f.is(n.f.silent, addr) {
+		<-ctx.Done()
+		return News{}, ctx.Err()
 	}
-	if to == nil {
-		return News{}, errors.New("connection refused")
+	return news, (clocktest.Bubble{}).Sleep(ctx, oneWay)
+}
+
+// Post implements Peers.
+func (n network) Post(ctx context.Context, addr string, notice Notice) error {
+	to, err := n.reach(ctx, addr)
+	if err == nil {
+		to.Deliver(notice)
+	}
+	return err
+}
+
+// reach brings a call to a host.
+func (n network) reach(ctx context.Context, addr string) (*host, error) {
+	if err := (clocktest.Bubble{}).Sleep(ctx, oneWay); err != nil {
+		return nil, err
 	}
 	if n.f.is(n.f.silent, addr) || n.f.is(n.f.silent, n.from) {
 		<-ctx.Done()
-		return News{}, ctx.Err()
+		return nil, ctx.Err()
 	}
-	news := to.Serve(ctx, since, wait)
-	if n.f.is(n.f.silent, addr) {
-		<-ctx.Done()
-		return News{}, ctx.Err()
+	for _, h := range n.f.hosts {
+		if h.self.Addr == addr {
+			return h, nil
+		}
 	}
-	return news, clock.Sleep(ctx, oneWay)
+	return nil, errors.New("connection refused")
 }
 
 // some describes hosts, for messages.
--- a/coordination/fanout/node.go
+++ b/coordination/fanout/node.go
@@ -35,6 +35,16 @@
 // Revisions are those of a host's copies, by kind.
 type Revisions map[string]uint64
 
+// Question is what a host asks a relay.
+type Question struct {
+	// Since are the revisions that the host has, and Read how far it has read the
+	// relay's notices.
+	Since Revisions
+	Read  Cursor
+	// Wait is how long the relay waits if it has nothing for the host.
+	Wait time.Duration
+}
+
 // News is what a relay answers.
 type News struct {
 	// Lost says that the relay doesn't follow the store at present.
@@ -45,18 +55,24 @@
 	Ever     bool
 	// Changes are by kind.
 	Changes map[string]follow.Delta
+	Notices []Notice
+	// Read is the cursor after Notices.
+	Read Cursor
 }
 
 // Peers reaches other hosts.
 type Peers interface {
-	// Follow asks the host at addr for what it has beyond the revisions, and to wait for
-	// so long if that is nothing.
-	Follow(ctx context.Context, addr string, since Revisions, wait time.Duration) (News, error)
+	// Follow asks the host at addr for what it has beyond the question.
+	Follow(ctx context.Context, addr string, q Question) (News, error)
+	// Post tells the host at addr a notice.
+	Post(ctx context.Context, addr string, n Notice) error
 }
 
 // Options configure a Node. All fields are required.
 type Options struct {
 	Self state.Peer
+	// Run names this run of the host, unlike any other.
+	Run string
 	// Hosts lists all hosts. A list that has been returned is never changed.
 	Hosts func() []state.Peer
 	// Copies are this host's, by kind.
@@ -74,7 +90,11 @@
 
 // Node keeps one host's copies up to date, and those of the hosts that follow it.
 type Node struct {
-	o Options
+	o      Options
+	board  *board
+	topics map[Topic]func([]byte)
+	// read is how far the notices of each relay were read; Run alone uses it.
+	read map[string]Cursor
 
 	mu      sync.Mutex
 	avoided map[string]avoidance
@@ -101,10 +121,10 @@
 
 // New validates the options.
 func New(o Options) (*Node, error) {
-	if o.Self.Addr == "" || o.Hosts == nil || len(o.Copies) == 0 || o.Peers == nil || o.Clock == nil || o.Rand == nil || o.Log == nil || o.Wait <= 0 {
+	if o.Self.Addr == "" || o.Run == "" || o.Hosts == nil || len(o.Copies) == 0 || o.Peers == nil || o.Clock == nil || o.Rand == nil || o.Log == nil || o.Wait <= 0 {
 		return nil, errors.New("fanout: a field of Options is missing; set all of them")
 	}
-	return &Node{o: o, avoided: map[string]avoidance{}, changed: make(chan struct{})}, nil
+	return &Node{o: o, board: newBoard(o.Run), topics: map[Topic]func([]byte){}, read: map[string]Cursor{}, avoided: map[string]avoidance{}, changed: make(chan struct{})}, nil
 }
 
 // Notify is to be called when a copy or the word of the store has changed.
@@ -183,7 +203,7 @@
 	bounded, cancel := context.WithTimeout(ctx, wait+silenceSlack)
 	defer cancel()
 	n.interruptible(cancel, !relays)
-	news, err := n.o.Peers.Follow(bounded, source, n.revisions(), wait)
+	news, err := n.o.Peers.Follow(bounded, source, Question{Since: n.revisions(), Read: n.read[source], Wait: wait})
 	n.interruptible(nil, false)
 	switch {
 	case err == nil:
@@ -205,6 +225,10 @@
 			m.Merge(d, source)
 		}
 	}
+	n.read[source] = news.Read
+	for _, notice := range news.Notices {
+		n.Deliver(notice)
+	}
 	if news.Lost {
 		n.avoid(source, "it doesn't follow the store")
 		return
--- /dev/null
+++ b/coordination/fanout/notice.go
@@ -0,0 +1,162 @@
+package fanout
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+// Topic tells what a notice is about.
+type Topic string
+
+// Notice is a message from one host to all others, for what is of use for some seconds
+// only. One that isn't delivered is missed: nothing that must hold may rest on it.
+type Notice struct {
+	// Origin and Number tell notices apart: Origin is a run of a host.
+	Origin string
+	Number uint64
+	Topic  Topic
+	Body   []byte
+}
+
+// Cursor is how far a host has read the notices of a relay.
+type Cursor struct {
+	// Relay is the run of the relay; a cursor says nothing of another.
+	Relay string
+	Next  uint64
+}
+
+const (
+	// noticesFor is how long a relay keeps notices for hosts that come to it from another.
+	noticesFor = 2 * time.Second
+	// mostNotices bounds what a relay keeps: two hundred engines that fail at once, told
+	// twice a second.
+	mostNotices = 1024
+	// postTimeout bounds the telling of one relay; nobody waits for it.
+	postTimeout = 300 * time.Millisecond
+)
+
+type noticeID struct {
+	origin string
+	number uint64
+}
+
+// board is the notices that a host has had lately, in their order here.
+type board struct {
+	mu sync.Mutex
+	// run names this run of the host.
+	run     string
+	posted  uint64
+	first   uint64
+	notices []pinned
+	seen    map[noticeID]bool
+}
+
+type pinned struct {
+	Notice
+	at time.Time
+}
+
+func newBoard(run string) *board { return &board{run: run, seen: map[noticeID]bool{}} }
+
+// make numbers a notice of this host.
+func (b *board) make(topic Topic, body []byte) Notice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.posted++
+	return Notice{Origin: b.run, Number: b.posted, Topic: topic, Body: body}
+}
+
+// add reports whether the notice is new.
+func (b *board) add(n Notice, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	id := noticeID{n.Origin, n.Number}
+	if b.seen[id] {
+		return false
+	}
+	b.seen[id] = true
+	b.notices = append(b.notices, pinned{n, now})
+	for len(b.notices) > mostNotices || now.Sub(b.notices[0].at) > noticesFor {
+		old := b.notices[0]
+		delete(b.seen, noticeID{old.Origin, old.Number})
+		b.notices = b.notices[1:]
+		b.first++
+	}
+	return true
+}
+
+// since returns what came after a cursor, and the cursor after that.
+func (b *board) since(c Cursor, now time.Time) ([]Notice, Cursor) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := Cursor{b.run, b.first + uint64(len(b.notices))}
+	from := 0
+	if c.Relay == b.run && c.Next > b.first {
+		from = int(min(c.Next, next.Next) - b.first)
+	}
+	var out []Notice
+	for _, p := range b.notices[from:] {
+		if now.Sub(p.at) <= noticesFor {
+			out = append(out, p.Notice)
+		}
+	}
+	return out, next
+}
+
+// Subscribe has a function called for each notice of a topic, this host's own too. It is
+// to be called before Run, and the function mustn't block.
+func (n *Node) Subscribe(topic Topic, take func(body []byte)) { n.topics[topic] = take }
+
+// Publish tells all hosts; it doesn't wait until they know.
+func (n *Node) Publish(ctx context.Context, topic Topic, body []byte) {
+	notice := n.board.make(topic, body)
+	n.Deliver(notice)
+	for _, addr := range n.tellers() {
+		go n.post(ctx, addr, notice)
+	}
+}
+
+func (n *Node) post(ctx context.Context, addr string, notice Notice) {
+	ctx, cancel := context.WithTimeout(ctx, postTimeout)
+	defer cancel()
+	if err := n.o.Peers.Post(ctx, addr, notice); err != nil {
+		n.o.Log.Debug("notice not told", "peer", addr, "topic", string(notice.Topic), "cause", err.Error())
+	}
+}
+
+// Deliver takes a notice and keeps it for the hosts that follow this one.
+func (n *Node) Deliver(notice Notice) {
+	if !n.board.add(notice, n.o.Clock.Now()) {
+		return
+	}
+	if take := n.topics[notice.Topic]; take != nil {
+		take(notice.Body)
+	}
+	n.Notify()
+}
+
+// tellers are the hosts that pass a notice on to all others: the relays of each failure
+// domain, and every host of a domain without.
+func (n *Node) tellers() []string {
+	var out []string
+	for _, members := range byDomain(n.o.Hosts()) {
+		relays := relaysOf(members)
+		if len(relays) == 0 {
+			relays = addresses(members)
+		}
+		out = append(out, relays...)
+	}
+	return slices.DeleteFunc(out, func(addr string) bool { return addr == n.o.Self.Addr })
+}
+
+func addresses(hosts []state.Peer) []string {
+	out := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		out = append(out, h.Addr)
+	}
+	return out
+}
--- a/coordination/fanout/relays.go
+++ b/coordination/fanout/relays.go
@@ -39,17 +39,12 @@
 // planOf computes the plan of the host self. Its domain's relays are the strongest
 // hosts; each follower asks them in an order of its own, so that they share the load.
 func planOf(self state.Peer, hosts []state.Peer) plan {
-	byDomain := map[string][]state.Peer{}
-	for _, h := range hosts {
-		if h.Addr != self.Addr {
-			byDomain[h.FailureDomain] = append(byDomain[h.FailureDomain], h)
-		}
-	}
-	byDomain[self.FailureDomain] = append(byDomain[self.FailureDomain], self)
-	near := relaysOf(byDomain[self.FailureDomain])
+	others := slices.DeleteFunc(slices.Clone(hosts), func(h state.Peer) bool { return h.Addr == self.Addr })
+	domains := byDomain(append(others, self))
+	near := relaysOf(domains[self.FailureDomain])
 	p := plan{relays: len(near) == 0 || slices.Contains(near, self.Addr)}
 	var far []string
-	for domain, members := range byDomain {
+	for domain, members := range domains {
 		if domain != self.FailureDomain {
 			far = append(far, relaysOf(members)...)
 		}
@@ -64,6 +59,14 @@
 	return p
 }
 
+func byDomain(hosts []state.Peer) map[string][]state.Peer {
+	out := map[string][]state.Peer{}
+	for _, h := range hosts {
+		out[h.FailureDomain] = append(out[h.FailureDomain], h)
+	}
+	return out
+}
+
 // relaysOf are the relays of one domain; none if it is too small.
 func relaysOf(members []state.Peer) []string {
 	if len(members) < perDomain+leastFollowers {
@@ -77,11 +80,7 @@
 			strings.Compare(a.Addr, b.Addr),
 		)
 	})
-	out := make([]string, 0, perDomain)
-	for _, h := range order[:perDomain] {
-		out = append(out, h.Addr)
-	}
-	return out
+	return addresses(order[:perDomain])
 }
 
 // inOrderOf orders relays by rendezvous hashing with the host that asks them.
--- a/coordination/fanout/serve.go
+++ b/coordination/fanout/serve.go
@@ -2,21 +2,20 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/thymerack/thymerack/coordination/follow"
 )
 
 // Serve answers a host that follows this one: at once if there is news for it or this
 // host is of no use to it, else after wait or the next change.
-func (n *Node) Serve(ctx context.Context, since Revisions, wait time.Duration) News {
+func (n *Node) Serve(ctx context.Context, q Question) News {
 	n.asked()
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	ctx, cancel := context.WithTimeout(ctx, q.Wait)
 	defer cancel()
 	n.becomeFresh(ctx)
 	for {
 		changed := n.changes()
-		news, any := n.news(since)
+		news, any := n.news(q)
 		if news.Lost || any {
 			return news
 		}
@@ -62,12 +61,14 @@
 	return n.changed
 }
 
-// news is what a host with the revisions lacks, and whether there is any. Changes without
+// news is what a host lacks, and whether there is any. Changes without
 // content bring the host's revisions on: the store's history reaches some seconds back.
-func (n *Node) news(since Revisions) (out News, any bool) {
+func (n *Node) news(q Question) (out News, any bool) {
 	out = News{Lost: n.isLeaving() || !n.FollowsStore() || !n.fresh(), Changes: map[string]follow.Delta{}}
+	out.Notices, out.Read = n.board.since(q.Read, n.o.Clock.Now())
+	any = len(out.Notices) > 0
 	for kind, m := range n.o.Copies {
-		d := m.Since(since[kind])
+		d := m.Since(q.Since[kind])
 		out.Changes[kind] = d
 		any = any || !d.Empty()
 		if ago, ever := m.Regained(); ever && (!out.Ever || ago < out.Regained) {
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -160,7 +160,7 @@
 		return err
 	}
 	h.fanout, err = fanout.New(fanout.Options{
-		Self: h.members.self(), Hosts: h.members.All, Peers: relay.Peers{Client: h.peers}, Clock: h.clock, Rand: newRand(), Log: h.log, Wait: h.relayWait(),
+		Self: h.members.self(), Run: h.id.String(), Hosts: h.members.All, Peers: relay.Peers{Client: h.peers}, Clock: h.clock, Rand: newRand(), Log: h.log, Wait: h.relayWait(),
 		Copies: map[string]*follow.Mirror{platform.KindConfig: h.configs, platform.KindInstances: h.listed, kindHosts: h.members.copy},
 	})
 	if err != nil {
@@ -185,7 +185,7 @@
 func (h *Host) buildGate() error {
 	book := occupancy.NewBook(h.clock, h.log)
 	places.Register(h.peerServer, book)
-	roles.Register(h.peerServer, h.fleet.Expect)
+	roles.Subscribe(h.fanout, h.fleet.Expect, h.log)
 	var err error
 	h.gate, err = occupancy.NewGate(occupancy.GateOptions{
 		Book: book, Peers: places.Peers{Client: h.peers}, Self: h.members.addr(h.s.IP), Hosts: h.members.All,
@@ -276,19 +276,13 @@
 	for _, c := range changes {
 		byRole[c.Role] = append(byRole[c.Role], c.Instance.ID)
 	}
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	announcer := roles.Announcer{Client: h.peers, Peers: h.members.Peers, Log: h.log}
 	for role, engines := range byRole {
-		h.fleet.Expect(engines, role, stages.SettleWithin)
-		announcer.Announce(ctx, roles.NewChange(engines, role, stages.SettleWithin))
+		if err := roles.Announce(ctx, h.fanout, engines, role, stages.SettleWithin); err != nil {
+			h.log.Error("change of role not announced", "engines", len(engines), "role", string(role), "cause", err.Error())
+		}
 	}
 }
 
-// announceTimeout bounds the wait for hosts that don't answer: the others have heard of
-// the change long before.
-const announceTimeout = 500 * time.Millisecond
-
 // takeOverMargin covers an order that the last holder sent in its last moment.
 const takeOverMargin = time.Second
 
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -74,8 +74,10 @@
 	KindLeave Kind = 13
 	// KindRemain asks when the reading of a place at an engine ends.
 	KindRemain Kind = 14
-	// KindRoles tells that engines are about to change their role.
-	KindRoles Kind = 15
+	// KindNotice tells something that is meant for all hosts.
+	KindNotice Kind = 15
+	// KindReport tells the owner of an engine's count that the engine doesn't answer.
+	KindReport Kind = 16
 )
 
 // FrameType tells how a frame's body is meant.
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -26,8 +26,26 @@
 type Request struct {
 	Revisions map[string]uint64 `msgpack:"r"`
 	WaitMS    int64             `msgpack:"w"`
+	Read      Cursor            `msgpack:"n"`
 }
 
+// Cursor is how far the asking host has read the relay's notices.
+type Cursor struct {
+	Relay string `msgpack:"r,omitempty"`
+	Next  uint64 `msgpack:"n,omitempty"`
+}
+
+// Notice is a message for all hosts.
+type Notice struct {
+	Origin string `msgpack:"o"`
+	Number uint64 `msgpack:"n"`
+	Topic  string `msgpack:"t"`
+	Body   []byte `msgpack:"b"`
+}
+
+// Noted answers a Notice.
+type Noted struct{}
+
 // Object is an object of the store; one that is gone has no value.
 type Object struct {
 	Name    string `msgpack:"n"`
@@ -49,13 +67,19 @@
 	// RegainedMS is how long ago the store answered again; absent if it always has.
 	RegainedMS *int64           `msgpack:"g,omitempty"`
 	Changes    map[string]Delta `msgpack:"c"`
+	Notices    []Notice         `msgpack:"n,omitempty"`
+	Read       Cursor           `msgpack:"d"`
 }
 
 // Register lets the server answer hosts that follow this one.
 func Register(s *peer.Server, n *fanout.Node) {
 	s.Handle(peerapi.KindCopies, peer.HandleMsg(func(ctx context.Context, _ state.HostID, q Request) (Response, error) {
 		wait := min(max(0, time.Duration(q.WaitMS)*time.Millisecond), mostWait)
-		return encode(n.Serve(ctx, q.Revisions, wait)), nil
+		return encode(n.Serve(ctx, fanout.Question{Since: q.Revisions, Read: fanout.Cursor(q.Read), Wait: wait})), nil
+	}))
+	s.Handle(peerapi.KindNotice, peer.HandleMsg(func(_ context.Context, _ state.HostID, m Notice) (Noted, error) {
+		n.Deliver(m.decode())
+		return Noted{}, nil
 	}))
 }
 
@@ -65,17 +89,34 @@
 var _ fanout.Peers = Peers{}
 
 // Follow implements fanout.Peers.
-func (p Peers) Follow(ctx context.Context, addr string, since fanout.Revisions, wait time.Duration) (fanout.News, error) {
-	q := Request{Revisions: since, WaitMS: wait.Milliseconds()}
-	a, err := peer.CallMsg[Request, Response](ctx, p.Client, addr, peerapi.KindCopies, q)
+func (p Peers) Follow(ctx context.Context, addr string, q fanout.Question) (fanout.News, error) {
+	m := Request{Revisions: q.Since, WaitMS: q.Wait.Milliseconds(), Read: Cursor(q.Read)}
+	a, err := peer.CallMsg[Request, Response](ctx, p.Client, addr, peerapi.KindCopies, m)
 	if err != nil {
 		return fanout.News{}, err
 	}
 	return a.decode(), nil
 }
 
+// Post implements fanout.Peers.
+func (p Peers) Post(ctx context.Context, addr string, n fanout.Notice) error {
+	_, err := peer.CallMsg[Notice, Noted](ctx, p.Client, addr, peerapi.KindNotice, encodeNotice(n))
+	return err
+}
+
+func encodeNotice(n fanout.Notice) Notice {
+	return Notice{Origin: n.Origin, Number: n.Number, Topic: string(n.Topic), Body: n.Body}
+}
+
+func (m Notice) decode() fanout.Notice {
+	return fanout.Notice{Origin: m.Origin, Number: m.Number, Topic: fanout.Topic(m.Topic), Body: m.Body}
+}
+
 func encode(n fanout.News) Response {
-	out := Response{Lost: n.Lost, Changes: map[string]Delta{}}
+	out := Response{Lost: n.Lost, Changes: map[string]Delta{}, Read: Cursor(n.Read)}
+	for _, notice := range n.Notices {
+		out.Notices = append(out.Notices, encodeNotice(notice))
+	}
 	if n.Ever {
 		ms := n.Regained.Milliseconds()
 		out.RegainedMS = &ms
@@ -87,7 +128,10 @@
 }
 
 func (r Response) decode() fanout.News {
-	out := fanout.News{Lost: r.Lost, Changes: map[string]follow.Delta{}}
+	out := fanout.News{Lost: r.Lost, Changes: map[string]follow.Delta{}, Read: fanout.Cursor(r.Read)}
+	for _, m := range r.Notices {
+		out.Notices = append(out.Notices, m.decode())
+	}
 	if r.RegainedMS != nil {
 		out.Ever, out.Regained = true, max(0, time.Duration(*r.RegainedMS)*time.Millisecond)
 	}
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -44,7 +44,7 @@
 		t.Fatal(err)
 	}
 	n, err = fanout.New(fanout.Options{
-		Self: state.Peer{Addr: "answers"}, Hosts: func() []state.Peer { return nil }, Copies: map[string]*follow.Mirror{"a": m},
+		Self: state.Peer{Addr: "answers"}, Run: "answers-1", Hosts: func() []state.Peer { return nil }, Copies: map[string]*follow.Mirror{"a": m},
 		Peers: Peers{}, Clock: wallclock.Clock{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler), Wait: time.Second,
 	})
 	if err != nil {
@@ -89,7 +89,7 @@
 	is.NoErr(err)
 	addr := serve(t, newNode(t, p))
 	peers := Peers{Client: newClient(t)}
-	news, err := peers.Follow(t.Context(), addr, fanout.Revisions{}, time.Minute)
+	news, err := peers.Follow(t.Context(), addr, fanout.Question{Wait: time.Minute})
 	is.NoErr(err)
 	is.True(!news.Lost && !news.Ever)
 	whole := news.Changes["a"]
@@ -97,7 +97,7 @@
 	is.Equal(whole.Objects, []store.Object{{Kind: "a", Name: "x", Version: first, Value: []byte(`{"v":1}`)}})
 	told := make(chan fanout.News, 1)
 	go func() {
-		news, err := peers.Follow(context.Background(), addr, fanout.Revisions{"a": whole.Revision}, time.Minute)
+		news, err := peers.Follow(context.Background(), addr, fanout.Question{Since: fanout.Revisions{"a": whole.Revision}, Read: news.Read, Wait: time.Minute})
 		if err != nil {
 			t.Error(err)
 		}
@@ -108,6 +108,11 @@
 	is.True(!news.Changes["a"].Whole)
 	is.Equal(len(news.Changes["a"].Deleted), 1)
 	is.Equal(news.Changes["a"].Deleted[0].Name, "x")
+	notice := fanout.Notice{Origin: "h-1", Number: 3, Topic: "t", Body: []byte("body")}
+	is.NoErr(peers.Post(t.Context(), addr, notice))
+	news, err = peers.Follow(t.Context(), addr, fanout.Question{Since: fanout.Revisions{"a": news.Changes["a"].Revision}, Read: news.Read, Wait: time.Minute})
+	is.NoErr(err)
+	is.Equal(news.Notices, []fanout.Notice{notice})
 }
 
 func TestPeerThatIsGoneIsAnError(t *testing.T) {
@@ -116,7 +121,7 @@
 	is.NoErr(err)
 	addr := ln.Addr().String()
 	is.NoErr(ln.Close())
-	_, err = Peers{Client: newClient(t)}.Follow(t.Context(), addr, fanout.Revisions{}, 0)
+	_, err = Peers{Client: newClient(t)}.Follow(t.Context(), addr, fanout.Question{})
 	is.True(err != nil)
 }
 
--- a/transport/roles/roles.go
+++ b/transport/roles/roles.go
@@ -7,76 +7,59 @@
 	"log/slog"
 	"time"
 
-	"github.com/sourcegraph/conc"
+	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/thymerack/thymerack/protocol/peerapi"
+	"github.com/thymerack/thymerack/coordination/fanout"
 	"github.com/thymerack/thymerack/state"
-	"github.com/thymerack/thymerack/transport/peer"
 )
 
-// Change says that engines are about to take a role.
-type Change struct {
-	Engines []Engine `msgpack:"e"`
+// topic is that of the notices.
+const topic fanout.Topic = "roles"
+
+// change says that engines are about to take a role.
+type change struct {
+	Engines []engine `msgpack:"e"`
 	Role    string   `msgpack:"r"`
 	// WithinMS is how long the change may take to show in the list of instances.
 	WithinMS int64 `msgpack:"w"`
 }
 
-// Engine is one run of an engine.
-type Engine struct {
+// engine is one run of an engine.
+type engine struct {
 	Name string `msgpack:"n"`
 	Born int64  `msgpack:"b,omitempty"`
 }
 
-// NewChange says that engines are about to take a role.
-func NewChange(engines []state.InstanceID, role state.Role, within time.Duration) Change {
-	c := Change{Role: string(role), WithinMS: within.Milliseconds()}
-	for _, id := range engines {
-		c.Engines = append(c.Engines, Engine(id))
-	}
-	return c
-}
-
-// instances are the engines of the change.
-func (c Change) instances() []state.InstanceID {
-	out := make([]state.InstanceID, 0, len(c.Engines))
-	for _, e := range c.Engines {
-		out = append(out, state.InstanceID(e))
-	}
-	return out
-}
-
-// Noted answers a Change.
-type Noted struct{}
-
 // Expect notes that engines are about to take a role, for so long at most.
 type Expect func(engines []state.InstanceID, role state.Role, within time.Duration)
 
-// Register lets the server take the changes that peers announce.
-func Register(s *peer.Server, expect Expect) {
-	s.Handle(peerapi.KindRoles, peer.HandleMsg(func(_ context.Context, _ state.HostID, c Change) (Noted, error) {
-		expect(c.instances(), state.Role(c.Role), time.Duration(c.WithinMS)*time.Millisecond)
-		return Noted{}, nil
-	}))
-}
-
-// Announcer tells peers.
-type Announcer struct {
-	Client *peer.Client
-	Peers  func() []string
-	Log    *slog.Logger
+// Subscribe takes the changes that hosts announce, this one too.
+func Subscribe(n *fanout.Node, expect Expect, log *slog.Logger) {
+	n.Subscribe(topic, func(body []byte) {
+		var c change
+		if err := msgpack.Unmarshal(body, &c); err != nil {
+			log.Warn("announcement of a role not readable", "cause", err.Error())
+			return
+		}
+		ids := make([]state.InstanceID, 0, len(c.Engines))
+		for _, e := range c.Engines {
+			ids = append(ids, state.InstanceID(e))
+		}
+		expect(ids, state.Role(c.Role), time.Duration(c.WithinMS)*time.Millisecond)
+	})
 }
 
-// Announce tells all peers and waits until they answered or ctx ends. One that isn't
-// reached learns of the change by refusals and the list.
-func (a Announcer) Announce(ctx context.Context, c Change) {
-	var group conc.WaitGroup
-	for _, addr := range a.Peers() {
-		group.Go(func() {
-			if _, err := peer.CallMsg[Change, Noted](ctx, a.Client, addr, peerapi.KindRoles, c); err != nil {
-				a.Log.Info("change of role not announced", "peer", addr, "engines", len(c.Engines), "cause", err.Error())
-			}
-		})
+// Announce tells all hosts. One that isn't reached learns of the change by refusals and
+// the list.
+func Announce(ctx context.Context, n *fanout.Node, engines []state.InstanceID, role state.Role, within time.Duration) error {
+	c := change{Role: string(role), WithinMS: within.Milliseconds()}
+	for _, id := range engines {
+		c.Engines = append(c.Engines, engine(id))
+	}
+	body, err := msgpack.Marshal(c)
+	if err != nil {
+		return err
 	}
-	group.Wait()
+	n.Publish(ctx, topic, body)
+	return nil
 }
--- a/transport/roles/roles_test.go
+++ b/transport/roles/roles_test.go
@@ -1,43 +1,46 @@
 package roles
 
 import (
-	"context"
 	"log/slog"
-	"net"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/fanout"
+	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/state"
-	"github.com/thymerack/thymerack/transport/peer"
+	"github.com/thymerack/thymerack/transport/relay"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
-func TestChangeIsAnnouncedToAllPeersThatAnswer(t *testing.T) {
-	is := is.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	s, err := peer.NewServer(peer.ServerOptions{Self: state.HostID{Name: "hears", Incarnation: "1"}})
-	is.NoErr(err)
-	got := make(chan Change, 1)
-	Register(s, func(engines []state.InstanceID, role state.Role, within time.Duration) {
-		got <- NewChange(engines, role, within)
+func newNode(t *testing.T) *fanout.Node {
+	t.Helper()
+	n, err := fanout.New(fanout.Options{
+		Self: state.Peer{Addr: "h"}, Run: "h-1", Hosts: func() []state.Peer { return nil }, Copies: map[string]*follow.Mirror{"a": nil},
+		Peers: relay.Peers{}, Clock: wallclock.Clock{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler), Wait: time.Second,
 	})
-	ctx, stop := context.WithCancel(context.Background())
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(ctx, ln) }()
-	gone, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	is.NoErr(gone.Close())
-	client, err := peer.NewClient(peer.ClientOptions{Self: state.HostID{Name: "tells", Incarnation: "1"}})
-	is.NoErr(err)
-	c := NewChange([]state.InstanceID{{Name: "e1"}, {Name: "e2", Born: 1_790_000_000_123}}, state.RolePrefill, 8*time.Second)
-	a := Announcer{Client: client, Log: slog.New(slog.DiscardHandler), Peers: func() []string {
-		return []string{gone.Addr().String(), ln.Addr().String()}
-	}}
-	a.Announce(t.Context(), c)
-	is.Equal(<-got, c)
-	client.Close()
-	stop()
-	is.NoErr(<-served)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// An announcement reaches its own host too, with the runs that it names.
+func TestChangeIsAnnounced(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t)
+	engines := []state.InstanceID{{Name: "e1"}, {Name: "e2", Born: 1_790_000_000_123}}
+	heard := 0
+	Subscribe(n, func(got []state.InstanceID, role state.Role, within time.Duration) {
+		heard++
+		is.Equal(got, engines)
+		is.Equal(role, state.RolePrefill)
+		is.Equal(within, 8*time.Second)
+	}, slog.New(slog.DiscardHandler))
+	is.NoErr(Announce(t.Context(), n, engines, state.RolePrefill, 8*time.Second))
+	is.Equal(heard, 1)
+	n.Deliver(fanout.Notice{Origin: "other", Number: 1, Topic: topic, Body: []byte("nonsense")})
+	is.Equal(heard, 1)
 }
