Tell all hosts of engines that don't answer

Ruled out: the reporter's word alone; a host that is cut off would take engines from all. Change: coordination/outlier. A host that hears nothing of a runner reports it to the host that owns its count; that one asks the runner itself, and tells all hosts while it doesn't answer and when it does again. A host that has just heard from the runner keeps to its own word, and no more than half of a service's runners are told. Prompts that wait at an engine which is told are read elsewhere at once.

--- a/coordination/forward/alive_test.go
+++ b/coordination/forward/alive_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -134,3 +135,29 @@
 		is.Equal(len(w.up.attempts), 2)
 	})
 }
+
+// A prompt waits at an engine that all hosts are told is silent: it is left at once, not
+// when its reading is overdue, and read elsewhere in time.
+func TestPromptLeavesAnEngineThatIsToldToBeSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, plenty, reply{hang: true}, promptRead, generated)
+		w.gate.given = &backlog.Forecast{Wait: 20 * time.Millisecond, Finish: 900 * time.Millisecond, Known: true}
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			for _, r := range w.fleet.Runners("model") {
+				if r.InFlight() > 0 {
+					w.fleet.Judge(r.Instance.ID, time.Second)
+				}
+			}
+		}()
+		r := modelRequest(9000, true)
+		answer, err := w.Forward(t.Context(), r)
+		is.NoErr(err)
+		_, err = readAll(answer.Stream)
+		is.NoErr(err)
+		is.True(w.up.attempts[0].PrefillOnly && w.up.attempts[1].PrefillOnly)
+		is.True(time.Since(r.ArrivedAt) <= lookEvery+askTimeout)
+		is.Equal(w.silent.ids[0], w.up.attempts[0].Instance.ID) // the host tells of it, too
+	})
+}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -48,6 +48,12 @@
 	Enter(ctx context.Context, a occupancy.Ask) occupancy.Verdict
 }
 
+// Outliers is told of runners that don't answer.
+type Outliers interface {
+	// Silent doesn't wait.
+	Silent(id state.InstanceID)
+}
+
 // Options configure a Dispatcher. All fields are required.
 type Options struct {
 	Upstream Upstream
@@ -55,6 +61,7 @@
 	Gate     Gate
 	Budget   Budget
 	Observer Observer
+	Outliers Outliers
 	Clock    state.Clock
 	Log      *slog.Logger
 	// SplitTokens is the prompt size from which a prompt is read at a prefill
@@ -70,7 +77,7 @@
 
 // New validates the options.
 func New(o Options) (*Dispatcher, error) {
-	if o.Upstream == nil || o.Placer == nil || o.Gate == nil || o.Budget == nil || o.Observer == nil || o.Clock == nil || o.Log == nil {
+	if o.Upstream == nil || o.Placer == nil || o.Gate == nil || o.Budget == nil || o.Observer == nil || o.Outliers == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("forward: a field of Options is nil; set all of them")
 	}
 	return &Dispatcher{o: o}, nil
@@ -359,6 +366,7 @@
 func (d *Dispatcher) noteBroken(ctx context.Context, runner *placement.Runner) {
 	if !errors.Is(ctx.Err(), context.Canceled) {
 		runner.Broken()
+		d.o.Outliers.Silent(runner.Instance.ID)
 	}
 }
 
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -233,12 +233,27 @@
 // noPeers are the peers of a host that is alone.
 type noPeers struct{ occupancy.Peers }
 
+// silentRunners notes the runners that are told to be silent.
+type silentRunners struct {
+	mu  sync.Mutex
+	ids []state.InstanceID
+}
+
+// Silent implements Outliers.
+func (s *silentRunners) Silent(id state.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ids = append(s.ids, id)
+}
+
 // world is a dispatcher with its fakes and five runners of each kind.
 type world struct {
 	*Dispatcher
 	up    *fakeUpstream
 	fleet *placement.Fleet
 	gate  *scriptedGate
+	// silent are the runners that were told to be.
+	silent *silentRunners
 }
 
 func newWorld(t *testing.T, budget int, replies ...reply) *world {
@@ -254,14 +269,15 @@
 	}
 	fleet.Update(list)
 	gate := newScriptedGate(t)
+	silent := &silentRunners{}
 	d, err := New(Options{
-		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Clock: clocktest.Bubble{},
+		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: silent, Clock: clocktest.Bubble{},
 		Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &world{d, up, fleet, gate}
+	return &world{d, up, fleet, gate, silent}
 }
 
 // newMixedWorld is newWorld with engines that read and generate.
--- a/coordination/forward/patience.go
+++ b/coordination/forward/patience.go
@@ -51,7 +51,20 @@
 	if f := p.t.forecast; f.Known {
 		next = min(next, expected(f))
 	}
-	for p.d.o.Clock.Sleep(p.ctx, max(next, 0)) == nil {
+	for {
+		pause := min(max(next, 0), lookEvery)
+		if p.d.o.Clock.Sleep(p.ctx, pause) != nil {
+			return
+		}
+		next -= pause
+		if p.t.runner.Silent(p.d.o.Clock.Now()) {
+			p.dark.Store(true)
+			p.cancel()
+			return
+		}
+		if next > 0 {
+			continue
+		}
 		left := p.d.readLeft(p.r)
 		if left <= 0 || !p.progresses() {
 			p.cancel()
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -104,6 +104,7 @@
 		// a prompt isn't read in its time says nothing of an engine that reads others.
 		if ctx.Err() == nil || p.dark.Load() {
 			runner.Broken()
+			d.o.Outliers.Silent(runner.Instance.ID)
 		}
 		rec.add(a.Instance, part, outcomeUnknown, took, err)
 		return nil
--- a/coordination/occupancy/gate.go
+++ b/coordination/occupancy/gate.go
@@ -213,6 +213,10 @@
 	return false
 }
 
+// Owner is the peer address of the host that keeps the engine's count, or "" if none is
+// known.
+func (g *Gate) Owner(engine state.InstanceID) string { return g.keeper(engine) }
+
 // keeper is the host that keeps the engine's count, or "" if none is known.
 func (g *Gate) keeper(engine state.InstanceID) string {
 	g.mu.Lock()
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -138,6 +138,23 @@
 // Runner returns an instance with what is known of it, or nil.
 func (f *Fleet) Runner(id state.InstanceID) *Runner { return f.view.Load().byID[id] }
 
+// Judge takes other hosts' word of a runner: that it is silent, for so long, or, with 0,
+// that it answers again.
+func (f *Fleet) Judge(id state.InstanceID, silentFor time.Duration) {
+	if r := f.Runner(id); r != nil {
+		r.judge(silentFor)
+	}
+}
+
+// Siblings is the number of runners of the instance's service; 0 if it isn't listed.
+func (f *Fleet) Siblings(id state.InstanceID) int {
+	r := f.Runner(id)
+	if r == nil {
+		return 0
+	}
+	return len(f.Runners(r.Instance.Service))
+}
+
 // Has reports whether work may be sent to the instance.
 func (f *Fleet) Has(id state.InstanceID) bool {
 	r := f.view.Load().byID[id]
--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -237,3 +237,28 @@
 		f.Prefill("s", "session", nil)
 	}
 }
+
+// Other hosts' word that a runner is silent counts until it is taken back, unless this
+// host has just heard from it.
+func TestSilentRunnerIsAvoidedByWordOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet("d0", 2, "")
+		silent, other := f.Runner(named("e00")), f.Runner(named("e01"))
+		f.Judge(named("e00"), time.Second)
+		f.Judge(named("gone"), time.Second)
+		for range 20 {
+			is.Equal(f.Call("s", nil).Instance.ID, other.Instance.ID)
+		}
+		f.Judge(named("e00"), 0)
+		is.True(!silent.Suspect(time.Now()))
+		other.Answered(time.Millisecond)
+		f.Judge(named("e01"), time.Second)
+		is.True(!other.Suspect(time.Now()))
+		f.Judge(named("e00"), time.Second)
+		time.Sleep(time.Second)
+		is.True(!silent.Suspect(time.Now()))
+		is.Equal(f.Siblings(named("e00")), 2)
+		is.Equal(f.Siblings(named("gone")), 0)
+	})
+}
--- a/coordination/placement/load.go
+++ b/coordination/placement/load.go
@@ -37,7 +37,9 @@
 	// suspectUntil and heardAt are in nanoseconds since the load was made; 0 for never.
 	suspectUntil atomic.Int64
 	heardAt      atomic.Int64
-	started      time.Time
+	// silentUntil is as long as another host's word holds that the runner is silent.
+	silentUntil atomic.Int64
+	started     time.Time
 
 	mu sync.Mutex
 	// expected is the role that the instance is about to take; "" if none is known.
@@ -136,9 +138,37 @@
 
 // Suspect reports whether the runner is avoided for now.
 func (l *Load) Suspect(now time.Time) bool {
-	return int64(now.Sub(l.started)) < l.suspectUntil.Load()
+	return int64(now.Sub(l.started)) < l.suspectUntil.Load() || l.Silent(now)
 }
 
+// Silent reports whether other hosts hear nothing of the runner.
+func (l *Load) Silent(now time.Time) bool {
+	return int64(now.Sub(l.started)) < l.silentUntil.Load()
+}
+
+// judge takes other hosts' word of the runner: that it is silent, for so long, or, with 0,
+// that it answers again. What this host has just heard itself goes before it.
+func (l *Load) judge(silentFor time.Duration) {
+	now := l.clock.Now()
+	if silentFor > 0 {
+		if !l.HeardWithin(heardLately) {
+			l.silentUntil.Store(int64(now.Sub(l.started) + silentFor))
+		}
+		return
+	}
+	l.silentUntil.Store(0)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.expected == "" {
+		l.rowLength = 0
+		l.suspectUntil.Store(0)
+	}
+}
+
+// heardLately is how long this host's own hearing of a runner outweighs the others' word:
+// about the time in which they come to it.
+const heardLately = 300 * time.Millisecond
+
 // expect avoids the runner until it has the role, for so long at most.
 func (l *Load) expect(role state.Role, within time.Duration) {
 	l.mu.Lock()
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -16,6 +16,7 @@
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/coordination/lease"
 	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/coordination/outlier"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/retry"
 	"github.com/thymerack/thymerack/coordination/stages"
@@ -23,6 +24,7 @@
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/gateway"
 	"github.com/thymerack/thymerack/transport/httpclient"
+	"github.com/thymerack/thymerack/transport/outliers"
 	"github.com/thymerack/thymerack/transport/peer"
 	"github.com/thymerack/thymerack/transport/places"
 	"github.com/thymerack/thymerack/transport/relay"
@@ -60,6 +62,9 @@
 	peerServer *peer.Server
 	// fanout brings the copies of the store up to date, from the store or from peers.
 	fanout *fanout.Node
+	// outliers finds runners that don't answer, until ended.
+	outliers *outlier.Detector
+	ended    context.CancelFunc
 	// gate counts prompts over all hosts.
 	gate *occupancy.Gate
 }
@@ -191,7 +196,45 @@
 		Book: book, Peers: places.Peers{Client: h.peers}, Self: h.members.addr(h.s.IP), Hosts: h.members.All,
 		Clock: h.clock, Log: h.log,
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	return h.buildOutliers()
+}
+
+// buildOutliers has silent runners told to all hosts.
+func (h *Host) buildOutliers() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.ended = cancel
+	var err error
+	h.outliers, err = outlier.New(ctx, outlier.Options{
+		Self: h.members.addr(h.s.IP), Owner: h.gate.Owner, Peers: outliers.Peers{Client: h.peers}, Clock: h.clock, Log: h.log,
+		Siblings: h.fleet.Siblings,
+		Alive: func(ctx context.Context, id state.InstanceID) bool {
+			r := h.fleet.Runner(id)
+			return r != nil && h.pool.Alive(ctx, r.Instance)
+		},
+		Publish: func(v outlier.Verdict) {
+			if err := outliers.Publish(ctx, h.fanout, v); err != nil {
+				h.log.Error("silent runner not told", "instance", v.Instance, "cause", err.Error())
+			}
+		},
+	})
+	if err != nil {
+		return err
+	}
+	outliers.Register(h.peerServer, h.outliers.Take)
+	outliers.Subscribe(h.fanout, h.judge, h.log)
+	return nil
+}
+
+// judge takes the word of the hosts on a runner.
+func (h *Host) judge(v outlier.Verdict) {
+	if v.Silent {
+		h.fleet.Judge(v.Instance, v.For)
+		return
+	}
+	h.fleet.Judge(v.Instance, 0)
 }
 
 // publish puts a new list of instances in force.
@@ -232,7 +275,7 @@
 	}
 	dispatcher, err := forward.New(forward.Options{
 		Upstream: h.pool, Placer: h.fleet, Gate: h.gate, Budget: budget, Clock: h.clock, Log: h.log, SplitTokens: h.o.SplitTokens,
-		Observer: h.metrics,
+		Observer: h.metrics, Outliers: h.outliers,
 	})
 	if err != nil {
 		return err
@@ -356,6 +399,7 @@
 	resign()
 	h.leave()
 	end()
+	h.ended()
 	h.peers.Close()
 	listeners.close()
 	group.Wait()
--- /dev/null
+++ b/transport/outliers/outliers.go
@@ -0,0 +1,81 @@
+// Package outliers carries reports and verdicts of silent runners between hosts.
+package outliers
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/thymerack/thymerack/coordination/fanout"
+	"github.com/thymerack/thymerack/coordination/outlier"
+	"github.com/thymerack/thymerack/protocol/peerapi"
+	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/peer"
+)
+
+// topic is that of the verdicts.
+const topic fanout.Topic = "outliers"
+
+// longest bounds a verdict of a peer, whatever it says.
+const longest = 10 * time.Second
+
+// report says that a host hears nothing of a runner.
+type report struct {
+	Name string `msgpack:"n"`
+	Born int64  `msgpack:"b,omitempty"`
+}
+
+// noted answers a report.
+type noted struct{}
+
+// verdict tells all hosts whether a runner is silent.
+type verdict struct {
+	Name   string `msgpack:"n"`
+	Born   int64  `msgpack:"b,omitempty"`
+	Silent bool   `msgpack:"s,omitempty"`
+	ForMS  int64  `msgpack:"f,omitempty"`
+}
+
+// Register lets the server take the reports of peers.
+func Register(s *peer.Server, take func(state.InstanceID)) {
+	s.Handle(peerapi.KindReport, peer.HandleMsg(func(_ context.Context, _ state.HostID, m report) (noted, error) {
+		take(state.InstanceID(m))
+		return noted{}, nil
+	}))
+}
+
+// Peers reaches the owners of runners.
+type Peers struct{ Client *peer.Client }
+
+var _ outlier.Peers = Peers{}
+
+// Report implements outlier.Peers.
+func (p Peers) Report(ctx context.Context, addr string, id state.InstanceID) error {
+	_, err := peer.CallMsg[report, noted](ctx, p.Client, addr, peerapi.KindReport, report(id))
+	return err
+}
+
+// Publish tells all hosts.
+func Publish(ctx context.Context, n *fanout.Node, v outlier.Verdict) error {
+	body, err := msgpack.Marshal(verdict{Name: v.Instance.Name, Born: v.Instance.Born, Silent: v.Silent, ForMS: v.For.Milliseconds()})
+	if err != nil {
+		return err
+	}
+	n.Publish(ctx, topic, body)
+	return nil
+}
+
+// Subscribe takes the verdicts of all hosts.
+func Subscribe(n *fanout.Node, take func(outlier.Verdict), log *slog.Logger) {
+	n.Subscribe(topic, func(body []byte) {
+		var m verdict
+		if err := msgpack.Unmarshal(body, &m); err != nil {
+			log.Warn("verdict on a runner not readable", "cause", err.Error())
+			return
+		}
+		span := time.Duration(min(max(0, m.ForMS), longest.Milliseconds())) * time.Millisecond
+		take(outlier.Verdict{Instance: state.InstanceID{Name: m.Name, Born: m.Born}, Silent: m.Silent, For: span})
+	})
+}
