List the store after a cut watch; know runs by their birth when asking

Change: a list instead. What a list shows to be gone is told as such, so that followers need no whole copy. An engine's answer counts only for the run that was asked. A question that needs a slot asks ten engines before it goes behind the others. The test of questions that find all slots taken now lets all engines refuse, where it let four of five: one would have had room.

--- a/coordination/follow/history.go
+++ b/coordination/follow/history.go
@@ -14,6 +14,9 @@
 type history struct {
 	// since is the revision from which on no deletion is missing.
 	since uint64
+	// jumpFrom and jumpTo are the revisions before and after the last whole copy. What came
+	// and went in between isn't known: it matters to those alone that were there.
+	jumpFrom, jumpTo uint64
 	// changedAt is the revision of the last change.
 	changedAt uint64
 	// deletions are those since, the oldest first.
@@ -26,8 +29,24 @@
 	at uint64
 }
 
-// restart begins anew with a whole copy, which doesn't tell what was deleted before it.
-func (h *history) restart(revision uint64) { *h = history{since: revision, changedAt: revision} }
+// jump notes a whole copy, with the objects that it lacks. One jump is remembered: whoever
+// was there before an earlier one gets a whole copy.
+func (h *history) jump(from, to uint64, gone []store.Object) {
+	if from == 0 {
+		h.since = to
+	}
+	h.since = max(h.since, h.jumpTo)
+	h.jumpFrom, h.jumpTo = from, to
+	for _, o := range gone {
+		h.deleted(o, to)
+	}
+}
+
+// reaches reports whether all that changed after a revision is known.
+func (h *history) reaches(revision uint64) bool {
+	inJump := revision > h.jumpFrom && revision < h.jumpTo
+	return revision >= h.since && revision > 0 && !inJump
+}
 
 func (h *history) changed(revision uint64) { h.changedAt = revision }
 
@@ -62,7 +81,7 @@
 	d := Delta{Revision: m.revision}
 	switch {
 	case revision >= m.history.changedAt:
-	case revision == 0 || revision < m.history.since:
+	case !m.history.reaches(revision):
 		d.Whole, d.Objects = true, m.copyLocked().Objects
 	default:
 		m.addChanges(&d, revision)
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -22,9 +22,9 @@
 	// (2 s and more) counts from when the store has been back for some seconds.
 	retryFirst = 200 * time.Millisecond
 	retryMost  = time.Second
-	// againWithin bounds the second question after a watch that was cut: a store that
-	// drops its waiting watches answers the next call in some milliseconds, and hosts
-	// that follow this one shouldn't all turn to it meanwhile.
+	// againWithin bounds the list after a watch that was cut: a store that drops its
+	// waiting watches answers the next call in some milliseconds, though watches may
+	// hear nothing for a second, and hosts that follow this one shouldn't all turn to it.
 	againWithin = 500 * time.Millisecond
 )
 
@@ -73,7 +73,7 @@
 	// regainedAt is when it answered again; nil if it has always answered.
 	regainedAt atomic.Pointer[time.Time]
 	lost       atomic.Bool
-	// again is set for the question that follows a watch which was cut; Run alone uses it.
+	// again is set for the list that follows a watch which was cut; Run alone uses it.
 	again bool
 	// fresh is set while Run follows the store and is answered.
 	fresh atomic.Bool
@@ -151,9 +151,9 @@
 	listed := m.Revision() > 0
 	for ctx.Err() == nil {
 		var err error
-		if !listed {
+		if !listed || m.again {
 			err = m.list(ctx)
-			listed = err == nil
+			listed = listed || err == nil
 		} else {
 			listed, err = m.watch(ctx)
 		}
@@ -192,6 +192,11 @@
 }
 
 func (m *Mirror) list(ctx context.Context) error {
+	if m.again {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, againWithin)
+		defer cancel()
+	}
 	objects, revision, err := m.o.Store.List(ctx, m.o.Kind)
 	if err != nil {
 		return err
@@ -222,17 +227,10 @@
 // next returns the next changes. A store that didn't answer, or wasn't asked yet, is
 // asked without waiting first: a watch would tell its return only with the next change.
 func (m *Mirror) next(ctx context.Context) (store.Batch, error) {
-	p, ok := m.o.Store.(Poller)
-	switch {
-	case ok && m.again:
-		bounded, cancel := context.WithTimeout(ctx, againWithin)
-		defer cancel()
-		return p.Poll(bounded, m.o.Kind, m.Revision())
-	case ok && !m.Fresh():
+	if p, ok := m.o.Store.(Poller); ok && !m.Fresh() {
 		return p.Poll(ctx, m.o.Kind, m.Revision())
-	default:
-		return m.o.Store.Watch(ctx, m.o.Kind, m.Revision())
 	}
+	return m.o.Store.Watch(ctx, m.o.Kind, m.Revision())
 }
 
 // replace puts a whole newer copy in place.
@@ -242,17 +240,35 @@
 	if revision < m.revision || (revision == m.revision && m.revision != 0) {
 		return false
 	}
+	before := m.objects
 	m.objects = make(map[string]store.Object, len(objects))
+	changed := len(before) != len(objects)
 	for _, o := range objects {
 		m.objects[o.Name] = o
+		changed = changed || before[o.Name].Version != o.Version
 	}
+	m.history.jump(m.revision, revision, missing(before, m.objects))
+	first := m.revision == 0
 	m.revision = revision
-	m.history.restart(revision)
-	m.o.Changed(m.copyLocked())
-	m.notify()
+	if changed || first {
+		m.history.changed(revision)
+		m.o.Changed(m.copyLocked())
+		m.notify()
+	}
 	return true
 }
 
+// missing are the objects of one copy that another lacks.
+func missing(before, now map[string]store.Object) []store.Object {
+	var out []store.Object
+	for name, o := range before {
+		if _, there := now[name]; !there {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
 // apply takes the events of a watch. Those that the copy has already are skipped:
 // a peer's copy may have come while the watch was waiting.
 func (m *Mirror) apply(b store.Batch) {
--- a/coordination/forward/backup.go
+++ b/coordination/forward/backup.go
@@ -41,6 +41,8 @@
 type watch struct {
 	// heard is when the last bytes came, in nanoseconds since begun.
 	heard atomic.Int64
+	// dark is set once the engine was asked and didn't answer.
+	dark  atomic.Bool
 	begun time.Time
 	stop  context.CancelFunc
 }
@@ -84,6 +86,7 @@
 			continue
 		}
 		if !d.alive(ctx, a.Instance) && ctx.Err() == nil {
+			w.dark.Store(true)
 			resp.Cut()
 			return
 		}
@@ -98,6 +101,7 @@
 // has no such run has ended it. One that says anything else may still be at it.
 func (s *Stream) goOn(cause error) bool {
 	r, from, backup := s.a.Request, s.a, s.a.Backup
+	dark := s.watch != nil && s.watch.dark.Load()
 	s.drop()
 	s.d.noteBroken(s.ctx, s.runner)
 	s.rec.add(from.Instance, "run", outcomeUnknown, s.d.o.Clock.Now().Sub(s.started), cause)
@@ -109,18 +113,31 @@
 	}
 	s.moves++
 	source := &KVSource{Instance: backup, Handle: r.ID}
+	if !dark {
+		var ended bool
+		if source, ended = s.stopRun(from.Instance, source); !ended {
+			return false
+		}
+	}
+	return s.resumeFrom(backup, source)
+}
+
+// stopRun asks the former engine to stop its run and returns where its memory is. ended is
+// false if the run may go on there.
+func (s *Stream) stopRun(from *state.Instance, backup *KVSource) (source *KVSource, ended bool) {
 	ctx, cancel := context.WithTimeout(s.ctx, askTimeout)
 	defer cancel()
 	started := s.d.o.Clock.Now()
-	handle, err := s.d.o.Upstream.Move(ctx, from.Instance, r.ID, backup)
+	handle, err := s.d.o.Upstream.Move(ctx, from, s.a.Request.ID, backup.Instance)
 	switch {
 	case err == nil && handle != "":
-		source = &KVSource{Instance: from.Instance, Handle: handle}
-	case err != nil && !unreached(err):
-		s.rec.add(from.Instance, "move", outcomeUnknown, s.d.o.Clock.Now().Sub(started), err)
-		return false
+		return &KVSource{Instance: from, Handle: handle}, true
+	case err == nil || unreached(err):
+		return backup, true
+	default:
+		s.rec.add(from, "move", outcomeUnknown, s.d.o.Clock.Now().Sub(started), err)
+		return nil, false
 	}
-	return s.resumeFrom(backup, source)
 }
 
 // resumeFrom goes on at an engine from a copy of the run's memory.
--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -141,13 +141,17 @@
 	return choice{Runner: t.runner, turn: t, reads: true}, nil
 }
 
+// maxPlacesAsked bounds the engines that are asked for a free slot: with two thirds of them
+// full, one request in sixty finds none free at ten.
+const maxPlacesAsked = 10
+
 // takePlace looks for an engine with a free slot for a request that generates at
 // length. When all that are asked are full it goes behind the others at the first,
 // where it starts once nothing newer wants the slot.
 func (d *Dispatcher) takePlace(ctx context.Context, r *Request, rec *record) choice {
 	var first *placement.Runner
 	asked := slices.Clone(rec.tried)
-	for range maxAsked {
+	for range maxPlacesAsked {
 		runner := d.o.Placer.Decode(r.Service, "", "", asked)
 		if runner == nil {
 			break
--- a/coordination/forward/turn_test.go
+++ b/coordination/forward/turn_test.go
@@ -172,7 +172,7 @@
 func TestQuestionGoesBehindTheOthersWhenAllSlotsAreTaken(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, plenty, generated)
-	w.gate.refusal = make([]backlog.Forecast, maxAsked)
+	w.gate.refusal = make([]backlog.Forecast, maxPlacesAsked)
 	answer, err := w.Forward(t.Context(), modelRequest(500, true))
 	is.NoErr(err)
 	_, err = readAll(answer.Stream)
--- a/transport/runners/pool.go
+++ b/transport/runners/pool.go
@@ -24,7 +24,9 @@
 	EncodeMove(id, target string, req *fasthttp.Request)
 	// DecodeMove returns "" if the engine has no such run.
 	DecodeMove(resp *fasthttp.Response) (string, error)
-	EncodeProbe(req *fasthttp.Request)
+	EncodeProbe(id state.InstanceID, req *fasthttp.Request)
+	// DecodeProbe reports whether that run answered.
+	DecodeProbe(resp *fasthttp.Response, id state.InstanceID) bool
 	DecodeHead(resp *fasthttp.Response) *forward.Head
 	// OfRequest reports whether a response answers the request of that id.
 	OfRequest(resp *fasthttp.Response, id string) bool
@@ -184,8 +186,8 @@
 // Alive implements forward.Upstream.
 func (p *Pool) Alive(ctx context.Context, i *state.Instance) bool {
 	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
-	p.o.Codec.EncodeProbe(req)
-	return p.Do(ctx, i, req, resp, moveTimeout) == nil
+	p.o.Codec.EncodeProbe(i.ID, req)
+	return p.Do(ctx, i, req, resp, moveTimeout) == nil && p.o.Codec.DecodeProbe(resp, i.ID)
 }
 
 // Do makes a call of the system's own at an instance and reads the whole answer.
--- a/transport/runners/pool_test.go
+++ b/transport/runners/pool_test.go
@@ -36,7 +36,9 @@
 
 func (testCodec) DecodeMove(resp *fasthttp.Response) (string, error) { return string(resp.Body()), nil }
 
-func (testCodec) EncodeProbe(*fasthttp.Request) {}
+func (testCodec) EncodeProbe(state.InstanceID, *fasthttp.Request) {}
+
+func (testCodec) DecodeProbe(*fasthttp.Response, state.InstanceID) bool { return true }
 
 func (testCodec) EncodeDiscard(handle string, req *fasthttp.Request) {
 	req.Header.SetMethod("DELETE")
