Back runs up only where engines have memory to spare

There a slot has memory for 2.8 mean prompts, on the small ones for 0.4 to 0.7: copies push out what runs. Change: backups only where an engine's memory holds twice its slots of mean prompts; the mean is learnt.

--- a/coordination/forward/backup.go
+++ b/coordination/forward/backup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,12 +19,50 @@
 	leastSilence = 80 * time.Millisecond
 	// mostMoves bounds the engines at which a run goes on.
 	mostMoves = 2
+	// roomForBackups is how many mean prompts' memory an engine has for each slot where
+	// backups are made. With less, memory runs out before the slots do: copies push out
+	// what runs, and more streams are late or lost than backups save.
+	roomForBackups = 2
+	// sizeGain is the weight of a prompt in the mean size of a service's.
+	sizeGain = 0.02
 )
 
+// sizes learns the mean size of the prompts of each service, in tokens. The zero value is
+// ready.
+type sizes struct {
+	mu   sync.Mutex
+	mean map[string]float64
+}
+
+func (s *sizes) note(service string, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mean == nil {
+		s.mean = map[string]float64{}
+	}
+	mean, known := s.mean[service]
+	if !known {
+		mean = float64(tokens)
+	}
+	s.mean[service] = mean + sizeGain*(float64(tokens)-mean)
+}
+
+func (s *sizes) of(service string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mean[service]
+}
+
+// hasRoomForBackups reports whether the service's engines have memory to spare.
+func (d *Dispatcher) hasRoomForBackups(r *Request) bool {
+	e := r.Engine
+	return e != nil && e.Backups && e.Slots > 0 && float64(e.KVTokens) >= roomForBackups*d.sizes.of(r.Service)*float64(e.Slots)
+}
+
 // backupFor is the engine to which the memory of a run that may run once is copied, so
 // that the run can go on there when its engine is lost; nil if there is none.
 func (d *Dispatcher) backupFor(r *Request, at *state.Instance, tried []state.InstanceID) *state.Instance {
-	if !r.runsOnce() || r.Engine == nil || !r.Engine.Backups {
+	if !r.runsOnce() || !d.hasRoomForBackups(r) {
 		return nil
 	}
 	runner := d.o.Placer.Decode(r.Service, "", at.FailureDomain, append(slices.Clone(tried), at.ID))
--- a/coordination/forward/backup_test.go
+++ b/coordination/forward/backup_test.go
@@ -14,7 +14,7 @@
 // backedUp is a question that may run once, at engines that back runs up.
 func backedUp() *Request {
 	r := onceRequest()
-	r.Engine.Backups = true
+	r.Engine.Backups, r.Engine.KVTokens = true, 100_000
 	r.Route.EventGap = 250 * time.Millisecond
 	return r
 }
@@ -144,3 +144,20 @@
 	is.NoErr(err)
 	is.True(w.up.attempts[0].Backup == nil)
 }
+
+// Where memory runs out before the slots do, copies would push out what runs: there are
+// none. The size of prompts is learnt.
+func TestBackupsNeedMemoryToSpare(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty)
+	r := backedUp() // 16 slots, 100,000 tokens: 3,125 for each slot and backup
+	for _, c := range []struct {
+		tokens int
+		room   bool
+	}{{200, true}, {9000, false}, {200, true}} {
+		for range 300 {
+			w.sizes.note(r.Service, c.tokens)
+		}
+		is.Equal(w.backupFor(r, w.fleet.Runners("model")[0].Instance, nil) != nil, c.room)
+	}
+}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -73,6 +73,7 @@
 type Dispatcher struct {
 	o     Options
 	leads leads
+	sizes sizes
 }
 
 // New validates the options.
@@ -99,6 +100,9 @@
 // ends at the request's deadline or when the caller leaves.
 func (d *Dispatcher) Forward(ctx context.Context, r *Request) (*Answer, error) {
 	d.o.Budget.Seen(r.Service)
+	if r.Generation != nil {
+		d.sizes.note(r.Service, r.Generation.PromptTokens)
+	}
 	rec := &record{}
 	answer, err := d.serve(ctx, r, rec)
 	if err != nil && rec.failed != nil {
