Leave dark engines in the middle of streams; let an address belong to its last writer

Change: the watch of streams looks after all that can go on elsewhere; of two entries with one address the last that was written counts; a runner that isn't the one meant is reported, so that its owner tells all; engines that were just heard aren't asked.

--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -312,7 +312,7 @@
 	return NewInstances(InstancesOptions{
 		Clock: clocktest.Bubble{}, Log: quiet, HoldFor: time.Second, Unusable: func() {}, Outage: func() bool { return *outage },
 		Decode: func(id string, v []byte) (state.Instance, error) {
-			return state.Instance{ID: state.InstanceID{Name: id}, Draining: string(v) == "draining"}, nil
+			return state.Instance{ID: state.InstanceID{Name: id}, Addr: id, Draining: string(v) == "draining"}, nil
 		},
 		Publish: func(list []state.Instance) {
 			*published = nil
@@ -365,7 +365,7 @@
 			if string(v) != "ready" {
 				return state.Instance{}, errors.New("not a runner's entry")
 			}
-			return state.Instance{ID: state.InstanceID{Name: id}}, nil
+			return state.Instance{ID: state.InstanceID{Name: id}, Addr: id}, nil
 		},
 		Publish: func(list []state.Instance) {
 			published = nil
@@ -395,6 +395,35 @@
 	is.Equal(published, []string{"a", "b"})
 }
 
+// A runner that crashed is still listed when another has taken its address: only the one
+// that wrote last is there.
+func TestAddressBelongsToTheLastThatWrote(t *testing.T) {
+	is := is.New(t)
+	var published []string
+	l := NewInstances(InstancesOptions{
+		Clock: clocktest.Bubble{}, Log: quiet, Outage: func() bool { return false }, Unusable: func() {},
+		Decode: func(id string, v []byte) (state.Instance, error) {
+			return state.Instance{ID: state.InstanceID{Name: id}, Addr: string(v)}, nil
+		},
+		Publish: func(list []state.Instance) {
+			published = nil
+			for _, i := range list {
+				published = append(published, i.ID.Name)
+			}
+			slices.Sort(published)
+		},
+	})
+	object := func(name, addr string, version uint64) store.Object {
+		return store.Object{Name: name, Version: version, Value: []byte(addr)}
+	}
+	l.Changed(Copy{Objects: []store.Object{object("crashed", "1", 5), object("other", "2", 6)}})
+	is.Equal(published, []string{"crashed", "other"})
+	l.Changed(Copy{Objects: []store.Object{object("crashed", "1", 5), object("other", "2", 6), object("next", "1", 7)}})
+	is.Equal(published, []string{"next", "other"})
+	l.Changed(Copy{Objects: []store.Object{object("crashed", "1", 5), object("other", "2", 6)}})
+	is.Equal(published, []string{"crashed", "other"})
+}
+
 func TestMissingInstanceIsGoneAtOnceWhileTheStoreIsSound(t *testing.T) {
 	is := is.New(t)
 	outage, published := false, []string{}
--- a/coordination/follow/instances.go
+++ b/coordination/follow/instances.go
@@ -128,10 +128,23 @@
 	}
 }
 
+// latestAt is the entry that was written last for each address: a run that has crashed
+// stays listed for some heartbeats, while the next one takes work at its address.
+func (l *Instances) latestAt() map[string]*entry {
+	out := make(map[string]*entry, len(l.entries))
+	for _, e := range l.entries {
+		if other := out[e.instance.Addr]; !e.unusable && (other == nil || other.version < e.version) {
+			out[e.instance.Addr] = e
+		}
+	}
+	return out
+}
+
 func (l *Instances) publish() {
 	out := make([]state.Instance, 0, len(l.entries))
+	latest := l.latestAt()
 	for _, e := range l.entries {
-		if !e.unusable {
+		if !e.unusable && latest[e.instance.Addr] == e {
 			out = append(out, e.instance)
 		}
 	}
--- a/coordination/forward/alive.go
+++ b/coordination/forward/alive.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// askTimeout bounds a question to an engine: thirty round trips between failure
+	// askTimeout bounds a question to an engine: twenty round trips between failure
 	// domains and a handshake. One that takes longer is dark, as far as can be told.
-	askTimeout = 100 * time.Millisecond
+	askTimeout = 80 * time.Millisecond
 	// heardWithin is how long an engine that answered this host isn't asked again.
 	heardWithin = 200 * time.Millisecond
 )
--- a/coordination/forward/backup.go
+++ b/coordination/forward/backup.go
@@ -7,13 +7,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/state"
 )
 
 const (
 	// goOnTime is what is left of a promised pause for asking a silent engine and for the
 	// first event of another one.
-	goOnTime = askTimeout + 30*time.Millisecond
+	goOnTime = askTimeout + 20*time.Millisecond
 	// leastSilence is the shortest silence after which an engine is asked, above the
 	// steps of busy engines (5 to 60 ms).
 	leastSilence = 80 * time.Millisecond
@@ -75,8 +76,8 @@
 // silence is how long an engine may send nothing before it is asked.
 func silence(r *Request) time.Duration { return max(leastSilence, r.Route.EventGap-goOnTime) }
 
-// watch looks after a stream with a backup: one whose engine is silent and doesn't answer
-// is cut, so that it can go on elsewhere within the pause that its caller was promised.
+// watch looks after a stream that can go on elsewhere: one whose engine is silent and
+// doesn't answer is cut, so that it does within the pause that its caller was promised.
 type watch struct {
 	// heard is when the last bytes came, in nanoseconds since begun.
 	heard atomic.Int64
@@ -86,16 +87,18 @@
 	stop  context.CancelFunc
 }
 
-// startWatch begins to look after the present run of the stream, if it has a backup.
+// startWatch begins to look after the present run of the stream, if it can go on elsewhere.
 func (s *Stream) startWatch() {
 	s.stopWatch()
-	if s.a.Backup == nil {
+	r := s.a.Request
+	mayRepeat := r.Generation != nil && r.Route.Repeatable() && s.rec.sends < r.Route.MaxAttempts
+	if s.a.Backup == nil && !mayRepeat {
 		return
 	}
 	ctx, stop := context.WithCancel(s.ctx)
 	w := &watch{begun: s.d.o.Clock.Now(), stop: stop}
 	s.watch = w
-	go s.d.lookAfter(ctx, w, s.a, s.resp)
+	go s.d.lookAfter(ctx, w, s.a, s.runner, s.resp)
 }
 
 func (s *Stream) stopWatch() {
@@ -108,13 +111,14 @@
 // noteHeard tells the watch that bytes came.
 func (s *Stream) noteHeard() {
 	if s.watch != nil {
+		s.runner.Heard()
 		s.watch.heard.Store(int64(s.d.o.Clock.Now().Sub(s.watch.begun)))
 	}
 }
 
 // lookAfter asks the engine whenever its run is silent for too long, and cuts the response
 // of one that doesn't answer.
-func (d *Dispatcher) lookAfter(ctx context.Context, w *watch, a *Attempt, resp Response) {
+func (d *Dispatcher) lookAfter(ctx context.Context, w *watch, a *Attempt, runner *placement.Runner, resp Response) {
 	patience := silence(a.Request)
 	for {
 		left := w.begun.Add(time.Duration(w.heard.Load()) + patience).Sub(d.o.Clock.Now())
@@ -124,7 +128,7 @@
 			}
 			continue
 		}
-		if !d.alive(ctx, a.Instance) && ctx.Err() == nil {
+		if !runner.HeardWithin(askTimeout) && !d.alive(ctx, a.Instance) && ctx.Err() == nil {
 			w.dark.Store(true)
 			resp.Cut()
 			return
--- a/coordination/forward/backup_test.go
+++ b/coordination/forward/backup_test.go
@@ -161,3 +161,31 @@
 		is.Equal(w.backupFor(r, w.fleet.Runners("model")[0].Instance, nil) != nil, c.room)
 	}
 }
+
+// A stream that may be repeated is also left when its engine falls silent in the middle.
+func TestRepeatableStreamLeavesADarkEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, plenty, promptRead, reply{status: 200, events: true, body: begun, stall: time.Minute}, reply{status: 200, events: true, body: rest})
+		r := modelRequest(9000, true)
+		r.Route.EventGap = 250 * time.Millisecond
+		answer, err := w.Forward(t.Context(), r)
+		is.NoErr(err)
+		w.up.setDark(w.up.attempts[1].Instance.ID)
+		fell := time.Now()
+		got, err := readAll(answer.Stream)
+		is.NoErr(err)
+		is.Equal(got, begun+rest)
+		is.True(time.Since(fell) <= r.Route.EventGap)
+		is.Equal(w.silent.ids[0], w.up.attempts[1].Instance.ID)
+	})
+}
+
+// A runner that is another than was meant is asked for, so that all learn it.
+func TestMisdirectedRequestIsReported(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{status: statusMisdirected, notRun: true})
+	_, err := w.Forward(t.Context(), onceRequest())
+	is.True(err != nil)
+	is.Equal(w.silent.ids, []state.InstanceID{w.up.attempts[0].Instance.ID})
+}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -315,7 +315,7 @@
 	if head.NotRun {
 		drain(resp)
 		sent.end()
-		runner.Refused()
+		d.noteRefused(runner, head)
 		rec.add(a.Instance, "run", outcomeNotRun, took, &statusError{head.Status})
 		return nil, outcomeNotRun
 	}
@@ -374,6 +374,19 @@
 	}
 }
 
+// noteRefused counts a refusal against the runner. One that is not the run that was meant
+// is asked for: it may be gone, with another at its address.
+func (d *Dispatcher) noteRefused(runner *placement.Runner, head *Head) {
+	runner.Refused()
+	if head.Status == statusMisdirected {
+		d.o.Outliers.Silent(runner.Instance.ID)
+	}
+}
+
+// statusMisdirected is the answer of a runner that isn't the one that was meant, or has
+// another role.
+const statusMisdirected = 421
+
 // readWhole reads a body to its end.
 func readWhole(resp Response) ([]byte, error) {
 	return io.ReadAll(readerOf{resp})
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -113,7 +113,7 @@
 	rec.notePrefill(resp.Head().Status != statusOK)
 	if resp.Head().Status != statusOK {
 		if ctx.Err() == nil {
-			runner.Refused()
+			d.noteRefused(runner, resp.Head())
 		}
 		rec.add(a.Instance, part, outcomeNotRun, took, &statusError{resp.Head().Status})
 		return nil
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -129,7 +129,9 @@
 		s.buf = append(make([]byte, 0, len(s.buf)+streamBuffer), s.buf...)
 	}
 	n, err := s.resp.Read(s.buf[len(s.buf):cap(s.buf)])
-	s.noteHeard()
+	if n > 0 {
+		s.noteHeard()
+	}
 	before := len(s.buf)
 	s.buf = s.buf[:before+n]
 	s.scan(max(0, before-len(eventEnd)))
@@ -213,7 +215,7 @@
 	if head.NotRun || !head.Events || !head.Sealed || head.Status != statusOK {
 		resp.Cut()
 		sent.end()
-		runner.Refused()
+		s.d.noteRefused(runner, head)
 		s.rec.add(a.Instance, "resume", outcomeNotRun, took, &statusError{head.Status})
 		return false
 	}
