Let hosts that start wait for their relays

Cause: after a loss of power all hosts start at once; followers whose relays weren't up yet turned to the store, six calls each, and each wrote its entry and read it back. Test: relays that return 400 ms after the others, and not at all.

--- a/coordination/fanout/fanout_test.go
+++ b/coordination/fanout/fanout_test.go
@@ -220,6 +220,46 @@
 	})
 }
 
+// The relays return a moment after the others, which wait for them instead of asking the
+// store; relays that don't return are not waited for long.
+func TestHostsThatReturnBeforeTheirRelaysWaitForThem(t *testing.T) {
+	for name, late := range map[string]time.Duration{"a moment later": 400 * time.Millisecond, "not at all": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, fleetSize)
+				relays := map[string]bool{}
+				for _, members := range byDomain(f.peers()) {
+					for _, addr := range relaysOf(members) {
+						relays[addr] = true
+					}
+				}
+				for _, h := range f.hosts {
+					if !relays[h.self.Addr] {
+						h.start()
+						defer h.end()
+						continue
+					}
+					f.set(f.silent, h.self.Addr, true)
+				}
+				time.Sleep(late % time.Minute)
+				for _, h := range f.hosts {
+					if relays[h.self.Addr] && late < time.Minute {
+						f.set(f.silent, h.self.Addr, false)
+						h.start()
+						defer h.end()
+					}
+				}
+				time.Sleep(2 * time.Second)
+				is.Equal(f.behind(kindThings, "r0", "ready"), nil)
+				if late < time.Minute {
+					is.True(f.spent() <= 3*len(kinds)*len(relays))
+				}
+			})
+		})
+	}
+}
+
 // What one host tells all, each hears once and within a third of a second, whichever host
 // it is and though some relays are lost.
 func TestNoticesReachAllHostsOnce(t *testing.T) {
--- a/coordination/fanout/node.go
+++ b/coordination/fanout/node.go
@@ -23,6 +23,14 @@
 	// tried in the meantime, each for silenceSlack.
 	avoidFirst = 2 * time.Second
 	avoidMost  = 4 * time.Second
+	// startPatience is how long a host that has no copy yet waits for relays that start
+	// with it, and startRetry the pause before one is asked again: when all hosts return
+	// at once, each asking the store would be some thousand calls. A relay needs some
+	// tens of milliseconds once its process runs.
+	startPatience = time.Second
+	startRetry    = 100 * time.Millisecond
+	// startWait is how long a question waits at a relay that may be starting too.
+	startWait = 250 * time.Millisecond
 	// relayFor is how long a host goes on following the store after it was asked last:
 	// some questions of each follower may be lost.
 	relayFor = 10 * time.Second
@@ -106,6 +114,8 @@
 	interrupt context.CancelFunc
 	// source is the relay that is followed; "" for the store.
 	source string
+	// begunAt is when Run began; Run alone uses it.
+	begunAt time.Time
 	// planned is the plan for the list of hosts of plannedOf; Run alone uses them.
 	planned   plan
 	plannedOf []state.Peer
@@ -153,6 +163,7 @@
 // Run keeps the copies up to date until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	defer n.followStoreNoMore()
+	n.begunAt = n.o.Clock.Now()
 	for ctx.Err() == nil {
 		n.step(ctx)
 	}
@@ -165,7 +176,15 @@
 	asked := n.askedLately(now)
 	relays := p.relays || asked
 	source := n.usable(p.sources, now)
-	if relays || source == "" {
+	if !relays && len(p.sources) > 0 && n.waitsToStart(now) {
+		if source != "" {
+			n.ask(ctx, source, false)
+			return
+		}
+		_ = n.o.Clock.Sleep(ctx, startRetry)
+		return
+	}
+	if relays || source == "" || n.starting() {
 		n.followStore(ctx)
 	}
 	// A relay follows another one beside the store: what one of them misses in a cut
@@ -197,7 +216,10 @@
 // this host relays as well.
 func (n *Node) ask(ctx context.Context, source string, relays bool) {
 	wait := n.o.Wait
-	if n.lost() || (!relays && !n.follows(source) && !n.starting()) {
+	switch {
+	case !relays && n.starting():
+		wait = min(wait, startWait)
+	case n.lost() || (!relays && !n.follows(source)):
 		wait = 0 // first see whether it is of use
 	}
 	bounded, cancel := context.WithTimeout(ctx, wait+silenceSlack)
@@ -246,6 +268,11 @@
 	return n.source == source
 }
 
+// waitsToStart reports whether this host has no copy yet and its relays may have none.
+func (n *Node) waitsToStart(now time.Time) bool {
+	return now.Sub(n.begunAt) < startPatience && n.starting()
+}
+
 // starting reports whether this host lacks a copy: a relay that is starting too needs a
 // moment to have one.
 func (n *Node) starting() bool {
@@ -344,6 +371,9 @@
 	defer n.mu.Unlock()
 	a := n.avoided[source]
 	pause := min(avoidFirst<<min(a.failures, 8), avoidMost)
+	if n.starting() {
+		pause = startRetry
+	}
 	pause = pause*3/4 + time.Duration(n.o.Rand.Int64N(int64(pause/2)))
 	n.avoided[source] = avoidance{n.o.Clock.Now().Add(pause), a.failures + 1}
 	if a.failures == 0 {
--- a/daemon/routed/members.go
+++ b/daemon/routed/members.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"sync/atomic"
 
@@ -95,20 +96,27 @@
 func (m *members) addr(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(m.s.PeerPort)) }
 
 // Join lists this host and reads the list for the first time, from a copy that may be
-// some seconds old: it is enough to know whom to ask for a newer one. When the whole
-// fleet starts for the first time hosts wait for each other's entries.
+// some seconds old: it is enough to know whom to ask for a newer one. A host that finds
+// itself alone, as when the whole fleet starts for the first time, waits for the others.
 func (m *members) Join(ctx context.Context) {
-	m.register(ctx)
+	if !m.s.FirstStart {
+		// An earlier run's entry mostly holds; it is written again otherwise.
+		m.registered.Store(m.read(ctx) && m.lists(m.self()))
+	}
+	if !m.registered.Load() {
+		m.register(ctx)
+	}
 	for range joinReads {
-		if m.s.FirstStart && m.clock.Sleep(ctx, membersSettle) != nil {
-			return
-		}
-		if m.read(ctx) && (!m.s.FirstStart || len(m.All()) > 1) {
+		if len(m.All()) > 1 || m.clock.Sleep(ctx, membersSettle) != nil {
 			return
 		}
+		m.read(ctx)
 	}
 }
 
+// lists reports whether the list has the host as it is.
+func (m *members) lists(h state.Peer) bool { return slices.Contains(m.All(), h) }
+
 // Run keeps this host's entry in the list until ctx ends.
 func (m *members) Run(ctx context.Context) {
 	for m.clock.Sleep(ctx, registerEvery) == nil {
