Take hosts that are gone out of the list

Ruled out: heartbeats at the store (a call of each host every few seconds); gossip among all. Change: coordination/liveness. One that hears less than three quarters of its domain removes nobody; a host whose entry is gone lists itself again.

--- a/coordination/fanout/node.go
+++ b/coordination/fanout/node.go
@@ -45,6 +45,8 @@
 
 // Question is what a host asks a relay.
 type Question struct {
+	// From is the host that asks.
+	From string
 	// Since are the revisions that the host has, and Read how far it has read the
 	// relay's notices.
 	Since Revisions
@@ -107,6 +109,8 @@
 	mu      sync.Mutex
 	avoided map[string]avoidance
 	askedAt time.Time
+	// heard is when hosts asked this one, by their addresses.
+	heard   map[string]time.Time
 	leaving bool
 	// changed is closed when a copy or the word of the store changes.
 	changed chan struct{}
@@ -134,7 +138,7 @@
 	if o.Self.Addr == "" || o.Run == "" || o.Hosts == nil || len(o.Copies) == 0 || o.Peers == nil || o.Clock == nil || o.Rand == nil || o.Log == nil || o.Wait <= 0 {
 		return nil, errors.New("fanout: a field of Options is missing; set all of them")
 	}
-	return &Node{o: o, board: newBoard(o.Run), topics: map[Topic]func([]byte){}, read: map[string]Cursor{}, avoided: map[string]avoidance{}, changed: make(chan struct{})}, nil
+	return &Node{o: o, board: newBoard(o.Run), topics: map[Topic]func([]byte){}, read: map[string]Cursor{}, avoided: map[string]avoidance{}, heard: map[string]time.Time{}, changed: make(chan struct{})}, nil
 }
 
 // Notify is to be called when a copy or the word of the store has changed.
@@ -153,6 +157,40 @@
 	n.Notify()
 }
 
+// HeardAt is when a host asked this one; zero if it hasn't lately.
+func (n *Node) HeardAt(addr string) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.heard[addr]
+}
+
+// Looks reports whether this host looks after those of its domain: it is one of the first
+// relays by the order that all compute, but for those that it found silent itself.
+func (n *Node) Looks() bool {
+	if !n.FollowsStore() || !n.fresh() {
+		return false
+	}
+	order := inRelayOrder(byDomain(n.o.Hosts())[n.o.Self.FailureDomain])
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	before := 0
+	for _, h := range order {
+		if h.Addr == n.o.Self.Addr {
+			return true
+		}
+		if n.avoided[h.Addr].failures < deadFailures {
+			before++
+		}
+		if before == perDomain {
+			return false
+		}
+	}
+	return false
+}
+
+// deadFailures is how often in a row a relay was of no use before others stand in for it.
+const deadFailures = 3
+
 // FollowsStore reports whether this host follows the store itself.
 func (n *Node) FollowsStore() bool {
 	n.mu.Lock()
@@ -225,7 +263,7 @@
 	bounded, cancel := context.WithTimeout(ctx, wait+silenceSlack)
 	defer cancel()
 	n.interruptible(cancel, !relays)
-	news, err := n.o.Peers.Follow(bounded, source, Question{Since: n.revisions(), Read: n.read[source], Wait: wait})
+	news, err := n.o.Peers.Follow(bounded, source, Question{From: n.o.Self.Addr, Since: n.revisions(), Read: n.read[source], Wait: wait})
 	n.interruptible(nil, false)
 	switch {
 	case err == nil:
--- a/coordination/fanout/relays.go
+++ b/coordination/fanout/relays.go
@@ -72,6 +72,11 @@
 	if len(members) < perDomain+leastFollowers {
 		return nil
 	}
+	return addresses(inRelayOrder(members)[:perDomain])
+}
+
+// inRelayOrder orders the hosts of a domain as they become relays: strong ones first.
+func inRelayOrder(members []state.Peer) []state.Peer {
 	order := slices.Clone(members)
 	slices.SortFunc(order, func(a, b state.Peer) int {
 		return cmp.Or(
@@ -80,7 +85,7 @@
 			strings.Compare(a.Addr, b.Addr),
 		)
 	})
-	return addresses(order[:perDomain])
+	return order
 }
 
 // inOrderOf orders relays by rendezvous hashing with the host that asks them.
--- a/coordination/fanout/serve.go
+++ b/coordination/fanout/serve.go
@@ -9,7 +9,7 @@
 // Serve answers a host that follows this one: at once if there is news for it or this
 // host is of no use to it, else after wait or the next change.
 func (n *Node) Serve(ctx context.Context, q Question) News {
-	n.asked()
+	n.asked(q.From)
 	ctx, cancel := context.WithTimeout(ctx, q.Wait)
 	defer cancel()
 	n.becomeFresh(ctx)
@@ -27,17 +27,25 @@
 	}
 }
 
-// asked makes this host follow the store, if it doesn't yet.
-func (n *Node) asked() {
+// asked makes this host follow the store, if it doesn't yet, and notes who is there.
+func (n *Node) asked(from string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.askedAt = n.o.Clock.Now()
+	if len(n.heard) >= mostHeard {
+		clear(n.heard)
+	}
+	n.heard[from] = n.askedAt
 	if n.interrupt != nil {
 		n.interrupt()
 		n.interrupt = nil
 	}
 }
 
+// mostHeard bounds the hosts that are remembered; more than a failure domain has at
+// the sizes to come.
+const mostHeard = 1024
+
 // becomeFresh waits until the store has answered, if this host has only begun to follow
 // it: a store that is lost is told at once.
 func (n *Node) becomeFresh(ctx context.Context) {
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -15,6 +15,7 @@
 	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/coordination/lease"
+	"github.com/thymerack/thymerack/coordination/liveness"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/outlier"
 	"github.com/thymerack/thymerack/coordination/placement"
@@ -26,6 +27,7 @@
 	"github.com/thymerack/thymerack/transport/httpclient"
 	"github.com/thymerack/thymerack/transport/outliers"
 	"github.com/thymerack/thymerack/transport/peer"
+	"github.com/thymerack/thymerack/transport/pings"
 	"github.com/thymerack/thymerack/transport/places"
 	"github.com/thymerack/thymerack/transport/relay"
 	"github.com/thymerack/thymerack/transport/roles"
@@ -62,6 +64,8 @@
 	peerServer *peer.Server
 	// fanout brings the copies of the store up to date, from the store or from peers.
 	fanout *fanout.Node
+	// looker takes hosts that are gone out of the list.
+	looker *liveness.Looker
 	// outliers finds runners that don't answer, until ended.
 	outliers *outlier.Detector
 	ended    context.CancelFunc
@@ -172,6 +176,15 @@
 		return err
 	}
 	relay.Register(h.peerServer, h.fanout)
+	pingers := pings.Peers{Client: h.peers}
+	pings.Register(h.peerServer, pingers)
+	h.looker, err = liveness.New(liveness.Options{
+		Self: h.members.self(), Hosts: func() []liveness.Listed { return *h.members.entries.Load() },
+		Looks: h.fanout.Looks, HeardAt: h.fanout.HeardAt, Peers: pingers, Remove: h.members.remove, Clock: h.clock, Log: h.log,
+	})
+	if err != nil {
+		return err
+	}
 	return h.buildGate()
 }
 
@@ -388,6 +401,7 @@
 	})
 	group.Go(func() { h.instances.Run(work) })
 	group.Go(func() { h.members.Run(work) })
+	group.Go(func() { h.looker.Run(work) })
 	managing, resign := context.WithCancel(work)
 	group.Go(func() {
 		if err := h.manager.Run(managing); err != nil {
--- a/daemon/routed/members.go
+++ b/daemon/routed/members.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 
 	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/liveness"
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/platform"
 	"github.com/thymerack/thymerack/state"
@@ -40,8 +41,12 @@
 	// seeds and listed are replaced whole.
 	seeds  atomic.Pointer[[]string]
 	listed atomic.Pointer[[]state.Peer]
+	// entries are the same hosts with their entries' names and versions.
+	entries atomic.Pointer[[]liveness.Listed]
 	// registered is set while this host's entry is believed to be in the list.
 	registered atomic.Bool
+	// writtenAt is the store's revision from which on the list must have the entry.
+	writtenAt atomic.Uint64
 	// unreadable are the versions of entries that were logged; changed alone uses it.
 	unreadable map[string]uint64
 }
@@ -49,6 +54,7 @@
 func newMembers(s *platform.Store, settings platform.Settings, log *slog.Logger) *members {
 	m := &members{store: s, s: settings, log: log, unreadable: map[string]uint64{}}
 	m.listed.Store(&[]state.Peer{})
+	m.entries.Store(&[]liveness.Listed{})
 	m.reload(settings.Seeds)
 	return m
 }
@@ -133,30 +139,36 @@
 		m.log.Error("host not listed", "cause", err.Error())
 		return
 	}
-	_, err = m.store.Put(ctx, kindHosts, m.s.Host, store.Absent, value)
+	version, err := m.store.Put(ctx, kindHosts, m.s.Host, store.Absent, value)
 	if store.IsConflict(err) {
-		err = m.replace(ctx, value)
+		version, err = m.replace(ctx, value)
 	}
 	if err != nil {
 		m.log.Warn("host not listed", "cause", err.Error())
 		return
 	}
+	m.writtenAt.Store(version)
 	m.registered.Store(true)
-	m.log.Info("host listed", "addr", m.addr(m.s.IP))
+	m.log.Info("host listed", "addr", m.addr(m.s.IP), "version", version)
 }
 
 // replace brings an entry of this host's name up to date.
-func (m *members) replace(ctx context.Context, value []byte) error {
+func (m *members) replace(ctx context.Context, value []byte) (version uint64, err error) {
 	present, err := m.store.Get(ctx, kindHosts, m.s.Host)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	var e member
 	if json.Unmarshal(present.Value, &e) == nil && state.Peer(e) == m.self() {
-		return nil
+		return present.Version, nil
 	}
-	_, err = m.store.Put(ctx, kindHosts, m.s.Host, present.Version, value)
-	return err
+	return m.store.Put(ctx, kindHosts, m.s.Host, present.Version, value)
+}
+
+// remove takes the entry of a host that is gone out of the list, unless it was written
+// again since.
+func (m *members) remove(ctx context.Context, h liveness.Listed) error {
+	return m.store.Delete(ctx, kindHosts, h.Name, h.Version)
 }
 
 // read takes the list as a stale copy of the store has it.
@@ -172,7 +184,7 @@
 
 // changed takes a new copy of the list.
 func (m *members) changed(c follow.Copy) {
-	hosts := []state.Peer{}
+	hosts, entries := []state.Peer{}, []liveness.Listed{}
 	found := false
 	for _, o := range c.Objects {
 		var e member
@@ -182,13 +194,15 @@
 		}
 		found = found || o.Name == m.s.Host
 		hosts = append(hosts, state.Peer(e))
+		entries = append(entries, liveness.Listed{Peer: state.Peer(e), Name: o.Name, Version: o.Version})
 	}
 	before := len(m.All())
 	m.listed.Store(&hosts)
+	m.entries.Store(&entries)
 	if before != len(hosts) {
 		m.log.Info("hosts listed", "hosts", len(hosts), "before", before, "revision", c.Revision)
 	}
-	if !found && m.copy.Fresh() {
+	if !found && c.Revision >= m.writtenAt.Load() {
 		m.registered.Store(false)
 	}
 }
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -24,6 +24,7 @@
 
 // Request names the revisions that the asking host has, by kind.
 type Request struct {
+	From      string            `msgpack:"f"`
 	Revisions map[string]uint64 `msgpack:"r"`
 	WaitMS    int64             `msgpack:"w"`
 	Read      Cursor            `msgpack:"n"`
@@ -75,7 +76,7 @@
 func Register(s *peer.Server, n *fanout.Node) {
 	s.Handle(peerapi.KindCopies, peer.HandleMsg(func(ctx context.Context, _ state.HostID, q Request) (Response, error) {
 		wait := min(max(0, time.Duration(q.WaitMS)*time.Millisecond), mostWait)
-		return encode(n.Serve(ctx, fanout.Question{Since: q.Revisions, Read: fanout.Cursor(q.Read), Wait: wait})), nil
+		return encode(n.Serve(ctx, fanout.Question{From: q.From, Since: q.Revisions, Read: fanout.Cursor(q.Read), Wait: wait})), nil
 	}))
 	s.Handle(peerapi.KindNotice, peer.HandleMsg(func(_ context.Context, _ state.HostID, m Notice) (Noted, error) {
 		n.Deliver(m.decode())
@@ -90,7 +91,7 @@
 
 // Follow implements fanout.Peers.
 func (p Peers) Follow(ctx context.Context, addr string, q fanout.Question) (fanout.News, error) {
-	m := Request{Revisions: q.Since, WaitMS: q.Wait.Milliseconds(), Read: Cursor(q.Read)}
+	m := Request{From: q.From, Revisions: q.Since, WaitMS: q.Wait.Milliseconds(), Read: Cursor(q.Read)}
 	a, err := peer.CallMsg[Request, Response](ctx, p.Client, addr, peerapi.KindCopies, m)
 	if err != nil {
 		return fanout.News{}, err
