--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -124,9 +124,9 @@
 	tolerance = 1
 	// guessMost bounds the orders of a first split by the settings' share alone, before
 	// any load is seen: each costs an engine seconds, and a large fleet may have hardly
-	// any work. The small fleets of a few dozen engines are split whole before their
-	// first request.
-	guessMost = 16
+	// any work. Fleets of a hundred engines are split whole before their first request:
+	// half of such a split under a burst cost a tenth of the first seconds' credit.
+	guessMost = 40
 )
 
 // Manager gives orders while it holds the lease.
