Say owner of a count, slow, overtaken, arrived, recent, unavailable

Mechanical: names and comments in the terms of the field where occupancy and backlog had words of their own (keeper, sick, passed, came, lately, away). The log messages 'owner of counts not reached' and '... answers again' change with it. No behaviour changes; tests as before but for the names.

--- a/coordination/backlog/estimator.go
+++ b/coordination/backlog/estimator.go
@@ -3,7 +3,7 @@
 import "math"
 
 const (
-	// forgetting weighs older samples: some 400 count, which the keeper of two engines
+	// forgetting weighs older samples: some 400 count, which the owner of two engines
 	// sees in half a minute of usual load.
 	forgetting = 0.9975
 	// knownAfter is the number of samples from which predictions are relied on: three
@@ -23,7 +23,7 @@
 	// mostMiss bounds the relative error that one sample corrects.
 	mostMiss = 0.5
 	// outlier is how many times longer or shorter than predicted a sample may be once
-	// the estimator knows: others show a sick engine, not a harder prompt.
+	// the estimator knows: others show a slow engine, not a harder prompt.
 	outlier = 2.5
 )
 
@@ -32,7 +32,7 @@
 var firstCoefficients = features{3, 10, 0.3}
 
 // Estimator learns how long engines of one service take to read. It isn't safe for
-// concurrent use: the queues that share one are used by one keeper.
+// concurrent use: the queues that share one are used by one owner.
 type Estimator struct {
 	coef    features
 	p       [3][3]float64
--- a/coordination/backlog/forecast.go
+++ b/coordination/backlog/forecast.go
@@ -86,7 +86,7 @@
 	if at < 0 {
 		return Forecast{}, Unknown
 	}
-	if q.entries[at].passed >= lostFrom || q.stuck(now) {
+	if q.entries[at].overtaken >= lostFrom || q.stuck(now) {
 		return Forecast{}, Lost
 	}
 	e := q.entries[at]
@@ -142,7 +142,7 @@
 	}
 	for i, e := range q.entries {
 		switch {
-		case e.passed >= lostFrom:
+		case e.overtaken >= lostFrom:
 		case e == q.current:
 			total += q.left(now)
 		case e.rank < rank || (e.rank == rank && i < n):
@@ -172,7 +172,7 @@
 func (q *Queue) first(until time.Time) *entry {
 	var out *entry
 	for _, e := range q.entries {
-		if e == q.current || e.passed >= lostFrom || e.came.After(until) {
+		if e == q.current || e.overtaken >= lostFrom || e.arrived.After(until) {
 			continue
 		}
 		if out == nil || e.rank < out.rank {
@@ -187,21 +187,21 @@
 func (q *Queue) stepMS() float64 { return q.factor * q.estimator.tokensMS(stepTokens) }
 
 // overtaking is how many times longer a prompt waits because others of a lower rank
-// come meanwhile, by the work of these ranks that came lately.
+// come meanwhile, by the work of these ranks that arrived recently.
 func (q *Queue) overtaking(now time.Time, rank int) float64 {
 	q.fade(now)
 	load := 0.0
-	for _, l := range q.lately[:rank] {
+	for _, l := range q.recent[:rank] {
 		load += l
 	}
 	return 1 / (1 - min(load, mostOvertaking))
 }
 
-// fade lets the work that came lately be forgotten.
+// fade lets the work that arrived recently be forgotten.
 func (q *Queue) fade(now time.Time) {
 	left := math.Exp(-now.Sub(q.fadedAt).Seconds() / lateWindow.Seconds())
-	for i := range q.lately {
-		q.lately[i] *= left
+	for i := range q.recent {
+		q.recent[i] *= left
 	}
 	q.fadedAt = now
 }
--- a/coordination/backlog/queue.go
+++ b/coordination/backlog/queue.go
@@ -16,8 +16,8 @@
 	// up for another reason says little.
 	factorGain = 0.25
 	mostSeen   = 4
-	// sickFrom is the factor from which an engine's readings say nothing of the others.
-	sickFrom = 1.5
+	// slowFrom is the factor from which an engine's readings say nothing of the others.
+	slowFrom = 1.5
 	// lostFrom is how many later prompts end before one whose answer counts as lost: an
 	// engine ends two that it reads at once in any order.
 	lostFrom = 2
@@ -26,7 +26,7 @@
 	sampleLeast = 6
 )
 
-// Queue is what is under way at one engine, as far as its keeper was told. It isn't safe
+// Queue is what is under way at one engine, as far as its owner was told. It isn't safe
 // for concurrent use.
 type Queue struct {
 	estimator *Estimator
@@ -39,9 +39,9 @@
 	// sum and sumMS are readings that have ended since the last sample, and their time.
 	sum   features
 	sumMS float64
-	// lately is the work of each rank that came lately, as a share of the engine's time,
+	// recent is the work of each rank that arrived recently, as a share of the engine's time,
 	// and fadedAt when it was last brought up to date.
-	lately  [2 * Classes]float64
+	recent  [2 * Classes]float64
 	fadedAt time.Time
 	// spoiled is set if a reading was broken off since the last sample.
 	spoiled bool
@@ -49,16 +49,16 @@
 
 // entry is one prompt under way.
 type entry struct {
-	id   uint64
-	rank int
-	came time.Time
-	x    features
+	id      uint64
+	rank    int
+	arrived time.Time
+	x       features
 	// ms is the predicted time at an engine of usual speed.
 	ms    float64
 	added []uint64
-	// passed is how many prompts ended that came after this one and should not have
+	// overtaken is how many prompts ended that came after this one and should not have
 	// gone before it.
-	passed int
+	overtaken int
 }
 
 // NewQueue returns the queue of an engine of which nothing is known but how many times
@@ -73,10 +73,10 @@
 // Add counts a prompt of the rank in.
 func (q *Queue) Add(now time.Time, id uint64, w Work, rank, memory int) {
 	r, _ := q.reading(w)
-	e := &entry{id: id, rank: rank, came: now, x: r.features(), ms: q.estimator.Predict(r)}
+	e := &entry{id: id, rank: rank, arrived: now, x: r.features(), ms: q.estimator.Predict(r)}
 	q.estimator.met(e.ms)
 	q.fade(now)
-	q.lately[e.rank] += q.factor * e.ms / (lateWindow.Seconds() * thousand)
+	q.recent[e.rank] += q.factor * e.ms / (lateWindow.Seconds() * thousand)
 	e.added = q.parts.use(w, memory)
 	q.entries = append(q.entries, e)
 	if len(q.entries) == 1 {
@@ -95,7 +95,7 @@
 	e := q.entries[at]
 	for _, earlier := range q.entries[:at] {
 		if read && e.rank >= earlier.rank {
-			earlier.passed++
+			earlier.overtaken++
 		}
 	}
 	q.entries = slices.Delete(q.entries, at, at+1)
@@ -120,7 +120,7 @@
 // sample learns from the readings that have ended.
 func (q *Queue) sample() {
 	if !q.spoiled {
-		q.estimator.learn(q.sum, q.sumMS/q.sick())
+		q.estimator.learn(q.sum, q.sumMS/q.slowness())
 		seen := q.sumMS / q.estimator.predict(q.sum) / q.factor
 		q.factor *= math.Pow(min(max(seen, 1.0/mostSeen), mostSeen), factorGain)
 		q.factor = min(max(q.factor, fastest), slowest)
@@ -128,9 +128,9 @@
 	q.sum, q.sumMS, q.spoiled = features{}, 0, false
 }
 
-// sick is the engine's factor if it is far from usual, else 1: what all engines have in
+// slowness is the engine's factor if it is far from usual, else 1: what all engines have in
 // common is the estimator's to learn.
-func (q *Queue) sick() float64 {
+func (q *Queue) slowness() float64 {
 	if q.Slow() {
 		return q.factor
 	}
@@ -138,7 +138,7 @@
 }
 
 // Slow reports whether the engine is far slower than the others.
-func (q *Queue) Slow() bool { return q.factor > sickFrom }
+func (q *Queue) Slow() bool { return q.factor > slowFrom }
 
 // Len is how many prompts are under way.
 func (q *Queue) Len() int { return len(q.entries) }
--- a/coordination/backlog/queue_test.go
+++ b/coordination/backlog/queue_test.go
@@ -105,7 +105,7 @@
 	is.Equal(kept(5), 100_000)
 }
 
-// An engine whose memory isn't known, or parts without tokens, must not fill the keeper's.
+// An engine whose memory isn't known, or parts without tokens, must not fill the owner's.
 func TestPartsThatAreRememberedAreBounded(t *testing.T) {
 	is := is.New(t)
 	for _, memory := range []int{0, 470_000} {
--- a/coordination/fanout/fanout_test.go
+++ b/coordination/fanout/fanout_test.go
@@ -154,7 +154,7 @@
 		time.Sleep(2 * time.Second)
 		is.Equal(f.behind(kindConfig, "main", "2"), nil)
 		for _, h := range f.hosts {
-			is.True(h.copies[kindThings].AwayWithin(10 * time.Second)) // all know that entries may be missing
+			is.True(h.copies[kindThings].UnavailableWithin(10 * time.Second)) // all know that entries may be missing
 		}
 		time.Sleep(10 * time.Second)
 		is.True(len(f.relays()) <= 4*testDomains*perDomain) // the others follow peers again
--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -204,7 +204,7 @@
 		p.SetScript(nil)
 		time.Sleep(3 * time.Second)
 		is.True(!f.Lost())
-		is.True(f.AwayWithin(10 * time.Second))
+		is.True(f.UnavailableWithin(10 * time.Second))
 		is.Equal(values(f.Export()), []string{"a=2"})
 	})
 }
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -93,9 +93,9 @@
 // Fresh reports whether this mirror follows the store itself and was answered last.
 func (m *Mirror) Fresh() bool { return m.fresh.Load() }
 
-// AwayWithin reports whether the store didn't answer this host at some moment of
+// UnavailableWithin reports whether the store didn't answer this host at some moment of
 // the last d.
-func (m *Mirror) AwayWithin(d time.Duration) bool {
+func (m *Mirror) UnavailableWithin(d time.Duration) bool {
 	if m.lost.Load() {
 		return true
 	}
--- a/coordination/forward/offer.go
+++ b/coordination/forward/offer.go
@@ -21,13 +21,13 @@
 	// thirds of them full, four in five prompts find room at one of four.
 	maxAsked = 4
 	// shortWait is the predicted wait with which an engine is taken without asking
-	// others: twenty round trips to a keeper of another failure domain (2 ms each).
+	// others: twenty round trips to a owner of another failure domain (2 ms each).
 	shortWait = 40 * time.Millisecond
 	// anyTime puts no bound on a forecast.
 	anyTime = math.MaxInt32 * time.Millisecond
 )
 
-// offer is what an engine's keeper predicted.
+// offer is what an engine's owner predicted.
 type offer struct {
 	runner *placement.Runner
 	occupancy.Verdict
--- a/coordination/forward/patience.go
+++ b/coordination/forward/patience.go
@@ -31,7 +31,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	looks  conc.WaitGroup
-	// unsure is set once the keeper knew nothing of the reading.
+	// unsure is set once the owner knew nothing of the reading.
 	unsure bool
 	// dark is set if the engine ended nothing for too long.
 	dark atomic.Bool
@@ -74,7 +74,7 @@
 	}
 }
 
-// progresses reports whether the reading may still end. What a keeper that was lost
+// progresses reports whether the reading may still end. What a owner that was lost
 // can't tell is taken for granted once.
 func (p *patience) progresses() bool {
 	_, progress := p.t.place.Remaining(p.ctx)
--- a/coordination/forward/split_test.go
+++ b/coordination/forward/split_test.go
@@ -119,9 +119,9 @@
 	is.Equal(generateNear(r, nil), "")
 }
 
-// The engine leaves the list while its keeper is asked: nothing is sent to it, and the
+// The engine leaves the list while its owner is asked: nothing is sent to it, and the
 // prompt is read elsewhere.
-func TestEngineThatLeavesWhileItsKeeperIsAskedIsPassedOver(t *testing.T) {
+func TestEngineThatLeavesWhileItsOwnerIsAskedIsPassedOver(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, plenty, promptRead, generated, promptRead, generated)
 	w.served(t) // its session's engine is warm from now on
--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -18,7 +18,7 @@
 	// TurnCounted work has a place among that of all hosts which its engine is
 	// predicted to do in time.
 	TurnCounted Turn = "counted"
-	// TurnOwn work is counted at this host alone; the keeper of the engine's count
+	// TurnOwn work is counted at this host alone; the owner of the engine's count
 	// could not be asked.
 	TurnOwn Turn = "own"
 	// TurnDeferred work is predicted to be late or found all slots taken, and is put
--- a/coordination/occupancy/book.go
+++ b/coordination/occupancy/book.go
@@ -1,8 +1,8 @@
 // Package occupancy counts, at one host for each engine, what all hosts have under
 // way there, so that a host knows of the others' work before it adds its own.
 //
-// The keeper of an engine's count is chosen by rendezvous hashing over the hosts'
-// addresses. Counts and forecasts only help to place requests: while a keeper is lost,
+// The owner of an engine's count is chosen by rendezvous hashing over the hosts'
+// addresses. Counts and forecasts only help to place requests: while a owner is lost,
 // new or known to some hosts only, requests are placed less well, and no answer is
 // wrong.
 package occupancy
@@ -52,7 +52,7 @@
 	Slower float64
 }
 
-// Answer is a keeper's answer to an Ask.
+// Answer is a owner's answer to an Ask.
 type Answer struct {
 	// ID names the place; 0 if none was given.
 	ID uint64
--- a/coordination/occupancy/gate.go
+++ b/coordination/occupancy/gate.go
@@ -17,22 +17,22 @@
 )
 
 const (
-	// maxKeepers bounds the hosts that keep counts, and with them each host's
+	// maxOwners bounds the hosts that keep counts, and with them each host's
 	// connections to peers, at any size of the fleet. Hosts of a lower class are
-	// taken only while there are fewer than minKeepers: a count is of use only while its
-	// keeper answers within milliseconds.
-	maxKeepers = 16
-	minKeepers = 4
+	// taken only while there are fewer than minOwners: a count is of use only while its
+	// owner answers within milliseconds.
+	maxOwners = 16
+	minOwners = 4
 	// enterTimeout is some round trips between failure domains (2.8 ms) behind two
-	// or three bodies on a slow link (7 ms each): a keeper that takes longer is dark or
+	// or three bodies on a slow link (7 ms each): a owner that takes longer is dark or
 	// held up, and the next one answers sooner.
 	enterTimeout = 25 * time.Millisecond
-	// maxKeepersAsked bounds the keepers that are asked for one place: the next one by
+	// maxOwnersAsked bounds the owners that are asked for one place: the next one by
 	// the engine's order is asked when the first doesn't answer.
-	maxKeepersAsked = 2
+	maxOwnersAsked = 2
 	// leaveTimeout bounds the telling of an end, which nobody waits for.
 	leaveTimeout = time.Second
-	// avoidFirst is how long a keeper that didn't answer is passed over; each
+	// avoidFirst is how long a owner that didn't answer is passed over; each
 	// further failure in a row doubles it up to avoidMost.
 	avoidFirst = 500 * time.Millisecond
 	avoidMost  = 16 * time.Second
@@ -57,7 +57,7 @@
 	Log   *slog.Logger
 }
 
-// Gate asks the keepers for places. It is safe for concurrent use.
+// Gate asks the owners for places. It is safe for concurrent use.
 type Gate struct {
 	o GateOptions
 
@@ -66,7 +66,7 @@
 	avoided map[string]avoidance
 }
 
-// ranking is the hosts in the order in which they become keepers.
+// ranking is the hosts in the order in which they become owners.
 type ranking struct {
 	of    []state.Peer
 	order []state.Peer
@@ -90,7 +90,7 @@
 // both may be called on nil.
 type Place struct {
 	gate   *Gate
-	keeper string
+	owner  string
 	engine state.InstanceID
 	id     uint64
 }
@@ -100,37 +100,37 @@
 	// Place is nil if none was given.
 	Place *Place
 	Answer
-	// Own says that no keeper could be asked, and that this host's own work alone was
+	// Own says that no owner could be asked, and that this host's own work alone was
 	// counted.
 	Own bool
 }
 
-// Enter asks the engine's keeper for a place, or this host's own book while the keeper
+// Enter asks the engine's owner for a place, or this host's own book while the owner
 // doesn't answer.
 func (g *Gate) Enter(ctx context.Context, a Ask) Verdict {
-	for range maxKeepersAsked {
-		keeper := g.keeper(a.Engine)
-		if keeper == "" || keeper == g.o.Self {
-			return g.own(a, keeper == "")
+	for range maxOwnersAsked {
+		owner := g.Owner(a.Engine)
+		if owner == "" || owner == g.o.Self {
+			return g.own(a, owner == "")
 		}
-		answer, err := g.ask(ctx, keeper, a)
+		answer, err := g.ask(ctx, owner, a)
 		if err == nil {
-			return g.verdict(keeper, a, answer, false)
+			return g.verdict(owner, a, answer, false)
 		}
 	}
 	return g.own(a, true)
 }
 
-// ask asks one keeper, and passes it over from then on if it doesn't answer.
-func (g *Gate) ask(ctx context.Context, keeper string, a Ask) (Answer, error) {
+// ask asks one owner, and passes it over from then on if it doesn't answer.
+func (g *Gate) ask(ctx context.Context, owner string, a Ask) (Answer, error) {
 	bounded, cancel := context.WithTimeout(ctx, enterTimeout)
 	defer cancel()
-	answer, err := g.o.Peers.Enter(bounded, keeper, a)
+	answer, err := g.o.Peers.Enter(bounded, owner, a)
 	switch {
 	case err == nil:
-		g.trust(keeper)
+		g.trust(owner)
 	case ctx.Err() == nil:
-		g.avoid(keeper, err)
+		g.avoid(owner, err)
 	}
 	return answer, err
 }
@@ -140,26 +140,26 @@
 	return g.verdict(g.o.Self, a, g.o.Book.Enter(a), instead)
 }
 
-func (g *Gate) verdict(keeper string, a Ask, answer Answer, own bool) Verdict {
+func (g *Gate) verdict(owner string, a Ask, answer Answer, own bool) Verdict {
 	v := Verdict{Answer: answer, Own: own}
 	if answer.ID != 0 {
-		v.Place = &Place{g, keeper, a.Engine, answer.ID}
+		v.Place = &Place{g, owner, a.Engine, answer.ID}
 	}
 	return v
 }
 
-// Remaining predicts when the reading of the place ends. It is unknown if the keeper
+// Remaining predicts when the reading of the place ends. It is unknown if the owner
 // doesn't answer. It may be called on nil.
 func (p *Place) Remaining(ctx context.Context) (backlog.Forecast, backlog.Progress) {
 	if p == nil {
 		return backlog.Forecast{}, backlog.Unknown
 	}
-	if p.keeper == p.gate.o.Self {
+	if p.owner == p.gate.o.Self {
 		return p.gate.o.Book.Remaining(p.engine, p.id)
 	}
 	bounded, cancel := context.WithTimeout(ctx, enterTimeout)
 	defer cancel()
-	f, progress, err := p.gate.o.Peers.Remaining(bounded, p.keeper, p.engine, p.id)
+	f, progress, err := p.gate.o.Peers.Remaining(bounded, p.owner, p.engine, p.id)
 	if err != nil {
 		return backlog.Forecast{}, backlog.Unknown
 	}
@@ -176,7 +176,7 @@
 	if p == nil {
 		return
 	}
-	if p.keeper == p.gate.o.Self {
+	if p.owner == p.gate.o.Self {
 		p.gate.o.Book.Leave(p.engine, p.id, done)
 		return
 	}
@@ -188,13 +188,13 @@
 func (p *Place) tell(done bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if err := p.gate.o.Peers.Leave(ctx, p.keeper, p.engine, p.id, done); err != nil {
-		p.gate.o.Log.Debug("end of a place not told", "keeper", p.keeper, "engine", p.engine, "cause", err.Error())
+	if err := p.gate.o.Peers.Leave(ctx, p.owner, p.engine, p.id, done); err != nil {
+		p.gate.o.Log.Debug("end of a place not told", "owner", p.owner, "engine", p.engine, "cause", err.Error())
 	}
 }
 
 // Among reports whether this host is one of the first n that it believes to be
-// there, in the order in which hosts become keepers.
+// there, in the order in which hosts become owners.
 func (g *Gate) Among(n int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -215,16 +215,13 @@
 
 // Owner is the peer address of the host that keeps the engine's count, or "" if none is
 // known.
-func (g *Gate) Owner(engine state.InstanceID) string { return g.keeper(engine) }
-
-// keeper is the host that keeps the engine's count, or "" if none is known.
-func (g *Gate) keeper(engine state.InstanceID) string {
+func (g *Gate) Owner(engine state.InstanceID) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Clock.Now()
 	best, bestScore, seen, class := "", uint64(0), 0, 0
 	for _, host := range g.order() {
-		if seen == maxKeepers || (seen >= minKeepers && host.Class < class) {
+		if seen == maxOwners || (seen >= minOwners && host.Class < class) {
 			break
 		}
 		if now.Before(g.avoided[host.Addr].until) {
@@ -269,26 +266,26 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-// avoid passes over a keeper that didn't answer, for longer each time.
-func (g *Gate) avoid(keeper string, cause error) {
+// avoid passes over a owner that didn't answer, for longer each time.
+func (g *Gate) avoid(owner string, cause error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Clock.Now()
-	a := g.avoided[keeper]
+	a := g.avoided[owner]
 	if now.Before(a.until) {
 		return // another request has noticed it already
 	}
 	pause := min(avoidFirst<<min(a.failures, 8), avoidMost)
-	g.avoided[keeper] = avoidance{now.Add(pause), a.failures + 1}
-	g.o.Log.Info("keeper of counts not reached", "keeper", keeper, "avoided", pause, "failures", a.failures+1, "cause", cause.Error())
+	g.avoided[owner] = avoidance{now.Add(pause), a.failures + 1}
+	g.o.Log.Info("owner of counts not reached", "owner", owner, "avoided", pause, "failures", a.failures+1, "cause", cause.Error())
 }
 
-// trust forgets the failures of a keeper that answers.
-func (g *Gate) trust(keeper string) {
+// trust forgets the failures of a owner that answers.
+func (g *Gate) trust(owner string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if a, known := g.avoided[keeper]; known {
-		delete(g.avoided, keeper)
-		g.o.Log.Info("keeper of counts answers again", "keeper", keeper, "failures", a.failures)
+	if a, known := g.avoided[owner]; known {
+		delete(g.avoided, owner)
+		g.o.Log.Info("owner of counts answers again", "owner", owner, "failures", a.failures)
 	}
 }
--- a/coordination/occupancy/gate_test.go
+++ b/coordination/occupancy/gate_test.go
@@ -87,7 +87,7 @@
 			last.Cancel()
 			synctest.Wait()
 			v := gates[0].Enter(t.Context(), ask(fmt.Sprint("engine-", engine)))
-			is.True(v.Place != nil) // the end was told to the keeper
+			is.True(v.Place != nil) // the end was told to the owner
 			is.True(!v.Own)
 		}
 	})
@@ -98,30 +98,30 @@
 		is := is.New(t)
 		for _, c := range []struct {
 			classes []int
-			keepers int
+			owners  int
 		}{
 			{[]int{1, 1, 9, 9, 9, 9, 1}, 4},
 			{[]int{1, 1, 1, 9}, 4}, // too few of the best class
 		} {
 			_, gates := fleet(t, c.classes...)
-			keepers := map[string]bool{}
+			owners := map[string]bool{}
 			for engine := range 200 {
-				keepers[gates[0].keeper(named(fmt.Sprint("engine-", engine)))] = true
+				owners[gates[0].Owner(named(fmt.Sprint("engine-", engine)))] = true
 			}
-			is.Equal(len(keepers), c.keepers)
+			is.Equal(len(owners), c.owners)
 		}
 	})
 }
 
-func TestKeepersAreFewInALargeFleet(t *testing.T) {
+func TestOwnersAreFewInALargeFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		_, gates := fleet(t, make([]int, 320)...)
-		keepers := map[string]bool{}
+		owners := map[string]bool{}
 		for engine := range 1800 {
-			keepers[gates[7].keeper(named(fmt.Sprint("engine-", engine)))] = true
+			owners[gates[7].Owner(named(fmt.Sprint("engine-", engine)))] = true
 		}
-		is.Equal(len(keepers), maxKeepers)
+		is.Equal(len(owners), maxOwners)
 	})
 }
 
@@ -159,22 +159,22 @@
 	})
 }
 
-func TestLostKeeperIsReplacedAndTakenBack(t *testing.T) {
+func TestLostOwnerIsReplacedAndTakenBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n, gates := fleet(t, 1, 1, 1, 1, 1, 1)
-		keeper := gates[0].keeper(named("engine"))
+		owner := gates[0].Owner(named("engine"))
 		asker := gates[0]
-		if keeper == asker.o.Self {
+		if owner == asker.o.Self {
 			asker = gates[1]
 		}
-		n.lost[keeper] = true
+		n.lost[owner] = true
 		v := asker.Enter(t.Context(), ask("engine"))
 		is.True(v.Place != nil) // another host keeps the count meanwhile
-		is.True(asker.keeper(named("engine")) != keeper)
-		n.lost[keeper] = false
+		is.True(asker.Owner(named("engine")) != owner)
+		n.lost[owner] = false
 		time.Sleep(avoidFirst + time.Millisecond)
-		is.Equal(asker.keeper(named("engine")), keeper)
+		is.Equal(asker.Owner(named("engine")), owner)
 		v = asker.Enter(t.Context(), ask("engine"))
 		is.True(v.Place != nil)
 		is.True(!v.Own)
@@ -182,7 +182,7 @@
 	})
 }
 
-func TestKeeperThatStaysAwayIsAskedLessOften(t *testing.T) {
+func TestOwnerThatStaysAwayIsAskedLessOften(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n, gates := fleet(t, 1, 1)
@@ -192,7 +192,7 @@
 		other := gates[1].o.Self
 		engine := ""
 		for i := 0; engine == ""; i++ {
-			if name := fmt.Sprint("engine-", i); gates[0].keeper(named(name)) == other {
+			if name := fmt.Sprint("engine-", i); gates[0].Owner(named(name)) == other {
 				engine = name
 			}
 		}
@@ -204,7 +204,7 @@
 	})
 }
 
-// A caller who leaves says nothing of the keeper.
+// A caller who leaves says nothing of the owner.
 func TestCancelledAskBlamesNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -238,18 +238,18 @@
 	is.Equal(progress, backlog.Unknown)
 }
 
-func TestRemainingTimeIsAskedOfTheKeeper(t *testing.T) {
+func TestRemainingTimeIsAskedOfTheOwner(t *testing.T) {
 	is := is.New(t)
 	n, gates := fleet(t, 1, 1, 1, 1)
 	for i := range 20 {
 		v := gates[0].Enter(t.Context(), readAsk(fmt.Sprint("engine-", i)))
 		_, progress := v.Place.Remaining(t.Context())
 		is.Equal(progress, backlog.Underway)
-		if v.Place.keeper != gates[0].o.Self {
-			n.lost[v.Place.keeper] = true
+		if v.Place.owner != gates[0].o.Self {
+			n.lost[v.Place.owner] = true
 			_, progress = v.Place.Remaining(t.Context())
-			is.Equal(progress, backlog.Unknown) // a keeper that is lost says nothing of the engine
-			n.lost[v.Place.keeper] = false
+			is.Equal(progress, backlog.Unknown) // a owner that is lost says nothing of the engine
+			n.lost[v.Place.owner] = false
 		}
 	}
 }
--- a/coordination/occupancy/log_test.go
+++ b/coordination/occupancy/log_test.go
@@ -13,7 +13,7 @@
 	"github.com/thymerack/thymerack/coordination/clocktest"
 )
 
-// A keeper that finds an engine slow, or sound again, says so once.
+// A owner that finds an engine slow, or sound again, says so once.
 func TestChangeOfAnEnginesSpeedIsLogged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -131,7 +131,7 @@
 	h.config = follow.NewConfig(platform.ConfigName, platform.DecodeConfig, h.log)
 	h.instances = follow.NewInstances(follow.InstancesOptions{
 		Clock: h.clock, Log: h.log, Decode: platform.DecodeInstance, Publish: h.publish, Unusable: h.metrics.unusableEntry,
-		Outage:  func() bool { return h.listed.AwayWithin(outageWindow) },
+		Outage:  func() bool { return h.listed.UnavailableWithin(outageWindow) },
 		HoldFor: holdFor,
 	})
 	outage := &follow.Outage{}
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -68,7 +68,7 @@
 	KindDemand Kind = 10
 	// KindCopies reads copies of the store's objects that are newer than one's own.
 	KindCopies Kind = 11
-	// KindEnter asks the keeper of an engine's count for a place there.
+	// KindEnter asks the owner of an engine's count for a place there.
 	KindEnter Kind = 12
 	// KindLeave ends a place at an engine.
 	KindLeave Kind = 13
--- a/transport/places/places_test.go
+++ b/transport/places/places_test.go
@@ -71,7 +71,7 @@
 	is.True(answer.ID != 0)
 }
 
-// A keeper far away answers for a reading what it would answer at home.
+// A owner far away answers for a reading what it would answer at home.
 func TestReadingsAreForecastOverTheNetwork(t *testing.T) {
 	is := is.New(t)
 	addr, peers := serve(t)
@@ -106,7 +106,7 @@
 	is.True(errors.Is(err, errParts))
 }
 
-func TestKeeperOutOfReachIsAnError(t *testing.T) {
+func TestOwnerOutOfReachIsAnError(t *testing.T) {
 	is := is.New(t)
 	_, peers := serve(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
