Let each host be looked after by the relay that it would follow

Cause: both relays of a domain asked every host that followed the other one: 15 questions a second and a connection to each, by calculation. Change: each looks after the hosts that would follow it, and after the other relay. Test: each of 320 hosts has one looker.

--- a/coordination/fanout/fanout_test.go
+++ b/coordination/fanout/fanout_test.go
@@ -317,3 +317,24 @@
 	is.Equal(len(other), 1)
 	is.Equal(len(b.seen), 1)
 }
+
+// Each host is looked after by one relay of its domain, and each relay by the other one;
+// hosts that are no relays look after nobody.
+func TestEachHostIsLookedAfterByOneRelay(t *testing.T) {
+	inFleet(t, fleetSize, func(is *is.I, f *fleet) {
+		relays := map[string]bool{}
+		for _, h := range f.relays() {
+			relays[h.self.Addr] = true
+		}
+		for _, other := range f.hosts {
+			by := 0
+			for _, h := range f.hosts {
+				if h != other && h.self.FailureDomain == other.self.FailureDomain && h.LooksAfter(other.self.Addr) {
+					is.True(relays[h.self.Addr])
+					by++
+				}
+			}
+			is.Equal(by, 1)
+		}
+	})
+}
--- a/coordination/fanout/node.go
+++ b/coordination/fanout/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -167,28 +168,25 @@
 	return n.heard[addr]
 }
 
-// Looks reports whether this host looks after those of its domain: it is one of the first
-// relays by the order that all compute, but for those that it found silent itself.
-func (n *Node) Looks() bool {
+// LooksAfter reports whether this host looks after another of its domain. The first relays
+// by the order that all compute, but for those that this host found silent itself, look
+// after each other, and each after the hosts that would follow it.
+func (n *Node) LooksAfter(addr string) bool {
 	if !n.FollowsStore() || !n.fresh() {
 		return false
 	}
-	order := inRelayOrder(byDomain(n.o.Hosts())[n.o.Self.FailureDomain])
+	var lookers []string
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	before := 0
-	for _, h := range order {
-		if h.Addr == n.o.Self.Addr {
-			return true
-		}
-		if n.avoided[h.Addr].failures < deadFailures {
-			before++
-		}
-		if before == perDomain {
-			return false
+	for _, h := range inRelayOrder(byDomain(n.o.Hosts())[n.o.Self.FailureDomain]) {
+		if n.avoided[h.Addr].failures < deadFailures && len(lookers) < perDomain {
+			lookers = append(lookers, h.Addr)
 		}
 	}
-	return false
+	n.mu.Unlock()
+	if !slices.Contains(lookers, n.o.Self.Addr) {
+		return false
+	}
+	return slices.Contains(lookers, addr) || inOrderOf(addr, lookers)[0] == n.o.Self.Addr
 }
 
 // deadFailures is how often in a row a relay was of no use before others stand in for it.
--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -1,8 +1,8 @@
 // Package liveness takes hosts that are gone out of the list of hosts, so that the others'
 // shares of what all have in common don't shrink for ever.
 //
-// One host of each failure domain, the first by an order that all compute alike, looks
-// after the others of its domain. Hosts that ask it for news are alive by that; one that
+// The relays of each failure domain look after the others of their domain, each after the
+// hosts that would follow it. Hosts that ask it for news are alive by that; one that
 // hasn't been heard is asked, by the looker itself and, if that fails, by a helper. Only a
 // host that both hear nothing of, again and again, is removed, and one that was merely cut
 // off lists itself again.
@@ -28,7 +28,7 @@
 	// suspectRounds is how many rounds in a row a host must be silent: ten seconds and
 	// more, which hosts that are frozen, stopped or restarted mostly don't need.
 	suspectRounds = 5
-	// mostSilent is the share of the domain that may be silent: a looker that hears less
+	// mostSilent is the share of its hosts that may be silent: a looker that hears less
 	// is more likely to be cut off itself, and removes nobody.
 	mostSilent = 0.25
 )
@@ -54,8 +54,8 @@
 	Self state.Peer
 	// Hosts lists all hosts, this one too.
 	Hosts func() []Listed
-	// Looks reports whether this host looks after its domain.
-	Looks func() bool
+	// LooksAfter reports whether this host looks after the one at addr, of its domain.
+	LooksAfter func(addr string) bool
 	// HeardAt is when a host asked this one for something; zero if never.
 	HeardAt func(addr string) time.Time
 	Peers   Peers
@@ -80,7 +80,7 @@
 
 // New validates the options.
 func New(o Options) (*Looker, error) {
-	if o.Self.Addr == "" || o.Hosts == nil || o.Looks == nil || o.HeardAt == nil || o.Peers == nil || o.Remove == nil || o.Clock == nil || o.Log == nil {
+	if o.Self.Addr == "" || o.Hosts == nil || o.LooksAfter == nil || o.HeardAt == nil || o.Peers == nil || o.Remove == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("liveness: a field of Options is missing; set all of them")
 	}
 	return &Looker{o: o, silent: map[entryID]int{}}, nil
@@ -89,25 +89,25 @@
 // Run looks in rounds until ctx ends.
 func (l *Looker) Run(ctx context.Context) {
 	for l.o.Clock.Sleep(ctx, lookEvery) == nil {
-		if !l.o.Looks() {
-			clear(l.silent)
-			continue
-		}
 		l.round(ctx)
 	}
 }
 
-// round looks for hosts of the domain that can't be heard.
+// round looks for hosts that can't be heard.
 func (l *Looker) round(ctx context.Context) {
-	var domain []Listed
+	var domain, own []Listed
 	for _, h := range l.o.Hosts() {
-		if h.FailureDomain == l.o.Self.FailureDomain && h.Addr != l.o.Self.Addr {
-			domain = append(domain, h)
+		if h.FailureDomain != l.o.Self.FailureDomain || h.Addr == l.o.Self.Addr {
+			continue
+		}
+		domain = append(domain, h)
+		if l.o.LooksAfter(h.Addr) {
+			own = append(own, h)
 		}
 	}
 	silent := map[entryID]int{}
 	var gone []Listed
-	for _, h := range domain {
+	for _, h := range own {
 		if l.heard(ctx, h, domain) {
 			continue
 		}
@@ -121,8 +121,8 @@
 		}
 	}
 	l.silent = silent
-	if float64(len(silent)) > max(1, mostSilent*float64(len(domain))) {
-		l.o.Log.Warn("too many hosts are silent; none is removed", "silent", len(silent), "hosts", len(domain))
+	if float64(len(silent)) > max(1, mostSilent*float64(len(own))) {
+		l.o.Log.Warn("too many hosts are silent; none is removed", "silent", len(silent), "hosts", len(own))
 		return
 	}
 	for _, h := range gone {
--- a/coordination/liveness/liveness_test.go
+++ b/coordination/liveness/liveness_test.go
@@ -86,7 +86,7 @@
 func (d *domain) looker(t *testing.T) *Looker {
 	t.Helper()
 	l, err := New(Options{
-		Self: d.hosts[0].Peer, Hosts: func() []Listed { return d.hosts }, Looks: func() bool { return d.looks }, HeardAt: d.heardAt,
+		Self: d.hosts[0].Peer, Hosts: func() []Listed { return d.hosts }, LooksAfter: func(string) bool { return d.looks }, HeardAt: d.heardAt,
 		Peers: d, Remove: d.remove, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -180,7 +180,7 @@
 	pings.Register(h.peerServer, pingers)
 	h.looker, err = liveness.New(liveness.Options{
 		Self: h.members.self(), Hosts: func() []liveness.Listed { return *h.members.entries.Load() },
-		Looks: h.fanout.Looks, HeardAt: h.fanout.HeardAt, Peers: pingers, Remove: h.members.remove, Clock: h.clock, Log: h.log,
+		LooksAfter: h.fanout.LooksAfter, HeardAt: h.fanout.HeardAt, Peers: pingers, Remove: h.members.remove, Clock: h.clock, Log: h.log,
 	})
 	if err != nil {
 		return err
