Revert "Read late prompts at idle generating engines"

Hypothesis: in bursts of prompts the engines that generate are mostly idle, and could read what would be late elsewhere, at half the speed.

--- a/coordination/backlog/queue.go
+++ b/coordination/backlog/queue.go
@@ -61,14 +61,8 @@
 	overtaken int
 }
 
-// NewQueue returns the queue of an engine of which nothing is known but how many times
-// slower than the others it is taken to be at first; 0 for as fast.
-func NewQueue(e *Estimator, slower float64) *Queue {
-	if !(slower > 0) {
-		slower = 1
-	}
-	return &Queue{estimator: e, factor: min(max(slower, fastest), slowest), parts: newKept()}
-}
+// NewQueue returns the queue of an engine of which nothing is known.
+func NewQueue(e *Estimator) *Queue { return &Queue{estimator: e, factor: 1, parts: newKept()} }
 
 // Add counts a prompt of the rank in.
 func (q *Queue) Add(now time.Time, id uint64, w Work, rank, memory int) {
--- a/coordination/backlog/queue_test.go
+++ b/coordination/backlog/queue_test.go
@@ -47,7 +47,7 @@
 
 func TestForecastAddsUpWhatWaits(t *testing.T) {
 	is := is.New(t)
-	q := NewQueue(known(), 0)
+	q := NewQueue(known())
 	one := truth(reading{fresh: 4000})
 	is.True(near(q.add(at(0), 1, own(4000)).Finish, one))
 	is.True(near(q.add(at(0), 2, own(4000)).Finish, 2*one))
@@ -61,7 +61,7 @@
 // the first of them.
 func TestSharedPartIsReadOnce(t *testing.T) {
 	is := is.New(t)
-	q := NewQueue(known(), 0)
+	q := NewQueue(known())
 	w := Work{Shared: []Part{{ID: 7, Tokens: 13300}}, Own: 1000}
 	first := q.add(at(0), 1, w)
 	is.True(near(first.Finish, truth(reading{fresh: 14300})))
@@ -78,7 +78,7 @@
 
 func TestSharedPartThatWasNotReadIsNotKept(t *testing.T) {
 	is := is.New(t)
-	q := NewQueue(known(), 0)
+	q := NewQueue(known())
 	w := Work{Shared: []Part{{ID: 7, Tokens: 13300}}, Own: 1000}
 	q.add(at(0), 1, w)
 	q.Remove(at(10), 1, false)
@@ -87,7 +87,7 @@
 
 func TestLeastRecentlyUsedPartsYield(t *testing.T) {
 	is := is.New(t)
-	q := NewQueue(known(), 0)
+	q := NewQueue(known())
 	id := uint64(0)
 	read := func(part uint64) {
 		id++
@@ -120,14 +120,14 @@
 
 func TestFetchedPartsAreNotRead(t *testing.T) {
 	is := is.New(t)
-	q := NewQueue(known(), 0)
+	q := NewQueue(known())
 	w := Work{Shared: []Part{{ID: 7, Tokens: 13300}}, Own: 1000, Fetched: 13300, FetchMS: 22}
 	is.True(near(q.Forecast(at(0), w, anyTime).Finish, truth(reading{fresh: 1000, kept: 13300})+22))
 }
 
 func TestLatePromptsGoBehindThoseInTime(t *testing.T) {
 	is := is.New(t)
-	q := NewQueue(known(), 0)
+	q := NewQueue(known())
 	q.add(at(0), 1, own(20000))
 	late := q.Forecast(at(0), own(4000), time.Millisecond)
 	is.True(late.Rank >= Classes)
@@ -142,7 +142,7 @@
 func TestSlowEngineIsFound(t *testing.T) {
 	is := is.New(t)
 	e := known()
-	slow, sound := NewQueue(e, 0), NewQueue(e, 0)
+	slow, sound := NewQueue(e), NewQueue(e)
 	now, usual := 0.0, truth(reading{fresh: 4000})
 	for id := range uint64(8) {
 		slow.add(at(now), id, own(4000))
@@ -163,7 +163,7 @@
 // The answer to a reading was lost: those after it ended, so that nothing waits for it.
 func TestLostAnswerHoldsUpNobody(t *testing.T) {
 	is := is.New(t)
-	q := NewQueue(known(), 0)
+	q := NewQueue(known())
 	one := truth(reading{fresh: 4000})
 	for id := range uint64(4) {
 		q.add(at(0), id, own(4000))
@@ -177,7 +177,7 @@
 
 func TestDarkEngineIsLost(t *testing.T) {
 	is := is.New(t)
-	q := NewQueue(known(), 0)
+	q := NewQueue(known())
 	one := truth(reading{fresh: 4000})
 	q.add(at(0), 1, own(4000))
 	q.add(at(0), 2, own(4000))
@@ -193,7 +193,7 @@
 func TestBrokenOffReadingTeachesNothing(t *testing.T) {
 	is := is.New(t)
 	e := known()
-	q := NewQueue(e, 0)
+	q := NewQueue(e)
 	before := e.samples
 	q.add(at(0), 1, own(4000))
 	q.add(at(0), 2, own(4000))
@@ -236,7 +236,7 @@
 // the shorter half and of all.
 func burst(share float64, class func(*Estimator, float64) int) (ratios, short, all []float64) {
 	rng := rand.New(rand.NewPCG(7, 8))
-	q := NewQueue(known(), 0)
+	q := NewQueue(known())
 	var waiting jobs
 	var running *job
 	now, ends, id := 0.0, math.Inf(1), uint64(0)
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -109,9 +109,6 @@
 		answer, err = rec.failed, nil
 	}
 	d.discard(r, rec)
-	if rec.spare != nil {
-		rec.spare.turn.end(false) // it was never sent there
-	}
 	if answer != nil && answer.Stream != nil {
 		return answer, nil // logged at its end
 	}
@@ -236,10 +233,6 @@
 
 // choose picks a runner that generates or serves the call.
 func (d *Dispatcher) choose(ctx context.Context, r *Request, rec *record) (choice, error) {
-	if c := rec.spare; c != nil {
-		rec.spare = nil
-		return *c, nil
-	}
 	switch {
 	case r.Generation == nil:
 		return choice{Runner: d.o.Placer.Call(r.Service, rec.tried)}, nil
--- a/coordination/forward/offer.go
+++ b/coordination/forward/offer.go
@@ -75,20 +75,15 @@
 	}
 	source := slices.MaxFunc(offers, func(a, b offer) int { return cmp.Compare(a.Forecast.Kept, b.Forecast.Kept) })
 	best := slices.MinFunc(offers, func(a, b offer) int { return cmp.Compare(a.cost(r, p, source), b.cost(r, p, source)) })
-	if rec.apart && best.Forecast.Rank >= backlog.Classes {
-		spared := d.fetching(r, p, source, source.runner)
-		if t := d.takeSpare(ctx, r, rec, spared, source.runner, limit); t.runner != nil {
-			return t, nil
-		}
-	}
 	if err := d.hopeless(r, rec, best); err != nil {
 		return turn{}, err
 	}
 	work := backlog.Work(p)
 	var from *placement.Runner
-	if source.Forecast.Kept > best.Forecast.Coming {
+	if kept := source.Forecast.Kept; kept > best.Forecast.Coming {
 		from = source.runner
-		work = d.fetching(r, p, source, best.runner)
+		work.Fetched = kept
+		work.FetchMS = float64(moving(r, kept, from, best.runner)) / float64(time.Millisecond)
 	}
 	ask := d.readingAsk(r, best.runner, work, anyTime, limit)
 	ask.Reading.Late = true
@@ -96,14 +91,6 @@
 	return turnAt(best, from), nil
 }
 
-// fetching is the prompt's work at an engine that fetches what source keeps.
-func (d *Dispatcher) fetching(r *Request, p prompt, source offer, at *placement.Runner) backlog.Work {
-	work := backlog.Work(p)
-	work.Fetched = source.Forecast.Kept
-	work.FetchMS = float64(moving(r, work.Fetched, source.runner, at)) / float64(time.Millisecond)
-	return work
-}
-
 // hopeless refuses a prompt that would be read after its caller has left, and tells the
 // caller when it would be read in time.
 func (d *Dispatcher) hopeless(r *Request, rec *record, best offer) error {
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -63,8 +63,6 @@
 	predicted time.Duration
 	// apart is set for a prompt that is read at an engine of its own.
 	apart bool
-	// spare is the generating engine that gets the whole request next, or nil.
-	spare *choice
 	// turn is how a model request got its place among the others; "" for calls.
 	turn Turn
 	// cached is where the prompt's KV cache waits to be taken, or nil.
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -31,10 +31,6 @@
 		if t.runner == nil {
 			return nil, nil
 		}
-		if t.spare {
-			rec.spare = &choice{Runner: t.runner, turn: t, reads: true}
-			return nil, nil
-		}
 		tried = append(tried, t.runner.Instance.ID)
 		source := d.prefillAt(ctx, r, t, rec)
 		t.end(source != nil)
--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -45,8 +45,6 @@
 	runner, source *placement.Runner
 	place          *occupancy.Place
 	forecast       backlog.Forecast
-	// spare is set if runner generates as well, and gets the whole request.
-	spare bool
 }
 
 // end counts the prompt out; done says that it was read.
--- a/coordination/forward/turn_test.go
+++ b/coordination/forward/turn_test.go
@@ -62,11 +62,10 @@
 	is.Equal(w.up.attempts[0].FetchFrom, w.gate.asks[1].Engine.Name+":1")
 }
 
-// busyFor is the answers of engines of both roles that have so much to read.
 func busyFor(d time.Duration, known bool) []backlog.Forecast {
-	out := make([]backlog.Forecast, maxAsked+maxSpareAsked)
+	out := make([]backlog.Forecast, maxAsked)
 	for i := range out {
-		out[i] = backlog.Forecast{Wait: d, Finish: d, Known: known, Rank: backlog.Classes}
+		out[i] = backlog.Forecast{Wait: d, Finish: d, Known: known}
 	}
 	return out
 }
--- a/coordination/occupancy/book.go
+++ b/coordination/occupancy/book.go
@@ -45,11 +45,6 @@
 	Late  bool
 	// Warm says that a place is wanted only where all shared parts are kept.
 	Warm bool
-	// Idle says that a place is wanted only where nothing else than prompts is under way,
-	// and Slower how many times slower than the others the engine reads, as far as is
-	// known beforehand; 0 for as fast.
-	Idle   bool
-	Slower float64
 }
 
 // Answer is a owner's answer to an Ask.
@@ -112,11 +107,11 @@
 func (b *Book) read(e *engine, a Ask, now time.Time) Answer {
 	r := a.Reading
 	if e.queue == nil {
-		e.queue = backlog.NewQueue(b.estimator(r.Service), r.Slower)
+		e.queue = backlog.NewQueue(b.estimator(r.Service))
 	}
 	out := Answer{Forecast: e.queue.Forecast(now, r.Work, r.Limit)}
 	late := out.Forecast.Rank >= backlog.Classes
-	if (r.Idle && e.others() > 0) || (r.Warm && out.Forecast.Cold > 0) || out.Forecast.Wait > r.MaxWait || (late && !r.Late) {
+	if (r.Warm && out.Forecast.Cold > 0) || out.Forecast.Wait > r.MaxWait || (late && !r.Late) {
 		return out
 	}
 	out.ID = b.place(e, held{reading: true, until: now.Add(a.Keep)})
@@ -124,17 +119,6 @@
 	return out
 }
 
-// others is the number of places that aren't for readings.
-func (e *engine) others() int {
-	out := 0
-	for _, p := range e.places {
-		if !p.reading {
-			out++
-		}
-	}
-	return out
-}
-
 func (b *Book) place(e *engine, h held) uint64 {
 	b.nextID++
 	e.places[b.nextID] = h
--- a/transport/places/places.go
+++ b/transport/places/places.go
@@ -36,8 +36,6 @@
 	LimitMS   int64    `msgpack:"l"`
 	Late      bool     `msgpack:"b,omitempty"`
 	Warm      bool     `msgpack:"c,omitempty"`
-	Idle      bool     `msgpack:"d,omitempty"`
-	Slower    float64  `msgpack:"x,omitempty"`
 }
 
 // Entered answers an Enter; ID is 0 if no place was given.
@@ -116,7 +114,6 @@
 		q.Reading = &Reading{
 			Service: r.Service, Own: r.Work.Own, Fetched: r.Work.Fetched, FetchMS: r.Work.FetchMS, Memory: r.Memory,
 			MaxWaitMS: r.MaxWait.Milliseconds(), LimitMS: r.Limit.Milliseconds(), Late: r.Late, Warm: r.Warm,
-			Idle: r.Idle, Slower: r.Slower,
 		}
 		for _, p := range r.Work.Shared {
 			q.Reading.Parts = append(q.Reading.Parts, p.ID)
@@ -139,7 +136,6 @@
 	a.Reading = &occupancy.Reading{
 		Service: r.Service, Work: backlog.Work{Own: r.Own, Fetched: r.Fetched, FetchMS: r.FetchMS}, Memory: r.Memory,
 		MaxWait: millis(float64(r.MaxWaitMS)), Limit: millis(float64(r.LimitMS)), Late: r.Late, Warm: r.Warm,
-		Idle: r.Idle, Slower: r.Slower,
 	}
 	for i, id := range r.Parts {
 		a.Reading.Work.Shared = append(a.Reading.Work.Shared, backlog.Part{ID: id, Tokens: r.Tokens[i]})
