Look for a free slot for what was read apart

Ruled out: an equal rank; the prompt would wait for a slot for some hundred milliseconds. Change: the owner of the engine's count is asked for a place, as for questions; the next engines by the session's order follow. Test: some and all engines full. TestColdSessionIsReadAtOneEngine counts the questions for a place to read now, as before; questions for a slot come beside them.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -237,7 +237,7 @@
 	case r.Generation == nil:
 		return choice{Runner: d.o.Placer.Call(r.Service, rec.tried)}, nil
 	case rec.apart:
-		return choice{Runner: d.o.Placer.Decode(r.Service, r.Generation.Session(), generateNear(r, rec.cached), rec.tried)}, nil
+		return d.takeSlot(ctx, r, rec), nil
 	case d.long(r):
 		return d.takeReadingPlace(ctx, r, rec)
 	default:
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -280,6 +280,17 @@
 	return &world{d, up, fleet, gate, silent}
 }
 
+// readingAsks counts the questions for a place to read.
+func (w *world) readingAsks() int {
+	n := 0
+	for _, a := range w.gate.asks {
+		if a.Reading != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // newMixedWorld is newWorld with engines that read and generate.
 func newMixedWorld(t *testing.T, budget int, replies ...reply) *world {
 	t.Helper()
--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -141,6 +141,30 @@
 	return choice{Runner: t.runner, turn: t, reads: true}, nil
 }
 
+// takeSlot looks for an engine with a free slot to generate after a prompt that was read
+// apart, beginning with the session's. A full engine would put back an answer of a less
+// urgent route in the middle to make room, which then pauses for some hundred milliseconds.
+// When all that are asked are full the session's own gets it all the same.
+func (d *Dispatcher) takeSlot(ctx context.Context, r *Request, rec *record) choice {
+	var first *placement.Runner
+	asked := slices.Clone(rec.tried)
+	for range maxAsked {
+		runner := d.o.Placer.Decode(r.Service, r.Generation.Session(), generateNear(r, rec.cached), asked)
+		if runner == nil {
+			break
+		}
+		if first == nil {
+			first = runner
+		}
+		v := d.o.Gate.Enter(ctx, occupancy.Ask{Engine: runner.Instance.ID, Most: max(1, runner.Instance.Slots), Keep: d.left(r)})
+		if v.Place != nil {
+			return choice{Runner: runner, turn: turn{kind: TurnCounted, runner: runner, place: v.Place}}
+		}
+		asked = append(asked, runner.Instance.ID)
+	}
+	return choice{Runner: first}
+}
+
 // maxPlacesAsked bounds the engines that are asked for a free slot: with two thirds of them
 // full, one request in sixty finds none free at ten.
 const maxPlacesAsked = 10
--- a/coordination/forward/turn_test.go
+++ b/coordination/forward/turn_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/state"
 )
 
 // All caches are cold: a session's first prompt asks several engines whether they keep
@@ -20,10 +21,10 @@
 	w := newWorld(t, plenty, promptRead, generated, promptRead, generated)
 	home := w.fleet.Prefill("model", "b", nil)
 	w.served(t)
-	is.Equal(len(w.gate.asks), maxAsked+1)
+	is.Equal(w.readingAsks(), maxAsked+1)
 	is.Equal(w.up.attempts[0].Instance.ID, home.Instance.ID)
 	w.served(t)
-	is.Equal(len(w.gate.asks), maxAsked+2)
+	is.Equal(w.readingAsks(), maxAsked+2)
 	is.Equal(w.up.attempts[2].Instance.ID, home.Instance.ID)
 }
 
@@ -197,3 +198,34 @@
 	}
 	is.True(2*backlog.Classes-1 <= lowestRank)
 }
+
+// A burst of answers fills the generating engines: what was read goes to one with a free
+// slot, so that no answer under way is put back, and to the session's own if none has any.
+func TestWhatWasReadGeneratesWhereASlotIsFree(t *testing.T) {
+	for name, c := range map[string]struct{ full, others int }{"some are full": {4, 1}, "all are full": {5, 0}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, plenty, promptRead, generated)
+			session := modelRequest(9000, true).Generation.Session()
+			var order []state.InstanceID
+			for range 5 {
+				order = append(order, w.fleet.Decode("model", session, "", order).Instance.ID)
+			}
+			for _, id := range order[:min(c.full, maxAsked-1)] {
+				for range engineSlots {
+					is.True(w.gate.book.Enter(occupancy.Ask{Engine: id, Most: engineSlots, Keep: time.Minute}).ID != 0)
+				}
+			}
+			want := order[maxAsked-1]
+			if c.others == 0 {
+				for range engineSlots {
+					w.gate.book.Enter(occupancy.Ask{Engine: want, Most: engineSlots, Keep: time.Minute})
+				}
+				want = order[0]
+			}
+			w.served(t)
+			is.Equal(w.up.attempts[1].Instance.ID, want)
+			is.Equal(w.up.attempts[1].Rank, 0)
+		})
+	}
+}
