--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -148,7 +148,7 @@
 func (d *Dispatcher) takeSlot(ctx context.Context, r *Request, rec *record) choice {
 	var first *placement.Runner
 	asked := slices.Clone(rec.tried)
-	for range maxAsked {
+	for range maxPlacesAsked {
 		runner := d.o.Placer.Decode(r.Service, r.Generation.Session(), generateNear(r, rec.cached), asked)
 		if runner == nil {
 			break
--- a/coordination/forward/turn_test.go
+++ b/coordination/forward/turn_test.go
@@ -202,7 +202,7 @@
 // A burst of answers fills the generating engines: what was read goes to one with a free
 // slot, so that no answer under way is put back, and to the session's own if none has any.
 func TestWhatWasReadGeneratesWhereASlotIsFree(t *testing.T) {
-	for name, c := range map[string]struct{ full, others int }{"some are full": {4, 1}, "all are full": {5, 0}} {
+	for name, c := range map[string]struct{ full int }{"some are full": {4}, "all are full": {5}} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			w := newWorld(t, plenty, promptRead, generated)
@@ -211,18 +211,12 @@
 			for range 5 {
 				order = append(order, w.fleet.Decode("model", session, "", order).Instance.ID)
 			}
-			for _, id := range order[:min(c.full, maxAsked-1)] {
+			for _, id := range order[:c.full] {
 				for range engineSlots {
 					is.True(w.gate.book.Enter(occupancy.Ask{Engine: id, Most: engineSlots, Keep: time.Minute}).ID != 0)
 				}
 			}
-			want := order[maxAsked-1]
-			if c.others == 0 {
-				for range engineSlots {
-					w.gate.book.Enter(occupancy.Ask{Engine: want, Most: engineSlots, Keep: time.Minute})
-				}
-				want = order[0]
-			}
+			want := order[c.full%len(order)]
 			w.served(t)
 			is.Equal(w.up.attempts[1].Instance.ID, want)
 			is.Equal(w.up.attempts[1].Rank, 0)
