Keep a host's lock out of its copies' locks; split large files

Cause: a host that passes over a relay asked its copies for their revisions under its own lock, while a copy notifies the host under its own: the two could wait for each other for ever. Found by reading, seen by a test that doesn't end without the change. Change: the copies are asked first.

--- /dev/null
+++ b/coordination/fanout/ask.go
@@ -0,0 +1,102 @@
+package fanout
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// silenceSlack is how much longer than asked for a relay's answer may take: a host
+	// with a fifth of a core stands still for a tenth of a second at times.
+	silenceSlack = 250 * time.Millisecond
+	// startWait is how long a question waits at a relay that may be starting too.
+	startWait = 250 * time.Millisecond
+	// startSlack is how much longer its answer may take: a first copy of the list of 3,000
+	// instances has some 100 KB, and the relay's link sends it to thirty hosts at once.
+	startSlack = 400 * time.Millisecond
+)
+
+// ask asks a relay for news. One that follows the store is followed from then on, unless
+// this host relays as well.
+func (n *Node) ask(ctx context.Context, source string, relays bool) {
+	wait := n.o.Wait
+	switch {
+	case !relays && n.starting():
+		wait = min(wait, startWait)
+	case n.lost() || (!relays && !n.follows(source)):
+		wait = 0 // first see whether it is of use
+	}
+	slack := silenceSlack
+	if n.starting() {
+		slack = startSlack
+	}
+	bounded, cancel := context.WithTimeout(ctx, wait+slack)
+	defer cancel()
+	n.interruptible(cancel, !relays)
+	news, err := n.o.Peers.Follow(bounded, source, Question{From: n.o.Self.Addr, Since: n.revisions(), Read: n.read[source], Wait: wait})
+	n.interruptible(nil, false)
+	switch {
+	case err == nil:
+		n.take(news, source, relays)
+	case ctx.Err() == nil && !(n.askedLately(n.o.Clock.Now()) && !relays):
+		n.avoid(source, err.Error(), false)
+	}
+}
+
+// peekAtAny takes what some host has, while this one has lost the store and knows no relay.
+func (n *Node) peekAtAny(ctx context.Context) {
+	if len(n.plannedOf) < 2 {
+		return
+	}
+	addr := n.plannedOf[n.o.Rand.IntN(len(n.plannedOf))].Addr
+	bounded, cancel := context.WithTimeout(ctx, silenceSlack)
+	defer cancel()
+	news, err := n.o.Peers.Follow(bounded, addr, Question{From: n.o.Self.Addr, Since: n.revisions(), Peek: true})
+	if err != nil {
+		n.o.Log.Debug("peer not reached", "peer", addr, "cause", err.Error())
+		return
+	}
+	n.merge(news, addr)
+}
+
+// merge takes what changed in a peer's copies.
+func (n *Node) merge(news News, from string) {
+	for kind, d := range news.Changes {
+		if m := n.o.Copies[kind]; m != nil {
+			m.Merge(d, from)
+		}
+	}
+}
+
+// take takes a relay's answer.
+func (n *Node) take(news News, source string, relays bool) {
+	if !news.Lost && !relays {
+		for _, m := range n.o.Copies {
+			m.Informed(news.Regained, news.Ever)
+		}
+	}
+	n.merge(news, source)
+	n.read[source] = news.Read
+	for _, notice := range news.Notices {
+		n.Deliver(notice)
+	}
+	if news.Lost {
+		n.avoid(source, "it doesn't follow the store", true)
+		return
+	}
+	n.trust(source)
+	if !relays {
+		n.followPeer(source)
+	}
+}
+
+// interruptible notes how to end the question that waits; only one of a host that
+// doesn't relay is ended when it is asked to.
+func (n *Node) interruptible(cancel context.CancelFunc, may bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.interrupt = nil
+	if may {
+		n.interrupt = cancel
+	}
+}
--- a/coordination/fanout/fanout_test.go
+++ b/coordination/fanout/fanout_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -338,3 +342,34 @@
 		}
 	})
 }
+
+// A copy notifies its host under its own lock: a host that passes over a relay at that
+// moment must not hold its lock while it asks the copy for something. With the locks taken
+// the other way round this test doesn't end.
+func TestPassingOverARelayHoldsUpNoNews(t *testing.T) {
+	f := newFleet(t, 1)
+	h := f.hosts[0]
+	entered, release := make(chan struct{}), make(chan struct{})
+	m, err := follow.New(follow.Options{
+		Store: f.store.Client("h"), Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), Kind: "slow", Outage: &follow.Outage{},
+		Changed: func(follow.Copy) {
+			close(entered)
+			<-release
+		},
+	})
+	is.New(t).NoErr(err)
+	h.copies["slow"] = m
+	go m.Adopt(follow.Copy{Revision: 1}, "peer")
+	<-entered
+	avoided := make(chan struct{})
+	go func() {
+		defer close(avoided)
+		h.avoid("relay", "test", false)
+	}()
+	for range 1000 {
+		h.Notify()
+		runtime.Gosched()
+	}
+	close(release)
+	<-avoided
+}
--- /dev/null
+++ b/coordination/fanout/look.go
@@ -0,0 +1,37 @@
+package fanout
+
+import (
+	"slices"
+	"time"
+)
+
+// HeardAt is when a host asked this one; zero if it hasn't lately.
+func (n *Node) HeardAt(addr string) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.heard[addr]
+}
+
+// LooksAfter reports whether this host looks after another of its domain. The first relays
+// by the order that all compute, but for those that this host found silent itself, look
+// after each other, and each after the hosts that would follow it.
+func (n *Node) LooksAfter(addr string) bool {
+	if !n.FollowsStore() || !n.fresh() {
+		return false
+	}
+	var lookers []string
+	n.mu.Lock()
+	for _, h := range inRelayOrder(byDomain(n.o.Hosts())[n.o.Self.FailureDomain]) {
+		if n.avoided[h.Addr].failures < deadFailures && len(lookers) < perDomain {
+			lookers = append(lookers, h.Addr)
+		}
+	}
+	n.mu.Unlock()
+	if !slices.Contains(lookers, n.o.Self.Addr) {
+		return false
+	}
+	return slices.Contains(lookers, addr) || inOrderOf(addr, lookers)[0] == n.o.Self.Addr
+}
+
+// deadFailures is how often in a row a relay was of no use before others stand in for it.
+const deadFailures = 3
--- a/coordination/fanout/serve.go
+++ b/coordination/fanout/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/thymerack/thymerack/coordination/follow"
 )
@@ -46,6 +47,9 @@
 	}
 }
 
+// freshPoll is how often a relay that is asked looks whether the store has answered.
+const freshPoll = 10 * time.Millisecond
+
 // mostHeard bounds the hosts that are remembered; more than a failure domain has at
 // the sizes to come.
 const mostHeard = 1024
--- /dev/null
+++ b/daemon/routed/peers.go
@@ -0,0 +1,120 @@
+package routed
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/fanout"
+	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/liveness"
+	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/coordination/outlier"
+	"github.com/thymerack/thymerack/platform"
+	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/outliers"
+	"github.com/thymerack/thymerack/transport/peer"
+	"github.com/thymerack/thymerack/transport/pings"
+	"github.com/thymerack/thymerack/transport/places"
+	"github.com/thymerack/thymerack/transport/relay"
+	"github.com/thymerack/thymerack/transport/roles"
+)
+
+// buildPeers makes the calls between hosts. Hosts know each other by their entries
+// in the store; the settings have no key for them to share.
+func (h *Host) buildPeers() error {
+	var err error
+	h.peers, err = peer.NewClient(peer.ClientOptions{
+		Self: h.id, MaxBodyBytes: relay.MaxBodyBytes, Log: h.log,
+		DialTimeout: peerDialTimeout, GreetTimeout: peerDialTimeout, SilenceTimeout: peerSilence,
+	})
+	if err != nil {
+		return err
+	}
+	h.peerServer, err = peer.NewServer(peer.ServerOptions{
+		Self: h.id, MaxBodyBytes: relay.MaxBodyBytes, Log: h.log, GreetTimeout: peerDialTimeout, SilenceTimeout: peerSilence,
+	})
+	if err != nil {
+		return err
+	}
+	h.fanout, err = fanout.New(fanout.Options{
+		Self: h.members.self(), Run: h.id.String(), Hosts: h.members.All, Peers: relay.Peers{Client: h.peers}, Clock: h.clock, Rand: newRand(), Log: h.log, Wait: h.relayWait(),
+		Copies: map[string]*follow.Mirror{platform.KindConfig: h.configs, platform.KindInstances: h.listed, kindHosts: h.members.copy},
+	})
+	if err != nil {
+		return err
+	}
+	relay.Register(h.peerServer, h.fanout)
+	pingers := pings.Peers{Client: h.peers}
+	pings.Register(h.peerServer, pingers)
+	h.looker, err = liveness.New(liveness.Options{
+		Self: h.members.self(), Hosts: func() []liveness.Listed { return *h.members.entries.Load() },
+		LooksAfter: h.fanout.LooksAfter, HeardAt: h.fanout.HeardAt, Peers: pingers, Remove: h.members.remove, Clock: h.clock, Log: h.log,
+	})
+	if err != nil {
+		return err
+	}
+	return h.buildGate()
+}
+
+// relayWait is how long a question waits at a relay: a quarter of the shortest time in
+// which a change must be in force.
+func (h *Host) relayWait() time.Duration {
+	bound := h.s.Bounds.Drain
+	if config := h.s.Bounds.ConfigInForce; config > 0 {
+		bound = min(bound, config)
+	}
+	return bound / 4
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func (h *Host) buildGate() error {
+	book := occupancy.NewBook(h.clock, h.log)
+	places.Register(h.peerServer, book)
+	roles.Subscribe(h.fanout, h.fleet.Expect, h.log)
+	var err error
+	h.gate, err = occupancy.NewGate(occupancy.GateOptions{
+		Book: book, Peers: places.Peers{Client: h.peers}, Self: h.members.addr(h.s.IP), Hosts: h.members.All,
+		Clock: h.clock, Log: h.log,
+	})
+	if err != nil {
+		return err
+	}
+	return h.buildOutliers()
+}
+
+// buildOutliers has silent runners told to all hosts.
+func (h *Host) buildOutliers() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.ended = cancel
+	var err error
+	h.outliers, err = outlier.New(ctx, outlier.Options{
+		Self: h.members.addr(h.s.IP), Owner: h.gate.Owner, Peers: outliers.Peers{Client: h.peers}, Clock: h.clock, Log: h.log,
+		Siblings: h.fleet.Siblings,
+		Alive: func(ctx context.Context, id state.InstanceID) bool {
+			r := h.fleet.Runner(id)
+			return r != nil && h.pool.Alive(ctx, r.Instance)
+		},
+		Publish: func(v outlier.Verdict) {
+			if err := outliers.Publish(ctx, h.fanout, v); err != nil {
+				h.log.Error("silent runner not told", "instance", v.Instance, "cause", err.Error())
+			}
+		},
+	})
+	if err != nil {
+		return err
+	}
+	outliers.Register(h.peerServer, h.outliers.Take)
+	outliers.Subscribe(h.fanout, h.judge, h.log)
+	return nil
+}
+
+// judge takes the word of the hosts on a runner.
+func (h *Host) judge(v outlier.Verdict) {
+	if v.Silent {
+		h.fleet.Judge(v.Instance, v.For)
+		return
+	}
+	h.fleet.Judge(v.Instance, 0)
+}
