Let a run go on only when its former engine answers nothing at all

Cause: a move whose connection is reset was taken for an engine out of reach, while an engine may reset a connection and go on with the run. Change: the engine is asked once more; one that answers keeps the run, and the stream ends cut. Test: reset, but it answers; out of reach is now an engine that answers nothing.

--- a/coordination/forward/backup.go
+++ b/coordination/forward/backup.go
@@ -140,8 +140,8 @@
 }
 
 // goOn lets a run that may run once go on at the engine that has its backup. Its former
-// engine is asked to stop it: one that doesn't answer is lost with its run, and one that
-// has no such run has ended it. One that says anything else may still be at it.
+// engine is asked to stop it: one that answers nothing at all is lost with its run, and one
+// that has no such run has ended it. One that says anything else may still be at it.
 func (s *Stream) goOn(cause error) bool {
 	r, from, backup := s.a.Request, s.a, s.a.Backup
 	dark := s.watch != nil && s.watch.dark.Load()
@@ -175,7 +175,9 @@
 	switch {
 	case err == nil && handle != "":
 		return &KVSource{Instance: from, Handle: handle}, true
-	case err == nil || unreached(err):
+	case err == nil:
+		return backup, true
+	case unreached(err) && !s.d.alive(s.ctx, from):
 		return backup, true
 	default:
 		s.rec.add(from, "move", outcomeUnknown, s.d.o.Clock.Now().Sub(started), err)
--- a/coordination/forward/backup_test.go
+++ b/coordination/forward/backup_test.go
@@ -64,18 +64,23 @@
 	for name, c := range map[string]struct {
 		handle string
 		err    error
+		dark   bool
 		goesOn bool
 	}{
 		"stopped, with its memory":  {handle: "h9", goesOn: true},
 		"no such run any more":      {goesOn: true},
-		"out of reach":              {err: errSent, goesOn: true},
+		"out of reach":              {dark: true, goesOn: true},
+		"reset, but it answers":     {err: errSent},
 		"refused, so it may go on":  {err: errors.New("answered 409")},
 		"no connection to ask with": {err: &SendError{Busy: true, Cause: errors.New("busy")}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			w, got, err := inBackedWorld(t, func(w *world, _ state.InstanceID) {
+			w, got, err := inBackedWorld(t, func(w *world, first state.InstanceID) {
 				w.up.moveHandle, w.up.moveErr = c.handle, c.err
+				if c.dark {
+					w.up.setDark(first)
+				}
 			}, reply{status: 200, events: true, body: begun, readErr: errSent}, reply{status: 200, events: true, body: rest})
 			if !c.goesOn {
 				is.Equal(err, ErrStreamCut)
