Order hosts in one place; plainer words

Cause: relays and owners of counts are chosen by the same order, which stood twice (duplicates); comments of this change had words of their own (came, lately, sending). Change: state.StrongestFirst. No behaviour changes.

--- a/coordination/backlog/queue.go
+++ b/coordination/backlog/queue.go
@@ -56,7 +56,7 @@
 	// ms is the predicted time at an engine of usual speed.
 	ms    float64
 	added []uint64
-	// overtaken is how many prompts ended that came after this one and should not have
+	// overtaken is how many prompts ended that arrived after this one and should not have
 	// gone before it.
 	overtaken int
 }
--- a/coordination/fanout/look.go
+++ b/coordination/fanout/look.go
@@ -3,9 +3,11 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/thymerack/thymerack/state"
 )
 
-// HeardAt is when a host asked this one; zero if it hasn't lately.
+// HeardAt is when a host asked this one; zero if it hasn't recently.
 func (n *Node) HeardAt(addr string) time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -21,7 +23,7 @@
 	}
 	var lookers []string
 	n.mu.Lock()
-	for _, h := range inRelayOrder(byDomain(n.o.Hosts())[n.o.Self.FailureDomain]) {
+	for _, h := range state.StrongestFirst(byDomain(n.o.Hosts())[n.o.Self.FailureDomain]) {
 		if n.avoided[h.Addr].failures < deadFailures && len(lookers) < perDomain {
 			lookers = append(lookers, h.Addr)
 		}
--- a/coordination/fanout/notice.go
+++ b/coordination/fanout/notice.go
@@ -44,7 +44,7 @@
 	number uint64
 }
 
-// board is the notices that a host has had lately, in their order here.
+// board is the notices that a host has had recently, in their order here.
 type board struct {
 	mu sync.Mutex
 	// run names this run of the host.
@@ -89,7 +89,7 @@
 	return true
 }
 
-// since returns what came after a cursor, and the cursor after that.
+// since returns what was added after a cursor, and the cursor after that.
 func (b *board) since(c Cursor, now time.Time) ([]Notice, Cursor) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/coordination/fanout/relays.go
+++ b/coordination/fanout/relays.go
@@ -72,20 +72,7 @@
 	if len(members) < perDomain+leastFollowers {
 		return nil
 	}
-	return addresses(inRelayOrder(members)[:perDomain])
-}
-
-// inRelayOrder orders the hosts of a domain as they become relays: strong ones first.
-func inRelayOrder(members []state.Peer) []state.Peer {
-	order := slices.Clone(members)
-	slices.SortFunc(order, func(a, b state.Peer) int {
-		return cmp.Or(
-			cmp.Compare(b.Class, a.Class),
-			cmp.Compare(xxhash.Sum64String(a.Addr), xxhash.Sum64String(b.Addr)),
-			strings.Compare(a.Addr, b.Addr),
-		)
-	})
-	return order
+	return addresses(state.StrongestFirst(members)[:perDomain])
 }
 
 // inOrderOf orders relays by rendezvous hashing with the host that asks them.
--- a/coordination/fanout/source.go
+++ b/coordination/fanout/source.go
@@ -57,7 +57,7 @@
 }
 
 // awaitStore asks the store now and then while all relays have lost it, and follows it if
-// it answers: they may be turned away, or cut off, and this host not.
+// it answers: they may be refused by it, or cut off, and this host not.
 func (n *Node) awaitStore(ctx context.Context, now time.Time) {
 	for _, m := range n.o.Copies {
 		m.Uninformed()
--- a/coordination/forward/alive.go
+++ b/coordination/forward/alive.go
@@ -30,7 +30,7 @@
 
 // reached reports whether an attempt may be sent to the runner. A request that may run
 // once is lost if its engine is dark, since nobody knows whether it ran: an engine that
-// hasn't answered this host lately is asked first. The question costs a round trip.
+// hasn't answered this host recently is asked first. The question costs a round trip.
 func (d *Dispatcher) reached(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record) bool {
 	if !a.Request.runsOnce() || runner.HeardWithin(heardWithin) {
 		return true
--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -9,8 +9,8 @@
 	"github.com/thymerack/thymerack/coordination/placement"
 )
 
-// attempt sends the request to one runner. It returns an answer, or how the
-// sending ended without one.
+// attempt sends the request to one runner. It returns an answer, or how the attempt
+// ended without one.
 func (d *Dispatcher) attempt(ctx context.Context, a *Attempt, c choice, rec *record) (*Answer, outcome) {
 	runner, sent := c.Runner, c.begin()
 	rec.exclude(a.Instance)
@@ -77,7 +77,7 @@
 
 var errUnsealed = errors.New("the response has no signature of its runner; it was dropped")
 
-// sendFailed notes a sending without a response.
+// sendFailed notes an attempt without a response.
 func (d *Dispatcher) sendFailed(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record, part string, took time.Duration, err error) outcome {
 	failed := sendError(err)
 	if !failed.Busy {
--- a/coordination/forward/backup.go
+++ b/coordination/forward/backup.go
@@ -79,7 +79,7 @@
 // watch looks after a stream that can go on elsewhere: one whose engine is silent and
 // doesn't answer is cut, so that it does within the pause that its caller was promised.
 type watch struct {
-	// heard is when the last bytes came, in nanoseconds since begun.
+	// heard is when the last bytes arrived, in nanoseconds since begun.
 	heard atomic.Int64
 	// dark is set once the engine was asked and didn't answer.
 	dark  atomic.Bool
@@ -108,7 +108,7 @@
 	}
 }
 
-// noteHeard tells the watch that bytes came.
+// noteHeard tells the watch that bytes arrived.
 func (s *Stream) noteHeard() {
 	if s.watch != nil {
 		s.runner.Heard()
--- a/coordination/forward/lead.go
+++ b/coordination/forward/lead.go
@@ -74,9 +74,9 @@
 // in the queue is worth more than a new one elsewhere.
 type firstEvent struct {
 	cancel context.CancelFunc
-	// came ends the watch.
-	came context.CancelFunc
-	late atomic.Bool
+	// arrived ends the watch.
+	arrived context.CancelFunc
+	late    atomic.Bool
 }
 
 // awaitFirst begins to watch for the first event. An attempt that can't be repeated, or
@@ -84,12 +84,12 @@
 func (d *Dispatcher) awaitFirst(ctx context.Context, a *Attempt, rec *record) (context.Context, *firstEvent) {
 	r := a.Request
 	if a.Source == nil || !r.Route.Repeatable() || rec.sends+1 >= r.Route.MaxAttempts {
-		return ctx, &firstEvent{cancel: func() {}, came: func() {}}
+		return ctx, &firstEvent{cancel: func() {}, arrived: func() {}}
 	}
 	f := &firstEvent{}
 	var watch context.Context
 	ctx, f.cancel = context.WithCancel(ctx)
-	watch, f.came = context.WithCancel(ctx)
+	watch, f.arrived = context.WithCancel(ctx)
 	most := d.leads.most(r.Service)
 	go func() {
 		for d.o.Clock.Sleep(watch, most) == nil {
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -48,7 +48,7 @@
 var ErrStreamCut = errors.New("the stream was cut and can't be resumed; ask again")
 
 // errLate says that an engine didn't begin in its time.
-var errLate = errors.New("the first event came too late; another engine was asked")
+var errLate = errors.New("the first event was overdue and the engine silent; another one was asked")
 
 // ErrCallerLeft says that a stream's caller closed its connection.
 var ErrCallerLeft = errors.New("the caller left before the stream's end; nothing is to be done")
@@ -67,7 +67,7 @@
 	for err == nil && s.whole == 0 && !s.eof {
 		err = s.fill()
 	}
-	first.came()
+	first.arrived()
 	if err == nil && first.late.Load() {
 		err = errLate // the connection has been cut
 	}
--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -130,7 +130,7 @@
 	}
 }
 
-// heard reports whether a host has been heard lately, or answers.
+// heard reports whether a host has been heard recently, or answers.
 func (l *Looker) heard(ctx context.Context, h Listed, domain []Listed) bool {
 	if l.o.Clock.Now().Sub(l.o.HeardAt(h.Addr)) < heardWithin {
 		return true
@@ -153,7 +153,7 @@
 	return l.o.Peers.Ping(ctx, addr) == nil
 }
 
-// helper is a host of the domain that was heard lately; "" if there is none.
+// helper is a host of the domain that was heard recently; "" if there is none.
 func (l *Looker) helper(of Listed, domain []Listed) string {
 	for _, h := range domain {
 		if h.Addr != of.Addr && l.o.Clock.Now().Sub(l.o.HeardAt(h.Addr)) < heardWithin {
--- a/coordination/occupancy/gate.go
+++ b/coordination/occupancy/gate.go
@@ -1,12 +1,10 @@
 package occupancy
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"log/slog"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -32,7 +30,7 @@
 	maxOwnersAsked = 2
 	// leaveTimeout bounds the telling of an end, which nobody waits for.
 	leaveTimeout = time.Second
-	// avoidFirst is how long a owner that didn't answer is passed over; each
+	// avoidFirst is how long an owner that didn't answer is passed over; each
 	// further failure in a row doubles it up to avoidMost.
 	avoidFirst = 500 * time.Millisecond
 	avoidMost  = 16 * time.Second
@@ -243,14 +241,7 @@
 	if sameList(hosts, g.ranked.of) {
 		return g.ranked.order
 	}
-	order := slices.Clone(hosts)
-	slices.SortFunc(order, func(a, b state.Peer) int {
-		return cmp.Or(
-			cmp.Compare(b.Class, a.Class),
-			cmp.Compare(xxhash.Sum64String(a.Addr), xxhash.Sum64String(b.Addr)),
-			strings.Compare(a.Addr, b.Addr),
-		)
-	})
+	order := state.StrongestFirst(hosts)
 	g.ranked = ranking{hosts, order}
 	for addr := range g.avoided {
 		if !slices.ContainsFunc(hosts, func(h state.Peer) bool { return h.Addr == addr }) {
--- a/state/routing.go
+++ b/state/routing.go
@@ -1,9 +1,14 @@
 package state
 
 import (
+	"cmp"
 	"log/slog"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // RouteKind says what may be repeated of a route's requests.
@@ -89,6 +94,20 @@
 	Engine *EngineSpec
 }
 
+// StrongestFirst returns the hosts in the order in which they take on work for others, the
+// same at all hosts that know the same ones: by class, and then by a hash of the address.
+func StrongestFirst(hosts []Peer) []Peer {
+	out := slices.Clone(hosts)
+	slices.SortFunc(out, func(a, b Peer) int {
+		return cmp.Or(
+			cmp.Compare(b.Class, a.Class),
+			cmp.Compare(xxhash.Sum64String(a.Addr), xxhash.Sum64String(b.Addr)),
+			strings.Compare(a.Addr, b.Addr),
+		)
+	})
+	return out
+}
+
 // Peer is another host as its entry in the list of hosts describes it.
 type Peer struct {
 	// Addr is where the hosts' own protocol reaches it.
