--- /dev/null
+++ b/daemon/routed/members_test.go
@@ -0,0 +1,62 @@
+package routed
+
+import (
+	"log/slog"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/store"
+	"github.com/thymerack/thymerack/platform"
+	"github.com/thymerack/thymerack/platform/platformtest"
+)
+
+// newTestMembers is a list of hosts without a store.
+func newTestMembers(tb testing.TB) *members {
+	tb.Helper()
+	s, err := platform.DecodeSettings(platformtest.SettingsFile(platformtest.HostAddrs{Name: "h", IP: "127.0.0.9", Domain: "d", Store: "127.0.0.1:1"}))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return newMembers(nil, s, slog.New(slog.DiscardHandler))
+}
+
+const goodEntry = `{"addr":"127.0.0.5:17660","class":3,"failure_domain":"d"}`
+
+// Whatever others leave in the list of hosts, the entries of hosts hold.
+func FuzzHostEntries(f *testing.F) {
+	f.Add([]byte(`{"addr":7}`))
+	f.Add([]byte(`null`))
+	f.Add([]byte("\xff\xfe"))
+	f.Add([]byte(`{"addr":"","class":1e99}`))
+	f.Fuzz(func(t *testing.T, other []byte) {
+		m := newTestMembers(t)
+		m.changed(follow.Copy{Revision: 3, Objects: []store.Object{
+			{Name: "other", Version: 2, Value: other}, {Name: "good", Version: 1, Value: []byte(goodEntry)},
+		}})
+		found := false
+		for _, h := range m.All() {
+			if h.Addr == "" {
+				t.Errorf("a host without an address was taken from %q", other)
+			}
+			found = found || (h.Addr == "127.0.0.5:17660" && h.Class == 3 && h.FailureDomain == "d")
+		}
+		if !found {
+			t.Errorf("the good entry is missing beside %q", other)
+		}
+	})
+}
+
+// A host whose entry is gone lists itself again, but not for a list older than its entry.
+func TestHostWhoseEntryIsGoneListsItselfAgain(t *testing.T) {
+	is := is.New(t)
+	m := newTestMembers(t)
+	m.registered.Store(true)
+	m.writtenAt.Store(9)
+	m.changed(follow.Copy{Revision: 8, Objects: []store.Object{{Name: "good", Version: 1, Value: []byte(goodEntry)}}})
+	is.True(m.registered.Load())
+	m.changed(follow.Copy{Revision: 10, Objects: []store.Object{{Name: "good", Version: 1, Value: []byte(goodEntry)}}})
+	is.True(!m.registered.Load())
+	is.True(!m.lists(m.self()))
+}
