--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -315,9 +315,9 @@
 		f := newFakeEngines(engines(4, 8), 0, 1)
 		stop := runHolder(t, storetest.NewPlatform(time.Second), f, "h")
 		time.Sleep(5 * time.Second) // four of eight have just been ordered to read
-		is.Equal(len(f.orders), 4)
 		var changed []string
 		f.mu.Lock()
+		is.Equal(len(f.orders), 4)
 		for id, e := range f.engines {
 			if e.accepted > 0 {
 				changed = append(changed, id.Name)
