End watches before the bounds apply again

The store had been silent for 4.3 s; it forgot the watches that waited and kept their connections, so that no relay noticed anything until its watch ended by itself, 20 s later. With each host watching this hit some hosts; with six relays it hits all. Ruled out: keep-alives (they are answered); a question to the store every second (a call of each relay a second, and silence between two questions goes unnoticed). Change: watches for configurations and instances wait no longer than the time without trouble after which the bounds apply, plus the bound, less a call's time-out and the gathering: 2, 4 and 6 s on today's sizes, 20 s before. Test: the wait against the bounds of three sizes.

--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -42,7 +42,9 @@
 	log   *slog.Logger
 	clock wallclock.Clock
 
-	store     *platform.Store
+	store *platform.Store
+	// bound is the store with watches short enough for what must be in force in time.
+	bound     *platform.Store
 	members   *members
 	config    *follow.Config
 	configs   *follow.Mirror
@@ -114,13 +116,29 @@
 	if err != nil {
 		return err
 	}
-	h.store = platform.NewStore(platform.StoreOptions{
+	o := platform.StoreOptions{
 		Client: client, Host: h.s.StoreAddr, Timeout: storeTimeout, ListTimeout: listTimeout, WatchWait: watchWait,
-	})
+	}
+	h.store = platform.NewStore(o)
+	o.WatchWait = h.boundWatch()
+	h.bound = platform.NewStore(o)
 	h.members = newMembers(h.store, h.s, h.log)
 	return nil
 }
 
+// boundWatch is how long a watch for configurations or instances waits. A store that is
+// silent for a while may forget the watches that wait, and keep their connections: such a
+// watch hears nothing until its own end, and what it missed must be known when the bounds
+// apply again.
+func (h *Host) boundWatch() time.Duration {
+	b := h.s.Bounds
+	bound := b.Drain
+	if b.ConfigInForce > 0 {
+		bound = min(bound, b.ConfigInForce)
+	}
+	return min(watchWait, max(leastWatch, b.Contact+bound-storeTimeout-gatherInstances-watchMargin))
+}
+
 func (h *Host) buildLists() error {
 	h.fleet = placement.NewFleet(placement.Options{Clock: h.clock, FailureDomain: h.s.FailureDomain})
 	h.config = follow.NewConfig(platform.ConfigName, platform.DecodeConfig, h.log)
@@ -131,11 +149,11 @@
 	})
 	outage := &follow.Outage{}
 	var err error
-	h.configs, err = follow.New(follow.Options{Outage: outage, Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig, Notify: h.notifyFollowers})
+	h.configs, err = follow.New(follow.Options{Outage: outage, Store: h.bound, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig, Notify: h.notifyFollowers})
 	if err != nil {
 		return err
 	}
-	h.listed, err = follow.New(follow.Options{Outage: outage, Store: h.store, Clock: h.clock, Log: h.log, Kind: platform.KindInstances, Changed: h.instances.Changed, Gather: gatherInstances, Notify: h.notifyFollowers})
+	h.listed, err = follow.New(follow.Options{Outage: outage, Store: h.bound, Clock: h.clock, Log: h.log, Kind: platform.KindInstances, Changed: h.instances.Changed, Gather: gatherInstances, Notify: h.notifyFollowers})
 	if err != nil {
 		return err
 	}
--- a/daemon/routed/host_test.go
+++ b/daemon/routed/host_test.go
@@ -104,6 +104,25 @@
 	is.Equal(storeKeepAlive%time.Second, time.Duration(0)) // the kernel rounds up
 }
 
+// A store that is silent for some seconds may forget waiting watches without a sign: they
+// end by themselves before the bounds apply again, at any size of the bounds.
+func TestForgottenWatchEndsBeforeTheBoundsApply(t *testing.T) {
+	for name, b := range map[string]platform.Bounds{
+		"small":   {Contact: 3 * time.Second, Drain: 2 * time.Second, ConfigInForce: 2 * time.Second},
+		"grown":   {Contact: 4 * time.Second, Drain: 3 * time.Second, ConfigInForce: 3 * time.Second},
+		"large":   {Contact: 5 * time.Second, Drain: 4 * time.Second, ConfigInForce: 4 * time.Second},
+		"unequal": {Contact: 3 * time.Second, Drain: 4 * time.Second, ConfigInForce: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHost(t)
+			h.s.Bounds = b
+			is.True(h.boundWatch() >= leastWatch)
+			is.True(h.boundWatch()+storeTimeout+gatherInstances < b.Contact+min(b.Drain, b.ConfigInForce))
+		})
+	}
+}
+
 func TestFewHostsLookForTheLeaseOften(t *testing.T) {
 	is := is.New(t)
 	h := newHost(t)
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -45,6 +45,10 @@
 	listTimeout = 8 * time.Second
 	// watchWait is how long a watch waits at the store; the platform allows 30 s.
 	watchWait = 20 * time.Second
+	// leastWatch is the shortest wait, and watchMargin what is left of the bounds for the
+	// way to other hosts.
+	leastWatch  = time.Second
+	watchMargin = 500 * time.Millisecond
 	// storeUserTimeout and storeKeepAlive find a store that is cut off while a watch
 	// waits there, 3 s after its last sign. The kernel counts keepalives in whole
 	// seconds. Of a cut that isn't noticed the watch learns by the store's next
