Don't count an engine in a role that it has left

Cause: an engine listed as generating that has begun to read reports its prompts' load; two of them among the few sampled pass for a loaded fleet, and the first split of 1,200 engines went on to 816 without any load. Seen as TestFirstSplitOfALargeFleetWaitsForLoad failing under the race detector beside other processes, and alone in 2 runs of 3 (-race -count=3). Ruled out: the machine's load; the test's clock is its own, and which engines are sampled is drawn anew each run. Change: a report of another role than was listed isn't taken.

--- a/coordination/stages/demand_test.go
+++ b/coordination/stages/demand_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/thymerack/thymerack/coordination/store/storetest"
+	"github.com/thymerack/thymerack/state"
 )
 
 // play gives a demand one sample a second, from a function of the second, and returns
@@ -223,3 +225,17 @@
 		is.Equal(len(f.problems), 0)
 	})
 }
+
+// An engine that has changed role since it was listed counts in neither: the load that it
+// still reports would pass for that of the role it has left.
+func TestEngineThatChangedRoleSinceItWasListedIsNotSampled(t *testing.T) {
+	is := is.New(t)
+	f := newFakeEngines(engines(1, 4), 0, 1)
+	listed := f.list("")
+	for _, e := range f.engines {
+		e.instance.Role = state.RolePrefill
+	}
+	m := &Manager{o: Options{Engines: f, Log: slog.New(slog.DiscardHandler)}}
+	_, ok := m.sample(t.Context(), listed)
+	is.True(!ok) // none generates
+}
--- a/coordination/stages/learn.go
+++ b/coordination/stages/learn.go
@@ -119,6 +119,9 @@
 			m.o.Log.Info("engine not sampled", "instance", i.ID, "cause", err.Error())
 			continue
 		}
+		if report.Role != role {
+			continue // it has changed since it was listed
+		}
 		take(i, report)
 		n++
 	}
