Look for a free slot in one place

Cause: takeSlot and takePlace had the same loop over engines that generate, twice. Ruled out: one function for both, and turnAt in both: only takePlace tells what was full and may go behind the others; a test fails when takeSlot does. Change: findSlot asks; the two decide what follows. What is asked, logged and chosen stays.

--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -146,56 +146,59 @@
 // urgent route in the middle to make room, which then pauses for some hundred milliseconds.
 // When all that are asked are full the session's own gets it all the same.
 func (d *Dispatcher) takeSlot(ctx context.Context, r *Request, rec *record) choice {
-	var first *placement.Runner
-	asked := slices.Clone(rec.tried)
-	for range maxPlacesAsked {
-		runner := d.o.Placer.Decode(r.Service, r.Generation.Session(), generateNear(r, rec.cached), asked)
-		if runner == nil {
-			break
-		}
-		if first == nil {
-			first = runner
-		}
-		v := d.o.Gate.Enter(ctx, occupancy.Ask{Engine: runner.Instance.ID, Most: max(1, runner.Instance.Slots), Keep: d.left(r)})
-		if v.Place != nil {
-			return choice{Runner: runner, turn: turn{kind: TurnCounted, runner: runner, place: v.Place}}
-		}
-		asked = append(asked, runner.Instance.ID)
+	free, full := d.findSlot(ctx, r, rec, r.Generation.Session(), generateNear(r, rec.cached))
+	switch {
+	case free.Place != nil:
+		return choice{Runner: free.runner, turn: turn{kind: TurnCounted, runner: free.runner, place: free.Place}}
+	case len(full) > 0:
+		return choice{Runner: full[0]}
+	default:
+		return choice{}
 	}
-	return choice{Runner: first}
 }
 
-// maxPlacesAsked bounds the engines that are asked for a free slot: with two thirds of them
-// full, one request in sixty finds none free at ten.
-const maxPlacesAsked = 10
-
 // takePlace looks for an engine with a free slot for a request that generates at
 // length. When all that are asked are full it goes behind the others at the first,
 // where it starts once nothing newer wants the slot.
 func (d *Dispatcher) takePlace(ctx context.Context, r *Request, rec *record) choice {
-	var first *placement.Runner
+	free, full := d.findSlot(ctx, r, rec, "", "")
+	for _, runner := range full {
+		rec.add(runner.Instance, "place", outcomeFull, 0, nil)
+	}
+	switch {
+	case free.Place != nil:
+		return d.generateAt(free.runner, turnAt(free, nil), rec)
+	case len(full) > 0:
+		return d.generateAt(full[0], turn{kind: TurnDeferred}, rec)
+	default:
+		return choice{}
+	}
+}
+
+// findSlot asks engines that generate for a free slot, in the session's order and those of
+// the failure domain near first. free has a place unless none was found, and full are the
+// engines that had none, as they were asked.
+func (d *Dispatcher) findSlot(ctx context.Context, r *Request, rec *record, session, near string) (free offer, full []*placement.Runner) {
 	asked := slices.Clone(rec.tried)
 	for range maxPlacesAsked {
-		runner := d.o.Placer.Decode(r.Service, "", "", asked)
+		runner := d.o.Placer.Decode(r.Service, session, near, asked)
 		if runner == nil {
 			break
 		}
-		if first == nil {
-			first = runner
-		}
 		v := d.o.Gate.Enter(ctx, occupancy.Ask{Engine: runner.Instance.ID, Most: max(1, runner.Instance.Slots), Keep: d.left(r)})
 		if v.Place != nil {
-			return d.generateAt(runner, turnAt(offer{runner, v}, nil), rec)
+			return offer{runner, v}, full
 		}
-		rec.add(runner.Instance, "place", outcomeFull, 0, nil)
+		full = append(full, runner)
 		asked = append(asked, runner.Instance.ID)
 	}
-	if first == nil {
-		return choice{}
-	}
-	return d.generateAt(first, turn{kind: TurnDeferred}, rec)
+	return offer{}, full
 }
 
+// maxPlacesAsked bounds the engines that are asked for a free slot: with two thirds of them
+// full, one request in sixty finds none free at ten.
+const maxPlacesAsked = 10
+
 func (d *Dispatcher) generateAt(runner *placement.Runner, t turn, rec *record) choice {
 	d.noteTurn(rec, WorkGenerate, t.kind)
 	return choice{Runner: runner, turn: t}
