--- a/coordination/stages/learn.go
+++ b/coordination/stages/learn.go
@@ -111,10 +111,7 @@
 		if i.Role != role || n == sampleMost {
 			continue
 		}
-		report, err := m.o.Engines.Report(ctx, i)
-		if err == nil && !report.of(i) {
-			err = &anotherRunError{Instance: i.ID, Born: report.Born}
-		}
+		report, err := m.report(ctx, i)
 		if err != nil {
 			m.o.Log.Info("engine not sampled", "instance", i.ID, "cause", err.Error())
 			continue
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -28,12 +28,6 @@
 	KVUsed, KVTotal int
 }
 
-// of reports whether the run that reports is the one that is meant. The number of
-// orders that another run has accepted says nothing of this one.
-func (r Report) of(i *state.Instance) bool {
-	return r.Born == 0 || i.ID.Born == 0 || r.Born == i.ID.Born
-}
-
 // anotherRunError says that an engine has restarted since it was listed.
 type anotherRunError struct {
 	Instance state.InstanceID
@@ -346,10 +340,7 @@
 	now := m.o.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	report, err := m.o.Engines.Report(ctx, i)
-	if err == nil && !report.of(i) {
-		err = &anotherRunError{Instance: i.ID, Born: report.Born}
-	}
+	report, err := m.report(ctx, i)
 	if err != nil || report.Busy {
 		m.o.Log.Info("engine not ordered", "instance", i.ID, "busy", report.Busy, "cause", fmt.Sprint(err))
 		m.pausing[i.ID] = now.Add(retryOrder)
@@ -372,5 +363,15 @@
 	m.ordered[i.ID] = given{c.Role, now.Add(lateBound)}
 }
 
+// report asks an engine for its report. That of another run is an error: the number of
+// orders that it has accepted says nothing of this one.
+func (m *Manager) report(ctx context.Context, i *state.Instance) (Report, error) {
+	report, err := m.o.Engines.Report(ctx, i)
+	if err == nil && !i.ID.SameRun(report.Born) {
+		err = &anotherRunError{Instance: i.ID, Born: report.Born}
+	}
+	return report, err
+}
+
 // retryOrder is how long an engine that took no order is left alone.
 const retryOrder = 2 * time.Second
--- a/state/routing.go
+++ b/state/routing.go
@@ -135,6 +135,12 @@
 	Born int64
 }
 
+// SameRun reports whether what says that it was born then may be the run of the id: a time
+// that isn't said rules nothing out.
+func (id InstanceID) SameRun(born int64) bool {
+	return born == 0 || id.Born == 0 || born == id.Born
+}
+
 // String implements fmt.Stringer.
 func (id InstanceID) String() string {
 	if id.Born == 0 {
