Compare lists of hosts, and find the shortest bound, in one place each

Cause: fanout and occupancy each asked whether a list of hosts is the same slice, and the waits at the store and at a relay each computed the shortest bound on a change. Ruled out: the pauses of hosts that are passed over look alike and differ in their grounds. Change: state.SameList and Host.shortestBound.

--- a/coordination/fanout/node.go
+++ b/coordination/fanout/node.go
@@ -158,7 +158,7 @@
 // plan is what this host does by the present list of hosts.
 func (n *Node) plan() plan {
 	hosts := n.o.Hosts()
-	if n.planned.of(n.plannedOf, hosts) {
+	if n.planned.made && state.SameList(n.plannedOf, hosts) {
 		return n.planned
 	}
 	n.planned, n.plannedOf = planOf(n.o.Self, hosts), hosts
--- a/coordination/fanout/relays.go
+++ b/coordination/fanout/relays.go
@@ -27,13 +27,8 @@
 	// sources are the relays that it asks, in that order: its domain's first, but for a
 	// relay, which asks others so that it isn't lost with its whole domain.
 	sources []string
-	made    bool
-}
-
-// of reports whether the plan for one list holds for another: lists are replaced whole,
-// so that the same slice has the same hosts.
-func (p plan) of(made, now []state.Peer) bool {
-	return p.made && len(made) == len(now) && (len(made) == 0 || &made[0] == &now[0])
+	// made is set once the plan was computed.
+	made bool
 }
 
 // planOf computes the plan of the host self. Its domain's relays are the strongest
--- a/coordination/occupancy/gate.go
+++ b/coordination/occupancy/gate.go
@@ -238,7 +238,7 @@
 // ones; g.mu is held.
 func (g *Gate) order() []state.Peer {
 	hosts := g.o.Hosts()
-	if sameList(hosts, g.ranked.of) {
+	if state.SameList(hosts, g.ranked.of) {
 		return g.ranked.order
 	}
 	order := state.StrongestFirst(hosts)
@@ -251,12 +251,6 @@
 	return order
 }
 
-// sameList reports whether a and b are one slice, without looking at its hosts: this
-// is asked for each place.
-func sameList(a, b []state.Peer) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
-}
-
 // avoid passes over a owner that didn't answer, for longer each time.
 func (g *Gate) avoid(owner string, cause error) {
 	g.mu.Lock()
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -131,12 +131,16 @@
 // watch hears nothing until its own end, and what it missed must be known when the bounds
 // apply again.
 func (h *Host) boundWatch() time.Duration {
-	b := h.s.Bounds
-	bound := b.Drain
-	if b.ConfigInForce > 0 {
-		bound = min(bound, b.ConfigInForce)
+	return min(watchWait, max(leastWatch, h.s.Bounds.Contact+h.shortestBound()-storeTimeout-gatherInstances-watchMargin))
+}
+
+// shortestBound is the shortest time in which a change must be in force.
+func (h *Host) shortestBound() time.Duration {
+	bound := h.s.Bounds.Drain
+	if config := h.s.Bounds.ConfigInForce; config > 0 {
+		bound = min(bound, config)
 	}
-	return min(watchWait, max(leastWatch, b.Contact+bound-storeTimeout-gatherInstances-watchMargin))
+	return bound
 }
 
 func (h *Host) buildLists() error {
--- a/daemon/routed/peers.go
+++ b/daemon/routed/peers.go
@@ -59,13 +59,7 @@
 
 // relayWait is how long a question waits at a relay: a quarter of the shortest time in
 // which a change must be in force.
-func (h *Host) relayWait() time.Duration {
-	bound := h.s.Bounds.Drain
-	if config := h.s.Bounds.ConfigInForce; config > 0 {
-		bound = min(bound, config)
-	}
-	return bound / 4
-}
+func (h *Host) relayWait() time.Duration { return h.shortestBound() / 4 }
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
--- a/state/routing.go
+++ b/state/routing.go
@@ -117,6 +117,12 @@
 	FailureDomain string
 }
 
+// SameList reports whether a and b are one slice, without looking at its hosts: lists are
+// replaced whole and never changed, and this is asked for each request.
+func SameList(a, b []Peer) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // RoutingConfig is one version of the operators' routes and services.
 type RoutingConfig struct {
 	Version  uint64
