Read the reasons of refusals by their names

Cause: account repeated the texts of forward's reasons, which a change there would have left behind unnoticed. Ruled out: nothing. Change: the constants are used.

--- a/coordination/account/account.go
+++ b/coordination/account/account.go
@@ -15,6 +15,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/thymerack/thymerack/coordination/forward"
 )
 
 // Outcome is how a request ended.
@@ -139,11 +141,11 @@
 	switch {
 	case l.Refused == "":
 		return Served
-	case strings.Contains(l.Refused, "caller_left"), strings.Contains(l.Refused, "caller left"):
+	case l.because(forward.ReasonCancelled), strings.Contains(l.Refused, "caller left"):
 		return CallerLeft
-	case strings.Contains(l.Refused, "overloaded") && sent:
+	case l.because(forward.ReasonOverload) && sent:
 		return GivenUp
-	case strings.Contains(l.Refused, "was not run") && strings.Contains(l.Refused, "deadline_passed"):
+	case strings.Contains(l.Refused, "was not run") && l.because(forward.ReasonDeadline):
 		return Deadline
 	case strings.Contains(l.Refused, "was not run") && sent:
 		return RefusedByRunners
@@ -153,3 +155,6 @@
 		return Unknown
 	}
 }
+
+// because reports whether the caller was told that reason.
+func (l line) because(r forward.Reason) bool { return strings.Contains(l.Refused, string(r)) }
