Turn milliseconds into durations in one place

Ruled out: member's and the stand-in's, of other types or modules. Change: state.Millis and state.InMillis.

--- a/coordination/backlog/forecast.go
+++ b/coordination/backlog/forecast.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/thymerack/thymerack/state"
 )
 
 const (
@@ -50,7 +52,7 @@
 	took := q.factor * q.estimator.Predict(r)
 	warm := q.factor * q.estimator.Predict(reading{fresh: w.Own, kept: r.kept + r.fresh - w.Own})
 	f := Forecast{
-		Kept: ready, Coming: r.kept, Cold: millis(max(0, took-warm)),
+		Kept: ready, Coming: r.kept, Cold: state.Millis(max(0, took-warm)),
 		Error: q.estimator.Error(), Known: q.estimator.Known(),
 	}
 	q.rank(&f, now, q.estimator.class(took), took)
@@ -63,7 +65,7 @@
 // rank completes a forecast for a rank.
 func (q *Queue) rank(f *Forecast, now time.Time, rank int, tookMS float64) {
 	wait := q.waiting(now, rank, len(q.entries)) * q.overtaking(now, rank)
-	f.Rank, f.Wait, f.Finish = rank, millis(wait), millis(wait+tookMS)
+	f.Rank, f.Wait, f.Finish = rank, state.Millis(wait), state.Millis(wait+tookMS)
 }
 
 // Progress is what becomes of a prompt under way.
@@ -92,11 +94,11 @@
 	e := q.entries[at]
 	f := Forecast{Rank: e.rank, Error: q.estimator.Error(), Known: q.estimator.Known()}
 	if e == q.current {
-		f.Finish = millis(q.left(now))
+		f.Finish = state.Millis(q.left(now))
 		return f, Underway
 	}
 	wait := q.waiting(now, e.rank, at) * q.overtaking(now, e.rank)
-	f.Wait, f.Finish = millis(wait), millis(wait+q.factor*e.ms)
+	f.Wait, f.Finish = state.Millis(wait), state.Millis(wait+q.factor*e.ms)
 	return f, Underway
 }
 
@@ -110,7 +112,7 @@
 	for _, e := range q.entries {
 		longest = max(longest, q.factor*e.ms)
 	}
-	return now.Sub(q.since) > millis(stuckAfter*longest)+stuckLeast
+	return now.Sub(q.since) > state.Millis(stuckAfter*longest)+stuckLeast
 }
 
 // reading is what the engine has to do for a prompt, and how many tokens of its shared
@@ -161,7 +163,7 @@
 // next takes the first by rank of those that wait as the one that is read from now on.
 // It was chosen when the last step began: one that came later isn't.
 func (q *Queue) next(now time.Time) {
-	q.since, q.current = now, q.first(now.Add(-millis(q.stepMS())))
+	q.since, q.current = now, q.first(now.Add(-state.Millis(q.stepMS())))
 	if q.current == nil {
 		q.current = q.first(now)
 	}
--- a/coordination/backlog/queue.go
+++ b/coordination/backlog/queue.go
@@ -139,5 +139,3 @@
 
 // Factor is how much slower than the others the engine is.
 func (q *Queue) Factor() float64 { return q.factor }
-
-func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/coordination/backlog/queue_test.go
+++ b/coordination/backlog/queue_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/state"
 )
 
 const (
@@ -33,7 +35,7 @@
 // start is any moment.
 var start = time.Unix(1000, 0)
 
-func at(ms float64) time.Time { return start.Add(millis(ms)) }
+func at(ms float64) time.Time { return start.Add(state.Millis(ms)) }
 
 func (q *Queue) add(now time.Time, id uint64, w Work) Forecast {
 	f := q.Forecast(now, w, anyTime)
--- a/coordination/forward/offer.go
+++ b/coordination/forward/offer.go
@@ -83,7 +83,7 @@
 	if kept := source.Forecast.Kept; kept > best.Forecast.Coming {
 		from = source.runner
 		work.Fetched = kept
-		work.FetchMS = float64(moving(r, kept, from, best.runner)) / float64(time.Millisecond)
+		work.FetchMS = state.InMillis(moving(r, kept, from, best.runner))
 	}
 	ask := d.readingAsk(r, best.runner, work, anyTime, limit)
 	ask.Reading.Late = true
--- a/transport/places/places.go
+++ b/transport/places/places.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"slices"
-	"time"
 
 	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/occupancy"
@@ -124,7 +123,7 @@
 }
 
 func (q Enter) ask() (occupancy.Ask, error) {
-	a := occupancy.Ask{Engine: state.InstanceID{Name: q.Engine, Born: q.Born}, Most: q.Most, Keep: millis(float64(q.KeepMS))}
+	a := occupancy.Ask{Engine: state.InstanceID{Name: q.Engine, Born: q.Born}, Most: q.Most, Keep: state.Millis(float64(q.KeepMS))}
 	r := q.Reading
 	if r == nil {
 		return a, nil
@@ -135,7 +134,7 @@
 	}
 	a.Reading = &occupancy.Reading{
 		Service: r.Service, Work: backlog.Work{Own: r.Own, Fetched: r.Fetched, FetchMS: r.FetchMS}, Memory: r.Memory,
-		MaxWait: millis(float64(r.MaxWaitMS)), Limit: millis(float64(r.LimitMS)), Late: r.Late, Warm: r.Warm,
+		MaxWait: state.Millis(float64(r.MaxWaitMS)), Limit: state.Millis(float64(r.LimitMS)), Late: r.Late, Warm: r.Warm,
 	}
 	for i, id := range r.Parts {
 		a.Reading.Work.Shared = append(a.Reading.Work.Shared, backlog.Part{ID: id, Tokens: r.Tokens[i]})
@@ -145,19 +144,15 @@
 
 func entered(a occupancy.Answer) Entered {
 	f := a.Forecast
-	return Entered{ID: a.ID, WaitMS: inMillis(f.Wait), FinishMS: inMillis(f.Finish), Rank: f.Rank, Kept: f.Kept, Coming: f.Coming, ColdMS: inMillis(f.Cold), Error: f.Error, Known: f.Known}
+	return Entered{ID: a.ID, WaitMS: state.InMillis(f.Wait), FinishMS: state.InMillis(f.Finish), Rank: f.Rank, Kept: f.Kept, Coming: f.Coming, ColdMS: state.InMillis(f.Cold), Error: f.Error, Known: f.Known}
 }
 
 func (e Entered) answer() occupancy.Answer {
 	return occupancy.Answer{ID: e.ID, Forecast: backlog.Forecast{
-		Wait: millis(e.WaitMS), Finish: millis(e.FinishMS), Rank: e.Rank, Kept: e.Kept, Coming: e.Coming, Cold: millis(e.ColdMS), Error: e.Error, Known: e.Known,
+		Wait: state.Millis(e.WaitMS), Finish: state.Millis(e.FinishMS), Rank: e.Rank, Kept: e.Kept, Coming: e.Coming, Cold: state.Millis(e.ColdMS), Error: e.Error, Known: e.Known,
 	}}
 }
 
-func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
-
-func inMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 // Peers calls the books of other hosts.
 type Peers struct{ Client *peer.Client }
 
