Order the kinds of calls and give a figure its ground

Cause: two kinds stood out of order, spreadReturns had no reason, and a rename had left "a owner". Ruled out: nothing. Change: comments and order only.

--- a/coordination/forward/offer.go
+++ b/coordination/forward/offer.go
@@ -21,7 +21,7 @@
 	// thirds of them full, four in five prompts find room at one of four.
 	maxAsked = 4
 	// shortWait is the predicted wait with which an engine is taken without asking
-	// others: twenty round trips to a owner of another failure domain (2 ms each).
+	// others: twenty round trips to an owner of another failure domain (2 ms each).
 	shortWait = 40 * time.Millisecond
 	// anyTime puts no bound on a forecast.
 	anyTime = math.MaxInt32 * time.Millisecond
--- a/coordination/forward/patience.go
+++ b/coordination/forward/patience.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// progresses reports whether the reading may still end. What a owner that was lost
+// progresses reports whether the reading may still end. What an owner that was lost
 // can't tell is taken for granted once.
 func (p *patience) progresses() bool {
 	_, progress := p.t.place.Remaining(p.ctx)
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -69,6 +69,8 @@
 	return after + time.Duration(rand.Float64()*spreadReturns*float64(after))
 }
 
+// spreadReturns is the part of the time to a return over which returns are spread: callers
+// that were refused in one burst would make the next one otherwise.
 const spreadReturns = 0.5
 
 // maxPrefills bounds the engines that one prompt is sent to for reading.
--- a/coordination/occupancy/book.go
+++ b/coordination/occupancy/book.go
@@ -2,7 +2,7 @@
 // way there, so that a host knows of the others' work before it adds its own.
 //
 // The owner of an engine's count is chosen by rendezvous hashing over the hosts'
-// addresses. Counts and forecasts only help to place requests: while a owner is lost,
+// addresses. Counts and forecasts only help to place requests: while an owner is lost,
 // new or known to some hosts only, requests are placed less well, and no answer is
 // wrong.
 package occupancy
@@ -47,7 +47,7 @@
 	Warm bool
 }
 
-// Answer is a owner's answer to an Ask.
+// Answer is an owner's answer to an Ask.
 type Answer struct {
 	// ID names the place; 0 if none was given.
 	ID uint64
--- a/coordination/occupancy/gate.go
+++ b/coordination/occupancy/gate.go
@@ -22,7 +22,7 @@
 	maxOwners = 16
 	minOwners = 4
 	// enterTimeout is some round trips between failure domains (2.8 ms) behind two
-	// or three bodies on a slow link (7 ms each): a owner that takes longer is dark or
+	// or three bodies on a slow link (7 ms each): an owner that takes longer is dark or
 	// held up, and the next one answers sooner.
 	enterTimeout = 25 * time.Millisecond
 	// maxOwnersAsked bounds the owners that are asked for one place: the next one by
@@ -251,7 +251,7 @@
 	return order
 }
 
-// avoid passes over a owner that didn't answer, for longer each time.
+// avoid passes over an owner that didn't answer, for longer each time.
 func (g *Gate) avoid(owner string, cause error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -265,7 +265,7 @@
 	g.o.Log.Info("owner of counts not reached", "owner", owner, "avoided", pause, "failures", a.failures+1, "cause", cause.Error())
 }
 
-// trust forgets the failures of a owner that answers.
+// trust forgets the failures of an owner that answers.
 func (g *Gate) trust(owner string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/coordination/occupancy/gate_test.go
+++ b/coordination/occupancy/gate_test.go
@@ -248,7 +248,7 @@
 		if v.Place.owner != gates[0].o.Self {
 			n.lost[v.Place.owner] = true
 			_, progress = v.Place.Remaining(t.Context())
-			is.Equal(progress, backlog.Unknown) // a owner that is lost says nothing of the engine
+			is.Equal(progress, backlog.Unknown) // an owner that is lost says nothing of the engine
 			n.lost[v.Place.owner] = false
 		}
 	}
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -76,10 +76,10 @@
 	KindRemain Kind = 14
 	// KindNotice tells something that is meant for all hosts.
 	KindNotice Kind = 15
-	// KindPing asks a host whether it is there, or to ask another one.
-	KindPing Kind = 17
 	// KindReport tells the owner of an engine's count that the engine doesn't answer.
 	KindReport Kind = 16
+	// KindPing asks a host whether it is there, or to ask another one.
+	KindPing Kind = 17
 )
 
 // FrameType tells how a frame's body is meant.
