Log what each request asks by its digest, and which runners crashed under which

Cause: to tell the hypotheses apart one must see whether the runners that end ran the same content, and how often one host sent it. The log named attempts of callers only, and a runner that crashed looked like one that was cut off.

--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -6,7 +6,9 @@
 	"io"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/coordination/quarantine"
 )
 
 // attempt sends the request to one runner. It returns an answer, or how the attempt
@@ -57,6 +59,7 @@
 	if err != nil {
 		resp.Cut()
 		d.noteBroken(ctx, runner)
+		d.noteWork(ctx, a.Request, runner, rec, true)
 		rec.add(a.Instance, "run", outcomeUnknown, took, err)
 		return nil, outcomeUnknown
 	}
@@ -89,6 +92,7 @@
 	}
 	rec.noteRun()
 	rec.mayHaveRun = true
+	d.noteWork(ctx, a.Request, runner, rec, false)
 	rec.add(a.Instance, part, outcomeUnknown, took, err)
 	return outcomeUnknown
 }
@@ -102,6 +106,16 @@
 	}
 }
 
+// noteWork notes that the request broke off at the runner, which may have crashed under
+// it; begun says that a part of the answer had arrived. That this host or the caller broke
+// it off says nothing.
+func (d *Dispatcher) noteWork(ctx context.Context, r *Request, runner *placement.Runner, rec *record, begun bool) {
+	if ctx.Err() != nil {
+		return
+	}
+	d.o.Crashes.Broke(runner.Instance, crash.Work{Suspect: quarantine.Suspect{Digest: rec.digest, Begun: begun}, RequestID: r.ID})
+}
+
 // noteRefused counts a refusal against the runner. One that is not the run that was meant
 // is asked for: it may be gone, with another at its address.
 func (d *Dispatcher) noteRefused(runner *placement.Runner, head *Head) {
--- a/coordination/forward/backup.go
+++ b/coordination/forward/backup.go
@@ -146,7 +146,7 @@
 	r, from, backup := s.a.Request, s.a, s.a.Backup
 	dark := s.watch != nil && s.watch.dark.Load()
 	s.drop()
-	s.d.noteBroken(s.ctx, s.runner)
+	s.broken()
 	s.rec.add(from.Instance, "run", outcomeUnknown, s.d.o.Clock.Now().Sub(s.started), cause)
 	if backup == nil || s.lastID == "" || s.moves >= mostMoves || !s.d.o.Placer.Has(backup.ID) {
 		return false
--- /dev/null
+++ b/coordination/forward/broken_test.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+// Work that breaks off at a runner is told, with whether its answer had begun; what this
+// host or the caller ended isn't.
+func TestWorkThatBreaksOffIsTold(t *testing.T) {
+	const begun, unbegun = "begun", "unbegun"
+	for name, c := range map[string]struct {
+		request *Request
+		replies []reply
+		want    []string
+	}{
+		"a call, before its answer":        {request(state.RouteUnsafe, 1, false), []reply{{err: errSent}}, []string{unbegun}},
+		"a call, in its answer":            {request(state.RouteUnsafe, 1, false), []reply{{status: 200, body: "do", readErr: io.ErrUnexpectedEOF}}, []string{begun}},
+		"a call at two runners":            {request(state.RouteSafe, 2, false), []reply{{err: errSent}, {err: errSent}}, []string{unbegun, unbegun}},
+		"a stream, before its first event": {modelRequest(200, false), []reply{{status: 200, events: true, readErr: errors.New("reset")}}, []string{unbegun}},
+		"a stream, after its first event":  {onceStream(), []reply{{status: 200, events: true, body: "id: 1\ndata: x\n\n", readErr: errors.New("reset")}}, []string{begun}},
+		"a prompt that was being read":     {modelRequest(2000, false), []reply{{err: errSent}, {status: 200, body: "h"}, {status: 200, events: true, body: "id: 1\ndata: x\n\n"}}, []string{unbegun}},
+		"nothing was sent":                 {request(state.RouteUnsafe, 1, false), []reply{{err: errUnsent}, {status: 200}}, nil},
+		"refused":                          {request(state.RouteUnsafe, 1, false), []reply{{status: 503, notRun: true}}, nil},
+		"answered":                         {request(state.RouteUnsafe, 1, false), []reply{{status: 500}}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, plenty, c.replies...)
+			if answer, err := w.Forward(t.Context(), c.request); err == nil && answer.Stream != nil {
+				_, _ = readAll(answer.Stream)
+			}
+			var got []string
+			for _, work := range w.broken.work {
+				is.Equal(work.RequestID, c.request.ID)
+				if work.Begun {
+					got = append(got, begun)
+				} else {
+					got = append(got, unbegun)
+				}
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+func onceStream() *Request {
+	r := modelRequest(200, false)
+	r.Route.MaxAttempts = 1
+	return r
+}
+
+func TestWorkThatTheCallerEndedIsNotTold(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{hang: true})
+	ctx, leave := context.WithCancel(t.Context())
+	time.AfterFunc(10*time.Millisecond, leave)
+	_, err := w.Forward(ctx, request(state.RouteUnsafe, 1, false))
+	is.True(err != nil)
+	is.Equal(len(w.broken.work), 0)
+}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -6,8 +6,10 @@
 	"log/slog"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -53,6 +55,12 @@
 	Silent(id state.InstanceID)
 }
 
+// Crashes is told of work that broke off at a runner without its end.
+type Crashes interface {
+	// Broke doesn't wait.
+	Broke(i *state.Instance, w crash.Work)
+}
+
 // Options configure a Dispatcher. All fields are required.
 type Options struct {
 	Upstream Upstream
@@ -61,6 +69,7 @@
 	Budget   Budget
 	Observer Observer
 	Outliers Outliers
+	Crashes  Crashes
 	Clock    state.Clock
 	Log      *slog.Logger
 	// SplitTokens is the prompt size from which a prompt is read at a prefill
@@ -77,7 +86,7 @@
 
 // New validates the options.
 func New(o Options) (*Dispatcher, error) {
-	if o.Upstream == nil || o.Placer == nil || o.Gate == nil || o.Budget == nil || o.Observer == nil || o.Outliers == nil || o.Clock == nil || o.Log == nil {
+	if o.Upstream == nil || o.Placer == nil || o.Gate == nil || o.Budget == nil || o.Observer == nil || o.Outliers == nil || o.Crashes == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("forward: a field of Options is nil; set all of them")
 	}
 	return &Dispatcher{o: o}, nil
@@ -102,7 +111,7 @@
 	if r.Generation != nil {
 		d.sizes.note(r.Service, r.Generation.PromptTokens)
 	}
-	rec := &record{}
+	rec := &record{digest: quarantine.DigestOf(r.content())}
 	answer, err := d.serve(ctx, r, rec)
 	if err != nil && rec.failed != nil {
 		answer, err = rec.failed, nil
@@ -137,7 +146,7 @@
 	attrs := []slog.Attr{
 		slog.String("request_id", r.ID), slog.String("route", r.Route.Name), slog.String("service", r.Service),
 		slog.Uint64("config_version", r.ConfigVersion), slog.Int64("took_ms", d.o.Clock.Now().Sub(r.ArrivedAt).Milliseconds()), slog.String("turn", string(rec.turn)),
-		slog.Int("status", status), slog.Any("sendings", rec),
+		slog.Int("status", status), slog.String("digest", rec.digest.String()), slog.Any("sendings", rec),
 	}
 	if g := r.Generation; g != nil {
 		attrs = append(attrs, slog.Int("prompt_tokens", g.PromptTokens), slog.Int("max_output", g.MaxOutput))
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/state"
@@ -246,6 +247,19 @@
 	s.ids = append(s.ids, id)
 }
 
+// brokenWork notes the work that broke off.
+type brokenWork struct {
+	mu   sync.Mutex
+	work []crash.Work
+}
+
+// Broke implements Crashes.
+func (b *brokenWork) Broke(_ *state.Instance, w crash.Work) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.work = append(b.work, w)
+}
+
 // world is a dispatcher with its fakes and five runners of each kind.
 type world struct {
 	*Dispatcher
@@ -254,6 +268,7 @@
 	gate  *scriptedGate
 	// silent are the runners that were told to be.
 	silent *silentRunners
+	broken *brokenWork
 }
 
 func newWorld(t *testing.T, budget int, replies ...reply) *world {
@@ -269,15 +284,15 @@
 	}
 	fleet.Update(list)
 	gate := newScriptedGate(t)
-	silent := &silentRunners{}
+	silent, broken := &silentRunners{}, &brokenWork{}
 	d, err := New(Options{
-		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: silent, Clock: clocktest.Bubble{},
+		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: silent, Crashes: broken, Clock: clocktest.Bubble{},
 		Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &world{d, up, fleet, gate, silent}
+	return &world{d, up, fleet, gate, silent, broken}
 }
 
 // readingAsks counts the questions for a place to read.
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -45,7 +46,9 @@
 
 // record is what became of one request. One goroutine uses it at a time.
 type record struct {
-	steps []step
+	// digest is that of the request, the same for each of its copies.
+	digest quarantine.Digest
+	steps  []step
 	// sends counts what draws on the route's attempts.
 	sends int
 	// arrivals counts what runners got of the request, refused sendings among them;
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -54,6 +55,8 @@
 // Request is one request of a caller.
 type Request struct {
 	ID string
+	// Caller is the credential that the caller shows; "" for none.
+	Caller string
 	// Method, URI and Host are as the caller sent them.
 	Method, URI, Host string
 	// Headers go on unchanged.
@@ -74,6 +77,11 @@
 	Engine *state.EngineSpec
 }
 
+// content is what makes the request the same as another.
+func (r *Request) content() quarantine.Content {
+	return quarantine.Content{Caller: r.Caller, Method: r.Method, Host: r.Host, URI: r.URI, Body: r.Body}
+}
+
 // Class is a kind of request, as measures tell them apart. A configuration has few.
 type Class struct {
 	Service  string
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -85,6 +85,7 @@
 		return nil
 	}
 	a := &Attempt{Request: r, Instance: runner.Instance, Left: d.left(r), PrefillOnly: true, Rank: t.forecast.Rank, FetchFrom: d.keepsParts(r, t)}
+	outer := ctx
 	ctx, p := d.patience(ctx, r, t)
 	defer p.end()
 	started := d.o.Clock.Now()
@@ -107,6 +108,9 @@
 		if ctx.Err() == nil || p.dark.Load() {
 			runner.Broken()
 			d.o.Outliers.Silent(runner.Instance.ID)
+			if sendError(err).Sent {
+				d.noteWork(outer, r, runner, rec, false)
+			}
 		}
 		rec.add(a.Instance, part, outcomeUnknown, took, err)
 		return nil
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -75,6 +75,7 @@
 	if err != nil {
 		s.drop()
 		d.noteBroken(ctx, runner)
+		d.noteWork(ctx, a.Request, runner, rec, false)
 		rec.add(a.Instance, "run", outcomeUnknown, took, err)
 		return nil, outcomeUnknown
 	}
@@ -179,7 +180,7 @@
 func (s *Stream) resume(cause error) bool {
 	r := s.a.Request
 	s.drop()
-	s.d.noteBroken(s.ctx, s.runner)
+	s.broken()
 	s.rec.add(s.a.Instance, "run", outcomeUnknown, s.d.o.Clock.Now().Sub(s.started), cause)
 	for s.d.over(s.ctx, r, s.rec) == nil && s.d.mayRepeat(r, s.rec) {
 		c, err := s.d.choose(s.ctx, r, s.rec)
@@ -193,6 +194,12 @@
 	return false
 }
 
+// broken notes that the present run broke off.
+func (s *Stream) broken() {
+	s.d.noteBroken(s.ctx, s.runner)
+	s.d.noteWork(s.ctx, s.a.Request, s.runner, s.rec, true)
+}
+
 func (s *Stream) resumeAt(c choice) bool {
 	return s.resumeWith(&Attempt{Request: s.a.Request, Instance: c.Instance, LastEventID: s.lastID, Rank: c.rank(s.a.Request)}, c)
 }
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -161,6 +161,21 @@
 	return r != nil && !r.Instance.Draining
 }
 
+// Replaced reports whether another instance, or a later run of the same, is listed at the
+// instance's address.
+func (f *Fleet) Replaced(i *state.Instance) bool {
+	v := f.view.Load()
+	if v.byID[i.ID] != nil {
+		return false
+	}
+	for id, r := range v.byID {
+		if r.Instance.Addr == i.Addr && id != i.ID {
+			return true
+		}
+	}
+	return false
+}
+
 // Call chooses a runner for a call of a plain service: the one with the shortest
 // expected wait. tried names instances that are not to be chosen again. It
 // returns nil when there is none.
--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -52,6 +52,23 @@
 	})
 }
 
+func TestRunIsReplacedByWhatIsListedAtItsAddress(t *testing.T) {
+	is := is.New(t)
+	f := NewFleet(Options{Clock: clocktest.Bubble{}})
+	at := func(name string, born int64, addr string) state.Instance {
+		return state.Instance{ID: state.InstanceID{Name: name, Born: born}, Service: "s", Addr: addr}
+	}
+	run := at("e", 1, "a:1")
+	f.Update([]state.Instance{run, at("f", 1, "b:1")})
+	is.True(!f.Replaced(&run)) // it is there itself
+	f.Update([]state.Instance{at("f", 1, "b:1")})
+	is.True(!f.Replaced(&run)) // gone, for all that is known
+	f.Update([]state.Instance{at("e", 2, "a:1")})
+	is.True(f.Replaced(&run))
+	f.Update([]state.Instance{at("g", 1, "a:1")})
+	is.True(f.Replaced(&run))
+}
+
 func TestHostsAgreeOnASessionsEngine(t *testing.T) {
 	is := is.New(t)
 	a, b := newFleet("d0", 9, state.RolePrefill), newFleet("d1", 9, state.RolePrefill)
--- /dev/null
+++ b/coordination/quarantine/digest_test.go
@@ -0,0 +1,56 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestDigestIsThatOfTheContent(t *testing.T) {
+	is := is.New(t)
+	c := Content{Caller: "key", Method: "POST", Host: "h", URI: "/a/b", Body: []byte("body")}
+	same := c
+	same.Body = []byte("body")
+	is.Equal(DigestOf(c), DigestOf(same))
+	for name, change := range map[string]func(*Content){
+		"caller": func(c *Content) { c.Caller = "other" },
+		"method": func(c *Content) { c.Method = "PUT" },
+		"host":   func(c *Content) { c.Host = "h2" },
+		"uri":    func(c *Content) { c.URI = "/a/b?x" },
+		"body":   func(c *Content) { c.Body = []byte("body ") },
+		// The parts together are the same bytes.
+		"a border between parts": func(c *Content) { c.Host, c.URI = "h/", "a/b" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			other := c
+			change(&other)
+			is.New(t).True(DigestOf(c) != DigestOf(other))
+		})
+	}
+}
+
+func TestDigestIsReadBack(t *testing.T) {
+	is := is.New(t)
+	d := DigestOf(Content{URI: "/a"})
+	got, err := ParseDigest(d.String())
+	is.NoErr(err)
+	is.Equal(got, d)
+	for _, wrong := range []string{"", "zz", d.String()[2:], d.String() + "00"} {
+		_, err := ParseDigest(wrong)
+		is.True(err != nil)
+	}
+}
+
+// Measured in ns, bytes and allocations for each request.
+func BenchmarkDigest(b *testing.B) {
+	for _, size := range []int{0, 440, 18_000, 4 << 20} {
+		c := Content{Method: "POST", Host: "fleet.example", URI: "/migo720/6f/628f", Body: make([]byte, size)}
+		b.Run(fmt.Sprint(size, " bytes"), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				DigestOf(c)
+			}
+		})
+	}
+}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
+	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/fanout"
 	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/forward"
@@ -65,7 +66,9 @@
 	looker *liveness.Looker
 	// outliers finds runners that don't answer, until ended.
 	outliers *outlier.Detector
-	ended    context.CancelFunc
+	// crashes finds runners that crashed, until ended.
+	crashes *crash.Detector
+	ended   context.CancelFunc
 	// gate counts prompts over all hosts.
 	gate *occupancy.Gate
 }
@@ -206,7 +209,7 @@
 	}
 	dispatcher, err := forward.New(forward.Options{
 		Upstream: h.pool, Placer: h.fleet, Gate: h.gate, Budget: budget, Clock: h.clock, Log: h.log, SplitTokens: h.o.SplitTokens,
-		Observer: h.metrics, Outliers: h.outliers,
+		Observer: h.metrics, Outliers: h.outliers, Crashes: h.crashes,
 	})
 	if err != nil {
 		return err
--- a/daemon/routed/measures.go
+++ b/daemon/routed/measures.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/forward"
 )
 
@@ -74,6 +75,14 @@
 	m.set.GetOrCreateCounter("thymerack_unusable_entries_total").Inc()
 }
 
+// crashed counts a runner that crashed, and what this host had there.
+func (m *measures) crashed(r crash.Report) {
+	if !r.Late {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_runners_crashed_total{service=%q}`, r.Instance.Service)).Inc()
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_crashed_requests_total{service=%q}`, r.Instance.Service)).Add(len(r.Work))
+}
+
 // gauge reports a value that is read when the metrics are.
 func (m *measures) gauge(name string, read func() float64) { m.set.NewGauge(name, read) }
 
--- a/daemon/routed/peers.go
+++ b/daemon/routed/peers.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/fanout"
 	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/liveness"
@@ -101,7 +102,20 @@
 	}
 	outliers.Register(h.peerServer, h.outliers.Take)
 	outliers.Subscribe(h.fanout, h.judge, h.log)
-	return nil
+	return h.buildCrashes(ctx)
+}
+
+// buildCrashes notes the runners that crash, until ctx ends.
+func (h *Host) buildCrashes(ctx context.Context) error {
+	var err error
+	h.crashes, err = crash.New(ctx, crash.Options{
+		Probe:    func(ctx context.Context, i *state.Instance) crash.Fate { return h.pool.Probe(ctx, i) },
+		Listed:   func(i *state.Instance) bool { return h.fleet.Has(i.ID) },
+		Replaced: h.fleet.Replaced,
+		Crashed:  func(r crash.Report) { h.metrics.crashed(r) },
+		Clock:    h.clock, Log: h.log,
+	})
+	return err
 }
 
 // judge takes the word of the hosts on a runner.
--- a/transport/runners/pool.go
+++ b/transport/runners/pool.go
@@ -8,10 +8,12 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/httpclient"
@@ -185,9 +187,23 @@
 
 // Alive implements forward.Upstream.
 func (p *Pool) Alive(ctx context.Context, i *state.Instance) bool {
+	return p.Probe(ctx, i) == crash.Alive
+}
+
+// Probe asks a run whether it is there. It has ended if nobody listens at its address, or
+// if another run answers there.
+func (p *Pool) Probe(ctx context.Context, i *state.Instance) crash.Fate {
 	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
 	p.o.Codec.EncodeProbe(i.ID, req)
-	return p.Do(ctx, i, req, resp, moveTimeout) == nil && p.o.Codec.DecodeProbe(resp, i.ID)
+	err := p.Do(ctx, i, req, resp, moveTimeout)
+	switch {
+	case err == nil && p.o.Codec.DecodeProbe(resp, i.ID):
+		return crash.Alive
+	case err == nil, errors.Is(err, syscall.ECONNREFUSED):
+		return crash.Ended
+	default:
+		return crash.Silent
+	}
 }
 
 // Do makes a call of the system's own at an instance and reads the whole answer.
--- a/transport/runners/pool_test.go
+++ b/transport/runners/pool_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/state"
 )
@@ -38,7 +39,9 @@
 
 func (testCodec) EncodeProbe(state.InstanceID, *fasthttp.Request) {}
 
-func (testCodec) DecodeProbe(*fasthttp.Response, state.InstanceID) bool { return true }
+func (testCodec) DecodeProbe(resp *fasthttp.Response, _ state.InstanceID) bool {
+	return resp.StatusCode() != fasthttp.StatusMisdirectedRequest
+}
 
 func (testCodec) EncodeDiscard(handle string, req *fasthttp.Request) {
 	req.Header.SetMethod("DELETE")
@@ -288,6 +291,37 @@
 }
 
 // A runner that restarts under its name gets connections of its own.
+func TestProbeTellsARunThatEndedFromOneThatIsSilent(t *testing.T) {
+	answer := func(status string) func(net.Conn, *bufio.Reader) {
+		return func(c net.Conn, br *bufio.Reader) {
+			requestOf(br)
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+		}
+	}
+	nobody, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing := nobody.Addr().String()
+	_ = nobody.Close()
+	for name, c := range map[string]struct {
+		addr string
+		want crash.Fate
+	}{
+		"answers":                  {newRunner(t, answer("200 OK")).addr, crash.Alive},
+		"another run answers":      {newRunner(t, answer("421 Misdirected")).addr, crash.Ended},
+		"nobody listens":           {refusing, crash.Ended},
+		"says nothing":             {newRunner(t, func(_ net.Conn, br *bufio.Reader) { _, _ = br.ReadByte(); _, _ = br.Peek(1 << 10) }).addr, crash.Silent},
+		"closes without an answer": {newRunner(t, func(_ net.Conn, br *bufio.Reader) { requestOf(br) }).addr, crash.Silent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			is.New(t).Equal(newPool(t, 4).Probe(ctx, &state.Instance{ID: state.InstanceID{Name: "i"}, Addr: c.addr}), c.want)
+		})
+	}
+}
+
 func TestConnectionsOfAFormerRunAreClosed(t *testing.T) {
 	is := is.New(t)
 	accepted := make(chan struct{}, 2)
