--- a/coordination/crash/crash.go
+++ b/coordination/crash/crash.go
@@ -43,17 +43,10 @@
 	Ended
 )
 
-// Work is a request that broke off at a runner.
-type Work struct {
-	quarantine.Suspect
-	// RequestID is that of the caller's attempt.
-	RequestID string
-}
-
 // Report is a crash of a run with all that this host had there.
 type Report struct {
 	Instance *state.Instance
-	Work     []Work
+	Suspects []quarantine.Suspect
 	// Late says that the crash was reported before, and that this is work found since.
 	Late bool
 }
@@ -83,7 +76,8 @@
 // inquiry is what is asked of one run.
 type inquiry struct {
 	instance *state.Instance
-	work     []Work
+	// work broke off there and wasn't reported yet.
+	work []quarantine.Suspect
 	// endedAt is when the run was found to have ended; zero before.
 	endedAt time.Time
 }
@@ -97,7 +91,7 @@
 }
 
 // Broke notes that work broke off at a runner without its end. It doesn't wait.
-func (d *Detector) Broke(i *state.Instance, w Work) {
+func (d *Detector) Broke(i *state.Instance, w quarantine.Suspect) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if q := d.runs[i.ID]; q != nil {
@@ -108,7 +102,7 @@
 	if d.ctx.Err() != nil || !d.o.Listed(i) {
 		return
 	}
-	q := &inquiry{instance: i, work: []Work{w}}
+	q := &inquiry{instance: i, work: []quarantine.Suspect{w}}
 	d.runs[i.ID] = q
 	go d.inquire(q)
 }
@@ -162,7 +156,7 @@
 		return
 	}
 	d.o.Log.Info("runner crashed", "instance", q.instance.ID, "service", q.instance.Service, "late", late, "requests", len(work), "work", describe(work))
-	d.o.Crashed(Report{Instance: q.instance, Work: work, Late: late})
+	d.o.Crashed(Report{Instance: q.instance, Suspects: work, Late: late})
 }
 
 func (d *Detector) forget(q *inquiry) {
@@ -175,7 +169,7 @@
 const mostDescribed = 20
 
 // describe names requests by their ids and digests, those first whose answer hadn't begun.
-func describe(work []Work) []string {
+func describe(work []quarantine.Suspect) []string {
 	var unbegun, begun []string
 	for _, w := range work {
 		text := w.RequestID + "=" + w.Digest.String()
--- a/coordination/crash/crash_test.go
+++ b/coordination/crash/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -60,20 +61,27 @@
 	return w
 }
 
-func read(w *world, what *bool) bool {
+func read[T any](w *world, what *T) T {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return *what
 }
 
+// reported are the reports so far.
+func (w *world) reported() []Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.reports)
+}
+
 func (w *world) set(change func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	change()
 }
 
-func work(n byte, begun bool) Work {
-	return Work{Suspect: quarantine.Suspect{Digest: quarantine.Digest{n}, Begun: begun}, RequestID: string('a' + rune(n))}
+func work(n byte, begun bool) quarantine.Suspect {
+	return quarantine.Suspect{Digest: quarantine.Digest{n}, RequestID: string('a' + rune(n)), Begun: begun}
 }
 
 func TestCrashIsReportedWithAllThatRan(t *testing.T) {
@@ -83,16 +91,16 @@
 		w.Broke(runner, work(1, false))
 		w.Broke(runner, work(2, true))
 		time.Sleep(gather + time.Millisecond)
-		is.Equal(len(w.reports), 1)
-		is.Equal(w.reports[0].Work, []Work{work(1, false), work(2, true)})
-		is.True(!w.reports[0].Late)
+		is.Equal(len(w.reported()), 1)
+		is.Equal(w.reported()[0].Suspects, []quarantine.Suspect{work(1, false), work(2, true)})
+		is.True(!w.reported()[0].Late)
 		w.Broke(runner, work(3, false)) // its connection ended later
 		time.Sleep(lateFor)
-		is.Equal(len(w.reports), 2)
-		is.Equal(w.reports[1].Work, []Work{work(3, false)})
-		is.True(w.reports[1].Late)
-		is.Equal(w.probes, 1)
+		is.Equal(len(w.reported()), 2)
+		is.Equal(w.reported()[1].Suspects, []quarantine.Suspect{work(3, false)})
+		is.True(w.reported()[1].Late)
 		synctest.Wait()
+		is.Equal(read(w, &w.probes), 1)
 		is.Equal(len(w.runs), 0) // nothing is kept
 	})
 }
@@ -120,7 +128,7 @@
 				}
 				time.Sleep(askFor + lateFor)
 				synctest.Wait()
-				is.Equal(len(w.reports), c.crashes)
+				is.Equal(len(w.reported()), c.crashes)
 				is.Equal(len(w.runs), 0)
 			})
 		})
@@ -134,7 +142,7 @@
 		w.listed = false
 		w.Broke(runner, work(1, false))
 		time.Sleep(askFor)
-		is.Equal(len(w.reports), 0)
-		is.Equal(w.probes, 0)
+		is.Equal(len(w.reported()), 0)
+		is.Equal(read(w, &w.probes), 0)
 	})
 }
--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"time"
 
-	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 )
@@ -70,6 +69,7 @@
 		rec.add(a.Instance, "run", outcomeFailed, took, nil)
 	} else {
 		runner.Answered(took)
+		d.o.Quarantine.Answered(rec.digest)
 		rec.add(a.Instance, "run", outcomeAnswered, took, nil)
 	}
 	return &Answer{Head: head, Body: body}, outcomeAnswered
@@ -113,7 +113,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	d.o.Crashes.Broke(runner.Instance, crash.Work{Suspect: quarantine.Suspect{Digest: rec.digest, Begun: begun}, RequestID: r.ID})
+	d.o.Crashes.Broke(runner.Instance, quarantine.Suspect{Digest: rec.digest, RequestID: r.ID, Begun: begun})
 }
 
 // noteRefused counts a refusal against the runner. One that is not the run that was meant
--- a/coordination/forward/backup.go
+++ b/coordination/forward/backup.go
@@ -151,7 +151,7 @@
 	if backup == nil || s.lastID == "" || s.moves >= mostMoves || !s.d.o.Placer.Has(backup.ID) {
 		return false
 	}
-	if s.d.over(s.ctx, r, s.rec) != nil || !s.d.pay(r, s.rec) {
+	if s.d.held(r, s.rec) != nil || s.d.over(s.ctx, r, s.rec) != nil || !s.d.pay(r, s.rec) {
 		return false
 	}
 	s.moves++
--- a/coordination/forward/crashes_test.go
+++ b/coordination/forward/crashes_test.go
@@ -16,7 +16,10 @@
 
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/crash"
+	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/coordination/quarantine"
+	"github.com/thymerack/thymerack/coordination/store/storetest"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -51,6 +54,7 @@
 type crashFleet struct {
 	t       *testing.T
 	rng     *rand.Rand
+	store   *storetest.Platform
 	hosts   []*crashHost
 	engines []*crashEngine
 
@@ -67,6 +71,7 @@
 	f     *crashFleet
 	name  string
 	fleet *placement.Fleet
+	*quarantine.Keeper
 }
 
 // crashEngine is one engine; its run ends with ended.
@@ -85,7 +90,7 @@
 
 func newCrashFleet(t *testing.T, seed uint64, hosts int) *crashFleet {
 	t.Helper()
-	f := &crashFleet{t: t, rng: rand.New(rand.NewPCG(seed, 1))}
+	f := &crashFleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), store: storetest.NewPlatform(20 * time.Second)}
 	for n := range 12 {
 		e := &crashEngine{name: fmt.Sprint("p", n), role: state.RolePrefill, born: 1, up: true, ended: make(chan struct{})}
 		if n < 4 {
@@ -104,19 +109,20 @@
 	f.t.Helper()
 	h := &crashHost{f: f, name: name, fleet: placement.NewFleet(placement.Options{Clock: clocktest.Bubble{}, FailureDomain: "d1"})}
 	up := &crashUpstream{h}
+	h.keep()
 	crashes, err := crash.New(f.t.Context(), crash.Options{
 		Probe:    up.probe,
 		Listed:   func(i *state.Instance) bool { return h.fleet.Has(i.ID) },
 		Replaced: h.fleet.Replaced,
-		Crashed:  func(crash.Report) {},
+		Crashed:  func(r crash.Report) { h.Note(r.Instance.ID, time.Now(), r.Suspects) },
 		Clock:    clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	h.Dispatcher, err = New(Options{
-		Upstream: up, Placer: h.fleet, Gate: newScriptedGate(f.t), Budget: &countingBudget{1 << 30}, Observer: noObserver{},
-		Outliers: &silentRunners{}, Crashes: crashes, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
+		Upstream: up, Placer: h.fleet, Gate: newScriptedGate(f.t).Gate, Budget: anyBudget{}, Observer: noObserver{},
+		Outliers: &silentRunners{}, Crashes: crashes, Quarantine: h.Keeper, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
 		f.t.Fatal(err)
@@ -124,6 +130,44 @@
 	return h
 }
 
+// anyBudget allows every repeat.
+type anyBudget struct{}
+
+func (anyBudget) Seen(string) {}
+
+func (anyBudget) Allow(string) bool { return true }
+
+// noticeTime is the way of a notice to the other hosts.
+const noticeTime = 5 * time.Millisecond
+
+// keep gives the host its part of the quarantine: notices reach all hosts, and the store's
+// entries come by a copy of its own.
+func (h *crashHost) keep() {
+	h.f.t.Helper()
+	client := h.f.store.Client(h.name)
+	var err error
+	h.Keeper, err = quarantine.New(quarantine.Options{
+		Host: h.name, Table: quarantine.NewTable(clocktest.Bubble{}), Store: client, FollowsStore: func() bool { return true },
+		Publish: func(n quarantine.Notice) {
+			for _, to := range h.f.hosts {
+				time.AfterFunc(noticeTime, func() { to.Take(n) })
+			}
+		},
+		Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		h.f.t.Fatal(err)
+	}
+	mirror, err := follow.New(follow.Options{
+		Store: client, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), Kind: quarantine.Kind, Changed: h.Changed, Outage: &follow.Outage{},
+	})
+	if err != nil {
+		h.f.t.Fatal(err)
+	}
+	go h.Run(h.f.t.Context())
+	go mirror.Run(h.f.t.Context())
+}
+
 // list puts the present engines in the hosts' lists.
 func (f *crashFleet) list() {
 	f.mu.Lock()
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/quarantine"
@@ -42,6 +41,8 @@
 	// Read notes how long the reading of a prompt took, waiting included, against what
 	// was predicted of it.
 	Read(service string, predicted, took time.Duration)
+	// Held notes a sending that the quarantine kept from the runners.
+	Held(service string)
 }
 
 // Gate gives places at engines, counted over all hosts.
@@ -58,7 +59,15 @@
 // Crashes is told of work that broke off at a runner without its end.
 type Crashes interface {
 	// Broke doesn't wait.
-	Broke(i *state.Instance, w crash.Work)
+	Broke(i *state.Instance, w quarantine.Suspect)
+}
+
+// Quarantine knows the requests that crash what runs them.
+type Quarantine interface {
+	// Held returns why a request may reach no runner, or nil.
+	Held(d quarantine.Digest) *quarantine.Hold
+	// Answered notes that a runner has answered the request whole.
+	Answered(d quarantine.Digest)
 }
 
 // Options configure a Dispatcher. All fields are required.
@@ -70,8 +79,10 @@
 	Observer Observer
 	Outliers Outliers
 	Crashes  Crashes
-	Clock    state.Clock
-	Log      *slog.Logger
+	// Quarantine is asked before each sending.
+	Quarantine Quarantine
+	Clock      state.Clock
+	Log        *slog.Logger
 	// SplitTokens is the prompt size from which a prompt is read at a prefill
 	// engine and its KV cache handed on.
 	SplitTokens int
@@ -86,7 +97,7 @@
 
 // New validates the options.
 func New(o Options) (*Dispatcher, error) {
-	if o.Upstream == nil || o.Placer == nil || o.Gate == nil || o.Budget == nil || o.Observer == nil || o.Outliers == nil || o.Crashes == nil || o.Clock == nil || o.Log == nil {
+	if o.Upstream == nil || o.Placer == nil || o.Gate == nil || o.Budget == nil || o.Observer == nil || o.Outliers == nil || o.Crashes == nil || o.Quarantine == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("forward: a field of Options is nil; set all of them")
 	}
 	return &Dispatcher{o: o}, nil
@@ -107,11 +118,15 @@
 // Forward sends the request and returns its answer. The error is a *Refusal. ctx
 // ends at the request's deadline or when the caller leaves.
 func (d *Dispatcher) Forward(ctx context.Context, r *Request) (*Answer, error) {
+	rec := &record{digest: quarantine.DigestOf(r.content())}
+	if err := d.held(r, rec); err != nil {
+		d.log(ctx, r, rec, 0, err)
+		return nil, err
+	}
 	d.o.Budget.Seen(r.Service)
 	if r.Generation != nil {
 		d.sizes.note(r.Service, r.Generation.PromptTokens)
 	}
-	rec := &record{digest: quarantine.DigestOf(r.content())}
 	answer, err := d.serve(ctx, r, rec)
 	if err != nil && rec.failed != nil {
 		answer, err = rec.failed, nil
@@ -184,6 +199,10 @@
 		if c.Runner == nil {
 			return nil, d.refuse(r, rec, ReasonNoRunner)
 		}
+		if err := d.held(r, rec); err != nil {
+			c.begin().end()
+			return nil, err
+		}
 		a := &Attempt{Request: r, Instance: c.Instance, Source: source, LastEventID: r.LastEventID, Rank: c.rank(r), FetchFrom: c.fetchFrom()}
 		answer, end := d.attempt(ctx, a, c, rec)
 		if answer != nil && !d.repeatFailure(r, rec, answer) {
@@ -204,6 +223,17 @@
 	}
 }
 
+// held returns the refusal of a request that crashes what runs it. It is asked before each
+// sending: a request may have waited for its place when that became known.
+func (d *Dispatcher) held(r *Request, rec *record) error {
+	hold := d.o.Quarantine.Held(rec.digest)
+	if hold == nil {
+		return nil
+	}
+	d.o.Observer.Held(r.Service)
+	return &Refusal{Reason: ReasonCrashes, NotRun: !rec.mayHaveRun, Cause: &HeldError{Digest: rec.digest, Crashes: len(hold.Evidence)}}
+}
+
 func reasonOf(o outcome) Reason {
 	switch o {
 	case outcomeNotRun:
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/clocktest"
-	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -247,14 +247,23 @@
 	s.ids = append(s.ids, id)
 }
 
+func (noObserver) Held(string) {}
+
+// noQuarantine holds nothing.
+type noQuarantine struct{}
+
+func (noQuarantine) Held(quarantine.Digest) *quarantine.Hold { return nil }
+
+func (noQuarantine) Answered(quarantine.Digest) {}
+
 // brokenWork notes the work that broke off.
 type brokenWork struct {
 	mu   sync.Mutex
-	work []crash.Work
+	work []quarantine.Suspect
 }
 
 // Broke implements Crashes.
-func (b *brokenWork) Broke(_ *state.Instance, w crash.Work) {
+func (b *brokenWork) Broke(_ *state.Instance, w quarantine.Suspect) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.work = append(b.work, w)
@@ -286,7 +295,7 @@
 	gate := newScriptedGate(t)
 	silent, broken := &silentRunners{}, &brokenWork{}
 	d, err := New(Options{
-		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: silent, Crashes: broken, Clock: clocktest.Bubble{},
+		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: silent, Crashes: broken, Quarantine: noQuarantine{}, Clock: clocktest.Bubble{},
 		Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -208,6 +208,8 @@
 	ReasonDeadline  Reason = "deadline_passed"
 	ReasonCancelled Reason = "caller_left"
 	ReasonOverload  Reason = "overloaded"
+	// ReasonCrashes says that runners crashed under copies of the request.
+	ReasonCrashes Reason = "crashes_runners"
 )
 
 // Refusal is the final answer to a request that no runner answered.
@@ -219,8 +221,26 @@
 	Cause      error
 }
 
+// HeldError says that a request is kept from all runners.
+type HeldError struct {
+	Digest  quarantine.Digest
+	Crashes int
+}
+
+// Error implements error.
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("%d runners crashed while they ran the same request: don't send it again unchanged; an operator can release it by its digest %s", e.Crashes, e.Digest)
+}
+
 // Error implements error.
 func (e *Refusal) Error() string {
+	if e.Reason == ReasonCrashes {
+		run := "was not run"
+		if !e.NotRun {
+			run = "got no answer and may have run"
+		}
+		return fmt.Sprintf("the request %s (%s): %v", run, e.Reason, e.Cause)
+	}
 	if e.NotRun && e.RetryAfter == 0 {
 		return fmt.Sprintf("the request was not run (%s); send it again as a new request", e.Reason)
 	}
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -31,6 +31,10 @@
 		if t.runner == nil {
 			return nil, nil
 		}
+		if err := d.held(r, rec); err != nil {
+			t.end(false)
+			return nil, err
+		}
 		tried = append(tried, t.runner.Instance.ID)
 		source := d.prefillAt(ctx, r, t, rec)
 		t.end(source != nil)
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -187,6 +187,10 @@
 		if err != nil || c.Runner == nil {
 			return false
 		}
+		if s.d.held(r, s.rec) != nil {
+			c.begin().end()
+			return false
+		}
 		if s.resumeAt(c) {
 			return true
 		}
@@ -254,6 +258,7 @@
 		s.closed = true
 		if s.eof {
 			s.resp.Finish()
+			s.d.o.Quarantine.Answered(s.rec.digest)
 			s.rec.add(s.a.Instance, "run", outcomeAnswered, took, nil)
 		} else {
 			s.resp.Cut()
--- /dev/null
+++ b/coordination/quarantine/entry.go
@@ -0,0 +1,62 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/store"
+)
+
+// Kind is the kind of the store's objects. Each is named by the digest of a request that is
+// held; an operator releases the request by deleting its object.
+const Kind = "thymerack-quarantine"
+
+const (
+	// holdFirst is how long a request is held before it may run again: time to mend the
+	// runners. Each further time lasts twice as long, up to holdLongest, so that a request
+	// which nobody mends costs a runner a day in the end.
+	holdFirst   = 10 * time.Minute
+	holdLongest = 24 * time.Hour
+	// forgetAfter is when a request that was released and did no harm is forgotten.
+	forgetAfter = 24 * time.Hour
+)
+
+// entry is an object of the store.
+type entry struct {
+	Evidence []Evidence `json:"evidence"`
+	// Times is how often the request has been held.
+	Times int `json:"times"`
+	// Released requests may run until one crashes a runner again.
+	Released bool `json:"released,omitempty"`
+}
+
+// stored is an entry as this host has it.
+type stored struct {
+	entry
+	version uint64
+	// seenAt is when this host first saw this version.
+	seenAt time.Time
+}
+
+// decodeEntry reads an object; anybody may write there.
+func decodeEntry(o store.Object) (Digest, entry, error) {
+	d, err := ParseDigest(o.Name)
+	if err != nil {
+		return Digest{}, entry{}, err
+	}
+	var e entry
+	if err := json.Unmarshal(o.Value, &e); err != nil {
+		return Digest{}, entry{}, err
+	}
+	e.Evidence = e.Evidence[:min(len(e.Evidence), mostEvidence)]
+	return d, e, nil
+}
+
+// holdFor is how long the request is held this time.
+func (e entry) holdFor() time.Duration {
+	out := holdFirst
+	for n := 1; n < e.Times && out < holdLongest; n++ {
+		out *= 2
+	}
+	return min(out, holdLongest)
+}
--- /dev/null
+++ b/coordination/quarantine/keeper_test.go
@@ -0,0 +1,327 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/store"
+	"github.com/thymerack/thymerack/coordination/store/storetest"
+)
+
+// noticeTime is the way of a notice.
+const noticeTime = 5 * time.Millisecond
+
+// fleet is hosts with a store and notices between them.
+type fleet struct {
+	t     *testing.T
+	store *storetest.Platform
+	hosts []*host
+
+	mu sync.Mutex
+	// cut hosts hear no other and aren't heard, unreachable ones don't reach the store.
+	cut, unreachable map[string]bool
+	writes           int
+	follows          int
+}
+
+type host struct {
+	*Keeper
+	name string
+	stop context.CancelFunc
+}
+
+func newFleet(t *testing.T, hosts int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: storetest.NewPlatform(20 * time.Second), cut: map[string]bool{}, unreachable: map[string]bool{}, follows: hosts}
+	f.store.SetScript(func(c storetest.Call) storetest.Fault {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if c.Op == "put" || c.Op == "delete" {
+			f.writes++
+		}
+		if f.unreachable[c.Caller] {
+			return storetest.Refuse
+		}
+		return storetest.None
+	})
+	f.mu.Lock() // no host publishes before all are there
+	for n := range hosts {
+		f.hosts = append(f.hosts, f.start(fmt.Sprint("h", n), n))
+	}
+	f.mu.Unlock()
+	time.Sleep(tick)
+	t.Cleanup(func() {
+		for _, h := range f.hosts {
+			h.stop()
+		}
+	})
+	return f
+}
+
+// start starts a host; those of a lower rank than f.follows follow the store.
+func (f *fleet) start(name string, rank int) *host {
+	f.t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	h := &host{name: name, stop: stop}
+	client := f.store.Client(name)
+	var err error
+	h.Keeper, err = New(Options{
+		Host: name, Table: NewTable(clocktest.Bubble{}), Store: client, FollowsStore: func() bool { return f.follow(rank) },
+		Publish: func(n Notice) { f.publish(h, n) }, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	mirror, err := follow.New(follow.Options{
+		Store: client, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), Kind: Kind, Changed: h.Changed, Outage: &follow.Outage{},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	go h.Run(ctx)
+	go mirror.Run(ctx)
+	return h
+}
+
+// follow reports whether hosts of that rank follow the store.
+func (f *fleet) follow(rank int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return rank < f.follows
+}
+
+// publish brings a notice to its own host at once and to the others that hear it.
+func (f *fleet) publish(from *host, n Notice) {
+	from.Take(n)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, to := range f.hosts {
+		if to != from && !f.cut[from.name] && !f.cut[to.name] {
+			time.AfterFunc(noticeTime, func() { to.Take(n) })
+		}
+	}
+}
+
+// restart replaces a host by one that knows nothing.
+func (f *fleet) restart(n int) {
+	f.hosts[n].stop()
+	h := f.start(f.hosts[n].name, n)
+	f.mu.Lock()
+	f.hosts[n] = h
+	f.mu.Unlock()
+	time.Sleep(10 * time.Millisecond)
+}
+
+// crash lets a host see a run end under requests.
+func (f *fleet) crash(host, n int, suspects ...Suspect) {
+	f.hosts[host].Note(run(n), time.Now(), suspects)
+	time.Sleep(time.Second)
+}
+
+// written counts the writes at the store.
+func (f *fleet) written() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.writes
+}
+
+// set changes what befalls hosts.
+func (f *fleet) set(state map[string]bool, is bool, hosts ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range hosts {
+		state[f.hosts[n].name] = is
+	}
+}
+
+// holders counts the hosts that hold a request.
+func (f *fleet) holders(d Digest) int {
+	n := 0
+	for _, h := range f.hosts {
+		if h.Held(d) != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) entry(d Digest) (entry, bool) {
+	o, err := f.store.Client("operator").Get(f.t.Context(), Kind, d.String())
+	if err != nil {
+		return entry{}, false
+	}
+	_, e, err := decodeEntry(o)
+	return e, err == nil
+}
+
+// play runs a scenario with so many hosts in a bubble of its own.
+func play(t *testing.T, hosts int, scenario func(is *is.I, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, hosts)
+		scenario(is.New(t), f)
+		for _, h := range f.hosts {
+			h.stop()
+		}
+	})
+}
+
+func TestAllHostsHoldARequestAfterItsSecondCrash(t *testing.T) {
+	play(t, 300, func(is *is.I, f *fleet) {
+		f.mu.Lock()
+		f.follows = 10
+		f.mu.Unlock()
+		f.crash(1, 1, unbegun(1), unbegun(2))
+		is.Equal(f.written(), 0) // an ordinary crash costs the store nothing
+		f.crash(200, 2, unbegun(1), unbegun(3))
+		is.Equal(f.holders(digest(1)), 300)
+		is.Equal(f.holders(digest(2))+f.holders(digest(3)), 0)
+		is.True(f.written() <= 2) // the two hosts that saw a crash
+		e, there := f.entry(digest(1))
+		is.True(there)
+		is.Equal(len(e.Evidence), 2)
+		is.Equal(e.Evidence[0].RequestID, "q1")
+		is.Equal(e.Evidence[0].Host, "h1")
+	})
+}
+
+func TestHeldRequestStaysHeldWhateverHappensToHosts(t *testing.T) {
+	for name, scenario := range map[string]func(f *fleet){
+		"all hosts restart": func(f *fleet) {
+			f.crash(0, 1, unbegun(1))
+			f.crash(1, 2, unbegun(1))
+			for n := range f.hosts {
+				f.restart(n)
+			}
+		},
+		"one is cut off from the others": func(f *fleet) {
+			f.set(f.cut, true, 3)
+			f.crash(0, 1, unbegun(1))
+			f.crash(1, 2, unbegun(1))
+		},
+		"each half of the hosts is cut off from the other": func(f *fleet) {
+			f.set(f.cut, true, 3) // the halves are one host and the others
+			f.crash(0, 1, unbegun(1))
+			f.crash(3, 2, unbegun(1)) // neither knows of two
+			f.crash(0, 3, unbegun(1))
+		},
+		"the store is away": func(f *fleet) {
+			f.set(f.unreachable, true, 0, 1, 2, 3, 4)
+			f.crash(0, 1, unbegun(1))
+			f.crash(1, 2, unbegun(1))
+			if f.holders(digest(1)) != 5 {
+				f.t.Error("not held while the store is away")
+			}
+			f.set(f.unreachable, false, 0, 1, 2, 3, 4)
+			time.Sleep(2 * tick)
+			f.restart(4) // it knows from the store
+		},
+		"those that saw it are killed before they can write": func(f *fleet) {
+			f.set(f.unreachable, true, 0, 1)
+			f.crash(0, 1, unbegun(1))
+			f.crash(1, 2, unbegun(1))
+			time.Sleep(standInAfter)
+			f.set(f.unreachable, false, 0, 1)
+			f.restart(0)
+			f.restart(1)
+		},
+		"the first that saw it restarts": func(f *fleet) {
+			f.crash(0, 1, unbegun(1))
+			f.restart(0)
+			f.crash(0, 2, unbegun(1)) // it has forgotten the first; the others haven't
+			time.Sleep(standInAfter + tick)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 5, func(is *is.I, f *fleet) {
+				scenario(f)
+				time.Sleep(50 * time.Millisecond)
+				is.Equal(f.holders(digest(1)), 5)
+				_, there := f.entry(digest(1))
+				is.True(there)
+			})
+		})
+	}
+}
+
+func TestOperatorReleasesARequest(t *testing.T) {
+	play(t, 5, func(is *is.I, f *fleet) {
+		f.crash(0, 1, unbegun(1))
+		f.crash(1, 2, unbegun(1))
+		operator := f.store.Client("operator")
+		o, err := operator.Get(t.Context(), Kind, digest(1).String())
+		is.NoErr(err)
+		is.NoErr(operator.Delete(t.Context(), Kind, o.Name, o.Version))
+		time.Sleep(2 * tick)
+		is.Equal(f.holders(digest(1)), 0)
+		_, there := f.entry(digest(1))
+		is.True(!there) // nobody writes it again
+		f.crash(0, 3, unbegun(1))
+		is.Equal(f.holders(digest(1)), 0) // it begins anew
+		f.crash(0, 4, unbegun(1))
+		is.Equal(f.holders(digest(1)), 5)
+	})
+}
+
+func TestRequestIsTriedAgainAfterAWhile(t *testing.T) {
+	play(t, 5, func(is *is.I, f *fleet) {
+		f.crash(0, 1, unbegun(1))
+		f.crash(1, 2, unbegun(1))
+		time.Sleep(holdFirst - 10*time.Second)
+		is.Equal(f.holders(digest(1)), 5)
+		time.Sleep(20 * time.Second)
+		is.Equal(f.holders(digest(1)), 0)
+		f.crash(2, 3, unbegun(1)) // one more runner, and it is held for twice as long
+		is.Equal(f.holders(digest(1)), 5)
+		time.Sleep(2*holdFirst - 10*time.Second)
+		is.Equal(f.holders(digest(1)), 5)
+		e, _ := f.entry(digest(1))
+		is.Equal(e.Times, 2)
+		time.Sleep(20 * time.Second)
+		is.Equal(f.holders(digest(1)), 0)
+		f.hosts[4].Answered(digest(1)) // the runners have been mended
+		time.Sleep(tick)
+		_, there := f.entry(digest(1))
+		is.True(!there)
+	})
+}
+
+func TestAnswerReleasesARequestEverywhere(t *testing.T) {
+	play(t, 5, func(is *is.I, f *fleet) {
+		f.crash(0, 1, unbegun(1))
+		f.hosts[3].Answered(digest(1))
+		time.Sleep(tick)
+		f.crash(1, 2, unbegun(1))
+		is.Equal(f.holders(digest(1)), 0)
+		f.hosts[2].Note(run(3), time.Now(), []Suspect{unbegun(1)})
+		time.Sleep(gather + noticeTime + time.Millisecond)
+		is.Equal(f.holders(digest(1)), 5)
+		f.hosts[3].Answered(digest(1)) // a copy that ran all the while
+		time.Sleep(2 * tick)
+		is.Equal(f.holders(digest(1)), 0)
+		_, there := f.entry(digest(1))
+		is.True(!there)
+	})
+}
+
+func TestEntriesOfOthersAreLeftAlone(t *testing.T) {
+	play(t, 3, func(is *is.I, f *fleet) {
+		operator := f.store.Client("operator")
+		for name, value := range map[string]string{"nonsense": "{}", digest(1).String(): "[", digest(2).String(): `{"evidence":[{"runner":"x"}],"times":1}`} {
+			_, err := operator.Put(t.Context(), Kind, name, store.Absent, []byte(value))
+			is.NoErr(err)
+		}
+		time.Sleep(tick)
+		is.Equal(f.holders(digest(1)), 0)
+		is.Equal(f.holders(digest(2)), 3) // an operator may hold a request by hand
+	})
+}
--- /dev/null
+++ b/coordination/quarantine/table.go
@@ -0,0 +1,354 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+const (
+	// holdWeight is the weight of crashes at which a request is held. Of requests whose
+	// answer hadn't begun two crashes do: each more costs a runner for seconds, and one
+	// alone would hold all that ran beside the request that did it. To be held for nothing,
+	// a request must be at two runners that crash within its own retries, and unanswered
+	// between.
+	holdWeight = 4
+	// unbegunWeight is that of a crash before anything of the answer arrived. A request that
+	// crashes its runner mostly does so when it begins to run; begunWeight is that of one
+	// which had run for a while, as streams do that last seconds and are hit by others'.
+	unbegunWeight = 2
+	begunWeight   = 1
+	// moment is the time in which the crashes of a request that is answered elsewhere count
+	// as one: runners that are lost together say nothing of what they all run.
+	moment = time.Second
+	// rememberFor is how long a crash counts: a request that comes less often costs less
+	// than the memory of all that ever ran at a crash.
+	rememberFor = time.Hour
+	// mostSuspects bounds the requests that are remembered, about 300 bytes each: what ran
+	// at the last two hundred crashes of full engines.
+	mostSuspects = 1 << 14
+	// mostHeld bounds the requests that are held: each cost two runners, so that a fleet
+	// has other worries before it is reached.
+	mostHeld = 1024
+	// mostEvidence bounds the crashes that are remembered of one request.
+	mostEvidence = 8
+)
+
+// Hold is why a request is held.
+type Hold struct {
+	Evidence []Evidence
+	// Own says that this host saw one of the crashes itself.
+	Own bool
+	// At is when this host began to hold it.
+	At time.Time
+}
+
+// Table counts, at one host, the crashes at which requests ran, and tells which are held. It
+// is safe for concurrent use.
+type Table struct {
+	clock state.Clock
+	// held is replaced whole, so that a request's path reads it without a lock.
+	held atomic.Pointer[map[Digest]*Hold]
+	// suspected is the size of records, read without a lock.
+	suspected atomic.Int64
+	proven    proven
+
+	mu      sync.Mutex
+	records map[Digest]*record
+	runs    map[state.InstanceID]*ended
+	// queue and runQueue hold the keys of both in the order of their arrival.
+	queue    []queued[Digest]
+	runQueue []queued[state.InstanceID]
+}
+
+// record is what is known of one request.
+type record struct {
+	// at is when it was made.
+	at      time.Time
+	crashes []exposure
+	own     bool
+	// released requests are held again by any crash.
+	released bool
+}
+
+// exposure is one crash at which a request ran.
+type exposure struct {
+	Evidence
+	begun, proven bool
+	at            time.Time
+}
+
+// ended is a run that crashed.
+type ended struct {
+	// at is when it was made.
+	at       time.Time
+	suspects []Digest
+	// explained runs had a request that is held: the others have nothing to do with it.
+	explained bool
+}
+
+type queued[K any] struct {
+	key K
+	at  time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable(clock state.Clock) *Table {
+	t := &Table{clock: clock, records: map[Digest]*record{}, runs: map[state.InstanceID]*ended{}}
+	t.held.Store(&map[Digest]*Hold{})
+	return t
+}
+
+// Held returns why a request is held, or nil.
+func (t *Table) Held(d Digest) *Hold { return (*t.held.Load())[d] }
+
+// Holds returns all that is held; it is not to be changed.
+func (t *Table) Holds() map[Digest]*Hold { return *t.held.Load() }
+
+// Proven reports whether a copy of the request was answered not long ago.
+func (t *Table) Proven(d Digest) bool { return t.proven.has(d) }
+
+// Note counts a crash; own says that this host saw it. It returns the requests that are held
+// by it. One run counts once for a request, however many hosts and copies tell of it.
+func (t *Table) Note(c Crash, own bool) []Digest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	t.expire(now)
+	e := t.endedRun(c.Run, now)
+	for _, s := range c.Suspects {
+		t.expose(e, c, s, own, now)
+	}
+	return t.decide(c, e, now)
+}
+
+// expose counts a crash for one request; t.mu is held.
+func (t *Table) expose(e *ended, c Crash, s Suspect, own bool, now time.Time) {
+	hold := t.Held(s.Digest)
+	if e.explained && hold == nil {
+		return
+	}
+	r := t.records[s.Digest]
+	if r == nil {
+		r = t.newRecord(s.Digest, now)
+	}
+	r.own = r.own || own
+	i := slices.IndexFunc(r.crashes, func(x exposure) bool { return x.run() == c.Run })
+	if i >= 0 {
+		r.crashes[i].begun = r.crashes[i].begun && s.Begun
+		r.crashes[i].proven = r.crashes[i].proven || s.Proven
+		return
+	}
+	if len(r.crashes) < mostEvidence {
+		seen := Evidence{Runner: c.Run.Name, Born: c.Run.Born, RequestID: s.RequestID, Host: c.Host, At: c.At}
+		r.crashes = append(r.crashes, exposure{Evidence: seen, begun: s.Begun, proven: s.Proven, at: now})
+	}
+	e.suspects = append(e.suspects, s.Digest)
+}
+
+// weight is how much speaks against the request.
+func (r *record) weight() int {
+	sum := 0
+	var last time.Time
+	for _, x := range r.crashes {
+		switch {
+		case !x.proven && !x.begun:
+			sum += unbegunWeight
+		case !x.proven:
+			sum += begunWeight
+		case last.IsZero() || x.at.Sub(last) >= moment:
+			sum += begunWeight
+			last = x.at
+		}
+	}
+	return sum
+}
+
+// decide holds the requests against which enough speaks after a crash. What they explain
+// isn't held against others; t.mu is held.
+func (t *Table) decide(c Crash, e *ended, now time.Time) []Digest {
+	var found []Digest
+	explained := false
+	for _, s := range c.Suspects {
+		r := t.records[s.Digest]
+		switch {
+		case t.Held(s.Digest) != nil:
+			explained = true
+		case r != nil && (r.weight() >= holdWeight || (r.released && len(r.crashes) > 0)):
+			if !slices.Contains(found, s.Digest) {
+				found = append(found, s.Digest)
+			}
+		}
+	}
+	for _, d := range found {
+		t.hold(d, t.records[d].evidence(), now)
+	}
+	for _, d := range found {
+		t.explain(t.records[d].crashes)
+	}
+	if explained {
+		t.explainRun(e)
+	}
+	return found
+}
+
+func (r *record) evidence() []Evidence {
+	out := make([]Evidence, 0, len(r.crashes))
+	for _, x := range r.crashes {
+		out = append(out, x.Evidence)
+	}
+	return out
+}
+
+// explain clears the other requests of crashes whose cause is held; t.mu is held.
+func (t *Table) explain(crashes []exposure) {
+	for _, x := range crashes {
+		if e := t.runs[x.run()]; e != nil {
+			t.explainRun(e)
+		}
+	}
+}
+
+func (t *Table) explainRun(e *ended) {
+	if e.explained {
+		return
+	}
+	e.explained = true
+	for _, d := range e.suspects {
+		r := t.records[d]
+		if r == nil || t.Held(d) != nil {
+			continue
+		}
+		r.crashes = slices.DeleteFunc(r.crashes, func(x exposure) bool { return t.runs[x.run()] == e })
+		if len(r.crashes) == 0 && !r.released {
+			t.drop(d)
+		}
+	}
+}
+
+// Hold holds a request by the word of the store or of another host. It reports whether that
+// is new.
+func (t *Table) Hold(d Digest, evidence []Evidence) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.Held(d) != nil {
+		return false
+	}
+	t.hold(d, evidence, t.clock.Now())
+	for _, e := range evidence {
+		if run := t.runs[e.run()]; run != nil {
+			t.explainRun(run)
+		}
+	}
+	return true
+}
+
+// hold puts a request on the list; t.mu is held.
+func (t *Table) hold(d Digest, evidence []Evidence, now time.Time) {
+	r := t.records[d]
+	next := maps.Clone(*t.held.Load())
+	if len(next) >= mostHeld {
+		delete(next, oldest(next))
+	}
+	next[d] = &Hold{Evidence: evidence, Own: r != nil && r.own, At: now}
+	t.held.Store(&next)
+}
+
+// oldest is what has been held for longest.
+func oldest(held map[Digest]*Hold) Digest {
+	var out Digest
+	var at time.Time
+	for d, h := range held {
+		if at.IsZero() || h.At.Before(at) {
+			out, at = d, h.At
+		}
+	}
+	return out
+}
+
+// Release lets a request run again; any further crash holds it again.
+func (t *Table) Release(d Digest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unhold(d)
+	t.drop(d)
+	t.newRecord(d, t.clock.Now()).released = true
+}
+
+// Forget clears a request of all that was held against it.
+func (t *Table) Forget(d Digest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unhold(d)
+	t.drop(d)
+}
+
+// Answered notes that a copy of the request was answered whole, which no request is that
+// crashes its runners. It reports whether anything was held against it.
+func (t *Table) Answered(d Digest) bool {
+	t.proven.add(d)
+	if t.suspected.Load() == 0 && t.Held(d) == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.records[d] != nil || t.Held(d) != nil
+	t.unhold(d)
+	t.drop(d)
+	return known
+}
+
+// unhold takes a request off the list; t.mu is held.
+func (t *Table) unhold(d Digest) {
+	if t.Held(d) == nil {
+		return
+	}
+	next := maps.Clone(*t.held.Load())
+	delete(next, d)
+	t.held.Store(&next)
+}
+
+// drop forgets what speaks against a request; t.mu is held.
+func (t *Table) drop(d Digest) {
+	delete(t.records, d)
+	t.suspected.Store(int64(len(t.records)))
+}
+
+// newRecord begins to remember a request; t.mu is held.
+func (t *Table) newRecord(d Digest, now time.Time) *record {
+	r := &record{at: now}
+	t.records[d] = r
+	t.queue = append(t.queue, queued[Digest]{d, now})
+	t.suspected.Store(int64(len(t.records)))
+	return r
+}
+
+// endedRun is what is known of a run that crashed; t.mu is held.
+func (t *Table) endedRun(id state.InstanceID, now time.Time) *ended {
+	e := t.runs[id]
+	if e == nil {
+		e = &ended{at: now}
+		t.runs[id] = e
+		t.runQueue = append(t.runQueue, queued[state.InstanceID]{id, now})
+	}
+	return e
+}
+
+// expire drops what is too old or too much; t.mu is held.
+func (t *Table) expire(now time.Time) {
+	for len(t.queue) > 0 && (now.Sub(t.queue[0].at) > rememberFor || len(t.queue) > mostSuspects) {
+		if r := t.records[t.queue[0].key]; r != nil && r.at.Equal(t.queue[0].at) {
+			delete(t.records, t.queue[0].key)
+		}
+		t.queue = t.queue[1:]
+	}
+	for len(t.runQueue) > 0 && (now.Sub(t.runQueue[0].at) > rememberFor || len(t.runQueue) > mostSuspects) {
+		delete(t.runs, t.runQueue[0].key)
+		t.runQueue = t.runQueue[1:]
+	}
+	t.suspected.Store(int64(len(t.records)))
+}
--- /dev/null
+++ b/coordination/quarantine/table_test.go
@@ -0,0 +1,192 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/state"
+)
+
+func run(n int) state.InstanceID { return state.InstanceID{Name: fmt.Sprint("r", n), Born: 1} }
+
+func digest(n int) Digest { return DigestOf(Content{URI: fmt.Sprint(n)}) }
+
+// unbegun and begun are requests that ran at a crash.
+func unbegun(n int) Suspect { return Suspect{Digest: digest(n), RequestID: fmt.Sprint("q", n)} }
+
+func begun(n int) Suspect {
+	s := unbegun(n)
+	s.Begun = true
+	return s
+}
+
+func proved(n int) Suspect {
+	s := unbegun(n)
+	s.Proven = true
+	return s
+}
+
+func crashOf(n int, suspects ...Suspect) Crash {
+	return Crash{Run: run(n), Host: "h", At: time.Unix(int64(n), 0), Suspects: suspects}
+}
+
+// crashes has a table note one crash for each list of suspects, a second apart.
+func crashes(t *Table, of ...[]Suspect) (held []Digest) {
+	for n, suspects := range of {
+		held = append(held, t.Note(crashOf(n, suspects...), true)...)
+		time.Sleep(moment)
+	}
+	return held
+}
+
+func TestRequestIsHeldByItsCrashes(t *testing.T) {
+	one := func(s Suspect) []Suspect { return []Suspect{s} }
+	for name, c := range map[string]struct {
+		crashes [][]Suspect
+		held    []Digest
+	}{
+		"one crash holds nothing":                 {[][]Suspect{{unbegun(1), unbegun(2)}}, nil},
+		"two before any answer":                   {[][]Suspect{one(unbegun(1)), one(unbegun(1))}, []Digest{digest(1)}},
+		"three in the midst of the answer don't":  {[][]Suspect{one(begun(1)), one(begun(1)), one(begun(1))}, nil},
+		"four in the midst of the answer":         {[][]Suspect{one(begun(1)), one(begun(1)), one(begun(1)), one(begun(1))}, []Digest{digest(1)}},
+		"one before, two in the midst":            {[][]Suspect{one(unbegun(1)), one(begun(1)), one(begun(1))}, []Digest{digest(1)}},
+		"answered before, three crashes don't":    {[][]Suspect{one(proved(1)), one(proved(1)), one(proved(1))}, nil},
+		"answered before, four crashes":           {[][]Suspect{one(proved(1)), one(proved(1)), one(proved(1)), one(proved(1))}, []Digest{digest(1)}},
+		"others beside it are not held":           {[][]Suspect{{unbegun(1), unbegun(2)}, {unbegun(1), unbegun(3)}, {unbegun(2)}, {unbegun(3)}}, []Digest{digest(1)}},
+		"two that run beside each other are both": {[][]Suspect{{unbegun(1), unbegun(2)}, {unbegun(1), unbegun(2)}}, []Digest{digest(1), digest(2)}},
+		"each of two by itself":                   {[][]Suspect{{unbegun(1), unbegun(2)}, {unbegun(1)}, {unbegun(2)}, {unbegun(2)}}, []Digest{digest(1), digest(2)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				table := NewTable(clocktest.Bubble{})
+				is.Equal(crashes(table, c.crashes...), c.held)
+				for _, d := range c.held {
+					is.True(table.Held(d) != nil)
+				}
+				is.Equal(len(table.Holds()), len(c.held))
+			})
+		})
+	}
+}
+
+func TestRunCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable(clocktest.Bubble{})
+		for _, host := range []string{"a", "b", "a"} { // two hosts had a copy there, one tells twice
+			c := crashOf(1, unbegun(1), unbegun(1))
+			c.Host = host
+			is.Equal(len(table.Note(c, host == "a")), 0)
+		}
+		again := crashOf(1, unbegun(1)) // the runner is back under its name
+		again.Run.Born = 2
+		is.Equal(table.Note(again, false), []Digest{digest(1)})
+		is.True(table.Held(digest(1)).Own)
+		is.Equal(len(table.Held(digest(1)).Evidence), 2)
+	})
+}
+
+// Runners that are lost together say nothing of what all of them run.
+func TestWidespreadLossHoldsNoRequestThatIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable(clocktest.Bubble{})
+		for n := range 50 {
+			is.Equal(len(table.Note(crashOf(n, proved(1)), false)), 0)
+		}
+		time.Sleep(moment)
+		is.True(table.Answered(digest(1))) // by a runner that is left
+		for n := range 50 {
+			is.Equal(len(table.Note(crashOf(100+n, proved(1)), false)), 0)
+		}
+	})
+}
+
+func TestAnswerClears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable(clocktest.Bubble{})
+		is.True(!table.Answered(digest(1))) // nothing was held against it
+		is.True(table.Proven(digest(1)))
+		is.True(!table.Proven(digest(2)))
+		table.Note(crashOf(1, unbegun(2)), true)
+		is.True(table.Answered(digest(2)))
+		is.Equal(len(table.Note(crashOf(2, unbegun(2)), true)), 0)
+		is.Equal(len(table.Note(crashOf(3, unbegun(2)), true)), 1)
+		is.True(table.Answered(digest(2))) // a copy that ran when it was held
+		is.True(table.Held(digest(2)) == nil)
+	})
+}
+
+// What a held request has done isn't held against those beside it, whenever it is told.
+func TestExplainedCrashesAreForgiven(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable(clocktest.Bubble{})
+		is.Equal(crashes(table, []Suspect{unbegun(1), unbegun(2)}, []Suspect{unbegun(1)}), []Digest{digest(1)})
+		is.Equal(len(table.Note(crashOf(7, unbegun(2)), false)), 0) // the first one was explained
+		is.Equal(len(table.Note(crashOf(8, unbegun(3)), false)), 0)
+		is.Equal(len(table.Note(crashOf(8, unbegun(1)), false)), 0) // another host had it there
+		is.Equal(len(table.Note(crashOf(9, unbegun(3)), false)), 0)
+		is.True(table.Hold(digest(4), []Evidence{{Runner: run(9).Name, Born: 1}}))
+		is.Equal(len(table.Note(crashOf(10, unbegun(3)), false)), 0)
+	})
+}
+
+func TestReleasedRequestIsHeldByItsNextCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable(clocktest.Bubble{})
+		crashes(table, []Suspect{unbegun(1)}, []Suspect{unbegun(1)})
+		table.Release(digest(1))
+		is.True(table.Held(digest(1)) == nil)
+		is.Equal(table.Note(crashOf(5, begun(1)), false), []Digest{digest(1)})
+		table.Forget(digest(1))
+		is.Equal(len(table.Note(crashOf(6, unbegun(1)), false)), 0)
+	})
+}
+
+func TestTableIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable(clocktest.Bubble{})
+		for n := range mostSuspects + 100 {
+			table.Note(crashOf(n, unbegun(n)), false)
+		}
+		is.True(len(table.records) <= mostSuspects+1)
+		is.True(len(table.runs) <= mostSuspects+1)
+		for n := range mostHeld + 10 {
+			table.Hold(digest(-1-n), nil)
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(len(table.Holds()), mostHeld)
+		is.True(table.Held(digest(-1)) == nil) // the oldest went
+		time.Sleep(rememberFor + time.Second)
+		table.Note(crashOf(1, unbegun(0)), false)
+		is.Equal(len(table.records), 1)
+		is.Equal(len(table.runs), 1)
+	})
+}
+
+// Measured in ns and allocations for each request of a host that holds a hundred others.
+func BenchmarkRequestPath(b *testing.B) {
+	table := NewTable(clocktest.Bubble{})
+	for n := range 100 {
+		table.Hold(digest(n), nil)
+	}
+	d := digest(-1)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if table.Held(d) == nil {
+				table.Answered(d)
+			}
+		}
+	})
+}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -19,6 +19,7 @@
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/outlier"
 	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/retry"
 	"github.com/thymerack/thymerack/coordination/stages"
 	"github.com/thymerack/thymerack/platform"
@@ -69,6 +70,10 @@
 	// crashes finds runners that crashed, until ended.
 	crashes *crash.Detector
 	ended   context.CancelFunc
+	// quarantine keeps requests that crash runners from them, and held is this host's copy
+	// of what the store has of them.
+	quarantine *quarantine.Keeper
+	held       *follow.Mirror
 	// gate counts prompts over all hosts.
 	gate *occupancy.Gate
 }
@@ -107,6 +112,7 @@
 		return 0
 	})
 	h.metrics.gauge("thymerack_hosts", func() float64 { return float64(h.members.Hosts()) })
+	h.metrics.gauge("thymerack_quarantined", func() float64 { return float64(h.quarantine.Size()) })
 	h.metrics.gauge("thymerack_log_lines_dropped_total", func() float64 { return float64(h.o.LinesDropped()) })
 }
 
@@ -165,9 +171,17 @@
 		return err
 	}
 	h.members.copy, err = follow.New(follow.Options{Outage: outage, Store: h.store, Clock: h.clock, Log: h.log, Kind: kindHosts, Changed: h.members.changed, Gather: gatherHosts, Notify: h.notifyFollowers})
+	if err != nil {
+		return err
+	}
+	// Notices tell of a held request at once, so that a long watch is enough.
+	h.held, err = follow.New(follow.Options{Outage: outage, Store: h.store, Clock: h.clock, Log: h.log, Kind: quarantine.Kind, Changed: h.changedHolds, Gather: gatherHolds, Notify: h.notifyFollowers})
 	return err
 }
 
+// changedHolds takes a new copy of the requests that are held.
+func (h *Host) changedHolds(c follow.Copy) { h.quarantine.Changed(c) }
+
 // notifyFollowers wakes the hosts that wait for news of this one.
 func (h *Host) notifyFollowers() { h.fanout.Notify() }
 
@@ -209,7 +223,7 @@
 	}
 	dispatcher, err := forward.New(forward.Options{
 		Upstream: h.pool, Placer: h.fleet, Gate: h.gate, Budget: budget, Clock: h.clock, Log: h.log, SplitTokens: h.o.SplitTokens,
-		Observer: h.metrics, Outliers: h.outliers, Crashes: h.crashes,
+		Observer: h.metrics, Outliers: h.outliers, Crashes: h.crashes, Quarantine: h.quarantine,
 	})
 	if err != nil {
 		return err
@@ -323,6 +337,7 @@
 	group.Go(func() { h.instances.Run(work) })
 	group.Go(func() { h.members.Run(work) })
 	group.Go(func() { h.looker.Run(work) })
+	group.Go(func() { h.quarantine.Run(work) })
 	managing, resign := context.WithCancel(work)
 	group.Go(func() {
 		if err := h.manager.Run(managing); err != nil {
--- a/daemon/routed/measures.go
+++ b/daemon/routed/measures.go
@@ -70,6 +70,11 @@
 	}
 }
 
+// Held implements forward.Observer.
+func (m *measures) Held(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_held_total{service=%q}`, service)).Inc()
+}
+
 // unusableEntry counts versions of entries in the list of instances that name none.
 func (m *measures) unusableEntry() {
 	m.set.GetOrCreateCounter("thymerack_unusable_entries_total").Inc()
@@ -80,7 +85,7 @@
 	if !r.Late {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_runners_crashed_total{service=%q}`, r.Instance.Service)).Inc()
 	}
-	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_crashed_requests_total{service=%q}`, r.Instance.Service)).Add(len(r.Work))
+	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_crashed_requests_total{service=%q}`, r.Instance.Service)).Add(len(r.Suspects))
 }
 
 // gauge reports a value that is read when the metrics are.
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -65,6 +65,7 @@
 	gatherConfig    = 800 * time.Millisecond
 	gatherInstances = time.Second
 	gatherHosts     = time.Second
+	gatherHolds     = time.Second
 	// outageWindow is how long after the store's return entries of living runners
 	// may be missing: "about two seconds", by the platform's pages. holdFor bounds
 	// the trust in one while the store is still away: a leaving runner may be sent
--- a/daemon/routed/peers.go
+++ b/daemon/routed/peers.go
@@ -11,12 +11,14 @@
 	"github.com/thymerack/thymerack/coordination/liveness"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/outlier"
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/platform"
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/outliers"
 	"github.com/thymerack/thymerack/transport/peer"
 	"github.com/thymerack/thymerack/transport/pings"
 	"github.com/thymerack/thymerack/transport/places"
+	"github.com/thymerack/thymerack/transport/quarantines"
 	"github.com/thymerack/thymerack/transport/relay"
 	"github.com/thymerack/thymerack/transport/roles"
 )
@@ -40,7 +42,7 @@
 	}
 	h.fanout, err = fanout.New(fanout.Options{
 		Self: h.members.self(), Run: h.id.String(), Hosts: h.members.All, Peers: relay.Peers{Client: h.peers}, Clock: h.clock, Rand: newRand(), Log: h.log, Wait: h.relayWait(),
-		Copies: map[string]*follow.Mirror{platform.KindConfig: h.configs, platform.KindInstances: h.listed, kindHosts: h.members.copy},
+		Copies: map[string]*follow.Mirror{platform.KindConfig: h.configs, platform.KindInstances: h.listed, kindHosts: h.members.copy, quarantine.Kind: h.held},
 	})
 	if err != nil {
 		return err
@@ -102,6 +104,24 @@
 	}
 	outliers.Register(h.peerServer, h.outliers.Take)
 	outliers.Subscribe(h.fanout, h.judge, h.log)
+	return h.buildQuarantine(ctx)
+}
+
+// buildQuarantine keeps requests that crash runners from them, until ctx ends.
+func (h *Host) buildQuarantine(ctx context.Context) error {
+	var err error
+	h.quarantine, err = quarantine.New(quarantine.Options{
+		Host: h.s.Host, Table: quarantine.NewTable(h.clock), Store: h.store, FollowsStore: h.fanout.FollowsStore, Clock: h.clock, Log: h.log,
+		Publish: func(n quarantine.Notice) {
+			if err := quarantines.Publish(ctx, h.fanout, n); err != nil {
+				h.log.Error("crashes not told", "crashes", len(n.Crashes), "held", len(n.Held), "cause", err.Error())
+			}
+		},
+	})
+	if err != nil {
+		return err
+	}
+	quarantines.Subscribe(h.fanout, h.quarantine.Take, h.log)
 	return h.buildCrashes(ctx)
 }
 
@@ -112,8 +132,11 @@
 		Probe:    func(ctx context.Context, i *state.Instance) crash.Fate { return h.pool.Probe(ctx, i) },
 		Listed:   func(i *state.Instance) bool { return h.fleet.Has(i.ID) },
 		Replaced: h.fleet.Replaced,
-		Crashed:  func(r crash.Report) { h.metrics.crashed(r) },
-		Clock:    h.clock, Log: h.log,
+		Crashed: func(r crash.Report) {
+			h.metrics.crashed(r)
+			h.quarantine.Note(r.Instance.ID, h.clock.Now(), r.Suspects)
+		},
+		Clock: h.clock, Log: h.log,
 	})
 	return err
 }
--- /dev/null
+++ b/transport/quarantines/quarantines.go
@@ -0,0 +1,153 @@
+// Package quarantines carries what hosts tell each other of requests that crash runners.
+package quarantines
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/thymerack/thymerack/coordination/fanout"
+	"github.com/thymerack/thymerack/coordination/quarantine"
+	"github.com/thymerack/thymerack/state"
+)
+
+// topic is that of the notices.
+const topic fanout.Topic = "quarantine"
+
+// notice is a quarantine.Notice.
+type notice struct {
+	Crashes  []crash  `msgpack:"c,omitempty"`
+	Held     []held   `msgpack:"h,omitempty"`
+	Answered [][]byte `msgpack:"a,omitempty"`
+}
+
+// crash is the end of one run of a runner.
+type crash struct {
+	Runner   string    `msgpack:"n"`
+	Born     int64     `msgpack:"b,omitempty"`
+	Host     string    `msgpack:"h"`
+	AtMS     int64     `msgpack:"t"`
+	Suspects []suspect `msgpack:"s"`
+}
+
+// suspect is a request that ran there.
+type suspect struct {
+	Digest    []byte `msgpack:"d"`
+	RequestID string `msgpack:"i"`
+	Begun     bool   `msgpack:"b,omitempty"`
+	Proven    bool   `msgpack:"p,omitempty"`
+}
+
+// held is a request that is held, with the crashes that speak against it.
+type held struct {
+	Digest  []byte  `msgpack:"d"`
+	Crashes []crash `msgpack:"c"`
+}
+
+// errDigest says that a digest has the wrong size.
+var errDigest = errors.New("quarantines: a digest of another size; run the same version on all hosts")
+
+// Publish tells all hosts.
+func Publish(ctx context.Context, n *fanout.Node, q quarantine.Notice) error {
+	body, err := msgpack.Marshal(encode(q))
+	if err != nil {
+		return err
+	}
+	n.Publish(ctx, topic, body)
+	return nil
+}
+
+// Subscribe takes what all hosts tell, this one too.
+func Subscribe(n *fanout.Node, take func(quarantine.Notice), log *slog.Logger) {
+	n.Subscribe(topic, func(body []byte) {
+		var m notice
+		err := msgpack.Unmarshal(body, &m)
+		var q quarantine.Notice
+		if err == nil {
+			q, err = m.decode()
+		}
+		if err != nil {
+			log.Warn("notice of crashes not readable", "cause", err.Error())
+			return
+		}
+		take(q)
+	})
+}
+
+func encode(q quarantine.Notice) notice {
+	var m notice
+	for _, c := range q.Crashes {
+		out := crash{Runner: c.Run.Name, Born: c.Run.Born, Host: c.Host, AtMS: c.At.UnixMilli()}
+		for _, s := range c.Suspects {
+			out.Suspects = append(out.Suspects, suspect{s.Digest[:], s.RequestID, s.Begun, s.Proven})
+		}
+		m.Crashes = append(m.Crashes, out)
+	}
+	for _, h := range q.Held {
+		out := held{Digest: h.Digest[:]}
+		for _, e := range h.Evidence {
+			out.Crashes = append(out.Crashes, crash{
+				Runner: e.Runner, Born: e.Born, Host: e.Host, AtMS: e.At.UnixMilli(),
+				Suspects: []suspect{{Digest: h.Digest[:], RequestID: e.RequestID}},
+			})
+		}
+		m.Held = append(m.Held, out)
+	}
+	for _, d := range q.Answered {
+		m.Answered = append(m.Answered, d[:])
+	}
+	return m
+}
+
+func (m notice) decode() (quarantine.Notice, error) {
+	var q quarantine.Notice
+	for _, c := range m.Crashes {
+		out := quarantine.Crash{Run: state.InstanceID{Name: c.Runner, Born: c.Born}, Host: c.Host, At: time.UnixMilli(c.AtMS)}
+		for _, s := range c.Suspects {
+			d, err := digest(s.Digest)
+			if err != nil {
+				return q, err
+			}
+			out.Suspects = append(out.Suspects, quarantine.Suspect{Digest: d, RequestID: s.RequestID, Begun: s.Begun, Proven: s.Proven})
+		}
+		q.Crashes = append(q.Crashes, out)
+	}
+	for _, h := range m.Held {
+		d, err := digest(h.Digest)
+		if err != nil {
+			return q, err
+		}
+		q.Held = append(q.Held, quarantine.Holding{Digest: d, Evidence: h.evidence()})
+	}
+	for _, raw := range m.Answered {
+		d, err := digest(raw)
+		if err != nil {
+			return q, err
+		}
+		q.Answered = append(q.Answered, d)
+	}
+	return q, nil
+}
+
+func (h held) evidence() []quarantine.Evidence {
+	var out []quarantine.Evidence
+	for _, c := range h.Crashes {
+		e := quarantine.Evidence{Runner: c.Runner, Born: c.Born, Host: c.Host, At: time.UnixMilli(c.AtMS)}
+		if len(c.Suspects) > 0 {
+			e.RequestID = c.Suspects[0].RequestID
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func digest(raw []byte) (quarantine.Digest, error) {
+	var d quarantine.Digest
+	if len(raw) != len(d) {
+		return d, errDigest
+	}
+	return quarantine.Digest(raw), nil
+}
--- /dev/null
+++ b/transport/quarantines/quarantines_test.go
@@ -0,0 +1,56 @@
+package quarantines
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/thymerack/thymerack/coordination/fanout"
+	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/quarantine"
+	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/relay"
+	"github.com/thymerack/thymerack/transport/wallclock"
+)
+
+func newNode(t *testing.T) *fanout.Node {
+	t.Helper()
+	n, err := fanout.New(fanout.Options{
+		Self: state.Peer{Addr: "h"}, Run: "h-1", Hosts: func() []state.Peer { return nil }, Copies: map[string]*follow.Mirror{"a": nil},
+		Peers: relay.Peers{}, Clock: wallclock.Clock{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler), Wait: time.Second,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func TestNoticeArrivesAsItWasTold(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t)
+	at := time.UnixMilli(1_790_000_000_123)
+	d1, d2 := quarantine.DigestOf(quarantine.Content{URI: "1"}), quarantine.DigestOf(quarantine.Content{URI: "2"})
+	told := quarantine.Notice{
+		Crashes: []quarantine.Crash{{
+			Run: state.InstanceID{Name: "e1", Born: 7}, Host: "h1", At: at,
+			Suspects: []quarantine.Suspect{{Digest: d1, RequestID: "a"}, {Digest: d2, RequestID: "b", Begun: true, Proven: true}},
+		}},
+		Held:     []quarantine.Holding{{Digest: d1, Evidence: []quarantine.Evidence{{Runner: "e1", Born: 7, RequestID: "a", Host: "h1", At: at}}}},
+		Answered: []quarantine.Digest{d2},
+	}
+	var heard []quarantine.Notice
+	Subscribe(n, func(q quarantine.Notice) { heard = append(heard, q) }, slog.New(slog.DiscardHandler))
+	is.NoErr(Publish(t.Context(), n, told))
+	is.Equal(heard, []quarantine.Notice{told})
+
+	short, err := msgpack.Marshal(notice{Answered: [][]byte{{1, 2, 3}}})
+	is.NoErr(err)
+	for number, body := range [][]byte{[]byte("nonsense"), short} {
+		n.Deliver(fanout.Notice{Origin: "other", Number: uint64(number + 1), Topic: topic, Body: body})
+	}
+	is.Equal(len(heard), 1)
+}
