Tell a request that had just begun from one whose answer was settled

Cause: four runners instead of two ended under a request whose answer begins before its runner does end, five under a call tried at two runners (and 4 arrivals too late): a part of the answer counted as a sign of innocence, however early it came.

Ruled out: counting all alike, which holds streams that last seconds and are hit by others'. Change: what counts is whether the answer had been coming for a second.

--- a/coordination/crash/crash.go
+++ b/coordination/crash/crash.go
@@ -168,17 +168,17 @@
 // mostDescribed bounds the requests that a log line names.
 const mostDescribed = 20
 
-// describe names requests by their ids and digests, those first whose answer hadn't begun.
+// describe names requests by their ids and digests, those first that had just begun.
 func describe(work []quarantine.Suspect) []string {
-	var unbegun, begun []string
+	var fresh, settled []string
 	for _, w := range work {
 		text := w.RequestID + "=" + w.Digest.String()
-		if w.Begun {
-			begun = append(begun, text+" begun")
+		if w.Settled {
+			settled = append(settled, text+" settled")
 			continue
 		}
-		unbegun = append(unbegun, text)
+		fresh = append(fresh, text)
 	}
-	all := append(unbegun, begun...)
+	all := append(fresh, settled...)
 	return all[:min(len(all), mostDescribed)]
 }
--- a/coordination/crash/crash_test.go
+++ b/coordination/crash/crash_test.go
@@ -80,8 +80,8 @@
 	change()
 }
 
-func work(n byte, begun bool) quarantine.Suspect {
-	return quarantine.Suspect{Digest: quarantine.Digest{n}, RequestID: string('a' + rune(n)), Begun: begun}
+func work(n byte, settled bool) quarantine.Suspect {
+	return quarantine.Suspect{Digest: quarantine.Digest{n}, RequestID: string('a' + rune(n)), Settled: settled}
 }
 
 func TestCrashIsReportedWithAllThatRan(t *testing.T) {
--- a/coordination/forward/broken_test.go
+++ b/coordination/forward/broken_test.go
@@ -12,21 +12,22 @@
 	"github.com/thymerack/thymerack/state"
 )
 
-// Work that breaks off at a runner is told, with whether its answer had begun; what this
+// Work that breaks off at a runner is told, with whether its answer was settled; what this
 // host or the caller ended isn't.
 func TestWorkThatBreaksOffIsTold(t *testing.T) {
-	const begun, unbegun = "begun", "unbegun"
+	const settled, fresh = "settled", "fresh"
 	for name, c := range map[string]struct {
 		request *Request
 		replies []reply
 		want    []string
 	}{
-		"a call, before its answer":        {request(state.RouteUnsafe, 1, false), []reply{{err: errSent}}, []string{unbegun}},
-		"a call, in its answer":            {request(state.RouteUnsafe, 1, false), []reply{{status: 200, body: "do", readErr: io.ErrUnexpectedEOF}}, []string{begun}},
-		"a call at two runners":            {request(state.RouteSafe, 2, false), []reply{{err: errSent}, {err: errSent}}, []string{unbegun, unbegun}},
-		"a stream, before its first event": {modelRequest(200, false), []reply{{status: 200, events: true, readErr: errors.New("reset")}}, []string{unbegun}},
-		"a stream, after its first event":  {onceStream(), []reply{{status: 200, events: true, body: "id: 1\ndata: x\n\n", readErr: errors.New("reset")}}, []string{begun}},
-		"a prompt that was being read":     {modelRequest(2000, false), []reply{{err: errSent}, {status: 200, body: "h"}, {status: 200, events: true, body: "id: 1\ndata: x\n\n"}}, []string{unbegun}},
+		"a call, before its answer":        {request(state.RouteUnsafe, 1, false), []reply{{err: errSent}}, []string{fresh}},
+		"a call, in its answer":            {request(state.RouteUnsafe, 1, false), []reply{{status: 200, body: "do", readErr: io.ErrUnexpectedEOF}}, []string{fresh}},
+		"a call at two runners":            {request(state.RouteSafe, 2, false), []reply{{err: errSent}, {err: errSent}}, []string{fresh, fresh}},
+		"a stream, before its first event": {modelRequest(200, false), []reply{{status: 200, events: true, readErr: errors.New("reset")}}, []string{fresh}},
+		"a stream, after its first event":  {onceStream(), []reply{{status: 200, events: true, body: "id: 1\ndata: x\n\n", readErr: errors.New("reset")}}, []string{fresh}},
+		"a stream, after a while":          {onceStream(), []reply{{status: 200, events: true, body: "id: 1\n\n", stall: settledAfter, readErr: errors.New("reset")}}, []string{settled}},
+		"a prompt that was being read":     {modelRequest(2000, false), []reply{{err: errSent}, {status: 200, body: "h"}, {status: 200, events: true, body: "id: 1\ndata: x\n\n"}}, []string{fresh}},
 		"nothing was sent":                 {request(state.RouteUnsafe, 1, false), []reply{{err: errUnsent}, {status: 200}}, nil},
 		"refused":                          {request(state.RouteUnsafe, 1, false), []reply{{status: 503, notRun: true}}, nil},
 		"answered":                         {request(state.RouteUnsafe, 1, false), []reply{{status: 500}}, nil},
@@ -40,10 +41,10 @@
 			var got []string
 			for _, work := range w.broken.work {
 				is.Equal(work.RequestID, c.request.ID)
-				if work.Begun {
-					got = append(got, begun)
+				if work.Settled {
+					got = append(got, settled)
 				} else {
-					got = append(got, unbegun)
+					got = append(got, fresh)
 				}
 			}
 			is.Equal(got, c.want)
--- a/coordination/forward/crashes_test.go
+++ b/coordination/forward/crashes_test.go
@@ -64,6 +64,8 @@
 	crashes, arrivals []time.Time
 	// served and unserved count the other requests.
 	served, unserved int
+	// firstEvent is when an engine that runs the request gives its first event.
+	firstEvent time.Duration
 }
 
 type crashHost struct {
@@ -74,7 +76,8 @@
 	*quarantine.Keeper
 }
 
-// crashEngine is one engine; its run ends with ended.
+// crashEngine is one engine, or a runner of a plain service if it has no role; its run ends
+// with ended.
 type crashEngine struct {
 	name string
 	role state.Role
@@ -85,12 +88,16 @@
 }
 
 func (e *crashEngine) instance() state.Instance {
-	return state.Instance{ID: state.InstanceID{Name: e.name, Born: e.born}, Service: "model", Addr: e.name + ":1", FailureDomain: "d1", Role: e.role, Slots: engineSlots}
+	service := "model"
+	if e.role == "" {
+		service = "plain"
+	}
+	return state.Instance{ID: state.InstanceID{Name: e.name, Born: e.born}, Service: service, Addr: e.name + ":1", FailureDomain: "d1", Role: e.role, Slots: engineSlots}
 }
 
 func newCrashFleet(t *testing.T, seed uint64, hosts int) *crashFleet {
 	t.Helper()
-	f := &crashFleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), store: storetest.NewPlatform(20 * time.Second)}
+	f := &crashFleet{t: t, firstEvent: time.Hour, rng: rand.New(rand.NewPCG(seed, 1)), store: storetest.NewPlatform(20 * time.Second)}
 	for n := range 12 {
 		e := &crashEngine{name: fmt.Sprint("p", n), role: state.RolePrefill, born: 1, up: true, ended: make(chan struct{})}
 		if n < 4 {
@@ -98,6 +105,9 @@
 		}
 		f.engines = append(f.engines, e)
 	}
+	for n := range 3 {
+		f.engines = append(f.engines, &crashEngine{name: fmt.Sprint("s", n), born: 1, up: true, ended: make(chan struct{})})
+	}
 	for n := range hosts {
 		f.hosts = append(f.hosts, f.newHost(fmt.Sprint("h", n)))
 	}
@@ -233,7 +243,9 @@
 		return &crashResponse{head: &Head{Status: 200}, ctx: ctx, ended: ended, events: []string{"handle"}, pause: 10 * time.Millisecond}, nil
 	case bad:
 		time.AfterFunc(crashAfter, func() { f.end(e) })
-		return &crashResponse{head: &Head{Status: 200, Events: true, Sealed: true}, ctx: ctx, ended: ended, events: []string{"id: 1\n\n"}, pause: time.Hour}, nil
+		return &crashResponse{head: &Head{Status: 200, Events: e.role != "", Sealed: true}, ctx: ctx, ended: ended, events: []string{"id: 1\n\n", "id: 2\n\n"}, pause: f.firstEvent, then: time.Hour}, nil
+	case e.role == "":
+		return &crashResponse{head: &Head{Status: 200, Sealed: true}, ctx: ctx, ended: ended, events: []string{"answer"}, pause: 15 * time.Millisecond}, nil
 	}
 	return &crashResponse{head: &Head{Status: 200, Events: true, Sealed: true}, ctx: ctx, ended: ended, events: []string{"id: 1\n\n", "id: 2\n\n"}, pause: 20 * time.Millisecond}, nil
 }
@@ -266,7 +278,8 @@
 	ctx    context.Context
 	ended  chan struct{}
 	events []string
-	pause  time.Duration
+	// pause is that before the first event, and then, if set, before the others.
+	pause, then time.Duration
 }
 
 func (r *crashResponse) Head() *Head { return r.head }
@@ -284,6 +297,9 @@
 	}
 	n := copy(p, r.events[0])
 	r.events = r.events[1:]
+	if r.then > 0 {
+		r.pause = r.then
+	}
 	return n, nil
 }
 
@@ -292,8 +308,7 @@
 
 // ask sends a request of that content and id through a host, and reports whether it was
 // served whole.
-func (h *crashHost) ask(id, body string, tokens int, resumable bool) bool {
-	r := modelRequest(tokens, resumable)
+func (h *crashHost) ask(id, body string, r *Request) bool {
 	r.ID, r.URI, r.Method, r.Host, r.Body = id, "/verdicts/1", "POST", "fleet", []byte(body)
 	ctx, cancel := context.WithDeadline(h.f.t.Context(), r.Deadline)
 	defer cancel()
@@ -301,10 +316,25 @@
 	if err != nil {
 		return false
 	}
+	if answer.Stream == nil {
+		return true
+	}
 	_, err = readAll(answer.Stream)
 	return err == nil
 }
 
+// ordinary are the requests beside the one that crashes runners.
+func ordinary(n int) *Request {
+	switch n % 3 {
+	case 0:
+		return modelRequest(200, false)
+	case 1:
+		return modelRequest(2200, false)
+	default:
+		return request(state.RouteSafe, 2, false)
+	}
+}
+
 // play lets callers ask for so long: all sorts of requests at each host, and every some
 // hundred milliseconds a copy of the one that crashes engines, at any host.
 func (f *crashFleet) play(long time.Duration, copies func()) {
@@ -313,7 +343,7 @@
 	for _, h := range f.hosts {
 		callers.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
-				callers.Go(func() { f.note(f.askTwice(h, fmt.Sprint(h.name, "-", n), 200+n%2*2000)) })
+				callers.Go(func() { f.note(f.askTwice(h, fmt.Sprint(h.name, "-", n), n)) })
 				time.Sleep(40 * time.Millisecond)
 			}
 		})
@@ -326,12 +356,12 @@
 }
 
 // askTwice asks once more after a failure, as callers do.
-func (f *crashFleet) askTwice(h *crashHost, body string, tokens int) bool {
-	if h.ask(body+"-1", body, tokens, false) {
+func (f *crashFleet) askTwice(h *crashHost, body string, n int) bool {
+	if h.ask(body+"-1", body, ordinary(n)) {
 		return true
 	}
 	time.Sleep(100 * time.Millisecond)
-	return h.ask(body+"-2", body, tokens, false)
+	return h.ask(body+"-2", body, ordinary(n))
 }
 
 func (f *crashFleet) note(served bool) {
@@ -369,7 +399,7 @@
 				f.play(30*time.Second, func() {
 					copies++
 					h := f.hosts[f.rng.IntN(len(f.hosts))]
-					go h.ask(fmt.Sprint("copy-", copies), poison, 2000, false)
+					go h.ask(fmt.Sprint("copy-", copies), poison, modelRequest(2000, false))
 				})
 				time.Sleep(downFor)
 				t.Logf("%d copies, %d engines ended, %d arrivals too late; others: %d served, %d not", copies, len(f.crashes), f.late(), f.served, f.unserved)
@@ -379,3 +409,44 @@
 		})
 	}
 }
+
+// All sorts of requests that crash what runs them cost few runners, and the others are served.
+func TestFewRunnersEndUnderOneRequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		request func() *Request
+		// together is how many copies come in the same moment.
+		together   int
+		firstEvent time.Duration
+		most       int
+	}{
+		"a prompt that is read apart":             {func() *Request { return modelRequest(2000, false) }, 1, time.Hour, 2},
+		"a short prompt":                          {func() *Request { return modelRequest(200, false) }, 1, time.Hour, 2},
+		"one that is tried at a second engine":    {func() *Request { return modelRequest(200, true) }, 1, time.Hour, 2},
+		"one whose answer has just begun":         {func() *Request { return modelRequest(200, true) }, 1, crashAfter / 2, 2},
+		"a call that runs once":                   {func() *Request { return request(state.RouteUnsafe, 1, false) }, 1, time.Hour, 2},
+		"a call that is tried at a second runner": {func() *Request { return request(state.RouteSafe, 2, false) }, 1, time.Hour, 2},
+		"three copies in the same moment":         {func() *Request { return modelRequest(200, false) }, 3, time.Hour, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newCrashFleet(t, 1, 7)
+				f.firstEvent = c.firstEvent
+				copies := 0
+				f.play(20*time.Second, func() {
+					for range c.together {
+						copies++
+						h := f.hosts[f.rng.IntN(len(f.hosts))]
+						go h.ask(fmt.Sprint("copy-", copies), poison, c.request())
+					}
+				})
+				time.Sleep(downFor)
+				t.Logf("%d copies, %d runners ended, %d arrivals too late; others: %d served, %d not", copies, len(f.crashes), f.late(), f.served, f.unserved)
+				is.True(len(f.crashes) >= 2)
+				is.True(len(f.crashes) <= c.most)
+				is.True(f.late() <= mostLate)
+				is.Equal(f.unserved, 0) // each comes twice at most
+			})
+		})
+	}
+}
--- a/coordination/quarantine/fuzz_test.go
+++ b/coordination/quarantine/fuzz_test.go
@@ -68,9 +68,9 @@
 	}
 	time.Sleep(80 * time.Millisecond)
 	tr.runs++
-	suspects := []Suspect{unbegun(0)}
+	suspects := []Suspect{fresh(0)}
 	for n := range s.beside {
-		suspects = append(suspects, unbegun(tr.runs*10+n))
+		suspects = append(suspects, fresh(tr.runs*10+n))
 		tr.innocents = append(tr.innocents, digest(tr.runs*10+n))
 	}
 	tr.crashes = append(tr.crashes, tr.clock.Now())
--- a/coordination/quarantine/keeper.go
+++ b/coordination/quarantine/keeper.go
@@ -28,8 +28,8 @@
 	// answeredFor is how long an entry that is written in ignorance of an answer may be on
 	// its way: a write and the copy of it.
 	answeredFor = 10 * time.Second
-	// mostTold bounds the requests that a host tells of one crash, those first whose answer
-	// hadn't begun; a full engine has some hundred from all hosts together.
+	// mostTold bounds the requests that a host tells of one crash, those first that had just
+	// begun; a full engine has some hundred from all hosts together.
 	mostTold = 128
 )
 
@@ -112,7 +112,7 @@
 	for i := range suspects {
 		suspects[i].Proven = k.o.Table.Proven(suspects[i].Digest)
 	}
-	slices.SortStableFunc(suspects, func(a, b Suspect) int { return cmp.Compare(oneIf(a.Begun), oneIf(b.Begun)) })
+	slices.SortStableFunc(suspects, func(a, b Suspect) int { return cmp.Compare(oneIf(a.Settled), oneIf(b.Settled)) })
 	c := Crash{Run: run, Host: k.o.Host, At: at, Suspects: suspects[:min(len(suspects), mostTold)]}
 	k.mu.Lock()
 	k.pending.Crashes = append(k.pending.Crashes, c)
--- a/coordination/quarantine/keeper_test.go
+++ b/coordination/quarantine/keeper_test.go
@@ -180,9 +180,9 @@
 		f.mu.Lock()
 		f.follows = 10
 		f.mu.Unlock()
-		f.crash(1, 1, unbegun(1), unbegun(2))
+		f.crash(1, 1, fresh(1), fresh(2))
 		is.Equal(f.written(), 0) // an ordinary crash costs the store nothing
-		f.crash(200, 2, unbegun(1), unbegun(3))
+		f.crash(200, 2, fresh(1), fresh(3))
 		is.Equal(f.holders(digest(1)), 300)
 		is.Equal(f.holders(digest(2))+f.holders(digest(3)), 0)
 		is.True(f.written() <= 2) // the two hosts that saw a crash
@@ -197,27 +197,27 @@
 func TestHeldRequestStaysHeldWhateverHappensToHosts(t *testing.T) {
 	for name, scenario := range map[string]func(f *fleet){
 		"all hosts restart": func(f *fleet) {
-			f.crash(0, 1, unbegun(1))
-			f.crash(1, 2, unbegun(1))
+			f.crash(0, 1, fresh(1))
+			f.crash(1, 2, fresh(1))
 			for n := range f.hosts {
 				f.restart(n)
 			}
 		},
 		"one is cut off from the others": func(f *fleet) {
 			f.set(f.cut, true, 3)
-			f.crash(0, 1, unbegun(1))
-			f.crash(1, 2, unbegun(1))
+			f.crash(0, 1, fresh(1))
+			f.crash(1, 2, fresh(1))
 		},
 		"each half of the hosts is cut off from the other": func(f *fleet) {
 			f.set(f.cut, true, 3) // the halves are one host and the others
-			f.crash(0, 1, unbegun(1))
-			f.crash(3, 2, unbegun(1)) // neither knows of two
-			f.crash(0, 3, unbegun(1))
+			f.crash(0, 1, fresh(1))
+			f.crash(3, 2, fresh(1)) // neither knows of two
+			f.crash(0, 3, fresh(1))
 		},
 		"the store is away": func(f *fleet) {
 			f.set(f.unreachable, true, 0, 1, 2, 3, 4)
-			f.crash(0, 1, unbegun(1))
-			f.crash(1, 2, unbegun(1))
+			f.crash(0, 1, fresh(1))
+			f.crash(1, 2, fresh(1))
 			if f.holders(digest(1)) != 5 {
 				f.t.Error("not held while the store is away")
 			}
@@ -227,17 +227,17 @@
 		},
 		"those that saw it are killed before they can write": func(f *fleet) {
 			f.set(f.unreachable, true, 0, 1)
-			f.crash(0, 1, unbegun(1))
-			f.crash(1, 2, unbegun(1))
+			f.crash(0, 1, fresh(1))
+			f.crash(1, 2, fresh(1))
 			time.Sleep(standInAfter)
 			f.set(f.unreachable, false, 0, 1)
 			f.restart(0)
 			f.restart(1)
 		},
 		"the first that saw it restarts": func(f *fleet) {
-			f.crash(0, 1, unbegun(1))
+			f.crash(0, 1, fresh(1))
 			f.restart(0)
-			f.crash(0, 2, unbegun(1)) // it has forgotten the first; the others haven't
+			f.crash(0, 2, fresh(1)) // it has forgotten the first; the others haven't
 			time.Sleep(standInAfter + tick)
 		},
 	} {
@@ -255,8 +255,8 @@
 
 func TestOperatorReleasesARequest(t *testing.T) {
 	play(t, 5, func(is *is.I, f *fleet) {
-		f.crash(0, 1, unbegun(1))
-		f.crash(1, 2, unbegun(1))
+		f.crash(0, 1, fresh(1))
+		f.crash(1, 2, fresh(1))
 		operator := f.store.Client("operator")
 		o, err := operator.Get(t.Context(), Kind, digest(1).String())
 		is.NoErr(err)
@@ -265,22 +265,22 @@
 		is.Equal(f.holders(digest(1)), 0)
 		_, there := f.entry(digest(1))
 		is.True(!there) // nobody writes it again
-		f.crash(0, 3, unbegun(1))
+		f.crash(0, 3, fresh(1))
 		is.Equal(f.holders(digest(1)), 0) // it begins anew
-		f.crash(0, 4, unbegun(1))
+		f.crash(0, 4, fresh(1))
 		is.Equal(f.holders(digest(1)), 5)
 	})
 }
 
 func TestRequestIsTriedAgainAfterAWhile(t *testing.T) {
 	play(t, 5, func(is *is.I, f *fleet) {
-		f.crash(0, 1, unbegun(1))
-		f.crash(1, 2, unbegun(1))
+		f.crash(0, 1, fresh(1))
+		f.crash(1, 2, fresh(1))
 		time.Sleep(holdFirst - 10*time.Second)
 		is.Equal(f.holders(digest(1)), 5)
 		time.Sleep(20 * time.Second)
 		is.Equal(f.holders(digest(1)), 0)
-		f.crash(2, 3, unbegun(1)) // one more runner, and it is held for twice as long
+		f.crash(2, 3, fresh(1)) // one more runner, and it is held for twice as long
 		is.Equal(f.holders(digest(1)), 5)
 		time.Sleep(2*holdFirst - 10*time.Second)
 		is.Equal(f.holders(digest(1)), 5)
@@ -297,12 +297,12 @@
 
 func TestAnswerReleasesARequestEverywhere(t *testing.T) {
 	play(t, 5, func(is *is.I, f *fleet) {
-		f.crash(0, 1, unbegun(1))
+		f.crash(0, 1, fresh(1))
 		f.hosts[3].Answered(digest(1))
 		time.Sleep(tick)
-		f.crash(1, 2, unbegun(1))
+		f.crash(1, 2, fresh(1))
 		is.Equal(f.holders(digest(1)), 0)
-		f.hosts[2].Note(run(3), time.Now(), []Suspect{unbegun(1)})
+		f.hosts[2].Note(run(3), time.Now(), []Suspect{fresh(1)})
 		time.Sleep(gather + noticeTime + time.Millisecond)
 		is.Equal(f.holders(digest(1)), 5)
 		f.hosts[3].Answered(digest(1)) // a copy that ran all the while
--- a/coordination/quarantine/suspect.go
+++ b/coordination/quarantine/suspect.go
@@ -11,8 +11,8 @@
 	Digest Digest
 	// RequestID is that of the caller's attempt.
 	RequestID string
-	// Begun says that a part of the answer had arrived.
-	Begun bool
+	// Settled says that its answer had been coming for a while.
+	Settled bool
 	// Proven says that a copy of the request was answered before.
 	Proven bool
 }
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -11,17 +11,16 @@
 )
 
 const (
-	// holdWeight is the weight of crashes at which a request is held. Of requests whose
-	// answer hadn't begun two crashes do: each more costs a runner for seconds, and one
-	// alone would hold all that ran beside the request that did it. To be held for nothing,
-	// a request must be at two runners that crash within its own retries, and unanswered
-	// between.
+	// holdWeight is the weight of crashes at which a request is held. Two crashes do: each
+	// more costs a runner for seconds, and one alone would hold all that ran beside the
+	// request that did it. To be held for nothing, a request must be at two runners that
+	// crash within its own retries, and unanswered between.
 	holdWeight = 4
-	// unbegunWeight is that of a crash before anything of the answer arrived. A request that
-	// crashes its runner mostly does so when it begins to run; begunWeight is that of one
-	// which had run for a while, as streams do that last seconds and are hit by others'.
-	unbegunWeight = 2
-	begunWeight   = 1
+	// freshWeight is that of a crash soon after the request began to run, which is when one
+	// that crashes its runner does so. settledWeight is that of one whose answer had been
+	// coming for a while: streams last for seconds and are hit by what others do.
+	freshWeight   = 2
+	settledWeight = 1
 	// moment is the time in which the crashes of a request that is answered elsewhere count
 	// as one: runners that are lost together say nothing of what they all run.
 	moment = time.Second
@@ -78,8 +77,8 @@
 // exposure is one crash at which a request ran.
 type exposure struct {
 	Evidence
-	begun, proven bool
-	at            time.Time
+	settled, proven bool
+	at              time.Time
 }
 
 // ended is a run that crashed.
@@ -139,13 +138,13 @@
 	r.own = r.own || own
 	i := slices.IndexFunc(r.crashes, func(x exposure) bool { return x.run() == c.Run })
 	if i >= 0 {
-		r.crashes[i].begun = r.crashes[i].begun && s.Begun
+		r.crashes[i].settled = r.crashes[i].settled && s.Settled
 		r.crashes[i].proven = r.crashes[i].proven || s.Proven
 		return
 	}
 	if len(r.crashes) < mostEvidence {
 		seen := Evidence{Runner: c.Run.Name, Born: c.Run.Born, RequestID: s.RequestID, Host: c.Host, At: c.At}
-		r.crashes = append(r.crashes, exposure{Evidence: seen, begun: s.Begun, proven: s.Proven, at: now})
+		r.crashes = append(r.crashes, exposure{Evidence: seen, settled: s.Settled, proven: s.Proven, at: now})
 	}
 	e.suspects = append(e.suspects, s.Digest)
 }
@@ -156,12 +155,12 @@
 	var last time.Time
 	for _, x := range r.crashes {
 		switch {
-		case !x.proven && !x.begun:
-			sum += unbegunWeight
+		case !x.proven && !x.settled:
+			sum += freshWeight
 		case !x.proven:
-			sum += begunWeight
+			sum += settledWeight
 		case last.IsZero() || x.at.Sub(last) >= moment:
-			sum += begunWeight
+			sum += settledWeight
 			last = x.at
 		}
 	}
--- a/coordination/quarantine/table_test.go
+++ b/coordination/quarantine/table_test.go
@@ -16,17 +16,17 @@
 
 func digest(n int) Digest { return DigestOf(Content{URI: fmt.Sprint(n)}) }
 
-// unbegun and begun are requests that ran at a crash.
-func unbegun(n int) Suspect { return Suspect{Digest: digest(n), RequestID: fmt.Sprint("q", n)} }
+// fresh and settled are requests that ran at a crash.
+func fresh(n int) Suspect { return Suspect{Digest: digest(n), RequestID: fmt.Sprint("q", n)} }
 
-func begun(n int) Suspect {
-	s := unbegun(n)
-	s.Begun = true
+func settled(n int) Suspect {
+	s := fresh(n)
+	s.Settled = true
 	return s
 }
 
 func proved(n int) Suspect {
-	s := unbegun(n)
+	s := fresh(n)
 	s.Proven = true
 	return s
 }
@@ -50,16 +50,16 @@
 		crashes [][]Suspect
 		held    []Digest
 	}{
-		"one crash holds nothing":                 {[][]Suspect{{unbegun(1), unbegun(2)}}, nil},
-		"two before any answer":                   {[][]Suspect{one(unbegun(1)), one(unbegun(1))}, []Digest{digest(1)}},
-		"three in the midst of the answer don't":  {[][]Suspect{one(begun(1)), one(begun(1)), one(begun(1))}, nil},
-		"four in the midst of the answer":         {[][]Suspect{one(begun(1)), one(begun(1)), one(begun(1)), one(begun(1))}, []Digest{digest(1)}},
-		"one before, two in the midst":            {[][]Suspect{one(unbegun(1)), one(begun(1)), one(begun(1))}, []Digest{digest(1)}},
+		"one crash holds nothing":                 {[][]Suspect{{fresh(1), fresh(2)}}, nil},
+		"two soon after it began":                 {[][]Suspect{one(fresh(1)), one(fresh(1))}, []Digest{digest(1)}},
+		"three of a settled answer don't":         {[][]Suspect{one(settled(1)), one(settled(1)), one(settled(1))}, nil},
+		"four of a settled answer":                {[][]Suspect{one(settled(1)), one(settled(1)), one(settled(1)), one(settled(1))}, []Digest{digest(1)}},
+		"one soon after it began, two settled":    {[][]Suspect{one(fresh(1)), one(settled(1)), one(settled(1))}, []Digest{digest(1)}},
 		"answered before, three crashes don't":    {[][]Suspect{one(proved(1)), one(proved(1)), one(proved(1))}, nil},
 		"answered before, four crashes":           {[][]Suspect{one(proved(1)), one(proved(1)), one(proved(1)), one(proved(1))}, []Digest{digest(1)}},
-		"others beside it are not held":           {[][]Suspect{{unbegun(1), unbegun(2)}, {unbegun(1), unbegun(3)}, {unbegun(2)}, {unbegun(3)}}, []Digest{digest(1)}},
-		"two that run beside each other are both": {[][]Suspect{{unbegun(1), unbegun(2)}, {unbegun(1), unbegun(2)}}, []Digest{digest(1), digest(2)}},
-		"each of two by itself":                   {[][]Suspect{{unbegun(1), unbegun(2)}, {unbegun(1)}, {unbegun(2)}, {unbegun(2)}}, []Digest{digest(1), digest(2)}},
+		"others beside it are not held":           {[][]Suspect{{fresh(1), fresh(2)}, {fresh(1), fresh(3)}, {fresh(2)}, {fresh(3)}}, []Digest{digest(1)}},
+		"two that run beside each other are both": {[][]Suspect{{fresh(1), fresh(2)}, {fresh(1), fresh(2)}}, []Digest{digest(1), digest(2)}},
+		"each of two by itself":                   {[][]Suspect{{fresh(1), fresh(2)}, {fresh(1)}, {fresh(2)}, {fresh(2)}}, []Digest{digest(1), digest(2)}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -80,11 +80,11 @@
 		is := is.New(t)
 		table := NewTable(clocktest.Bubble{})
 		for _, host := range []string{"a", "b", "a"} { // two hosts had a copy there, one tells twice
-			c := crashOf(1, unbegun(1), unbegun(1))
+			c := crashOf(1, fresh(1), fresh(1))
 			c.Host = host
 			is.Equal(len(table.Note(c, host == "a")), 0)
 		}
-		again := crashOf(1, unbegun(1)) // the runner is back under its name
+		again := crashOf(1, fresh(1)) // the runner is back under its name
 		again.Run.Born = 2
 		is.Equal(table.Note(again, false), []Digest{digest(1)})
 		is.True(table.Held(digest(1)).Own)
@@ -115,10 +115,10 @@
 		is.True(!table.Answered(digest(1))) // nothing was held against it
 		is.True(table.Proven(digest(1)))
 		is.True(!table.Proven(digest(2)))
-		table.Note(crashOf(1, unbegun(2)), true)
+		table.Note(crashOf(1, fresh(2)), true)
 		is.True(table.Answered(digest(2)))
-		is.Equal(len(table.Note(crashOf(2, unbegun(2)), true)), 0)
-		is.Equal(len(table.Note(crashOf(3, unbegun(2)), true)), 1)
+		is.Equal(len(table.Note(crashOf(2, fresh(2)), true)), 0)
+		is.Equal(len(table.Note(crashOf(3, fresh(2)), true)), 1)
 		is.True(table.Answered(digest(2))) // a copy that ran when it was held
 		is.True(table.Held(digest(2)) == nil)
 	})
@@ -129,13 +129,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		table := NewTable(clocktest.Bubble{})
-		is.Equal(crashes(table, []Suspect{unbegun(1), unbegun(2)}, []Suspect{unbegun(1)}), []Digest{digest(1)})
-		is.Equal(len(table.Note(crashOf(7, unbegun(2)), false)), 0) // the first one was explained
-		is.Equal(len(table.Note(crashOf(8, unbegun(3)), false)), 0)
-		is.Equal(len(table.Note(crashOf(8, unbegun(1)), false)), 0) // another host had it there
-		is.Equal(len(table.Note(crashOf(9, unbegun(3)), false)), 0)
+		is.Equal(crashes(table, []Suspect{fresh(1), fresh(2)}, []Suspect{fresh(1)}), []Digest{digest(1)})
+		is.Equal(len(table.Note(crashOf(7, fresh(2)), false)), 0) // the first one was explained
+		is.Equal(len(table.Note(crashOf(8, fresh(3)), false)), 0)
+		is.Equal(len(table.Note(crashOf(8, fresh(1)), false)), 0) // another host had it there
+		is.Equal(len(table.Note(crashOf(9, fresh(3)), false)), 0)
 		is.True(table.Hold(digest(4), []Evidence{{Runner: run(9).Name, Born: 1}}))
-		is.Equal(len(table.Note(crashOf(10, unbegun(3)), false)), 0)
+		is.Equal(len(table.Note(crashOf(10, fresh(3)), false)), 0)
 	})
 }
 
@@ -143,12 +143,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		table := NewTable(clocktest.Bubble{})
-		crashes(table, []Suspect{unbegun(1)}, []Suspect{unbegun(1)})
+		crashes(table, []Suspect{fresh(1)}, []Suspect{fresh(1)})
 		table.Release(digest(1))
 		is.True(table.Held(digest(1)) == nil)
-		is.Equal(table.Note(crashOf(5, begun(1)), false), []Digest{digest(1)})
+		is.Equal(table.Note(crashOf(5, settled(1)), false), []Digest{digest(1)})
 		table.Forget(digest(1))
-		is.Equal(len(table.Note(crashOf(6, unbegun(1)), false)), 0)
+		is.Equal(len(table.Note(crashOf(6, fresh(1)), false)), 0)
 	})
 }
 
@@ -157,7 +157,7 @@
 		is := is.New(t)
 		table := NewTable(clocktest.Bubble{})
 		for n := range mostSuspects + 100 {
-			table.Note(crashOf(n, unbegun(n)), false)
+			table.Note(crashOf(n, fresh(n)), false)
 		}
 		is.True(len(table.records) <= mostSuspects+1)
 		is.True(len(table.runs) <= mostSuspects+1)
@@ -168,7 +168,7 @@
 		is.Equal(len(table.Holds()), mostHeld)
 		is.True(table.Held(digest(-1)) == nil) // the oldest went
 		time.Sleep(rememberFor + time.Second)
-		table.Note(crashOf(1, unbegun(0)), false)
+		table.Note(crashOf(1, fresh(0)), false)
 		is.Equal(len(table.records), 1)
 		is.Equal(len(table.runs), 1)
 	})
--- a/transport/quarantines/quarantines.go
+++ b/transport/quarantines/quarantines.go
@@ -37,7 +37,7 @@
 type suspect struct {
 	Digest    []byte `msgpack:"d"`
 	RequestID string `msgpack:"i"`
-	Begun     bool   `msgpack:"b,omitempty"`
+	Settled   bool   `msgpack:"l,omitempty"`
 	Proven    bool   `msgpack:"p,omitempty"`
 }
 
@@ -82,7 +82,7 @@
 	for _, c := range q.Crashes {
 		out := crash{Runner: c.Run.Name, Born: c.Run.Born, Host: c.Host, AtMS: c.At.UnixMilli()}
 		for _, s := range c.Suspects {
-			out.Suspects = append(out.Suspects, suspect{s.Digest[:], s.RequestID, s.Begun, s.Proven})
+			out.Suspects = append(out.Suspects, suspect{s.Digest[:], s.RequestID, s.Settled, s.Proven})
 		}
 		m.Crashes = append(m.Crashes, out)
 	}
@@ -111,7 +111,7 @@
 			if err != nil {
 				return q, err
 			}
-			out.Suspects = append(out.Suspects, quarantine.Suspect{Digest: d, RequestID: s.RequestID, Begun: s.Begun, Proven: s.Proven})
+			out.Suspects = append(out.Suspects, quarantine.Suspect{Digest: d, RequestID: s.RequestID, Settled: s.Settled, Proven: s.Proven})
 		}
 		q.Crashes = append(q.Crashes, out)
 	}
--- a/transport/quarantines/quarantines_test.go
+++ b/transport/quarantines/quarantines_test.go
@@ -37,7 +37,7 @@
 	told := quarantine.Notice{
 		Crashes: []quarantine.Crash{{
 			Run: state.InstanceID{Name: "e1", Born: 7}, Host: "h1", At: at,
-			Suspects: []quarantine.Suspect{{Digest: d1, RequestID: "a"}, {Digest: d2, RequestID: "b", Begun: true, Proven: true}},
+			Suspects: []quarantine.Suspect{{Digest: d1, RequestID: "a"}, {Digest: d2, RequestID: "b", Settled: true, Proven: true}},
 		}},
 		Held:     []quarantine.Holding{{Digest: d1, Evidence: []quarantine.Evidence{{Runner: "e1", Born: 7, RequestID: "a", Host: "h1", At: at}}}},
 		Answered: []quarantine.Digest{d2},
