Don't suspect a request of ending a runner that had ended before it came

Change: what broke off within 10 ms at a runner to which it was moved isn't suspected; a first sending always is.

--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		resp.Cut()
 		d.noteBroken(ctx, runner)
-		d.noteWork(ctx, a.Request, runner, rec, took)
+		d.noteWork(ctx, a.Request, runner, rec, took, true)
 		rec.add(a.Instance, "run", outcomeUnknown, took, err)
 		return nil, outcomeUnknown
 	}
@@ -92,7 +92,7 @@
 	}
 	rec.noteRun()
 	rec.mayHaveRun = true
-	d.noteWork(ctx, a.Request, runner, rec, 0)
+	d.noteWork(ctx, a.Request, runner, rec, took, false)
 	rec.add(a.Instance, part, outcomeUnknown, took, err)
 	return outcomeUnknown
 }
@@ -106,19 +106,25 @@
 	}
 }
 
-// settledAfter is how long an answer must have been coming for its request to be settled.
-// A request that crashes its runner does so when it begins to run, some tenths of a second
-// after it was sent.
-const settledAfter = time.Second
+const (
+	// settledAfter is how long a request must have been at its runner, and its answer have
+	// begun, for it to be settled. A request that crashes its runner does so when it begins
+	// to run, some tenths of a second after it was sent.
+	settledAfter = time.Second
+	// movedWithin is the time in which the news that a runner has ended may still be on its
+	// way: three round trips between failure domains.
+	movedWithin = 10 * time.Millisecond
+)
 
 // noteWork notes that the request broke off at the runner, which may have crashed under
-// it; answering is how long it had been there if a part of the answer had arrived, 0 if not.
-// That this host or the caller broke it off says nothing.
-func (d *Dispatcher) noteWork(ctx context.Context, r *Request, runner *placement.Runner, rec *record, answering time.Duration) {
-	if ctx.Err() != nil {
+// it, so long after it was sent; answering says that a part of the answer had arrived. That
+// this host or the caller broke it off says nothing, nor that one of two runners which ended
+// together was asked after the other, before its end was known.
+func (d *Dispatcher) noteWork(ctx context.Context, r *Request, runner *placement.Runner, rec *record, took time.Duration, answering bool) {
+	if ctx.Err() != nil || (took < movedWithin && rec.broke()) {
 		return
 	}
-	d.o.Crashes.Broke(runner.Instance, quarantine.Suspect{Digest: rec.digest, RequestID: r.ID, Settled: answering >= settledAfter})
+	d.o.Crashes.Broke(runner.Instance, quarantine.Suspect{Digest: rec.digest, RequestID: r.ID, Settled: answering && took >= settledAfter})
 }
 
 // noteRefused counts a refusal against the runner. One that is not the run that was meant
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -80,6 +81,11 @@
 	r.steps = append(r.steps, s)
 }
 
+// broke reports whether the request has broken off at a runner before.
+func (r *record) broke() bool {
+	return slices.ContainsFunc(r.steps, func(s step) bool { return s.outcome == outcomeUnknown })
+}
+
 // notePrefill counts a sending of the prompt that may have reached an engine.
 func (r *record) notePrefill(refused bool) {
 	if !refused && !r.promptTaken {
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -113,7 +113,7 @@
 			runner.Broken()
 			d.o.Outliers.Silent(runner.Instance.ID)
 			if sendError(err).Sent {
-				d.noteWork(outer, r, runner, rec, 0)
+				d.noteWork(outer, r, runner, rec, took, false)
 			}
 		}
 		rec.add(a.Instance, part, outcomeUnknown, took, err)
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		s.drop()
 		d.noteBroken(ctx, runner)
-		d.noteWork(ctx, a.Request, runner, rec, 0)
+		d.noteWork(ctx, a.Request, runner, rec, took, false)
 		rec.add(a.Instance, "run", outcomeUnknown, took, err)
 		return nil, outcomeUnknown
 	}
@@ -201,7 +201,7 @@
 // broken notes that the present run broke off.
 func (s *Stream) broken() {
 	s.d.noteBroken(s.ctx, s.runner)
-	s.d.noteWork(s.ctx, s.a.Request, s.runner, s.rec, s.d.o.Clock.Now().Sub(s.started))
+	s.d.noteWork(s.ctx, s.a.Request, s.runner, s.rec, s.d.o.Clock.Now().Sub(s.started), true)
 }
 
 func (s *Stream) resumeAt(c choice) bool {
