Tell other hosts once a second which suspected requests were answered

Change: they wait for the next notice or second; what was held is told at once. One line each time, with their number.

--- a/coordination/quarantine/keeper.go
+++ b/coordination/quarantine/keeper.go
@@ -72,6 +72,9 @@
 
 	mu      sync.Mutex
 	pending Notice
+	// cleared are suspected requests that were answered. They are told with the next notice
+	// or tick: most of those that ran at a crash are.
+	cleared []Digest
 	// entries are those of the store, and unreadable the versions of those that were logged.
 	entries    map[Digest]stored
 	unreadable map[string]uint64
@@ -95,15 +98,22 @@
 
 // Answered notes that a copy of the request was answered whole.
 func (k *Keeper) Answered(d Digest) {
-	if !k.o.Table.Answered(d) {
+	suspected, held := k.o.Table.Answered(d)
+	if !suspected {
 		return
 	}
 	k.mu.Lock()
-	k.pending.Answered = append(k.pending.Answered, d)
-	k.answered[d] = k.o.Clock.Now()
+	_, stored := k.entries[d]
+	held = held || stored
+	k.cleared = append(k.cleared, d)
+	if held {
+		k.answered[d] = k.o.Clock.Now()
+	}
 	k.mu.Unlock()
-	k.o.Log.Info("suspected request answered", "digest", d.String())
-	k.rouse()
+	if held {
+		k.o.Log.Info("held request answered", "digest", d.String())
+		k.rouse()
+	}
 }
 
 // Note tells all hosts of a crash under this host's requests.
@@ -184,18 +194,18 @@
 // Run tells the other hosts and looks after the store's entries until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		k.await(ctx)
+		tick := k.await(ctx)
 		if k.o.Clock.Sleep(ctx, gather) != nil {
 			return
 		}
-		k.tell()
+		k.tell(tick)
 		k.write(ctx)
 		k.sweep(ctx)
 	}
 }
 
-// await waits for something to tell, or for the next tick.
-func (k *Keeper) await(ctx context.Context) {
+// await waits for something to tell, or for the next tick, and reports whether that came.
+func (k *Keeper) await(ctx context.Context) bool {
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
@@ -205,18 +215,28 @@
 	}()
 	select {
 	case <-k.wake:
+		return false
 	case <-done:
+		return true
 	}
 }
 
-func (k *Keeper) tell() {
+// tell tells all hosts what is new; all says that what can wait goes too.
+func (k *Keeper) tell(all bool) {
 	k.mu.Lock()
 	n := k.pending
 	k.pending = Notice{}
+	if all || !n.empty() || len(k.answered) > 0 {
+		n.Answered, k.cleared = k.cleared, nil
+	}
 	k.mu.Unlock()
-	if !n.empty() {
-		k.o.Publish(n)
+	if n.empty() {
+		return
+	}
+	if len(n.Answered) > 0 {
+		k.o.Log.Info("suspected requests answered", "requests", len(n.Answered))
 	}
+	k.o.Publish(n)
 }
 
 // Changed takes a new copy of the store's entries. One that is gone was released by an
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -287,18 +287,18 @@
 }
 
 // Answered notes that a copy of the request was answered whole, which no request is that
-// crashes its runners. It reports whether anything was held against it.
-func (t *Table) Answered(d Digest) bool {
+// crashes its runners. It reports whether anything spoke against it, and whether it was held.
+func (t *Table) Answered(d Digest) (suspected, held bool) {
 	t.proven.add(d)
 	if t.suspected.Load() == 0 && t.Held(d) == nil {
-		return false
+		return false, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.records[d] != nil || t.Held(d) != nil
+	suspected, held = t.records[d] != nil, t.Held(d) != nil
 	t.unhold(d)
 	t.drop(d)
-	return known
+	return suspected || held, held
 }
 
 // unhold takes a request off the list; t.mu is held.
--- a/coordination/quarantine/table_test.go
+++ b/coordination/quarantine/table_test.go
@@ -101,7 +101,8 @@
 			is.Equal(len(table.Note(crashOf(n, proved(1)), false)), 0)
 		}
 		time.Sleep(moment)
-		is.True(table.Answered(digest(1))) // by a runner that is left
+		suspected, held := table.Answered(digest(1)) // by a runner that is left
+		is.True(suspected && !held)
 		for n := range 50 {
 			is.Equal(len(table.Note(crashOf(100+n, proved(1)), false)), 0)
 		}
@@ -112,14 +113,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		table := NewTable(clocktest.Bubble{})
-		is.True(!table.Answered(digest(1))) // nothing was held against it
+		suspected, held := table.Answered(digest(1))
+		is.True(!suspected && !held)
 		is.True(table.Proven(digest(1)))
 		is.True(!table.Proven(digest(2)))
 		table.Note(crashOf(1, fresh(2)), true)
-		is.True(table.Answered(digest(2)))
+		suspected, held = table.Answered(digest(2))
+		is.True(suspected && !held)
 		is.Equal(len(table.Note(crashOf(2, fresh(2)), true)), 0)
 		is.Equal(len(table.Note(crashOf(3, fresh(2)), true)), 1)
-		is.True(table.Answered(digest(2))) // a copy that ran when it was held
+		suspected, held = table.Answered(digest(2)) // a copy that ran when it was held
+		is.True(suspected && held)
 		is.True(table.Held(digest(2)) == nil)
 	})
 }
