--- a/soak/caller.go
+++ b/soak/caller.go
@@ -104,11 +104,15 @@
 // exchange sends the request and reads the answer; an error leaves the
 // connection unusable.
 func (c *caller) exchange(r *result) error {
+	return c.send(r, platformtest.Request(r.kind, r.version, r.id, deadline))
+}
+
+func (c *caller) send(r *result, req *fasthttp.Request) error {
 	if err := c.conn.SetDeadline(time.Now().Add(deadline + 2*time.Second)); err != nil {
 		return err
 	}
 	bw := bufio.NewWriter(c.conn)
-	if err := platformtest.Request(r.kind, r.version, r.id, deadline).Write(bw); err != nil {
+	if err := req.Write(bw); err != nil {
 		return err
 	}
 	if err := bw.Flush(); err != nil {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -22,6 +22,8 @@
 	length time.Duration
 	bin    string
 	dir    string
+	// fatal lets a request come that ends whatever runs it.
+	fatal bool
 }
 
 // fleet is one deployment with its callers.
@@ -90,6 +92,9 @@
 		c := &caller{f: f, n: n, rng: rand.New(rand.NewPCG(o.seed, uint64(n)+100))}
 		callers.Go(func() { c.run(stop) })
 	}
+	if o.fatal {
+		callers.Go(f.fatalRequest)
+	}
 	f.trouble()
 	time.Sleep(recovery)
 	proven := time.Now()
@@ -97,6 +102,7 @@
 	close(stop)
 	callers.Wait()
 	f.judgeRuns()
+	f.judgeFatal()
 	f.recovered(proven)
 	f.stop()
 	stopped = true
@@ -189,6 +195,11 @@
 		return err
 	}
 	out := &runner{Runner: r, link: link, domain: fmt.Sprint("domain-", f.nextID%3)}
+	r.OnFatal(func() {
+		if err := f.crash(out); err != nil {
+			f.problem("a runner that a request ended is not replaced: %v", err)
+		}
+	})
 	f.runners = append(f.runners, out)
 	f.list(out)
 	return nil
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -13,13 +13,17 @@
 const calm = 3 * time.Second
 
 // span is a time in which something was disturbed.
-type span struct{ from, to time.Time }
+type span struct {
+	from, to time.Time
+	// runners says that hosts and store are well.
+	runners bool
+}
 
-// disturb notes a disturbance; the returned function ends it.
-func (f *fleet) disturb() (end func()) {
+// disturb notes a disturbance, of runners alone or not; the returned function ends it.
+func (f *fleet) disturb(runners bool) (end func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.spans = append(f.spans, &span{from: time.Now()})
+	f.spans = append(f.spans, &span{from: time.Now(), runners: runners})
 	s := f.spans[len(f.spans)-1]
 	return func() {
 		f.mu.Lock()
@@ -29,10 +33,16 @@
 }
 
 // undisturbed reports whether nothing was disturbed from calm before from to to.
-func (f *fleet) undisturbed(from, to time.Time) bool {
+func (f *fleet) undisturbed(from, to time.Time) bool { return f.calm(from, to, true) }
+
+// calm reports whether hosts and store, and the runners if they count, were left alone.
+func (f *fleet) calm(from, to time.Time, runners bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.spans {
+		if s.runners && !runners {
+			continue
+		}
 		if s.from.Before(to) && (s.to.IsZero() || s.to.After(from.Add(-calm))) {
 			return false
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,6 +17,7 @@
 	length    = flag.Duration("soak.length", 10*time.Second, "how long each seed is disturbed")
 	hosts     = flag.Int("soak.hosts", 4, "hosts of each fleet")
 	callers   = flag.Int("soak.callers", 12, "callers of each fleet")
+	fatal     = flag.Bool("soak.fatal", false, "let a request come that ends whatever runs it")
 	keep      = flag.String("soak.keep", "", "folder for the logs of seeds that fail")
 )
 
@@ -42,12 +43,15 @@
 	return bin
 }
 
-func playSeed(t *testing.T, bin string, seed uint64) {
+func playSeed(t *testing.T, bin string, seed uint64, fatal bool) {
 	dir := t.TempDir()
-	problems, log, err := play(options{seed: seed, hosts: *hosts, callers: *callers, length: *length, bin: bin, dir: dir})
+	problems, log, err := play(options{seed: seed, hosts: *hosts, callers: *callers, length: *length, bin: bin, dir: dir, fatal: fatal})
 	if err != nil {
 		t.Fatal(err)
 	}
+	if testing.Verbose() {
+		t.Logf("seed %d:\n%s", seed, strings.Join(log, "\n"))
+	}
 	if len(problems) == 0 {
 		return
 	}
@@ -65,7 +69,19 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
 			t.Parallel()
-			playSeed(t, bin, r.seed)
+			playSeed(t, bin, r.seed, false)
+		})
+	}
+}
+
+// A request that ends whatever runs it comes beside other trouble, and beside planned work
+// alone (the second seed).
+func TestSoakRequestThatEndsRunners(t *testing.T) {
+	bin := build(t)
+	for _, seed := range []uint64{301, 304} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playSeed(t, bin, seed, true)
 		})
 	}
 }
@@ -79,7 +95,7 @@
 		seed := *firstSeed + uint64(n)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			playSeed(t, bin, seed)
+			playSeed(t, bin, seed, *fatal)
 		})
 	}
 }
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -14,6 +14,8 @@
 type action struct {
 	name    string
 	planned bool
+	// runners says that it disturbs no host and not the store.
+	runners bool
 	do      func(f *fleet, rng *rand.Rand) error
 }
 
@@ -45,7 +47,7 @@
 		return nil
 	}},
 	{name: "runner leaves", planned: true, do: func(f *fleet, rng *rand.Rand) error { return f.leave(f.present(rng)) }},
-	{name: "runner crashes", do: func(f *fleet, rng *rand.Rand) error { return f.crash(f.present(rng)) }},
+	{name: "runner crashes", runners: true, do: func(f *fleet, rng *rand.Rand) error { return f.crash(f.present(rng)) }},
 	{name: "host killed", do: func(f *fleet, rng *rand.Rand) error {
 		return f.anyHost(rng).kill(time.Duration(rng.IntN(1500)) * time.Millisecond)
 	}},
@@ -117,7 +119,7 @@
 
 func (f *fleet) act(a action, rng *rand.Rand) {
 	if !a.planned {
-		defer f.disturb()()
+		defer f.disturb(a.runners)()
 	}
 	if err := a.do(f, rng); err != nil {
 		f.problem("%s: %v", a.name, err)
