Let operators list and release held requests

thymectl quarantine list and release DIGEST, at the platform's store: the hosts of the users' platform have no operators' interface, and the store is where all of them look. Wrong words, a store that doesn't answer and a digest that isn't held name the remedy.

--- a/ctl/client.go
+++ b/ctl/client.go
@@ -115,6 +115,7 @@
 func ExitCode(err error) int {
 	var call *CallError
 	var unreachable *UnreachableError
+	var storeGone *StoreUnreachableError
 	var partial *NotEverywhereError
 	var usage *UsageError
 	switch {
@@ -124,7 +125,7 @@
 		return ExitUsage
 	case errors.As(err, &partial):
 		return ExitNotEverywhere
-	case errors.As(err, &unreachable):
+	case errors.As(err, &unreachable), errors.As(err, &storeGone):
 		return ExitUnreachable
 	case errors.As(err, &call) && call.Status == http.StatusConflict:
 		return ExitConflict
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -14,22 +14,23 @@
 	Token  string `arg:"--token,env:THYMECTL_TOKEN" help:"operator's token"`
 	Output string `arg:"-o,--output" default:"table" help:"table or json"`
 
-	Status    *StatusCommand    `arg:"subcommand:status" help:"one host in short"`
-	Hosts     *HostsCommand     `arg:"subcommand:hosts" help:"the hosts of the fleet"`
-	Upstreams *UpstreamsCommand `arg:"subcommand:upstreams" help:"engines and services as a host sees them"`
-	Config    *ConfigCommand    `arg:"subcommand:config" help:"the shared configuration"`
-	Drain     *EngineCommand    `arg:"subcommand:drain" help:"give an engine no new work"`
-	Undrain   *EngineCommand    `arg:"subcommand:undrain" help:"give an engine work again"`
-	CallOff   *EngineCommand    `arg:"subcommand:call-off" help:"call off a change that is still draining"`
-	Role      *RoleCommand      `arg:"subcommand:role" help:"change an engine's role"`
-	Load      *LoadCommand      `arg:"subcommand:load" help:"load a model or adapters"`
-	Policy    *PolicyCommand    `arg:"subcommand:policy" help:"the operators' programs"`
-	Why       *WhyCommand       `arg:"subcommand:why" help:"why a request or an engine was treated so"`
-	Claims    *ClaimsCommand    `arg:"subcommand:claims" help:"calls that may not be repeated"`
-	Log       *LogCommand       `arg:"subcommand:log-level" help:"change what a host logs"`
-	Top       *TopCommand       `arg:"subcommand:top" help:"live view of the upstreams"`
-	Account   *AccountCommand   `arg:"subcommand:account" help:"how requests ended by route, from the hosts' logs; asks no host"`
-	Bound     *BoundCommand     `arg:"subcommand:bound" help:"what a deployment could earn at best on the days of a site file; asks no host"`
+	Status     *StatusCommand     `arg:"subcommand:status" help:"one host in short"`
+	Hosts      *HostsCommand      `arg:"subcommand:hosts" help:"the hosts of the fleet"`
+	Upstreams  *UpstreamsCommand  `arg:"subcommand:upstreams" help:"engines and services as a host sees them"`
+	Config     *ConfigCommand     `arg:"subcommand:config" help:"the shared configuration"`
+	Drain      *EngineCommand     `arg:"subcommand:drain" help:"give an engine no new work"`
+	Undrain    *EngineCommand     `arg:"subcommand:undrain" help:"give an engine work again"`
+	CallOff    *EngineCommand     `arg:"subcommand:call-off" help:"call off a change that is still draining"`
+	Role       *RoleCommand       `arg:"subcommand:role" help:"change an engine's role"`
+	Load       *LoadCommand       `arg:"subcommand:load" help:"load a model or adapters"`
+	Policy     *PolicyCommand     `arg:"subcommand:policy" help:"the operators' programs"`
+	Why        *WhyCommand        `arg:"subcommand:why" help:"why a request or an engine was treated so"`
+	Claims     *ClaimsCommand     `arg:"subcommand:claims" help:"calls that may not be repeated"`
+	Log        *LogCommand        `arg:"subcommand:log-level" help:"change what a host logs"`
+	Top        *TopCommand        `arg:"subcommand:top" help:"live view of the upstreams"`
+	Account    *AccountCommand    `arg:"subcommand:account" help:"how requests ended by route, from the hosts' logs; asks no host"`
+	Quarantine *QuarantineCommand `arg:"subcommand:quarantine" help:"requests that are kept from runners because they crash them; asks the platform's store"`
+	Bound      *BoundCommand      `arg:"subcommand:bound" help:"what a deployment could earn at best on the days of a site file; asks no host"`
 }
 
 // Description implements arg.Described.
@@ -172,6 +173,8 @@
 		return t.account(f.Account)
 	case f.Bound != nil:
 		return t.bound(f.Bound)
+	case f.Quarantine != nil:
+		return t.quarantine(ctx, f.Quarantine)
 	}
 	return t.orders(ctx, f)
 }
