Count the time in which a host is suspended

Cause: the runtime's clock stands still while a machine is suspended. A host that held the lease of the engines for orders, believed a list or waited for a deadline went on after eight seconds as if none had passed, where a paused process knows better.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -172,6 +172,7 @@
 		group.Go(func() { d.runLogged(background, l) })
 	}
 	group.Go(func() { d.join(ctx) })
+	group.Go(func() { wallclock.Watch(background) })
 	serving := make(chan error, 1)
 	group.Go(func() { serving <- d.front.Serve(callers) })
 	d.log.Info("serving", "callers", callers.Addr().String(), "peers", peers.Addr().String(), "incarnation", d.id.Incarnation)
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -338,6 +338,7 @@
 	group.Go(func() { h.members.Run(work) })
 	group.Go(func() { h.looker.Run(work) })
 	group.Go(func() { h.quarantine.Run(work) })
+	group.Go(func() { wallclock.Watch(work) })
 	managing, resign := context.WithCancel(work)
 	group.Go(func() {
 		if err := h.manager.Run(managing); err != nil {
--- a/transport/elsewhere/elsewhere.go
+++ b/transport/elsewhere/elsewhere.go
@@ -22,6 +22,7 @@
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/front"
 	"github.com/thymerack/thymerack/transport/peer"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 const (
@@ -256,7 +257,7 @@
 func (f *Finder) put(id string, holder state.HostID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := wallclock.Now()
 	f.expire(now)
 	until := now.Add(f.o.Keep)
 	f.holders[id] = entry{holder, until}
--- a/transport/front/classify.go
+++ b/transport/front/classify.go
@@ -14,6 +14,7 @@
 	"github.com/thymerack/thymerack/coordination/snapshot"
 	"github.com/thymerack/thymerack/protocol/callerapi"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 // maxIDBytes bounds a caller's request id.
@@ -121,7 +122,7 @@
 
 // request classifies a call: class by policy, deadline by header or class.
 func (s *Server) request(c fiber.Ctx, v *snapshot.View, t *state.Customer, in ClassifyInput) (*dispatch.Request, error) {
-	now := time.Now()
+	now := wallclock.Now()
 	s.requests.Add(1)
 	in.Customer = t.Name
 	in.Class = t.Class
--- a/transport/front/completions.go
+++ b/transport/front/completions.go
@@ -17,6 +17,7 @@
 	"github.com/thymerack/thymerack/coordination/upstream"
 	"github.com/thymerack/thymerack/protocol/callerapi"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 func (s *Server) completions(c fiber.Ctx) error { return s.complete(c, false) }
@@ -253,7 +254,7 @@
 
 // Append implements dispatch.Sink.
 func (m *measuredSink) Append(token string) {
-	now := time.Now()
+	now := wallclock.Now()
 	if m.some {
 		m.s.o.Observer.BetweenTokens(m.r.Customer, m.r.Class, now.Sub(m.last))
 	} else {
@@ -266,7 +267,7 @@
 
 // Finish implements dispatch.Sink.
 func (m *measuredSink) Finish(reason string) {
-	now := time.Now()
+	now := wallclock.Now()
 	m.s.o.Observer.Whole(m.r.Customer, m.r.Class, now.Sub(m.r.ArrivedAt), !now.After(m.r.Deadline))
 	m.Answer.Finish(reason)
 }
--- a/transport/front/send.go
+++ b/transport/front/send.go
@@ -14,6 +14,7 @@
 	"github.com/thymerack/thymerack/protocol/callerapi"
 	"github.com/thymerack/thymerack/protocol/engineapi"
 	"github.com/thymerack/thymerack/transport/callerconn"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 // source is an answer to read from, held here or elsewhere.
@@ -80,7 +81,7 @@
 // await reads until there is something, the caller leaves or the limit passes;
 // a zero limit means none.
 func (s *Server) await(conn net.Conn, src source, from int, limit time.Duration) (answer.Chunk, error) {
-	started := time.Now()
+	started := wallclock.Now()
 	for {
 		chunk, err := src.read(s.base, from, callerPoll)
 		if err != nil || !chunk.Empty() {
@@ -89,7 +90,7 @@
 		if callerconn.Gone(conn) {
 			return chunk, errCallerGone
 		}
-		if limit > 0 && time.Since(started) >= limit {
+		if limit > 0 && wallclock.Since(started) >= limit {
 			return chunk, nil
 		}
 	}
--- a/transport/front/services.go
+++ b/transport/front/services.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"strings"
-	"time"
 
 	"github.com/gofiber/fiber/v3"
 
@@ -13,6 +12,7 @@
 	"github.com/thymerack/thymerack/protocol/callerapi"
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/callerconn"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 // services serves a call of a plain service.
@@ -102,14 +102,14 @@
 
 // call runs the call and ends a repeatable one whose caller has left.
 func (s *Server) call(c fiber.Ctx, r *dispatch.Request, call upstream.Call) (upstream.Answer, error) {
-	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), wallclock.Steady(r.Deadline))
 	defer cancel()
 	watched := &callerconn.Call{Conn: c.RequestCtx().Conn(), Cancel: cancel}
 	s.watch.Add(watched)
 	defer s.watch.Remove(watched)
 	a, err := s.o.Dispatcher.Call(ctx, r, call)
 	if err == nil {
-		s.o.Observer.Whole(r.Customer, r.Class, time.Since(r.ArrivedAt), !time.Now().After(r.Deadline))
+		s.o.Observer.Whole(r.Customer, r.Class, wallclock.Since(r.ArrivedAt), !wallclock.Now().After(r.Deadline))
 	}
 	return a, err
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/coordination/routing"
 	"github.com/thymerack/thymerack/transport/callerconn"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 // Dispatcher forwards one request. Errors are *forward.Refusal.
@@ -157,7 +158,7 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	arrived := time.Now()
+	arrived := wallclock.Now()
 	if err := checkFraming(&ctx.Request.Header); err != nil {
 		s.malformed(ctx, err)
 		return
@@ -233,7 +234,7 @@
 
 // forward dispatches the request while its caller is watched.
 func (s *Server) forward(ctx *fasthttp.RequestCtx, r *forward.Request) {
-	work, cancel := context.WithDeadline(s.base, r.Deadline)
+	work, cancel := context.WithDeadline(s.base, wallclock.Steady(r.Deadline))
 	call := &callerconn.Call{Conn: ctx.Conn(), Cancel: cancel}
 	s.watch.Add(call)
 	end := func() {
@@ -241,7 +242,7 @@
 		cancel()
 	}
 	answer, err := s.o.Dispatcher.Forward(work, r)
-	took := time.Since(r.ArrivedAt)
+	took := wallclock.Since(r.ArrivedAt)
 	if err != nil {
 		end()
 		s.refuse(ctx, r, err, took)
--- a/transport/httpclient/client.go
+++ b/transport/httpclient/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 // Client sends requests to one server. It is safe for concurrent use.
@@ -49,7 +51,7 @@
 // fresh reports whether a pooled connection was in use lately enough.
 func (c *Client) fresh(cn *conn) bool {
 	limit := time.Duration(c.maxIdle.Load())
-	return limit <= 0 || time.Since(cn.releasedAt) < limit
+	return limit <= 0 || wallclock.Since(cn.releasedAt) < limit
 }
 
 // Close closes the unused connections; attempts under way go on.
@@ -144,7 +146,7 @@
 				c.pool.ReleaseReader(x.br)
 			}
 			if reuse && !c.opts.SingleUse {
-				cn.releasedAt = time.Now()
+				cn.releasedAt = wallclock.Now()
 				c.pool.ReleaseConn(cc)
 				return
 			}
--- a/transport/operators/tokens.go
+++ b/transport/operators/tokens.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 // recheck is how often a token file is looked at for a change.
@@ -30,7 +32,7 @@
 	if path == "" {
 		return t, nil
 	}
-	return t, t.read(time.Now())
+	return t, t.read(wallclock.Now())
 }
 
 func (t *Tokens) read(now time.Time) error {
@@ -68,7 +70,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now := time.Now(); now.Sub(t.looked) > recheck {
+	if now := wallclock.Now(); now.Sub(t.looked) > recheck {
 		_ = t.read(now)
 	}
 	digest := sha256.Sum256([]byte(token))
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/thymerack/thymerack/protocol/peerapi"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 // Defaults of the options of clients and servers.
@@ -232,6 +233,6 @@
 			out: make(chan *queued, outgoingFrames), done: make(chan struct{}),
 		},
 		addr: addr, idle: c.opts.IdleTimeout,
-		waiting: map[uint64]chan reply{}, lastCall: time.Now(),
+		waiting: map[uint64]chan reply{}, lastCall: wallclock.Now(),
 	}
 }
--- a/transport/peer/clientlink.go
+++ b/transport/peer/clientlink.go
@@ -7,6 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/thymerack/thymerack/protocol/peerapi"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 // pingsPerSilence is how many pings are sent within one silence timeout.
@@ -83,7 +84,7 @@
 func (l *clientLink) isIdle() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.waiting) == 0 && time.Since(l.lastCall) > l.idle
+	return len(l.waiting) == 0 && wallclock.Since(l.lastCall) > l.idle
 }
 
 // call sends one request and waits for its reply.
@@ -145,7 +146,7 @@
 	l.nextID++
 	answer := make(chan reply, 1)
 	l.waiting[l.nextID] = answer
-	l.lastCall = time.Now()
+	l.lastCall = wallclock.Now()
 	return l.nextID, answer
 }
 
--- a/transport/upstreams/orders.go
+++ b/transport/upstreams/orders.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/thymerack/thymerack/coordination/upstream"
 	"github.com/thymerack/thymerack/protocol/engineapi"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 const pathOrders = "/v1/orders"
@@ -33,7 +33,7 @@
 // Show implements upstream.Orders. At is the time before the question was sent,
 // so what is shown is never older than it.
 func (c *Client) Show(ctx context.Context, u state.Upstream) (upstream.Shown, error) {
-	at := time.Now()
+	at := wallclock.Now()
 	s, err := control[engineapi.Shown](ctx, c, u, controlCall{
 		path: pathOrders, timeout: c.opts.OrderTimeout, via: viaOrders,
 	})
