--- a/coordination/forward/crashes_test.go
+++ b/coordination/forward/crashes_test.go
@@ -73,7 +73,7 @@
 	f     *crashFleet
 	name  string
 	fleet *placement.Fleet
-	*quarantine.Keeper
+	*quarantine.Registry
 }
 
 // crashEngine is one engine, or a runner of a plain service if it has no role; its run ends
@@ -132,7 +132,7 @@
 	}
 	h.Dispatcher, err = New(Options{
 		Upstream: up, Placer: h.fleet, Gate: newScriptedGate(f.t).Gate, Budget: anyBudget{}, Observer: noObserver{},
-		Outliers: &silentRunners{}, Crashes: crashes, Quarantine: h.Keeper, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
+		Outliers: &silentRunners{}, Crashes: crashes, Quarantine: h.Registry, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
 		f.t.Fatal(err)
@@ -156,7 +156,7 @@
 	h.f.t.Helper()
 	client := h.f.store.Client(h.name)
 	var err error
-	h.Keeper, err = quarantine.New(quarantine.Options{
+	h.Registry, err = quarantine.New(quarantine.Options{
 		Host: h.name, Table: quarantine.NewTable(clocktest.Bubble{}), Store: client, FollowsStore: func() bool { return true },
 		Publish: func(n quarantine.Notice) {
 			for _, to := range h.f.hosts {
--- /dev/null
+++ b/coordination/quarantine/registry.go
@@ -0,0 +1,239 @@
+package quarantine
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/store"
+	"github.com/thymerack/thymerack/state"
+)
+
+const (
+	// tick is how often the registry looks after the store's entries, and the pause before a
+	// write that failed is tried again: hosts that were out of the store's reach have some
+	// seconds to tell it what they know.
+	tick = time.Second
+	// standInAfter is when a host writes what another should have: that one may be gone.
+	standInAfter = 3 * time.Second
+	// gather is the pause in which crashes are collected for one notice: a failure domain
+	// that is lost is told in one by each host, not in one for each runner.
+	gather = 20 * time.Millisecond
+	// answeredFor is how long an entry that is written in ignorance of an answer may be on
+	// its way: a write and the copy of it.
+	answeredFor = 10 * time.Second
+	// mostTold bounds the requests that a host tells of one crash, those first that had just
+	// begun; a full engine has some hundred from all hosts together.
+	mostTold = 128
+)
+
+// Notice is what hosts tell each other.
+type Notice struct {
+	Crashes []Crash
+	// Held are requests that are held, for hosts that missed a crash.
+	Held []Holding
+	// Answered are requests that were suspected or held and have been answered.
+	Answered []Digest
+}
+
+func (n Notice) empty() bool { return len(n.Crashes)+len(n.Held)+len(n.Answered) == 0 }
+
+// Holding is a request that is held.
+type Holding struct {
+	Digest   Digest
+	Evidence []Evidence
+}
+
+// Options configure a Registry. All fields are required.
+type Options struct {
+	// Host is this host's name in what it tells.
+	Host  string
+	Table *Table
+	Store store.Store
+	// FollowsStore reports whether this host is one of those that follow the store.
+	FollowsStore func() bool
+	// Publish tells all hosts, this one too, by Take. It doesn't wait.
+	Publish func(Notice)
+	Clock   state.Clock
+	Log     *slog.Logger
+}
+
+// Registry counts crashes with the other hosts and keeps at the store what is held. It is safe
+// for concurrent use.
+type Registry struct {
+	o    Options
+	wake chan struct{}
+
+	mu      sync.Mutex
+	pending Notice
+	// cleared are suspected requests that were answered. They are told with the next notice
+	// or tick: most of those that ran at a crash are.
+	cleared []Digest
+	// entries are those of the store, and unreadable the versions of those that were logged.
+	entries    map[Digest]stored
+	unreadable map[string]uint64
+	// answered are requests that were answered here, and when: their entries are to go.
+	answered map[Digest]time.Time
+}
+
+// New validates the options.
+func New(o Options) (*Registry, error) {
+	if o.Host == "" || o.Table == nil || o.Store == nil || o.FollowsStore == nil || o.Publish == nil || o.Clock == nil || o.Log == nil {
+		return nil, errors.New("quarantine: a field of Options is missing; set all of them")
+	}
+	return &Registry{o: o, wake: make(chan struct{}, 1), entries: map[Digest]stored{}, unreadable: map[string]uint64{}, answered: map[Digest]time.Time{}}, nil
+}
+
+// Held returns why a request is held, or nil.
+func (r *Registry) Held(d Digest) *Hold { return r.o.Table.Held(d) }
+
+// Size is the number of requests that are held.
+func (r *Registry) Size() int { return len(r.o.Table.Holds()) }
+
+// Answered notes that a copy of the request was answered whole.
+func (r *Registry) Answered(d Digest) {
+	suspected, held := r.o.Table.Answered(d)
+	if !suspected {
+		return
+	}
+	r.mu.Lock()
+	_, stored := r.entries[d]
+	held = held || stored
+	r.cleared = append(r.cleared, d)
+	if held {
+		r.answered[d] = r.o.Clock.Now()
+	}
+	r.mu.Unlock()
+	if held {
+		r.o.Log.Info("held request answered", "digest", d.String())
+		r.rouse()
+	}
+}
+
+// Note tells all hosts of a crash under this host's requests.
+func (r *Registry) Note(run state.InstanceID, at time.Time, suspects []Suspect) {
+	suspects = slices.Clone(suspects)
+	for i := range suspects {
+		suspects[i].Proven = r.o.Table.Proven(suspects[i].Digest)
+	}
+	slices.SortStableFunc(suspects, func(a, b Suspect) int { return cmp.Compare(oneIf(a.Settled), oneIf(b.Settled)) })
+	c := Crash{Run: run, Host: r.o.Host, At: at, Suspects: suspects[:min(len(suspects), mostTold)]}
+	r.mu.Lock()
+	r.pending.Crashes = append(r.pending.Crashes, c)
+	r.mu.Unlock()
+	r.rouse()
+}
+
+// oneIf is 1 for true and 0 for false.
+func oneIf(is bool) int {
+	if is {
+		return 1
+	}
+	return 0
+}
+
+// rouse has news told and the store written.
+func (r *Registry) rouse() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Take takes what a host tells, this one too. It doesn't wait.
+func (r *Registry) Take(n Notice) {
+	for _, c := range n.Crashes {
+		for _, d := range r.o.Table.Note(c, c.Host == r.o.Host) {
+			r.found(d)
+		}
+	}
+	for _, h := range n.Held {
+		if r.o.Table.Hold(h.Digest, h.Evidence) {
+			r.logHeld(h.Digest, "another host")
+		}
+	}
+	for _, d := range n.Answered {
+		r.o.Table.Forget(d)
+	}
+}
+
+// found tells the others what this host has found, if one of the crashes was its own: a
+// host that saw none leaves it to those that did.
+func (r *Registry) found(d Digest) {
+	r.logHeld(d, "crashes")
+	hold := r.o.Table.Held(d)
+	if hold == nil || !hold.Own {
+		return
+	}
+	r.mu.Lock()
+	r.pending.Held = append(r.pending.Held, Holding{d, hold.Evidence})
+	r.mu.Unlock()
+	r.rouse()
+}
+
+// logHeld writes the line from which a refusal is explained.
+func (r *Registry) logHeld(d Digest, by string) {
+	if hold := r.o.Table.Held(d); hold != nil {
+		r.o.Log.Warn("request held: runners crash under it", "digest", d.String(), "by", by, "crashes", len(hold.Evidence), "evidence", describe(hold.Evidence))
+	}
+}
+
+func describe(evidence []Evidence) []string {
+	out := make([]string, 0, len(evidence))
+	for _, e := range evidence {
+		out = append(out, e.run().String()+" under "+e.RequestID+" of "+e.Host+" at "+e.At.UTC().Format(time.RFC3339Nano))
+	}
+	return out
+}
+
+// Run tells the other hosts and looks after the store's entries until ctx ends.
+func (r *Registry) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		ticked := r.await(ctx)
+		if r.o.Clock.Sleep(ctx, gather) != nil {
+			return
+		}
+		r.tell(ticked)
+		r.write(ctx)
+		r.sweep(ctx)
+	}
+}
+
+// await waits to be woken, or for the next tick, and reports whether that came.
+func (r *Registry) await(ctx context.Context) bool {
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = r.o.Clock.Sleep(bounded, tick) // its end is all that counts
+	}()
+	select {
+	case <-r.wake:
+		return false
+	case <-done:
+		return true
+	}
+}
+
+// tell tells all hosts what is new; all says that what can wait goes too.
+func (r *Registry) tell(all bool) {
+	r.mu.Lock()
+	n := r.pending
+	r.pending = Notice{}
+	if all || !n.empty() || len(r.answered) > 0 {
+		n.Answered, r.cleared = r.cleared, nil
+	}
+	r.mu.Unlock()
+	if n.empty() {
+		return
+	}
+	if len(n.Answered) > 0 {
+		r.o.Log.Info("suspected requests answered", "requests", len(n.Answered))
+	}
+	r.o.Publish(n)
+}
--- a/coordination/quarantine/keeper_test.go
+++ b/coordination/quarantine/registry_test.go
@@ -29,12 +29,14 @@
 	mu sync.Mutex
 	// cut hosts hear no other and aren't heard, unreachable ones don't reach the store.
 	cut, unreachable map[string]bool
-	writes           int
-	follows          int
+	// slow is how long the store takes for a write.
+	slow    time.Duration
+	writes  int
+	follows int
 }
 
 type host struct {
-	*Keeper
+	*Registry
 	name string
 	stop context.CancelFunc
 }
@@ -43,6 +45,7 @@
 	t.Helper()
 	f := &fleet{t: t, store: storetest.NewPlatform(20 * time.Second), cut: map[string]bool{}, unreachable: map[string]bool{}, follows: hosts}
 	f.store.SetScript(func(c storetest.Call) storetest.Fault {
+		time.Sleep(f.storeDelay(c))
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if c.Op == "put" || c.Op == "delete" {
@@ -59,11 +62,6 @@
 	}
 	f.mu.Unlock()
 	time.Sleep(tick)
-	t.Cleanup(func() {
-		for _, h := range f.hosts {
-			h.stop()
-		}
-	})
 	return f
 }
 
@@ -74,7 +72,7 @@
 	h := &host{name: name, stop: stop}
 	client := f.store.Client(name)
 	var err error
-	h.Keeper, err = New(Options{
+	h.Registry, err = New(Options{
 		Host: name, Table: NewTable(clocktest.Bubble{}), Store: client, FollowsStore: func() bool { return f.follow(rank) },
 		Publish: func(n Notice) { f.publish(h, n) }, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
 	})
@@ -92,6 +90,15 @@
 	return h
 }
 
+func (f *fleet) storeDelay(c storetest.Call) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.Op != "put" {
+		return 0
+	}
+	return f.slow
+}
+
 // follow reports whether hosts of that rank follow the store.
 func (f *fleet) follow(rank int) bool {
 	f.mu.Lock()
--- /dev/null
+++ b/coordination/quarantine/storage.go
@@ -0,0 +1,154 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/store"
+)
+
+// Changed takes a new copy of the store's entries. One that is gone was released by an
+// operator, or because its request was answered.
+func (r *Registry) Changed(c follow.Copy) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.o.Clock.Now()
+	present := make(map[Digest]stored, len(c.Objects))
+	for _, o := range c.Objects {
+		d, e, err := decodeEntry(o)
+		if err != nil {
+			r.noteUnreadable(o, err)
+			continue
+		}
+		s := stored{e, o.Version, now}
+		if before, known := r.entries[d]; known && before.version == o.Version {
+			s = before
+		} else {
+			r.adopt(d, e)
+		}
+		present[d] = s
+	}
+	for d, s := range r.entries {
+		if _, there := present[d]; there {
+			continue
+		}
+		if s.version > c.Revision { // written since this copy
+			present[d] = s
+			continue
+		}
+		r.o.Table.Forget(d)
+		r.o.Log.Info("request no longer held", "digest", d.String(), "revision", c.Revision)
+	}
+	r.entries = present
+}
+
+// adopt takes a new version of an entry; r.mu is held.
+func (r *Registry) adopt(d Digest, e entry) {
+	if _, answered := r.answered[d]; answered {
+		return // it was written in ignorance of that
+	}
+	if e.Released {
+		r.o.Table.Release(d)
+		r.o.Log.Info("request released for a trial", "digest", d.String(), "times", e.Times)
+		return
+	}
+	if r.o.Table.Hold(d, e.Evidence) {
+		r.logHeld(d, "the store")
+	}
+}
+
+func (r *Registry) noteUnreadable(o store.Object, err error) {
+	if r.unreadable[o.Name] != o.Version {
+		r.unreadable[o.Name] = o.Version
+		r.o.Log.Warn("entry of a held request not readable", "name", o.Name, "version", o.Version, "cause", err.Error())
+	}
+}
+
+// write brings to the store what is held and isn't there. The hosts that saw a crash
+// themselves do it at once, others that follow the store when it is still missing later.
+func (r *Registry) write(ctx context.Context) {
+	now := r.o.Clock.Now()
+	for d, hold := range r.o.Table.Holds() {
+		r.mu.Lock()
+		s, there := r.entries[d]
+		full := len(r.entries) >= mostHeld
+		r.mu.Unlock()
+		late := now.Sub(hold.At) > standInAfter && r.o.FollowsStore()
+		if (there && !s.Released) || full || !(hold.Own || late) {
+			continue
+		}
+		r.put(ctx, d, entry{Evidence: hold.Evidence, Times: s.Times + 1}, s.version)
+	}
+}
+
+// put writes an entry at its known version. A conflict says that another host was faster.
+func (r *Registry) put(ctx context.Context, d Digest, e entry, version uint64) {
+	value, err := json.Marshal(e)
+	if err != nil {
+		r.o.Log.Error("held request not written", "digest", d.String(), "cause", err.Error())
+		return
+	}
+	now, err := r.o.Store.Put(ctx, Kind, d.String(), version, value)
+	switch {
+	case err == nil:
+		r.mu.Lock()
+		if r.entries[d].version < now {
+			r.entries[d] = stored{e, now, r.o.Clock.Now()}
+			r.adopt(d, e)
+		}
+		r.mu.Unlock()
+		r.o.Log.Info("held request written", "digest", d.String(), "released", e.Released, "times", e.Times, "version", now)
+	case store.IsConflict(err):
+		// the copy of the store will show what the other wrote
+	case ctx.Err() == nil:
+		r.o.Log.Warn("held request not written", "digest", d.String(), "cause", err.Error())
+	}
+}
+
+// sweep releases entries whose time is over and removes those that are needed no more. The
+// hosts that follow the store do it; the first one's write is the one that counts.
+func (r *Registry) sweep(ctx context.Context) {
+	release, remove := r.due()
+	for d, s := range release {
+		s.Released = true
+		r.put(ctx, d, s.entry, s.version)
+	}
+	for d, s := range remove {
+		err := r.o.Store.Delete(ctx, Kind, d.String(), s.version)
+		switch {
+		case err == nil, store.IsConflict(err), errors.Is(err, store.ErrNotFound):
+			r.mu.Lock()
+			delete(r.answered, d)
+			r.mu.Unlock()
+		case ctx.Err() == nil:
+			r.o.Log.Warn("entry of a released request not removed", "digest", d.String(), "cause", err.Error())
+		}
+	}
+}
+
+// due are the entries to be released and to be removed.
+func (r *Registry) due() (release, remove map[Digest]stored) {
+	follows := r.o.FollowsStore()
+	now := r.o.Clock.Now()
+	release, remove = map[Digest]stored{}, map[Digest]stored{}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for d, at := range r.answered {
+		if _, there := r.entries[d]; !there && now.Sub(at) > answeredFor {
+			delete(r.answered, d)
+		}
+	}
+	for d, s := range r.entries {
+		age := now.Sub(s.seenAt)
+		_, answered := r.answered[d]
+		switch {
+		case answered, follows && s.Released && age > forgetAfter:
+			remove[d] = s
+		case follows && !s.Released && age > s.holdFor():
+			release[d] = s
+		}
+	}
+	return release, remove
+}
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -18,7 +17,8 @@
 	holdWeight = 4
 	// freshWeight is that of a crash soon after the request began to run, which is when one
 	// that crashes its runner does so. settledWeight is that of one whose answer had been
-	// coming for a while: streams last for seconds and are hit by what others do.
+	// coming for a while, as streams last for seconds and are hit by what others do, and of
+	// one that was answered before.
 	freshWeight   = 2
 	settledWeight = 1
 	// moment is the time in which the crashes of a request that is answered elsewhere count
@@ -64,32 +64,6 @@
 	runQueue []queued[state.InstanceID]
 }
 
-// record is what is known of one request.
-type record struct {
-	// at is when it was made.
-	at      time.Time
-	crashes []exposure
-	own     bool
-	// released requests are held again by any crash.
-	released bool
-}
-
-// exposure is one crash at which a request ran.
-type exposure struct {
-	Evidence
-	settled, proven bool
-	at              time.Time
-}
-
-// ended is a run that crashed.
-type ended struct {
-	// at is when it was made.
-	at       time.Time
-	suspects []Digest
-	// explained runs had a request that is held: the others have nothing to do with it.
-	explained bool
-}
-
 type queued[K any] struct {
 	key K
 	at  time.Time
@@ -149,24 +123,6 @@
 	e.suspects = append(e.suspects, s.Digest)
 }
 
-// weight is how much speaks against the request.
-func (r *record) weight() int {
-	sum := 0
-	var last time.Time
-	for _, x := range r.crashes {
-		switch {
-		case !x.proven && !x.settled:
-			sum += freshWeight
-		case !x.proven:
-			sum += settledWeight
-		case last.IsZero() || x.at.Sub(last) >= moment:
-			sum += settledWeight
-			last = x.at
-		}
-	}
-	return sum
-}
-
 // decide holds the requests against which enough speaks after a crash. What they explain
 // isn't held against others; t.mu is held.
 func (t *Table) decide(c Crash, e *ended, now time.Time) []Digest {
@@ -195,14 +151,6 @@
 	return found
 }
 
-func (r *record) evidence() []Evidence {
-	out := make([]Evidence, 0, len(r.crashes))
-	for _, x := range r.crashes {
-		out = append(out, x.Evidence)
-	}
-	return out
-}
-
 // explain clears the other requests of crashes whose cause is held; t.mu is held.
 func (t *Table) explain(crashes []exposure) {
 	for _, x := range crashes {
@@ -229,94 +177,6 @@
 	}
 }
 
-// Hold holds a request by the word of the store or of another host. It reports whether that
-// is new.
-func (t *Table) Hold(d Digest, evidence []Evidence) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.Held(d) != nil {
-		return false
-	}
-	t.hold(d, evidence, t.clock.Now())
-	for _, e := range evidence {
-		if run := t.runs[e.run()]; run != nil {
-			t.explainRun(run)
-		}
-	}
-	return true
-}
-
-// hold puts a request on the list; t.mu is held.
-func (t *Table) hold(d Digest, evidence []Evidence, now time.Time) {
-	r := t.records[d]
-	next := maps.Clone(*t.held.Load())
-	if len(next) >= mostHeld {
-		delete(next, oldest(next))
-	}
-	next[d] = &Hold{Evidence: evidence, Own: r != nil && r.own, At: now}
-	t.held.Store(&next)
-}
-
-// oldest is what has been held for longest.
-func oldest(held map[Digest]*Hold) Digest {
-	var out Digest
-	var at time.Time
-	for d, h := range held {
-		if at.IsZero() || h.At.Before(at) {
-			out, at = d, h.At
-		}
-	}
-	return out
-}
-
-// Release lets a request run again; any further crash holds it again.
-func (t *Table) Release(d Digest) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.unhold(d)
-	t.drop(d)
-	t.newRecord(d, t.clock.Now()).released = true
-}
-
-// Forget clears a request of all that was held against it.
-func (t *Table) Forget(d Digest) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.unhold(d)
-	t.drop(d)
-}
-
-// Answered notes that a copy of the request was answered whole, which no request is that
-// crashes its runners. It reports whether anything spoke against it, and whether it was held.
-func (t *Table) Answered(d Digest) (suspected, held bool) {
-	t.proven.add(d)
-	if t.suspected.Load() == 0 && t.Held(d) == nil {
-		return false, false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	suspected, held = t.records[d] != nil, t.Held(d) != nil
-	t.unhold(d)
-	t.drop(d)
-	return suspected || held, held
-}
-
-// unhold takes a request off the list; t.mu is held.
-func (t *Table) unhold(d Digest) {
-	if t.Held(d) == nil {
-		return
-	}
-	next := maps.Clone(*t.held.Load())
-	delete(next, d)
-	t.held.Store(&next)
-}
-
-// drop forgets what speaks against a request; t.mu is held.
-func (t *Table) drop(d Digest) {
-	delete(t.records, d)
-	t.suspected.Store(int64(len(t.records)))
-}
-
 // newRecord begins to remember a request; t.mu is held.
 func (t *Table) newRecord(d Digest, now time.Time) *record {
 	r := &record{at: now}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -72,7 +72,7 @@
 	ended   context.CancelFunc
 	// quarantine keeps requests that crash runners from them, and held is this host's copy
 	// of what the store has of them.
-	quarantine *quarantine.Keeper
+	quarantine *quarantine.Registry
 	held       *follow.Mirror
 	// gate counts prompts over all hosts.
 	gate *occupancy.Gate
