Count later moments of a request however many crashes one had

Cause: eight crashes of a request are remembered, and those of one that was answered before count once a second. Eight in one moment filled the record, and no later one counted: such a request would never have been held. Found by reading; the test fails without the change. Change: a crash in the moment of the last one isn't remembered.

--- a/coordination/quarantine/record.go
+++ b/coordination/quarantine/record.go
@@ -28,20 +28,26 @@
 	explained bool
 }
 
+// sameMoment reports whether a crash at a time belongs to the moment of the last one that the
+// request was at although a copy had been answered.
+func (r *record) sameMoment(now time.Time) bool {
+	for i := len(r.crashes) - 1; i >= 0; i-- {
+		if r.crashes[i].proven {
+			return now.Sub(r.crashes[i].at) < moment
+		}
+	}
+	return false
+}
+
 // weight is how much speaks against the request.
 func (r *record) weight() int {
 	sum := 0
-	var last time.Time
 	for _, x := range r.crashes {
-		switch {
-		case !x.proven && !x.settled:
-			sum += freshWeight
-		case !x.proven:
-			sum += settledWeight
-		case last.IsZero() || x.at.Sub(last) >= moment:
+		if x.proven || x.settled {
 			sum += settledWeight
-			last = x.at
+			continue
 		}
+		sum += freshWeight
 	}
 	return sum
 }
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -116,7 +116,7 @@
 		r.crashes[i].proven = r.crashes[i].proven || s.Proven
 		return
 	}
-	if len(r.crashes) < mostEvidence {
+	if len(r.crashes) < mostEvidence && !(s.Proven && r.sameMoment(now)) {
 		seen := Evidence{Runner: c.Run.Name, Born: c.Run.Born, RequestID: s.RequestID, Host: c.Host, At: c.At}
 		r.crashes = append(r.crashes, exposure{Evidence: seen, settled: s.Settled, proven: s.Proven, at: now})
 	}
--- a/coordination/quarantine/table_test.go
+++ b/coordination/quarantine/table_test.go
@@ -92,6 +92,24 @@
 	})
 }
 
+// Many copies at once of a request that was answered before, and ends its runners since they
+// were released anew, are one moment; those after it count all the same.
+func TestMomentsCountHoweverManyCrashesTheyHave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable(clocktest.Bubble{})
+		for n := range 3 * mostEvidence {
+			is.Equal(len(table.Note(crashOf(n, proved(1)), true)), 0)
+		}
+		for n := 100; n < 102; n++ {
+			time.Sleep(moment)
+			is.Equal(len(table.Note(crashOf(n, proved(1)), true)), 0)
+		}
+		time.Sleep(moment)
+		is.Equal(table.Note(crashOf(102, proved(1)), true), []Digest{digest(1)})
+	})
+}
+
 // Runners that are lost together say nothing of what all of them run.
 func TestWidespreadLossHoldsNoRequestThatIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
