Tell crashes while the store hangs

Found by reading; the test sees no host hold a request 100 ms after its second crash without the change, and all five with it. Change: a loop each.

--- a/coordination/quarantine/registry.go
+++ b/coordination/quarantine/registry.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/state"
 )
@@ -65,8 +67,9 @@
 // Registry counts crashes with the other hosts and keeps at the store what is held. It is safe
 // for concurrent use.
 type Registry struct {
-	o    Options
-	wake chan struct{}
+	o Options
+	// news and changed wake what tells the hosts and what writes to the store.
+	news, changed chan struct{}
 
 	mu      sync.Mutex
 	pending Notice
@@ -85,7 +88,7 @@
 	if o.Host == "" || o.Table == nil || o.Store == nil || o.FollowsStore == nil || o.Publish == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("quarantine: a field of Options is missing; set all of them")
 	}
-	return &Registry{o: o, wake: make(chan struct{}, 1), entries: map[Digest]stored{}, unreadable: map[string]uint64{}, answered: map[Digest]time.Time{}}, nil
+	return &Registry{o: o, news: make(chan struct{}, 1), changed: make(chan struct{}, 1), entries: map[Digest]stored{}, unreadable: map[string]uint64{}, answered: map[Digest]time.Time{}}, nil
 }
 
 // Held returns why a request is held, or nil.
@@ -138,9 +141,11 @@
 
 // rouse has news told and the store written.
 func (r *Registry) rouse() {
-	select {
-	case r.wake <- struct{}{}:
-	default:
+	for _, wake := range []chan struct{}{r.news, r.changed} {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -190,21 +195,33 @@
 	return out
 }
 
-// Run tells the other hosts and looks after the store's entries until ctx ends.
+// Run tells the other hosts and looks after the store's entries until ctx ends. One doesn't
+// wait for the other: the store may hang.
 func (r *Registry) Run(ctx context.Context) {
+	var loops conc.WaitGroup
+	loops.Go(func() { r.each(ctx, r.news, r.tell) })
+	loops.Go(func() {
+		r.each(ctx, r.changed, func(bool) {
+			r.write(ctx)
+			r.sweep(ctx)
+		})
+	})
+	loops.Wait()
+}
+
+// each calls do a moment after it was woken, and at each tick.
+func (r *Registry) each(ctx context.Context, wake <-chan struct{}, do func(ticked bool)) {
 	for ctx.Err() == nil {
-		ticked := r.await(ctx)
+		ticked := r.await(ctx, wake)
 		if r.o.Clock.Sleep(ctx, gather) != nil {
 			return
 		}
-		r.tell(ticked)
-		r.write(ctx)
-		r.sweep(ctx)
+		do(ticked)
 	}
 }
 
 // await waits to be woken, or for the next tick, and reports whether that came.
-func (r *Registry) await(ctx context.Context) bool {
+func (r *Registry) await(ctx context.Context, wake <-chan struct{}) bool {
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
@@ -213,7 +230,7 @@
 		_ = r.o.Clock.Sleep(bounded, tick) // its end is all that counts
 	}()
 	select {
-	case <-r.wake:
+	case <-wake:
 		return false
 	case <-done:
 		return true
--- a/coordination/quarantine/registry_test.go
+++ b/coordination/quarantine/registry_test.go
@@ -260,6 +260,23 @@
 	}
 }
 
+// What hosts tell each other doesn't wait for a store that hangs.
+func TestCrashesAreToldWhileTheStoreHangs(t *testing.T) {
+	play(t, 5, func(is *is.I, f *fleet) {
+		f.mu.Lock()
+		f.slow = time.Minute
+		f.mu.Unlock()
+		f.crash(0, 1, fresh(1))
+		f.crash(0, 2, fresh(1)) // the host begins to write what it holds
+		is.Equal(f.holders(digest(1)), 5)
+		f.hosts[0].Note(run(3), time.Now(), []Suspect{fresh(2)})
+		f.hosts[0].Note(run(4), time.Now(), []Suspect{fresh(2)})
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(f.holders(digest(2)), 5)
+		time.Sleep(10 * time.Minute) // the store's answers come in the end
+	})
+}
+
 func TestOperatorReleasesARequest(t *testing.T) {
 	play(t, 5, func(is *is.I, f *fleet) {
 		f.crash(0, 1, fresh(1))
