--- /dev/null
+++ b/coordination/fanout/fanouttest/fanouttest.go
@@ -0,0 +1,37 @@
+// Package fanouttest helps to test what hosts tell each other by notices.
+package fanouttest
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/fanout"
+	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/state"
+)
+
+// noPeers are the peers of a host that is alone; none is ever asked.
+type noPeers struct{}
+
+func (noPeers) Follow(context.Context, string, fanout.Question) (fanout.News, error) {
+	return fanout.News{}, context.Canceled
+}
+
+func (noPeers) Post(context.Context, string, fanout.Notice) error { return context.Canceled }
+
+// Alone returns the node of a host without others, which hears what it publishes itself.
+func Alone(t *testing.T) *fanout.Node {
+	t.Helper()
+	n, err := fanout.New(fanout.Options{
+		Self: state.Peer{Addr: "h"}, Run: "h-1", Hosts: func() []state.Peer { return nil }, Copies: map[string]*follow.Mirror{"a": nil},
+		Peers: noPeers{}, Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler), Wait: time.Second,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
--- a/transport/quarantines/quarantines_test.go
+++ b/transport/quarantines/quarantines_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -10,28 +9,14 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/thymerack/thymerack/coordination/fanout"
-	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/fanout/fanouttest"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/state"
-	"github.com/thymerack/thymerack/transport/relay"
-	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
-func newNode(t *testing.T) *fanout.Node {
-	t.Helper()
-	n, err := fanout.New(fanout.Options{
-		Self: state.Peer{Addr: "h"}, Run: "h-1", Hosts: func() []state.Peer { return nil }, Copies: map[string]*follow.Mirror{"a": nil},
-		Peers: relay.Peers{}, Clock: wallclock.Clock{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler), Wait: time.Second,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return n
-}
-
 func TestNoticeArrivesAsItWasTold(t *testing.T) {
 	is := is.New(t)
-	n := newNode(t)
+	n := fanouttest.Alone(t)
 	at := time.UnixMilli(1_790_000_000_123)
 	d1, d2 := quarantine.DigestOf(quarantine.Content{URI: "1"}), quarantine.DigestOf(quarantine.Content{URI: "2"})
 	told := quarantine.Notice{
