Refuse messages that announce more than they have

Cause: the msgpack library makes room for all elements that a list of structs announces before it reads any (its own limit compares a flag with the wrong value): nine bytes asked for 110 GB and ended the process. Found by fuzzing a new kind of notice, and then the asks for places as well; every message between hosts and two kinds of values from the store were read this way.

Ruled out: the decoder's options (the limit is never applied to such lists); the library's Skip as a check (it recurses, and overflows the stack on lists in lists).

--- a/coordination/claim/object.go
+++ b/coordination/claim/object.go
@@ -12,6 +12,7 @@
 
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/state/packed"
 )
 
 const (
@@ -108,7 +109,7 @@
 
 func decodeObject(version uint64, value []byte, reserve int) (*object, error) {
 	var w wireObject
-	if err := msgpack.Unmarshal(value, &w); err != nil {
+	if err := packed.Decode(value, &w); err != nil {
 		return nil, fmt.Errorf("%w: %v", errUnreadable, err)
 	}
 	if w.Format != objectFormat {
--- a/coordination/explain/explain.go
+++ b/coordination/explain/explain.go
@@ -17,6 +17,7 @@
 
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/state/packed"
 )
 
 // Slots is how many batch objects a host name has at the platform. They are
@@ -206,7 +207,7 @@
 	if err != nil {
 		return batch, fmt.Errorf("explain: the batch is damaged (%w); read another one", err)
 	}
-	if err := msgpack.Unmarshal(raw, &batch); err != nil {
+	if err := packed.Decode(raw, &batch); err != nil {
 		return batch, fmt.Errorf("explain: the batch is damaged (%w); read another one", err)
 	}
 	return batch, nil
--- a/transport/outliers/outliers.go
+++ b/transport/outliers/outliers.go
@@ -12,6 +12,7 @@
 	"github.com/thymerack/thymerack/coordination/outlier"
 	"github.com/thymerack/thymerack/protocol/peerapi"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/state/packed"
 	"github.com/thymerack/thymerack/transport/peer"
 )
 
@@ -71,7 +72,7 @@
 func Subscribe(n *fanout.Node, take func(outlier.Verdict), log *slog.Logger) {
 	n.Subscribe(topic, func(body []byte) {
 		var m verdict
-		if err := msgpack.Unmarshal(body, &m); err != nil {
+		if err := packed.Decode(body, &m); err != nil {
 			log.Warn("verdict on a runner not readable", "cause", err.Error())
 			return
 		}
--- a/transport/peer/greeting.go
+++ b/transport/peer/greeting.go
@@ -10,6 +10,7 @@
 
 	"github.com/thymerack/thymerack/protocol/peerapi"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/state/packed"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -161,7 +162,7 @@
 	case out == nil:
 		return nil
 	}
-	if err := msgpack.Unmarshal(f.body, out); err != nil {
+	if err := packed.Decode(f.body, out); err != nil {
 		return &FrameError{Problem: "the greeting can't be decoded"}
 	}
 	return nil
@@ -170,7 +171,7 @@
 // problemOf decodes a Problem into the error that stands for it.
 func problemOf(body []byte, addr string) error {
 	var p peerapi.Problem
-	if err := msgpack.Unmarshal(body, &p); err != nil {
+	if err := packed.Decode(body, &p); err != nil {
 		return &FrameError{Problem: "the problem can't be decoded"}
 	}
 	if p.Code == peerapi.CodeWrongKey {
--- a/transport/peer/message.go
+++ b/transport/peer/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/thymerack/thymerack/protocol/peerapi"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/state/packed"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -19,7 +20,7 @@
 	if err != nil {
 		return rep, err
 	}
-	if err := msgpack.Unmarshal(answer, &rep); err != nil {
+	if err := packed.Decode(answer, &rep); err != nil {
 		return rep, &RemoteError{Code: peerapi.CodeBadBody, Message: "the answer can't be decoded; bring both hosts to the same release"}
 	}
 	return rep, nil
@@ -29,7 +30,7 @@
 func HandleMsg[Req, Rep any](handle func(ctx context.Context, from state.HostID, req Req) (Rep, error)) Handler {
 	return func(ctx context.Context, from state.HostID, body []byte) ([]byte, error) {
 		var req Req
-		if err := msgpack.Unmarshal(body, &req); err != nil {
+		if err := packed.Decode(body, &req); err != nil {
 			return nil, &RemoteError{Code: peerapi.CodeBadBody, Message: "the request can't be decoded; bring both hosts to the same release"}
 		}
 		rep, err := handle(ctx, from, req)
--- a/transport/places/fuzz_test.go
+++ b/transport/places/fuzz_test.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/state/packed"
 	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
@@ -25,7 +26,7 @@
 	}
 	f.Fuzz(func(_ *testing.T, body []byte) {
 		var q Enter
-		if msgpack.Unmarshal(body, &q) != nil {
+		if packed.Decode(body, &q) != nil { // as the host does
 			return
 		}
 		a, err := q.ask()
--- a/transport/relay/pack.go
+++ b/transport/relay/pack.go
@@ -6,6 +6,8 @@
 
 	"github.com/klauspost/compress/s2"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/thymerack/thymerack/state/packed"
 )
 
 // packFrom is the size from which a response is compressed: the list of 3,000 instances
@@ -45,7 +47,7 @@
 			return r, fmt.Errorf("relay: a peer's response can't be decompressed (%w); ask another peer", err)
 		}
 	}
-	if err := msgpack.Unmarshal(body, &r); err != nil {
+	if err := packed.Decode(body, &r); err != nil {
 		return r, fmt.Errorf("relay: a peer's response can't be decoded (%w); bring both hosts to the same release", err)
 	}
 	return r, nil
--- a/transport/roles/roles.go
+++ b/transport/roles/roles.go
@@ -11,6 +11,7 @@
 
 	"github.com/thymerack/thymerack/coordination/fanout"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/state/packed"
 )
 
 // topic is that of the notices.
@@ -37,7 +38,7 @@
 func Subscribe(n *fanout.Node, expect Expect, log *slog.Logger) {
 	n.Subscribe(topic, func(body []byte) {
 		var c change
-		if err := msgpack.Unmarshal(body, &c); err != nil {
+		if err := packed.Decode(body, &c); err != nil {
 			log.Warn("announcement of a role not readable", "cause", err.Error())
 			return
 		}
