Count each run of a runner that is back under its name

Cause: a runner that restarts under its name takes work before the list tells its new run. A copy that ends such a run was told under the former one, whose end had been counted. Test: one engine, copies of a repeatable request; three of its runs ended instead of two. Found by reading. Ruled out: asking the engine before each sending, as is done for requests that may run once: a question a sending. Change: a crash is told with how long ago its requests were sent; one that was sent after a run was known to have ended ended a later one.

--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -124,7 +124,9 @@
 	if ctx.Err() != nil || (took < movedWithin && rec.broke()) {
 		return
 	}
-	d.o.Crashes.Broke(runner.Instance, quarantine.Suspect{Digest: rec.digest, RequestID: r.ID, Settled: answering && took >= settledAfter})
+	d.o.Crashes.Broke(runner.Instance, quarantine.Suspect{
+		Digest: rec.digest, RequestID: r.ID, SentAt: d.o.Clock.Now().Add(-took), Settled: answering && took >= settledAfter,
+	})
 }
 
 // noteRefused counts a refusal against the runner. One that is not the run that was meant
--- a/coordination/forward/crashes_test.go
+++ b/coordination/forward/crashes_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -66,6 +67,8 @@
 	served, unserved int
 	// firstEvent is when an engine that runs the request gives its first event.
 	firstEvent time.Duration
+	// sameName lets a later run of an engine take what was meant for the one before.
+	sameName bool
 }
 
 type crashHost struct {
@@ -237,7 +240,7 @@
 	switch {
 	case !up:
 		return nil, &SendError{Cause: errors.New("refused")}
-	case born != a.Instance.ID.Born:
+	case born != a.Instance.ID.Born && !f.sameName:
 		return &crashResponse{head: &Head{Status: statusMisdirected, NotRun: true}}, nil
 	case a.PrefillOnly:
 		return &crashResponse{head: &Head{Status: 200}, ctx: ctx, ended: ended, events: []string{"handle"}, pause: 10 * time.Millisecond}, nil
@@ -450,3 +453,23 @@
 		})
 	}
 }
+
+// Engines that are back under their names take work before the list tells the new run from the
+// old one: a copy that ends such a run counts as well.
+func TestRunsUnderOneNameCountEach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newCrashFleet(t, 1, 3)
+		f.sameName = true
+		f.engines = slices.DeleteFunc(f.engines, func(e *crashEngine) bool {
+			return e.role == state.RoleDecode && e.name != "d0"
+		})
+		f.list()
+		for n := range 20 {
+			go f.hosts[n%3].ask(fmt.Sprint("copy-", n), poison, modelRequest(200, true))
+			time.Sleep(downFor/2 + 50*time.Millisecond) // every second one finds the engine back
+		}
+		t.Logf("%d runs of one engine ended", len(f.crashes))
+		is.Equal(len(f.crashes), 2)
+	})
+}
--- a/coordination/quarantine/record.go
+++ b/coordination/quarantine/record.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"time"
+
+	"github.com/thymerack/thymerack/state"
+)
 
 // record is what is known of one request.
 type record struct {
@@ -28,6 +32,16 @@
 	explained bool
 }
 
+// last is the index of the last crash that is known of a run, or -1.
+func (r *record) last(run state.InstanceID) int {
+	for i := len(r.crashes) - 1; i >= 0; i-- {
+		if r.crashes[i].run() == run {
+			return i
+		}
+	}
+	return -1
+}
+
 // sameMoment reports whether a crash at a time belongs to the moment of the last one that the
 // request was at although a copy had been answered.
 func (r *record) sameMoment(now time.Time) bool {
--- a/coordination/quarantine/suspect.go
+++ b/coordination/quarantine/suspect.go
@@ -11,6 +11,8 @@
 	Digest Digest
 	// RequestID is that of the caller's attempt.
 	RequestID string
+	// SentAt is when it was sent to the runner, by the clock of the host that knows it here.
+	SentAt time.Time
 	// Settled says that its answer had been coming for a while.
 	Settled bool
 	// Proven says that a copy of the request was answered before.
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -24,6 +24,10 @@
 	// moment is the time in which the crashes of a request that is answered elsewhere count
 	// as one: runners that are lost together say nothing of what they all run.
 	moment = time.Second
+	// runSlack is how much later than a run was known to have ended a request may seem to
+	// have been sent to it. One that was sent later was at the runner's next run: that takes
+	// work under the same name before the list tells the two apart.
+	runSlack = 200 * time.Millisecond
 	// rememberFor is how long a crash counts: a request that comes less often costs less
 	// than the memory of all that ever ran at a crash.
 	rememberFor = time.Hour
@@ -110,8 +114,7 @@
 		r = t.newRecord(s.Digest, now)
 	}
 	r.own = r.own || own
-	i := slices.IndexFunc(r.crashes, func(x exposure) bool { return x.run() == c.Run })
-	if i >= 0 {
+	if i := r.last(c.Run); i >= 0 && !s.SentAt.After(r.crashes[i].at.Add(runSlack)) {
 		r.crashes[i].settled = r.crashes[i].settled && s.Settled
 		r.crashes[i].proven = r.crashes[i].proven || s.Proven
 		return
--- a/transport/quarantines/quarantines.go
+++ b/transport/quarantines/quarantines.go
@@ -12,6 +12,8 @@
 	"github.com/thymerack/thymerack/coordination/fanout"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/state/packed"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 // topic is that of the notices.
@@ -37,8 +39,10 @@
 type suspect struct {
 	Digest    []byte `msgpack:"d"`
 	RequestID string `msgpack:"i"`
-	Settled   bool   `msgpack:"l,omitempty"`
-	Proven    bool   `msgpack:"p,omitempty"`
+	// AgeMS is how long ago it was sent to the runner.
+	AgeMS   int64 `msgpack:"g,omitempty"`
+	Settled bool  `msgpack:"l,omitempty"`
+	Proven  bool  `msgpack:"p,omitempty"`
 }
 
 // held is a request that is held, with the crashes that speak against it.
@@ -64,7 +68,7 @@
 func Subscribe(n *fanout.Node, take func(quarantine.Notice), log *slog.Logger) {
 	n.Subscribe(topic, func(body []byte) {
 		var m notice
-		err := msgpack.Unmarshal(body, &m)
+		err := packed.Decode(body, &m)
 		var q quarantine.Notice
 		if err == nil {
 			q, err = m.decode()
@@ -82,7 +86,7 @@
 	for _, c := range q.Crashes {
 		out := crash{Runner: c.Run.Name, Born: c.Run.Born, Host: c.Host, AtMS: c.At.UnixMilli()}
 		for _, s := range c.Suspects {
-			out.Suspects = append(out.Suspects, suspect{s.Digest[:], s.RequestID, s.Settled, s.Proven})
+			out.Suspects = append(out.Suspects, suspect{s.Digest[:], s.RequestID, wallclock.Since(s.SentAt).Milliseconds(), s.Settled, s.Proven})
 		}
 		m.Crashes = append(m.Crashes, out)
 	}
@@ -111,7 +115,7 @@
 			if err != nil {
 				return q, err
 			}
-			out.Suspects = append(out.Suspects, quarantine.Suspect{Digest: d, RequestID: s.RequestID, Settled: s.Settled, Proven: s.Proven})
+			out.Suspects = append(out.Suspects, quarantine.Suspect{Digest: d, RequestID: s.RequestID, SentAt: sentAt(s.AgeMS), Settled: s.Settled, Proven: s.Proven})
 		}
 		q.Crashes = append(q.Crashes, out)
 	}
@@ -144,6 +148,15 @@
 	return out
 }
 
+// mostAge is above the age of every request that can have run at a crash.
+const mostAge = time.Hour
+
+// sentAt is when a request of that age was sent.
+func sentAt(ageMS int64) time.Time {
+	age := min(max(0, ageMS), mostAge.Milliseconds())
+	return wallclock.Now().Add(-time.Duration(age) * time.Millisecond)
+}
+
 func digest(raw []byte) (quarantine.Digest, error) {
 	var d quarantine.Digest
 	if len(raw) != len(d) {
--- a/transport/quarantines/quarantines_test.go
+++ b/transport/quarantines/quarantines_test.go
@@ -12,6 +12,7 @@
 	"github.com/thymerack/thymerack/coordination/fanout/fanouttest"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 func TestNoticeArrivesAsItWasTold(t *testing.T) {
@@ -19,10 +20,14 @@
 	n := fanouttest.Alone(t)
 	at := time.UnixMilli(1_790_000_000_123)
 	d1, d2 := quarantine.DigestOf(quarantine.Content{URI: "1"}), quarantine.DigestOf(quarantine.Content{URI: "2"})
+	ages := []time.Duration{80 * time.Millisecond, 3 * time.Second}
 	told := quarantine.Notice{
 		Crashes: []quarantine.Crash{{
 			Run: state.InstanceID{Name: "e1", Born: 7}, Host: "h1", At: at,
-			Suspects: []quarantine.Suspect{{Digest: d1, RequestID: "a"}, {Digest: d2, RequestID: "b", Settled: true, Proven: true}},
+			Suspects: []quarantine.Suspect{
+				{Digest: d1, RequestID: "a", SentAt: wallclock.Now().Add(-ages[0])},
+				{Digest: d2, RequestID: "b", SentAt: wallclock.Now().Add(-ages[1]), Settled: true, Proven: true},
+			},
 		}},
 		Held:     []quarantine.Holding{{Digest: d1, Evidence: []quarantine.Evidence{{Runner: "e1", Born: 7, RequestID: "a", Host: "h1", At: at}}}},
 		Answered: []quarantine.Digest{d2},
@@ -30,6 +35,11 @@
 	var heard []quarantine.Notice
 	Subscribe(n, func(q quarantine.Notice) { heard = append(heard, q) }, slog.New(slog.DiscardHandler))
 	is.NoErr(Publish(t.Context(), n, told))
+	for i, s := range heard[0].Crashes[0].Suspects {
+		is.True(wallclock.Since(s.SentAt) >= ages[i])
+		is.True(wallclock.Since(s.SentAt) < ages[i]+time.Minute)
+		heard[0].Crashes[0].Suspects[i].SentAt = told.Crashes[0].Suspects[i].SentAt
+	}
 	is.Equal(heard, []quarantine.Notice{told})
 
 	short, err := msgpack.Marshal(notice{Answered: [][]byte{{1, 2, 3}}})
