Test that held requests are sent nowhere, from wherever they are

Each way to a runner asks the quarantine; callers are told truly whether the request may have run, without a time to come back. Whole answers alone speak for a request.

--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -249,12 +249,21 @@
 
 func (noObserver) Held(string) {}
 
-// noQuarantine holds nothing.
-type noQuarantine struct{}
+// quarantineOf holds every request after it was asked for one so often; 0 for never.
+type quarantineOf struct {
+	after, asked int
+	answered     []quarantine.Digest
+}
 
-func (noQuarantine) Held(quarantine.Digest) *quarantine.Hold { return nil }
+func (q *quarantineOf) Held(quarantine.Digest) *quarantine.Hold {
+	q.asked++
+	if q.after == 0 || q.asked <= q.after {
+		return nil
+	}
+	return &quarantine.Hold{Evidence: make([]quarantine.Evidence, 2)}
+}
 
-func (noQuarantine) Answered(quarantine.Digest) {}
+func (q *quarantineOf) Answered(d quarantine.Digest) { q.answered = append(q.answered, d) }
 
 // brokenWork notes the work that broke off.
 type brokenWork struct {
@@ -278,6 +287,7 @@
 	// silent are the runners that were told to be.
 	silent *silentRunners
 	broken *brokenWork
+	held   *quarantineOf
 }
 
 func newWorld(t *testing.T, budget int, replies ...reply) *world {
@@ -293,15 +303,15 @@
 	}
 	fleet.Update(list)
 	gate := newScriptedGate(t)
-	silent, broken := &silentRunners{}, &brokenWork{}
+	silent, broken, held := &silentRunners{}, &brokenWork{}, &quarantineOf{}
 	d, err := New(Options{
-		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: silent, Crashes: broken, Quarantine: noQuarantine{}, Clock: clocktest.Bubble{},
+		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: silent, Crashes: broken, Quarantine: held, Clock: clocktest.Bubble{},
 		Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &world{d, up, fleet, gate, silent, broken}
+	return &world{d, up, fleet, gate, silent, broken, held}
 }
 
 // readingAsks counts the questions for a place to read.
--- /dev/null
+++ b/coordination/forward/held_test.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/quarantine"
+	"github.com/thymerack/thymerack/state"
+)
+
+// A request that is held reaches no runner, however far it was on its way when that became
+// known, and its caller is told truly whether it may have run.
+func TestHeldRequestIsNotSent(t *testing.T) {
+	event := "id: 1\ndata: x\n\n"
+	for name, c := range map[string]struct {
+		request *Request
+		// after is how often the quarantine is asked before the request is held.
+		after   int
+		replies []reply
+		sends   int
+		notRun  bool
+	}{
+		"at once":                             {request(state.RouteSafe, 2, false), -1, nil, 0, true},
+		"while it waited for its place":       {modelRequest(200, false), 1, nil, 0, true},
+		"while its prompt waited":             {modelRequest(2000, false), 1, nil, 0, true},
+		"after its prompt was read":           {modelRequest(2000, false), 2, []reply{{status: 200, body: "h"}}, 1, true},
+		"after a runner broke off":            {request(state.RouteSafe, 2, false), 2, []reply{{err: errSent}}, 1, false},
+		"after a runner refused":              {request(state.RouteSafe, 2, false), 2, []reply{{status: 503, notRun: true}}, 1, true},
+		"after a stream that may be repeated": {modelRequest(200, true), 2, []reply{{status: 200, events: true, readErr: errors.New("reset")}}, 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, plenty, c.replies...)
+			w.held.after = max(c.after, 0)
+			if c.after < 0 {
+				w.held.after, w.held.asked = 1, 1
+			}
+			_, err := w.Forward(t.Context(), c.request)
+			var refusal *Refusal
+			is.True(errors.As(err, &refusal))
+			is.Equal(refusal.Reason, ReasonCrashes)
+			is.Equal(refusal.NotRun, c.notRun)
+			is.Equal(int64(refusal.RetryAfter), int64(0)) // nothing to come back for
+			is.True(strings.Contains(refusal.Error(), "2 runners crashed"))
+			is.Equal(len(w.up.attempts), c.sends)
+		})
+	}
+	t.Run("in the midst of its answer", func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, plenty, reply{status: 200, events: true, body: event, readErr: errors.New("reset")})
+		w.held.after = 2
+		answer, err := w.Forward(t.Context(), modelRequest(200, true))
+		is.NoErr(err)
+		got, err := readAll(answer.Stream)
+		is.Equal(got, event)
+		is.Equal(err, ErrStreamCut)
+		is.Equal(len(w.up.attempts), 1)
+	})
+}
+
+// Whole answers speak for a request; those that break off or fail at the runner don't.
+func TestWholeAnswersAreNoted(t *testing.T) {
+	event := "id: 1\ndata: x\n\n"
+	for name, c := range map[string]struct {
+		request *Request
+		reply   reply
+		noted   bool
+	}{
+		"a call":                {request(state.RouteUnsafe, 1, false), reply{status: 200, body: "done"}, true},
+		"a caller's own fault":  {request(state.RouteUnsafe, 1, false), reply{status: 404}, true},
+		"a runner's failure":    {request(state.RouteUnsafe, 1, false), reply{status: 500}, false},
+		"a call that broke off": {request(state.RouteUnsafe, 1, false), reply{status: 200, readErr: io.ErrUnexpectedEOF}, false},
+		"a stream":              {onceStream(), reply{status: 200, events: true, body: event}, true},
+		"a stream that was cut": {onceStream(), reply{status: 200, events: true, body: event, readErr: errors.New("reset")}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, plenty, c.reply)
+			if answer, err := w.Forward(t.Context(), c.request); err == nil && answer.Stream != nil {
+				_, _ = readAll(answer.Stream)
+			}
+			is.Equal(len(w.held.answered) > 0, c.noted)
+			for _, d := range w.held.answered {
+				is.Equal(d, quarantine.DigestOf(c.request.content()))
+			}
+		})
+	}
+}
