Keep requests that crash upstreams from them at the product's own interface too

A request costs MaxAttempts engines there, four times as many once its answer has begun, and each copy as many again. Ruled out: a lower bound for each request (resuming a begun answer is what it is for; copies would still cost as much). Change: the same digest, detector and registry; the dispatcher asks before each attempt, and a call under a key only after its record was looked at. Crashes are told to each member, what is held lies at the platform. thymectl quarantine reads either store.

--- a/coordination/dispatch/call.go
+++ b/coordination/dispatch/call.go
@@ -14,12 +14,21 @@
 // oneCall is the work of one call of a plain service.
 var oneCall = snapshot.Work{Requests: 1}
 
+// statusFailed is the first status that says that the service itself failed.
+const statusFailed = 500
+
 // errForeignAnswer says that a service answered another attempt.
 var errForeignAnswer = errors.New("the answer carries another attempt's id and was discarded")
 
 // Call serves one call of a plain service. The error is a *Refusal. A ctx whose
 // deadline is the request's, or earlier, spares the dispatcher a timer.
 func (d *Dispatcher) Call(ctx context.Context, r *Request, c upstream.Call) (upstream.Answer, error) {
+	// A call under a key may have run before: its record is looked at first, and the call
+	// refused when it would be sent.
+	if refusal := d.held(r); refusal != nil && !r.NotRepeatable {
+		d.record(r, state.DecisionAdmit, "refused", refusal.Message, nil)
+		return upstream.Answer{}, neverRun(0, refusal)
+	}
 	grant, err := d.o.Admitter.Admit(ctx, r, oneCall)
 	if err != nil {
 		d.record(r, state.DecisionAdmit, "refused", err.Error(), nil)
@@ -119,7 +128,14 @@
 		err = &upstream.SendError{Upstream: name, MaybeSent: true, Cause: errForeignAnswer}
 	}
 	e.end(ctx, d.o.Clock, err)
-	return a, name, err
+	if err != nil {
+		d.noteBroken(ctx, r, e, err, false)
+		return a, name, err
+	}
+	if a.Status < statusFailed {
+		d.o.Quarantine.Answered(r.Digest)
+	}
+	return a, name, nil
 }
 
 // send sends the call unless its deadline has passed by now, as when this host
--- a/coordination/dispatch/crashes_test.go
+++ b/coordination/dispatch/crashes_test.go
@@ -1,12 +1,18 @@
 package dispatch_test
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/dispatch"
+	"github.com/thymerack/thymerack/coordination/quarantine"
+	"github.com/thymerack/thymerack/coordination/upstream"
+	"github.com/thymerack/thymerack/state"
 )
 
 // What was seen where routes are forwarded: a request that ends whatever runs it came again and
@@ -55,3 +61,65 @@
 // mostEnded is two crashes that hold a request, and as many attempts as are made before they
 // are told.
 const mostEnded = 4
+
+// A request that is held reaches no upstream, and its caller is told truly whether it ran.
+func TestHeldRequestReachesNoUpstream(t *testing.T) {
+	hold := func(f *crashFleet, d quarantine.Digest) {
+		for n := range int64(2) {
+			f.tables[0].Note(quarantine.Crash{Run: state.InstanceID{Name: d.String(), Born: n}, Suspects: []quarantine.Suspect{{Digest: d}}}, true)
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newCrashFleet(t, 1)
+		w := f.hosts[0]
+		prompt := promptOf("deadly", 5)
+		hold(f, quarantine.DigestOf(quarantine.Content{Body: []byte(prompt)}))
+		_, _, err := w.ask(t.Context(), prompt, 1)
+		var refusal *dispatch.Refusal
+		is.True(errors.As(err, &refusal))
+		is.Equal(refusal.Reason, dispatch.ReasonCrashes)
+		is.True(refusal.NotRun)
+		is.Equal(refusal.RetryAfter, time.Duration(0))
+		is.Equal(len(w.engines.seen()), 0)
+
+		d := quarantine.DigestOf(quarantine.Content{Body: []byte("call")})
+		hold(f, d)
+		now := time.Now()
+		call := &dispatch.Request{ID: "c", Service: plainService, ArrivedAt: now, Deadline: now.Add(deadline), Digest: d}
+		_, err = w.d.Call(t.Context(), call, upstream.Call{})
+		is.True(errors.As(err, &refusal))
+		is.Equal(refusal.Reason, dispatch.ReasonCrashes)
+		is.True(refusal.NotRun)
+		is.Equal(len(w.services.calls), 0)
+	})
+}
+
+// Calls that break off are told, answered ones clear what was held against them; refusals and
+// connections that could not be made say nothing.
+func TestBrokenCallsAreTold(t *testing.T) {
+	for name, c := range map[string]struct {
+		plan  []callFault
+		ended int
+	}{
+		"lost":      {[]callFault{callLost}, 1},
+		"refused":   {[]callFault{callRefused}, 0},
+		"unreached": {[]callFault{callUnreached}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newCrashFleet(t, 1)
+				w := f.hosts[0]
+				w.services.plan = c.plan
+				now := time.Now()
+				d := quarantine.DigestOf(quarantine.Content{Body: []byte("call")})
+				_, err := w.d.Call(t.Context(), &dispatch.Request{ID: "c", Service: plainService, ArrivedAt: now, Deadline: now.Add(deadline), Digest: d}, upstream.Call{})
+				is.NoErr(err)
+				time.Sleep(2 * toldAfter)
+				is.Equal(f.ended, c.ended)
+				is.True(f.tables[0].Proven(d))
+			})
+		})
+	}
+}
--- a/coordination/dispatch/crashfleet_test.go
+++ b/coordination/dispatch/crashfleet_test.go
@@ -1,18 +1,71 @@
 package dispatch_test
 
 import (
+	"fmt"
+	"sync"
 	"testing"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/quarantine"
+	"github.com/thymerack/thymerack/state"
 )
 
 // crashFleet is hosts with engines of their own, each of which ends under a request that
 // breaks off there.
-type crashFleet struct{ hosts []*world }
+type crashFleet struct {
+	hosts []*world
+
+	mu     sync.Mutex
+	tables []*quarantine.Table
+	ended  int
+}
+
+// toldAfter is the time in which a crash is found and told to all hosts.
+const toldAfter = 50 * time.Millisecond
 
 func newCrashFleet(t *testing.T, n int) *crashFleet {
 	t.Helper()
 	f := &crashFleet{}
-	for range n {
-		f.hosts = append(f.hosts, newWorld(mixed(4)...).start(t))
+	for i := range n {
+		w := newWorld(mixed(4)...)
+		table := quarantine.NewTable(clocktest.Bubble{})
+		host := &crashHost{f, fmt.Sprint("h", i), table}
+		w.crashes, w.held, w.retries = host, host, patientRetries{}
+		f.tables = append(f.tables, table)
+		f.hosts = append(f.hosts, w.start(t))
 	}
 	return f
 }
+
+// patientRetries allows every retry after pauses like the daemon's: the shortest ones.
+type patientRetries struct{ freeRetries }
+
+func (patientRetries) Backoff(attempt int) time.Duration { return backoff << (attempt - 1) }
+
+// crashHost is a host's part of the fleet's quarantine.
+type crashHost struct {
+	f     *crashFleet
+	name  string
+	table *quarantine.Table
+}
+
+// Broke implements dispatch.Crashes: the engine has ended, which all hosts hear.
+func (h *crashHost) Broke(u state.Upstream, s quarantine.Suspect) {
+	h.f.mu.Lock()
+	h.f.ended++
+	run := state.InstanceID{Name: fmt.Sprint(h.name, u.Name), Born: int64(h.f.ended)}
+	h.f.mu.Unlock()
+	c := quarantine.Crash{Run: run, Host: h.name, At: time.Now(), Suspects: []quarantine.Suspect{s}}
+	time.AfterFunc(toldAfter, func() {
+		for _, t := range h.f.tables {
+			t.Note(c, t == h.table)
+		}
+	})
+}
+
+// Held implements dispatch.Quarantine.
+func (h *crashHost) Held(d quarantine.Digest) *quarantine.Hold { return h.table.Held(d) }
+
+// Answered implements dispatch.Quarantine.
+func (h *crashHost) Answered(d quarantine.Digest) { h.table.Answered(d) }
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/claim"
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/snapshot"
 	"github.com/thymerack/thymerack/coordination/upstream"
 	"github.com/thymerack/thymerack/state"
@@ -37,8 +38,10 @@
 	Key           string
 	// First is the caller's statement that it never sent the key before.
 	First bool
-	// Fingerprint is a hash of the request's content.
+	// Fingerprint is a hash of the request's content, which tells the uses of a key apart;
+	// Digest is what nobody can make another request's equal to.
 	Fingerprint uint64
+	Digest      quarantine.Digest
 	// Explain asks for a record of the candidates of each choice.
 	Explain bool
 }
@@ -184,7 +187,10 @@
 	Claimer  Claimer
 	Recorder Recorder
 	Meter    Meter
-	Clock    state.Clock
+	// Crashes is told of attempts that break off; Quarantine is asked before each.
+	Crashes    Crashes
+	Quarantine Quarantine
+	Clock      state.Clock
 	// NewID makes attempt ids that are unique over the fleet.
 	NewID func() string
 	// Host is the host's name, for the records.
@@ -217,7 +223,7 @@
 // New validates the options.
 func New(o Options) (*Dispatcher, error) {
 	if o.Keeper == nil || o.Engines == nil || o.Services == nil || o.Router == nil || o.Admitter == nil ||
-		o.Retries == nil || o.Claimer == nil || o.Recorder == nil || o.Meter == nil || o.Clock == nil || o.NewID == nil {
+		o.Retries == nil || o.Claimer == nil || o.Recorder == nil || o.Meter == nil || o.Crashes == nil || o.Quarantine == nil || o.Clock == nil || o.NewID == nil {
 		return nil, errors.New("dispatch: an interface of Options is nil; set all of them")
 	}
 	if o.MaxAttempts < 1 {
@@ -247,6 +253,8 @@
 	ReasonNotRun       Reason = "did_not_run"
 	ReasonCancelled    Reason = "cancelled"
 	ReasonShutdown     Reason = "shutting_down"
+	// ReasonCrashes says that upstreams crashed under copies of the request.
+	ReasonCrashes Reason = "crashes_upstreams"
 )
 
 // Refusal is the final answer to a request that isn't served. Its message names
@@ -334,6 +342,9 @@
 // between the choice and the count is left and the choice is made anew.
 func (d *Dispatcher) enter(q Query) (*entered, error) {
 	for {
+		if refusal := d.held(q.Request); refusal != nil {
+			return nil, refusal
+		}
 		choice, err := d.o.Router.Pick(d.o.Keeper.View(), q)
 		if err != nil {
 			return nil, err
--- a/coordination/dispatch/generate.go
+++ b/coordination/dispatch/generate.go
@@ -60,6 +60,10 @@
 // tokens already given. The deadline ends a request that has given nothing yet;
 // an answer that the caller is already receiving is finished.
 func (d *Dispatcher) Generate(ctx context.Context, r *Request, c *Completion, sink Sink) error {
+	if refusal := d.held(r); refusal != nil {
+		d.record(r, state.DecisionAdmit, "refused", refusal.Message, nil)
+		return neverRun(0, refusal)
+	}
 	grant, err := d.o.Admitter.Admit(ctx, r, c.work(0))
 	if err != nil {
 		d.record(r, state.DecisionAdmit, "refused", err.Error(), nil)
@@ -77,6 +81,7 @@
 		g.d.record(g.r, state.DecisionAnswer, "failed", err.Error(), nil)
 		return
 	}
+	g.d.o.Quarantine.Answered(g.r.Digest)
 	g.d.record(g.r, state.DecisionAnswer, "whole", fmt.Sprintf("%d tokens given", len(g.sink.Given())), nil)
 }
 
@@ -154,6 +159,9 @@
 func (g *generation) resume(err error) (time.Duration, *Refusal) {
 	var refusal *Refusal
 	noRunner := errors.As(err, &refusal)
+	if isHeld(err) {
+		return 0, refusal
+	}
 	if noRunner {
 		g.failed = nil // the runners that failed may be well again
 	}
--- a/coordination/dispatch/generate_test.go
+++ b/coordination/dispatch/generate_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/dispatch"
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/retry"
 	"github.com/thymerack/thymerack/coordination/upstream"
 	"github.com/thymerack/thymerack/state"
@@ -26,7 +27,7 @@
 func (w *world) ask(ctx context.Context, prompt string, promptTokens int) (*sink, time.Duration, error) {
 	s := &sink{prompt: prompt}
 	now := time.Now()
-	r := &dispatch.Request{ID: "r", Customer: "t", Service: modelService, ArrivedAt: now, Deadline: now.Add(deadline)}
+	r := &dispatch.Request{ID: "r", Customer: "t", Service: modelService, ArrivedAt: now, Deadline: now.Add(deadline), Digest: quarantine.DigestOf(quarantine.Content{Body: []byte(prompt)})}
 	c := &dispatch.Completion{Model: "m", Prompt: upstream.Prompt{Text: prompt}, MaxTokens: 100, PromptTokens: promptTokens, ExpectedOutput: lengthOf(prompt)}
 	err := w.d.Generate(ctx, r, c, s)
 	return s, time.Since(now), err
--- a/coordination/dispatch/harness_test.go
+++ b/coordination/dispatch/harness_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/dispatch"
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/retry"
 	"github.com/thymerack/thymerack/coordination/snapshot"
 	"github.com/thymerack/thymerack/state"
@@ -43,14 +44,26 @@
 	retries  dispatch.Retries
 	meter    meter
 	isolated atomic.Bool
-	d        *dispatch.Dispatcher
+	// crashes and held are those of a crashFleet's host; by default nothing crashes.
+	crashes dispatch.Crashes
+	held    dispatch.Quarantine
+	d       *dispatch.Dispatcher
 }
 
+// nothingCrashes holds nothing.
+type nothingCrashes struct{}
+
+func (nothingCrashes) Broke(state.Upstream, quarantine.Suspect) {}
+
+func (nothingCrashes) Held(quarantine.Digest) *quarantine.Hold { return nil }
+
+func (nothingCrashes) Answered(quarantine.Digest) {}
+
 // newWorld makes engines e1, e2, ... with the given roles and service runners
 // s1, s2, s3.
 func newWorld(roles ...state.Role) *world {
 	w := &world{keeper: snapshot.NewKeeper(), engines: &engines{}, services: &services{}, router: &router{}}
-	w.retries, w.claimer = freeRetries{}, noClaims{}
+	w.retries, w.claimer, w.crashes, w.held = freeRetries{}, noClaims{}, nothingCrashes{}, nothingCrashes{}
 	var list []state.Listed
 	for i := range roles {
 		list = append(list, state.Listed{Name: engineName(i), Kind: state.ListedEngine, State: state.ListedLive, Service: modelService})
@@ -75,7 +88,7 @@
 	var attempts atomic.Int64
 	d, err := dispatch.New(dispatch.Options{
 		Keeper: w.keeper, Engines: w.engines, Services: w.services, Router: w.router, Admitter: &w.grants,
-		Retries: w.retries, Claimer: w.claimer, Recorder: silent{}, Meter: &w.meter, Clock: clocktest.Bubble{},
+		Retries: w.retries, Claimer: w.claimer, Recorder: silent{}, Meter: &w.meter, Clock: clocktest.Bubble{}, Crashes: w.crashes, Quarantine: w.held,
 		NewID: func() string { return "a" + strconv.FormatInt(attempts.Add(1), 10) }, Host: "h",
 		MaxAttempts: maxAttempts, StallTimeout: stallTimeout, PrefillApartTokens: apartTokens, RecordTimeout: recordTimeout,
 		Isolated: w.isolated.Load,
--- a/coordination/dispatch/parts.go
+++ b/coordination/dispatch/parts.go
@@ -31,7 +31,7 @@
 		g.d.o.Meter.Count(CountPrefillFailed, 1)
 	}
 	var refusal *Refusal
-	if errors.As(err, &refusal) {
+	if errors.As(err, &refusal) && !isHeld(err) {
 		return g.generate(ctx, Whole, upstream.KV{}, given)
 	}
 	return err
@@ -94,6 +94,7 @@
 		g.d.o.Meter.Count(CountPrefillApart, 1)
 		return kv, nil
 	}
+	g.d.noteBroken(ctx, g.r, e, err, false)
 	if ended {
 		g.d.cancel(e.Runner.Upstream, attempt)
 	}
@@ -108,7 +109,7 @@
 		work.PrefillTokens = 0
 	}
 	e, err := g.enter(g.query(part, work), "")
-	if err != nil && part == Whole {
+	if err != nil && part == Whole && !isHeld(err) {
 		// A decode engine computes a prompt too, only slower: better than none.
 		e, err = g.enter(g.query(Decode, work), "no mixed engine: ")
 	}
@@ -122,6 +123,7 @@
 	if err == nil {
 		return nil
 	}
+	g.d.noteBroken(ctx, g.r, e, err, p.lastToken.Load() != 0)
 	if p.stillRuns(ctx, err) {
 		g.d.cancel(e.Runner.Upstream, attempt)
 	}
--- a/coordination/dispatch/unsure_test.go
+++ b/coordination/dispatch/unsure_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/snapshot"
 	"github.com/thymerack/thymerack/coordination/upstream"
 	"github.com/thymerack/thymerack/state"
@@ -21,6 +22,13 @@
 }
 
 // noRecorder forgets decisions.
+// emptyQuarantine holds nothing.
+type emptyQuarantine struct{}
+
+func (emptyQuarantine) Held(quarantine.Digest) *quarantine.Hold { return nil }
+
+func (emptyQuarantine) Answered(quarantine.Digest) {}
+
 type noRecorder struct{}
 
 func (noRecorder) Record(state.Decision) {}
@@ -43,7 +51,7 @@
 		{"a key never sent before", true, true, true},
 		{"a key that may have been sent", true, false, false},
 	}
-	d := &Dispatcher{o: Options{Keeper: snapshot.NewKeeper(), Admitter: fullAdmitter{}, Recorder: noRecorder{}, Clock: zeroClock{}}}
+	d := &Dispatcher{o: Options{Keeper: snapshot.NewKeeper(), Admitter: fullAdmitter{}, Recorder: noRecorder{}, Clock: zeroClock{}, Quarantine: emptyQuarantine{}}}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -107,10 +107,6 @@
 }
 
 const (
-	// settledAfter is how long a request must have been at its runner, and its answer have
-	// begun, for it to be settled. A request that crashes its runner does so when it begins
-	// to run, some tenths of a second after it was sent.
-	settledAfter = time.Second
 	// movedWithin is the time in which the news that a runner has ended may still be on its
 	// way: three round trips between failure domains.
 	movedWithin = 10 * time.Millisecond
@@ -125,7 +121,7 @@
 		return
 	}
 	d.o.Crashes.Broke(runner.Instance, quarantine.Suspect{
-		Digest: rec.digest, RequestID: r.ID, SentAt: d.o.Clock.Now().Add(-took), Settled: answering && took >= settledAfter,
+		Digest: rec.digest, RequestID: r.ID, SentAt: d.o.Clock.Now().Add(-took), Settled: answering && took >= quarantine.SettledAfter,
 	})
 }
 
--- a/coordination/quarantine/suspect.go
+++ b/coordination/quarantine/suspect.go
@@ -6,6 +6,11 @@
 	"github.com/thymerack/thymerack/state"
 )
 
+// SettledAfter is how long a request must have been at its runner, and its answer have begun,
+// for it to be settled. A request that crashes its runner does so when it begins to run, some
+// tenths of a second after it was sent.
+const SettledAfter = time.Second
+
 // Suspect is a request that ran at a runner when that crashed.
 type Suspect struct {
 	Digest Digest
--- a/ctl/quarantine.go
+++ b/ctl/quarantine.go
@@ -11,12 +11,13 @@
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/platform"
 	"github.com/thymerack/thymerack/transport/httpclient"
+	ownplatform "github.com/thymerack/thymerack/transport/platform"
 )
 
-// QuarantineCommand names the platform's store, where the quarantine of the users' platform
-// is kept.
+// QuarantineCommand names the platform's store, where the quarantine is kept.
 type QuarantineCommand struct {
 	Store   string                    `arg:"--store,env:THYMECTL_STORE" help:"ip:port of the platform's store, as in the hosts' settings"`
+	Users   bool                      `arg:"--users" help:"the store is that of the users' platform (thymerackd --platform)"`
 	List    *QuarantineListCommand    `arg:"subcommand:list" help:"the requests that are held, and the crashes that speak against them"`
 	Release *QuarantineReleaseCommand `arg:"subcommand:release" help:"let a request run again at all hosts"`
 }
@@ -43,15 +44,10 @@
 	if c.Store == "" {
 		return &UsageError{"the quarantine is kept at the platform's store; name its ip:port with --store or THYMECTL_STORE"}
 	}
-	client, err := httpclient.New(httpclient.Options{
-		Addr: c.Store, DialTimeout: storeTimeout, WriteTimeout: storeTimeout, UserTimeout: storeTimeout, KeepAlive: storeTimeout,
-		MaxConns: storeConns, MaxIdle: storeTimeout, MaxHeaderBytes: storeHeaderBytes,
-	})
+	s, err := openStore(c)
 	if err != nil {
 		return &UsageError{err.Error()}
 	}
-	defer client.Close()
-	s := platform.NewStore(platform.StoreOptions{Client: client, Host: c.Store, Timeout: storeTimeout, ListTimeout: storeTimeout, WatchWait: storeTimeout})
 	switch {
 	case c.List != nil:
 		err = t.listHeld(ctx, s)
@@ -67,6 +63,21 @@
 	return err
 }
 
+// openStore returns the store that the command line names; no connection is made yet.
+func openStore(c *QuarantineCommand) (store.Store, error) {
+	if !c.Users {
+		return ownplatform.New(ownplatform.Options{Addr: c.Store, Caller: "thymectl", Timeout: storeTimeout, ReadAttempts: 1})
+	}
+	client, err := httpclient.New(httpclient.Options{
+		Addr: c.Store, DialTimeout: storeTimeout, WriteTimeout: storeTimeout, UserTimeout: storeTimeout, KeepAlive: storeTimeout,
+		MaxConns: storeConns, MaxIdle: storeTimeout, MaxHeaderBytes: storeHeaderBytes,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return platform.NewStore(platform.StoreOptions{Client: client, Host: c.Store, Timeout: storeTimeout, ListTimeout: storeTimeout, WatchWait: storeTimeout}), nil
+}
+
 // StoreUnreachableError says that the platform's store gave no answer.
 type StoreUnreachableError struct {
 	Addr  string
--- a/ctl/quarantine_test.go
+++ b/ctl/quarantine_test.go
@@ -20,16 +20,16 @@
 		"times": 1, "evidence": []any{map[string]any{"runner": "i-1", "request_id": "q-1", "host": "h-1", "at": "2026-01-02T03:04:05Z"}},
 	})
 	s.Put(quarantine.Kind, "of-somebody-else", map[string]any{"times": "x"})
-	out, code := ctl(t, "127.0.0.1:1", "", "", "quarantine", "--store", s.Addr(), "list")
+	out, code := ctl(t, "127.0.0.1:1", "", "", "quarantine", "--users", "--store", s.Addr(), "list")
 	is.Equal(code, ExitOK)
 	is.True(strings.Contains(out, d))
 	is.True(strings.Contains(out, "i-1 under q-1 of h-1 at 2026-01-02T03:04:05Z"))
 	is.True(!strings.Contains(out, "somebody"))
 
-	out, code = ctl(t, "127.0.0.1:1", "", "", "quarantine", "--store", s.Addr(), "release", d)
+	out, code = ctl(t, "127.0.0.1:1", "", "", "quarantine", "--users", "--store", s.Addr(), "release", d)
 	is.Equal(code, ExitOK)
 	is.True(strings.Contains(out, "released "+d))
-	out, code = ctl(t, "127.0.0.1:1", "", "", "quarantine", "--store", s.Addr(), "release", d)
+	out, code = ctl(t, "127.0.0.1:1", "", "", "quarantine", "--users", "--store", s.Addr(), "release", d)
 	is.Equal(code, ExitFailed)
 	is.True(strings.Contains(out, "list those that are"))
 }
@@ -41,7 +41,8 @@
 	}{
 		"THYMECTL_STORE":        {[]string{"quarantine", "list"}, ExitUsage},
 		"hexadecimal digits":    {[]string{"quarantine", "--store", "127.0.0.1:1", "release", "x"}, ExitUsage},
-		"check --store against": {[]string{"quarantine", "--store", "127.0.0.1:1", "list"}, ExitUnreachable},
+		"gave no answer":        {[]string{"quarantine", "--store", "127.0.0.1:1", "list"}, ExitUnreachable},
+		"check --store against": {[]string{"quarantine", "--users", "--store", "127.0.0.1:1", "list"}, ExitUnreachable},
 		"see thymectl --help":   {[]string{"quarantine", "--store", "127.0.0.1:1"}, ExitUsage},
 	} {
 		is := is.New(t)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,11 +17,13 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/thymerack/thymerack/coordination/answer"
+	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/dispatch"
 	"github.com/thymerack/thymerack/coordination/explain"
 	"github.com/thymerack/thymerack/coordination/member"
 	"github.com/thymerack/thymerack/coordination/order"
 	"github.com/thymerack/thymerack/coordination/probe"
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/rollout"
 	"github.com/thymerack/thymerack/coordination/snapshot"
 	"github.com/thymerack/thymerack/coordination/store"
@@ -87,6 +89,10 @@
 	planners  *planners
 	roles     *roles
 	elsewhere *elsewhere.Finder
+	// crashes finds upstreams that crashed, quarantine keeps requests that do it from them.
+	crashes    *crash.Detector
+	quarantine *quarantine.Registry
+	endCrashes context.CancelFunc
 	// listed are all upstreams of the platform's list, by name.
 	listed atomic.Pointer[map[string]state.Upstream]
 	// subsetFor are the services for whose planner this host contended when its
@@ -119,7 +125,7 @@
 	}
 	d.policies = &policies{d: d}
 	steps := []func() error{
-		d.newClients, d.newFleet, d.newCoordination, d.newRollout, d.newOrders, d.newRoles,
+		d.newClients, d.newFleet, d.newQuarantine, d.newCoordination, d.newRollout, d.newOrders, d.newRoles,
 		d.newElsewhere, d.newOperators, d.newFront, d.newGauges,
 	}
 	for _, step := range steps {
@@ -158,6 +164,7 @@
 func (d *Daemon) Run(ctx, cut context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	defer d.endCrashes()
 	callers, err := listen("callers.listen", d.settings.Callers.Listen)
 	if err != nil {
 		return err
@@ -267,7 +274,7 @@
 	dispatcher, err := dispatch.New(dispatch.Options{
 		Keeper: d.keeper, Engines: d.upstream, Services: d.upstream,
 		Router: d.decide.router, Admitter: d.decide.admitter, Retries: d.decide.retries,
-		Claimer: d.decide.claimer, Recorder: d.book, Meter: d.metrics, Clock: d.clock,
+		Claimer: d.decide.claimer, Recorder: d.book, Meter: d.metrics, Clock: d.clock, Crashes: brokenWork{d}, Quarantine: d.quarantine,
 		NewID: d.newAttemptID, Host: s.Host.Name, MaxAttempts: s.Streams.MaxAttempts,
 		StallTimeout: s.Streams.StallTimeout, PrefillApartTokens: s.Streams.PrefillApartTokens,
 		RecordTimeout: s.Claims.RecordTimeout, Isolated: d.member.Isolated,
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -14,6 +14,7 @@
 	gauge("thymerack_ready", func() float64 { return oneIf(d.ready()) })
 	gauge("thymerack_config_version", func() float64 { return float64(d.rollout.Version()) })
 	gauge("thymerack_runners_taking_work", d.runnersTakingWork)
+	gauge("thymerack_quarantined", func() float64 { return float64(d.quarantine.Size()) })
 	gauge("thymerack_peer_sent_bytes_total", func() float64 { return float64(d.peers.Stats().BytesOut + d.peerServer.Stats().BytesOut) })
 	gauge("thymerack_peer_received_bytes_total", func() float64 { return float64(d.peers.Stats().BytesIn + d.peerServer.Stats().BytesIn) })
 	ops := []struct {
--- /dev/null
+++ b/daemon/quarantine.go
@@ -0,0 +1,159 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/crash"
+	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/quarantine"
+	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/quarantines"
+)
+
+const (
+	// crashTold bounds the telling of one host; one that isn't told learns from the store.
+	crashTold = 300 * time.Millisecond
+	// holdWriters hosts look after the store's entries: one that is lost is stood in for.
+	holdWriters = 3
+	// gatherHolds lets changes in quick succession cost one call; notices tell at once.
+	gatherHolds = time.Second
+)
+
+// newQuarantine keeps requests that crash upstreams from them, with the other hosts.
+func (d *Daemon) newQuarantine() error {
+	var err error
+	d.quarantine, err = quarantine.New(quarantine.Options{
+		Host: d.id.Name, Table: quarantine.NewTable(d.clock), Store: d.store, FollowsStore: d.writesHolds,
+		Publish: d.tellCrashes, Clock: d.clock, Log: d.log,
+	})
+	if err != nil {
+		return err
+	}
+	quarantines.Register(d.peerServer, d.quarantine.Take)
+	held, err := follow.New(follow.Options{
+		Store: d.store, Clock: d.clock, Log: d.log, Kind: quarantine.Kind, Changed: d.quarantine.Changed, Gather: gatherHolds, Outage: &follow.Outage{},
+	})
+	if err != nil {
+		return err
+	}
+	ctx, end := context.WithCancel(context.Background())
+	d.endCrashes = end
+	d.crashes, err = crash.New(ctx, crash.Options{
+		Probe: d.probeRun, Listed: d.listsRun, Replaced: d.replacesRun, Clock: d.clock, Log: d.log,
+		Crashed: func(r crash.Report) { d.quarantine.Note(r.Instance.ID, d.clock.Now(), r.Suspects) },
+	})
+	if err != nil {
+		return err
+	}
+	d.add("quarantine", func(ctx context.Context) error {
+		d.quarantine.Run(ctx)
+		return ctx.Err()
+	})
+	d.add("held requests", func(ctx context.Context) error {
+		held.Run(ctx)
+		return ctx.Err()
+	})
+	return nil
+}
+
+// writesHolds reports whether this host is one of those that look after the store's entries.
+func (d *Daemon) writesHolds() bool {
+	before := 0
+	for _, id := range d.member.Hosts() {
+		if id.Name < d.id.Name {
+			before++
+		}
+	}
+	return before < holdWriters
+}
+
+// tellCrashes tells all hosts, this one too.
+func (d *Daemon) tellCrashes(n quarantine.Notice) {
+	d.quarantine.Take(n)
+	for _, id := range d.member.Hosts() {
+		m, known := d.member.Member(id)
+		if !known || id == d.id {
+			continue
+		}
+		go func() {
+			ctx, stop := context.WithTimeout(context.Background(), crashTold)
+			defer stop()
+			if err := quarantines.Tell(ctx, d.peers, m.PeerAddr, n); err != nil {
+				d.log.Debug("crashes not told", "to", id.Name, "error", err)
+			}
+		}()
+	}
+}
+
+// brokenWork implements dispatch.Crashes.
+type brokenWork struct{ d *Daemon }
+
+// Broke implements dispatch.Crashes.
+func (b brokenWork) Broke(u state.Upstream, s quarantine.Suspect) {
+	b.d.crashes.Broke(runOf(u), s)
+}
+
+// runOf is a run of an upstream, which is told apart by its incarnation.
+func runOf(u state.Upstream) *state.Instance {
+	return &state.Instance{ID: state.InstanceID{Name: u.Name + "/" + u.Incarnation}, Service: u.Service, Addr: u.Addr}
+}
+
+// listedRun is the upstream of a run if the platform lists it, and not as one that leaves.
+func (d *Daemon) listedRun(i *state.Instance) (state.Upstream, bool) {
+	for _, u := range d.allListed() {
+		if runOf(u).ID == i.ID {
+			return u, true
+		}
+	}
+	return state.Upstream{}, false
+}
+
+// allListed are all upstreams of the platform's list; none before it was read.
+func (d *Daemon) allListed() map[string]state.Upstream {
+	if listed := d.listed.Load(); listed != nil {
+		return *listed
+	}
+	return nil
+}
+
+func (d *Daemon) listsRun(i *state.Instance) bool {
+	u, listed := d.listedRun(i)
+	if !listed {
+		return false
+	}
+	r := d.keeper.View().Runner(u.Name)
+	return r == nil || !r.Leaving
+}
+
+// replacesRun reports whether the platform lists another run at the address.
+func (d *Daemon) replacesRun(i *state.Instance) bool {
+	if _, listed := d.listedRun(i); listed {
+		return false
+	}
+	for _, u := range d.allListed() {
+		if u.Addr == i.Addr {
+			return true
+		}
+	}
+	return false
+}
+
+// probeRun asks an upstream whether it is there.
+func (d *Daemon) probeRun(ctx context.Context, i *state.Instance) crash.Fate {
+	u, listed := d.listedRun(i)
+	if !listed {
+		return crash.Silent
+	}
+	err := d.upstream.Check(ctx, u)
+	switch {
+	case err == nil:
+		return crash.Alive
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return crash.Ended
+	default:
+		return crash.Silent
+	}
+}
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -80,6 +80,8 @@
 	KindReport Kind = 16
 	// KindPing asks a host whether it is there, or to ask another one.
 	KindPing Kind = 17
+	// KindCrash tells of runners that crashed and of requests that crash them.
+	KindCrash Kind = 18
 )
 
 // FrameType tells how a frame's body is meant.
--- a/transport/front/answers_test.go
+++ b/transport/front/answers_test.go
@@ -13,6 +13,8 @@
 	"github.com/matryer/is"
 
 	"github.com/thymerack/thymerack/coordination/dispatch"
+	"github.com/thymerack/thymerack/coordination/quarantine"
+	"github.com/thymerack/thymerack/coordination/upstream"
 	"github.com/thymerack/thymerack/protocol/callerapi"
 	"github.com/thymerack/thymerack/transport/front"
 )
@@ -224,6 +226,33 @@
 	}
 }
 
+// Copies of a request are told by what they ask, whatever ids they bear.
+func TestCopiesOfARequestHaveOneDigest(t *testing.T) {
+	is := is.New(t)
+	h := newHost(t, nil)
+	var digests []quarantine.Digest
+	h.dispatcher.generate = func(_ context.Context, r *dispatch.Request, _ *dispatch.Completion, _ dispatch.Sink) error {
+		digests = append(digests, r.Digest)
+		return &dispatch.Refusal{Reason: dispatch.ReasonUpstream, Message: "it broke; send it again"}
+	}
+	h.dispatcher.call = func(_ context.Context, r *dispatch.Request, _ upstream.Call) (upstream.Answer, error) {
+		digests = append(digests, r.Digest)
+		return upstream.Answer{Status: 200}, nil
+	}
+	for _, ask := range []struct{ path, body string }{
+		{completions, prompt}, {completions, prompt}, {completions, strings.Replace(prompt, "{", "{ ", 1)},
+		{"/services/app/x", "a"}, {"/services/app/x", "a"}, {"/services/app/y", "a"},
+	} {
+		h.ask(t, "POST", ask.path, ask.body)
+	}
+	is.Equal(len(digests), 6)
+	is.Equal(digests[0], digests[1])
+	is.True(digests[1] != digests[2])
+	is.True(digests[2] != digests[3])
+	is.Equal(digests[3], digests[4])
+	is.True(digests[4] != digests[5])
+}
+
 // waitIdle waits until no request is in flight.
 func waitIdle(h *host) {
 	for h.InFlight() > 0 {
@@ -235,7 +264,7 @@
 	reasons := map[dispatch.Reason]int{
 		dispatch.ReasonOverloaded: 429, dispatch.ReasonNoUpstream: 503, dispatch.ReasonDeadline: 503,
 		dispatch.ReasonUpstream: 503, dispatch.ReasonUnknown: 503, dispatch.ReasonRunning: 503,
-		dispatch.ReasonKey: 400, "something new": 503,
+		dispatch.ReasonKey: 400, dispatch.ReasonCrashes: 503, "something new": 503,
 	}
 	for reason, status := range reasons {
 		for _, path := range []string{completions, "/services/app/x"} {
--- a/transport/front/classify.go
+++ b/transport/front/classify.go
@@ -11,6 +11,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/thymerack/thymerack/coordination/dispatch"
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/snapshot"
 	"github.com/thymerack/thymerack/protocol/callerapi"
 	"github.com/thymerack/thymerack/state"
@@ -157,6 +158,12 @@
 	return in.Class
 }
 
+// contentOf is what makes two requests the same for the quarantine: a caller is told apart
+// by the customer whose key it shows.
+func contentOf(customer, method, path string, body []byte) quarantine.Content {
+	return quarantine.Content{Caller: customer, Method: method, URI: path, Body: body}
+}
+
 // fingerprint hashes what makes two requests the same.
 func fingerprint(method, path string, body []byte) uint64 {
 	h := xxhash.New()
--- a/transport/front/completions.go
+++ b/transport/front/completions.go
@@ -13,6 +13,7 @@
 
 	"github.com/thymerack/thymerack/coordination/answer"
 	"github.com/thymerack/thymerack/coordination/dispatch"
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/snapshot"
 	"github.com/thymerack/thymerack/coordination/upstream"
 	"github.com/thymerack/thymerack/protocol/callerapi"
@@ -36,6 +37,7 @@
 	// from is the first token that the caller lacks.
 	from        int
 	fingerprint uint64
+	digest      quarantine.Digest
 }
 
 // complete serves a model request.
@@ -94,6 +96,7 @@
 		return err
 	}
 	m.fingerprint = fingerprint("POST", c.Path(), raw)
+	m.digest = quarantine.DigestOf(contentOf(m.customer.Name, "POST", c.Path(), raw))
 	return nil
 }
 
@@ -165,6 +168,7 @@
 		return nil, nil, err
 	}
 	r.ID = m.id
+	r.Digest = m.digest
 	r.MaxTokens = comp.MaxTokens
 	comp.ExpectedOutput = s.o.Estimator.Expected(r.Customer, r.Class, comp.MaxTokens)
 	return s.open(m, r, comp)
--- a/transport/front/problem.go
+++ b/transport/front/problem.go
@@ -62,6 +62,7 @@
 	dispatch.ReasonAnswerLost:   fiber.StatusServiceUnavailable,
 	dispatch.ReasonCancelled:    fiber.StatusServiceUnavailable,
 	dispatch.ReasonShutdown:     fiber.StatusServiceUnavailable,
+	dispatch.ReasonCrashes:      fiber.StatusServiceUnavailable,
 }
 
 // statusOf is the status of a refusal; other hosts may know further reasons.
--- a/transport/front/services.go
+++ b/transport/front/services.go
@@ -8,6 +8,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/thymerack/thymerack/coordination/dispatch"
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/upstream"
 	"github.com/thymerack/thymerack/protocol/callerapi"
 	"github.com/thymerack/thymerack/state"
@@ -74,6 +75,7 @@
 		Method: strings.Clone(c.Method()), Path: servicePath(c),
 		ContentType: strings.Clone(c.Get(fiber.HeaderContentType)), Body: bytes.Clone(body),
 	}
+	r.Digest = quarantine.DigestOf(contentOf(customer.Name, call.Method, service.Name+call.Path, call.Body))
 	if service.NotRepeatable {
 		r.Key = strings.Clone(key)
 		r.First = first(c)
--- a/transport/quarantines/quarantines.go
+++ b/transport/quarantines/quarantines.go
@@ -11,8 +11,10 @@
 
 	"github.com/thymerack/thymerack/coordination/fanout"
 	"github.com/thymerack/thymerack/coordination/quarantine"
+	"github.com/thymerack/thymerack/protocol/peerapi"
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/state/packed"
+	"github.com/thymerack/thymerack/transport/peer"
 	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
@@ -81,6 +83,27 @@
 	})
 }
 
+// told answers a notice that was sent to one host.
+type told struct{}
+
+// Register lets the server take what peers tell by Tell.
+func Register(s *peer.Server, take func(quarantine.Notice)) {
+	s.Handle(peerapi.KindCrash, peer.HandleMsg(func(_ context.Context, _ state.HostID, m notice) (told, error) {
+		q, err := m.decode()
+		if err != nil {
+			return told{}, err
+		}
+		take(q)
+		return told{}, nil
+	}))
+}
+
+// Tell tells the host at addr, where hosts have no notices for all.
+func Tell(ctx context.Context, c *peer.Client, addr string, q quarantine.Notice) error {
+	_, err := peer.CallMsg[notice, told](ctx, c, addr, peerapi.KindCrash, encode(q))
+	return err
+}
+
 func encode(q quarantine.Notice) notice {
 	var m notice
 	for _, c := range q.Crashes {
