--- a/coordination/crash/crash.go
+++ b/coordination/crash/crash.go
@@ -76,8 +76,8 @@
 // inquiry is what is asked of one run.
 type inquiry struct {
 	instance *state.Instance
-	// work broke off there and wasn't reported yet.
-	work []quarantine.Suspect
+	// suspects broke off there and weren't reported yet.
+	suspects []quarantine.Suspect
 	// endedAt is when the run was found to have ended; zero before.
 	endedAt time.Time
 }
@@ -91,18 +91,18 @@
 }
 
 // Broke notes that work broke off at a runner without its end. It doesn't wait.
-func (d *Detector) Broke(i *state.Instance, w quarantine.Suspect) {
+func (d *Detector) Broke(i *state.Instance, s quarantine.Suspect) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if q := d.runs[i.ID]; q != nil {
-		q.work = append(q.work, w)
+		q.suspects = append(q.suspects, s)
 		return
 	}
 	// The platform takes a leaving runner away, whatever runs there.
 	if d.ctx.Err() != nil || !d.o.Listed(i) {
 		return
 	}
-	q := &inquiry{instance: i, work: []quarantine.Suspect{w}}
+	q := &inquiry{instance: i, suspects: []quarantine.Suspect{s}}
 	d.runs[i.ID] = q
 	go d.inquire(q)
 }
@@ -116,11 +116,13 @@
 	d.mu.Lock()
 	q.endedAt = d.o.Clock.Now()
 	d.mu.Unlock()
+	pause := gather
 	for late := false; d.o.Clock.Now().Sub(q.endedAt) < lateFor; late = true {
-		if d.o.Clock.Sleep(d.ctx, gather) != nil {
+		if d.o.Clock.Sleep(d.ctx, pause) != nil {
 			return
 		}
 		d.report(q, late)
+		pause = askEvery
 	}
 }
 
@@ -149,14 +151,14 @@
 // report passes on the work that wasn't yet.
 func (d *Detector) report(q *inquiry, late bool) {
 	d.mu.Lock()
-	work := q.work
-	q.work = nil
+	suspects := q.suspects
+	q.suspects = nil
 	d.mu.Unlock()
-	if len(work) == 0 {
+	if len(suspects) == 0 {
 		return
 	}
-	d.o.Log.Info("runner crashed", "instance", q.instance.ID, "service", q.instance.Service, "late", late, "requests", len(work), "work", describe(work))
-	d.o.Crashed(Report{Instance: q.instance, Suspects: work, Late: late})
+	d.o.Log.Info("runner crashed", "instance", q.instance.ID, "service", q.instance.Service, "late", late, "requests", len(suspects), "suspects", describe(suspects))
+	d.o.Crashed(Report{Instance: q.instance, Suspects: suspects, Late: late})
 }
 
 func (d *Detector) forget(q *inquiry) {
@@ -169,11 +171,11 @@
 const mostDescribed = 20
 
 // describe names requests by their ids and digests, those first that had just begun.
-func describe(work []quarantine.Suspect) []string {
+func describe(suspects []quarantine.Suspect) []string {
 	var fresh, settled []string
-	for _, w := range work {
-		text := w.RequestID + "=" + w.Digest.String()
-		if w.Settled {
+	for _, s := range suspects {
+		text := s.RequestID + "=" + s.Digest.String()
+		if s.Settled {
 			settled = append(settled, text+" settled")
 			continue
 		}
