--- a/transport/wallclock/wallclock_test.go
+++ b/transport/wallclock/wallclock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +15,7 @@
 type standStill struct {
 	*suspension
 	began           time.Time
-	asleep, stepped time.Duration
+	asleep, stepped atomic.Int64
 	noBoot          bool
 	bootReads       int
 }
@@ -24,11 +25,11 @@
 	m.suspension = newSuspension(sources{
 		clocks: func() (day, steady time.Duration) {
 			steady = time.Since(m.began)
-			return steady + m.asleep + m.stepped, steady
+			return steady + time.Duration(m.asleep.Load()+m.stepped.Load()), steady
 		},
 		boot: func() (time.Duration, bool) {
 			m.bootReads++
-			return time.Hour + time.Since(m.began) + m.asleep, !m.noBoot
+			return time.Hour + time.Since(m.began) + time.Duration(m.asleep.Load()), !m.noBoot
 		},
 	})
 	return m
@@ -39,10 +40,10 @@
 		is := is.New(t)
 		m := newStandStill()
 		before := m.now()
-		m.asleep += 8 * time.Second
+		m.asleep.Add(int64(8 * time.Second))
 		is.Equal(m.now()-before, 8*time.Second) // at the first reading
 		time.Sleep(time.Second)
-		m.asleep += 300 * time.Millisecond
+		m.asleep.Add(int64(300 * time.Millisecond))
 		is.Equal(m.now()-before, 9300*time.Millisecond)
 	})
 }
@@ -53,10 +54,11 @@
 		m := newStandStill()
 		before := m.now()
 		for _, step := range []time.Duration{2 * time.Second, -4 * time.Second, 2 * time.Second} {
-			m.stepped += step
+			m.stepped.Add(int64(step))
 			is.Equal(m.now()-before, time.Duration(0))
 		}
-		m.stepped, m.asleep = -2*time.Second, 5*time.Second // both at once
+		m.stepped.Store(int64(-2 * time.Second)) // both at once
+		m.asleep.Store(int64(5 * time.Second))
 		is.Equal(m.now()-before, 5*time.Second)
 		reads := m.bootReads
 		for range 100 {
@@ -72,7 +74,7 @@
 		m := newStandStill()
 		m.noBoot = true
 		before := m.now()
-		m.stepped = time.Minute
+		m.stepped.Store(int64(time.Minute))
 		time.Sleep(time.Second)
 		is.Equal(m.now()-before, time.Second)
 	})
@@ -97,7 +99,7 @@
 		go sleep(6*time.Second, short)
 		go sleep(20*time.Second, long)
 		time.Sleep(time.Second + lookEvery/2)
-		m.asleep += 8 * time.Second
+		m.asleep.Add(int64(8 * time.Second))
 		is.True(<-short <= time.Second+2*lookEvery)
 		is.Equal(<-long, 12*time.Second)
 		go func() {
