--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -101,7 +101,7 @@
 	return &state.Instance{ID: state.InstanceID{Name: u.Name + "/" + u.Incarnation}, Service: u.Service, Addr: u.Addr}
 }
 
-// listedRun is the upstream of a run if the platform lists it, and not as one that leaves.
+// listedRun is the upstream of a run if the platform lists it, whether it leaves or not.
 func (d *Daemon) listedRun(i *state.Instance) (state.Upstream, bool) {
 	for _, u := range d.allListed() {
 		if runOf(u).ID == i.ID {
