Look at a hold and its entry together before writing it

Cause: Registry.write compared a list of holds made before with entries as they are now. While a write waited, for the lock or for a slow store, releases came in: their missing or released entries looked like holds still to be written. Class: a decision from two beliefs of different age.

Ruled out: writing from the list but checking the hold again before the put (the entry that was compared is still the older one; the same hole, smaller).

Change: the hold and the entry are read together, under the lock under which releases are taken. The version in the write covers what comes after.

--- a/coordination/quarantine/storage.go
+++ b/coordination/quarantine/storage.go
@@ -69,20 +69,32 @@
 // write brings to the store what is held and isn't there. The hosts that saw a crash
 // themselves do it at once, others that follow the store when it is still missing later.
 func (r *Registry) write(ctx context.Context) {
-	now := r.o.Clock.Now()
-	for d, hold := range r.o.Table.Holds() {
-		r.mu.Lock()
-		s, there := r.entries[d]
-		full := len(r.entries) >= mostHeld
-		r.mu.Unlock()
-		late := now.Sub(hold.At) > standInAfter && r.o.FollowsStore()
-		if (there && !s.Released) || full || !(hold.Own || late) {
-			continue
+	for d := range r.o.Table.Holds() {
+		if e, version, missing := r.missing(d); missing {
+			r.put(ctx, d, e, version)
 		}
-		r.put(ctx, d, entry{Evidence: hold.Evidence, Times: s.Times + 1}, s.version)
 	}
 }
 
+// missing returns the entry that this host owes the store for a request, and the version to
+// replace. The hold is read under the lock under which releases are taken: one that was read
+// before, while a write waited for the store, would look like a hold that nobody has written,
+// and writing it would undo the release at all hosts.
+func (r *Registry) missing(d Digest) (e entry, version uint64, missing bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hold := r.o.Table.Held(d)
+	if hold == nil || len(r.entries) >= mostHeld {
+		return entry{}, 0, false
+	}
+	s, there := r.entries[d]
+	late := r.o.Clock.Now().Sub(hold.At) > standInAfter && r.o.FollowsStore()
+	if (there && !s.Released) || !(hold.Own || late) {
+		return entry{}, 0, false
+	}
+	return entry{Evidence: hold.Evidence, Times: s.Times + 1}, s.version, true
+}
+
 // put writes an entry at its known version. A conflict says that another host was faster.
 func (r *Registry) put(ctx context.Context, d Digest, e entry, version uint64) {
 	value, err := json.Marshal(e)
