Show that a late answer of the store undoes a release, with a test that fails

The same class as the hold that was written again, found by looking for it elsewhere: a decision from two beliefs of different age. A host's write takes effect, its answer is on its way for three seconds, an operator removes the entry meanwhile.

--- a/coordination/quarantine/registry_test.go
+++ b/coordination/quarantine/registry_test.go
@@ -29,10 +29,11 @@
 	mu sync.Mutex
 	// cut hosts hear no other and aren't heard, unreachable ones don't reach the store.
 	cut, unreachable map[string]bool
-	// slow is how long the store takes for a write.
-	slow    time.Duration
-	writes  int
-	follows int
+	// slow is how long the store takes for a write, and slowAnswer how long the answer of one
+	// that has taken effect is on its way.
+	slow, slowAnswer time.Duration
+
+	writes, follows int
 }
 
 type host struct {
@@ -73,7 +74,7 @@
 	client := f.store.Client(name)
 	var err error
 	h.Registry, err = New(Options{
-		Host: name, Table: NewTable(clocktest.Bubble{}), Store: client, FollowsStore: func() bool { return f.follow(rank) },
+		Host: name, Table: NewTable(clocktest.Bubble{}), Store: lateAnswers{client, f}, FollowsStore: func() bool { return f.follow(rank) },
 		Publish: func(n Notice) { f.publish(h, n) }, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
@@ -99,6 +100,21 @@
 	return f.slow
 }
 
+// lateAnswers is a store whose answers to writes are on their way for some time.
+type lateAnswers struct {
+	store.Store
+	f *fleet
+}
+
+func (s lateAnswers) Put(ctx context.Context, kind, name string, ifVersion uint64, value []byte) (uint64, error) {
+	version, err := s.Store.Put(ctx, kind, name, ifVersion, value)
+	s.f.mu.Lock()
+	delay := s.f.slowAnswer
+	s.f.mu.Unlock()
+	time.Sleep(delay)
+	return version, err
+}
+
 // follow reports whether hosts of that rank follow the store.
 func (f *fleet) follow(rank int) bool {
 	f.mu.Lock()
@@ -316,6 +332,24 @@
 	})
 }
 
+// A host that wrote a hold held the request again, alone and without end, when the answer of its
+// write came after the entry had been removed: it took the entry for one still to be shown by its
+// copy of the store, which had shown it, and its removal, before.
+func TestReleaseHoldsAgainstALateAnswer(t *testing.T) {
+	play(t, 3, func(is *is.I, f *fleet) {
+		f.mu.Lock()
+		f.slowAnswer = 3 * time.Second
+		f.mu.Unlock()
+		f.crash(0, 1, fresh(1))
+		f.crash(0, 2, fresh(1))
+		is.NoErr(Lift(t.Context(), f.store.Client("operator"), digest(1)))
+		time.Sleep(10 * time.Second)
+		is.Equal(f.holders(digest(1)), 0)
+		_, there := f.entry(digest(1))
+		is.True(!there)
+	})
+}
+
 func TestOperatorReleasesARequest(t *testing.T) {
 	play(t, 5, func(is *is.I, f *fleet) {
 		f.crash(0, 1, fresh(1))
