Let a copy of the store outrank a late answer about an older entry

Cause: Registry.put took the entry that it had written as newer than all it knew, although the copy of the store had shown it and its removal before the answer arrived. Ruled out: giving up on writes after a time (the answer of a lost one still says nothing of what came after). Change: the registry keeps the revision of its copy, and an answer about an entry that is no newer is not taken.

--- a/coordination/quarantine/registry.go
+++ b/coordination/quarantine/registry.go
@@ -76,8 +76,10 @@
 	// cleared are suspected requests that were answered. They are told with the next notice
 	// or tick: most of those that ran at a crash are.
 	cleared []Digest
-	// entries are those of the store, and unreadable the versions of those that were logged.
+	// entries are those of the store as of revision, with what this host has written since,
+	// and unreadable the versions of those that were logged.
 	entries    map[Digest]stored
+	revision   uint64
 	unreadable map[string]uint64
 	// answered are requests that were answered here, and when: their entries are to go.
 	answered map[Digest]time.Time
--- a/coordination/quarantine/storage.go
+++ b/coordination/quarantine/storage.go
@@ -41,7 +41,7 @@
 		r.o.Table.Forget(d)
 		r.o.Log.Info("request no longer held", "digest", d.String(), "revision", c.Revision)
 	}
-	r.entries = present
+	r.entries, r.revision = present, c.Revision
 }
 
 // adopt takes a new version of an entry; r.mu is held.
@@ -105,12 +105,7 @@
 	now, err := r.o.Store.Put(ctx, Kind, d.String(), version, value)
 	switch {
 	case err == nil:
-		r.mu.Lock()
-		if r.entries[d].version < now {
-			r.entries[d] = stored{e, now, r.o.Clock.Now()}
-			r.adopt(d, e)
-		}
-		r.mu.Unlock()
+		r.wrote(d, stored{e, now, r.o.Clock.Now()})
 		r.o.Log.Info("held request written", "digest", d.String(), "released", e.Released, "times", e.Times, "version", now)
 	case store.IsConflict(err):
 		// the copy of the store will show what the other wrote
@@ -119,6 +114,19 @@
 	}
 }
 
+// wrote takes an entry that this host has written, until a copy of the store shows it. A copy
+// that is as new has shown it already, or its removal, which an answer that was long on its way
+// would undo at this host alone.
+func (r *Registry) wrote(d Digest, s stored) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.version <= r.revision || s.version <= r.entries[d].version {
+		return
+	}
+	r.entries[d] = s
+	r.adopt(d, s.entry)
+}
+
 // sweep releases entries whose time is over and removes those that are needed no more. The
 // hosts that follow the store do it; the first one's write is the one that counts.
 func (r *Registry) sweep(ctx context.Context) {
