--- a/coordination/quarantine/registry_test.go
+++ b/coordination/quarantine/registry_test.go
@@ -410,6 +410,34 @@
 	})
 }
 
+// A request that was answered was held again by what a host told that had stood still before
+// telling it. The crashes had been counted, and the answer had cleared the request of them.
+func TestAnswerHoldsAgainstLateNotices(t *testing.T) {
+	play(t, 5, func(is *is.I, f *fleet) {
+		f.crash(0, 1, fresh(1))
+		f.crash(1, 2, fresh(1))
+		late := Notice{Held: []Holding{{digest(1), f.hosts[0].Held(digest(1)).Evidence}}}
+		f.hosts[3].Answered(digest(1)) // a copy that ran all the while
+		time.Sleep(2 * tick)
+		is.Equal(f.holders(digest(1)), 0)
+		f.publish(f.hosts[0], late)
+		time.Sleep(standInAfter + 2*tick)
+		is.Equal(f.holders(digest(1)), 0)
+
+		before := time.Now()
+		f.crash(0, 3, fresh(2), fresh(3))
+		f.hosts[3].Answered(digest(2))
+		time.Sleep(2 * tick)
+		had := fresh(2)
+		had.SentAt = before
+		f.crash(1, 3, had) // this host had a copy there, and tells it now
+		f.crash(0, 4, fresh(2))
+		is.Equal(f.holders(digest(2)), 0)
+		f.crash(0, 5, fresh(2))
+		is.Equal(f.holders(digest(2)), 5)
+	})
+}
+
 func TestEntriesOfOthersAreLeftAlone(t *testing.T) {
 	play(t, 3, func(is *is.I, f *fleet) {
 		operator := f.store.Client("operator")
