Don't count what an answer has cleared when a host tells it late

Cause: a notice was taken for news whenever it arrived. What a host that had stood still told of a crash, or of a hold, counted again although an answer or a release had cleared it. Change: a crash that was counted against a request and is no more in its record has been cleared: it isn't counted again, and a hold that rests on nothing else isn't taken. The store's word still counts.

--- a/coordination/quarantine/hold.go
+++ b/coordination/quarantine/hold.go
@@ -2,14 +2,34 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
+
+	"github.com/thymerack/thymerack/state"
 )
 
-// Hold holds a request by the word of the store or of another host. It reports whether that
-// is new.
+// Hold holds a request by the word of the store. It reports whether that is new.
 func (t *Table) Hold(d Digest, evidence []Evidence) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.take(d, evidence)
+}
+
+// HoldTold holds a request by the word of another host, if that knows of a crash that this one
+// doesn't: a host that stood still may tell what an answer or a release has cleared since. It
+// reports whether that is new.
+func (t *Table) HoldTold(d Digest, evidence []Evidence) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	news := func(e Evidence) bool { return !t.cleared(d, e.run()) }
+	if !slices.ContainsFunc(evidence, news) {
+		return false
+	}
+	return t.take(d, evidence)
+}
+
+// take holds a request that isn't held; t.mu is held.
+func (t *Table) take(d Digest, evidence []Evidence) bool {
 	if t.Held(d) != nil {
 		return false
 	}
@@ -22,6 +42,17 @@
 	return true
 }
 
+// cleared reports whether the crash of a run was counted against a request and has been
+// cleared since, by an answer or a release; t.mu is held.
+func (t *Table) cleared(d Digest, run state.InstanceID) bool {
+	e := t.runs[run]
+	if e == nil || !slices.Contains(e.suspects, d) {
+		return false
+	}
+	r := t.records[d]
+	return r == nil || r.last(run) < 0
+}
+
 // hold puts a request on the list; t.mu is held.
 func (t *Table) hold(d Digest, evidence []Evidence, now time.Time) {
 	r := t.records[d]
--- a/coordination/quarantine/registry.go
+++ b/coordination/quarantine/registry.go
@@ -159,7 +159,7 @@
 		}
 	}
 	for _, h := range n.Held {
-		if r.o.Table.Hold(h.Digest, h.Evidence) {
+		if r.o.Table.HoldTold(h.Digest, h.Evidence) {
 			r.logHeld(h.Digest, "another host")
 		}
 	}
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -109,6 +109,10 @@
 	if e.explained && hold == nil {
 		return
 	}
+	// What an answer has cleared isn't counted again because another host tells it late.
+	if t.cleared(s.Digest, c.Run) && !s.SentAt.After(e.at.Add(runSlack)) {
+		return
+	}
 	r := t.records[s.Digest]
 	if r == nil {
 		r = t.newRecord(s.Digest, now)
