Show answers that cross a hold and are lost, with tests that fail

Found by a property test of the class: a request that was answered or lifted after its last crash is held nowhere, and all hosts hold the same in the end, whatever is slow, late, cut off or restarted.

Traced by its steps and the hosts' logs. One: the host with the answer knows of one crash; another has just counted the second and written the hold. All hosts forget the request when the answer is told, but nobody removes the entry: each host that starts holds it, alone. Two: an answer within the 20 ms in which crashes wait to be told with others finds nothing that it could clear.

Allowed, and so left out of the property: an answer whose host was killed or cut off before it could tell (the first trace was one killed a millisecond after).

--- a/coordination/quarantine/fuzz_test.go
+++ b/coordination/quarantine/fuzz_test.go
@@ -144,3 +144,135 @@
 		}
 	})
 }
+
+// release is one thing that happens to requests, a pause after the one before.
+type release struct {
+	what    string
+	request int
+	host    int
+	pause   time.Duration
+}
+
+func releases(rt *rapid.T, hosts, requests int) []release {
+	what := rapid.SampledFrom([]string{"crash", "crash", "answer", "lift", "restart", "cut", "heal", "slow store", "late answers", "sound store"})
+	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) release {
+		return release{
+			what: what.Draw(rt, "what"), request: rapid.IntRange(0, requests-1).Draw(rt, "request"), host: rapid.IntRange(0, hosts-1).Draw(rt, "host"),
+			pause: time.Duration(rapid.IntRange(0, 3000).Draw(rt, "pause")) * time.Millisecond,
+		}
+	}), 5, 60).Draw(rt, "steps")
+}
+
+// releasing plays releases and knows which requests were let go after their last crash.
+type releasing struct {
+	*fleet
+	runs  int
+	freed map[int]bool
+	// answers are those that count: what only a host knew that was killed or cut off before
+	// it could tell is lost with it.
+	answers map[int]answered
+}
+
+// answered is an answer that a host has had.
+type answered struct {
+	host int
+	at   time.Time
+}
+
+// tellFor is how long a host takes to tell of an answer at most, and the store to be told.
+const tellFor = 3 * tick
+
+// lose forgets the answers that a host can't have told yet.
+func (tr *releasing) lose(host int) {
+	for n, a := range tr.answers {
+		if a.host == host && time.Since(a.at) < tellFor {
+			tr.freed[n] = false
+		}
+	}
+}
+
+func (tr *releasing) do(s release) {
+	time.Sleep(s.pause)
+	switch s.what {
+	case "crash":
+		if tr.hosts[s.host].Held(digest(s.request)) != nil {
+			return
+		}
+		tr.runs++
+		tr.freed[s.request] = false
+		tr.hosts[s.host].Note(run(tr.runs), time.Now(), []Suspect{fresh(s.request)})
+	case "answer":
+		time.Sleep(2*gather + noticeTime) // another host's answer may cross a crash on its way
+		tr.hosts[s.host].Answered(digest(s.request))
+		tr.freed[s.request] = !tr.cut[tr.hosts[s.host].name]
+		tr.answers[s.request] = answered{s.host, time.Now()}
+	case "lift":
+		// One that isn't stored has nothing to be lifted.
+		tr.freed[s.request] = Lift(tr.t.Context(), tr.store.Client("operator"), digest(s.request)) == nil
+	case "restart":
+		tr.lose(s.host)
+		tr.restart(s.host)
+	case "cut":
+		tr.lose(s.host)
+		tr.set(tr.cut, true, s.host)
+	case "heal":
+		tr.set(tr.cut, false, s.host)
+	case "slow store", "late answers", "sound store":
+		tr.delay(s.what == "slow store", s.what == "late answers")
+	}
+}
+
+// delay sets which part of a write takes long.
+func (f *fleet) delay(write, answer bool) {
+	const long = 2 * time.Second
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.slow, f.slowAnswer = 0, 0
+	if write {
+		f.slow = long
+	}
+	if answer {
+		f.slowAnswer = long
+	}
+}
+
+// end heals all and judges what has been let go.
+func (tr *releasing) end(requests int) error {
+	tr.set(tr.cut, false, 0, 1, 2, 3, 4)
+	tr.delay(false, false)
+	time.Sleep(time.Minute)
+	for n := range requests {
+		holders := tr.holders(digest(n))
+		_, there := tr.entry(digest(n))
+		if tr.freed[n] && (holders > 0 || there) {
+			return fmt.Errorf("request %d was let go after its last crash; %d hosts hold it, an entry: %v", n, holders, there)
+		}
+		if holders > 0 && holders < len(tr.hosts) {
+			return fmt.Errorf("request %d is held at %d of %d hosts", n, holders, len(tr.hosts))
+		}
+	}
+	return nil
+}
+
+// Whatever order the news comes in, a request that was answered or lifted after its last crash
+// is held nowhere, and in the end all hosts hold the same.
+func TestHoldsReleasesStand(t *testing.T) {
+	const requests = 3
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := releases(rt, 5, requests)
+		var err error
+		synctest.Test(t, func(t *testing.T) {
+			tr := &releasing{fleet: newFleet(t, 5), freed: map[int]bool{}, answers: map[int]answered{}}
+			for _, s := range plan {
+				tr.do(s)
+			}
+			err = tr.end(requests)
+			for _, h := range tr.hosts {
+				h.stop()
+			}
+		})
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
--- a/coordination/quarantine/registry_test.go
+++ b/coordination/quarantine/registry_test.go
@@ -438,6 +438,53 @@
 	})
 }
 
+// A request was held by each host that started, and by no other: it had been answered in the
+// moment in which another host counted its second crash and wrote that to the store. The host
+// with the answer knew of no hold, so that nobody removed the entry.
+func TestAnswerRemovesTheEntryOfAHoldThatItCrossed(t *testing.T) {
+	play(t, 5, func(is *is.I, f *fleet) {
+		f.crash(0, 1, fresh(1))
+		f.hosts[1].Note(run(2), time.Now(), []Suspect{fresh(1)})
+		f.hosts[2].Answered(digest(1)) // before the second crash is told
+		time.Sleep(answeredFor)
+		_, there := f.entry(digest(1))
+		is.True(!there)
+		f.restart(3)
+		time.Sleep(tick)
+		is.Equal(f.holders(digest(1)), 0)
+	})
+}
+
+// The host with the answer is gone before it reaches the store: the others finish it.
+func TestAnswerOfALostHostRemovesTheEntry(t *testing.T) {
+	play(t, 5, func(is *is.I, f *fleet) {
+		f.crash(0, 1, fresh(1))
+		f.crash(1, 2, fresh(1))
+		f.set(f.unreachable, true, 2)
+		f.hosts[2].Answered(digest(1))
+		time.Sleep(gather + 2*noticeTime)
+		f.hosts[2].stop()
+		time.Sleep(answeredFor)
+		_, there := f.entry(digest(1))
+		is.True(!there)
+		f.restart(3)
+		time.Sleep(tick)
+		is.Equal(f.hosts[3].Held(digest(1)), nil)
+	})
+}
+
+// A plain call whose runners are lost together is answered by a third within milliseconds, while
+// the crashes still wait to be told with others. The answer was lost, and the call held.
+func TestAnswerCountsBeforeItsCrashesAreTold(t *testing.T) {
+	play(t, 5, func(is *is.I, f *fleet) {
+		f.hosts[0].Note(run(1), time.Now(), []Suspect{fresh(1)})
+		f.hosts[0].Note(run(2), time.Now(), []Suspect{fresh(1)})
+		f.hosts[0].Answered(digest(1))
+		time.Sleep(time.Second)
+		is.Equal(f.holders(digest(1)), 0)
+	})
+}
+
 func TestEntriesOfOthersAreLeftAlone(t *testing.T) {
 	play(t, 3, func(is *is.I, f *fleet) {
 		operator := f.store.Client("operator")
