Remember answers of suspected requests, and what was sent after them

Cause: only the answer of a request that its host knew to be held was remembered, and by that host alone. One that crossed the second crash left an entry behind that nobody removed. Ruled out: remembering any answer for some seconds as a veto (a request that begins to crash runners soon after it was answered was let through; two existing tests fail under that). It speaks for copies that were sent before it; a crash of a later one begins the suspicion anew.

--- a/coordination/quarantine/registry.go
+++ b/coordination/quarantine/registry.go
@@ -73,16 +73,25 @@
 
 	mu      sync.Mutex
 	pending Notice
-	// cleared are suspected requests that were answered. They are told with the next notice
-	// or tick: most of those that ran at a crash are.
+	// cleared are suspected requests that were answered here. They are told with the next
+	// notice or tick: most of those that ran at a crash are.
 	cleared []Digest
 	// entries are those of the store as of revision, with what this host has written since,
 	// and unreadable the versions of those that were logged.
 	entries    map[Digest]stored
 	revision   uint64
 	unreadable map[string]uint64
-	// answered are requests that were answered here, and when: their entries are to go.
-	answered map[Digest]time.Time
+	// answered are suspected requests that were answered of late, at any host. Their entries
+	// are to go, also one that a host writes which hasn't heard of the answer.
+	answered map[Digest]answer
+}
+
+// answer is what a host knows of the answer to a suspected request.
+type answer struct {
+	at time.Time
+	// own answers were given here: this host removes the entry at once. The few that follow
+	// the store do it for another, which may be gone.
+	own bool
 }
 
 // New validates the options.
@@ -90,7 +99,7 @@
 	if o.Host == "" || o.Table == nil || o.Store == nil || o.FollowsStore == nil || o.Publish == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("quarantine: a field of Options is missing; set all of them")
 	}
-	return &Registry{o: o, news: make(chan struct{}, 1), changed: make(chan struct{}, 1), entries: map[Digest]stored{}, unreadable: map[string]uint64{}, answered: map[Digest]time.Time{}}, nil
+	return &Registry{o: o, news: make(chan struct{}, 1), changed: make(chan struct{}, 1), entries: map[Digest]stored{}, unreadable: map[string]uint64{}, answered: map[Digest]answer{}}, nil
 }
 
 // Held returns why a request is held, or nil.
@@ -107,13 +116,10 @@
 	}
 	r.mu.Lock()
 	_, stored := r.entries[d]
-	held = held || stored
 	r.cleared = append(r.cleared, d)
-	if held {
-		r.answered[d] = r.o.Clock.Now()
-	}
+	r.answered[d] = answer{at: r.o.Clock.Now(), own: true}
 	r.mu.Unlock()
-	if held {
+	if held || stored {
 		r.o.Log.Info("held request answered", "digest", d.String())
 		r.rouse()
 	}
@@ -129,13 +135,30 @@
 	slices.SortStableFunc(suspects, func(a, b Suspect) int { return cmp.Compare(oneIf(a.Settled), oneIf(b.Settled)) })
 	c := Crash{Run: run, Host: r.o.Host, At: at, Suspects: suspects[:min(len(suspects), mostTold)]}
 	r.mu.Lock()
-	found := r.o.Table.Note(c, true)
 	r.pending.Crashes = append(r.pending.Crashes, c)
 	r.mu.Unlock()
+	r.count(c)
+	r.rouse()
+}
+
+// count counts a crash against the requests that ran there. An answer speaks for all copies
+// that were sent before it, also when their crash is told after it; one that was sent later
+// begins the suspicion anew.
+func (r *Registry) count(c Crash) {
+	r.mu.Lock()
+	c.Suspects = slices.DeleteFunc(slices.Clone(c.Suspects), func(s Suspect) bool {
+		a, known := r.answered[s.Digest]
+		if known && s.SentAt.After(a.at) {
+			delete(r.answered, s.Digest)
+			return false
+		}
+		return known
+	})
+	found := r.o.Table.Note(c, c.Host == r.o.Host)
+	r.mu.Unlock()
 	for _, d := range found {
 		r.found(d)
 	}
-	r.rouse()
 }
 
 // oneIf is 1 for true and 0 for false.
@@ -159,9 +182,7 @@
 // Take takes what a host tells, this one too. It doesn't wait.
 func (r *Registry) Take(n Notice) {
 	for _, c := range n.Crashes {
-		for _, d := range r.o.Table.Note(c, c.Host == r.o.Host) {
-			r.found(d)
-		}
+		r.count(c)
 	}
 	for _, h := range n.Held {
 		if r.o.Table.HoldTold(h.Digest, h.Evidence) {
@@ -169,7 +190,17 @@
 		}
 	}
 	for _, d := range n.Answered {
-		r.o.Table.Forget(d)
+		r.forget(d)
+	}
+}
+
+// forget takes another host's word that a request was answered.
+func (r *Registry) forget(d Digest) {
+	r.o.Table.Forget(d)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.answered[d]; !known {
+		r.answered[d] = answer{at: r.o.Clock.Now()}
 	}
 }
 
@@ -208,7 +239,7 @@
 	var loops conc.WaitGroup
 	loops.Go(func() { r.each(ctx, r.news, r.tell) })
 	loops.Go(func() {
-		r.each(ctx, r.changed, func(bool) {
+		r.each(ctx, r.changed, func() {
 			r.write(ctx)
 			r.sweep(ctx)
 		})
@@ -217,18 +248,18 @@
 }
 
 // each calls do a moment after it was woken, and at each tick.
-func (r *Registry) each(ctx context.Context, wake <-chan struct{}, do func(ticked bool)) {
+func (r *Registry) each(ctx context.Context, wake <-chan struct{}, do func()) {
 	for ctx.Err() == nil {
-		ticked := r.await(ctx, wake)
+		r.await(ctx, wake)
 		if r.o.Clock.Sleep(ctx, gather) != nil {
 			return
 		}
-		do(ticked)
+		do()
 	}
 }
 
-// await waits to be woken, or for the next tick, and reports whether that came.
-func (r *Registry) await(ctx context.Context, wake <-chan struct{}) bool {
+// await waits to be woken, or for the next tick.
+func (r *Registry) await(ctx context.Context, wake <-chan struct{}) {
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
@@ -238,20 +269,16 @@
 	}()
 	select {
 	case <-wake:
-		return false
 	case <-done:
-		return true
 	}
 }
 
-// tell tells all hosts what is new; all says that what can wait goes too.
-func (r *Registry) tell(all bool) {
+// tell tells all hosts what is new.
+func (r *Registry) tell() {
 	r.mu.Lock()
 	n := r.pending
+	n.Answered, r.cleared = r.cleared, nil
 	r.pending = Notice{}
-	if all || !n.empty() || len(r.answered) > 0 {
-		n.Answered, r.cleared = r.cleared, nil
-	}
 	r.mu.Unlock()
 	if n.empty() {
 		return
--- a/coordination/quarantine/storage.go
+++ b/coordination/quarantine/storage.go
@@ -155,16 +155,16 @@
 	release, remove = map[Digest]stored{}, map[Digest]stored{}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for d, at := range r.answered {
-		if _, there := r.entries[d]; !there && now.Sub(at) > answeredFor {
+	for d, a := range r.answered {
+		if _, there := r.entries[d]; !there && now.Sub(a.at) > answeredFor {
 			delete(r.answered, d)
 		}
 	}
 	for d, s := range r.entries {
 		age := now.Sub(s.seenAt)
-		_, answered := r.answered[d]
+		a, answered := r.answered[d]
 		switch {
-		case answered, follows && s.Released && age > forgetAfter:
+		case answered && (a.own || follows), follows && s.Released && age > forgetAfter:
 			remove[d] = s
 		case follows && !s.Released && age > s.holdFor():
 			release[d] = s
