Compare holds and entries by what they are, not by news of them

Cause: entries were taken when news of a version came, and never looked at again. One that came while an answer spoke against it was passed over for good; a host that saw neither an entry nor its removal held the request until its end; a create that was under way when an operator lifted the hold put back what had been removed, as the store can't tell that from an entry that was never there. Ruled out: reading the entry again after each write (one more call, and the same hole behind it); marking lifted requests at the store instead of removing them (entries without end).

--- a/coordination/quarantine/registry.go
+++ b/coordination/quarantine/registry.go
@@ -81,8 +81,9 @@
 	entries    map[Digest]stored
 	revision   uint64
 	unreadable map[string]uint64
-	// answered are suspected requests that were answered of late, at any host. Their entries
-	// are to go, also one that a host writes which hasn't heard of the answer.
+	// answered are suspected requests that were answered of late, at any host, or lifted while
+	// this host was writing. Their entries are to go, also one that a host writes which hasn't
+	// heard of it.
 	answered map[Digest]answer
 }
 
@@ -242,6 +243,7 @@
 		r.each(ctx, r.changed, func() {
 			r.write(ctx)
 			r.sweep(ctx)
+			r.reconcile()
 		})
 	})
 	loops.Wait()
--- a/coordination/quarantine/storage.go
+++ b/coordination/quarantine/storage.go
@@ -116,10 +116,14 @@
 
 // wrote takes an entry that this host has written, until a copy of the store shows it. A copy
 // that is as new has shown it already, or its removal, which an answer that was long on its way
-// would undo at this host alone.
+// would undo at this host alone. A hold that was let go while the write was on its way has its
+// entry removed again: a store can't tell one that was removed from one that was never there.
 func (r *Registry) wrote(d Digest, s stored) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !s.Released && r.o.Table.Held(d) == nil {
+		r.answered[d] = answer{at: s.seenAt, own: true}
+	}
 	if s.version <= r.revision || s.version <= r.entries[d].version {
 		return
 	}
@@ -127,6 +131,25 @@
 	r.adopt(d, s.entry)
 }
 
+// reconcile holds what has an entry, and lets go what has none although there was time to
+// write it: news of an entry may have come when an answer spoke against it, or not at all.
+func (r *Registry) reconcile() {
+	now := r.o.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for d, s := range r.entries {
+		if !s.Released && r.o.Table.Held(d) == nil {
+			r.adopt(d, s.entry)
+		}
+	}
+	for d, hold := range r.o.Table.Holds() {
+		if _, there := r.entries[d]; !there && now.Sub(hold.At) > holdFirst {
+			r.o.Table.Forget(d)
+			r.o.Log.Info("request no longer held: no entry of it", "digest", d.String(), "held", now.Sub(hold.At))
+		}
+	}
+}
+
 // sweep releases entries whose time is over and removes those that are needed no more. The
 // hosts that follow the store do it; the first one's write is the one that counts.
 func (r *Registry) sweep(ctx context.Context) {
