Tell callers of a held request the same in one place

The text stood in both dispatchers. quarantine.HeldError has it now; at the product's own interface it says runners where it said upstreams. No change of behaviour besides.

--- a/coordination/dispatch/quarantine.go
+++ b/coordination/dispatch/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/quarantine"
@@ -31,10 +30,8 @@
 	if hold == nil {
 		return nil
 	}
-	return &Refusal{
-		Reason:  ReasonCrashes,
-		Message: fmt.Sprintf("%d upstreams crashed while they ran the same request: don't send it again unchanged; an operator can release it by its digest %s", len(hold.Evidence), r.Digest),
-	}
+	why := &quarantine.HeldError{Digest: r.Digest, Crashes: len(hold.Evidence)}
+	return &Refusal{Reason: ReasonCrashes, Message: why.Error(), Cause: why}
 }
 
 // isHeld reports whether err is the refusal of a request that is held.
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -231,7 +231,7 @@
 		return nil
 	}
 	d.o.Observer.Held(r.Service)
-	return &Refusal{Reason: ReasonCrashes, NotRun: !rec.mayHaveRun, Cause: &HeldError{Digest: rec.digest, Crashes: len(hold.Evidence)}}
+	return &Refusal{Reason: ReasonCrashes, NotRun: !rec.mayHaveRun, Cause: &quarantine.HeldError{Digest: rec.digest, Crashes: len(hold.Evidence)}}
 }
 
 func reasonOf(o outcome) Reason {
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -221,17 +221,6 @@
 	Cause      error
 }
 
-// HeldError says that a request is kept from all runners.
-type HeldError struct {
-	Digest  quarantine.Digest
-	Crashes int
-}
-
-// Error implements error.
-func (e *HeldError) Error() string {
-	return fmt.Sprintf("%d runners crashed while they ran the same request: don't send it again unchanged; an operator can release it by its digest %s", e.Crashes, e.Digest)
-}
-
 // Error implements error.
 func (e *Refusal) Error() string {
 	if e.Reason == ReasonCrashes {
--- a/coordination/quarantine/hold.go
+++ b/coordination/quarantine/hold.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -8,6 +9,18 @@
 	"github.com/thymerack/thymerack/state"
 )
 
+// HeldError says that a request is kept from all runners.
+type HeldError struct {
+	Digest Digest
+	// Crashes is how many runners are known to have crashed under it.
+	Crashes int
+}
+
+// Error implements error.
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("%d runners crashed while they ran the same request: don't send it again unchanged; an operator can release it by its digest %s", e.Crashes, e.Digest)
+}
+
 // Hold holds a request by the word of the store. It reports whether that is new.
 func (t *Table) Hold(d Digest, evidence []Evidence) bool {
 	t.mu.Lock()
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thymerack/thymerack/coordination/forward"
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/routing"
 	"github.com/thymerack/thymerack/state"
 )
@@ -201,8 +202,8 @@
 	}{
 		{forward.Refusal{Reason: forward.ReasonFull, NotRun: true, RetryAfter: 40 * time.Millisecond}, 503, "0.040"},
 		{forward.Refusal{Reason: forward.ReasonUnknown}, 502, ""},
-		{forward.Refusal{Reason: forward.ReasonCrashes, NotRun: true, Cause: &forward.HeldError{Crashes: 2}}, 503, ""},
-		{forward.Refusal{Reason: forward.ReasonCrashes, Cause: &forward.HeldError{Crashes: 2}}, 502, ""},
+		{forward.Refusal{Reason: forward.ReasonCrashes, NotRun: true, Cause: &quarantine.HeldError{Crashes: 2}}, 503, ""},
+		{forward.Refusal{Reason: forward.ReasonCrashes, Cause: &quarantine.HeldError{Crashes: 2}}, 502, ""},
 		{forward.Refusal{Reason: forward.ReasonDeadline}, 504, ""},
 	} {
 		is := is.New(t)
