--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -291,6 +291,12 @@
 }
 
 func newWorld(t *testing.T, budget int, replies ...reply) *world {
+	t.Helper()
+	return newWorldAt(t, clocktest.Bubble{}, budget, replies...)
+}
+
+// newWorldAt has a clock of its own.
+func newWorldAt(t *testing.T, clock state.Clock, budget int, replies ...reply) *world {
 	t.Helper()
 	up := &fakeUpstream{t: t, replies: replies, discarded: make(chan string, 4)}
 	fleet := placement.NewFleet(placement.Options{Clock: clocktest.Bubble{}, FailureDomain: "d1"})
@@ -305,7 +311,7 @@
 	gate := newScriptedGate(t)
 	silent, broken, held := &silentRunners{}, &brokenWork{}, &quarantineOf{}
 	d, err := New(Options{
-		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: silent, Crashes: broken, Quarantine: held, Clock: clocktest.Bubble{},
+		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: silent, Crashes: broken, Quarantine: held, Clock: clock,
 		Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/lease"
+	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/coordination/store/storetest"
 	"github.com/thymerack/thymerack/state"
 )
@@ -86,6 +87,8 @@
 	// perEngine is what an engine that generates would have active and waiting if
 	// all did.
 	perEngine float64
+	// ordered is called once, with the first order; nil for nothing.
+	ordered func()
 }
 
 type fakeEngine struct {
@@ -167,6 +170,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.judge(o)
+	if f.ordered != nil {
+		f.ordered()
+		f.ordered = nil
+	}
 	if since := time.Since(f.announced[i.ID]); since < AnnounceLead || since > 5*time.Second {
 		f.problems = append(f.problems, fmt.Sprintf("%s was ordered %s after its announcement", i.ID, since))
 	}
@@ -249,15 +256,20 @@
 }
 
 func newManager(t testing.TB, p *storetest.Platform, f *fakeEngines, host string, run int) *Manager {
+	return newManagerAt(t, clocktest.Bubble{}, p, f, host, run)
+}
+
+// newManagerAt has a clock of its own.
+func newManagerAt(t testing.TB, clock state.Clock, p *storetest.Platform, f *fakeEngines, host string, run int) *Manager {
 	lessor, err := lease.New(lease.Options{
-		Store: p.Client(host), Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(uint64(run), uint64(len(host)))),
+		Store: p.Client(host), Clock: clock, Rand: rand.New(rand.NewPCG(uint64(run), uint64(len(host)))),
 		Name: "engine-roles", Holder: state.HostID{Name: host, Incarnation: fmt.Sprint(run)}, TTL: 6 * time.Second, Machine: host,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	m, err := New(Options{
-		Engines: f, Lease: lessor, Shares: Shares{p.Client(host)}, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), Host: host,
+		Engines: f, Lease: lessor, Shares: Shares{p.Client(host)}, Clock: clock, Log: slog.New(slog.DiscardHandler), Host: host,
 		Services: func() []string { return []string{"llm"} }, Instances: f.list, Announce: f.announce, Share: 0.68, TakeOver: leaseTime + time.Second,
 	})
 	if err != nil {
@@ -297,6 +309,37 @@
 	})
 }
 
+// A holder whose machine is suspended in the midst of its orders gives none of the others when it
+// is back: another host has the lease by then, though no timer here says that time has passed.
+func TestSuspendedHolderGivesNoFurtherOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeEngines(engines(2, 10), 0, 1)
+		p := storetest.NewPlatform(time.Second)
+		machine := &clocktest.Machine{}
+		f.ordered = func() {
+			machine.Suspend(time.Minute)
+			other := p.Client("other")
+			o, err := other.Get(t.Context(), store.KindLease, "engine-roles")
+			is.NoErr(err)
+			_, err = other.Put(t.Context(), o.Kind, o.Name, o.Version, []byte("another host's"))
+			is.NoErr(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		m := newManagerAt(t, machine, p, f, "h", 1)
+		done.Go(func() { _ = m.Run(ctx) })
+		for f.orderCount() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(leaseTime) // the time in which another holder's orders mustn't meet this one's
+		given := f.orderCount()
+		cancel()
+		done.Wait()
+		is.Equal(given, 1)
+	})
+}
+
 // restart lets an engine start again under its name, with the role that it had at first.
 func (f *fakeEngines) restart(name string, born int64, role state.Role) {
 	f.mu.Lock()
