Look at the time after each wait before a request is sent

Cause: after a wait for a place only the quarantine was asked; that the time is up was told by the request's context, whose timer stands still while the machine is suspended. Ruled out: contexts that end by the boot time (a goroutine and ten wake-ups a second for each request). Change: what bars a request is asked in one place after each wait: the quarantine and the time that is left, by the clock that counts suspensions. Nothing changes on a host that isn't suspended: its context has ended by then.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -199,7 +199,7 @@
 		if c.Runner == nil {
 			return nil, d.refuse(r, rec, ReasonNoRunner)
 		}
-		if err := d.held(r, rec); err != nil {
+		if err := d.barred(ctx, r, rec); err != nil {
 			c.begin().end()
 			return nil, err
 		}
@@ -223,6 +223,19 @@
 	}
 }
 
+// barred returns the refusal of a request that may not be sent after a wait: it is held now, or
+// its time is up. The context doesn't tell that on a host that was suspended meanwhile, whose
+// timers stood still.
+func (d *Dispatcher) barred(ctx context.Context, r *Request, rec *record) error {
+	if err := d.held(r, rec); err != nil {
+		return err
+	}
+	if d.left(r) > 0 {
+		return nil
+	}
+	return d.over(ctx, r, rec)
+}
+
 // held returns the refusal of a request that crashes what runs it. It is asked before each
 // sending: a request may have waited for its place when that became known.
 func (d *Dispatcher) held(r *Request, rec *record) error {
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -31,7 +31,7 @@
 		if t.runner == nil {
 			return nil, nil
 		}
-		if err := d.held(r, rec); err != nil {
+		if err := d.barred(ctx, r, rec); err != nil {
 			t.end(false)
 			return nil, err
 		}
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -187,7 +187,7 @@
 		if err != nil || c.Runner == nil {
 			return false
 		}
-		if s.d.held(r, s.rec) != nil {
+		if s.d.barred(s.ctx, r, s.rec) != nil {
 			c.begin().end()
 			return false
 		}
