Find customers of both interfaces by one index of their keys

Cause: operators' routes are about to need customers, and the product's own interface had a look-up of its own by the hex digest of one key. Ruled out: a second type for the operators' customers, which would have to be kept alike.

--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -15,8 +15,9 @@
 	Version uint64
 	Config  *state.RoutingConfig
 
-	hosts    map[string]*prefixes
-	services map[string]*state.ServiceSpec
+	hosts     map[string]*prefixes
+	services  map[string]*state.ServiceSpec
+	customers *state.CustomerIndex
 }
 
 // prefixes are the routes of one host by prefix, and the lengths that occur.
@@ -30,7 +31,10 @@
 // A lookup costs a map access for each different length of prefix, whatever the
 // number of routes.
 func NewTable(c *state.RoutingConfig) *Table {
-	t := &Table{Version: c.Version, Config: c, hosts: map[string]*prefixes{}, services: map[string]*state.ServiceSpec{}}
+	t := &Table{
+		Version: c.Version, Config: c, hosts: map[string]*prefixes{}, services: map[string]*state.ServiceSpec{},
+		customers: state.NewCustomerIndex(c.Customers),
+	}
 	for i := range c.Routes {
 		t.add(&c.Routes[i])
 	}
@@ -87,6 +91,12 @@
 // Service returns a service's description, or nil.
 func (t *Table) Service(name string) *state.ServiceSpec { return t.services[name] }
 
+// NeedsKey reports whether requests on the route must show the key of a customer.
+func (t *Table) NeedsKey(r *state.Route) bool { return t.Config.Keyed && !r.Public }
+
+// CustomerOfKey returns the customer whose key has that digest, or nil.
+func (t *Table) CustomerOfKey(d state.KeyDigest) *state.Customer { return t.customers.ByDigest(d) }
+
 // Backend returns the service that a request of the route goes to. Requests of
 // one id always go to the same one.
 func Backend(r *state.Route, requestID string) string {
--- a/coordination/snapshot/snapshot.go
+++ b/coordination/snapshot/snapshot.go
@@ -96,7 +96,7 @@
 	services  map[string]*state.Service
 	classes   map[string]*state.Class
 	byModel   map[string]*state.Service
-	byKey     map[string]*state.Customer
+	customers *state.CustomerIndex
 }
 
 // Runner returns the runner of that name, or nil.
@@ -120,8 +120,8 @@
 // Class returns the class of that name, or nil.
 func (v *View) Class(name string) *state.Class { return v.classes[name] }
 
-// CustomerOfKey returns the customer whose key has that hex SHA-256, or nil.
-func (v *View) CustomerOfKey(keySHA256 string) *state.Customer { return v.byKey[keySHA256] }
+// CustomerOfKey returns the customer whose key has that digest, or nil.
+func (v *View) CustomerOfKey(d state.KeyDigest) *state.Customer { return v.customers.ByDigest(d) }
 
 // index builds the look-up maps of a new view.
 func (v *View) index() {
@@ -141,13 +141,13 @@
 		v.services = previous.services
 		v.classes = previous.classes
 		v.byModel = previous.byModel
-		v.byKey = previous.byKey
+		v.customers = previous.customers
 		return
 	}
 	v.services = map[string]*state.Service{}
 	v.classes = map[string]*state.Class{}
 	v.byModel = map[string]*state.Service{}
-	v.byKey = map[string]*state.Customer{}
+	v.customers = nil
 	if v.Config == nil {
 		return
 	}
@@ -161,7 +161,5 @@
 	for i := range v.Config.Classes {
 		v.classes[v.Config.Classes[i].Name] = &v.Config.Classes[i]
 	}
-	for i := range v.Config.Customers {
-		v.byKey[v.Config.Customers[i].KeySHA256] = &v.Config.Customers[i]
-	}
+	v.customers = state.NewCustomerIndex(v.Config.Customers)
 }
--- a/state/config.go
+++ b/state/config.go
@@ -57,17 +57,6 @@
 	return time.Duration(c.DeadlineMillis) * time.Millisecond
 }
 
-// Customer is the account that a caller's key belongs to.
-type Customer struct {
-	Name string `json:"name" msgpack:"n"`
-	// KeySHA256 is the hex digest of the caller's key; the key itself is kept nowhere.
-	KeySHA256 string `json:"key_sha256" msgpack:"k"`
-	// Weight is the customer's share in tokens.
-	Weight float64 `json:"weight,omitempty" msgpack:"w"`
-	// Class is the class of requests that name none.
-	Class string `json:"class" msgpack:"c"`
-}
-
 // PolicyHook is the decision that a policy takes part in.
 type PolicyHook string
 
@@ -189,13 +178,9 @@
 			return &ConfigError{where + ".name", fmt.Sprintf("%q is defined twice", t.Name), "remove or rename one of the two"}
 		}
 		names[t.Name] = true
-		if len(t.KeySHA256) != 64 {
-			return &ConfigError{where + ".key_sha256", "not a SHA-256 digest", "give the 64 hex digits of the key's SHA-256"}
-		}
-		if other, ok := keys[t.KeySHA256]; ok {
-			return &ConfigError{where + ".key_sha256", fmt.Sprintf("the same key belongs to %q", other), "give each customer a key of its own"}
+		if err := validateKeys(t, where, keys); err != nil {
+			return err
 		}
-		keys[t.KeySHA256] = t.Name
 		if !classes[t.Class] {
 			return &ConfigError{where + ".class", fmt.Sprintf("class %q is not defined", t.Class), "name one of the defined classes"}
 		}
--- a/state/routing.go
+++ b/state/routing.go
@@ -59,6 +59,8 @@
 	MaxAttempts int
 	// Resumable streams may go on at another runner after the last whole event.
 	Resumable bool
+	// Public routes take requests without a key, also where the others need one.
+	Public bool
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -128,6 +130,10 @@
 	Version  uint64
 	Routes   []Route
 	Services []ServiceSpec
+	// Keyed says that requests on routes which aren't public need the key of one of
+	// Customers.
+	Keyed     bool
+	Customers []Customer
 	// MaxBodyBytes bounds a caller's request body; 0 means no limit of its own.
 	MaxBodyBytes int
 }
--- a/transport/front/classify.go
+++ b/transport/front/classify.go
@@ -1,8 +1,6 @@
 package front
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"strconv"
 	"strings"
 	"time"
@@ -49,8 +47,7 @@
 	if !ok || key == "" {
 		return nil, bad("no_key", "the request carries no key; send Authorization: Bearer with your customer's key")
 	}
-	sum := sha256.Sum256([]byte(key))
-	t := v.CustomerOfKey(hex.EncodeToString(sum[:]))
+	t := v.CustomerOfKey(state.DigestKey([]byte(key)))
 	if t == nil {
 		return nil, bad("unknown_customer", "the key belongs to no customer; check it, or ask the operators to add the customer")
 	}
