Keep with each copy of the store when it was known to be the newest

Cause: a strict revocation needs to know how old a host's configuration may be at most, also at hosts that follow a relay. Change: a mirror notes when the question was asked whose answer brought it up to date; an answer of a peer carries the age of its proof, to which the whole time of the question is added. Ruled out: the time of the answer (a watch may wait unaware of changes); comparing clocks.

--- a/coordination/fanout/ask.go
+++ b/coordination/fanout/ask.go
@@ -33,11 +33,12 @@
 	bounded, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	n.interruptible(cancel, !relays)
+	asked := n.o.Clock.Now()
 	news, err := n.o.Peers.Follow(bounded, source, Question{From: n.o.Self.Addr, Since: n.revisions(), Read: n.read[source], Wait: wait})
 	n.interruptible(nil, false)
 	switch {
 	case err == nil:
-		n.take(news, source, relays)
+		n.take(news, source, relays, asked)
 	case ctx.Err() == nil && !(n.askedLately(n.o.Clock.Now()) && !relays):
 		n.avoid(source, err.Error(), false)
 	}
@@ -51,31 +52,32 @@
 	addr := n.plannedOf[n.o.Rand.IntN(len(n.plannedOf))].Addr
 	bounded, cancel := context.WithTimeout(ctx, silenceSlack)
 	defer cancel()
+	asked := n.o.Clock.Now()
 	news, err := n.o.Peers.Follow(bounded, addr, Question{From: n.o.Self.Addr, Since: n.revisions(), Peek: true})
 	if err != nil {
 		n.o.Log.Debug("peer not reached", "peer", addr, "cause", err.Error())
 		return
 	}
-	n.merge(news, addr)
+	n.merge(news, addr, asked)
 }
 
-// merge takes what changed in a peer's copies.
-func (n *Node) merge(news News, from string) {
+// merge takes what changed in the copies of a peer that was asked then.
+func (n *Node) merge(news News, from string, asked time.Time) {
 	for kind, d := range news.Changes {
 		if m := n.o.Copies[kind]; m != nil {
-			m.Merge(d, from)
+			m.Merge(d, from, asked)
 		}
 	}
 }
 
-// take takes a relay's answer.
-func (n *Node) take(news News, source string, relays bool) {
+// take takes the answer of a relay that was asked then.
+func (n *Node) take(news News, source string, relays bool, asked time.Time) {
 	if !news.Lost && !relays {
 		for _, m := range n.o.Copies {
 			m.Informed(news.Regained, news.Ever)
 		}
 	}
-	n.merge(news, source)
+	n.merge(news, source, asked)
 	n.read[source] = news.Read
 	for _, notice := range news.Notices {
 		n.Deliver(notice)
--- a/coordination/fanout/fleet_test.go
+++ b/coordination/fanout/fleet_test.go
@@ -59,9 +59,12 @@
 // noticed is how long a cut from the store goes unnoticed by a waiting watch.
 const noticed = 3 * time.Second
 
-func newFleet(t *testing.T, n int) *fleet {
+func newFleet(t *testing.T, n int) *fleet { return newFleetWatching(t, n, 20*time.Second) }
+
+// newFleetWatching makes a fleet whose watches wait at the store for at most wait.
+func newFleetWatching(t *testing.T, n int, wait time.Duration) *fleet {
 	f := &fleet{
-		t: t, store: storetest.NewPlatform(20 * time.Second),
+		t: t, store: storetest.NewPlatform(wait),
 		silent: map[string]bool{}, cut: map[string]bool{}, refuse: map[string]bool{}, calls: map[string]int{}, cutting: make(chan struct{}),
 	}
 	f.store.SetScript(f.script)
--- a/coordination/follow/config.go
+++ b/coordination/follow/config.go
@@ -14,6 +14,8 @@
 	decode func([]byte) (*state.RoutingConfig, error)
 	log    *slog.Logger
 	table  atomic.Pointer[routing.Table]
+	// unreadable is set while the newest configuration can't be read.
+	unreadable atomic.Bool
 }
 
 // NewConfig follows the configuration object of that name.
@@ -24,6 +26,10 @@
 // Table returns the routes in force, or nil before the first configuration.
 func (c *Config) Table() *routing.Table { return c.table.Load() }
 
+// Unreadable reports whether the configuration in force isn't the newest, since that can't be
+// read.
+func (c *Config) Unreadable() bool { return c.unreadable.Load() }
+
 // Changed takes a new copy of the configuration objects. One that can't be read
 // leaves the last in force. It has one caller at a time.
 func (c *Config) Changed(copied Copy) {
@@ -32,6 +38,7 @@
 			continue
 		}
 		config, err := c.decode(object.Value)
+		c.unreadable.Store(err != nil)
 		if err != nil {
 			c.log.Error("configuration not readable; the last one stays in force", "version", object.Version, "cause", err.Error())
 			return
--- a/coordination/follow/history.go
+++ b/coordination/follow/history.go
@@ -69,6 +69,10 @@
 	// and Deleted those that are gone, each with the version that it had last.
 	Whole            bool
 	Objects, Deleted []store.Object
+	// Proven says that the copy, with the change, held all that the store had acknowledged
+	// Age ago.
+	Proven bool
+	Age    time.Duration
 }
 
 // Empty reports whether nothing changed.
@@ -77,9 +81,14 @@
 // Since returns what changed after a revision: nothing if that isn't lower than the
 // copy's own, and the whole copy if the history doesn't reach so far back.
 func (m *Mirror) Since(revision uint64) Delta {
+	// The proof is read before the copy, which holds what is proven or more.
+	proven := m.Proven()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := Delta{Revision: m.revision}
+	if !proven.IsZero() {
+		d.Proven, d.Age = true, m.o.Clock.Now().Sub(proven)
+	}
 	switch {
 	case revision >= m.history.changedAt:
 	case !m.history.reaches(revision):
@@ -103,8 +112,16 @@
 	}
 }
 
-// Merge takes what changed at a peer after a revision that this mirror has had.
-func (m *Mirror) Merge(d Delta, from string) {
+// Merge takes what changed at a peer after a revision that this mirror has had; asked is
+// when the peer was asked.
+func (m *Mirror) Merge(d Delta, from string, asked time.Time) {
+	m.mergeChanges(d, from)
+	if d.Proven {
+		m.prove(asked.Add(-d.Age))
+	}
+}
+
+func (m *Mirror) mergeChanges(d Delta, from string) {
 	if d.Whole {
 		m.Adopt(Copy{Revision: d.Revision, Objects: d.Objects}, from)
 		return
@@ -129,9 +146,11 @@
 	if !ok {
 		return m.list(ctx) == nil
 	}
+	asked := m.o.Clock.Now()
 	b, err := p.Poll(ctx, m.o.Kind, m.Revision())
 	if err == nil && !b.Gap {
 		m.apply(b)
+		m.prove(asked)
 	}
 	return err == nil
 }
--- a/coordination/follow/history_test.go
+++ b/coordination/follow/history_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -95,11 +96,11 @@
 			},
 			"peer": func(t *rapid.T) {
 				from, to := anyCopy.Draw(t, "from"), anyCopy.Draw(t, "to")
-				to.Merge(from.Since(to.Revision()), "peer")
+				to.Merge(from.Since(to.Revision()), "peer", time.Now())
 			},
 			"late peer": func(t *rapid.T) { // asked at an older revision
 				from, to := anyCopy.Draw(t, "from"), anyCopy.Draw(t, "to")
-				to.Merge(from.Since(rapid.Uint64Range(0, to.Revision()).Draw(t, "since")), "peer")
+				to.Merge(from.Since(rapid.Uint64Range(0, to.Revision()).Draw(t, "since")), "peer", time.Now())
 			},
 			"": func(t *rapid.T) {
 				for i, m := range copies {
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -77,6 +77,8 @@
 	again bool
 	// fresh is set while Run follows the store and is answered.
 	fresh atomic.Bool
+	// proof is the latest Proven; nil before the first.
+	proof atomic.Pointer[time.Time]
 }
 
 // New validates the options.
@@ -197,17 +199,20 @@
 		ctx, cancel = context.WithTimeout(ctx, againWithin)
 		defer cancel()
 	}
+	asked := m.o.Clock.Now()
 	objects, revision, err := m.o.Store.List(ctx, m.o.Kind)
 	if err != nil {
 		return err
 	}
 	m.answered()
 	m.replace(objects, revision)
+	m.prove(asked)
 	return nil
 }
 
 // watch waits for changes. listed is false when the copy has to be read anew.
 func (m *Mirror) watch(ctx context.Context) (listed bool, err error) {
+	asked := m.o.Clock.Now()
 	batch, err := m.next(ctx)
 	if err != nil {
 		return true, err
@@ -218,6 +223,7 @@
 		return false, nil
 	}
 	m.apply(batch)
+	m.prove(asked)
 	if len(batch.Events) > 0 && m.o.Gather > 0 {
 		return true, m.o.Clock.Sleep(ctx, m.o.Gather)
 	}
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -61,6 +61,9 @@
 	Whole    bool     `msgpack:"w,omitempty"`
 	Objects  []Object `msgpack:"o,omitempty"`
 	Deleted  []Object `msgpack:"d,omitempty"`
+	// AgeMS is how long ago the copy is known to have been the newest, rounded up; absent
+	// if that isn't known.
+	AgeMS *int64 `msgpack:"a,omitempty"`
 }
 
 // Response is what the asking host lacks, by kind.
@@ -128,7 +131,7 @@
 		out.RegainedMS = &ms
 	}
 	for kind, d := range n.Changes {
-		out.Changes[kind] = Delta{Revision: d.Revision, Whole: d.Whole, Objects: encodeObjects(d.Objects), Deleted: encodeObjects(d.Deleted)}
+		out.Changes[kind] = Delta{Revision: d.Revision, Whole: d.Whole, Objects: encodeObjects(d.Objects), Deleted: encodeObjects(d.Deleted), AgeMS: encodeAge(d)}
 	}
 	return out
 }
@@ -142,7 +145,24 @@
 		out.Ever, out.Regained = true, max(0, time.Duration(*r.RegainedMS)*time.Millisecond)
 	}
 	for kind, d := range r.Changes {
-		out.Changes[kind] = follow.Delta{Revision: d.Revision, Whole: d.Whole, Objects: decodeObjects(kind, d.Objects), Deleted: decodeObjects(kind, d.Deleted)}
+		out.Changes[kind] = d.decode(kind)
+	}
+	return out
+}
+
+// encodeAge rounds up: a proof may be taken for older than it is and never for younger.
+func encodeAge(d follow.Delta) *int64 {
+	if !d.Proven {
+		return nil
+	}
+	ms := (d.Age + time.Millisecond - 1).Milliseconds()
+	return &ms
+}
+
+func (d Delta) decode(kind string) follow.Delta {
+	out := follow.Delta{Revision: d.Revision, Whole: d.Whole, Objects: decodeObjects(kind, d.Objects), Deleted: decodeObjects(kind, d.Deleted)}
+	if d.AgeMS != nil {
+		out.Proven, out.Age = true, max(0, time.Duration(*d.AgeMS)*time.Millisecond)
 	}
 	return out
 }
