Serve operators' routes to customers by their keys; one permit for calls of a term

And: duties are about to need what stages alone had, silence before the first call of a term and a last look before the bytes leave. A customer's priority goes before the route's, and its name identifies a request whichever key it shows. lease.Permit carries what keeps the calls of two terms apart; orders to engines ask it last before they leave, and the first order of a term that follows a lapsed one comes a second after the take-over instead of 4.3 s, with the same distance between two holders' orders. Ruled out: a silence for each duty of its own.

--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -55,8 +55,10 @@
 // Request is one request of a caller.
 type Request struct {
 	ID string
-	// Caller is the credential that the caller shows; "" for none.
-	Caller string
+	// Customer is the account that the caller's key belongs to; nil where none is needed.
+	Customer *state.Customer
+	// Authorization is what the caller shows for the upstream; "" for none.
+	Authorization string
 	// Method, URI and Host are as the caller sent them.
 	Method, URI, Host string
 	// Headers go on unchanged.
@@ -77,9 +79,25 @@
 	Engine *state.EngineSpec
 }
 
+// caller names who asks, the same whichever of a customer's keys is shown.
+func (r *Request) caller() string {
+	if r.Customer != nil {
+		return r.Customer.Name
+	}
+	return r.Authorization
+}
+
+// Priority is the customer's if it has one, else the route's; 0 is the most urgent.
+func (r *Request) Priority() int {
+	if r.Customer != nil && r.Customer.Priority != nil {
+		return *r.Customer.Priority
+	}
+	return r.Route.Priority
+}
+
 // content is what makes the request the same as another.
 func (r *Request) content() quarantine.Content {
-	return quarantine.Content{Caller: r.Caller, Method: r.Method, Host: r.Host, URI: r.URI, Body: r.Body}
+	return quarantine.Content{Caller: r.caller(), Method: r.Method, Host: r.Host, URI: r.URI, Body: r.Body}
 }
 
 // Class is a kind of request, as measures tell them apart. A configuration has few.
@@ -90,7 +108,7 @@
 }
 
 // Class returns the request's class.
-func (r *Request) Class() Class { return Class{r.Service, r.Route.Kind, r.Route.Priority} }
+func (r *Request) Class() Class { return Class{r.Service, r.Route.Kind, r.Priority()} }
 
 // KVSource names the KV cache of a prompt at the engine that read it, or that of a run at
 // the engine which has its backup, by the request's id.
--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -77,7 +77,7 @@
 
 // rank is the order of the sending at its runner.
 func (c choice) rank(r *Request) int {
-	rank := min(max(0, r.Route.Priority), usualRank)
+	rank := min(max(0, r.Priority()), usualRank)
 	switch {
 	case c.reads:
 		return c.turn.forecast.Rank
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -4,7 +4,8 @@
 // A lease only chooses who tries. It makes no action safe: a holder that was
 // paused goes on believing for a while, and two hosts may believe at the same
 // time. Whatever the holder does must be made safe by a conditional update of
-// the object that it changes.
+// the object that it changes. Calls to systems that check nothing are as safe as
+// the time between Permit and the arrival of the call is short.
 //
 // No clocks of two hosts are compared. A waiter takes a lease over only after it
 // has itself watched the object unchanged for the TTL; a holder gives up when its
@@ -51,6 +52,12 @@
 	// TTL is how long a lease that isn't renewed stays with its holder. Three
 	// platform calls are made in each TTL, whatever the load. Default DefaultTTL.
 	TTL time.Duration
+	// Apart is how far apart the calls of two holders must be, above their CallTime; with 0
+	// nothing keeps them apart. It must leave time to renew, so be well below the TTL.
+	Apart time.Duration
+	// CallTime is the longest that a call under the lease takes from Permit on, until it has
+	// arrived or never will.
+	CallTime time.Duration
 	// LookEvery is how often a waiter looks, asked anew at each third of the TTL, so
 	// that few hosts of many look often and others step in for them; nil stands for a
 	// third of the TTL.
@@ -81,6 +88,8 @@
 		return &OptionError{"Holder", "pass this host's id"}
 	case o.TTL < 0:
 		return &OptionError{"TTL", "use a positive duration"}
+	case o.Apart < 0 || o.CallTime < 0 || (o.Apart > 0 && o.Apart+o.TTL/callsPerTTL >= o.TTL):
+		return &OptionError{"Apart", "use at most half of the TTL, or a longer TTL"}
 	}
 	return nil
 }
@@ -120,6 +129,8 @@
 	first, own bool
 	// renewedAt is when the last successful write was started.
 	renewedAt time.Time
+	// silentUntil is when the first call of the term may be made.
+	silentUntil time.Time
 }
 
 // present returns the present term.
@@ -162,7 +173,7 @@
 	now := l.opts.Clock.Now()
 	obj, err := l.opts.Store.Get(ctx, store.KindLease, l.opts.Name)
 	if errors.Is(err, store.ErrNotFound) {
-		return l.take(ctx, store.Absent, false)
+		return l.take(ctx, store.Absent, false, 0)
 	}
 	if err != nil {
 		return false, err
@@ -170,8 +181,13 @@
 	var r record
 	readable := json.Unmarshal(obj.Value, &r) == nil
 	own := readable && l.own(r)
-	if own || (readable && r.Holder.Zero()) || l.lapsed(obj, now) {
-		return l.take(ctx, obj.Version, own)
+	switch {
+	case own:
+		return l.take(ctx, obj.Version, true, 0)
+	case l.lapsed(obj, now):
+		return l.take(ctx, obj.Version, false, l.opts.CallTime)
+	case readable && r.Holder.Zero():
+		return l.take(ctx, obj.Version, false, l.opts.Apart+l.opts.CallTime)
 	}
 	return false, nil
 }
@@ -190,11 +206,13 @@
 	return now.Sub(l.seenAt) >= l.opts.TTL
 }
 
-// take writes the lease over version. Losing the race to another host is no error.
-func (l *Lessor) take(ctx context.Context, version uint64, own bool) (bool, error) {
+// take writes the lease over version and keeps silence for so long. Losing the race to
+// another host is no error.
+func (l *Lessor) take(ctx context.Context, version uint64, own bool, silence time.Duration) (bool, error) {
 	err := l.write(ctx, version, l.opts.Holder)
 	if err == nil {
-		l.change(func(t *term) { t.fence, t.first, t.own = t.held, version == store.Absent, own })
+		silent := l.opts.Clock.Now().Add(silence)
+		l.change(func(t *term) { t.fence, t.first, t.own, t.silentUntil = t.held, version == store.Absent, own, silent })
 	}
 	if store.IsConflict(err) {
 		return false, nil
@@ -202,6 +220,29 @@
 	return err == nil, err
 }
 
+// ErrNoCall says that no call may be made at this moment.
+var ErrNoCall = errors.New("no call may be made under the lease now; try again later, while it is held")
+
+// Permit returns the number of the present term if a call may leave at this moment. It is to
+// be asked after the last wait before the bytes of the call leave.
+//
+// Calls of two terms are at least Apart apart, and those of the earlier one have arrived or
+// never will when those of the later one begin: a holder makes none once its last renewal is
+// TTL - Apart old. Others take the lease over once they have seen it unchanged for the TTL,
+// and keep silence for CallTime then; a lease that was released is taken at once, so that
+// silence is longer by Apart. The number is the version of the object at the write that began
+// the term, which no other write has.
+func (l *Lessor) Permit() (fence uint64, err error) {
+	t, now := l.present(), l.opts.Clock.Now()
+	if t.held == store.Absent || now.Before(t.silentUntil) || now.Sub(t.renewedAt) >= l.opts.TTL-l.opts.Apart {
+		return 0, ErrNoCall
+	}
+	return t.fence, nil
+}
+
+// Silent reports whether the present term's first call may not be made yet.
+func (l *Lessor) Silent() bool { return l.opts.Clock.Now().Before(l.present().silentUntil) }
+
 // Fence is the version at which the present term began: a number that grows from
 // holder to holder.
 func (l *Lessor) Fence() uint64 { return l.present().fence }
--- a/coordination/quarantine/digest.go
+++ b/coordination/quarantine/digest.go
@@ -16,8 +16,8 @@
 
 // Content is what makes two requests the same.
 type Content struct {
-	// Caller is the credential that the caller shows, "" for none: a caller can't have
-	// what another one asks held against it.
+	// Caller is the customer who asks, or the credential that the caller shows where there are
+	// no customers; "" for none. A caller can't have what another one asks held against it.
 	Caller string
 	// Method, Host and URI are as the caller sent them.
 	Method, Host, URI string
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -68,7 +68,8 @@
 // the order is carried out.
 type Engines interface {
 	Report(ctx context.Context, i *state.Instance) (Report, error)
-	Order(ctx context.Context, i *state.Instance, o Order) (Result, error)
+	// Order asks permit last before the order leaves, and gives none if that fails.
+	Order(ctx context.Context, i *state.Instance, o Order, permit func() error) (Result, error)
 }
 
 // Options configure a Manager. All fields are required.
@@ -88,9 +89,6 @@
 	// Announce tells all hosts which engines are about to change, before they are
 	// ordered to.
 	Announce func(ctx context.Context, changes []Change)
-	// TakeOver is the silence between another holder's last order and the first
-	// of this one.
-	TakeOver time.Duration
 }
 
 const (
@@ -137,8 +135,6 @@
 	stood map[string]bool
 	// followed is set in such a term.
 	followed bool
-	// silentUntil is when the first order of the term may be given.
-	silentUntil time.Time
 	// counted is how many engines of a service are listed, until the term's first plan.
 	counted map[string]listedCount
 	// demand follows the load of both roles, by service.
@@ -170,20 +166,12 @@
 	return &Manager{o: o, kept: map[string]kept{}}, nil
 }
 
-// Run holds the lease whenever it can and gives orders, until ctx ends.
-func (m *Manager) Run(ctx context.Context) error { return m.o.Lease.Run(ctx, m.hold) }
-
-// hold gives orders for one term of the lease.
-func (m *Manager) hold(ctx context.Context) error {
+// Hold gives orders for one term of the lease, until ctx ends with it.
+func (m *Manager) Hold(ctx context.Context) error {
 	if m.demand == nil || !m.o.Lease.Own() {
 		m.forgetTerm()
 	}
 	m.followed = !m.o.Lease.First()
-	m.silentUntil = m.o.Clock.Now()
-	if m.followed && !m.o.Lease.Own() {
-		m.silentUntil = m.silentUntil.Add(m.o.TakeOver)
-		m.o.Log.Info("waiting before the first order", "silence", m.o.TakeOver, "fence", m.o.Lease.Fence())
-	}
 	for {
 		for _, service := range m.o.Services() {
 			m.service(ctx, service)
@@ -214,7 +202,7 @@
 		m.stood[service] = m.followed
 	}
 	want := Target(len(engines), m.share(ctx, service, engines, now))
-	if now.Before(m.silentUntil) {
+	if m.o.Lease.Silent() {
 		return
 	}
 	changes := Plan(m.asOrdered(engines), want)
@@ -264,7 +252,7 @@
 		return
 	}
 	for _, c := range changes {
-		if !m.o.Lease.Held() || ctx.Err() != nil {
+		if _, err := m.o.Lease.Permit(); err != nil || ctx.Err() != nil {
 			return
 		}
 		m.order(ctx, c)
@@ -350,11 +338,12 @@
 		m.ordered[i.ID] = given{c.Role, now.Add(lateBound)}
 		return
 	}
-	if !m.o.Lease.Held() {
+	fence, err := m.o.Lease.Permit()
+	if err != nil {
 		return
 	}
-	o := Order{Role: c.Role, Holder: m.o.Host, Fence: m.o.Lease.Fence(), Accepted: report.Accepted}
-	result, err := m.o.Engines.Order(ctx, i, o)
+	o := Order{Role: c.Role, Holder: m.o.Host, Fence: fence, Accepted: report.Accepted}
+	result, err := m.o.Engines.Order(ctx, i, o, m.permit(fence))
 	m.o.Log.Info("engine ordered", "instance", i.ID, "role", string(c.Role), "fence", o.Fence, "accepted", o.Accepted, "result", string(result), "cause", fmt.Sprint(err))
 	if err == nil && result != ResultAccepted {
 		m.pausing[i.ID] = now.Add(retryOrder)
@@ -363,6 +352,17 @@
 	m.ordered[i.ID] = given{c.Role, now.Add(lateBound)}
 }
 
+// permit allows an order to leave while its term goes on.
+func (m *Manager) permit(fence uint64) func() error {
+	return func() error {
+		present, err := m.o.Lease.Permit()
+		if err == nil && present != fence {
+			err = lease.ErrNoCall
+		}
+		return err
+	}
+}
+
 // report asks an engine for its report. That of another run is an error: the number of
 // orders that it has accepted says nothing of this one.
 func (m *Manager) report(ctx context.Context, i *state.Instance) (Report, error) {
--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -166,7 +166,10 @@
 	return nil
 }
 
-func (f *fakeEngines) Order(ctx context.Context, i *state.Instance, o Order) (Result, error) {
+func (f *fakeEngines) Order(_ context.Context, i *state.Instance, o Order, permit func() error) (Result, error) {
+	if err := permit(); err != nil {
+		return "", err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.judge(o)
@@ -264,13 +267,14 @@
 	lessor, err := lease.New(lease.Options{
 		Store: p.Client(host), Clock: clock, Rand: rand.New(rand.NewPCG(uint64(run), uint64(len(host)))),
 		Name: "engine-roles", Holder: state.HostID{Name: host, Incarnation: fmt.Sprint(run)}, TTL: 6 * time.Second, Machine: host,
+		Apart: leaseTime, CallTime: time.Second,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	m, err := New(Options{
 		Engines: f, Lease: lessor, Shares: Shares{p.Client(host)}, Clock: clock, Log: slog.New(slog.DiscardHandler), Host: host,
-		Services: func() []string { return []string{"llm"} }, Instances: f.list, Announce: f.announce, Share: 0.68, TakeOver: leaseTime + time.Second,
+		Services: func() []string { return []string{"llm"} }, Instances: f.list, Announce: f.announce, Share: 0.68,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -278,6 +282,9 @@
 	return m
 }
 
+// Run holds the lease whenever it can and gives orders, until ctx ends.
+func (m *Manager) Run(ctx context.Context) error { return m.o.Lease.Run(ctx, m.Hold) }
+
 // runHolder runs a manager until the returned function is called.
 func runHolder(t *testing.T, p *storetest.Platform, f *fakeEngines, host string) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -10,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
+	"github.com/thymerack/thymerack/coordination/auth"
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/fanout"
 	"github.com/thymerack/thymerack/coordination/follow"
@@ -32,7 +34,9 @@
 	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
-// leaseName is the lease of the host that gives orders to engines.
+// leaseName is the lease of the host that has the duties: orders to engines, the number of
+// runners, reports of usage. One lease costs its looks and renewals once; its name is that of
+// the first duty, so that hosts of earlier versions take turns with this one.
 const leaseName = "engine-roles"
 
 // Host is one host. Create it with New.
@@ -45,8 +49,11 @@
 	clock wallclock.Clock
 
 	store *platform.Store
-	// bound is the store with watches short enough for what must be in force in time.
+	// bound is the store with watches short enough for what must be in force in time, and
+	// proving with those short enough to prove that keys hold.
 	bound     *platform.Store
+	proving   *platform.Store
+	keys      *auth.Checker
 	members   *members
 	config    *follow.Config
 	configs   *follow.Mirror
@@ -55,9 +62,11 @@
 	fleet     *placement.Fleet
 	pool      *runners.Pool
 	gateway   *gateway.Server
-	manager   *stages.Manager
-	metrics   *measures
-	ready     *readiness
+	// lessor holds the lease of the duties that one host at a time has.
+	lessor  *lease.Lessor
+	manager *stages.Manager
+	metrics *measures
+	ready   *readiness
 	// peers calls other hosts, peerServer answers them.
 	peers      *peer.Client
 	peerServer *peer.Server
@@ -85,7 +94,7 @@
 	}
 	h := &Host{o: o, s: o.Settings, log: o.Log.With("host", o.Settings.Host), metrics: newMeasures()}
 	h.id = state.HostID{Name: h.s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
-	for _, build := range []func() error{h.buildStore, h.buildLists, h.buildPeers, h.buildPool, h.buildGateway, h.buildManager} {
+	for _, build := range []func() error{h.buildStore, h.buildLists, h.buildPeers, h.buildPool, h.buildKeys, h.buildGateway, h.buildManager} {
 		if err := build(); err != nil {
 			return nil, err
 		}
@@ -111,6 +120,7 @@
 		}
 		return 0
 	})
+	h.metrics.gauge("thymerack_key_proof_age_seconds", func() float64 { return h.clock.Now().Sub(h.configProven()).Seconds() })
 	h.metrics.gauge("thymerack_hosts", func() float64 { return float64(h.members.Hosts()) })
 	h.metrics.gauge("thymerack_quarantined", func() float64 { return float64(h.quarantine.Size()) })
 	h.metrics.gauge("thymerack_log_lines_dropped_total", func() float64 { return float64(h.o.LinesDropped()) })
@@ -131,6 +141,8 @@
 	h.store = platform.NewStore(o)
 	o.WatchWait = h.boundWatch()
 	h.bound = platform.NewStore(o)
+	o.WatchWait = h.provingWatch()
+	h.proving = platform.NewStore(o)
 	h.members = newMembers(h.store, h.s, h.log)
 	return nil
 }
@@ -143,6 +155,16 @@
 	return min(watchWait, max(leastWatch, h.s.Bounds.Contact+h.shortestBound()-storeTimeout-gatherInstances-watchMargin))
 }
 
+// provingWatch is how long a watch for configurations waits. Where revocations are strict the
+// age of the last answered question bounds which keys may be served: a fifth of that bound
+// leaves room for two relays in a row that are lost.
+func (h *Host) provingWatch() time.Duration {
+	if h.s.Bounds.Revoke <= 0 {
+		return h.boundWatch()
+	}
+	return min(h.boundWatch(), h.s.Bounds.Revoke/5)
+}
+
 // shortestBound is the shortest time in which a change must be in force.
 func (h *Host) shortestBound() time.Duration {
 	bound := h.s.Bounds.Drain
@@ -162,7 +184,7 @@
 	})
 	outage := &follow.Outage{}
 	var err error
-	h.configs, err = follow.New(follow.Options{Outage: outage, Store: h.bound, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig, Notify: h.notifyFollowers})
+	h.configs, err = follow.New(follow.Options{Outage: outage, Store: h.proving, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig, Notify: h.notifyFollowers})
 	if err != nil {
 		return err
 	}
@@ -210,6 +232,24 @@
 	return max(minConns, int(limitShare*float64(spec.MaxConns)/float64(h.members.Hosts())))
 }
 
+func (h *Host) buildKeys() error {
+	var err error
+	h.keys, err = auth.New(auth.Options{
+		Clock: h.clock, Log: h.log, Table: h.config.Table, Proven: h.configProven, Ask: h.configs.Prove, Observer: h.metrics,
+		Strict: h.s.Bounds.Revoke > 0, RevokeWithin: h.s.Bounds.Revoke, InForceWithin: cmp.Or(h.s.Bounds.ConfigInForce, defaultInForce),
+	})
+	return err
+}
+
+// configProven is when the configuration in force was known to be the newest.
+func (h *Host) configProven() time.Time {
+	proven := h.configs.Proven()
+	if h.config.Unreadable() {
+		return time.Time{}
+	}
+	return proven
+}
+
 func (h *Host) buildGateway() error {
 	budget, err := retry.NewBudget(retry.BudgetOptions{
 		Clock:        h.clock,
@@ -229,7 +269,7 @@
 		return err
 	}
 	h.gateway, err = gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Dispatcher: dispatcher, Table: h.config.Table, Observer: h.metrics, Log: h.log,
+		Codec: platform.Codec{}, Dispatcher: dispatcher, Keys: h.keys, Table: h.config.Table, Observer: h.metrics, Log: h.log,
 		MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes,
 		MaxConnections: max(h.s.Limits.Descriptors-reservedFDs, reservedFDs),
 	})
@@ -243,24 +283,37 @@
 }
 
 func (h *Host) buildManager() error {
-	lessor, err := lease.New(lease.Options{
+	var err error
+	h.lessor, err = lease.New(lease.Options{
 		Store: h.store, Clock: h.clock, Rand: newRand(),
 		Name: leaseName, Holder: h.id, Machine: h.s.Host + "@" + h.s.IP,
 		TTL: leaseTTL, LookEvery: h.lookEvery, Log: h.log,
+		Apart: h.s.Bounds.LeaseTime + h.s.Bounds.ThawTime, CallTime: dutyCallTime,
 	})
 	if err != nil {
 		return err
 	}
 	h.manager, err = stages.New(stages.Options{
-		Engines: platform.Engines{Caller: h.pool, Timeout: storeTimeout}, Lease: lessor, Shares: stages.Shares{Store: h.store}, Clock: h.clock, Log: h.log, Host: h.s.Host,
+		Engines: platform.Engines{Caller: h.pool, Timeout: dutyCallTime}, Lease: h.lessor, Shares: stages.Shares{Store: h.store}, Clock: h.clock, Log: h.log, Host: h.s.Host,
 		Services: h.engineServices, Instances: h.engines,
 		Announce: h.announce,
 		Share:    h.o.PrefillShare,
-		TakeOver: h.s.Bounds.LeaseTime + h.s.Bounds.ThawTime + takeOverMargin,
 	})
 	return err
 }
 
+// holdDuties carries out what one host at a time does, for one term of the lease.
+func (h *Host) holdDuties(ctx context.Context) error {
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		if err := h.manager.Hold(ctx); err != nil {
+			h.log.Error("orders to engines ended", "cause", err.Error())
+		}
+	})
+	return nil
+}
+
 // announce tells all hosts, this one too, which engines are about to change their role.
 func (h *Host) announce(ctx context.Context, changes []stages.Change) {
 	byRole := map[state.Role][]state.InstanceID{}
@@ -274,9 +327,6 @@
 	}
 }
 
-// takeOverMargin covers an order that the last holder sent in its last moment.
-const takeOverMargin = time.Second
-
 // lookEvery is how often this host looks whether the engines' lease is free. A few
 // hosts look often; the settings' seeds don't say which, as they are empty where no
 // role serves peers of the platform's own kind.
@@ -341,8 +391,8 @@
 	group.Go(func() { wallclock.Watch(work) })
 	managing, resign := context.WithCancel(work)
 	group.Go(func() {
-		if err := h.manager.Run(managing); err != nil {
-			h.log.Error("orders to engines ended", "cause", err.Error())
+		if err := h.lessor.Run(managing, h.holdDuties); err != nil {
+			h.log.Error("duties ended", "cause", err.Error())
 		}
 	})
 	h.serve(work, listeners)
--- a/daemon/routed/measures.go
+++ b/daemon/routed/measures.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thymerack/thymerack/coordination/auth"
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/forward"
 )
@@ -18,6 +19,8 @@
 	// answers holds the *answerMeasures of each answered, so that a request doesn't
 	// make their names.
 	answers sync.Map
+	// checked are the checks of keys by their outcome.
+	checked map[auth.Outcome]*metrics.Counter
 }
 
 // answered is what answers are counted by.
@@ -31,7 +34,13 @@
 	took  *metrics.Histogram
 }
 
-func newMeasures() *measures { return &measures{set: metrics.NewSet()} }
+func newMeasures() *measures {
+	m := &measures{set: metrics.NewSet(), checked: map[auth.Outcome]*metrics.Counter{}}
+	for _, o := range []auth.Outcome{auth.OutcomeServed, auth.OutcomeUnknown, auth.OutcomeUnproven} {
+		m.checked[o] = m.set.NewCounter(fmt.Sprintf(`thymerack_keys_checked_total{outcome=%q}`, o))
+	}
+	return m
+}
 
 // Answered implements gateway.Observer.
 func (m *measures) Answered(c forward.Class, status int, took time.Duration) {
@@ -58,6 +67,9 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_rejected_total{reason=%q}`, reason)).Inc()
 }
 
+// Checked implements auth.Observer.
+func (m *measures) Checked(o auth.Outcome, _ time.Duration) { m.checked[o].Inc() }
+
 // Turn implements forward.Observer.
 func (m *measures) Turn(w forward.Work, t forward.Turn) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_turns_total{work=%q,turn=%q}`, w, t)).Inc()
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -49,6 +49,9 @@
 	// way to other hosts.
 	leastWatch  = time.Second
 	watchMargin = 500 * time.Millisecond
+	// defaultInForce is how soon a new key is known where the service agreement doesn't say:
+	// the shortest bound of the deployments so far.
+	defaultInForce = 2 * time.Second
 	// storeUserTimeout and storeKeepAlive find a store that is cut off while a watch
 	// waits there, 3 s after its last sign. The kernel counts keepalives in whole
 	// seconds. Of a cut that isn't noticed the watch learns by the store's next
@@ -72,13 +75,17 @@
 	// to for 2 s, and a peer's word of it may be a moment old.
 	outageWindow = 2100 * time.Millisecond
 	holdFor      = 1800 * time.Millisecond
-	// leaseTTL is how long a holder of the engines' lease may be silent. lookers hosts
+	// leaseTTL is how long a holder of the duties' lease may be silent. lookers hosts
 	// look every lookOften and all others every lookSeldom, so that the calls for it
-	// don't grow with the fleet and a lost holder is replaced within ten seconds.
+	// don't grow with the fleet. A lost holder is replaced, and its successor's silence
+	// over, within eight seconds: a report of usage is due ten seconds after its window.
 	leaseTTL   = 6 * time.Second
 	lookers    = 3
-	lookOften  = 2 * time.Second
+	lookOften  = time.Second
 	lookSeldom = 30 * time.Second
+	// dutyCallTime bounds a call under the lease: twenty answers of a sound platform, five
+	// of one that is slow.
+	dutyCallTime = time.Second
 	// peerDialTimeout bounds the making of a connection to a peer, which takes two
 	// round trips between failure domains (2.8 ms); peerSilence is how long nothing
 	// may be heard on one before it counts as silent, with three pings in it.
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -14,8 +14,10 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/thymerack/thymerack/coordination/auth"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/coordination/routing"
+	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/callerconn"
 	"github.com/thymerack/thymerack/transport/wallclock"
 )
@@ -29,6 +31,14 @@
 // caller named, or zero.
 type Codec interface {
 	DecodeRequest(h *fasthttp.RequestHeader, r *forward.Request) time.Duration
+	// Key is the key that a request shows, nil for none; false if it shows several.
+	Key(h *fasthttp.RequestHeader) (key []byte, ok bool)
+}
+
+// Keys knows whose key a caller shows. Errors are *auth.UnknownKeyError and
+// *auth.UnprovenError.
+type Keys interface {
+	Check(ctx context.Context, read time.Time, key []byte) (*state.Customer, error)
 }
 
 // Observer takes the measures of the callers' side.
@@ -44,6 +54,8 @@
 type Options struct {
 	Codec      Codec
 	Dispatcher Dispatcher
+	// Keys is asked about requests of routes that need a key.
+	Keys Keys
 	// Table returns the routes in force, or nil before the first configuration.
 	Table    func() *routing.Table
 	Observer Observer
@@ -82,7 +94,7 @@
 
 // New validates the options.
 func New(o Options) (*Server, error) {
-	if o.Codec == nil || o.Dispatcher == nil || o.Table == nil || o.Observer == nil || o.Log == nil {
+	if o.Codec == nil || o.Dispatcher == nil || o.Keys == nil || o.Table == nil || o.Observer == nil || o.Log == nil {
 		return nil, errors.New("gateway: a field of Options is nil; set all of them")
 	}
 	if o.MaxBodyBytes <= 0 || o.MaxHeaderBytes <= 0 || o.MaxConnections <= 0 {
@@ -184,6 +196,9 @@
 		s.reject(ctx, "no_request_id", fasthttp.StatusBadRequest, "the request has no id; send one of its own for each attempt")
 		return
 	}
+	if table.NeedsKey(route) && !s.identify(ctx, r) {
+		return
+	}
 	if limit := table.Config.MaxBodyBytes; limit > 0 && len(r.Body) > limit {
 		s.reject(ctx, "body_too_large", fasthttp.StatusRequestEntityTooLarge, "the body is over the configured limit; send less")
 		return
@@ -200,6 +215,28 @@
 	s.forward(ctx, r)
 }
 
+// identify notes the customer whose key the request shows, or answers the request.
+func (s *Server) identify(ctx *fasthttp.RequestCtx, r *forward.Request) bool {
+	key, ok := s.o.Codec.Key(&ctx.Request.Header)
+	if !ok {
+		s.reject(ctx, "several_keys", fasthttp.StatusBadRequest, "the request shows several keys; send one")
+		return false
+	}
+	var err error
+	r.Customer, err = s.o.Keys.Check(s.base, r.ArrivedAt, key)
+	var unproven *auth.UnprovenError
+	switch {
+	case err == nil:
+		return true
+	case errors.As(err, &unproven):
+		s.reject(ctx, "key_unproven", fasthttp.StatusServiceUnavailable, err.Error())
+		setRetryAfter(ctx, unproven.RetryAfter)
+	default:
+		s.reject(ctx, "unknown_key", fasthttp.StatusUnauthorized, err.Error())
+	}
+	return false
+}
+
 // shortest is the least of the positive times.
 func shortest(a, b time.Duration) time.Duration {
 	switch {
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thymerack/thymerack/coordination/auth"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/routing"
@@ -22,6 +23,23 @@
 // idHeader is the test codec's header of a request's id.
 const idHeader = "X-Id"
 
+// keyHeader is the test codec's header of a caller's key.
+const keyHeader = "X-Key"
+
+// testKeys knows one key.
+type testKeys struct{}
+
+func (testKeys) Check(_ context.Context, _ time.Time, key []byte) (*state.Customer, error) {
+	switch string(key) {
+	case "depot's":
+		return &state.Customer{Name: "depot"}, nil
+	case "unproven":
+		return nil, &auth.UnprovenError{RetryAfter: 250 * time.Millisecond}
+	default:
+		return nil, &auth.UnknownKeyError{}
+	}
+}
+
 type testCodec struct{}
 
 func (testCodec) DecodeRequest(h *fasthttp.RequestHeader, r *forward.Request) time.Duration {
@@ -29,6 +47,8 @@
 	return 0
 }
 
+func (testCodec) Key(h *fasthttp.RequestHeader) ([]byte, bool) { return h.Peek(keyHeader), true }
+
 type dispatcherFunc func(ctx context.Context, r *forward.Request) (*forward.Answer, error)
 
 func (f dispatcherFunc) Forward(ctx context.Context, r *forward.Request) (*forward.Answer, error) {
@@ -51,7 +71,7 @@
 func serve(t *testing.T, d dispatcherFunc) (*Server, string) {
 	t.Helper()
 	s, err := New(Options{
-		Codec: testCodec{}, Dispatcher: d, Table: testTable, Observer: noObserver{}, Log: slog.New(slog.DiscardHandler),
+		Codec: testCodec{}, Dispatcher: d, Keys: testKeys{}, Table: testTable, Observer: noObserver{}, Log: slog.New(slog.DiscardHandler),
 		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, MaxConnections: 100,
 	})
 	if err != nil {
--- a/transport/httpclient/client.go
+++ b/transport/httpclient/client.go
@@ -71,11 +71,14 @@
 	// Stray tells a late response to an earlier request, which is dropped; nil
 	// means that there are none.
 	Stray func(resp *fasthttp.Response) bool
+	// Permit is asked when there is a connection, before the request is written; after an
+	// error nothing is sent. nil allows it.
+	Permit func() error
 }
 
 // Do sends req and reads the whole response. Every error is an *Error.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, l Limits) error {
-	x, err := c.send(ctx, req)
+	x, err := c.send(ctx, req, l.Permit)
 	if err != nil {
 		return err
 	}
@@ -113,7 +116,7 @@
 }
 
 // send acquires a connection and writes the request to it.
-func (c *Client) send(ctx context.Context, req *fasthttp.Request) (*exchange, error) {
+func (c *Client) send(ctx context.Context, req *fasthttp.Request, permit func() error) (*exchange, error) {
 	x, err := c.acquire(ctx)
 	if err != nil {
 		return nil, err
@@ -123,6 +126,11 @@
 	}
 	x.conn.written.Store(0)
 	x.stopWatch = context.AfterFunc(ctx, x.conn.abort)
+	if permit != nil {
+		if err := permit(); err != nil {
+			return nil, x.fail(err)
+		}
+	}
 	if err := x.write(c, req); err != nil {
 		return nil, x.fail(err)
 	}
--- a/transport/httpclient/stream.go
+++ b/transport/httpclient/stream.go
@@ -33,7 +33,7 @@
 // Stream sends req and returns once the response's header has come. The caller
 // must end the stream with Finish or Cut. Every error is an *Error.
 func (c *Client) Stream(ctx context.Context, req *fasthttp.Request, l Limits) (*Stream, error) {
-	x, err := c.send(ctx, req)
+	x, err := c.send(ctx, req, l.Permit)
 	if err != nil {
 		return nil, err
 	}
--- a/transport/runners/pool.go
+++ b/transport/runners/pool.go
@@ -208,12 +208,17 @@
 
 // Do makes a call of the system's own at an instance and reads the whole answer.
 func (p *Pool) Do(ctx context.Context, i *state.Instance, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
+	return p.DoIf(ctx, i, req, resp, timeout, nil)
+}
+
+// DoIf is Do for a call that leaves only if permit, asked last, allows it.
+func (p *Pool) DoIf(ctx context.Context, i *state.Instance, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration, permit func() error) error {
 	c, err := p.client(i)
 	if err != nil {
 		return &forward.SendError{Cause: err}
 	}
 	req.Header.SetHost(i.Addr)
-	if err := c.http.Do(ctx, req, resp, httpclient.Limits{Timeout: timeout, MaxBodyBytes: maxAnswerBytes}); err != nil {
+	if err := c.http.Do(ctx, req, resp, httpclient.Limits{Timeout: timeout, MaxBodyBytes: maxAnswerBytes, Permit: permit}); err != nil {
 		return sendError(err)
 	}
 	return nil
