Report usage once a window, decided at the store; one clock that all hosts agree on

Change: coordination/usage counts requests at their first token, tells the counts of each host to one of two collectors of its domain twice a second, and has the holder of the duties' lease decide each window by one conditional write of one guarded object, and send only that. coordination/truetime takes the middle of the clocks that hosts show each other. Ruled out: counts written to the store by each host (16 writes a second at 83 hosts, and a lost host takes up to a window with it); one object a window (a late create after its removal would decide again).

--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -49,6 +49,7 @@
 		return nil, outcomeNotRun
 	}
 	rec.mayHaveRun = true
+	d.noteBegan(a.Request, rec, started)
 	defer sent.end()
 	body, err := readWhole(resp)
 	took = d.o.Clock.Now().Sub(started)
@@ -92,6 +93,11 @@
 	}
 	rec.noteRun()
 	rec.mayHaveRun = true
+	if a.Request.Generation == nil {
+		// A plain service begins at once, so that its answer is what was lost; an engine may
+		// have held the request for long without a token.
+		d.noteBegan(a.Request, rec, d.o.Clock.Now().Add(-took))
+	}
 	d.noteWork(ctx, a.Request, runner, rec, took, false)
 	rec.add(a.Instance, part, outcomeUnknown, took, err)
 	return outcomeUnknown
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -43,6 +43,9 @@
 	Read(service string, predicted, took time.Duration)
 	// Held notes a sending that the quarantine kept from the runners.
 	Held(service string)
+	// Began notes that a request of a customer began to run, by the dispatcher's clock. It is
+	// told once a request.
+	Began(customer string, at time.Time)
 }
 
 // Gate gives places at engines, counted over all hosts.
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -248,6 +248,7 @@
 }
 
 func (noObserver) Held(string) {}
+func (noObserver) Began(string, time.Time) {}
 
 // quarantineOf holds every request after it was asked for one so often; 0 for never.
 type quarantineOf struct {
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -47,6 +47,8 @@
 
 // record is what became of one request. One goroutine uses it at a time.
 type record struct {
+	// began is set once the request is known to have begun to run.
+	began bool
 	// digest is that of the request, the same for each of its copies.
 	digest quarantine.Digest
 	steps  []step
@@ -86,6 +88,15 @@
 	return slices.ContainsFunc(r.steps, func(s step) bool { return s.outcome == outcomeUnknown })
 }
 
+// noteBegan notes that the request began to run then, if that isn't known yet.
+func (d *Dispatcher) noteBegan(r *Request, rec *record, at time.Time) {
+	if rec.began || r.Customer == nil {
+		return
+	}
+	rec.began = true
+	d.o.Observer.Began(r.Customer.Name, at)
+}
+
 // notePrefill counts a sending of the prompt that may have reached an engine.
 func (r *record) notePrefill(refused bool) {
 	if !refused && !r.promptTaken {
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -79,6 +79,7 @@
 		rec.add(a.Instance, "run", outcomeUnknown, took, err)
 		return nil, outcomeUnknown
 	}
+	d.noteBegan(a.Request, rec, d.o.Clock.Now())
 	runner.Answered(took)
 	sent.answered()
 	if a.Source != nil {
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -240,6 +240,17 @@
 	return t.fence, nil
 }
 
+// Still returns what allows a call to leave while the term of that number goes on.
+func (l *Lessor) Still(fence uint64) (permit func() error) {
+	return func() error {
+		present, err := l.Permit()
+		if err == nil && present != fence {
+			err = ErrNoCall
+		}
+		return err
+	}
+}
+
 // Silent reports whether the present term's first call may not be made yet.
 func (l *Lessor) Silent() bool { return l.opts.Clock.Now().Before(l.present().silentUntil) }
 
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -167,7 +167,7 @@
 }
 
 // Hold gives orders for one term of the lease, until ctx ends with it.
-func (m *Manager) Hold(ctx context.Context) error {
+func (m *Manager) Hold(ctx context.Context) {
 	if m.demand == nil || !m.o.Lease.Own() {
 		m.forgetTerm()
 	}
@@ -177,7 +177,7 @@
 			m.service(ctx, service)
 		}
 		if m.o.Clock.Sleep(ctx, pollInterval) != nil {
-			return nil
+			return
 		}
 	}
 }
@@ -343,7 +343,7 @@
 		return
 	}
 	o := Order{Role: c.Role, Holder: m.o.Host, Fence: fence, Accepted: report.Accepted}
-	result, err := m.o.Engines.Order(ctx, i, o, m.permit(fence))
+	result, err := m.o.Engines.Order(ctx, i, o, m.o.Lease.Still(fence))
 	m.o.Log.Info("engine ordered", "instance", i.ID, "role", string(c.Role), "fence", o.Fence, "accepted", o.Accepted, "result", string(result), "cause", fmt.Sprint(err))
 	if err == nil && result != ResultAccepted {
 		m.pausing[i.ID] = now.Add(retryOrder)
@@ -352,17 +352,6 @@
 	m.ordered[i.ID] = given{c.Role, now.Add(lateBound)}
 }
 
-// permit allows an order to leave while its term goes on.
-func (m *Manager) permit(fence uint64) func() error {
-	return func() error {
-		present, err := m.o.Lease.Permit()
-		if err == nil && present != fence {
-			err = lease.ErrNoCall
-		}
-		return err
-	}
-}
-
 // report asks an engine for its report. That of another run is an error: the number of
 // orders that it has accepted says nothing of this one.
 func (m *Manager) report(ctx context.Context, i *state.Instance) (Report, error) {
--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -283,7 +283,12 @@
 }
 
 // Run holds the lease whenever it can and gives orders, until ctx ends.
-func (m *Manager) Run(ctx context.Context) error { return m.o.Lease.Run(ctx, m.Hold) }
+func (m *Manager) Run(ctx context.Context) error {
+	return m.o.Lease.Run(ctx, func(ctx context.Context) error {
+		m.Hold(ctx)
+		return nil
+	})
+}
 
 // runHolder runs a manager until the returned function is called.
 func runHolder(t *testing.T, p *storetest.Platform, f *fakeEngines, host string) (stop func()) {
--- /dev/null
+++ b/coordination/usage/collector.go
@@ -0,0 +1,87 @@
+package usage
+
+import (
+	"sync"
+	"time"
+)
+
+// Collector holds what the hosts that tell this one have counted. It is safe for concurrent
+// use.
+type Collector struct {
+	length time.Duration
+
+	mu sync.Mutex
+	// tallies are the latest of each run of a host.
+	tallies map[string]Tally
+}
+
+// NewCollector returns an empty collector for windows of that length.
+func NewCollector(length time.Duration) *Collector {
+	return &Collector{length: length, tallies: map[string]Tally{}}
+}
+
+// Take keeps a tally. Tallies of one run may overtake each other; counts only grow, so that
+// the higher ones of two are the later.
+func (c *Collector) Take(t Tally) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tallies[t.Run] = merged(c.tallies[t.Run], t)
+	c.forget(WindowAt(t.Through, c.length))
+}
+
+// merged is what two tallies of one run tell together.
+func merged(a, b Tally) Tally {
+	out := Tally{Run: b.Run, Addr: b.Addr, Through: b.Through, Windows: map[Window]Counts{}}
+	if a.Through.After(b.Through) {
+		out.Through = a.Through
+	}
+	for _, t := range []Tally{a, b} {
+		for w, counts := range t.Windows {
+			if out.Windows[w].Total() <= counts.Total() {
+				out.Windows[w] = counts
+			}
+		}
+	}
+	return out
+}
+
+// forget drops old windows, and runs that told nothing for as long.
+func (c *Collector) forget(newest Window) {
+	for run, t := range c.tallies {
+		for w := range t.Windows {
+			if w+keptWindows <= newest {
+				delete(t.Windows, w)
+			}
+		}
+		if WindowAt(t.Through, c.length)+keptWindows <= newest {
+			delete(c.tallies, run)
+		}
+	}
+}
+
+// Told returns what each run has counted in a window, and through when; runs that counted
+// nothing there are among them.
+func (c *Collector) Told(w Window) []Tally {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]Tally, 0, len(c.tallies))
+	for _, t := range c.tallies {
+		told := Tally{Run: t.Run, Addr: t.Addr, Through: t.Through}
+		if counts := t.Windows[w]; counts != nil {
+			told.Windows = map[Window]Counts{w: counts}
+		}
+		out = append(out, told)
+	}
+	return out
+}
+
+// newestAt is the latest time through which a host at an address has told.
+func newestAt(tallies []Tally) map[string]time.Time {
+	out := make(map[string]time.Time, len(tallies))
+	for _, t := range tallies {
+		if t.Through.After(out[t.Addr]) {
+			out[t.Addr] = t.Through
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/coordination/usage/reports.go
@@ -0,0 +1,96 @@
+package usage
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/thymerack/thymerack/coordination/store"
+)
+
+// The object that keeps the recent reports.
+const (
+	KindReports = "thymerack-usage"
+	reportsName = "reports"
+)
+
+// Report is the decided counts of one window. It never changes.
+type Report struct {
+	Window Window `json:"window"`
+	Counts Counts `json:"counts"`
+	// Hosts is how many runs of hosts were asked about, and Missing the addresses of those
+	// that hadn't told all of the window when it was decided.
+	Hosts   int      `json:"hosts"`
+	Missing []string `json:"missing,omitempty"`
+	// Confirmed is set once the receiver has taken the report.
+	Confirmed bool `json:"confirmed,omitempty"`
+}
+
+// reports are the recent reports as the store keeps them.
+type reports struct {
+	// Through is the last window that was decided or given up: none up to it ever is again.
+	Through Window `json:"through"`
+	// Reports are the last ones, the oldest first.
+	Reports []Report `json:"reports"`
+	// Writer marks the last write, so that its writer recognises it.
+	Writer string `json:"writer"`
+
+	version uint64
+}
+
+// UnreadableError says that the object of the reports can't be read.
+type UnreadableError struct{ Cause error }
+
+// Error implements error.
+func (e *UnreadableError) Error() string {
+	return fmt.Sprintf("the reports of usage at the store can't be read (%v); write %s/%s as {\"through\": N} with the number of the last window that was reported", e.Cause, KindReports, reportsName)
+}
+
+// Unwrap returns the cause.
+func (e *UnreadableError) Unwrap() error { return e.Cause }
+
+// loadReports reads the recent reports; nil if none was ever decided.
+func loadReports(ctx context.Context, s store.Store) (*reports, error) {
+	o, err := s.Get(ctx, KindReports, reportsName)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	r := &reports{version: o.Version}
+	if err := json.Unmarshal(o.Value, r); err != nil {
+		return nil, &UnreadableError{err}
+	}
+	return r, nil
+}
+
+// save writes the reports in place of the version that they were read at.
+func (r *reports) save(ctx context.Context, s store.Store) error {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("encode the reports of usage: %w", err)
+	}
+	version, err := s.Put(ctx, KindReports, reportsName, r.version, value)
+	if err == nil {
+		r.version = version
+	}
+	return err
+}
+
+// add decides a window's report, which must be the next.
+func (r *reports) add(report Report) {
+	r.Reports = append(r.Reports, report)
+	r.Through = report.Window
+	if over := len(r.Reports) - keptWindows; over > 0 {
+		r.Reports = r.Reports[over:]
+	}
+}
+
+// clone is a copy that may be changed beside r.
+func (r *reports) clone() *reports {
+	out := *r
+	out.Reports = append([]Report(nil), r.Reports...)
+	return &out
+}
--- /dev/null
+++ b/coordination/usage/teller.go
@@ -0,0 +1,170 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/thymerack/thymerack/coordination/truetime"
+	"github.com/thymerack/thymerack/state"
+)
+
+const (
+	// tellEvery is how often a host tells its counts: what is lost with a host is half of it
+	// at the mean, a twentieth of a window of five seconds.
+	tellEvery = 500 * time.Millisecond
+	// tellTimeout bounds a call to a collector; another is told after it.
+	tellTimeout = 400 * time.Millisecond
+	// perDomain collectors of each failure domain are enough for one to be lost at any time.
+	perDomain = 2
+)
+
+// Told is what a host tells a collector.
+type Told struct {
+	Tally Tally
+	// Own is the host's own clock.
+	Own time.Time
+}
+
+// Heard is a collector's answer.
+type Heard struct {
+	// Run and Own name the collector's run and show its own clock.
+	Run string
+	Own time.Time
+	// Middle is the time that the collector has worked out of so many clocks.
+	Middle time.Time
+	Of     int
+}
+
+// Peers reaches other hosts.
+type Peers interface {
+	// Tell brings counts to the collector at addr.
+	Tell(ctx context.Context, addr string, t Told) (Heard, error)
+	// Ask asks the collector at addr what it was told of a window.
+	Ask(ctx context.Context, addr string, w Window) ([]Tally, error)
+}
+
+// Collectors are the hosts that collect the counts of all, two of each failure domain, the
+// strongest. All hosts that know the same list compute the same.
+func Collectors(hosts []state.Peer) []state.Peer {
+	taken := map[string]int{}
+	var out []state.Peer
+	for _, h := range state.StrongestFirst(hosts) {
+		if taken[h.FailureDomain] < perDomain {
+			taken[h.FailureDomain]++
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// TellerOptions configure a Teller. All fields are required.
+type TellerOptions struct {
+	Self state.Peer
+	// Run names this run of the host, unlike any other.
+	Run       string
+	Hosts     func() []state.Peer
+	Peers     Peers
+	Counter   *Counter
+	Collector *Collector
+	Time      *truetime.Keeper
+	Clock     state.Clock
+	Log       *slog.Logger
+}
+
+// Teller tells collectors what this host has counted.
+type Teller struct {
+	o TellerOptions
+	// failing is the collector that didn't answer last; it is asked last.
+	failing string
+}
+
+// NewTeller validates the options.
+func NewTeller(o TellerOptions) (*Teller, error) {
+	if o.Self.Addr == "" || o.Run == "" || o.Hosts == nil || o.Peers == nil || o.Counter == nil || o.Collector == nil || o.Time == nil || o.Clock == nil || o.Log == nil {
+		return nil, errors.New("usage: a field of TellerOptions is missing; set all of them")
+	}
+	return &Teller{o: o}, nil
+}
+
+// Run tells collectors until ctx ends.
+func (t *Teller) Run(ctx context.Context) {
+	for t.o.Clock.Sleep(ctx, tellEvery) == nil {
+		t.Tell(ctx)
+	}
+}
+
+// tally is what this host has counted of late.
+func (t *Teller) tally() Tally {
+	through := t.o.Time.Now()
+	// Windows before the last that may still be decided have been told.
+	since := WindowAt(through, t.o.Counter.length) - min(recentWindows, WindowAt(through, t.o.Counter.length))
+	return Tally{Run: t.o.Run, Addr: t.o.Self.Addr, Through: through, Windows: t.o.Counter.tally(since)}
+}
+
+// recentWindows is how many windows before the present one are told each time: a report is
+// decided within two of its end.
+const recentWindows = 2
+
+// Tell tells a collector, and another if the first doesn't answer.
+func (t *Teller) Tell(ctx context.Context) {
+	told := Told{Tally: t.tally()}
+	t.o.Collector.Take(told.Tally) // this host may be a collector, or the only host that is left
+	for _, c := range t.order() {
+		told.Own = t.o.Time.Own()
+		bounded, cancel := context.WithTimeout(ctx, tellTimeout)
+		heard, err := t.o.Peers.Tell(bounded, c.Addr, told)
+		cancel()
+		if err == nil {
+			t.o.Time.Show(heard.Run, heard.Own)
+			t.o.Time.Tell(heard.Middle, heard.Of)
+			return
+		}
+		if t.failing != c.Addr {
+			t.o.Log.Info("collector of usage not reached", "peer", c.Addr, "cause", err.Error())
+		}
+		t.failing = c.Addr
+	}
+}
+
+// order are the collectors to tell: those of the own failure domain first, each host in an
+// order of its own so that they share the load, and one that failed last.
+func (t *Teller) order() []state.Peer {
+	all := slices.DeleteFunc(Collectors(t.o.Hosts()), func(p state.Peer) bool { return p.Addr == t.o.Self.Addr })
+	rank := func(p state.Peer) (out uint64) {
+		out = xxhash.Sum64String(t.o.Self.Addr+p.Addr) >> 2
+		if p.FailureDomain != t.o.Self.FailureDomain {
+			out |= 1 << 62
+		}
+		if p.Addr == t.failing {
+			out |= 1 << 63
+		}
+		return out
+	}
+	slices.SortFunc(all, func(a, b state.Peer) int {
+		switch x, y := rank(a), rank(b); {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	})
+	return all[:min(len(all), mostTold)]
+}
+
+// mostTold bounds the collectors that are tried at a time: both of the own domain and one of
+// another.
+const mostTold = 3
+
+// Answer takes what a host tells this one, as a collector.
+func (t *Teller) Answer(told Told) Heard {
+	t.o.Collector.Take(told.Tally)
+	t.o.Time.Show(told.Tally.Run, told.Own)
+	middle, of := t.o.Time.Middle()
+	return Heard{Run: t.o.Run, Own: t.o.Time.Own(), Middle: middle, Of: of}
+}
--- /dev/null
+++ b/daemon/routed/duties.go
@@ -0,0 +1,83 @@
+package routed
+
+import (
+	"context"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/thymerack/thymerack/coordination/lease"
+	"github.com/thymerack/thymerack/coordination/truetime"
+	"github.com/thymerack/thymerack/coordination/usage"
+	"github.com/thymerack/thymerack/platform"
+	"github.com/thymerack/thymerack/transport/httpclient"
+	"github.com/thymerack/thymerack/transport/usages"
+)
+
+// leaseName is the lease of the host that has the duties: orders to engines, the number of
+// runners, reports of usage. One lease costs its looks and renewals once; its name is that of
+// the first duty, so that hosts of earlier versions take turns with this one.
+const leaseName = "engine-roles"
+
+// buildLease makes the lease of the duties that one host at a time has.
+func (h *Host) buildLease() error {
+	var err error
+	h.lessor, err = lease.New(lease.Options{
+		Store: h.store, Clock: h.clock, Rand: newRand(),
+		Name: leaseName, Holder: h.id, Machine: h.s.Host + "@" + h.s.IP,
+		TTL: leaseTTL, LookEvery: h.lookEvery, Log: h.log,
+		Apart: h.s.Bounds.LeaseTime + h.s.Bounds.ThawTime, CallTime: dutyCallTime,
+	})
+	return err
+}
+
+// buildUsage counts requests by customer and reports them, where that is asked for.
+func (h *Host) buildUsage() error {
+	if !h.s.ReportsUsage {
+		return nil
+	}
+	window := h.s.Bounds.UsageWindow
+	keeper := truetime.NewKeeper(h.clock)
+	h.metrics.usage = usage.NewCounter(window, keeper.At)
+	collector := usage.NewCollector(window)
+	peers := usages.Peers{Client: h.peers}
+	var err error
+	h.teller, err = usage.NewTeller(usage.TellerOptions{
+		Self: h.members.self(), Run: h.id.String(), Hosts: h.members.All, Peers: peers, Counter: h.metrics.usage, Collector: collector,
+		Time: keeper, Clock: h.clock, Log: h.log,
+	})
+	if err != nil {
+		return err
+	}
+	usages.Register(h.peerServer, h.teller, collector)
+	duties, err := h.newDuties()
+	if err != nil {
+		return err
+	}
+	h.reporter, err = usage.NewReporter(usage.Options{
+		Length: window, Lease: h.lessor, Store: h.store, Receiver: duties, Peers: peers, Collector: collector,
+		Self: h.members.self(), Run: h.id.String(), Hosts: h.members.All, Time: keeper, Clock: h.clock, Log: h.log,
+	})
+	return err
+}
+
+func (h *Host) newDuties() (platform.Duties, error) {
+	client, err := httpclient.New(httpclient.Options{
+		Addr: h.s.DutiesAddr, DialTimeout: dutyCallTime, WriteTimeout: dutyCallTime, UserTimeout: dutyCallTime,
+		MaxConns: dutyConns, MaxIdle: storeIdle, MaxHeaderBytes: storeHeaderBytes,
+	})
+	if err != nil {
+		return platform.Duties{}, err
+	}
+	return platform.NewDuties(platform.DutiesOptions{Client: client, Addr: h.s.DutiesAddr, Host: h.s.Host, Timeout: dutyCallTime}), nil
+}
+
+// holdDuties carries out what one host at a time does, for one term of the lease.
+func (h *Host) holdDuties(ctx context.Context) error {
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() { h.manager.Hold(ctx) })
+	if h.reporter != nil {
+		group.Go(func() { h.reporter.Hold(ctx) })
+	}
+	return nil
+}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -24,6 +24,7 @@
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/retry"
 	"github.com/thymerack/thymerack/coordination/stages"
+	"github.com/thymerack/thymerack/coordination/usage"
 	"github.com/thymerack/thymerack/platform"
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/gateway"
@@ -34,11 +35,6 @@
 	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
-// leaseName is the lease of the host that has the duties: orders to engines, the number of
-// runners, reports of usage. One lease costs its looks and renewals once; its name is that of
-// the first duty, so that hosts of earlier versions take turns with this one.
-const leaseName = "engine-roles"
-
 // Host is one host. Create it with New.
 type Host struct {
 	o Options
@@ -65,8 +61,12 @@
 	// lessor holds the lease of the duties that one host at a time has.
 	lessor  *lease.Lessor
 	manager *stages.Manager
-	metrics *measures
-	ready   *readiness
+	// teller tells other hosts what this one has counted, and reporter reports what all have;
+	// nil where usage isn't reported.
+	teller   *usage.Teller
+	reporter *usage.Reporter
+	metrics  *measures
+	ready    *readiness
 	// peers calls other hosts, peerServer answers them.
 	peers      *peer.Client
 	peerServer *peer.Server
@@ -94,7 +94,7 @@
 	}
 	h := &Host{o: o, s: o.Settings, log: o.Log.With("host", o.Settings.Host), metrics: newMeasures()}
 	h.id = state.HostID{Name: h.s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
-	for _, build := range []func() error{h.buildStore, h.buildLists, h.buildPeers, h.buildPool, h.buildKeys, h.buildGateway, h.buildManager} {
+	for _, build := range []func() error{h.buildStore, h.buildLists, h.buildPeers, h.buildPool, h.buildKeys, h.buildGateway, h.buildLease, h.buildManager, h.buildUsage} {
 		if err := build(); err != nil {
 			return nil, err
 		}
@@ -284,15 +284,6 @@
 
 func (h *Host) buildManager() error {
 	var err error
-	h.lessor, err = lease.New(lease.Options{
-		Store: h.store, Clock: h.clock, Rand: newRand(),
-		Name: leaseName, Holder: h.id, Machine: h.s.Host + "@" + h.s.IP,
-		TTL: leaseTTL, LookEvery: h.lookEvery, Log: h.log,
-		Apart: h.s.Bounds.LeaseTime + h.s.Bounds.ThawTime, CallTime: dutyCallTime,
-	})
-	if err != nil {
-		return err
-	}
 	h.manager, err = stages.New(stages.Options{
 		Engines: platform.Engines{Caller: h.pool, Timeout: dutyCallTime}, Lease: h.lessor, Shares: stages.Shares{Store: h.store}, Clock: h.clock, Log: h.log, Host: h.s.Host,
 		Services: h.engineServices, Instances: h.engines,
@@ -302,18 +293,6 @@
 	return err
 }
 
-// holdDuties carries out what one host at a time does, for one term of the lease.
-func (h *Host) holdDuties(ctx context.Context) error {
-	var group conc.WaitGroup
-	defer group.Wait()
-	group.Go(func() {
-		if err := h.manager.Hold(ctx); err != nil {
-			h.log.Error("orders to engines ended", "cause", err.Error())
-		}
-	})
-	return nil
-}
-
 // announce tells all hosts, this one too, which engines are about to change their role.
 func (h *Host) announce(ctx context.Context, changes []stages.Change) {
 	byRole := map[state.Role][]state.InstanceID{}
@@ -389,6 +368,9 @@
 	group.Go(func() { h.looker.Run(work) })
 	group.Go(func() { h.quarantine.Run(work) })
 	group.Go(func() { wallclock.Watch(work) })
+	if h.teller != nil {
+		group.Go(func() { h.teller.Run(work) })
+	}
 	managing, resign := context.WithCancel(work)
 	group.Go(func() {
 		if err := h.lessor.Run(managing, h.holdDuties); err != nil {
@@ -399,6 +381,7 @@
 	<-stop.Done()
 	resign()
 	h.leave()
+	h.tellLast(work)
 	end()
 	h.ended()
 	h.peers.Close()
@@ -408,6 +391,16 @@
 	return nil
 }
 
+// tellLast tells the others what this host has counted until its end.
+func (h *Host) tellLast(ctx context.Context) {
+	if h.teller == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, graceMargin/2)
+	defer cancel()
+	h.teller.Tell(ctx)
+}
+
 // leave goes on serving until the balancer has turned away and every request is
 // answered.
 func (h *Host) leave() {
--- a/daemon/routed/measures.go
+++ b/daemon/routed/measures.go
@@ -11,6 +11,7 @@
 	"github.com/thymerack/thymerack/coordination/auth"
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/forward"
+	"github.com/thymerack/thymerack/coordination/usage"
 )
 
 // measures are the host's counters and histograms.
@@ -21,6 +22,8 @@
 	answers sync.Map
 	// checked are the checks of keys by their outcome.
 	checked map[auth.Outcome]*metrics.Counter
+	// usage counts requests by customer; nil where usage isn't reported.
+	usage *usage.Counter
 }
 
 // answered is what answers are counted by.
@@ -87,6 +90,13 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_held_total{service=%q}`, service)).Inc()
 }
 
+// Began implements forward.Observer.
+func (m *measures) Began(customer string, at time.Time) {
+	if m.usage != nil {
+		m.usage.Began(customer, at)
+	}
+}
+
 // unusableEntry counts versions of entries in the list of instances that name none.
 func (m *measures) unusableEntry() {
 	m.set.GetOrCreateCounter("thymerack_unusable_entries_total").Inc()
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -86,6 +86,8 @@
 	// dutyCallTime bounds a call under the lease: twenty answers of a sound platform, five
 	// of one that is slow.
 	dutyCallTime = time.Second
+	// dutyConns are enough for one call of each duty at a time.
+	dutyConns = 4
 	// peerDialTimeout bounds the making of a connection to a peer, which takes two
 	// round trips between failure domains (2.8 ms); peerSilence is how long nothing
 	// may be heard on one before it counts as silent, with three pings in it.
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -82,6 +82,10 @@
 	KindPing Kind = 17
 	// KindCrash tells of runners that crashed and of requests that crash them.
 	KindCrash Kind = 18
+	// KindTellUsage tells a collector what a host has counted, and KindAskUsage asks it for
+	// what it was told of a window.
+	KindTellUsage Kind = 19
+	KindAskUsage  Kind = 20
 )
 
 // FrameType tells how a frame's body is meant.
