Test reports of usage under kills, cuts, suspensions and wrong clocks

Cause: the promises of reports had no test of their own. Change: a fleet in virtual time with an oracle at the receiver: one report a window, tokens never shared nor going back, no two machines in turns; accuracy within a twentieth with the holder, a collector or any host lost, and with a third of the clocks 2.4 s off from their start. Ruled out: that the oracle sees nothing: without the lease's silence and distance it reports a lower token after a higher one (tried, reverted).

--- /dev/null
+++ b/coordination/usage/usage_test.go
@@ -0,0 +1,215 @@
+package usage
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/store"
+	"github.com/thymerack/thymerack/coordination/store/storetest"
+)
+
+// load has requests of some customers begin at hosts that are up, one each 8 ms, for so long.
+// None begins so close to the edge of a window that clocks which hosts have shown each other by
+// messages can't agree on its window.
+func (f *fleet) load(rng *rand.Rand, span time.Duration) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(8 * time.Millisecond) {
+		h := f.hosts[rng.IntN(len(f.hosts))]
+		edge := time.Duration(time.Now().UnixNano()) % window
+		if !f.is(f.away, h.self.Addr) && edge > 5*time.Millisecond && edge < window-5*time.Millisecond {
+			h.began(fmt.Sprint("c", min(rng.IntN(12), rng.IntN(12))))
+		}
+	}
+}
+
+// judge checks the windows that ended before the present one but last, and returns how many
+// were reported in time and how many of these are further off than the agreement allows.
+func (f *fleet) judge(first Window) (windows, inTime, off int) {
+	for w := first; w.End(window).Add(due).Before(time.Now()); w++ {
+		windows++
+		f.receiver.mu.Lock()
+		counts, at := f.receiver.taken[w], f.receiver.at[w]
+		f.receiver.mu.Unlock()
+		if at.IsZero() || at.After(w.End(window).Add(due)) {
+			continue
+		}
+		inTime++
+		if total, truth := float64(counts.Total()), float64(f.truth[w].Total()); math.Abs(total-truth) > mostOff*truth {
+			off++
+		}
+	}
+	return windows, inTime, off
+}
+
+func inFleet(t *testing.T, n int, play func(is *is.I, f *fleet, rng *rand.Rand)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, n)
+		for _, h := range f.hosts {
+			h.start()
+		}
+		defer func() {
+			for _, h := range f.hosts {
+				h.stop()
+				h.ended.Wait()
+			}
+		}()
+		play(is.New(t), f, rand.New(rand.NewPCG(uint64(n), 5)))
+		is.New(t).Equal(f.receiver.problems, nil)
+	})
+}
+
+// On a calm day each window is reported once, exactly, some seconds after its end.
+func TestWindowsAreReportedExactly(t *testing.T) {
+	inFleet(t, 12, func(is *is.I, f *fleet, rng *rand.Rand) {
+		first := WindowAt(time.Now(), window) + 1
+		f.load(rng, 75*time.Second)
+		windows, inTime, _ := f.judge(first)
+		is.True(windows >= 9)
+		is.Equal(inTime, windows)
+		for w, counts := range f.receiver.taken {
+			if w >= first && w.End(window).Before(time.Now()) {
+				is.Equal(counts, f.truth[w])
+				is.True(f.receiver.at[w].Sub(w.End(window)) < patience)
+			}
+		}
+	})
+}
+
+// A host that is lost takes half a second of its counts with it, whichever part it has.
+func TestLostHostsCostLittle(t *testing.T) {
+	for _, part := range []string{"holder", "collector", "any"} {
+		inFleet(t, 24, func(is *is.I, f *fleet, rng *rand.Rand) {
+			first := WindowAt(time.Now(), window) + 1
+			for range 4 {
+				f.load(rng, 15*time.Second)
+				h := f.victim(part, rng)
+				h.kill()
+				f.load(rng, time.Second)
+				h.start()
+			}
+			f.load(rng, 15*time.Second)
+			windows, inTime, off := f.judge(first)
+			is.Equal(off, 0)
+			is.Equal(inTime, windows) // also those whose holder was lost
+		})
+	}
+}
+
+// victim is a host that has a part.
+func (f *fleet) victim(part string, rng *rand.Rand) *host {
+	f.receiver.mu.Lock()
+	defer f.receiver.mu.Unlock()
+	for _, h := range f.hosts {
+		last := len(f.receiver.calls) > 0 && f.receiver.calls[len(f.receiver.calls)-1].machine == h.self.Addr
+		if (part == "holder" && last) || (part == "collector" && h.self == Collectors(f.listed())[0]) {
+			return h
+		}
+	}
+	return f.hosts[rng.IntN(len(f.hosts))]
+}
+
+// trouble makes the store lose and refuse calls, or ends that.
+func (f *fleet) trouble(rng *rand.Rand) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.troubled = rng
+}
+
+// Whatever fails, no window is reported with two counts, no term is shared or goes back and no
+// two machines take turns: kills, suspensions, cuts, lost answers of the receiver, a store
+// that loses answers and carries writes out late, hosts that are gone for good.
+func TestReportsAreOneWhateverFails(t *testing.T) {
+	for seed := range uint64(10) {
+		inFleet(t, 9, func(is *is.I, f *fleet, _ *rand.Rand) {
+			rng := rand.New(rand.NewPCG(seed, 9))
+			answers := rand.New(rand.NewPCG(seed, 11))
+			f.receiver.lose = func() bool { return answers.IntN(4) == 0 }
+			for range 40 {
+				h := f.victim([]string{"holder", "collector", "any"}[rng.IntN(3)], rng)
+				switch rng.IntN(5) {
+				case 0:
+					h.kill()
+					h.start()
+				case 1:
+					h.clock.Suspend(time.Duration(rng.IntN(9000)) * time.Millisecond)
+				case 2:
+					f.set(f.cut, h.self.Addr, true)
+					time.AfterFunc(time.Duration(rng.IntN(9000))*time.Millisecond, func() { f.set(f.cut, h.self.Addr, false) })
+				case 3:
+					f.trouble(rand.New(rand.NewPCG(seed, 10)))
+				case 4:
+					f.trouble(nil)
+				}
+				f.load(rng, time.Duration(rng.IntN(3000))*time.Millisecond)
+			}
+			is.Equal(f.receiver.problems, nil)
+		})
+	}
+}
+
+// Clocks that are wrong from the start of a run on count with the others' middle.
+func TestWrongClocksCountInTheRightWindow(t *testing.T) {
+	inFleet(t, 24, func(is *is.I, f *fleet, rng *rand.Rand) {
+		f.load(rng, 5*time.Second)
+		for i, h := range f.hosts {
+			if i%3 == 0 {
+				h.kill()
+				h.clock.by = 2400 * time.Millisecond
+				h.start()
+			}
+		}
+		f.load(rng, 2*time.Second)
+		first := WindowAt(time.Now(), window) + 1
+		f.load(rng, 40*time.Second)
+		windows, inTime, off := f.judge(first)
+		is.True(windows >= 4)
+		is.Equal(inTime, windows)
+		is.Equal(off, 0)
+	})
+}
+
+// A successor sends what was decided, and decides no window again.
+func TestSuccessorRepeatsWhatWasDecided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := storetest.NewPlatform(time.Second)
+		r := &reports{Through: 7, Writer: "w"}
+		is.NoErr(r.save(t.Context(), p.Client("a")))
+		next := r.clone()
+		next.add(Report{Window: 8, Counts: Counts{"c": 3}})
+		is.NoErr(next.save(t.Context(), p.Client("a")))
+		late := r.clone() // decided by another on what it had read before
+		late.add(Report{Window: 8, Counts: Counts{"c": 2}})
+		is.True(store.IsConflict(late.save(t.Context(), p.Client("b"))))
+		read, err := loadReports(t.Context(), p.Client("b"))
+		is.NoErr(err)
+		is.Equal(read.Reports[0].Counts, Counts{"c": 3})
+		for w := Window(9); w < 30; w++ {
+			read.add(Report{Window: w})
+		}
+		is.Equal(len(read.Reports), keptWindows)
+		is.Equal(read.Through, Window(29)) // what was dropped stays decided
+	})
+}
+
+func TestUnreadableReportsNameTheRemedy(t *testing.T) {
+	is := is.New(t)
+	p := storetest.NewPlatform(0)
+	_, err := p.Client("a").Put(context.Background(), KindReports, reportsName, store.Absent, []byte("no json"))
+	is.NoErr(err)
+	_, err = loadReports(context.Background(), p.Client("a"))
+	is.True(err != nil)
+	_, err = NewReporter(Options{})
+	is.True(err != nil)
+	_, err = NewTeller(TellerOptions{Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler)})
+	is.True(err != nil)
+}
