Order numbers of runners, spot runners first, with a spare domain's worth

Change: coordination/scale plans the cheapest numbers that carry the load also without the spot runners of any one failure domain, and orders them under the permit of the duties' lease; what replaces others is ordered before they are sent away. The need is that of the fleet at the start, kept at the store for later holders, times a setting (--runner-need). Ruled out: runners on demand that stand by for a second loss (rarer than they are dear).

--- a/cmd/thymerackd/main.go
+++ b/cmd/thymerackd/main.go
@@ -29,6 +29,7 @@
 	MetricsPort  int     `arg:"--metrics-port" help:"port of the metrics with --platform; 0 serves none" default:"0"`
 	PrefillShare float64 `arg:"--prefill-share" help:"share of a service's engines that read prompts, with --platform" default:"0.64"`
 	SplitTokens  int     `arg:"--split-tokens" help:"prompt size from which a prompt is read at an engine of its own, with --platform" default:"600"`
+	RunnerNeed   float64 `arg:"--runner-need" help:"runners that carry the load, as a share of those that the deployment starts with, with --platform" default:"1"`
 	LogLevel     string  `arg:"--log-level" help:"debug, info, warn or error, with --platform" default:"info"`
 }
 
@@ -95,7 +96,7 @@
 		return err
 	}
 	h, err := routed.New(routed.Options{
-		Settings: s, Log: log, MetricsPort: f.MetricsPort, PrefillShare: f.PrefillShare, SplitTokens: f.SplitTokens,
+		Settings: s, Log: log, MetricsPort: f.MetricsPort, PrefillShare: f.PrefillShare, SplitTokens: f.SplitTokens, RunnerNeed: f.RunnerNeed,
 		LinesDropped: out.Dropped,
 	})
 	if err != nil {
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -247,7 +247,7 @@
 	s.ids = append(s.ids, id)
 }
 
-func (noObserver) Held(string) {}
+func (noObserver) Held(string)             {}
 func (noObserver) Began(string, time.Time) {}
 
 // quarantineOf holds every request after it was asked for one so often; 0 for never.
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -110,6 +110,17 @@
 	s.add(r)
 }
 
+// Listed returns all instances of a service, also those that are draining.
+func (f *Fleet) Listed(service string) []state.Instance {
+	var out []state.Instance
+	for _, r := range f.view.Load().byID {
+		if r.Instance.Service == service {
+			out = append(out, *r.Instance)
+		}
+	}
+	return out
+}
+
 // service returns the runners of a service; none if it isn't known.
 func (f *Fleet) service(name string) runners {
 	if s := f.view.Load().byService[name]; s != nil {
--- /dev/null
+++ b/coordination/scale/manager.go
@@ -0,0 +1,234 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/lease"
+	"github.com/thymerack/thymerack/state"
+)
+
+const (
+	// pollEvery is how often the holder compares numbers with the plan; it costs no call.
+	pollEvery = 250 * time.Millisecond
+	// callTimeout bounds a call.
+	callTimeout = time.Second
+	// settle is how long the number of runners must stand before the first plan: when a
+	// deployment starts, its runners list themselves within a heartbeat (1.2 s).
+	settle = 1200 * time.Millisecond
+	// askAgain is the pause after an order that failed, and dryFor how long a failure domain
+	// counts as without spot runners after the platform had none.
+	askAgain = time.Second
+	dryFor   = 2 * time.Second
+	// lateBoots is how many times the time of a boot ordered runners may take to be listed
+	// before others are ordered in their place.
+	lateBoots = 2
+)
+
+// ErrUnavailable says that there are no runners of the kind to be had at present.
+var ErrUnavailable = errors.New("no runners of that kind are to be had there now; order others, or again later")
+
+// Platform takes orders. An order may have been taken although Order returns an error other than
+// ErrUnavailable.
+type Platform interface {
+	// Order asks for a number of runners under the term of that number; permit is asked last
+	// before the bytes leave.
+	Order(ctx context.Context, term uint64, service string, p Place, desired int, permit func() error) error
+}
+
+// Options configure a Manager. All fields are required.
+type Options struct {
+	Platform Platform
+	Lease    *lease.Lessor
+	Needs    Needs
+	Clock    state.Clock
+	Log      *slog.Logger
+	// Services lists the services whose numbers may be ordered.
+	Services func() []state.ServiceSpec
+	// Instances lists all of a service's runners, also those that leave.
+	Instances func(service string) []state.Instance
+	// NeedShare is the number of runners that carry the load, as a share of those that a
+	// deployment starts with.
+	NeedShare float64
+}
+
+// Manager orders numbers of runners while it holds the lease. Hold alone uses it.
+type Manager struct {
+	o        Options
+	services map[string]*service
+}
+
+// service is what is known of one service in a term.
+type service struct {
+	// need is the number of runners that carry the load; 0 until it is known.
+	need int
+	// counted is how many runners were listed when last they were counted, since when.
+	counted int
+	since   time.Time
+	// ordered are the numbers ordered in this term, and when.
+	ordered   Numbers
+	orderedAt map[Place]time.Time
+	// dryUntil is until when a failure domain counts as without spot runners, and pauseUntil
+	// when a place may be ordered for again.
+	dryUntil   map[string]time.Time
+	pauseUntil map[Place]time.Time
+}
+
+// New validates the options.
+func New(o Options) (*Manager, error) {
+	if o.Platform == nil || o.Lease == nil || o.Needs.Store == nil || o.Clock == nil || o.Log == nil || o.Services == nil || o.Instances == nil || o.NeedShare <= 0 {
+		return nil, errors.New("scale: a field of Options is missing; set all of them")
+	}
+	return &Manager{o: o}, nil
+}
+
+// Hold orders numbers for one term of the lease, until ctx ends with it.
+func (m *Manager) Hold(ctx context.Context) {
+	m.services = map[string]*service{}
+	for {
+		for _, spec := range m.o.Services() {
+			m.serve(ctx, spec)
+		}
+		if m.o.Clock.Sleep(ctx, pollEvery) != nil {
+			return
+		}
+	}
+}
+
+// serve compares one service's numbers with the plan.
+func (m *Manager) serve(ctx context.Context, spec state.ServiceSpec) {
+	s := m.services[spec.Name]
+	if s == nil {
+		s = &service{ordered: Numbers{}, orderedAt: map[Place]time.Time{}, dryUntil: map[string]time.Time{}, pauseUntil: map[Place]time.Time{}}
+		m.services[spec.Name] = s
+	}
+	now := m.o.Clock.Now()
+	serving, listed := count(m.o.Instances(spec.Name))
+	if !m.known(ctx, spec.Name, s, serving, now) || m.o.Lease.Silent() {
+		return
+	}
+	plan := Plan(Wish{Spec: *spec.Scale, Need: s.need, Limited: s.limited(serving, spec, now)})
+	for _, p := range places(spec.Scale) {
+		m.approach(ctx, spec.Name, s, p, plan[p], serving, listed, now)
+	}
+}
+
+// count counts a service's runners by place: those that take work, and all that are listed.
+func count(instances []state.Instance) (serving, listed Numbers) {
+	serving, listed = Numbers{}, Numbers{}
+	for _, i := range instances {
+		p := Place{i.FailureDomain, OnDemand}
+		if i.Spot {
+			p.Kind = Spot
+		}
+		listed[p]++
+		if !i.Draining {
+			serving[p]++
+		}
+	}
+	return serving, listed
+}
+
+// places are those of a service, spot runners first: what replaces others is ordered before
+// they are sent away.
+func places(s *state.ScaleSpec) []Place {
+	var out []Place
+	for _, kind := range kinds {
+		for _, d := range byPrice(*s) {
+			out = append(out, Place{d, kind})
+		}
+	}
+	return out
+}
+
+// known reports whether the service's need is known. The first holder takes it from what the
+// deployment starts with, once that has stood for a moment, and keeps it for the others.
+func (m *Manager) known(ctx context.Context, name string, s *service, serving Numbers, now time.Time) bool {
+	if s.need > 0 {
+		return true
+	}
+	if n := serving.total(); n == 0 || n != s.counted {
+		s.counted, s.since = n, now
+		return false
+	}
+	if now.Sub(s.since) < settle {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	base, err := m.o.Needs.First(ctx, name, s.counted)
+	if err != nil {
+		m.o.Log.Warn("number of runners at the start not read; tried again", "service", name, "cause", err.Error())
+		s.since = now
+		return false
+	}
+	s.need = max(1, int(m.o.NeedShare*float64(base)+0.5))
+	m.o.Log.Info("need of a new term", "service", name, "need", s.need, "at_start", base, "listed", s.counted)
+	return true
+}
+
+// limited bounds the spot runners of failure domains where no more are to be had.
+func (s *service) limited(serving Numbers, spec state.ServiceSpec, now time.Time) map[string]int {
+	out := map[string]int{}
+	for d := range spec.Scale.DomainPrices {
+		p := Place{d, Spot}
+		late := s.ordered[p] > serving[p] && now.Sub(s.orderedAt[p]) > lateBoots*spec.Scale.Boot
+		if now.Before(s.dryUntil[d]) || late {
+			out[d] = serving[p]
+		}
+	}
+	return out
+}
+
+// approach orders a place's number, as far as what takes work stays enough.
+func (m *Manager) approach(ctx context.Context, name string, s *service, p Place, want int, serving, listed Numbers, now time.Time) {
+	have, known := s.ordered[p]
+	if !known {
+		have = serving[p]
+	}
+	if want < have {
+		spare := serving.total() - s.need
+		leaving := have - max(want, have-max(0, spare))
+		want = have - leaving
+		serving[p] -= min(leaving, serving[p])
+	}
+	lost := want > serving[p] && p.Kind == Spot && now.Sub(s.orderedAt[p]) > dryFor
+	if (known && want == have && !lost) || (!known && want == listed[p]) || now.Before(s.pauseUntil[p]) {
+		return
+	}
+	m.order(ctx, name, s, p, want, now)
+}
+
+func (m *Manager) order(ctx context.Context, name string, s *service, p Place, desired int, now time.Time) {
+	term, err := m.o.Lease.Permit()
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = m.o.Platform.Order(ctx, term, name, p, desired, m.o.Lease.Still(term))
+	m.o.Log.Info("runners ordered", "service", name, "failure_domain", p.FailureDomain, "kind", string(p.Kind), "desired", desired,
+		"before", s.ordered[p], "need", s.need, "term", term, "refused", err != nil, "cause", causeOf(err))
+	switch {
+	case err == nil:
+		if s.ordered[p] != desired || s.orderedAt[p].IsZero() {
+			s.orderedAt[p] = now
+		}
+		s.ordered[p] = desired
+		s.pauseUntil[p] = now.Add(askAgain)
+	case errors.Is(err, ErrUnavailable):
+		s.dryUntil[p.FailureDomain] = now.Add(dryFor)
+		s.pauseUntil[p] = now.Add(dryFor)
+	default:
+		s.pauseUntil[p] = now.Add(askAgain)
+	}
+}
+
+func causeOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/coordination/scale/needs.go
@@ -0,0 +1,51 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/thymerack/thymerack/coordination/store"
+)
+
+// kindNeeds is the kind of the objects that keep what services started with.
+const kindNeeds = "thymerack-runners"
+
+// kept is the object of one service.
+type kept struct {
+	// AtStart is the number of runners when numbers were first ordered.
+	AtStart int `json:"at_start"`
+}
+
+// Needs keeps, for later holders of the lease, the number of runners that a service started
+// with: what they find listed is what earlier holders ordered.
+type Needs struct{ Store store.Store }
+
+// First returns the number that a service started with, which is n if nobody has kept one.
+func (k Needs) First(ctx context.Context, service string, n int) (int, error) {
+	o, err := k.Store.Get(ctx, kindNeeds, service)
+	if errors.Is(err, store.ErrNotFound) {
+		return k.create(ctx, service, n)
+	}
+	if err != nil {
+		return 0, err
+	}
+	var r kept
+	if err := json.Unmarshal(o.Value, &r); err != nil || r.AtStart <= 0 {
+		return 0, fmt.Errorf("the number of runners that %s started with is not readable (%q); delete the object %s/%s", service, o.Value, kindNeeds, service)
+	}
+	return r.AtStart, nil
+}
+
+// create keeps n. After an error it is unknown whether it did; it is read the next time.
+func (k Needs) create(ctx context.Context, service string, n int) (int, error) {
+	value, err := json.Marshal(kept{n})
+	if err != nil {
+		return 0, fmt.Errorf("encode the number of runners of %s: %w", service, err)
+	}
+	if _, err := k.Store.Put(ctx, kindNeeds, service, store.Absent, value); err != nil {
+		return 0, err
+	}
+	return n, nil
+}
--- a/daemon/routed/duties.go
+++ b/daemon/routed/duties.go
@@ -6,9 +6,11 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/thymerack/thymerack/coordination/lease"
+	"github.com/thymerack/thymerack/coordination/scale"
 	"github.com/thymerack/thymerack/coordination/truetime"
 	"github.com/thymerack/thymerack/coordination/usage"
 	"github.com/thymerack/thymerack/platform"
+	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/httpclient"
 	"github.com/thymerack/thymerack/transport/usages"
 )
@@ -30,6 +32,50 @@
 	return err
 }
 
+// buildDuties makes what carries them out, those that are asked for.
+func (h *Host) buildDuties() error {
+	if h.s.DutiesAddr == "" {
+		return nil
+	}
+	var err error
+	if h.duties, err = h.newDuties(); err != nil {
+		return err
+	}
+	if err := h.buildUsage(); err != nil {
+		return err
+	}
+	return h.buildScaler()
+}
+
+// buildScaler orders numbers of runners, where that is asked for.
+func (h *Host) buildScaler() error {
+	if !h.s.ScalesRunners {
+		return nil
+	}
+	var err error
+	h.scaler, err = scale.New(scale.Options{
+		Platform: h.duties, Lease: h.lessor, Needs: scale.Needs{Store: h.store}, Clock: h.clock, Log: h.log,
+		Services: h.scalableServices, Instances: h.fleet.Listed, NeedShare: h.o.RunnerNeed,
+	})
+	return err
+}
+
+// scalableServices are the services whose number of runners may be ordered; none while the
+// list of runners isn't kept up to date.
+func (h *Host) scalableServices() []state.ServiceSpec {
+	table := h.config.Table()
+	if table == nil || h.listed.Lost() {
+		return nil
+	}
+	var out []state.ServiceSpec
+	for _, s := range table.Config.Services {
+		if s.Scale != nil {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // buildUsage counts requests by customer and reports them, where that is asked for.
 func (h *Host) buildUsage() error {
 	if !h.s.ReportsUsage {
@@ -49,12 +95,8 @@
 		return err
 	}
 	usages.Register(h.peerServer, h.teller, collector)
-	duties, err := h.newDuties()
-	if err != nil {
-		return err
-	}
 	h.reporter, err = usage.NewReporter(usage.Options{
-		Length: window, Lease: h.lessor, Store: h.store, Receiver: duties, Peers: peers, Collector: collector,
+		Length: window, Lease: h.lessor, Store: h.store, Receiver: h.duties, Peers: peers, Collector: collector,
 		Self: h.members.self(), Run: h.id.String(), Hosts: h.members.All, Time: keeper, Clock: h.clock, Log: h.log,
 	})
 	return err
@@ -76,6 +118,9 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 	group.Go(func() { h.manager.Hold(ctx) })
+	if h.scaler != nil {
+		group.Go(func() { h.scaler.Hold(ctx) })
+	}
 	if h.reporter != nil {
 		group.Go(func() { h.reporter.Hold(ctx) })
 	}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -23,6 +23,7 @@
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/retry"
+	"github.com/thymerack/thymerack/coordination/scale"
 	"github.com/thymerack/thymerack/coordination/stages"
 	"github.com/thymerack/thymerack/coordination/usage"
 	"github.com/thymerack/thymerack/platform"
@@ -65,8 +66,11 @@
 	// nil where usage isn't reported.
 	teller   *usage.Teller
 	reporter *usage.Reporter
-	metrics  *measures
-	ready    *readiness
+	// scaler orders numbers of runners; nil where that isn't asked for.
+	scaler  *scale.Manager
+	duties  platform.Duties
+	metrics *measures
+	ready   *readiness
 	// peers calls other hosts, peerServer answers them.
 	peers      *peer.Client
 	peerServer *peer.Server
@@ -94,7 +98,7 @@
 	}
 	h := &Host{o: o, s: o.Settings, log: o.Log.With("host", o.Settings.Host), metrics: newMeasures()}
 	h.id = state.HostID{Name: h.s.Host, Incarnation: uuid.Must(uuid.NewV7()).String()}
-	for _, build := range []func() error{h.buildStore, h.buildLists, h.buildPeers, h.buildPool, h.buildKeys, h.buildGateway, h.buildLease, h.buildManager, h.buildUsage} {
+	for _, build := range []func() error{h.buildStore, h.buildLists, h.buildPeers, h.buildPool, h.buildKeys, h.buildGateway, h.buildLease, h.buildManager, h.buildDuties} {
 		if err := build(); err != nil {
 			return nil, err
 		}
--- a/daemon/routed/host_test.go
+++ b/daemon/routed/host_test.go
@@ -27,7 +27,7 @@
 		t.Fatal(err)
 	}
 	return Options{
-		Settings: s, Log: slog.New(slog.DiscardHandler), PrefillShare: 0.68, SplitTokens: 600,
+		Settings: s, Log: slog.New(slog.DiscardHandler), PrefillShare: 0.68, SplitTokens: 600, RunnerNeed: 1,
 		LinesDropped: func() uint64 { return 0 },
 	}
 }
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -18,6 +18,9 @@
 	MetricsPort int
 	// PrefillShare is the share of a service's engines that read prompts.
 	PrefillShare float64
+	// RunnerNeed is the number of runners that carry the load, as a share of those that the
+	// deployment starts with; used where numbers of runners may be ordered.
+	RunnerNeed float64
 	// SplitTokens is the prompt size from which a prompt is read at a prefill
 	// engine of its own.
 	SplitTokens int
@@ -32,6 +35,9 @@
 	if o.PrefillShare <= 0 || o.PrefillShare >= 1 {
 		return errors.New("routed: PrefillShare is outside 0 to 1; use the share of prefill in the work, for example 0.7")
 	}
+	if o.RunnerNeed <= 0 {
+		return errors.New("routed: RunnerNeed isn't positive; use the share of the present runners that carries the load, for example 1")
+	}
 	return nil
 }
 
--- a/state/routing.go
+++ b/state/routing.go
@@ -94,6 +94,21 @@
 	MaxConns int
 	// Engine is nil for plain services.
 	Engine *EngineSpec
+	// Scale is nil where the number of runners can't be ordered.
+	Scale *ScaleSpec
+}
+
+// ScaleSpec describes how the number of a service's runners may be ordered.
+type ScaleSpec struct {
+	// MinPerDomain and MaxPerDomain bound the runners of both kinds in a failure domain.
+	MinPerDomain, MaxPerDomain int
+	// Boot is the time until a new runner serves.
+	Boot time.Duration
+	// SpotPrice is the price of a spot runner, as a part of that of another; 0 if there are
+	// none.
+	SpotPrice float64
+	// DomainPrices are what a second of a runner costs, by failure domain.
+	DomainPrices map[string]float64
 }
 
 // StrongestFirst returns the hosts in the order in which they take on work for others, the
@@ -173,6 +188,8 @@
 	Slots         int
 	// Draining instances take no new work.
 	Draining bool
+	// Spot instances may be taken back, all of a failure domain at once.
+	Spot bool
 	// Role is empty for runners of plain services.
 	Role Role
 }
