Keep copies of runs away from engines that are lost with theirs

Change: Placer.Standby chooses the engine of a copy near the run's, but for spot engines at one that isn't lost with it. Ruled out: copies in another domain for all (they cost twice the memory moved and protect from nothing that the engines of one domain don't).

--- a/coordination/forward/backup.go
+++ b/coordination/forward/backup.go
@@ -66,7 +66,7 @@
 	if !r.runsOnce() || !d.hasRoomForBackups(r) {
 		return nil
 	}
-	runner := d.o.Placer.Decode(r.Service, "", at.FailureDomain, append(slices.Clone(tried), at.ID))
+	runner := d.o.Placer.Standby(r.Service, at, append(slices.Clone(tried), at.ID))
 	if runner == nil {
 		return nil
 	}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -19,6 +19,8 @@
 	// Decode prefers engines of the failure domain near, "" for the host's own.
 	Decode(service, session, near string, tried []state.InstanceID) *placement.Runner
 	Prefill(service, session string, tried []state.InstanceID) *placement.Runner
+	// Standby chooses an engine for the copy of a run, one that isn't lost with the run's.
+	Standby(service string, at *state.Instance, tried []state.InstanceID) *placement.Runner
 	// ReadsApart reports whether some of the service's engines only read prompts.
 	ReadsApart(service string) bool
 	// Runner is the instance with what is known of it, or nil.
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -227,6 +227,19 @@
 	})
 }
 
+// Standby chooses an engine that generates for the copy of a run at an engine: near it, but for
+// spot engines, which are lost with all spot engines of their failure domain.
+func (f *Fleet) Standby(service string, at *state.Instance, tried []state.InstanceID) *Runner {
+	return f.least(f.service(service).generating, tried, func(r *Runner) float64 {
+		near := r.Instance.FailureDomain == at.FailureDomain
+		return float64(r.InFlight()+1) + farLoad*oneIf(!near) + sharedLoss*oneIf(near && at.Spot && r.Instance.Spot)
+	})
+}
+
+// sharedLoss makes an engine that is lost together with another the last choice among sound
+// ones for what must outlive that.
+const sharedLoss = 1e3
+
 // score orders the engines of a session, the same way at all hosts, from 0 to 1. An engine
 // that restarts under its name keeps its sessions.
 func score(session string, r *Runner) float64 {
--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -279,3 +279,23 @@
 		is.Equal(f.Siblings(named("gone")), 0)
 	})
 }
+
+// What must outlive the loss of a failure domain's spot engines isn't kept at another of them,
+// while other engines keep it near.
+func TestStandbyIsNotLostWithItsEngine(t *testing.T) {
+	for _, spot := range []bool{true, false} {
+		is := is.New(t)
+		f := NewFleet(Options{Clock: clocktest.Bubble{}, FailureDomain: "d0"})
+		var list []state.Instance
+		for i := range 9 {
+			list = append(list, state.Instance{ID: named(fmt.Sprint("e", i)), Service: "s", FailureDomain: fmt.Sprint("d", i%3), Role: state.RoleDecode, Spot: spot})
+		}
+		f.Update(list)
+		for range 50 {
+			near := f.Standby("s", &list[0], []state.InstanceID{list[0].ID}).Instance.FailureDomain == "d0"
+			is.Equal(near, !spot)
+		}
+		f.Update(list[:1])
+		is.True(f.Standby("s", &list[0], []state.InstanceID{list[0].ID}) == nil)
+	}
+}
