--- a/coordination/scale/manager.go
+++ b/coordination/scale/manager.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/lease"
@@ -18,6 +20,9 @@
 	// settle is how long the number of runners must stand before the first plan: when a
 	// deployment starts, its runners list themselves within a heartbeat (1.2 s).
 	settle = 1200 * time.Millisecond
+	// unknownFor is how long what hangs on the number of runners waits for a need that can't
+	// be read from the store.
+	unknownFor = 10 * time.Second
 	// askAgain is the pause after an order that failed, and dryFor how long a failure domain
 	// counts as without spot runners after the platform had none.
 	askAgain = time.Second
@@ -54,22 +59,28 @@
 	NeedShare float64
 }
 
-// Manager orders numbers of runners while it holds the lease. Hold alone uses it.
+// Manager orders numbers of runners while it holds the lease. Hold alone uses it, but for
+// Resizing.
 type Manager struct {
 	o        Options
 	services map[string]*service
+	// resizing is set for services whose number of runners is about to change, for those who
+	// ask from elsewhere.
+	resizing sync.Map
 }
 
 // service is what is known of one service in a term.
 type service struct {
+	begun time.Time
 	// need is the number of runners that carry the load; 0 until it is known.
 	need int
 	// counted is how many runners were listed when last they were counted, since when.
 	counted int
 	since   time.Time
 	// ordered are the numbers ordered in this term, and when.
-	ordered   Numbers
-	orderedAt map[Place]time.Time
+	ordered    Numbers
+	orderedAt  map[Place]time.Time
+	repeatedAt map[Place]time.Time
 	// dryUntil is until when a failure domain counts as without spot runners, and pauseUntil
 	// when a place may be ordered for again.
 	dryUntil   map[string]time.Time
@@ -97,22 +108,48 @@
 	}
 }
 
+// Resizing reports whether the number of a service's runners is about to change by what this
+// host has ordered, or is about to order for the first time in a term.
+func (m *Manager) Resizing(service string) bool {
+	_, is := m.resizing.Load(service)
+	return is
+}
+
+// noteResizing notes whether what takes work differs from the plan, as long as orders may still
+// bring it about.
+func (m *Manager) noteResizing(spec state.ServiceSpec, s *service, plan, serving Numbers, now time.Time) {
+	for p, want := range plan {
+		under := now.Sub(s.orderedAt[p]) <= spec.Scale.Boot+settle
+		if serving[p] != want && under {
+			m.resizing.Store(spec.Name, true)
+			return
+		}
+	}
+	m.resizing.Delete(spec.Name)
+}
+
 // serve compares one service's numbers with the plan.
 func (m *Manager) serve(ctx context.Context, spec state.ServiceSpec) {
 	s := m.services[spec.Name]
 	if s == nil {
-		s = &service{ordered: Numbers{}, orderedAt: map[Place]time.Time{}, dryUntil: map[string]time.Time{}, pauseUntil: map[Place]time.Time{}}
+		s = &service{begun: m.o.Clock.Now(), ordered: Numbers{}, orderedAt: map[Place]time.Time{}, repeatedAt: map[Place]time.Time{}, dryUntil: map[string]time.Time{}, pauseUntil: map[Place]time.Time{}}
 		m.services[spec.Name] = s
+		m.resizing.Store(spec.Name, true)
 	}
 	now := m.o.Clock.Now()
 	serving, listed := count(m.o.Instances(spec.Name))
 	if !m.known(ctx, spec.Name, s, serving, now) || m.o.Lease.Silent() {
+		if now.Sub(s.begun) > unknownFor {
+			m.resizing.Delete(spec.Name)
+		}
 		return
 	}
 	plan := Plan(Wish{Spec: *spec.Scale, Need: s.need, Limited: s.limited(serving, spec, now)})
+	serves := maps.Clone(serving)
 	for _, p := range places(spec.Scale) {
-		m.approach(ctx, spec.Name, s, p, plan[p], serving, listed, now)
+		m.approach(ctx, spec, s, p, plan[p], serving, listed, now)
 	}
+	m.noteResizing(spec, s, plan, serves, now)
 }
 
 // count counts a service's runners by place: those that take work, and all that are listed.
@@ -183,7 +220,8 @@
 }
 
 // approach orders a place's number, as far as what takes work stays enough.
-func (m *Manager) approach(ctx context.Context, name string, s *service, p Place, want int, serving, listed Numbers, now time.Time) {
+func (m *Manager) approach(ctx context.Context, service state.ServiceSpec, s *service, p Place, want int, serving, listed Numbers, now time.Time) {
+	spec := service.Scale
 	have, known := s.ordered[p]
 	if !known {
 		have = serving[p]
@@ -194,11 +232,11 @@
 		want = have - leaving
 		serving[p] -= min(leaving, serving[p])
 	}
-	lost := want > serving[p] && p.Kind == Spot && now.Sub(s.orderedAt[p]) > dryFor
+	lost := want > listed[p] && p.Kind == Spot && now.Sub(s.orderedAt[p]) > spec.Boot+settle && now.Sub(s.repeatedAt[p]) > dryFor
 	if (known && want == have && !lost) || (!known && want == listed[p]) || now.Before(s.pauseUntil[p]) {
 		return
 	}
-	m.order(ctx, name, s, p, want, now)
+	m.order(ctx, service.Name, s, p, want, now)
 }
 
 func (m *Manager) order(ctx context.Context, name string, s *service, p Place, desired int, now time.Time) {
@@ -216,8 +254,7 @@
 		if s.ordered[p] != desired || s.orderedAt[p].IsZero() {
 			s.orderedAt[p] = now
 		}
-		s.ordered[p] = desired
-		s.pauseUntil[p] = now.Add(askAgain)
+		s.ordered[p], s.repeatedAt[p] = desired, now
 	case errors.Is(err, ErrUnavailable):
 		s.dryUntil[p.FailureDomain] = now.Add(dryFor)
 		s.pauseUntil[p] = now.Add(dryFor)
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -86,6 +86,8 @@
 	Instances func(service string) []state.Instance
 	// Share is the share of a service's engines that read prompts at first.
 	Share float64
+	// Resizing reports that the number of a service's engines is about to change.
+	Resizing func(service string) bool
 	// Announce tells all hosts which engines are about to change, before they are
 	// ordered to.
 	Announce func(ctx context.Context, changes []Change)
@@ -160,7 +162,7 @@
 
 // New validates the options.
 func New(o Options) (*Manager, error) {
-	if o.Engines == nil || o.Lease == nil || o.Shares.Store == nil || o.Clock == nil || o.Log == nil || o.Services == nil || o.Instances == nil || o.Announce == nil || o.Share <= 0 {
+	if o.Engines == nil || o.Lease == nil || o.Shares.Store == nil || o.Clock == nil || o.Log == nil || o.Services == nil || o.Instances == nil || o.Resizing == nil || o.Announce == nil || o.Share <= 0 {
 		return nil, errors.New("stages: a field of Options is nil; set all of them")
 	}
 	return &Manager{o: o, kept: map[string]kept{}}, nil
@@ -202,7 +204,7 @@
 		m.stood[service] = m.followed
 	}
 	want := Target(len(engines), m.share(ctx, service, engines, now))
-	if m.o.Lease.Silent() {
+	if m.o.Lease.Silent() || (!m.stood[service] && m.o.Resizing(service)) {
 		return
 	}
 	changes := Plan(m.asOrdered(engines), want)
--- a/coordination/stages/stages_test.go
+++ b/coordination/stages/stages_test.go
@@ -76,6 +76,8 @@
 
 // fakeEngines carry orders out as the platform's do, at once or late, and note them.
 type fakeEngines struct {
+	// resizing says that the number of engines is about to change.
+	resizing bool
 	mu       sync.Mutex
 	engines  map[state.InstanceID]*fakeEngine
 	rng      *rand.Rand
@@ -192,6 +194,13 @@
 	return f.apply(i.ID, o), nil
 }
 
+// isResizing reports what the test has set.
+func (f *fakeEngines) isResizing(string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.resizing
+}
+
 // announce notes which engines are about to change.
 func (f *fakeEngines) announce(_ context.Context, changes []Change) {
 	f.mu.Lock()
@@ -274,7 +283,7 @@
 	}
 	m, err := New(Options{
 		Engines: f, Lease: lessor, Shares: Shares{p.Client(host)}, Clock: clock, Log: slog.New(slog.DiscardHandler), Host: host,
-		Services: func() []string { return []string{"llm"} }, Instances: f.list, Announce: f.announce, Share: 0.68,
+		Services: func() []string { return []string{"llm"} }, Instances: f.list, Announce: f.announce, Share: 0.68, Resizing: f.isResizing,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -321,6 +330,27 @@
 	})
 }
 
+// A first split waits until the number of engines is as it will be: orders to engines that are
+// about to leave would be in vain.
+func TestFirstSplitWaitsForTheNumberOfEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeEngines(engines(4, 8), 0, 1)
+		f.resizing = true
+		stop := runHolder(t, storetest.NewPlatform(time.Second), f, "h")
+		defer stop()
+		time.Sleep(5 * time.Second)
+		f.mu.Lock()
+		is.Equal(len(f.orders), 0)
+		f.resizing = false
+		f.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		is.Equal(len(f.orders), 4)
+	})
+}
+
 // A holder whose machine is suspended in the midst of its orders gives none of the others when it
 // is back: another host has the lease by then, though no timer here says that time has passed.
 func TestSuspendedHolderGivesNoFurtherOrders(t *testing.T) {
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -291,12 +291,16 @@
 	h.manager, err = stages.New(stages.Options{
 		Engines: platform.Engines{Caller: h.pool, Timeout: dutyCallTime}, Lease: h.lessor, Shares: stages.Shares{Store: h.store}, Clock: h.clock, Log: h.log, Host: h.s.Host,
 		Services: h.engineServices, Instances: h.engines,
+		Resizing: h.resizing,
 		Announce: h.announce,
 		Share:    h.o.PrefillShare,
 	})
 	return err
 }
 
+// resizing reports whether the number of a service's engines is about to change.
+func (h *Host) resizing(service string) bool { return h.scaler != nil && h.scaler.Resizing(service) }
+
 // announce tells all hosts, this one too, which engines are about to change their role.
 func (h *Host) announce(ctx context.Context, changes []stages.Change) {
 	byRole := map[state.Role][]state.InstanceID{}
