Measure answers by customer on operators' routes, 200 of them by name

Cause: histograms there told kinds of request apart and no customers. Change: the label bound of the own interface's histograms serves both (measure.Customers). Ruled out: customers among the labels of the classes (their product isn't bounded). Measured: 1,700 customers make 201 histograms.

--- a/daemon/routed/measures.go
+++ b/daemon/routed/measures.go
@@ -12,6 +12,7 @@
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/coordination/usage"
+	"github.com/thymerack/thymerack/transport/measure"
 )
 
 // measures are the host's counters and histograms.
@@ -20,12 +21,19 @@
 	// answers holds the *answerMeasures of each answered, so that a request doesn't
 	// make their names.
 	answers sync.Map
+	// byCustomer holds the histograms of customers by their labels.
+	customers  *measure.Customers
+	byCustomer sync.Map
 	// checked are the checks of keys by their outcome.
 	checked map[auth.Outcome]*metrics.Counter
 	// usage counts requests by customer; nil where usage isn't reported.
 	usage *usage.Counter
 }
 
+// mostCustomers have a histogram of their own: some hundred kilobytes, of the 184 MB of the
+// smallest hosts.
+const mostCustomers = 200
+
 // answered is what answers are counted by.
 type answered struct {
 	class  forward.Class
@@ -38,7 +46,7 @@
 }
 
 func newMeasures() *measures {
-	m := &measures{set: metrics.NewSet(), checked: map[auth.Outcome]*metrics.Counter{}}
+	m := &measures{set: metrics.NewSet(), customers: measure.NewCustomers(mostCustomers), checked: map[auth.Outcome]*metrics.Counter{}}
 	for _, o := range []auth.Outcome{auth.OutcomeServed, auth.OutcomeUnknown, auth.OutcomeUnproven} {
 		m.checked[o] = m.set.NewCounter(fmt.Sprintf(`thymerack_keys_checked_total{outcome=%q}`, o))
 	}
@@ -46,8 +54,8 @@
 }
 
 // Answered implements gateway.Observer.
-func (m *measures) Answered(c forward.Class, status int, took time.Duration) {
-	by := answered{c, status}
+func (m *measures) Answered(r *forward.Request, status int, took time.Duration) {
+	by := answered{r.Class(), status}
 	known, ok := m.answers.Load(by)
 	if !ok {
 		known, _ = m.answers.LoadOrStore(by, m.answerMeasures(by))
@@ -55,6 +63,20 @@
 	a := known.(*answerMeasures)
 	a.count.Inc()
 	a.took.Update(took.Seconds())
+	if r.Customer != nil {
+		m.ofCustomer(r.Customer.Name).Update(took.Seconds())
+	}
+}
+
+// ofCustomer is the histogram of a customer's answers.
+func (m *measures) ofCustomer(name string) *metrics.Histogram {
+	label := m.customers.Label(name)
+	known, ok := m.byCustomer.Load(label)
+	if !ok {
+		made := m.set.GetOrCreateHistogram(fmt.Sprintf(`thymerack_customer_answer_seconds{customer=%q}`, label))
+		known, _ = m.byCustomer.LoadOrStore(label, made)
+	}
+	return known.(*metrics.Histogram)
 }
 
 func (m *measures) answerMeasures(by answered) *answerMeasures {
--- a/daemon/routed/measures_test.go
+++ b/daemon/routed/measures_test.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/measure"
 )
 
 // Long prompts and short questions of one service differ in their routes' kind and
@@ -16,8 +18,10 @@
 func TestAnswersAreMeasuredByClass(t *testing.T) {
 	is := is.New(t)
 	m := newMeasures()
-	urgent := forward.Class{Service: "llm", Kind: state.RouteStream, Priority: 0}
-	question := forward.Class{Service: "llm", Kind: state.RouteStream, Priority: 1}
+	request := func(priority int) *forward.Request {
+		return &forward.Request{Service: "llm", Route: &state.Route{Kind: state.RouteStream, Priority: priority}}
+	}
+	urgent, question := request(0), request(1)
 	m.Answered(urgent, 200, 50*time.Millisecond)
 	m.Answered(urgent, 200, 60*time.Millisecond)
 	m.Answered(urgent, 503, time.Millisecond)
@@ -38,3 +42,22 @@
 		is.True(strings.Contains(out.String(), line+"\n")) // the class's measure
 	}
 }
+
+
+// Each customer has a histogram of its own, up to a bound that holds for 1,700 of them.
+func TestAnswersAreMeasuredByCustomer(t *testing.T) {
+	is := is.New(t)
+	m := newMeasures()
+	route := &state.Route{Kind: state.RouteSafe}
+	for i := range 1700 {
+		r := &forward.Request{Service: "app", Route: route, Customer: &state.Customer{Name: fmt.Sprint("c", i)}}
+		m.Answered(r, 200, 10*time.Millisecond)
+		m.Answered(r, 200, 10*time.Millisecond)
+	}
+	m.Answered(&forward.Request{Service: "app", Route: route}, 200, time.Millisecond) // of a public route
+	var out strings.Builder
+	m.set.WritePrometheus(&out)
+	is.True(strings.Contains(out.String(), `thymerack_customer_answer_seconds_count{customer="c0"} 2`+"\n"))
+	is.True(strings.Contains(out.String(), fmt.Sprintf("thymerack_customer_answer_seconds_count{customer=%q} %d\n", measure.OtherCustomer, 2*(1700-mostCustomers))))
+	is.Equal(strings.Count(out.String(), "thymerack_customer_answer_seconds_count"), mostCustomers+1)
+}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -45,7 +45,7 @@
 type Observer interface {
 	// Answered notes an answer or refusal, and the time since the arrival; for a
 	// stream, the time to its first event.
-	Answered(c forward.Class, status int, took time.Duration)
+	Answered(r *forward.Request, status int, took time.Duration)
 	// Rejected notes a request that was not dispatched.
 	Rejected(reason string)
 }
@@ -285,7 +285,7 @@
 		s.refuse(ctx, r, err, took)
 		return
 	}
-	s.o.Observer.Answered(r.Class(), answer.Head.Status, took)
+	s.o.Observer.Answered(r, answer.Head.Status, took)
 	s.writeHead(ctx, answer.Head)
 	if answer.Stream != nil {
 		ctx.Response.ImmediateHeaderFlush = true
@@ -320,7 +320,7 @@
 	case refusal.Reason == forward.ReasonDeadline:
 		status = fasthttp.StatusGatewayTimeout
 	}
-	s.o.Observer.Answered(r.Class(), status, took)
+	s.o.Observer.Answered(r, status, took)
 	s.problem(ctx, status, refusal.Error())
 	if refusal.NotRun && refusal.RetryAfter > 0 {
 		setRetryAfter(ctx, refusal.RetryAfter)
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -57,7 +57,7 @@
 
 type noObserver struct{}
 
-func (noObserver) Answered(forward.Class, int, time.Duration) {}
+func (noObserver) Answered(*forward.Request, int, time.Duration) {}
 func (noObserver) Rejected(string)                            {}
 
 func testTable() *routing.Table {
--- a/transport/measure/measure.go
+++ b/transport/measure/measure.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,18 +14,12 @@
 	"github.com/thymerack/thymerack/coordination/dispatch"
 )
 
-// OtherCustomer is the label of all customers past the bound.
-const OtherCustomer = "other"
-
 // Set is one host's metrics. It is safe for concurrent use.
 type Set struct {
 	set *metrics.Set
 	// series holds the histograms of a customer and class.
 	series sync.Map
-	// customers holds the customers that have a label of their own.
-	customers    sync.Map
-	named        atomic.Int64
-	maxCustomers int64
+	customers *Customers
 }
 
 type seriesKey struct{ customer, class string }
@@ -42,7 +35,7 @@
 // New returns an empty set. The first maxCustomers customers that send requests get
 // a label of their own; the rest share OtherCustomer.
 func New(maxCustomers int) *Set {
-	return &Set{set: metrics.NewSet(), maxCustomers: int64(maxCustomers)}
+	return &Set{set: metrics.NewSet(), customers: NewCustomers(maxCustomers)}
 }
 
 // Gauge adds a value that is read when the metrics are.
@@ -54,20 +47,8 @@
 	metrics.WriteProcessMetrics(w)
 }
 
-func (s *Set) label(customer string) string {
-	if _, ok := s.customers.Load(customer); ok {
-		return customer
-	}
-	if s.named.Add(1) > s.maxCustomers {
-		s.named.Add(-1)
-		return OtherCustomer
-	}
-	s.customers.Store(customer, true)
-	return customer
-}
-
 func (s *Set) of(customer, class string) *series {
-	key := seriesKey{s.label(customer), class}
+	key := seriesKey{s.customers.Label(customer), class}
 	if found, ok := s.series.Load(key); ok {
 		return found.(*series)
 	}
