--- a/daemon/routed/measures_test.go
+++ b/daemon/routed/measures_test.go
@@ -43,7 +43,6 @@
 	}
 }
 
-
 // Each customer has a histogram of its own, up to a bound that holds for 1,700 of them.
 func TestAnswersAreMeasuredByCustomer(t *testing.T) {
 	is := is.New(t)
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -58,7 +58,7 @@
 type noObserver struct{}
 
 func (noObserver) Answered(*forward.Request, int, time.Duration) {}
-func (noObserver) Rejected(string)                            {}
+func (noObserver) Rejected(string)                               {}
 
 func testTable() *routing.Table {
 	return routing.NewTable(&state.RoutingConfig{Version: 1, Routes: []state.Route{{
--- a/transport/measure/measure.go
+++ b/transport/measure/measure.go
@@ -18,7 +18,7 @@
 type Set struct {
 	set *metrics.Set
 	// series holds the histograms of a customer and class.
-	series sync.Map
+	series    sync.Map
 	customers *Customers
 }
 
