Show what was reported: thymectl usage; freeze hosts in the test of reports as machines freeze

Cause: what was sent couldn't be shown. Traced: the test let a host's clock jump by up to nine seconds while no time passed for the others, so that it saw a lease unchanged for its TTL which its holder had had no time to renew. No machine does that: the others' time passes while one is suspended. Change: hosts freeze, as SIGSTOP and a suspension do, with all they do outside, while the others go on; added beside it: reports that are on their way for up to a second, hosts that leave in order, hosts that the store alone turns away. The checks stay as they were. thymectl usage lists the recent reports by customer or host. Ruled out: a fault of the lease (a waiter compares two of its own readings of the object, and the holder renews in between); that the oracle sees nothing: without silence and distance it fails at once (tried, reverted).

--- a/coordination/usage/fleet_test.go
+++ b/coordination/usage/fleet_test.go
@@ -34,11 +34,13 @@
 	hosts    []*host
 
 	mu sync.Mutex
-	// cut hosts reach nobody; away hosts are gone.
-	cut, away map[string]bool
+	// cut hosts reach nobody, refused ones all but the store; away hosts are gone.
+	cut, refused, away map[string]bool
 	// truth is what began, by window and customer.
 	truth map[Window]Counts
 	runs  int
+	// thaws is when a frozen host goes on; what it does outside waits until then.
+	thaws map[string]time.Time
 	// troubled draws the faults of the store; nil while it is sound.
 	troubled *rand.Rand
 }
@@ -68,14 +70,15 @@
 
 func newFleet(t *testing.T, n int) *fleet {
 	f := &fleet{
-		t: t, store: storetest.NewPlatform(time.Second), cut: map[string]bool{}, away: map[string]bool{}, truth: map[Window]Counts{},
+		t: t, store: storetest.NewPlatform(time.Second), cut: map[string]bool{}, refused: map[string]bool{}, away: map[string]bool{}, thaws: map[string]time.Time{}, truth: map[Window]Counts{},
 	}
 	f.receiver = &receiver{t: t, taken: map[Window]Counts{}, at: map[Window]time.Time{}}
 	f.store.SetScript(func(c storetest.Call) storetest.Fault {
+		f.awaitThaw(c.Caller)
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		switch {
-		case f.cut[c.Caller]:
+		case f.cut[c.Caller], f.refused[c.Caller]:
 			return storetest.Refuse
 		case f.troubled != nil:
 			return []storetest.Fault{storetest.None, storetest.None, storetest.LoseAnswer, storetest.Refuse}[f.troubled.IntN(4)]
@@ -101,6 +104,20 @@
 	set[addr] = is
 }
 
+// freeze has a host stand still for so long.
+func (f *fleet) freeze(addr string, span time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.thaws[addr] = time.Now().Add(span)
+}
+
+func (f *fleet) awaitThaw(addr string) {
+	f.mu.Lock()
+	left := time.Until(f.thaws[addr])
+	f.mu.Unlock()
+	time.Sleep(max(0, left))
+}
+
 // listed are the hosts that aren't gone.
 func (f *fleet) listed() []state.Peer {
 	f.mu.Lock()
@@ -159,6 +176,12 @@
 	})
 }
 
+// leave ends the present run in order.
+func (h *host) leave() {
+	h.stop()
+	h.ended.Wait()
+}
+
 // kill ends the present run without a word: nobody hears of what it does on its way out.
 func (h *host) kill() {
 	h.f.set(h.f.cut, h.self.Addr, true)
@@ -191,6 +214,7 @@
 var errAway = errors.New("no answer")
 
 func (n network) reach(ctx context.Context, addr string) (*host, error) {
+	n.f.awaitThaw(n.from.self.Addr)
 	if err := (clocktest.Bubble{}).Sleep(ctx, time.Millisecond); err != nil {
 		return nil, err
 	}
@@ -205,6 +229,10 @@
 		if n.f.is(n.f.away, addr) {
 			return nil, errAway
 		}
+		n.f.awaitThaw(addr)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
 		return h, nil
 	}
 	return nil, errAway
@@ -242,7 +270,9 @@
 	at    map[Window]time.Time
 	calls []call
 	// lose decides whether the answer to a report is lost.
-	lose     func() bool
+	lose func() bool
+	// slow draws how long a report is on its way; nil for some milliseconds.
+	slow     *rand.Rand
 	problems []string
 }
 
@@ -284,6 +314,16 @@
 	return nil
 }
 
+// transit is how long a report is on its way, less than a call may take.
+func (r *receiver) transit() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.slow == nil {
+		return 2 * time.Millisecond
+	}
+	return time.Duration(r.slow.IntN(950)) * time.Millisecond
+}
+
 func (r *receiver) problem(format string, args ...any) {
 	r.problems = append(r.problems, fmt.Sprintf(format, args...))
 }
@@ -296,15 +336,24 @@
 
 // Report implements Receiver.
 func (s sender) Report(ctx context.Context, term uint64, w Window, counts Counts, permit func() error) error {
+	s.f.awaitThaw(s.from.self.Addr)
 	if err := permit(); err != nil {
 		return err
 	}
-	if err := (clocktest.Bubble{}).Sleep(ctx, 2*time.Millisecond); err != nil {
-		return err
-	}
 	if s.f.is(s.f.cut, s.from.self.Addr) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	return s.f.receiver.take(s.from.self.Addr, term, w, counts)
+	// What has left arrives, whatever becomes of who sent it.
+	arrived := make(chan error, 1)
+	go func() {
+		time.Sleep(s.f.receiver.transit())
+		arrived <- s.f.receiver.take(s.from.self.Addr, term, w, counts)
+	}()
+	select {
+	case err := <-arrived:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
--- a/coordination/usage/reporter.go
+++ b/coordination/usage/reporter.go
@@ -136,12 +136,12 @@
 	if len(missing) > 0 && since < patience {
 		return nil
 	}
-	report := Report{Window: w, Counts: sum(tallies, w), Hosts: len(tallies), Missing: missing}
+	report := Report{Window: w, Counts: sum(tallies, w), Missing: missing, Said: saidBy(tallies, w)}
 	if err := r.write(ctx, report); err != nil {
 		return err
 	}
 	r.o.Log.Info("usage decided", "window", w, "requests", report.Counts.Total(), "customers", len(report.Counts),
-		"hosts", report.Hosts, "missing", missing, "after_end", since)
+		"runs", len(tallies), "missing", missing, "after_end", since)
 	return nil
 }
 
@@ -225,6 +225,15 @@
 	return out
 }
 
+// saidBy is what the runs of each host have counted in a window.
+func saidBy(tallies []Tally, w Window) map[string]uint64 {
+	out := make(map[string]uint64, len(tallies))
+	for _, t := range tallies {
+		out[t.Addr] += t.Windows[w].Total()
+	}
+	return out
+}
+
 // send sends the decided reports that aren't confirmed, the oldest first.
 func (r *Reporter) send(ctx context.Context) {
 	if r.known == nil || r.o.Clock.Now().Sub(r.triedAt) < sendAgain {
--- a/coordination/usage/reports.go
+++ b/coordination/usage/reports.go
@@ -19,10 +19,12 @@
 type Report struct {
 	Window Window `json:"window"`
 	Counts Counts `json:"counts"`
-	// Hosts is how many runs of hosts were asked about, and Missing the addresses of those
-	// that hadn't told all of the window when it was decided.
-	Hosts   int      `json:"hosts"`
+	// Missing are the addresses of the listed hosts that hadn't told all of the window when it
+	// was decided.
 	Missing []string `json:"missing,omitempty"`
+	// Said is how many requests the runs of each host have counted, by its address. It is kept
+	// for the latest windows only.
+	Said map[string]uint64 `json:"said,omitempty"`
 	// Confirmed is set once the receiver has taken the report.
 	Confirmed bool `json:"confirmed,omitempty"`
 }
@@ -83,11 +85,27 @@
 func (r *reports) add(report Report) {
 	r.Reports = append(r.Reports, report)
 	r.Through = report.Window
+	if n := len(r.Reports); n > saidKept {
+		r.Reports[n-saidKept-1].Said = nil
+	}
 	if over := len(r.Reports) - keptWindows; over > 0 {
 		r.Reports = r.Reports[over:]
 	}
 }
 
+// saidKept is the number of windows for which it is kept what each host said: with 300 hosts
+// some fifteen kilobytes in each write.
+const saidKept = 2
+
+// List returns the recent reports, the oldest first; none if none was ever decided.
+func List(ctx context.Context, s store.Store) ([]Report, error) {
+	r, err := loadReports(ctx, s)
+	if r == nil || err != nil {
+		return nil, err
+	}
+	return r.Reports, nil
+}
+
 // clone is a copy that may be changed beside r.
 func (r *reports) clone() *reports {
 	out := *r
--- a/coordination/usage/usage_test.go
+++ b/coordination/usage/usage_test.go
@@ -58,9 +58,9 @@
 		}
 		defer func() {
 			for _, h := range f.hosts {
-				h.stop()
-				h.ended.Wait()
+				h.leave()
 			}
+			time.Sleep(time.Second) // what has left arrives
 		}()
 		play(is.New(t), f, rand.New(rand.NewPCG(uint64(n), 5)))
 		is.New(t).Equal(f.receiver.problems, nil)
@@ -125,22 +125,23 @@
 }
 
 // Whatever fails, no window is reported with two counts, no term is shared or goes back and no
-// two machines take turns: kills, suspensions, cuts, lost answers of the receiver, a store
+// two machines take turns: kills, freezes, cuts, lost answers of the receiver, a store
 // that loses answers and carries writes out late, hosts that are gone for good.
 func TestReportsAreOneWhateverFails(t *testing.T) {
 	for seed := range uint64(10) {
 		inFleet(t, 9, func(is *is.I, f *fleet, _ *rand.Rand) {
 			rng := rand.New(rand.NewPCG(seed, 9))
 			answers := rand.New(rand.NewPCG(seed, 11))
+			f.receiver.slow = rand.New(rand.NewPCG(seed, 12))
 			f.receiver.lose = func() bool { return answers.IntN(4) == 0 }
 			for range 40 {
 				h := f.victim([]string{"holder", "collector", "any"}[rng.IntN(3)], rng)
-				switch rng.IntN(5) {
+				switch rng.IntN(7) {
 				case 0:
 					h.kill()
 					h.start()
 				case 1:
-					h.clock.Suspend(time.Duration(rng.IntN(9000)) * time.Millisecond)
+					f.freeze(h.self.Addr, time.Duration(rng.IntN(9000))*time.Millisecond)
 				case 2:
 					f.set(f.cut, h.self.Addr, true)
 					time.AfterFunc(time.Duration(rng.IntN(9000))*time.Millisecond, func() { f.set(f.cut, h.self.Addr, false) })
@@ -148,6 +149,11 @@
 					f.trouble(rand.New(rand.NewPCG(seed, 10)))
 				case 4:
 					f.trouble(nil)
+				case 5:
+					h.leave()
+					h.start()
+				case 6:
+					f.set(f.refused, h.self.Addr, !f.is(f.refused, h.self.Addr))
 				}
 				f.load(rng, time.Duration(rng.IntN(3000))*time.Millisecond)
 			}
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -30,6 +30,7 @@
 	Top        *TopCommand        `arg:"subcommand:top" help:"live view of the upstreams"`
 	Account    *AccountCommand    `arg:"subcommand:account" help:"how requests ended by route, from the hosts' logs; asks no host"`
 	Quarantine *QuarantineCommand `arg:"subcommand:quarantine" help:"requests that are kept from runners because they crash them; asks the platform's store"`
+	Usage      *UsageCommand      `arg:"subcommand:usage" help:"requests by customer and window as they were reported; asks the platform's store"`
 	Bound      *BoundCommand      `arg:"subcommand:bound" help:"what a deployment could earn at best on the days of a site file; asks no host"`
 }
 
@@ -175,6 +176,8 @@
 		return t.bound(f.Bound)
 	case f.Quarantine != nil:
 		return t.quarantine(ctx, f.Quarantine)
+	case f.Usage != nil:
+		return t.usage(ctx, f.Usage)
 	}
 	return t.orders(ctx, f)
 }
--- a/ctl/quarantine.go
+++ b/ctl/quarantine.go
@@ -2,22 +2,17 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"strings"
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/store"
-	"github.com/thymerack/thymerack/platform"
-	"github.com/thymerack/thymerack/transport/httpclient"
-	ownplatform "github.com/thymerack/thymerack/transport/platform"
 )
 
 // QuarantineCommand names the platform's store, where the quarantine is kept.
 type QuarantineCommand struct {
-	Store   string                    `arg:"--store,env:THYMECTL_STORE" help:"ip:port of the platform's store, as in the hosts' settings"`
-	Users   bool                      `arg:"--users" help:"the store is that of the users' platform (thymerackd --platform)"`
+	StoreFlags
 	List    *QuarantineListCommand    `arg:"subcommand:list" help:"the requests that are held, and the crashes that speak against them"`
 	Release *QuarantineReleaseCommand `arg:"subcommand:release" help:"let a request run again at all hosts"`
 }
@@ -31,22 +26,11 @@
 	}
 )
 
-const (
-	// storeTimeout bounds one call to the store by hand, storeConns its connections.
-	storeTimeout = 10 * time.Second
-	storeConns   = 2
-	// storeHeaderBytes bounds the head of an answer.
-	storeHeaderBytes = 4 << 10
-)
-
 // quarantine lists or releases requests at the platform's store. It asks no host.
 func (t *Tool) quarantine(ctx context.Context, c *QuarantineCommand) error {
-	if c.Store == "" {
-		return &UsageError{"the quarantine is kept at the platform's store; name its ip:port with --store or THYMECTL_STORE"}
-	}
-	s, err := openStore(c)
+	s, err := c.open("the quarantine is")
 	if err != nil {
-		return &UsageError{err.Error()}
+		return err
 	}
 	switch {
 	case c.List != nil:
@@ -56,42 +40,9 @@
 	default:
 		return errNoCommand
 	}
-	var unavailable *store.UnavailableError
-	if errors.As(err, &unavailable) {
-		return &StoreUnreachableError{Addr: c.Store, Cause: err}
-	}
-	return err
-}
-
-// openStore returns the store that the command line names; no connection is made yet.
-func openStore(c *QuarantineCommand) (store.Store, error) {
-	if !c.Users {
-		return ownplatform.New(ownplatform.Options{Addr: c.Store, Caller: "thymectl", Timeout: storeTimeout, ReadAttempts: 1})
-	}
-	client, err := httpclient.New(httpclient.Options{
-		Addr: c.Store, DialTimeout: storeTimeout, WriteTimeout: storeTimeout, UserTimeout: storeTimeout, KeepAlive: storeTimeout,
-		MaxConns: storeConns, MaxIdle: storeTimeout, MaxHeaderBytes: storeHeaderBytes,
-	})
-	if err != nil {
-		return nil, err
-	}
-	return platform.NewStore(platform.StoreOptions{Client: client, Host: c.Store, Timeout: storeTimeout, ListTimeout: storeTimeout, WatchWait: storeTimeout}), nil
+	return c.explain(err)
 }
 
-// StoreUnreachableError says that the platform's store gave no answer.
-type StoreUnreachableError struct {
-	Addr  string
-	Cause error
-}
-
-// Error implements error.
-func (e *StoreUnreachableError) Error() string {
-	return fmt.Sprintf("the store at %s gave no answer (%v); check --store against the hosts' settings", e.Addr, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *StoreUnreachableError) Unwrap() error { return e.Cause }
-
 func (t *Tool) listHeld(ctx context.Context, s store.Store) error {
 	held, err := quarantine.List(ctx, s)
 	if err != nil {
