Move runs that may run once off engines that leave

Change: the watch of a run whose engine is listed as leaving has its memory moved to another engine and lets the stream go on there; one that can't be moved stays.

--- a/coordination/forward/backup.go
+++ b/coordination/forward/backup.go
@@ -82,7 +82,11 @@
 	// heard is when the last bytes arrived, in nanoseconds since begun.
 	heard atomic.Int64
 	// dark is set once the engine was asked and didn't answer.
-	dark  atomic.Bool
+	dark atomic.Bool
+	// evacuated is the move of the run off an engine that leaves; nil if it wasn't tried.
+	evacuated atomic.Pointer[evacuation]
+	// tried are the engines at which the run doesn't go on.
+	tried []state.InstanceID
 	begun time.Time
 	stop  context.CancelFunc
 }
@@ -96,7 +100,7 @@
 		return
 	}
 	ctx, stop := context.WithCancel(s.ctx)
-	w := &watch{begun: s.d.o.Clock.Now(), stop: stop}
+	w := &watch{begun: s.d.o.Clock.Now(), stop: stop, tried: slices.Clone(s.rec.tried)}
 	s.watch = w
 	go s.d.lookAfter(ctx, w, s.a, s.runner, s.resp)
 }
@@ -121,6 +125,9 @@
 func (d *Dispatcher) lookAfter(ctx context.Context, w *watch, a *Attempt, runner *placement.Runner, resp Response) {
 	patience := silence(a.Request)
 	for {
+		if w.evacuated.Load() == nil && d.leaves(a) {
+			d.evacuate(ctx, w, a, resp)
+		}
 		left := w.begun.Add(time.Duration(w.heard.Load()) + patience).Sub(d.o.Clock.Now())
 		if left > 0 {
 			if d.o.Clock.Sleep(ctx, left) != nil {
@@ -144,14 +151,17 @@
 // that has no such run has ended it. One that says anything else may still be at it.
 func (s *Stream) goOn(cause error) bool {
 	r, from, backup := s.a.Request, s.a, s.a.Backup
-	dark := s.watch != nil && s.watch.dark.Load()
+	moved, dark := s.moved(), s.watch != nil && s.watch.dark.Load()
 	s.drop()
+	if moved != nil {
+		return s.goOnAt(moved)
+	}
 	s.broken()
 	s.rec.add(from.Instance, "run", outcomeUnknown, s.d.o.Clock.Now().Sub(s.started), cause)
 	if backup == nil || s.lastID == "" || s.moves >= mostMoves || !s.d.o.Placer.Has(backup.ID) {
 		return false
 	}
-	if s.d.held(r, s.rec) != nil || s.d.over(s.ctx, r, s.rec) != nil || !s.d.pay(r, s.rec) {
+	if !s.mayGoOn() {
 		return false
 	}
 	s.moves++
@@ -165,6 +175,18 @@
 	return s.resumeFrom(backup, source)
 }
 
+// mayGoOn reports whether the request may be sent to one more engine.
+func (s *Stream) mayGoOn() bool {
+	r := s.a.Request
+	return s.d.held(r, s.rec) == nil && s.d.over(s.ctx, r, s.rec) == nil && s.d.pay(r, s.rec)
+}
+
+// goOnAt goes on where the run was moved to.
+func (s *Stream) goOnAt(e *evacuation) bool {
+	s.rec.add(s.a.Instance, "run", outcomeMoved, s.d.o.Clock.Now().Sub(s.started), nil)
+	return s.lastID != "" && s.mayGoOn() && s.resumeFrom(e.to, e.source)
+}
+
 // stopRun asks the former engine to stop its run and returns where its memory is. ended is
 // false if the run may go on there.
 func (s *Stream) stopRun(from *state.Instance, backup *KVSource) (source *KVSource, ended bool) {
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -23,6 +23,8 @@
 	outcomeFailed   outcome = "failed"
 	outcomePrefill  outcome = "prefilled"
 	outcomeCut      outcome = "cut"
+	// outcomeMoved is a run that was moved to another engine, as its own one leaves.
+	outcomeMoved outcome = "moved"
 	// outcomeFull is an engine that has as many prompts as it reads in time, or no
 	// free slot.
 	outcomeFull outcome = "full"
