Order replacements at the notice of a reclaim; ask a lost store less

Change: spot runners that leave unasked are ordered again at once, which tells whether there are any; on-demand ones stay until what replaces them serves; single missing or extra spot runners order nothing.

--- a/coordination/auth/auth.go
+++ b/coordination/auth/auth.go
@@ -21,8 +21,8 @@
 	// to another host afterwards.
 	askTimeout = 300 * time.Millisecond
 	// askAgain is the pause after a question that failed: a store that is unavailable
-	// gets two a second from each host that has callers.
-	askAgain = 500 * time.Millisecond
+	// gets one a second from each host that has callers.
+	askAgain = time.Second
 	// askEarly is the part of the bound after which the store is asked ahead of need, so that
 	// requests needn't wait for it: what keeps the copies up to date renews a proof within
 	// half of the bound unless a relay was lost.
--- a/coordination/scale/manager.go
+++ b/coordination/scale/manager.go
@@ -27,6 +27,12 @@
 	// counts as without spot runners after the platform had none.
 	askAgain = time.Second
 	dryFor   = 2 * time.Second
+	// drainsFor is how long a runner that was sent away may still be listed: it drains for some
+	// seconds, at times for many.
+	drainsFor = 15 * time.Second
+	// spotSlack is how many spot runners of a failure domain may be missing or too many for
+	// nothing to be ordered: single ones crash and are back by themselves.
+	spotSlack = 2
 	// lateBoots is how many times the time of a boot ordered runners may take to be listed
 	// before others are ordered in their place.
 	lateBoots = 2
@@ -81,12 +87,22 @@
 	ordered    Numbers
 	orderedAt  map[Place]time.Time
 	repeatedAt map[Place]time.Time
+	// sentAway are the runners that were sent away and may still be listed.
+	sentAway map[Place]sent
+	// reclaimed are the places whose runners are being taken back, and were ordered again.
+	reclaimed map[Place]bool
 	// dryUntil is until when a failure domain counts as without spot runners, and pauseUntil
 	// when a place may be ordered for again.
 	dryUntil   map[string]time.Time
 	pauseUntil map[Place]time.Time
 }
 
+// sent is a number of runners that were sent away; after until they are gone.
+type sent struct {
+	n     int
+	until time.Time
+}
+
 // New validates the options.
 func New(o Options) (*Manager, error) {
 	if o.Platform == nil || o.Lease == nil || o.Needs.Store == nil || o.Clock == nil || o.Log == nil || o.Services == nil || o.Instances == nil || o.NeedShare <= 0 {
@@ -132,7 +148,8 @@
 func (m *Manager) serve(ctx context.Context, spec state.ServiceSpec) {
 	s := m.services[spec.Name]
 	if s == nil {
-		s = &service{begun: m.o.Clock.Now(), ordered: Numbers{}, orderedAt: map[Place]time.Time{}, repeatedAt: map[Place]time.Time{}, dryUntil: map[string]time.Time{}, pauseUntil: map[Place]time.Time{}}
+		s = &service{begun: m.o.Clock.Now(), ordered: Numbers{}, orderedAt: map[Place]time.Time{}, repeatedAt: map[Place]time.Time{}, dryUntil: map[string]time.Time{}, pauseUntil: map[Place]time.Time{},
+			sentAway: map[Place]sent{}, reclaimed: map[Place]bool{}}
 		m.services[spec.Name] = s
 		m.resizing.Store(spec.Name, true)
 	}
@@ -144,14 +161,29 @@
 		}
 		return
 	}
-	plan := Plan(Wish{Spec: *spec.Scale, Need: s.need, Limited: s.limited(serving, spec, now)})
+	limited := s.limited(serving, spec, now)
+	plan := Plan(Wish{Spec: *spec.Scale, Need: s.need, Limited: limited})
+	for d := range limited {
+		// What can't be had now stays ordered: it is asked for again once it may be had.
+		if p := (Place{d, Spot}); plan[p] < s.ordered[p] {
+			plan[p] = s.ordered[p]
+			s.pauseUntil[p] = later(s.pauseUntil[p], s.dryUntil[d])
+		}
+	}
 	serves := maps.Clone(serving)
 	for _, p := range places(spec.Scale) {
-		m.approach(ctx, spec, s, p, plan[p], serving, listed, now)
+		m.approach(ctx, spec, s, p, plan, serving, listed, now)
 	}
 	m.noteResizing(spec, s, plan, serves, now)
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // count counts a service's runners by place: those that take work, and all that are listed.
 func count(instances []state.Instance) (serving, listed Numbers) {
 	serving, listed = Numbers{}, Numbers{}
@@ -220,26 +252,66 @@
 }
 
 // approach orders a place's number, as far as what takes work stays enough.
-func (m *Manager) approach(ctx context.Context, service state.ServiceSpec, s *service, p Place, want int, serving, listed Numbers, now time.Time) {
-	spec := service.Scale
+func (m *Manager) approach(ctx context.Context, spec state.ServiceSpec, s *service, p Place, plan, serving, listed Numbers, now time.Time) {
+	want := plan[p]
 	have, known := s.ordered[p]
 	if !known {
 		have = serving[p]
 	}
 	if want < have {
-		spare := serving.total() - s.need
-		leaving := have - max(want, have-max(0, spare))
-		want = have - leaving
-		serving[p] -= min(leaving, serving[p])
+		want = have - s.mayLeave(spec.Scale, p, have-want, plan, serving, listed)
 	}
-	lost := want > listed[p] && p.Kind == Spot && now.Sub(s.orderedAt[p]) > spec.Boot+settle && now.Sub(s.repeatedAt[p]) > dryFor
+	lost := s.lost(spec.Scale, p, want, serving, listed, now)
 	if (known && want == have && !lost) || (!known && want == listed[p]) || now.Before(s.pauseUntil[p]) {
 		return
 	}
-	m.order(ctx, service.Name, s, p, want, now)
+	if want < have {
+		s.sentAway[p] = sent{have - want, now.Add(drainsFor)}
+		serving[p] -= min(have-want, serving[p])
+	}
+	m.order(ctx, spec.Name, s, p, want, lost, now)
+}
+
+// mayLeave is how many of a place's runners may be sent away of those that the plan does
+// without: none that the load needs, no on-demand ones before the spot runners that the
+// plan has in their place serve, as far as there is room for these beside them, and of spot
+// runners no few, which come and go by themselves.
+func (s *service) mayLeave(spec *state.ScaleSpec, p Place, leaving int, plan, serving, listed Numbers) int {
+	if p.Kind == Spot && leaving <= spotSlack {
+		return 0
+	}
+	if p.Kind == OnDemand {
+		for d := range spec.DomainPrices {
+			room := spec.MaxPerDomain - listed[Place{d, OnDemand}]
+			if serving[Place{d, Spot}] < min(plan[Place{d, Spot}], room)-spotSlack {
+				return 0
+			}
+		}
+	}
+	return max(0, min(leaving, serving.total()-s.need))
+}
+
+// lost reports whether ordered spot runners are missing and are to be ordered again: they were
+// taken back, which is known from those that leave unasked, or never booted.
+func (s *service) lost(spec *state.ScaleSpec, p Place, want int, serving, listed Numbers, now time.Time) bool {
+	if p.Kind != Spot || want <= serving[p] {
+		delete(s.reclaimed, p)
+		return false
+	}
+	away := s.sentAway[p]
+	if now.After(away.until) {
+		away.n = 0
+	}
+	if listed[p]-serving[p] > away.n {
+		first := !s.reclaimed[p]
+		s.reclaimed[p] = true
+		return first
+	}
+	missing := want - serving[p]
+	return missing > spotSlack && now.Sub(s.orderedAt[p]) > spec.Boot+settle && now.Sub(s.repeatedAt[p]) > dryFor
 }
 
-func (m *Manager) order(ctx context.Context, name string, s *service, p Place, desired int, now time.Time) {
+func (m *Manager) order(ctx context.Context, name string, s *service, p Place, desired int, lost bool, now time.Time) {
 	term, err := m.o.Lease.Permit()
 	if err != nil {
 		return
@@ -251,7 +323,7 @@
 		"before", s.ordered[p], "need", s.need, "term", term, "refused", err != nil, "cause", causeOf(err))
 	switch {
 	case err == nil:
-		if s.ordered[p] != desired || s.orderedAt[p].IsZero() {
+		if s.ordered[p] != desired || lost {
 			s.orderedAt[p] = now
 		}
 		s.ordered[p], s.repeatedAt[p] = desired, now
--- a/coordination/scale/manager_test.go
+++ b/coordination/scale/manager_test.go
@@ -292,3 +292,26 @@
 		is.True(c.places().total() < 95)
 	})
 }
+
+// Two domains' spot runners are taken back within a second and none are to be had: runners on
+// demand are ordered at the notice of the second, so that they serve two seconds after its
+// runners are gone at the latest (a boot takes four, the notice is of two).
+func TestSecondReclaimIsReplacedAtItsNotice(t *testing.T) {
+	inCloud(t, func(is *is.I, c *cloud, _ *storetest.Platform, _ func()) {
+		time.Sleep(20 * time.Second)
+		c.setDry(true, "nord", "sud", "depot")
+		c.reclaim("depot")
+		time.Sleep(time.Second)
+		c.reclaim("sud")
+		time.Sleep(4800 * time.Millisecond)
+		is.True(c.serving() >= 57)
+		before := c.ordersSoFar()
+		time.Sleep(10 * time.Second)
+		is.True(c.ordersSoFar()-before <= 3*6) // each domain is asked once in two seconds
+		c.setDry(false, "nord", "sud", "depot")
+		time.Sleep(30 * time.Second)
+		n := c.places()
+		is.Equal(n[Place{"nord", OnDemand}]+n[Place{"sud", OnDemand}]+n[Place{"depot", OnDemand}], 0)
+		is.True(n.total() >= 84)
+	})
+}
