Let the repeats of a window come at once

The same bound made repeats run out in crashes on the grown sites. Change: retry.WindowBudget counts requests and repeats of the last window; the bucket's slack mode goes. Each host stays within a share of its own requests, so that all do. Ruled out: a larger bucket (the window after a burst would see more than is allowed).

--- /dev/null
+++ b/coordination/retry/window_test.go
@@ -0,0 +1,99 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+)
+
+const (
+	testWindow = 10 * time.Second
+	testShare  = 0.16
+)
+
+func newWindow(t *testing.T, slack float64) *WindowBudget {
+	t.Helper()
+	b, err := NewWindowBudget(WindowOptions{Clock: clocktest.Bubble{}, Window: testWindow, Share: testShare, Slack: func() float64 { return slack }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// A small host of a fleet of 83, with 6 requests a second, loses the engine at which four of its
+// runs are: all of them go on at once.
+func TestRepeatsOfAWindowMayComeAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newWindow(t, 1.7)
+		for range 60 {
+			b.Seen("llm")
+			time.Sleep(testWindow / 60)
+		}
+		allowed := 0
+		for b.Allow("llm") {
+			allowed++
+		}
+		is.True(allowed >= 9)
+		is.True(allowed <= 11) // 0.16 of 60 and the slack
+		is.True(!b.Allow("llm"))
+		time.Sleep(testWindow / 2)
+		is.True(!b.Allow("llm")) // nothing is earned while they are in the window
+		is.True(b.Allow("app"))  // another service has a budget of its own
+	})
+}
+
+// In no window of whatever beginning are there more repeats than the slack and its requests
+// allow, or those of the window before it or half before it, as the service agreement counts
+// them, however requests and repeats come.
+func TestNoWindowSeesMoreRepeats(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 4))
+			b := newWindow(t, 3)
+			var requests, repeats []time.Time
+			rate := 1 + rng.IntN(50)
+			for end := time.Now().Add(time.Minute); time.Now().Before(end); {
+				if rng.IntN(200) == 0 {
+					rate = 1 + rng.IntN(50)
+				}
+				b.Seen("llm")
+				requests = append(requests, time.Now())
+				for range rng.IntN(4) {
+					if b.Allow("llm") {
+						repeats = append(repeats, time.Now())
+					}
+				}
+				time.Sleep(time.Duration(rng.IntN(2000/rate)) * time.Millisecond)
+			}
+			for _, from := range repeats {
+				n := float64(within(repeats, from, testWindow))
+				most := max(within(requests, from, testWindow), within(requests, from.Add(-testWindow/2), testWindow), within(requests, from.Add(-testWindow), testWindow))
+				if n > testShare*float64(most)+3+1 {
+					t.Fatalf("seed %d: %v repeats beside %d requests", seed, n, most)
+				}
+			}
+		})
+	}
+}
+
+// within counts the times in a window.
+func within(times []time.Time, from time.Time, window time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if !at.Before(from) && at.Before(from.Add(window)) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestWrongWindowNamesTheRemedy(t *testing.T) {
+	_, err := NewWindowBudget(WindowOptions{Clock: clocktest.Bubble{}})
+	is.New(t).True(err != nil)
+}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -268,12 +268,8 @@
 }
 
 func (h *Host) buildGateway() error {
-	budget, err := retry.NewBudget(retry.BudgetOptions{
-		Clock:        h.clock,
-		Share:        func(string) float64 { return limitShare * h.s.Bounds.RetryRatio },
-		DefaultShare: limitShare * h.s.Bounds.RetryRatio,
-		Slack:        h.retrySlack,
-		SlackWindow:  h.s.Bounds.RetryWindow,
+	budget, err := retry.NewWindowBudget(retry.WindowOptions{
+		Clock: h.clock, Window: h.s.Bounds.RetryWindow, Share: limitShare * h.s.Bounds.RetryRatio, Slack: h.retrySlack,
 	})
 	if err != nil {
 		return err
