Hand counts over when a collector leaves; wait for few missing hosts briefly; silence for own terms

(3) The random test found a call of a killed run still on its way when the next run on the machine made its first. Change: who leaves tells two collectors what it has counted and was told; so few missing hosts as can't bring a report out of its bound are waited for 2 s; the next run on a machine keeps silence for as long as a call takes. Ruled out: telling two collectors each time (twice the messages for the same).

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -183,7 +183,7 @@
 	own := readable && l.own(r)
 	switch {
 	case own:
-		return l.take(ctx, obj.Version, true, 0)
+		return l.take(ctx, obj.Version, true, l.opts.CallTime)
 	case l.lapsed(obj, now):
 		return l.take(ctx, obj.Version, false, l.opts.CallTime)
 	case readable && r.Holder.Zero():
@@ -229,7 +229,8 @@
 // Calls of two terms are at least Apart apart, and those of the earlier one have arrived or
 // never will when those of the later one begin: a holder makes none once its last renewal is
 // TTL - Apart old. Others take the lease over once they have seen it unchanged for the TTL,
-// and keep silence for CallTime then; a lease that was released is taken at once, so that
+// and keep silence for CallTime then, as the next run on the same machine does, which may find
+// a call of the last one still under way; a lease that was released is taken at once, so that
 // silence is longer by Apart. The number is the version of the object at the write that began
 // the term, which no other write has.
 func (l *Lessor) Permit() (fence uint64, err error) {
--- a/coordination/usage/collector.go
+++ b/coordination/usage/collector.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -59,6 +60,18 @@
 	}
 }
 
+// all are the latest tallies of all runs.
+func (c *Collector) all() []Tally {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]Tally, 0, len(c.tallies))
+	for _, t := range c.tallies {
+		t.Windows = maps.Clone(t.Windows)
+		out = append(out, t)
+	}
+	return out
+}
+
 // Told returns what each run has counted in a window, and through when; runs that counted
 // nothing there are among them.
 func (c *Collector) Told(w Window) []Tally {
--- a/coordination/usage/fleet_test.go
+++ b/coordination/usage/fleet_test.go
@@ -156,7 +156,7 @@
 		f.t.Fatal(err)
 	}
 	reporter, err := NewReporter(Options{
-		Length: window, Lease: lessor, Store: f.store.Client(h.self.Addr), Receiver: sender{f, h}, Peers: network{f, h}, Collector: collector,
+		Length: window, MostOff: mostOff, Lease: lessor, Store: f.store.Client(h.self.Addr), Receiver: sender{f, h}, Peers: network{f, h}, Collector: collector,
 		Self: h.self, Run: run, Hosts: f.listed, Time: keeper, Clock: h.clock, Log: log,
 	})
 	if err != nil {
@@ -178,6 +178,7 @@
 
 // leave ends the present run in order.
 func (h *host) leave() {
+	h.teller.Leave(context.Background())
 	h.stop()
 	h.ended.Wait()
 }
--- a/coordination/usage/reporter.go
+++ b/coordination/usage/reporter.go
@@ -27,6 +27,12 @@
 	// hasn't told all of it: a cut or pause of some seconds may end by then, and half of the
 	// time until the report is due (10 s) is left for a successor to send it.
 	patience = 5 * time.Second
+	// briefPatience is the same where so few hosts are missing that their counts can't matter: a
+	// host that is gone for good is listed for ten seconds and more.
+	briefPatience = 2 * time.Second
+	// tolerableShare is how much of the error that a report may have may come from hosts that
+	// are missing; the rest is for what lost hosts took with them.
+	tolerableShare = 0.4
 	// askTimeout bounds a question to a collector, and callTimeout a call to the store.
 	askTimeout  = 500 * time.Millisecond
 	callTimeout = time.Second
@@ -43,8 +49,10 @@
 
 // Options configure a Reporter. All fields are required.
 type Options struct {
-	// Length is that of a window.
+	// Length is that of a window, and MostOff how far a report may be from the truth, as a part
+	// of it.
 	Length    time.Duration
+	MostOff   float64
 	Lease     *lease.Lessor
 	Store     store.Store
 	Receiver  Receiver
@@ -133,7 +141,7 @@
 	}
 	tallies := r.ask(ctx, w)
 	missing := r.missing(tallies, w)
-	if len(missing) > 0 && since < patience {
+	if len(missing) > 0 && since < patience && !(since >= briefPatience && r.tolerable(len(missing))) {
 		return nil
 	}
 	report := Report{Window: w, Counts: sum(tallies, w), Missing: missing, Said: saidBy(tallies, w)}
@@ -162,6 +170,11 @@
 	return nil
 }
 
+// tolerable reports whether so many missing hosts leave a report within its error.
+func (r *Reporter) tolerable(missing int) bool {
+	return float64(missing) <= tolerableShare*r.o.MostOff*float64(len(r.o.Hosts()))
+}
+
 // ask asks the collectors what they were told of a window; a run that told several counts
 // once, by its highest counts.
 func (r *Reporter) ask(ctx context.Context, w Window) []Tally {
--- a/coordination/usage/teller.go
+++ b/coordination/usage/teller.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +27,8 @@
 // Told is what a host tells a collector.
 type Told struct {
 	Tally Tally
+	// Others are what a collector that leaves was told by other hosts.
+	Others []Tally
 	// Own is the host's own clock.
 	Own time.Time
 }
@@ -76,11 +79,11 @@
 	Log       *slog.Logger
 }
 
-// Teller tells collectors what this host has counted.
+// Teller tells collectors what this host has counted. It is safe for concurrent use.
 type Teller struct {
 	o TellerOptions
 	// failing is the collector that didn't answer last; it is asked last.
-	failing string
+	failing atomic.Pointer[string]
 }
 
 // NewTeller validates the options.
@@ -111,8 +114,17 @@
 const recentWindows = 2
 
 // Tell tells a collector, and another if the first doesn't answer.
-func (t *Teller) Tell(ctx context.Context) {
-	told := Told{Tally: t.tally()}
+func (t *Teller) Tell(ctx context.Context) { t.tell(ctx, Told{Tally: t.tally()}, 1) }
+
+// Leave tells two collectors what this host has counted until its end, and what it was told
+// itself: hosts that end before it can't tell that again, and the collector that is told may
+// be the next to leave.
+func (t *Teller) Leave(ctx context.Context) {
+	t.tell(ctx, Told{Tally: t.tally(), Others: t.o.Collector.all()}, perDomain)
+}
+
+// tell tells so many collectors.
+func (t *Teller) tell(ctx context.Context, told Told, collectors int) {
 	t.o.Collector.Take(told.Tally) // this host may be a collector, or the only host that is left
 	for _, c := range t.order() {
 		told.Own = t.o.Time.Own()
@@ -122,15 +134,24 @@
 		if err == nil {
 			t.o.Time.Show(heard.Run, heard.Own)
 			t.o.Time.Tell(heard.Middle, heard.Of)
-			return
+			if collectors--; collectors == 0 {
+				return
+			}
+			continue
 		}
-		if t.failing != c.Addr {
+		if !t.fails(c.Addr) {
 			t.o.Log.Info("collector of usage not reached", "peer", c.Addr, "cause", err.Error())
 		}
-		t.failing = c.Addr
+		t.failing.Store(&c.Addr)
 	}
 }
 
+// fails reports whether the collector at an address didn't answer last.
+func (t *Teller) fails(addr string) bool {
+	failing := t.failing.Load()
+	return failing != nil && *failing == addr
+}
+
 // order are the collectors to tell: those of the own failure domain first, each host in an
 // order of its own so that they share the load, and one that failed last.
 func (t *Teller) order() []state.Peer {
@@ -140,7 +161,7 @@
 		if p.FailureDomain != t.o.Self.FailureDomain {
 			out |= 1 << 62
 		}
-		if p.Addr == t.failing {
+		if t.fails(p.Addr) {
 			out |= 1 << 63
 		}
 		return out
@@ -164,6 +185,9 @@
 // Answer takes what a host tells this one, as a collector.
 func (t *Teller) Answer(told Told) Heard {
 	t.o.Collector.Take(told.Tally)
+	for _, other := range told.Others {
+		t.o.Collector.Take(other)
+	}
 	t.o.Time.Show(told.Tally.Run, told.Own)
 	middle, of := t.o.Time.Middle()
 	return Heard{Run: t.o.Run, Own: t.o.Time.Own(), Middle: middle, Of: of}
--- a/coordination/usage/usage_test.go
+++ b/coordination/usage/usage_test.go
@@ -104,6 +104,52 @@
 	}
 }
 
+// All hosts are restarted in turn, collectors among them: what each has counted and was told
+// outlives it.
+func TestRestartsInTurnLoseNothing(t *testing.T) {
+	inFleet(t, 12, func(is *is.I, f *fleet, rng *rand.Rand) {
+		first := WindowAt(time.Now(), window) + 1
+		for _, h := range f.hosts {
+			f.load(rng, 1500*time.Millisecond)
+			h.leave()
+			f.load(rng, 0)
+			h.start()
+		}
+		f.load(rng, 25*time.Second)
+		windows, inTime, off := f.judge(first)
+		is.True(windows >= 4)
+		is.Equal(inTime, windows)
+		is.Equal(off, 0)
+		for w, counts := range f.receiver.taken {
+			if w >= first && w.End(window).Before(time.Now()) {
+				is.Equal(counts.Total(), f.truth[w].Total())
+			}
+		}
+	})
+}
+
+// A host that is gone for good and still listed doesn't hold reports up, unless it might have
+// counted more than may be missing.
+func TestFewMissingHostsHoldNoReportUp(t *testing.T) {
+	for _, c := range []struct {
+		hosts int
+		brief bool
+	}{{60, true}, {12, false}} {
+		inFleet(t, c.hosts, func(is *is.I, f *fleet, rng *rand.Rand) {
+			f.load(rng, 11*time.Second)
+			gone := f.hosts[len(f.hosts)-1]
+			gone.kill()
+			first := WindowAt(time.Now(), window) + 1
+			for end := time.Now().Add(25 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				f.hosts[rng.IntN(len(f.hosts)-1)].began("c")
+			}
+			for w := first; w < first+2; w++ {
+				is.Equal(f.receiver.at[w].Sub(w.End(window)) < patience, c.brief)
+			}
+		})
+	}
+}
+
 // victim is a host that has a part.
 func (f *fleet) victim(part string, rng *rand.Rand) *host {
 	f.receiver.mu.Lock()
--- a/daemon/routed/duties.go
+++ b/daemon/routed/duties.go
@@ -96,7 +96,7 @@
 	}
 	usages.Register(h.peerServer, h.teller, collector)
 	h.reporter, err = usage.NewReporter(usage.Options{
-		Length: window, Lease: h.lessor, Store: h.store, Receiver: h.duties, Peers: peers, Collector: collector,
+		Length: window, MostOff: h.s.Bounds.UsageOff, Lease: h.lessor, Store: h.store, Receiver: h.duties, Peers: peers, Collector: collector,
 		Self: h.members.self(), Run: h.id.String(), Hosts: h.members.All, Time: keeper, Clock: h.clock, Log: h.log,
 	})
 	return err
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -415,7 +415,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, graceMargin/2)
 	defer cancel()
-	h.teller.Tell(ctx)
+	h.teller.Leave(ctx)
 }
 
 // leave goes on serving until the balancer has turned away and every request is
--- a/transport/usages/usages.go
+++ b/transport/usages/usages.go
@@ -40,9 +40,26 @@
 	return out
 }
 
+func encodeAll(tallies []usage.Tally) []tally {
+	out := make([]tally, 0, len(tallies))
+	for _, t := range tallies {
+		out = append(out, encode(t))
+	}
+	return out
+}
+
+func decodeAll(tallies []tally) []usage.Tally {
+	out := make([]usage.Tally, 0, len(tallies))
+	for _, t := range tallies {
+		out = append(out, t.decode())
+	}
+	return out
+}
+
 // told is a usage.Told.
 type told struct {
-	Tally tally `msgpack:"t"`
+	Tally  tally   `msgpack:"t"`
+	Others []tally `msgpack:"h,omitempty"`
 	// OwnUS is the host's own clock, in Unix microseconds.
 	OwnUS int64 `msgpack:"o"`
 }
@@ -68,15 +85,11 @@
 // Register lets the server answer hosts that tell their counts, and the one that asks for them.
 func Register(s *peer.Server, t *usage.Teller, c *usage.Collector) {
 	s.Handle(peerapi.KindTellUsage, peer.HandleMsg(func(_ context.Context, _ state.HostID, m told) (heard, error) {
-		h := t.Answer(usage.Told{Tally: m.Tally.decode(), Own: time.UnixMicro(m.OwnUS)})
+		h := t.Answer(usage.Told{Tally: m.Tally.decode(), Others: decodeAll(m.Others), Own: time.UnixMicro(m.OwnUS)})
 		return heard{Run: h.Run, OwnUS: h.Own.UnixMicro(), MiddleUS: h.Middle.UnixMicro(), Of: h.Of}, nil
 	}))
 	s.Handle(peerapi.KindAskUsage, peer.HandleMsg(func(_ context.Context, _ state.HostID, q question) (answer, error) {
-		var out answer
-		for _, t := range c.Told(usage.Window(q.Window)) {
-			out.Tallies = append(out.Tallies, encode(t))
-		}
-		return out, nil
+		return answer{encodeAll(c.Told(usage.Window(q.Window)))}, nil
 	}))
 }
 
@@ -87,7 +100,7 @@
 
 // Tell implements usage.Peers.
 func (p Peers) Tell(ctx context.Context, addr string, t usage.Told) (usage.Heard, error) {
-	h, err := peer.CallMsg[told, heard](ctx, p.Client, addr, peerapi.KindTellUsage, told{Tally: encode(t.Tally), OwnUS: t.Own.UnixMicro()})
+	h, err := peer.CallMsg[told, heard](ctx, p.Client, addr, peerapi.KindTellUsage, told{Tally: encode(t.Tally), Others: encodeAll(t.Others), OwnUS: t.Own.UnixMicro()})
 	if err != nil {
 		return usage.Heard{}, err
 	}
@@ -100,9 +113,5 @@
 	if err != nil {
 		return nil, err
 	}
-	out := make([]usage.Tally, 0, len(a.Tallies))
-	for _, t := range a.Tallies {
-		out = append(out, t.decode())
-	}
-	return out, nil
+	return decodeAll(a.Tallies), nil
 }
