Let the first split wait for engines that leave, not for those that come

Change: it waits while many engines are about to leave, or none of the plan is there yet. Ruled out: capacity (the same numbers of engines).

--- a/coordination/scale/manager.go
+++ b/coordination/scale/manager.go
@@ -124,24 +124,27 @@
 	}
 }
 
-// Resizing reports whether the number of a service's runners is about to change by what this
-// host has ordered, or is about to order for the first time in a term.
+// Resizing reports whether many of a service's runners are about to leave by what this host has
+// ordered, or is about to order for the first time in a term.
 func (m *Manager) Resizing(service string) bool {
 	_, is := m.resizing.Load(service)
 	return is
 }
 
-// noteResizing notes whether what takes work differs from the plan, as long as orders may still
-// bring it about.
-func (m *Manager) noteResizing(spec state.ServiceSpec, s *service, plan, serving Numbers, now time.Time) {
-	for p, want := range plan {
-		under := now.Sub(s.orderedAt[p]) <= spec.Scale.Boot+settle
-		if serving[p] != want && under {
-			m.resizing.Store(spec.Name, true)
+// noteResizing notes whether runners that take work are about to leave, or nothing of the plan
+// takes work yet. Those that are still to come needn't be waited for.
+func (m *Manager) noteResizing(service string, plan, serving Numbers) {
+	arrived := false
+	for p, n := range serving {
+		if n > plan[p]+spotSlack {
+			m.resizing.Store(service, true)
 			return
 		}
+		arrived = arrived || (n > 0 && plan[p] > 0)
+	}
+	if arrived {
+		m.resizing.Delete(service)
 	}
-	m.resizing.Delete(spec.Name)
 }
 
 // serve compares one service's numbers with the plan.
@@ -174,7 +177,7 @@
 	for _, p := range places(spec.Scale) {
 		m.approach(ctx, spec, s, p, plan, serving, listed, now)
 	}
-	m.noteResizing(spec, s, plan, serves, now)
+	m.noteResizing(spec.Name, plan, serves)
 }
 
 func later(a, b time.Time) time.Time {
--- a/coordination/scale/manager_test.go
+++ b/coordination/scale/manager_test.go
@@ -315,3 +315,16 @@
 		is.True(n.total() >= 84)
 	})
 }
+
+// Roles wait for engines that are about to leave, and not for those that are still to come.
+func TestResizingEndsOnceNobodyIsAboutToLeave(t *testing.T) {
+	is := is.New(t)
+	m := &Manager{}
+	plan := Numbers{{"nord", Spot}: 29, {"sud", Spot}: 29}
+	m.noteResizing("llm", plan, Numbers{{"nord", OnDemand}: 19, {"sud", OnDemand}: 19})
+	is.True(m.Resizing("llm"))
+	m.noteResizing("llm", plan, Numbers{{"nord", OnDemand}: 19, {"nord", Spot}: 19, {"sud", Spot}: 19})
+	is.True(m.Resizing("llm"))
+	m.noteResizing("llm", plan, Numbers{{"nord", Spot}: 19, {"sud", Spot}: 19})
+	is.True(!m.Resizing("llm"))
+}
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -86,7 +86,7 @@
 	Instances func(service string) []state.Instance
 	// Share is the share of a service's engines that read prompts at first.
 	Share float64
-	// Resizing reports that the number of a service's engines is about to change.
+	// Resizing reports that many of a service's engines are about to leave.
 	Resizing func(service string) bool
 	// Announce tells all hosts which engines are about to change, before they are
 	// ordered to.
