--- a/soak/caller.go
+++ b/soak/caller.go
@@ -20,8 +20,10 @@
 	kind    platformtest.Kind
 	version uint64
 	host    string
-	began   time.Time
-	ended   time.Time
+	// key is shown, and customer has or had it.
+	key, customer string
+	began         time.Time
+	ended         time.Time
 	// status is 0 if no head of an answer came.
 	status int
 	body   string
@@ -78,6 +80,8 @@
 
 func (c *caller) ask(kind platformtest.Kind, id string) result {
 	r := result{id: id, kind: kind, began: time.Now()}
+	r.key = c.f.keys.choose(customerName(c.n), c.rng)
+	_, r.customer, _ = strings.Cut(r.key, "-of-")
 	if kind == platformtest.KindProbe {
 		r.version = 1 + c.rng.Uint64N(c.f.version.Load())
 	}
@@ -104,7 +108,9 @@
 // exchange sends the request and reads the answer; an error leaves the
 // connection unusable.
 func (c *caller) exchange(r *result) error {
-	return c.send(r, platformtest.Request(r.kind, r.version, r.id, deadline))
+	req := platformtest.Request(r.kind, r.version, r.id, deadline)
+	platformtest.ShowKey(req, r.key)
+	return c.send(r, req)
 }
 
 func (c *caller) send(r *result, req *fasthttp.Request) error {
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -27,7 +27,7 @@
 
 // fatalRequest sends copies of a request that ends whatever runs it, each at any host.
 func (f *fleet) fatalRequest() {
-	defer f.disturb(true)()
+	defer f.disturb(true, false)()
 	rng := rand.New(rand.NewPCG(f.o.seed, 7))
 	kinds := []platformtest.Kind{platformtest.KindOnce, platformtest.KindUnsafe, platformtest.KindResume, platformtest.KindSafe}
 	kind := kinds[rng.IntN(len(kinds))]
@@ -42,7 +42,8 @@
 
 // askFatal sends one copy over a connection of its own.
 func (f *fleet) askFatal(h *host, kind platformtest.Kind, id string) result {
-	r := result{id: id, kind: kind, host: h.incarnation(), began: time.Now()}
+	r := result{id: id, kind: kind, host: h.incarnation(), began: time.Now(), customer: fatalCustomer}
+	r.key = f.keys.newest(fatalCustomer)
 	defer func() { r.ended = time.Now() }()
 	conn, err := net.DialTimeout("tcp4", h.addrs.Caller(), time.Second)
 	if err != nil {
@@ -52,7 +53,9 @@
 	defer conn.Close()
 	r.dialled = true
 	c := caller{f: f, conn: conn, br: bufio.NewReader(conn), host: h}
-	if r.err = c.send(&r, platformtest.Fatal(kind, string(kind), id, deadline)); r.err == nil && r.status == fasthttp.StatusOK && r.whole {
+	req := platformtest.Fatal(kind, string(kind), id, deadline)
+	platformtest.ShowKey(req, r.key)
+	if r.err = c.send(&r, req); r.err == nil && r.status == fasthttp.StatusOK && r.whole {
 		f.problem("request %s ends its runners and was answered", id)
 	}
 	r.ended = time.Now()
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -32,6 +32,8 @@
 	rng     *rand.Rand
 	store   *platformtest.Store
 	ledger  *platformtest.Ledger
+	duties  *platformtest.Duties
+	keys    *keyring
 	hosts   []*host
 	version atomic.Uint64
 	began   time.Time
@@ -74,7 +76,7 @@
 // play runs one seed and returns what broke.
 func play(o options) ([]string, []string, error) {
 	f := &fleet{
-		o: o, rng: rand.New(rand.NewPCG(o.seed, 1)), ledger: platformtest.NewLedger(),
+		o: o, rng: rand.New(rand.NewPCG(o.seed, 1)), ledger: platformtest.NewLedger(), keys: newKeyring(o.callers),
 		inForce: map[string]uint64{}, written: map[uint64]time.Time{}, began: time.Now(),
 	}
 	if err := f.build(); err != nil {
@@ -103,6 +105,7 @@
 	callers.Wait()
 	f.judgeRuns()
 	f.judgeFatal()
+	f.judgeDuties()
 	f.recovered(proven)
 	f.stop()
 	stopped = true
@@ -116,6 +119,9 @@
 	if f.store, err = platformtest.NewStore(net.JoinHostPort(f.ip(1), "0")); err != nil {
 		return err
 	}
+	if f.duties, err = platformtest.NewDuties(net.JoinHostPort(f.ip(1), "0"), f.heldBack); err != nil {
+		return err
+	}
 	f.putConfig()
 	for range 3 {
 		if err := f.addRunner(platformtest.ServicePlain, ""); err != nil {
@@ -145,7 +151,7 @@
 		return err
 	}
 	a := platformtest.HostAddrs{
-		Name: fmt.Sprint("host-", i), IP: f.ip(10 + i), Domain: fmt.Sprint("domain-", i%3), Store: link.addr(),
+		Name: fmt.Sprint("host-", i), IP: f.ip(10 + i), Domain: fmt.Sprint("domain-", i%3), Store: link.addr(), Duties: f.duties.Addr(),
 		Seeds: []string{net.JoinHostPort(f.ip(10), "1"), net.JoinHostPort(f.ip(11), "1")},
 	}
 	h := &host{addrs: a, bin: f.o.bin, dir: f.o.dir, store: link, problem: f.problem}
@@ -178,7 +184,7 @@
 	f.mu.Lock()
 	f.written[v] = time.Now()
 	f.mu.Unlock()
-	f.store.Put(platformtest.KindConfig, platformtest.ConfigName, platformtest.Config(v))
+	f.store.Put(platformtest.KindConfig, platformtest.ConfigName, platformtest.KeyedConfig(v, f.keys.present(), []string{"domain-0", "domain-1", "domain-2"}))
 	f.version.Store(v)
 }
 
@@ -295,4 +301,5 @@
 		r.link.close()
 	}
 	f.store.Close()
+	f.duties.Close()
 }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -17,13 +17,16 @@
 	from, to time.Time
 	// runners says that hosts and store are well.
 	runners bool
+	// late says that calls under the lease of the duties may be held back.
+	late bool
 }
 
-// disturb notes a disturbance, of runners alone or not; the returned function ends it.
-func (f *fleet) disturb(runners bool) (end func()) {
+// disturb notes a disturbance, of runners alone or not, that may hold calls under the lease
+// back or not; the returned function ends it.
+func (f *fleet) disturb(runners, late bool) (end func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.spans = append(f.spans, &span{from: time.Now(), runners: runners})
+	f.spans = append(f.spans, &span{from: time.Now(), runners: runners, late: late})
 	s := f.spans[len(f.spans)-1]
 	return func() {
 		f.mu.Lock()
@@ -115,6 +118,9 @@
 // judgeUndisturbed checks that planned work alone loses no request.
 func (f *fleet) judgeUndisturbed(r result) {
 	switch {
+	case r.status == 401 && f.keys.revokedAt(r.key).IsZero() && !f.keys.isNew(r.key, r.began):
+		f.problem("request %s shows a key that holds and is told that it doesn't", r.id)
+		return
 	case !r.dialled, r.whole && r.status < 500, r.status == 503:
 		return
 	case r.status == 0 && len(f.ledger.Runs(r.id)) == 0:
@@ -127,6 +133,7 @@
 func (f *fleet) judgeRuns() {
 	for _, r := range f.results {
 		runs := f.ledger.Runs(r.id)
+		f.judgeKey(r, runs)
 		if (r.status == 503 || r.status == 429) && len(runs) > 0 {
 			f.problem("request %s was told %d, not run, and ran at %s", r.id, r.status, runs[0].Runner)
 		}
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -16,7 +16,9 @@
 	planned bool
 	// runners says that it disturbs no host and not the store.
 	runners bool
-	do      func(f *fleet, rng *rand.Rand) error
+	// late says that it may hold calls under the lease of the duties back.
+	late bool
+	do   func(f *fleet, rng *rand.Rand) error
 }
 
 // lasting makes an action of a fault that is set and taken back.
@@ -29,6 +31,12 @@
 	}}
 }
 
+// holding marks an action that may hold calls under the lease of the duties back.
+func holding(a action) action {
+	a.late = true
+	return a
+}
+
 func (f *fleet) anyHost(rng *rand.Rand) *host { return f.hosts[rng.IntN(len(f.hosts))] }
 
 // actions are all that may happen to a fleet.
@@ -41,6 +49,12 @@
 		}
 		return nil
 	}},
+	{name: "key revoked", planned: true, do: func(f *fleet, rng *rand.Rand) error { f.revokeKey(rng); return nil }},
+	holding(lasting("interface of the duties in trouble", func(f *fleet, rng *rand.Rand) func() {
+		faults := []platformtest.DutiesFault{platformtest.DutiesSlow, platformtest.DutiesSilent, platformtest.DutiesBusy, platformtest.DutiesDry}
+		f.duties.SetFault(faults[rng.IntN(len(faults))])
+		return func() { f.duties.SetFault(platformtest.DutiesSound) }
+	})),
 	{name: "host terminated", planned: true, do: func(f *fleet, rng *rand.Rand) error { return f.anyHost(rng).terminate() }},
 	{name: "settings reloaded", planned: true, do: func(f *fleet, rng *rand.Rand) error {
 		f.anyHost(rng).signal(syscall.SIGHUP)
@@ -51,11 +65,11 @@
 	{name: "host killed", do: func(f *fleet, rng *rand.Rand) error {
 		return f.anyHost(rng).kill(time.Duration(rng.IntN(1500)) * time.Millisecond)
 	}},
-	lasting("host paused", func(f *fleet, rng *rand.Rand) func() {
+	holding(lasting("host paused", func(f *fleet, rng *rand.Rand) func() {
 		h := f.anyHost(rng)
 		h.signal(syscall.SIGSTOP)
 		return func() { h.signal(syscall.SIGCONT) }
-	}),
+	})),
 	lasting("host cut off from the store", func(f *fleet, rng *rand.Rand) func() {
 		link := f.anyHost(rng).store
 		link.set([]linkFault{linkSilent, linkOneWay, linkReset, linkDelayed}[rng.IntN(4)])
@@ -119,7 +133,7 @@
 
 func (f *fleet) act(a action, rng *rand.Rand) {
 	if !a.planned {
-		defer f.disturb(a.runners)()
+		defer f.disturb(a.runners, a.late)()
 	}
 	if err := a.do(f, rng); err != nil {
 		f.problem("%s: %v", a.name, err)
