Keep engines generating by their use when engines are lost

The share follows the load within ten seconds and more; a loss is there at once. Two ways: the share alone (stands); the share, but no fewer generating engines than the recent peak of their load fills, ordered without waiting (kept).

--- a/coordination/stages/demand.go
+++ b/coordination/stages/demand.go
@@ -104,6 +104,12 @@
 	return true
 }
 
+// inUse is how many of n engines the recent peak of generation fills, half of them at most.
+// When engines are lost, so many of the rest go on generating whatever the share says: answers
+// under way take seconds, and callers whose questions find no slot are refused, while prompts
+// that wait are read late.
+func (d *demand) inUse(n int) int { return min(int(math.Ceil(d.peak)), n/2) }
+
 // hold is how long the present share stands at least against a wish to move engines.
 func (d *demand) hold(moved int) time.Duration {
 	if d.moved || (moved > 0 && d.mean.generating <= generatingGross) {
--- a/coordination/stages/demand_test.go
+++ b/coordination/stages/demand_test.go
@@ -239,3 +239,15 @@
 	_, ok := m.sample(t.Context(), listed)
 	is.True(!ok) // none generates
 }
+
+// Two failure domains' engines are taken back at once: of 86 engines 28 are left, and of those
+// the share would leave ten to generate what filled fourteen a moment ago.
+func TestGeneratingEnginesFollowTheirUseWhenEnginesAreLost(t *testing.T) {
+	is := is.New(t)
+	d := newDemand(0.64)
+	d.note(time.Unix(100, 0), sample{generating: 0.45, waiting: 0}, 86, 55)
+	is.Equal(d.inUse(86), 14)
+	is.Equal(d.inUse(28), 14)
+	is.Equal(d.inUse(20), 10) // prompts are read all the same
+	is.Equal(newDemand(0.64).inUse(28), 0)
+}
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -204,6 +204,7 @@
 		m.stood[service] = m.followed
 	}
 	want := Target(len(engines), m.share(ctx, service, engines, now))
+	want = min(want, len(engines)-m.demand[service].inUse(len(engines)))
 	if m.o.Lease.Silent() || (!m.stood[service] && m.o.Resizing(service)) {
 		return
 	}
@@ -217,11 +218,12 @@
 	if len(changes) == 0 {
 		m.stood[service] = true
 	}
-	if len(changes) == 0 || (m.stood[service] && len(changes) <= tolerance && !m.starved(engines)) {
+	short := m.starved(engines) || len(engines)-prefilling(m.asOrdered(engines)) < m.demand[service].inUse(len(engines))
+	if len(changes) == 0 || (m.stood[service] && len(changes) <= tolerance && !short) {
 		delete(m.since, service)
 		return
 	}
-	if m.stood[service] && !m.settled(service, now) {
+	if m.stood[service] && !short && !m.settled(service, now) {
 		return
 	}
 	m.change(ctx, changes, now)
