Ask a store that is away less, and take turns to look for a lease at the start

Change: hosts whose relays have all lost the store ask it 20 times a second together; questions about keys that fail rest for twice as long each time, up to 4 s; a host looks for the lease at its start once it is one of the few that look often. Ruled out: no questions at all while relays have lost the store (they may be turned away, and a host not).

--- a/coordination/auth/auth.go
+++ b/coordination/auth/auth.go
@@ -20,9 +20,10 @@
 	// answers in some milliseconds; callers of the shortest deadlines (0.6 s) can still go
 	// to another host afterwards.
 	askTimeout = 300 * time.Millisecond
-	// askAgain is the pause after a question that failed: a store that is unavailable
-	// gets one a second from each host that has callers.
+	// askAgain is the pause after a question that failed, twice as long after each further one
+	// in a row up to askMost: what follows the store asks it anyway.
 	askAgain = time.Second
+	askMost  = 4 * time.Second
 	// askEarly is the part of the bound after which the store is asked ahead of need, so that
 	// requests needn't wait for it: what keeps the copies up to date renews a proof within
 	// half of the bound unless a relay was lost.
@@ -104,6 +105,8 @@
 	asking atomic.Pointer[question]
 	// failedAt is when the last question failed, in nanoseconds since made; 0 for never.
 	failedAt atomic.Int64
+	// failures is how many failed in a row.
+	failures atomic.Int64
 	made     time.Time
 	// unproven is set while keyed requests are refused for want of a proof.
 	unproven atomic.Bool
@@ -244,7 +247,7 @@
 			return q, false
 		}
 		since := int64(c.o.Clock.Now().Sub(c.made))
-		if failed := c.failedAt.Load(); failed != 0 && since-failed < int64(askAgain) {
+		if failed := c.failedAt.Load(); failed != 0 && since-failed < int64(c.rest()) {
 			return nil, false
 		}
 		q := &question{done: make(chan struct{})}
@@ -254,12 +257,20 @@
 	}
 }
 
+// rest is the pause after the last failures.
+func (c *Checker) rest() time.Duration {
+	return min(askAgain<<min(max(0, c.failures.Load()-1), 8), askMost)
+}
+
 // answer asks the store. The question is no caller's alone, so that none of them ends it.
 func (c *Checker) answer(q *question) {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	q.err = c.o.Ask(ctx)
-	if q.err != nil {
+	if q.err == nil {
+		c.failures.Store(0)
+	} else {
+		c.failures.Add(1)
 		c.failedAt.Store(int64(c.o.Clock.Now().Sub(c.made)))
 		c.o.Log.Info("the store didn't tell whether keys hold", "cause", q.err.Error())
 	}
--- a/coordination/fanout/source.go
+++ b/coordination/fanout/source.go
@@ -8,10 +8,13 @@
 )
 
 const (
-	// reachEvery is the pause between two questions to the store of a host whose relays all
-	// say that they lost it: those ask it every second, and tell of its return.
-	reachEvery   = 2 * time.Second
-	reachTimeout = 500 * time.Millisecond
+	// reachEvery is the shortest pause between two questions to the store of a host whose relays
+	// all say that they lost it: those ask it every second, and tell of its return. All such
+	// hosts together ask reachPerSecond times a second, reachMost apart each at most.
+	reachEvery     = 2 * time.Second
+	reachMost      = 8 * time.Second
+	reachPerSecond = 20
+	reachTimeout   = 500 * time.Millisecond
 )
 
 // followStore begins to follow the store, unless this host does already.
@@ -66,7 +69,8 @@
 		_ = n.o.Clock.Sleep(ctx, checkEvery)
 		return
 	}
-	n.reachAt = now.Add(reachEvery*3/4 + time.Duration(n.o.Rand.Int64N(int64(reachEvery/2))))
+	every := min(max(reachEvery, time.Duration(len(n.plannedOf))*time.Second/reachPerSecond), reachMost)
+	n.reachAt = now.Add(every*3/4 + time.Duration(n.o.Rand.Int64N(int64(every/2))))
 	bounded, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	for _, m := range n.o.Copies {
--- a/coordination/lease/run.go
+++ b/coordination/lease/run.go
@@ -12,6 +12,9 @@
 // TTL, or as often as LookEvery says; a platform that gives no answer is asked again
 // at the same pace.
 func (l *Lessor) Acquire(ctx context.Context) error {
+	if err := l.awaitTurn(ctx); err != nil {
+		return err
+	}
 	for {
 		held, err := l.Try(ctx)
 		if held {
@@ -27,6 +30,29 @@
 	}
 }
 
+// awaitTurn waits before the first look until this host is one of the few that look often, or
+// its first pause is over: the first looks of all hosts that start together would cost as much
+// as their looks of minutes.
+func (l *Lessor) awaitTurn(ctx context.Context) error {
+	if l.opts.LookEvery == nil {
+		return nil
+	}
+	began := l.opts.Clock.Now()
+	for {
+		every := l.opts.LookEvery()
+		if every <= l.opts.TTL || l.opts.Clock.Now().Sub(began) >= every-every/spreadPart {
+			return nil
+		}
+		if err := l.opts.Clock.Sleep(ctx, turnPoll); err != nil {
+			return err
+		}
+	}
+}
+
+// turnPoll is how often a host that has just started asks whether it is its turn to look: a
+// holder that restarts goes on almost at once.
+const turnPoll = 200 * time.Millisecond
+
 // untilDue waits until a waiter's next look is due.
 func (l *Lessor) untilDue(ctx context.Context) error {
 	looked := l.opts.Clock.Now()
