--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -397,8 +397,7 @@
 	h.serve(work, listeners)
 	<-stop.Done()
 	resign()
-	h.leave()
-	h.tellLast(work)
+	h.leave(work)
 	end()
 	h.ended()
 	h.peers.Close()
@@ -408,35 +407,29 @@
 	return nil
 }
 
-// tellLast tells the others what this host has counted until its end.
-func (h *Host) tellLast(ctx context.Context) {
-	if h.teller == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, graceMargin/2)
-	defer cancel()
-	h.teller.Leave(ctx)
-}
-
 // leave goes on serving until the balancer has turned away and every request is
 // answered.
-func (h *Host) leave() {
+func (h *Host) leave(work context.Context) {
 	h.log.Info("leaving", "grace", h.s.Bounds.Grace)
 	h.ready.leave()
 	h.fanout.Leave()
 	began := h.clock.Now()
 	end := h.s.Bounds.Grace - graceMargin
 	h.gateway.Leave(gateway.Departure{TurnedAway: began.Add(turnedAway), End: began.Add(end)})
-	for {
-		time.Sleep(drainPoll)
-		waited := h.clock.Now().Sub(began)
-		if waited >= turnedAway {
-			h.gateway.CloseUnused()
-		}
-		idle := h.gateway.Active() == 0
-		if waited >= end || (idle && waited >= unreadyFor) {
-			h.log.Info("left", "waited", waited, "open", h.gateway.Active())
-			return
-		}
+	d := departure{
+		clock: h.clock, end: end, active: h.gateway.Active, closeUnused: h.gateway.CloseUnused,
+		last: func() { h.tellLast(work) },
 	}
+	waited := d.wait()
+	h.log.Info("left", "waited", waited, "open", h.gateway.Active())
+}
+
+// tellLast tells the others what this host has counted until its end.
+func (h *Host) tellLast(ctx context.Context) {
+	if h.teller == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, graceMargin/2)
+	defer cancel()
+	h.teller.Leave(ctx)
 }
