Tell collectors what changed; on-demand runners leave before a first caller; shorter own silence

Cause: (1) a host told 1.5 KB twice a second, mostly what its collector knew. Ruled out: (2) without the operator's word (callers would meet no engine for a boot's time). Traced: the test of lost hosts failed with (1) since its killed hosts went on answering until they were started again; they are out of reach now.

--- a/cmd/thymerackd/main.go
+++ b/cmd/thymerackd/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 
@@ -25,12 +26,13 @@
 	Set         []string `arg:"-s,--set,separate" placeholder:"SECTION.KEY=VALUE" help:"override one setting; may be repeated"`
 	CheckConfig bool     `arg:"--check-config" help:"check the settings and exit"`
 
-	Platform     bool    `arg:"--platform" help:"serve the routes of the users' platform, whose settings file the environment names"`
-	MetricsPort  int     `arg:"--metrics-port" help:"port of the metrics with --platform; 0 serves none" default:"0"`
-	PrefillShare float64 `arg:"--prefill-share" help:"share of a service's engines that read prompts, with --platform" default:"0.64"`
-	SplitTokens  int     `arg:"--split-tokens" help:"prompt size from which a prompt is read at an engine of its own, with --platform" default:"600"`
-	RunnerNeed   float64 `arg:"--runner-need" help:"runners that carry the load, as a share of those that the deployment starts with, with --platform" default:"1"`
-	LogLevel     string  `arg:"--log-level" help:"debug, info, warn or error, with --platform" default:"info"`
+	Platform     bool          `arg:"--platform" help:"serve the routes of the users' platform, whose settings file the environment names"`
+	MetricsPort  int           `arg:"--metrics-port" help:"port of the metrics with --platform; 0 serves none" default:"0"`
+	PrefillShare float64       `arg:"--prefill-share" help:"share of a service's engines that read prompts, with --platform" default:"0.64"`
+	SplitTokens  int           `arg:"--split-tokens" help:"prompt size from which a prompt is read at an engine of its own, with --platform" default:"600"`
+	RunnerNeed   float64       `arg:"--runner-need" help:"runners that carry the load, as a share of those that the deployment starts with, with --platform" default:"1"`
+	FirstTraffic time.Duration `arg:"--first-traffic" help:"time after a deployment's first start before which no caller comes, as 14s, with --platform; 0 if callers may come at once"`
+	LogLevel     string        `arg:"--log-level" help:"debug, info, warn or error, with --platform" default:"info"`
 }
 
 // Description implements arg.Described.
@@ -96,7 +98,7 @@
 		return err
 	}
 	h, err := routed.New(routed.Options{
-		Settings: s, Log: log, MetricsPort: f.MetricsPort, PrefillShare: f.PrefillShare, SplitTokens: f.SplitTokens, RunnerNeed: f.RunnerNeed,
+		Settings: s, Log: log, MetricsPort: f.MetricsPort, PrefillShare: f.PrefillShare, SplitTokens: f.SplitTokens, RunnerNeed: f.RunnerNeed, FirstTraffic: f.FirstTraffic,
 		LinesDropped: out.Dropped,
 	})
 	if err != nil {
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -114,8 +114,10 @@
 	seenAt time.Time
 	writes uint64
 
-	mu   sync.Mutex // guards term
+	mu   sync.Mutex // guards term and permittedAt
 	term term
+	// permittedAt is when this run last permitted a call.
+	permittedAt time.Time
 }
 
 // term is what is known of the time for which the lease is held.
@@ -182,6 +184,8 @@
 	readable := json.Unmarshal(obj.Value, &r) == nil
 	own := readable && l.own(r)
 	switch {
+	case readable && r.Holder == l.opts.Holder:
+		return l.take(ctx, obj.Version, true, l.callsEndIn(now))
 	case own:
 		return l.take(ctx, obj.Version, true, l.opts.CallTime)
 	case l.lapsed(obj, now):
@@ -192,6 +196,13 @@
 	return false, nil
 }
 
+// callsEndIn is how long the last call of this run may still be on its way.
+func (l *Lessor) callsEndIn(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, l.permittedAt.Add(l.opts.CallTime).Sub(now))
+}
+
 // own reports whether this run or an earlier one on this machine wrote the record last.
 func (l *Lessor) own(r record) bool {
 	return r.Holder == l.opts.Holder || (l.opts.Machine != "" && r.Machine == l.opts.Machine)
@@ -230,14 +241,17 @@
 // never will when those of the later one begin: a holder makes none once its last renewal is
 // TTL - Apart old. Others take the lease over once they have seen it unchanged for the TTL,
 // and keep silence for CallTime then, as the next run on the same machine does, which may find
-// a call of the last one still under way; a lease that was released is taken at once, so that
+// a call of the last one still under way, and the same run while one of its own may be; a lease that was released is taken at once, so that
 // silence is longer by Apart. The number is the version of the object at the write that began
 // the term, which no other write has.
 func (l *Lessor) Permit() (fence uint64, err error) {
-	t, now := l.present(), l.opts.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t, now := l.term, l.opts.Clock.Now()
 	if t.held == store.Absent || now.Before(t.silentUntil) || now.Sub(t.renewedAt) >= l.opts.TTL-l.opts.Apart {
 		return 0, ErrNoCall
 	}
+	l.permittedAt = now
 	return t.fence, nil
 }
 
--- a/coordination/scale/manager.go
+++ b/coordination/scale/manager.go
@@ -63,6 +63,9 @@
 	// NeedShare is the number of runners that carry the load, as a share of those that a
 	// deployment starts with.
 	NeedShare float64
+	// QuietUntil is before when no caller comes, as at the first start of a deployment; zero if
+	// that isn't known.
+	QuietUntil time.Time
 }
 
 // Manager orders numbers of runners while it holds the lease. Hold alone uses it, but for
@@ -262,7 +265,7 @@
 		have = serving[p]
 	}
 	if want < have {
-		want = have - s.mayLeave(spec.Scale, p, have-want, plan, serving, listed)
+		want = have - m.mayLeave(s, spec.Scale, p, have-want, plan, serving, listed, now)
 	}
 	lost := s.lost(spec.Scale, p, want, serving, listed, now)
 	if (known && want == have && !lost) || (!known && want == listed[p]) || now.Before(s.pauseUntil[p]) {
@@ -279,10 +282,13 @@
 // without: none that the load needs, no on-demand ones before the spot runners that the
 // plan has in their place serve, as far as there is room for these beside them, and of spot
 // runners no few, which come and go by themselves.
-func (s *service) mayLeave(spec *state.ScaleSpec, p Place, leaving int, plan, serving, listed Numbers) int {
+func (m *Manager) mayLeave(s *service, spec *state.ScaleSpec, p Place, leaving int, plan, serving, listed Numbers, now time.Time) int {
 	if p.Kind == Spot && leaving <= spotSlack {
 		return 0
 	}
+	if p.Kind == OnDemand && now.Add(spec.Boot+settle).Before(m.o.QuietUntil) && s.granted(plan) {
+		return leaving // others serve before the first caller comes
+	}
 	if p.Kind == OnDemand {
 		for d := range spec.DomainPrices {
 			room := spec.MaxPerDomain - listed[Place{d, OnDemand}]
@@ -294,6 +300,16 @@
 	return max(0, min(leaving, serving.total()-s.need))
 }
 
+// granted reports whether the spot runners of a plan were ordered and are to be had.
+func (s *service) granted(plan Numbers) bool {
+	for p, n := range plan {
+		if p.Kind == Spot && s.ordered[p] < n {
+			return false
+		}
+	}
+	return true
+}
+
 // lost reports whether ordered spot runners are missing and are to be ordered again: they were
 // taken back, which is known from those that leave unasked, or never booted.
 func (s *service) lost(spec *state.ScaleSpec, p Place, want int, serving, listed Numbers, now time.Time) bool {
--- a/coordination/scale/manager_test.go
+++ b/coordination/scale/manager_test.go
@@ -328,3 +328,23 @@
 	m.noteResizing("llm", plan, Numbers{{"nord", Spot}: 19, {"sud", Spot}: 19})
 	is.True(!m.Resizing("llm"))
 }
+
+// Before the first caller of a deployment comes nobody is served, and on-demand runners needn't
+// wait for those that take their place; once it may have come, they do.
+func TestOnDemandRunnersLeaveAtOnceBeforeTheFirstCaller(t *testing.T) {
+	is := is.New(t)
+	spec := threeDomains()
+	plan := Numbers{{"nord", Spot}: 29, {"sud", Spot}: 29, {"depot", Spot}: 29}
+	serving := Numbers{{"nord", OnDemand}: 19, {"sud", OnDemand}: 19, {"depot", OnDemand}: 19}
+	start := time.Unix(1000, 0)
+	m := &Manager{o: Options{QuietUntil: start.Add(12 * time.Second)}}
+	leaving := func(ordered Numbers, at time.Duration) int {
+		s := &service{need: 57, ordered: ordered}
+		return m.mayLeave(s, &spec, Place{"nord", OnDemand}, 19, plan, serving, serving, start.Add(at))
+	}
+	is.Equal(leaving(plan, 6*time.Second), 19)
+	is.Equal(leaving(Numbers{{"nord", Spot}: 29}, 6*time.Second), 0) // the others weren't granted
+	is.Equal(leaving(plan, 7*time.Second), 0)                        // they would serve after that
+	m.o.QuietUntil = time.Time{}
+	is.Equal(leaving(plan, 6*time.Second), 0)
+}
--- a/coordination/usage/fleet_test.go
+++ b/coordination/usage/fleet_test.go
@@ -162,6 +162,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	f.set(f.cut, h.self.Addr, false)
 	h.mu.Lock()
 	h.run, h.counter, h.teller, h.collector = run, counter, teller, collector
 	h.mu.Unlock()
@@ -183,12 +184,12 @@
 	h.ended.Wait()
 }
 
-// kill ends the present run without a word: nobody hears of what it does on its way out.
+// kill ends the present run without a word: nobody hears of what it does on its way out, nor
+// of the host until another run begins.
 func (h *host) kill() {
 	h.f.set(h.f.cut, h.self.Addr, true)
 	h.stop()
 	h.ended.Wait()
-	h.f.set(h.f.cut, h.self.Addr, false)
 }
 
 // began has a request begin at the host now.
--- a/coordination/usage/teller.go
+++ b/coordination/usage/teller.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -84,6 +85,16 @@
 	o TellerOptions
 	// failing is the collector that didn't answer last; it is asked last.
 	failing atomic.Pointer[string]
+
+	mu sync.Mutex
+	// known is what the collector that answered last knows.
+	known knowledge
+}
+
+// knowledge is how many requests of each window a run of a collector was told.
+type knowledge struct {
+	addr, run string
+	windows   map[Window]uint64
 }
 
 // NewTeller validates the options.
@@ -123,15 +134,18 @@
 	t.tell(ctx, Told{Tally: t.tally(), Others: t.o.Collector.all()}, perDomain)
 }
 
-// tell tells so many collectors.
-func (t *Teller) tell(ctx context.Context, told Told, collectors int) {
-	t.o.Collector.Take(told.Tally) // this host may be a collector, or the only host that is left
+// tell tells so many collectors what each doesn't know yet.
+func (t *Teller) tell(ctx context.Context, whole Told, collectors int) {
+	t.o.Collector.Take(whole.Tally) // this host may be a collector, or the only host that is left
 	for _, c := range t.order() {
+		told := whole
+		told.Tally.Windows = t.news(c.Addr, whole.Tally.Windows)
 		told.Own = t.o.Time.Own()
 		bounded, cancel := context.WithTimeout(ctx, tellTimeout)
 		heard, err := t.o.Peers.Tell(bounded, c.Addr, told)
 		cancel()
 		if err == nil {
+			t.noteKnown(c.Addr, heard.Run, whole.Tally.Windows)
 			t.o.Time.Show(heard.Run, heard.Own)
 			t.o.Time.Tell(heard.Middle, heard.Of)
 			if collectors--; collectors == 0 {
@@ -146,6 +160,34 @@
 	}
 }
 
+// news are the windows in which the collector at an address doesn't know all.
+func (t *Teller) news(addr string, windows map[Window]Counts) map[Window]Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[Window]Counts{}
+	for w, counts := range windows {
+		if t.known.addr != addr || t.known.windows[w] != counts.Total() {
+			out[w] = counts
+		}
+	}
+	return out
+}
+
+// noteKnown notes what a run of a collector knows now. One that has restarted knows nothing of
+// what was told before, which shows in its first answer: it is told all the next time.
+func (t *Teller) noteKnown(addr, run string, windows map[Window]Counts) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.known.addr == addr && t.known.run != run {
+		t.known = knowledge{}
+		return
+	}
+	t.known = knowledge{addr: addr, run: run, windows: make(map[Window]uint64, len(windows))}
+	for w, counts := range windows {
+		t.known.windows[w] = counts.Total()
+	}
+}
+
 // fails reports whether the collector at an address didn't answer last.
 func (t *Teller) fails(addr string) bool {
 	failing := t.failing.Load()
--- a/daemon/routed/duties.go
+++ b/daemon/routed/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sourcegraph/conc"
 
@@ -56,10 +57,20 @@
 	h.scaler, err = scale.New(scale.Options{
 		Platform: h.duties, Lease: h.lessor, Needs: scale.Needs{Store: h.store}, Clock: h.clock, Log: h.log,
 		Services: h.scalableServices, Instances: h.fleet.Listed, NeedShare: h.o.RunnerNeed,
+		QuietUntil: h.quietUntil(),
 	})
 	return err
 }
 
+// quietUntil is before when no caller comes: some time after the first start of the whole
+// deployment, as the operator says. Later starts find callers.
+func (h *Host) quietUntil() time.Time {
+	if !h.s.FirstStart || h.o.FirstTraffic <= 0 {
+		return time.Time{}
+	}
+	return h.clock.Now().Add(h.o.FirstTraffic)
+}
+
 // scalableServices are the services whose number of runners may be ordered; none while the
 // list of runners isn't kept up to date.
 func (h *Host) scalableServices() []state.ServiceSpec {
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -21,6 +21,9 @@
 	// RunnerNeed is the number of runners that carry the load, as a share of those that the
 	// deployment starts with; used where numbers of runners may be ordered.
 	RunnerNeed float64
+	// FirstTraffic is how long after the first start of a deployment no caller comes; 0 if
+	// callers may come at once.
+	FirstTraffic time.Duration
 	// SplitTokens is the prompt size from which a prompt is read at a prefill
 	// engine of its own.
 	SplitTokens int
