Split scale's manager by what it does, and name the agreed clock as one

Cause: read as a newcomer: one file of 362 lines whose functions took eight arguments; a "keeper" of time that is a clock. Change: a look is a value; approach.go; truetime.Clock. Behaviour as it was.

--- a/coordination/scale/manager.go
+++ b/coordination/scale/manager.go
@@ -100,6 +100,13 @@
 	pauseUntil map[Place]time.Time
 }
 
+func newService(now time.Time) *service {
+	return &service{
+		begun: now, ordered: Numbers{}, orderedAt: map[Place]time.Time{}, repeatedAt: map[Place]time.Time{},
+		sentAway: map[Place]sent{}, reclaimed: map[Place]bool{}, dryUntil: map[string]time.Time{}, pauseUntil: map[Place]time.Time{},
+	}
+}
+
 // sent is a number of runners that were sent away; after until they are gone.
 type sent struct {
 	n     int
@@ -154,8 +161,7 @@
 func (m *Manager) serve(ctx context.Context, spec state.ServiceSpec) {
 	s := m.services[spec.Name]
 	if s == nil {
-		s = &service{begun: m.o.Clock.Now(), ordered: Numbers{}, orderedAt: map[Place]time.Time{}, repeatedAt: map[Place]time.Time{}, dryUntil: map[string]time.Time{}, pauseUntil: map[Place]time.Time{},
-			sentAway: map[Place]sent{}, reclaimed: map[Place]bool{}}
+		s = newService(m.o.Clock.Now())
 		m.services[spec.Name] = s
 		m.resizing.Store(spec.Name, true)
 	}
@@ -167,20 +173,25 @@
 		}
 		return
 	}
+	l := look{spec: spec, plan: s.plan(spec, serving, now), serving: maps.Clone(serving), listed: listed, now: now}
+	for _, p := range places(spec.Scale) {
+		m.approach(ctx, s, l, p)
+	}
+	m.noteResizing(spec.Name, l.plan, serving)
+}
+
+// plan is the plan for what there is. What can't be had now stays ordered, and is asked for
+// again once it may be had.
+func (s *service) plan(spec state.ServiceSpec, serving Numbers, now time.Time) Numbers {
 	limited := s.limited(serving, spec, now)
 	plan := Plan(Wish{Spec: *spec.Scale, Need: s.need, Limited: limited})
 	for d := range limited {
-		// What can't be had now stays ordered: it is asked for again once it may be had.
 		if p := (Place{d, Spot}); plan[p] < s.ordered[p] {
 			plan[p] = s.ordered[p]
 			s.pauseUntil[p] = later(s.pauseUntil[p], s.dryUntil[d])
 		}
 	}
-	serves := maps.Clone(serving)
-	for _, p := range places(spec.Scale) {
-		m.approach(ctx, spec, s, p, plan, serving, listed, now)
-	}
-	m.noteResizing(spec.Name, plan, serves)
+	return plan
 }
 
 func later(a, b time.Time) time.Time {
@@ -256,107 +267,3 @@
 	}
 	return out
 }
-
-// approach orders a place's number, as far as what takes work stays enough.
-func (m *Manager) approach(ctx context.Context, spec state.ServiceSpec, s *service, p Place, plan, serving, listed Numbers, now time.Time) {
-	want := plan[p]
-	have, known := s.ordered[p]
-	if !known {
-		have = serving[p]
-	}
-	if want < have {
-		want = have - m.mayLeave(s, spec.Scale, p, have-want, plan, serving, listed, now)
-	}
-	lost := s.lost(spec.Scale, p, want, serving, listed, now)
-	if (known && want == have && !lost) || (!known && want == listed[p]) || now.Before(s.pauseUntil[p]) {
-		return
-	}
-	if want < have {
-		s.sentAway[p] = sent{have - want, now.Add(drainsFor)}
-		serving[p] -= min(have-want, serving[p])
-	}
-	m.order(ctx, spec.Name, s, p, want, lost, now)
-}
-
-// mayLeave is how many of a place's runners may be sent away of those that the plan does
-// without: none that the load needs, no on-demand ones before the spot runners that the
-// plan has in their place serve, as far as there is room for these beside them, and of spot
-// runners no few, which come and go by themselves.
-func (m *Manager) mayLeave(s *service, spec *state.ScaleSpec, p Place, leaving int, plan, serving, listed Numbers, now time.Time) int {
-	if p.Kind == Spot && leaving <= spotSlack {
-		return 0
-	}
-	if p.Kind == OnDemand && now.Add(spec.Boot+settle).Before(m.o.QuietUntil) && s.granted(plan) {
-		return leaving // others serve before the first caller comes
-	}
-	if p.Kind == OnDemand {
-		for d := range spec.DomainPrices {
-			room := spec.MaxPerDomain - listed[Place{d, OnDemand}]
-			if serving[Place{d, Spot}] < min(plan[Place{d, Spot}], room)-spotSlack {
-				return 0
-			}
-		}
-	}
-	return max(0, min(leaving, serving.total()-s.need))
-}
-
-// granted reports whether the spot runners of a plan were ordered and are to be had.
-func (s *service) granted(plan Numbers) bool {
-	for p, n := range plan {
-		if p.Kind == Spot && s.ordered[p] < n {
-			return false
-		}
-	}
-	return true
-}
-
-// lost reports whether ordered spot runners are missing and are to be ordered again: they were
-// taken back, which is known from those that leave unasked, or never booted.
-func (s *service) lost(spec *state.ScaleSpec, p Place, want int, serving, listed Numbers, now time.Time) bool {
-	if p.Kind != Spot || want <= serving[p] {
-		delete(s.reclaimed, p)
-		return false
-	}
-	away := s.sentAway[p]
-	if now.After(away.until) {
-		away.n = 0
-	}
-	if listed[p]-serving[p] > away.n {
-		first := !s.reclaimed[p]
-		s.reclaimed[p] = true
-		return first
-	}
-	missing := want - serving[p]
-	return missing > spotSlack && now.Sub(s.orderedAt[p]) > spec.Boot+settle && now.Sub(s.repeatedAt[p]) > dryFor
-}
-
-func (m *Manager) order(ctx context.Context, name string, s *service, p Place, desired int, lost bool, now time.Time) {
-	term, err := m.o.Lease.Permit()
-	if err != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err = m.o.Platform.Order(ctx, term, name, p, desired, m.o.Lease.Still(term))
-	m.o.Log.Info("runners ordered", "service", name, "failure_domain", p.FailureDomain, "kind", string(p.Kind), "desired", desired,
-		"before", s.ordered[p], "need", s.need, "term", term, "refused", err != nil, "cause", causeOf(err))
-	switch {
-	case err == nil:
-		if s.ordered[p] != desired || lost {
-			s.orderedAt[p] = now
-		}
-		s.ordered[p], s.repeatedAt[p] = desired, now
-	case errors.Is(err, ErrUnavailable):
-		s.dryUntil[p.FailureDomain] = now.Add(dryFor)
-		s.pauseUntil[p] = now.Add(dryFor)
-	default:
-		s.pauseUntil[p] = now.Add(askAgain)
-	}
-}
-
-func causeOf(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/coordination/scale/manager_test.go
+++ b/coordination/scale/manager_test.go
@@ -340,7 +340,8 @@
 	m := &Manager{o: Options{QuietUntil: start.Add(12 * time.Second)}}
 	leaving := func(ordered Numbers, at time.Duration) int {
 		s := &service{need: 57, ordered: ordered}
-		return m.mayLeave(s, &spec, Place{"nord", OnDemand}, 19, plan, serving, serving, start.Add(at))
+		l := look{spec: state.ServiceSpec{Scale: &spec}, plan: plan, serving: serving, listed: serving, now: start.Add(at)}
+		return m.mayLeave(s, l, Place{"nord", OnDemand}, 19)
 	}
 	is.Equal(leaving(plan, 6*time.Second), 19)
 	is.Equal(leaving(Numbers{{"nord", Spot}: 29}, 6*time.Second), 0) // the others weren't granted
--- a/coordination/truetime/truetime.go
+++ b/coordination/truetime/truetime.go
@@ -36,9 +36,9 @@
 	at    time.Time
 }
 
-// Keeper keeps the time of one host. It is safe for concurrent use.
-type Keeper struct {
-	clock state.Clock
+// Clock is the time of one host. It is safe for concurrent use.
+type Clock struct {
+	own state.Clock
 
 	mu sync.Mutex
 	// shown are the clocks of other hosts, by the names of their runs.
@@ -48,63 +48,63 @@
 	toldOf int
 }
 
-// NewKeeper returns a Keeper that knows its own clock alone.
-func NewKeeper(clock state.Clock) *Keeper {
-	return &Keeper{clock: clock, shown: map[string]showing{}}
+// New returns a clock that knows its own clock alone.
+func New(own state.Clock) *Clock {
+	return &Clock{own: own, shown: map[string]showing{}}
 }
 
 // Own is the host's own clock, to be shown to others.
-func (k *Keeper) Own() time.Time { return k.clock.Now() }
+func (c *Clock) Own() time.Time { return c.own.Now() }
 
 // Show notes the own clock of another run of a host, as it has just arrived.
-func (k *Keeper) Show(run string, own time.Time) {
-	now := k.clock.Now()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if len(k.shown) >= mostShowings {
-		clear(k.shown)
+func (c *Clock) Show(run string, own time.Time) {
+	now := c.own.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.shown) >= mostShowings {
+		clear(c.shown)
 	}
-	k.shown[run] = showing{own.Sub(now), now}
+	c.shown[run] = showing{own.Sub(now), now}
 }
 
 // Tell notes the middle that another host has worked out of so many clocks, as it has just
 // arrived. The one of most clocks counts.
-func (k *Keeper) Tell(middle time.Time, of int) {
-	now := k.clock.Now()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if of < leastShowings || (of < k.toldOf && now.Sub(k.told.at) < showingFor) {
+func (c *Clock) Tell(middle time.Time, of int) {
+	now := c.own.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if of < leastShowings || (of < c.toldOf && now.Sub(c.told.at) < showingFor) {
 		return
 	}
-	k.told, k.toldOf = showing{middle.Sub(now), now}, of
+	c.told, c.toldOf = showing{middle.Sub(now), now}, of
 }
 
 // Now is the time that the hosts agree on.
-func (k *Keeper) Now() time.Time { return k.At(k.clock.Now()) }
+func (c *Clock) Now() time.Time { return c.At(c.own.Now()) }
 
 // At is a moment of the host's clock in the time that the hosts agree on.
-func (k *Keeper) At(t time.Time) time.Time {
-	ahead, _ := k.agreed()
+func (c *Clock) At(t time.Time) time.Time {
+	ahead, _ := c.agreed()
 	return t.Add(ahead)
 }
 
 // Middle is the time that this host has worked out itself, and of how many clocks.
-func (k *Keeper) Middle() (now time.Time, of int) {
-	now = k.clock.Now()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	ahead, of := k.middle(now)
+func (c *Clock) Middle() (now time.Time, of int) {
+	now = c.own.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ahead, of := c.middle(now)
 	return now.Add(ahead), of
 }
 
 // agreed is how far the agreed time is ahead of the own clock: the middle of most clocks.
-func (k *Keeper) agreed() (ahead time.Duration, of int) {
-	now := k.clock.Now()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	ahead, of = k.middle(now)
-	if k.toldOf > of && now.Sub(k.told.at) < showingFor {
-		return k.told.ahead, k.toldOf
+func (c *Clock) agreed() (ahead time.Duration, of int) {
+	now := c.own.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ahead, of = c.middle(now)
+	if c.toldOf > of && now.Sub(c.told.at) < showingFor {
+		return c.told.ahead, c.toldOf
 	}
 	if of < leastShowings {
 		return 0, of
@@ -113,11 +113,11 @@
 }
 
 // middle is the median of the clocks that were shown, the own one among them.
-func (k *Keeper) middle(now time.Time) (ahead time.Duration, of int) {
+func (c *Clock) middle(now time.Time) (ahead time.Duration, of int) {
 	all := []time.Duration{0}
-	for run, s := range k.shown {
+	for run, s := range c.shown {
 		if now.Sub(s.at) >= showingFor {
-			delete(k.shown, run)
+			delete(c.shown, run)
 			continue
 		}
 		all = append(all, s.ahead)
--- a/coordination/truetime/truetime_test.go
+++ b/coordination/truetime/truetime_test.go
@@ -16,7 +16,7 @@
 func TestMiddleIsNotMovedByAThird(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		k := NewKeeper(clocktest.Bubble{})
+		k := New(clocktest.Bubble{})
 		for i := range 11 {
 			ahead := 2400 * time.Millisecond // the others are right, and this host's clock is behind
 			if i < 3 {
@@ -35,7 +35,7 @@
 func TestMiddleOfMostClocksCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		k := NewKeeper(clocktest.Bubble{})
+		k := New(clocktest.Bubble{})
 		k.Tell(time.Now().Add(time.Hour), leastShowings-1) // too few to be trusted
 		is.Equal(k.Now(), time.Now())
 		k.Tell(time.Now().Add(time.Second), 20)
@@ -51,7 +51,7 @@
 func TestFewClocksMoveNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		k := NewKeeper(clocktest.Bubble{})
+		k := New(clocktest.Bubble{})
 		k.Show("other", time.Now().Add(time.Hour))
 		is.Equal(k.Now(), time.Now())
 		for i := range 2 * mostShowings {
--- a/coordination/usage/fleet_test.go
+++ b/coordination/usage/fleet_test.go
@@ -138,7 +138,7 @@
 	f.runs++
 	run := fmt.Sprintf("%s-%d", h.self.Addr, f.runs)
 	f.mu.Unlock()
-	keeper := truetime.NewKeeper(h.clock)
+	keeper := truetime.New(h.clock)
 	counter, collector := NewCounter(window, keeper.At), NewCollector(window)
 	log := slog.New(slog.DiscardHandler)
 	teller, err := NewTeller(TellerOptions{
--- a/coordination/usage/reporter.go
+++ b/coordination/usage/reporter.go
@@ -62,7 +62,7 @@
 	Self  state.Peer
 	Run   string
 	Hosts func() []state.Peer
-	Time  *truetime.Keeper
+	Time  *truetime.Clock
 	Clock state.Clock
 	Log   *slog.Logger
 }
--- a/coordination/usage/teller.go
+++ b/coordination/usage/teller.go
@@ -75,7 +75,7 @@
 	Peers     Peers
 	Counter   *Counter
 	Collector *Collector
-	Time      *truetime.Keeper
+	Time      *truetime.Clock
 	Clock     state.Clock
 	Log       *slog.Logger
 }
--- a/daemon/routed/duties.go
+++ b/daemon/routed/duties.go
@@ -93,14 +93,14 @@
 		return nil
 	}
 	window := h.s.Bounds.UsageWindow
-	keeper := truetime.NewKeeper(h.clock)
-	h.metrics.usage = usage.NewCounter(window, keeper.At)
+	clock := truetime.New(h.clock)
+	h.metrics.usage = usage.NewCounter(window, clock.At)
 	collector := usage.NewCollector(window)
 	peers := usages.Peers{Client: h.peers}
 	var err error
 	h.teller, err = usage.NewTeller(usage.TellerOptions{
 		Self: h.members.self(), Run: h.id.String(), Hosts: h.members.All, Peers: peers, Counter: h.metrics.usage, Collector: collector,
-		Time: keeper, Clock: h.clock, Log: h.log,
+		Time: clock, Clock: h.clock, Log: h.log,
 	})
 	if err != nil {
 		return err
@@ -108,7 +108,7 @@
 	usages.Register(h.peerServer, h.teller, collector)
 	h.reporter, err = usage.NewReporter(usage.Options{
 		Length: window, MostOff: h.s.Bounds.UsageOff, Lease: h.lessor, Store: h.store, Receiver: h.duties, Peers: peers, Collector: collector,
-		Self: h.members.self(), Run: h.id.String(), Hosts: h.members.All, Time: keeper, Clock: h.clock, Log: h.log,
+		Self: h.members.self(), Run: h.id.String(), Hosts: h.members.All, Time: clock, Clock: h.clock, Log: h.log,
 	})
 	return err
 }
