--- a/coordination/scale/plan.go
+++ b/coordination/scale/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"github.com/thymerack/thymerack/state"
@@ -57,8 +56,8 @@
 // needed cost a quarter of what the needed ones cost on demand.
 func Plan(w Wish) Numbers {
 	domains := byPrice(w.Spec)
-	best, bestCost := onDemandOnly(w, domains), math.Inf(1)
-	bestCost = w.cost(best)
+	best := onDemandOnly(w, domains)
+	bestCost := w.cost(best)
 	if w.Spec.SpotPrice <= 0 {
 		return best
 	}
