Keep engines generating by their use only once engines were lost

Change: no more engines are kept than generated before the loss; a whole fleet is divided by its share alone, and after 30 s what is left is the whole fleet.

--- a/coordination/stages/demand.go
+++ b/coordination/stages/demand.go
@@ -69,6 +69,9 @@
 	// changedAt is when the share changed, or of the first sample.
 	changedAt time.Time
 	known     bool
+	// most is the largest number of engines of late, last seen at mostAt.
+	most   int
+	mostAt time.Time
 	// loaded is set once a load was seen for which the split matters.
 	loaded bool
 	// moved is set once the share has changed.
@@ -104,11 +107,25 @@
 	return true
 }
 
-// inUse is how many of n engines the recent peak of generation fills, half of them at most.
-// When engines are lost, so many of the rest go on generating whatever the share says: answers
-// under way take seconds, and callers whose questions find no slot are refused, while prompts
-// that wait are read late.
-func (d *demand) inUse(n int) int { return min(int(math.Ceil(d.peak)), n/2) }
+// inUse is how many of n engines the recent peak of generation fills, but no more than
+// generated before engines were lost, nor than half of those that are left. When engines are
+// lost, so many of the rest go on generating whatever the share says: answers under way take
+// seconds, and callers whose questions find no slot are refused, while prompts that wait are
+// read late. A whole fleet is divided by the share alone.
+func (d *demand) inUse(n int) int {
+	before := d.most - Target(d.most, d.share)
+	return min(int(math.Ceil(d.peak)), before, n/2)
+}
+
+// noteSize notes the number of engines.
+func (d *demand) noteSize(n int, now time.Time) {
+	if n >= d.most || now.Sub(d.mostAt) >= lossLasts {
+		d.most, d.mostAt = n, now
+	}
+}
+
+// lossLasts is how long engines that are missing count as lost; later the fleet is as it is.
+const lossLasts = 30 * time.Second
 
 // hold is how long the present share stands at least against a wish to move engines.
 func (d *demand) hold(moved int) time.Duration {
--- a/coordination/stages/demand_test.go
+++ b/coordination/stages/demand_test.go
@@ -245,9 +245,26 @@
 func TestGeneratingEnginesFollowTheirUseWhenEnginesAreLost(t *testing.T) {
 	is := is.New(t)
 	d := newDemand(0.64)
-	d.note(time.Unix(100, 0), sample{generating: 0.45, waiting: 0}, 86, 55)
-	is.Equal(d.inUse(86), 14)
+	at := time.Unix(100, 0)
+	d.noteSize(86, at)
+	d.note(at, sample{generating: 0.45, waiting: 0}, 86, 55)
+	d.noteSize(28, at.Add(time.Second))
 	is.Equal(d.inUse(28), 14)
 	is.Equal(d.inUse(20), 10) // prompts are read all the same
 	is.Equal(newDemand(0.64).inUse(28), 0)
+	d.noteSize(28, at.Add(lossLasts))
+	is.Equal(d.inUse(28), 28-Target(28, 0.64)) // that is the fleet now
+}
+
+// Twelve engines of rostering's first deployment: a burst of questions fills five and more, and
+// moving one of the eight that read prompts for it cost a third of the worst day's worth. While
+// none is lost the share alone divides them.
+func TestWholeFleetIsDividedByItsShare(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{4, 12, 57, 300} {
+		d := newDemand(0.64)
+		d.noteSize(n, time.Unix(100, 0))
+		d.peak = float64(n)
+		is.True(n-d.inUse(n) >= Target(n, 0.64))
+	}
 }
--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -204,6 +204,7 @@
 		m.stood[service] = m.followed
 	}
 	want := Target(len(engines), m.share(ctx, service, engines, now))
+	m.demand[service].noteSize(len(engines), now)
 	want = min(want, len(engines)-m.demand[service].inUse(len(engines)))
 	if m.o.Lease.Silent() || (!m.stood[service] && m.o.Resizing(service)) {
 		return
