--- a/coordination/usage/reporter.go
+++ b/coordination/usage/reporter.go
@@ -33,8 +33,9 @@
 	// tolerableShare is how much of the error that a report may have may come from hosts that
 	// are missing; the rest is for what lost hosts took with them.
 	tolerableShare = 0.4
-	// askTimeout bounds a question to a collector, and callTimeout a call to the store.
-	askTimeout  = 500 * time.Millisecond
+	// askTimeout bounds a question to a collector, which answers in some milliseconds; one that
+	// is gone holds a report up for so long. callTimeout bounds a call to the store.
+	askTimeout  = 250 * time.Millisecond
 	callTimeout = time.Second
 	// sendAgain is the pause after a report that wasn't confirmed.
 	sendAgain = 700 * time.Millisecond
