Keep ordinary repeats steady; let moves of runs alone come at once

Repeats that a window allows at once were all used, those of waiting requests arrived up to two seconds later than they were allowed, and they made the overload worse. Traced: hosts allowed 0.16 x 14,588 + 137 = 2,471 by their own counts; repeats allowed in 12 s and more arrived in 10 s. The budget that is earned steadily never used what it might. Ruled out: lost counts (each sending of the traced request is counted); the restart of a host.

--- a/coordination/forward/backup.go
+++ b/coordination/forward/backup.go
@@ -178,7 +178,7 @@
 // mayGoOn reports whether the request may be sent to one more engine.
 func (s *Stream) mayGoOn() bool {
 	r := s.a.Request
-	return s.d.held(r, s.rec) == nil && s.d.over(s.ctx, r, s.rec) == nil && s.d.pay(r, s.rec)
+	return s.d.held(r, s.rec) == nil && s.d.over(s.ctx, r, s.rec) == nil && payFrom(s.d.o.Budget.AllowMove, r, s.rec)
 }
 
 // goOnAt goes on where the run was moved to.
--- a/coordination/forward/crashes_test.go
+++ b/coordination/forward/crashes_test.go
@@ -148,7 +148,8 @@
 
 func (anyBudget) Seen(string) {}
 
-func (anyBudget) Allow(string) bool { return true }
+func (anyBudget) Allow(string) bool     { return true }
+func (anyBudget) AllowMove(string) bool { return true }
 
 // noticeTime is the way of a notice to the other hosts.
 const noticeTime = 5 * time.Millisecond
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -34,6 +34,8 @@
 	// Seen counts a request of the service; Allow takes a further sending.
 	Seen(service string)
 	Allow(service string) bool
+	// AllowMove takes the sending of a run that goes on at another engine.
+	AllowMove(service string) bool
 }
 
 // Observer takes the dispatcher's measures.
@@ -315,9 +317,12 @@
 
 // pay takes from the budget for what arrived before, so that one more sending of the
 // request may arrive. It takes nothing twice.
-func (d *Dispatcher) pay(r *Request, rec *record) bool {
+func (d *Dispatcher) pay(r *Request, rec *record) bool { return payFrom(d.o.Budget.Allow, r, rec) }
+
+// payFrom is pay from one of the budgets.
+func payFrom(allow func(service string) bool, r *Request, rec *record) bool {
 	for rec.paid < rec.arrivals {
-		if !d.o.Budget.Allow(r.Service) {
+		if !allow(r.Service) {
 			return false
 		}
 		rec.paid++
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -168,6 +168,8 @@
 
 func (b *countingBudget) Seen(string) {}
 
+func (b *countingBudget) AllowMove(service string) bool { return b.Allow(service) }
+
 func (b *countingBudget) Allow(string) bool {
 	b.left--
 	return b.left >= 0
--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -21,6 +21,11 @@
 	MinPerSecond float64
 	// Burst is the most retries that can be saved up; default 20.
 	Burst float64
+	// Slack, when set, replaces MinPerSecond and Burst: the repeats that this host
+	// may send in any SlackWindow whatever its traffic. Half of it can be saved
+	// up and half is earned in the window, so that no window sees more.
+	Slack       func() float64
+	SlackWindow time.Duration
 	// MaxServices bounds the services kept apart; default 1024. Services
 	// beyond it share one budget.
 	MaxServices int
@@ -48,6 +53,9 @@
 	if o.DefaultShare < 0 || o.DefaultShare > 1 {
 		return nil, fmt.Errorf("retry: BudgetOptions.DefaultShare is outside 0 to 1; use 0.1 for one retry in ten requests")
 	}
+	if o.Slack != nil && o.SlackWindow <= 0 {
+		return nil, fmt.Errorf("retry: BudgetOptions.SlackWindow must be positive with Slack; use the window that the slack counts for")
+	}
 	if o.DefaultShare == 0 {
 		o.DefaultShare = 0.1
 	}
@@ -72,7 +80,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.bucket(service)
-	k.tokens = min(k.tokens+share, b.o.Burst)
+	k.tokens = min(k.tokens+share, b.burst())
 }
 
 // Allow reports whether a request of the service may be tried again, and takes
@@ -95,6 +103,22 @@
 	return b.bucket(service).tokens
 }
 
+// burst is the most that can be saved up, at least one repeat.
+func (b *Budget) burst() float64 {
+	if b.o.Slack == nil {
+		return b.o.Burst
+	}
+	return max(1, b.o.Slack()/2)
+}
+
+// perSecond is what is earned without traffic.
+func (b *Budget) perSecond() float64 {
+	if b.o.Slack == nil {
+		return b.o.MinPerSecond
+	}
+	return b.o.Slack() / 2 / b.o.SlackWindow.Seconds()
+}
+
 // bucket returns the service's bucket with the time's worth added; b.mu is held.
 // A new bucket holds one retry, so that the first request may be repeated.
 func (b *Budget) bucket(service string) *bucket {
@@ -110,7 +134,7 @@
 		return k
 	}
 	if passed := now.Sub(k.at); passed > 0 {
-		k.tokens = min(k.tokens+passed.Seconds()*b.o.MinPerSecond, b.o.Burst)
+		k.tokens = min(k.tokens+passed.Seconds()*b.perSecond(), b.burst())
 		k.at = now
 	}
 	return k
--- a/coordination/retry/window.go
+++ b/coordination/retry/window.go
@@ -77,6 +77,14 @@
 	return true
 }
 
+// Note counts a repeat that another budget has allowed.
+func (b *WindowBudget) Note(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.counts(service)
+	c.repeats[c.at(c.newest)]++
+}
+
 // at is the place of a slot.
 func (c *counts) at(slot int64) int { return int(slot % (windowSlots + 1)) }
 
--- a/coordination/retry/window_test.go
+++ b/coordination/retry/window_test.go
@@ -102,3 +102,33 @@
 	_, err := NewWindowBudget(WindowOptions{Clock: clocktest.Bubble{}})
 	is.New(t).True(err != nil)
 }
+
+// An overload: each request is refused and asks for repeats all the time. Ordinary repeats stay
+// as steady as their budget earns them, so that they don't make it worse, and what is under way
+// can still be moved at once when its engine is lost.
+func TestOverloadLeavesRoomForMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		steady, err := NewBudget(BudgetOptions{Clock: clocktest.Bubble{}, Share: func(string) float64 { return testShare }, Slack: func() float64 { return 1.7 }, SlackWindow: testWindow})
+		is.NoErr(err)
+		b := NewRepeats(steady, newWindow(t, 1.7))
+		ordinary := 0
+		for range 300 {
+			b.Seen("llm")
+			for b.Allow("llm") {
+				ordinary++
+			}
+			time.Sleep(testWindow / 60)
+		}
+		is.True(float64(ordinary) <= testShare*300+1.7/2*5+1) // never what a burst of them saved up
+		b, quiet := NewRepeats(steady, newWindow(t, 1.7)), 0
+		for range 60 {
+			b.Seen("llm")
+			time.Sleep(testWindow / 60)
+		}
+		for b.AllowMove("llm") {
+			quiet++
+		}
+		is.True(quiet >= 9)
+	})
+}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -268,9 +268,7 @@
 }
 
 func (h *Host) buildGateway() error {
-	budget, err := retry.NewWindowBudget(retry.WindowOptions{
-		Clock: h.clock, Window: h.s.Bounds.RetryWindow, Share: limitShare * h.s.Bounds.RetryRatio, Slack: h.retrySlack,
-	})
+	budget, err := h.newRepeats()
 	if err != nil {
 		return err
 	}
@@ -289,6 +287,25 @@
 	return err
 }
 
+// newRepeats makes this host's share of the repeats that all hosts may send.
+func (h *Host) newRepeats() (*retry.Repeats, error) {
+	share := limitShare * h.s.Bounds.RetryRatio
+	steady, err := retry.NewBudget(retry.BudgetOptions{
+		Clock: h.clock, Share: func(string) float64 { return share }, DefaultShare: share,
+		Slack: h.retrySlack, SlackWindow: h.s.Bounds.RetryWindow,
+	})
+	if err != nil {
+		return nil, err
+	}
+	window, err := retry.NewWindowBudget(retry.WindowOptions{
+		Clock: h.clock, Window: h.s.Bounds.RetryWindow, Share: moveShare * share, Slack: func() float64 { return moveShare * h.retrySlack() },
+	})
+	if err != nil {
+		return nil, err
+	}
+	return retry.NewRepeats(steady, window), nil
+}
+
 // retrySlack is this host's share of the repeats that all hosts may send in a
 // window whatever their traffic.
 func (h *Host) retrySlack() float64 {
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -113,6 +113,10 @@
 	assumedHosts = 400
 	// limitShare keeps room below the shared limits for hosts not listed yet.
 	limitShare = 0.8
+	// moveShare is the part of the repeats up to which runs go on elsewhere. Repeats wait for
+	// places, so that more arrive in some window than are allowed in it: in an overload a third
+	// more.
+	moveShare = 0.6
 	// minConns is the least number of connections to a runner.
 	minConns = 4
 	// turnedAway is when the balancer has turned away from a leaving host, after
