Stop no run for a move that isn't allowed

Cause: read on the last look at the diff: a run at a leaving engine was stopped first and its repeat asked for afterwards; without one the answer ended there, though its engine had two seconds left. Change: the repeat is taken before the move.

--- a/coordination/forward/backup.go
+++ b/coordination/forward/backup.go
@@ -184,6 +184,7 @@
 // goOnAt goes on where the run was moved to.
 func (s *Stream) goOnAt(e *evacuation) bool {
 	s.rec.add(s.a.Instance, "run", outcomeMoved, s.d.o.Clock.Now().Sub(s.started), nil)
+	s.rec.paid++ // before the move
 	return s.lastID != "" && s.mayGoOn() && s.resumeFrom(e.to, e.source)
 }
 
--- a/coordination/forward/evacuate.go
+++ b/coordination/forward/evacuate.go
@@ -31,8 +31,8 @@
 }
 
 // evacuate stops the run, has its memory copied to another engine and cuts the response, so
-// that the stream goes on there. It is tried once for each run: one that can't be moved
-// stays where it is, and goes on from its backup if it is cut there.
+// that the stream goes on there. It is tried once for each run: one that can't be moved, or may
+// not be sent once more, stays where it is, and goes on from its backup if it is cut there.
 func (d *Dispatcher) evacuate(ctx context.Context, w *watch, a *Attempt, resp Response) {
 	e := &evacuation{done: make(chan struct{})}
 	if !w.evacuated.CompareAndSwap(nil, e) {
@@ -40,7 +40,7 @@
 	}
 	defer close(e.done)
 	runner := d.o.Placer.Standby(a.Request.Service, a.Instance, slices.Concat(w.tried, []state.InstanceID{a.Instance.ID}))
-	if runner == nil {
+	if runner == nil || !d.o.Budget.AllowMove(a.Request.Service) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, evacuateTimeout)
--- a/coordination/forward/evacuate_test.go
+++ b/coordination/forward/evacuate_test.go
@@ -78,3 +78,17 @@
 	w.drain(repeatable.Instance.ID)
 	is.True(!w.leaves(repeatable))
 }
+
+// A run whose request may not be sent once more isn't stopped: what is left of its engine's time
+// may be enough for it.
+func TestRunIsNotStoppedForAMoveThatIsNotAllowed(t *testing.T) {
+	is := is.New(t)
+	w, got, err := inBackedWorld(t, func(w *world, first state.InstanceID) {
+		w.up.moveHandle = "h9"
+		w.o.Budget = &countingBudget{}
+		w.drain(first)
+	}, reply{status: 200, events: true, body: begun, stall: 2 * time.Second})
+	is.NoErr(err)
+	is.Equal(got, begun)
+	is.Equal(len(w.up.moved), 0)
+}
