--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -1,16 +1,12 @@
 package routed
 
 import (
-	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
-	"runtime/debug"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/sourcegraph/conc"
 
 	"github.com/thymerack/thymerack/coordination/auth"
 	"github.com/thymerack/thymerack/coordination/crash"
@@ -23,7 +19,6 @@
 	"github.com/thymerack/thymerack/coordination/outlier"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/quarantine"
-	"github.com/thymerack/thymerack/coordination/retry"
 	"github.com/thymerack/thymerack/coordination/scale"
 	"github.com/thymerack/thymerack/coordination/stages"
 	"github.com/thymerack/thymerack/coordination/usage"
@@ -160,16 +155,6 @@
 	return min(watchWait, max(leastWatch, h.s.Bounds.Contact+h.shortestBound()-storeTimeout-gatherInstances-watchMargin))
 }
 
-// provingWatch is how long a watch for configurations waits. Where revocations are strict the
-// age of the last answered question bounds which keys may be served: a fifth of that bound
-// leaves room for two relays in a row that are lost.
-func (h *Host) provingWatch() time.Duration {
-	if h.s.Bounds.Revoke <= 0 {
-		return h.boundWatch()
-	}
-	return min(h.boundWatch(), h.s.Bounds.Revoke/5)
-}
-
 // shortestBound is the shortest time in which a change must be in force.
 func (h *Host) shortestBound() time.Duration {
 	bound := h.s.Bounds.Drain
@@ -237,36 +222,6 @@
 	return max(minConns, int(limitShare*float64(spec.MaxConns)/float64(h.members.Hosts())))
 }
 
-func (h *Host) buildKeys() error {
-	var err error
-	h.keys, err = auth.New(auth.Options{
-		Clock: h.clock, Log: h.log, Table: h.config.Table, Proven: h.configProven, Ask: h.askConfig, Observer: h.metrics,
-		Strict: h.s.Bounds.Revoke > 0, RevokeWithin: h.s.Bounds.Revoke, InForceWithin: cmp.Or(h.s.Bounds.ConfigInForce, defaultInForce),
-	})
-	return err
-}
-
-// errStoreLost says that the store isn't asked, since others ask it already.
-var errStoreLost = errors.New("the store is lost to this host and its relays, which ask it until it answers")
-
-// askConfig asks the store for a newer configuration, but for one that doesn't answer: whoever
-// follows it asks it again each second, and that each host does so too would cost a call each.
-func (h *Host) askConfig(ctx context.Context) error {
-	if h.configs.Lost() {
-		return errStoreLost
-	}
-	return h.configs.Prove(ctx)
-}
-
-// configProven is when the configuration in force was known to be the newest.
-func (h *Host) configProven() time.Time {
-	proven := h.configs.Proven()
-	if h.config.Unreadable() {
-		return time.Time{}
-	}
-	return proven
-}
-
 func (h *Host) buildGateway() error {
 	budget, err := h.newRepeats()
 	if err != nil {
@@ -287,31 +242,6 @@
 	return err
 }
 
-// newRepeats makes this host's share of the repeats that all hosts may send.
-func (h *Host) newRepeats() (*retry.Repeats, error) {
-	share := limitShare * h.s.Bounds.RetryRatio
-	steady, err := retry.NewBudget(retry.BudgetOptions{
-		Clock: h.clock, Share: func(string) float64 { return share }, DefaultShare: share,
-		Slack: h.retrySlack, SlackWindow: h.s.Bounds.RetryWindow,
-	})
-	if err != nil {
-		return nil, err
-	}
-	window, err := retry.NewWindowBudget(retry.WindowOptions{
-		Clock: h.clock, Window: h.s.Bounds.RetryWindow, Share: moveShare * share, Slack: func() float64 { return moveShare * h.retrySlack() },
-	})
-	if err != nil {
-		return nil, err
-	}
-	return retry.NewRepeats(steady, window), nil
-}
-
-// retrySlack is this host's share of the repeats that all hosts may send in a
-// window whatever their traffic.
-func (h *Host) retrySlack() float64 {
-	return limitShare * h.s.Bounds.RetrySlack / float64(h.members.Hosts())
-}
-
 func (h *Host) buildManager() error {
 	var err error
 	h.manager, err = stages.New(stages.Options{
@@ -381,72 +311,3 @@
 
 // isReady reports whether the host knows routes and runners.
 func (h *Host) isReady() bool { return h.config.Table() != nil && h.listed.Revision() > 0 }
-
-// Run serves until stop ends, then leaves: unready at once, every request
-// answered, ended before the grace is over.
-func (h *Host) Run(stop context.Context) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(h.s.Limits.MemoryBytes)))
-	listeners, err := h.listen()
-	if err != nil {
-		return err
-	}
-	h.log.Info("started", "callers", h.s.CallerAddr, "failure_domain", h.s.FailureDomain, "memory_bytes", h.s.Limits.MemoryBytes)
-	work, end := context.WithCancel(context.Background())
-	var group conc.WaitGroup
-	group.Go(func() {
-		h.members.Join(work)
-		h.fanout.Run(work)
-	})
-	group.Go(func() { h.instances.Run(work) })
-	group.Go(func() { h.members.Run(work) })
-	group.Go(func() { h.looker.Run(work) })
-	group.Go(func() { h.quarantine.Run(work) })
-	group.Go(func() { wallclock.Watch(work) })
-	if h.teller != nil {
-		group.Go(func() { h.teller.Run(work) })
-	}
-	managing, resign := context.WithCancel(work)
-	group.Go(func() {
-		if err := h.lessor.Run(managing, h.holdDuties); err != nil {
-			h.log.Error("duties ended", "cause", err.Error())
-		}
-	})
-	h.serve(work, listeners)
-	<-stop.Done()
-	resign()
-	h.leave(work)
-	end()
-	h.ended()
-	h.peers.Close()
-	listeners.close()
-	group.Wait()
-	h.log.Info("stopped")
-	return nil
-}
-
-// leave goes on serving until the balancer has turned away and every request is
-// answered.
-func (h *Host) leave(work context.Context) {
-	h.log.Info("leaving", "grace", h.s.Bounds.Grace)
-	h.ready.leave()
-	h.fanout.Leave()
-	began := h.clock.Now()
-	end := h.s.Bounds.Grace - graceMargin
-	h.gateway.Leave(gateway.Departure{TurnedAway: began.Add(turnedAway), End: began.Add(end)})
-	d := departure{
-		clock: h.clock, end: end, active: h.gateway.Active, closeUnused: h.gateway.CloseUnused,
-		last: func() { h.tellLast(work) },
-	}
-	waited := d.wait()
-	h.log.Info("left", "waited", waited, "open", h.gateway.Active())
-}
-
-// tellLast tells the others what this host has counted until its end.
-func (h *Host) tellLast(ctx context.Context) {
-	if h.teller == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, graceMargin/2)
-	defer cancel()
-	h.teller.Leave(ctx)
-}
--- /dev/null
+++ b/daemon/routed/repeats.go
@@ -0,0 +1,28 @@
+package routed
+
+import "github.com/thymerack/thymerack/coordination/retry"
+
+// newRepeats makes this host's share of the repeats that all hosts may send.
+func (h *Host) newRepeats() (*retry.Repeats, error) {
+	share := limitShare * h.s.Bounds.RetryRatio
+	steady, err := retry.NewBudget(retry.BudgetOptions{
+		Clock: h.clock, Share: func(string) float64 { return share }, DefaultShare: share,
+		Slack: h.retrySlack, SlackWindow: h.s.Bounds.RetryWindow,
+	})
+	if err != nil {
+		return nil, err
+	}
+	window, err := retry.NewWindowBudget(retry.WindowOptions{
+		Clock: h.clock, Window: h.s.Bounds.RetryWindow, Share: moveShare * share, Slack: func() float64 { return moveShare * h.retrySlack() },
+	})
+	if err != nil {
+		return nil, err
+	}
+	return retry.NewRepeats(steady, window), nil
+}
+
+// retrySlack is this host's share of the repeats that all hosts may send in a
+// window whatever their traffic.
+func (h *Host) retrySlack() float64 {
+	return limitShare * h.s.Bounds.RetrySlack / float64(h.members.Hosts())
+}
--- /dev/null
+++ b/daemon/routed/run.go
@@ -0,0 +1,80 @@
+package routed
+
+import (
+	"context"
+	"runtime/debug"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/thymerack/thymerack/transport/gateway"
+	"github.com/thymerack/thymerack/transport/wallclock"
+)
+
+// Run serves until stop ends, then leaves: unready at once, every request
+// answered, ended before the grace is over.
+func (h *Host) Run(stop context.Context) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(h.s.Limits.MemoryBytes)))
+	listeners, err := h.listen()
+	if err != nil {
+		return err
+	}
+	h.log.Info("started", "callers", h.s.CallerAddr, "failure_domain", h.s.FailureDomain, "memory_bytes", h.s.Limits.MemoryBytes)
+	work, end := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() {
+		h.members.Join(work)
+		h.fanout.Run(work)
+	})
+	group.Go(func() { h.instances.Run(work) })
+	group.Go(func() { h.members.Run(work) })
+	group.Go(func() { h.looker.Run(work) })
+	group.Go(func() { h.quarantine.Run(work) })
+	group.Go(func() { wallclock.Watch(work) })
+	if h.teller != nil {
+		group.Go(func() { h.teller.Run(work) })
+	}
+	managing, resign := context.WithCancel(work)
+	group.Go(func() {
+		if err := h.lessor.Run(managing, h.holdDuties); err != nil {
+			h.log.Error("duties ended", "cause", err.Error())
+		}
+	})
+	h.serve(work, listeners)
+	<-stop.Done()
+	resign()
+	h.leave(work)
+	end()
+	h.ended()
+	h.peers.Close()
+	listeners.close()
+	group.Wait()
+	h.log.Info("stopped")
+	return nil
+}
+
+// leave goes on serving until the balancer has turned away and every request is
+// answered.
+func (h *Host) leave(work context.Context) {
+	h.log.Info("leaving", "grace", h.s.Bounds.Grace)
+	h.ready.leave()
+	h.fanout.Leave()
+	began := h.clock.Now()
+	end := h.s.Bounds.Grace - graceMargin
+	h.gateway.Leave(gateway.Departure{TurnedAway: began.Add(turnedAway), End: began.Add(end)})
+	d := departure{
+		clock: h.clock, end: end, active: h.gateway.Active, closeUnused: h.gateway.CloseUnused,
+		last: func() { h.tellLast(work) },
+	}
+	waited := d.wait()
+	h.log.Info("left", "waited", waited, "open", h.gateway.Active())
+}
+
+// tellLast tells the others what this host has counted until its end.
+func (h *Host) tellLast(ctx context.Context) {
+	if h.teller == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, graceMargin/2)
+	defer cancel()
+	h.teller.Leave(ctx)
+}
