Ask the store for changes in one place

Reached and Prove each polled, applied and proved by themselves. One method does it; Prove still lists where there is no copy yet or no history. Behaviour as before: tests of follow, fanout and auth pass unchanged.

--- a/coordination/follow/history.go
+++ b/coordination/follow/history.go
@@ -146,12 +146,7 @@
 	if !ok {
 		return m.list(ctx) == nil
 	}
-	asked := m.o.Clock.Now()
-	b, err := p.Poll(ctx, m.o.Kind, m.Revision())
-	if err == nil && !b.Gap {
-		m.apply(b)
-		m.prove(asked)
-	}
+	_, err := m.poll(ctx, p)
 	return err == nil
 }
 
--- a/coordination/follow/proof.go
+++ b/coordination/follow/proof.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/thymerack/thymerack/coordination/store"
 )
 
 // Proven is a moment, by the clock of this host, at which the copy held all that the store
@@ -40,27 +38,25 @@
 // Prove asks the store for changes at once and takes them. It may be called while Run
 // follows the store.
 func (m *Mirror) Prove(ctx context.Context) error {
-	asked := m.o.Clock.Now()
-	batch, err := m.poll(ctx)
-	if err != nil {
-		return err
-	}
-	if batch.Gap {
-		return m.proveByList(ctx)
+	if p, ok := m.o.Store.(Poller); ok && m.Revision() > 0 {
+		if taken, err := m.poll(ctx, p); taken || err != nil {
+			return err
+		}
 	}
-	m.apply(batch)
-	m.prove(asked)
-	return nil
+	return m.proveByList(ctx)
 }
 
-// poll returns the changes since the present copy; a Gap if the store can't tell them.
-func (m *Mirror) poll(ctx context.Context) (store.Batch, error) {
-	p, ok := m.o.Store.(Poller)
-	revision := m.Revision()
-	if !ok || revision == 0 {
-		return store.Batch{Gap: true}, nil
+// poll asks the store for the changes since the present copy and takes them; taken is false if
+// it can't tell them.
+func (m *Mirror) poll(ctx context.Context, p Poller) (taken bool, err error) {
+	asked := m.o.Clock.Now()
+	batch, err := p.Poll(ctx, m.o.Kind, m.Revision())
+	if err != nil || batch.Gap {
+		return false, err
 	}
-	return p.Poll(ctx, m.o.Kind, revision)
+	m.apply(batch)
+	m.prove(asked)
+	return true, nil
 }
 
 func (m *Mirror) proveByList(ctx context.Context) error {
