--- a/coordination/auth/auth.go
+++ b/coordination/auth/auth.go
@@ -195,11 +195,6 @@
 	}
 }
 
-// Proven reports whether keyed requests can be served now.
-func (c *Checker) Proven() bool {
-	return !c.o.Strict || c.age(c.o.Clock.Now()) <= c.o.RevokeWithin-margin
-}
-
 func (c *Checker) noteUnproven(age time.Duration) {
 	if !c.unproven.Swap(true) {
 		c.o.Log.Warn("keys can't be proven; requests with keys are refused", "proof_age", age, "bound", c.o.RevokeWithin)
