Forget old windows in one place

Counter and Collector had the same loop. Also: a window computed twice, a comparison written out, and newestAt beside its only caller. Behaviour as before.

--- a/coordination/usage/collector.go
+++ b/coordination/usage/collector.go
@@ -49,11 +49,7 @@
 // forget drops old windows, and runs that told nothing for as long.
 func (c *Collector) forget(newest Window) {
 	for run, t := range c.tallies {
-		for w := range t.Windows {
-			if w+keptWindows <= newest {
-				delete(t.Windows, w)
-			}
-		}
+		forgetOld(t.Windows, newest)
 		if WindowAt(t.Through, c.length)+keptWindows <= newest {
 			delete(c.tallies, run)
 		}
@@ -87,14 +83,3 @@
 	}
 	return out
 }
-
-// newestAt is the latest time through which a host at an address has told.
-func newestAt(tallies []Tally) map[string]time.Time {
-	out := make(map[string]time.Time, len(tallies))
-	for _, t := range tallies {
-		if t.Through.After(out[t.Addr]) {
-			out[t.Addr] = t.Through
-		}
-	}
-	return out
-}
--- a/coordination/usage/counter.go
+++ b/coordination/usage/counter.go
@@ -69,16 +69,16 @@
 	if counts == nil {
 		counts = Counts{}
 		c.windows[w] = counts
-		c.forget(w)
+		forgetOld(c.windows, w)
 	}
 	counts[customer]++
 }
 
-// forget drops windows that are of no use any more.
-func (c *Counter) forget(newest Window) {
-	for w := range c.windows {
+// forgetOld drops windows that are of no use any more.
+func forgetOld(windows map[Window]Counts, newest Window) {
+	for w := range windows {
 		if w+keptWindows <= newest {
-			delete(c.windows, w)
+			delete(windows, w)
 		}
 	}
 }
--- a/coordination/usage/reporter.go
+++ b/coordination/usage/reporter.go
@@ -229,6 +229,17 @@
 	return out
 }
 
+// newestAt is the latest time through which a host at an address has told.
+func newestAt(tallies []Tally) map[string]time.Time {
+	out := make(map[string]time.Time, len(tallies))
+	for _, t := range tallies {
+		if t.Through.After(out[t.Addr]) {
+			out[t.Addr] = t.Through
+		}
+	}
+	return out
+}
+
 func sum(tallies []Tally, w Window) Counts {
 	out := Counts{}
 	for _, t := range tallies {
--- a/coordination/usage/teller.go
+++ b/coordination/usage/teller.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -116,7 +117,8 @@
 func (t *Teller) tally() Tally {
 	through := t.o.Time.Now()
 	// Windows before the last that may still be decided have been told.
-	since := WindowAt(through, t.o.Counter.length) - min(recentWindows, WindowAt(through, t.o.Counter.length))
+	present := WindowAt(through, t.o.Counter.length)
+	since := present - min(recentWindows, present)
 	return Tally{Run: t.o.Run, Addr: t.o.Self.Addr, Through: through, Windows: t.o.Counter.tally(since)}
 }
 
@@ -208,15 +210,7 @@
 		}
 		return out
 	}
-	slices.SortFunc(all, func(a, b state.Peer) int {
-		switch x, y := rank(a), rank(b); {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(all, func(a, b state.Peer) int { return cmp.Compare(rank(a), rank(b)) })
 	return all[:min(len(all), mostTold)]
 }
 
