--- a/coordination/truetime/truetime.go
+++ b/coordination/truetime/truetime.go
@@ -29,7 +29,7 @@
 	leastShowings = 3
 )
 
-// Showing is a clock as another host read it, when it arrived.
+// showing is a clock as another host read it, when it arrived.
 type showing struct {
 	// ahead is how far it was ahead of the own clock.
 	ahead time.Duration
@@ -84,8 +84,7 @@
 
 // At is a moment of the host's clock in the time that the hosts agree on.
 func (c *Clock) At(t time.Time) time.Time {
-	ahead, _ := c.agreed()
-	return t.Add(ahead)
+	return t.Add(c.agreed())
 }
 
 // Middle is the time that this host has worked out itself, and of how many clocks.
@@ -98,18 +97,18 @@
 }
 
 // agreed is how far the agreed time is ahead of the own clock: the middle of most clocks.
-func (c *Clock) agreed() (ahead time.Duration, of int) {
+func (c *Clock) agreed() time.Duration {
 	now := c.own.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ahead, of = c.middle(now)
+	ahead, of := c.middle(now)
 	if c.toldOf > of && now.Sub(c.told.at) < showingFor {
-		return c.told.ahead, c.toldOf
+		return c.told.ahead
 	}
 	if of < leastShowings {
-		return 0, of
+		return 0
 	}
-	return ahead, of
+	return ahead
 }
 
 // middle is the median of the clocks that were shown, the own one among them.
