--- a/coordination/stages/manager.go
+++ b/coordination/stages/manager.go
@@ -205,7 +205,8 @@
 	}
 	want := Target(len(engines), m.share(ctx, service, engines, now))
 	m.demand[service].noteSize(len(engines), now)
-	want = min(want, len(engines)-m.demand[service].inUse(len(engines)))
+	inUse := m.demand[service].inUse(len(engines))
+	want = min(want, len(engines)-inUse)
 	if m.o.Lease.Silent() || (!m.stood[service] && m.o.Resizing(service)) {
 		return
 	}
@@ -219,7 +220,7 @@
 	if len(changes) == 0 {
 		m.stood[service] = true
 	}
-	short := m.starved(engines) || len(engines)-prefilling(m.asOrdered(engines)) < m.demand[service].inUse(len(engines))
+	short := m.starved(engines) || len(engines)-prefilling(m.asOrdered(engines)) < inUse
 	if len(changes) == 0 || (m.stood[service] && len(changes) <= tolerance && !short) {
 		delete(m.since, service)
 		return
