--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -241,9 +241,9 @@
 // never will when those of the later one begin: a holder makes none once its last renewal is
 // TTL - Apart old. Others take the lease over once they have seen it unchanged for the TTL,
 // and keep silence for CallTime then, as the next run on the same machine does, which may find
-// a call of the last one still under way, and the same run while one of its own may be; a lease that was released is taken at once, so that
-// silence is longer by Apart. The number is the version of the object at the write that began
-// the term, which no other write has.
+// a call of the last one still under way, and the same run while one of its own may be; a lease
+// that was released is taken at once, so that silence is longer by Apart. The number is the
+// version of the object at the write that began the term, which no other write has.
 func (l *Lessor) Permit() (fence uint64, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
