--- a/coordination/scale/approach.go
+++ b/coordination/scale/approach.go
@@ -12,7 +12,7 @@
 type look struct {
 	spec state.ServiceSpec
 	plan Numbers
-	// serving take work, less those that were sent away since; listed are those that leave
+	// serving take work, less those that were drained since; listed are those that leave
 	// as well.
 	serving, listed Numbers
 	now             time.Time
@@ -33,13 +33,13 @@
 		return
 	}
 	if want < have {
-		s.sentAway[p] = sent{have - want, l.now.Add(drainsFor)}
+		s.drained[p] = drainOrder{have - want, l.now.Add(drainsFor)}
 		l.serving[p] -= min(have-want, l.serving[p])
 	}
 	m.order(ctx, s, l, p, want, lost)
 }
 
-// mayLeave is how many of a place's runners may be sent away of those that the plan does
+// mayLeave is how many of a place's runners may be drained of those that the plan does
 // without: none that the load needs, no on-demand ones before the spot runners that the
 // plan has in their place serve, as far as there is room for these beside them, and of spot
 // runners no few, which come and go by themselves.
@@ -78,11 +78,11 @@
 		delete(s.reclaimed, p)
 		return false
 	}
-	away := s.sentAway[p]
-	if l.now.After(away.until) {
-		away.n = 0
+	gone := s.drained[p]
+	if l.now.After(gone.until) {
+		gone.n = 0
 	}
-	if l.listed[p]-l.serving[p] > away.n {
+	if l.listed[p]-l.serving[p] > gone.n {
 		first := !s.reclaimed[p]
 		s.reclaimed[p] = true
 		return first
--- a/coordination/scale/manager.go
+++ b/coordination/scale/manager.go
@@ -27,7 +27,7 @@
 	// counts as without spot runners after the platform had none.
 	askAgain = time.Second
 	dryFor   = 2 * time.Second
-	// drainsFor is how long a runner that was sent away may still be listed: it drains for some
+	// drainsFor is how long a runner that was ordered to go may still be listed: it drains for some
 	// seconds, at times for many.
 	drainsFor = 15 * time.Second
 	// spotSlack is how many spot runners of a failure domain may be missing or too many for
@@ -90,8 +90,8 @@
 	ordered    Numbers
 	orderedAt  map[Place]time.Time
 	repeatedAt map[Place]time.Time
-	// sentAway are the runners that were sent away and may still be listed.
-	sentAway map[Place]sent
+	// drained are the runners that were ordered to drain and may still be listed.
+	drained map[Place]drainOrder
 	// reclaimed are the places whose runners are being taken back, and were ordered again.
 	reclaimed map[Place]bool
 	// dryUntil is until when a failure domain counts as without spot runners, and pauseUntil
@@ -103,12 +103,12 @@
 func newService(now time.Time) *service {
 	return &service{
 		begun: now, ordered: Numbers{}, orderedAt: map[Place]time.Time{}, repeatedAt: map[Place]time.Time{},
-		sentAway: map[Place]sent{}, reclaimed: map[Place]bool{}, dryUntil: map[string]time.Time{}, pauseUntil: map[Place]time.Time{},
+		drained: map[Place]drainOrder{}, reclaimed: map[Place]bool{}, dryUntil: map[string]time.Time{}, pauseUntil: map[Place]time.Time{},
 	}
 }
 
-// sent is a number of runners that were sent away; after until they are gone.
-type sent struct {
+// drainOrder is a number of runners that were ordered to drain; after until they are gone.
+type drainOrder struct {
 	n     int
 	until time.Time
 }
@@ -218,11 +218,12 @@
 }
 
 // places are those of a service, spot runners first: what replaces others is ordered before
-// they are sent away.
+// they are drained.
 func places(s *state.ScaleSpec) []Place {
+	domains := byPrice(*s)
 	var out []Place
 	for _, kind := range kinds {
-		for _, d := range byPrice(*s) {
+		for _, d := range domains {
 			out = append(out, Place{d, kind})
 		}
 	}
