Show what runners ask of hosts in their answers

Callers saw nothing of it, and nor did operators: a runner that named a limit, said that it leaves or asked for rest left no trace at any host. Every answer of a runner passes one place now (the pool, before anybody reads the answer), which has it decoded once (platform: DecodeAdvice) and told to a registry that keeps it for each run: a line and a count for each change of belief, gauges for what is asked at present. Odd values are told and say nothing.

Nothing is decided by it yet: no change of where requests go.

--- /dev/null
+++ b/coordination/backpressure/registry.go
@@ -0,0 +1,234 @@
+package backpressure
+
+import (
+	"errors"
+	"log/slog"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+const (
+	// keepUnlisted is how long what a run asked is kept once the list lacks it: entries of
+	// living runners are missing for some seconds around an outage of the store.
+	keepUnlisted = time.Minute
+	// mostRuns bounds the runs that are kept: twice the largest fleet, for a release that
+	// replaces all of it.
+	mostRuns = 4096
+	// unreadableEvery bounds the log lines on what a run writes and nobody can read.
+	unreadableEvery = 10 * time.Second
+)
+
+// Observer counts advices.
+type Observer interface {
+	Advised(service string, k Kind)
+}
+
+// Options configure a Registry. All fields are required.
+type Options struct {
+	Clock    state.Clock
+	Log      *slog.Logger
+	Observer Observer
+}
+
+// Registry is what this host knows of the runners' advices. It is safe for concurrent use, and
+// reading it takes no lock.
+type Registry struct {
+	o Options
+
+	mu sync.Mutex // held by writers
+	// runs has the runs that ever asked something; it is replaced whole.
+	runs atomic.Pointer[map[state.InstanceID]*run]
+}
+
+// run is what one run of a runner has asked. Its fields are replaced under the registry's lock.
+type run struct {
+	service string
+	limit   atomic.Pointer[limit]
+	// restUntil is zero if none was asked for.
+	restUntil atomic.Pointer[time.Time]
+	leaving   atomic.Bool
+
+	// listedAt is when the run was known to be listed, unreadableAt when it last wrote what
+	// can't be read.
+	listedAt, unreadableAt time.Time
+}
+
+// limit is what a run takes of all hosts together.
+type limit struct {
+	rate float64
+	// heardAt is when the last answer arrived that named it.
+	heardAt time.Time
+}
+
+// New validates the options.
+func New(o Options) (*Registry, error) {
+	if o.Clock == nil || o.Log == nil || o.Observer == nil {
+		return nil, errors.New("backpressure: a field of Options is nil; set all of them")
+	}
+	r := &Registry{o: o}
+	r.runs.Store(&map[state.InstanceID]*run{})
+	return r, nil
+}
+
+// Heard takes what an answer of a run asks. sentAt is when its request left this host. An
+// answer to a call of the system's own that names no limit doesn't lift one: only requests are
+// what a limit counts.
+func (r *Registry) Heard(i *state.Instance, sentAt time.Time, a Advice, ofRequest bool) {
+	if !a.asks() && r.run(i.ID) == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.o.Clock.Now()
+	known := r.entry(i, now)
+	switch {
+	case a.Limited:
+		r.limited(i, known, a.Limit, now)
+	case ofRequest && len(a.Unreadable) == 0:
+		r.lift(i, known, sentAt)
+	}
+	if a.Leaving {
+		r.leaves(i, known)
+	}
+	if a.Rest > 0 {
+		r.rests(i, known, now, a.Rest)
+	}
+	r.unreadable(i, known, now, a.Unreadable)
+}
+
+// run is what is known of a run, or nil.
+func (r *Registry) run(id state.InstanceID) *run { return (*r.runs.Load())[id] }
+
+// entry is what is known of a run, made if nothing is; r.mu is held.
+func (r *Registry) entry(i *state.Instance, now time.Time) *run {
+	if known := r.run(i.ID); known != nil {
+		return known
+	}
+	runs := maps.Clone(*r.runs.Load())
+	if len(runs) >= mostRuns {
+		delete(runs, oldest(runs))
+	}
+	runs[i.ID] = &run{service: i.Service, listedAt: now}
+	r.runs.Store(&runs)
+	return runs[i.ID]
+}
+
+// oldest is the run that was listed last the longest time ago.
+func oldest(runs map[state.InstanceID]*run) state.InstanceID {
+	var out state.InstanceID
+	var at time.Time
+	for id, known := range runs {
+		if at.IsZero() || known.listedAt.Before(at) {
+			out, at = id, known.listedAt
+		}
+	}
+	return out
+}
+
+func (r *Registry) limited(i *state.Instance, known *run, rate float64, now time.Time) {
+	before := known.limit.Load()
+	known.limit.Store(&limit{rate: rate, heardAt: now})
+	if before != nil && before.rate == rate {
+		return
+	}
+	attrs := []any{"instance", i.ID, "service", i.Service, "per_second", rate}
+	if before != nil {
+		attrs = append(attrs, "before", before.rate)
+	}
+	r.o.Log.Info("runner names a limit", attrs...)
+	r.o.Observer.Advised(i.Service, KindLimit)
+}
+
+// lift ends a limit that an answer doesn't name any more. Answers overtake each other: only
+// one whose request left after the limit was last heard is known to be newer.
+func (r *Registry) lift(i *state.Instance, known *run, sentAt time.Time) {
+	before := known.limit.Load()
+	if before == nil || !sentAt.After(before.heardAt) {
+		return
+	}
+	known.limit.Store(nil)
+	r.o.Log.Info("runner names no limit any more", "instance", i.ID, "service", i.Service, "before", before.rate, "age", sentAt.Sub(before.heardAt))
+	r.o.Observer.Advised(i.Service, KindLifted)
+}
+
+// leaves notes that a run leaves. It has no way back: a runner that stays starts again.
+func (r *Registry) leaves(i *state.Instance, known *run) {
+	if known.leaving.Swap(true) {
+		return
+	}
+	r.o.Log.Info("runner says that it leaves", "instance", i.ID, "service", i.Service, "listed_as_draining", i.Draining)
+	r.o.Observer.Advised(i.Service, KindLeaving)
+}
+
+// rests notes a rest. A later, shorter one doesn't shorten what was asked before.
+func (r *Registry) rests(i *state.Instance, known *run, now time.Time, rest time.Duration) {
+	until := now.Add(rest)
+	before := known.restUntil.Load()
+	if before != nil && !until.After(*before) {
+		return
+	}
+	known.restUntil.Store(&until)
+	r.o.Observer.Advised(i.Service, KindRest)
+	if before == nil || now.After(*before) {
+		r.o.Log.Info("runner asks for rest", "instance", i.ID, "service", i.Service, "for", rest)
+	}
+}
+
+func (r *Registry) unreadable(i *state.Instance, known *run, now time.Time, fields []Field) {
+	for _, f := range fields {
+		r.o.Observer.Advised(i.Service, KindUnreadable)
+		if known.unreadableAt.IsZero() || now.Sub(known.unreadableAt) >= unreadableEvery {
+			known.unreadableAt = now
+			r.o.Log.Warn("advice of a runner not readable; what was known of it holds, see its version", "instance", i.ID, "service", i.Service, "field", f.Name, "value", f.Value)
+		}
+	}
+}
+
+// Listed takes the runs of the present list, and forgets those that it has lacked for long.
+func (r *Registry) Listed(list []state.Instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(*r.runs.Load()) == 0 {
+		return
+	}
+	now := r.o.Clock.Now()
+	for i := range list {
+		if known := r.run(list[i].ID); known != nil {
+			known.listedAt = now
+		}
+	}
+	runs := maps.Clone(*r.runs.Load())
+	maps.DeleteFunc(runs, func(_ state.InstanceID, known *run) bool { return now.Sub(known.listedAt) > keepUnlisted })
+	r.runs.Store(&runs)
+}
+
+// Leaving reports whether a run has said that it leaves.
+func (r *Registry) Leaving(id state.InstanceID) bool {
+	known := r.run(id)
+	return known != nil && known.leaving.Load()
+}
+
+// Counts are the runs that ask something at present.
+type Counts struct{ Limited, Leaving, Resting int }
+
+// Count counts them.
+func (r *Registry) Count() Counts {
+	var out Counts
+	now := r.o.Clock.Now()
+	for _, known := range *r.runs.Load() {
+		if known.limit.Load() != nil {
+			out.Limited++
+		}
+		if known.leaving.Load() {
+			out.Leaving++
+		}
+		if until := known.restUntil.Load(); until != nil && now.Before(*until) {
+			out.Resting++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/coordination/backpressure/registry_test.go
@@ -0,0 +1,144 @@
+package backpressure
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/state"
+)
+
+// counts counts advices by kind.
+type counts map[Kind]int
+
+// Advised implements Observer.
+func (c counts) Advised(_ string, k Kind) { c[k]++ }
+
+// world is a registry with what it logs and counts.
+type world struct {
+	*Registry
+	log    *bytes.Buffer
+	counts counts
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{log: &bytes.Buffer{}, counts: counts{}}
+	var err error
+	w.Registry, err = New(Options{Clock: clocktest.Bubble{}, Log: slog.New(slog.NewTextHandler(w.log, nil)), Observer: w.counts})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+// hear takes an answer to a request that was sent just now.
+func (w *world) hear(i *state.Instance, a Advice) { w.Heard(i, time.Now(), a, true) }
+
+func instance(name string, born int64) *state.Instance {
+	return &state.Instance{ID: state.InstanceID{Name: name, Born: born}, Service: "s"}
+}
+
+// Each change of what a host believes of a runner is a line and a count; what is only said
+// again is neither.
+func TestChangesAreLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		i := instance("a", 1)
+		for range 3 {
+			w.hear(i, Advice{Limited: true, Limit: 8.4, Leaving: true, Rest: time.Second, Unreadable: []Field{{"Server-Limit", "x"}}})
+		}
+		is.Equal(w.Count(), Counts{Limited: 1, Leaving: 1, Resting: 1})
+		for _, line := range []string{"runner names a limit", "runner says that it leaves", "runner asks for rest", "not readable"} {
+			is.Equal(strings.Count(w.log.String(), line), 1)
+		}
+		is.Equal(w.counts[KindLimit], 1)
+		is.Equal(w.counts[KindUnreadable], 3)
+		time.Sleep(2 * time.Second)
+		w.hear(i, Advice{})
+		is.Equal(w.Count(), Counts{Leaving: 1}) // leaving has no end
+		is.Equal(strings.Count(w.log.String(), "names no limit any more"), 1)
+	})
+}
+
+// Answers overtake each other: one that was asked for before the limit was heard lifts nothing.
+func TestLimitIsLiftedByANewerAnswerOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		i := instance("a", 1)
+		early := time.Now()
+		time.Sleep(time.Second)
+		w.hear(i, Advice{Limited: true, Limit: 8})
+		time.Sleep(time.Second)
+		w.Heard(i, early, Advice{}, true)
+		is.Equal(w.Count().Limited, 1)
+		w.Heard(i, time.Now(), Advice{}, false) // a call of the system's own
+		is.Equal(w.Count().Limited, 1)
+		w.hear(i, Advice{Unreadable: []Field{{"Server-Limit", "-"}}})
+		is.Equal(w.Count().Limited, 1)
+		w.hear(i, Advice{})
+		is.Equal(w.Count().Limited, 0)
+	})
+}
+
+// A later, shorter rest doesn't shorten what was asked before.
+func TestLongestRestHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		i := instance("a", 1)
+		w.hear(i, Advice{Rest: 3 * time.Second})
+		time.Sleep(time.Second)
+		w.hear(i, Advice{Rest: time.Second})
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(w.Count().Resting, 1)
+		time.Sleep(time.Second)
+		is.Equal(w.Count().Resting, 0)
+	})
+}
+
+// A later run under the same name has asked nothing.
+func TestRunsAreToldApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.hear(instance("a", 1), Advice{Leaving: true})
+		is.True(w.Leaving(state.InstanceID{Name: "a", Born: 1}))
+		is.True(!w.Leaving(state.InstanceID{Name: "a", Born: 2}))
+	})
+}
+
+// What a run asked outlives its entry in the list for a while: entries of living runners go
+// missing around an outage of the store. After that it is forgotten.
+func TestRunsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		i := instance("a", 1)
+		w.hear(i, Advice{Leaving: true})
+		for range 5 {
+			time.Sleep(keepUnlisted / 2)
+			w.Listed([]state.Instance{*i})
+		}
+		w.Listed(nil)
+		time.Sleep(keepUnlisted / 2)
+		w.Listed(nil)
+		is.True(w.Leaving(i.ID))
+		time.Sleep(keepUnlisted)
+		w.Listed(nil)
+		is.True(!w.Leaving(i.ID))
+		for n := range mostRuns + 10 {
+			w.hear(instance(fmt.Sprint("run-", n), 1), Advice{Leaving: true})
+		}
+		is.Equal(len(*w.runs.Load()), mostRuns)
+	})
+}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"github.com/thymerack/thymerack/coordination/auth"
+	"github.com/thymerack/thymerack/coordination/backpressure"
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/fanout"
 	"github.com/thymerack/thymerack/coordination/follow"
@@ -54,7 +55,9 @@
 	listed    *follow.Mirror
 	fleet     *placement.Fleet
 	pool      *runners.Pool
-	gateway   *gateway.Server
+	// advice is what runners ask of hosts.
+	advice  *backpressure.Registry
+	gateway *gateway.Server
 	// lessor holds the lease of the duties that one host at a time has.
 	lessor  *lease.Lessor
 	manager *stages.Manager
@@ -123,6 +126,9 @@
 	h.metrics.gauge("thymerack_key_proof_age_seconds", func() float64 { return h.clock.Now().Sub(h.configProven()).Seconds() })
 	h.metrics.gauge("thymerack_hosts", func() float64 { return float64(h.members.Hosts()) })
 	h.metrics.gauge("thymerack_quarantined", func() float64 { return float64(h.quarantine.Size()) })
+	h.metrics.gauge(`thymerack_runners_asking{what="limit"}`, func() float64 { return float64(h.advice.Count().Limited) })
+	h.metrics.gauge(`thymerack_runners_asking{what="leaving"}`, func() float64 { return float64(h.advice.Count().Leaving) })
+	h.metrics.gauge(`thymerack_runners_asking{what="rest"}`, func() float64 { return float64(h.advice.Count().Resting) })
 	h.metrics.gauge("thymerack_log_lines_dropped_total", func() float64 { return float64(h.o.LinesDropped()) })
 }
 
@@ -165,6 +171,11 @@
 }
 
 func (h *Host) buildLists() error {
+	var err error
+	h.advice, err = backpressure.New(backpressure.Options{Clock: h.clock, Log: h.log, Observer: h.metrics})
+	if err != nil {
+		return err
+	}
 	h.fleet = placement.NewFleet(placement.Options{Clock: h.clock, FailureDomain: h.s.FailureDomain})
 	h.config = follow.NewConfig(platform.ConfigName, platform.DecodeConfig, h.log)
 	h.instances = follow.NewInstances(follow.InstancesOptions{
@@ -173,7 +184,6 @@
 		HoldFor: holdFor,
 	})
 	outage := &follow.Outage{}
-	var err error
 	h.configs, err = follow.New(follow.Options{Outage: outage, Store: h.proving, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig, Notify: h.notifyFollowers})
 	if err != nil {
 		return err
@@ -201,11 +211,12 @@
 func (h *Host) publish(instances []state.Instance) {
 	h.fleet.Update(instances)
 	h.pool.Retain(h.fleet.Has)
+	h.advice.Listed(instances)
 }
 
 func (h *Host) buildPool() error {
 	var err error
-	h.pool, err = runners.New(runners.Options{Codec: platform.Codec{}, ConnLimit: h.connLimit, MaxHeaderBytes: maxHeaderBytes})
+	h.pool, err = runners.New(runners.Options{Codec: platform.Codec{}, ConnLimit: h.connLimit, MaxHeaderBytes: maxHeaderBytes, Heard: h.advice.Heard})
 	return err
 }
 
--- a/daemon/routed/measures.go
+++ b/daemon/routed/measures.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thymerack/thymerack/coordination/auth"
+	"github.com/thymerack/thymerack/coordination/backpressure"
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/coordination/usage"
@@ -124,6 +125,11 @@
 	m.set.GetOrCreateCounter("thymerack_unusable_entries_total").Inc()
 }
 
+// Advised implements backpressure.Observer.
+func (m *measures) Advised(service string, k backpressure.Kind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_runner_advice_total{service=%q,kind=%q}`, service, k)).Inc()
+}
+
 // crashed counts a runner that crashed, and what this host had there.
 func (m *measures) crashed(r crash.Report) {
 	if !r.Late {
--- a/transport/runners/pool.go
+++ b/transport/runners/pool.go
@@ -13,10 +13,12 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/thymerack/thymerack/coordination/backpressure"
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/httpclient"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 // Codec writes attempts and reads responses in the runners' form.
@@ -35,6 +37,8 @@
 	// IdleTimeout is how long the runner keeps an unused connection; 0: unknown.
 	IdleTimeout(resp *fasthttp.Response) time.Duration
 	PrefillHandle(body []byte) (string, error)
+	// DecodeAdvice reads what an answer asks of hosts.
+	DecodeAdvice(resp *fasthttp.Response) backpressure.Advice
 }
 
 // Options configure a Pool. All fields are required.
@@ -44,6 +48,9 @@
 	ConnLimit func(service string) int
 	// MaxHeaderBytes bounds the head of a response.
 	MaxHeaderBytes int
+	// Heard is told what each answer of a runner asks, before anybody reads the answer.
+	// sentAt is before the request left; ofRequest is false for calls of the system's own.
+	Heard func(i *state.Instance, sentAt time.Time, a backpressure.Advice, ofRequest bool)
 }
 
 const (
@@ -84,7 +91,7 @@
 
 // New returns a pool without connections.
 func New(o Options) (*Pool, error) {
-	if o.Codec == nil || o.ConnLimit == nil || o.MaxHeaderBytes <= 0 {
+	if o.Codec == nil || o.ConnLimit == nil || o.MaxHeaderBytes <= 0 || o.Heard == nil {
 		return nil, errors.New("runners: a field of Options is missing; set all of them")
 	}
 	return &Pool{o: o, clients: map[state.InstanceID]*client{}}, nil
@@ -137,11 +144,13 @@
 		MaxBodyBytes: 1,
 		Stray:        func(resp *fasthttp.Response) bool { return !p.o.Codec.OfRequest(resp, a.Request.ID) },
 	}
+	sentAt := wallclock.Now()
 	stream, err := c.http.Stream(ctx, req, limits)
 	if err != nil {
 		c.inUse.Add(-1)
 		return nil, sendError(err)
 	}
+	p.heard(a.Instance, sentAt, stream.Response, true)
 	if idle := p.o.Codec.IdleTimeout(stream.Response); idle > 0 {
 		c.http.SetMaxIdle(time.Duration(float64(idle) * idleShare))
 	}
@@ -218,12 +227,22 @@
 		return &forward.SendError{Cause: err}
 	}
 	req.Header.SetHost(i.Addr)
+	sentAt := wallclock.Now()
 	if err := c.http.Do(ctx, req, resp, httpclient.Limits{Timeout: timeout, MaxBodyBytes: maxAnswerBytes, Permit: permit}); err != nil {
 		return sendError(err)
 	}
+	p.heard(i, sentAt, resp, false)
 	return nil
 }
 
+// heard tells what an answer asks. It is the one place for answers of all kinds. One that was
+// misdirected may be another runner's at the address, of which nothing is known by it.
+func (p *Pool) heard(i *state.Instance, sentAt time.Time, resp *fasthttp.Response, ofRequest bool) {
+	if resp.StatusCode() != fasthttp.StatusMisdirectedRequest {
+		p.o.Heard(i, sentAt, p.o.Codec.DecodeAdvice(resp), ofRequest)
+	}
+}
+
 // maxAnswerBytes bounds answers to the system's own calls; a report with some
 // hundred runs has about 20 KB.
 const maxAnswerBytes = 1 << 20
--- a/transport/runners/pool_test.go
+++ b/transport/runners/pool_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"github.com/thymerack/thymerack/coordination/backpressure"
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/state"
@@ -63,6 +64,10 @@
 	return 0
 }
 
+func (testCodec) DecodeAdvice(resp *fasthttp.Response) backpressure.Advice {
+	return backpressure.Advice{Leaving: len(resp.Header.Peek("Leaving")) > 0}
+}
+
 func (testCodec) PrefillHandle(body []byte) (string, error) { return string(body), nil }
 
 // runner answers each connection by a function and counts connections.
@@ -101,7 +106,13 @@
 
 func newPool(t *testing.T, limit int) *Pool {
 	t.Helper()
-	p, err := New(Options{Codec: testCodec{}, ConnLimit: func(string) int { return limit }, MaxHeaderBytes: 4096})
+	return newHearingPool(t, limit, func(*state.Instance, time.Time, backpressure.Advice, bool) {})
+}
+
+// newHearingPool is newPool with somebody who hears what answers ask.
+func newHearingPool(t *testing.T, limit int, heard func(*state.Instance, time.Time, backpressure.Advice, bool)) *Pool {
+	t.Helper()
+	p, err := New(Options{Codec: testCodec{}, ConnLimit: func(string) int { return limit }, MaxHeaderBytes: 4096, Heard: heard})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -343,3 +354,37 @@
 	is.NoErr(err)
 	is.Equal(len(accepted), 2)
 }
+
+// An answer of any status, to a request or a call of the system's own, is heard before anybody
+// reads it; one that was misdirected may be another runner's.
+func TestEveryAnswerIsHeard(t *testing.T) {
+	for status, heard := range map[int]bool{200: true, 404: true, 421: false, 429: true, 500: true, 503: true} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			is := is.New(t)
+			r := newRunner(t, func(c net.Conn, br *bufio.Reader) {
+				for id := requestOf(br); id != ""; id = requestOf(br) {
+					fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s: %s\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n", status, idHeader, id)
+				}
+			})
+			var ofRequest []bool
+			p := newHearingPool(t, 4, func(i *state.Instance, sentAt time.Time, a backpressure.Advice, of bool) {
+				is.Equal(i.ID.Name, "i-1")
+				is.True(!sentAt.IsZero())
+				is.True(a.Leaving)
+				ofRequest = append(ofRequest, of)
+			})
+			a := attemptAt(r, "r1", 0)
+			resp, err := p.Send(t.Context(), a)
+			is.NoErr(err)
+			resp.Finish()
+			req, answer := &fasthttp.Request{}, &fasthttp.Response{}
+			req.Header.Set(idHeader, "own")
+			is.NoErr(p.Do(t.Context(), a.Instance, req, answer, time.Second))
+			if !heard {
+				is.Equal(len(ofRequest), 0)
+				return
+			}
+			is.Equal(ofRequest, []bool{true, false})
+		})
+	}
+}
