Bring requests beyond a runner's limit about without a network

Its fleet (hosts, runners that name limits, leave or ask for rest, a virtual clock that can be suspended) serves the other matters too.

--- /dev/null
+++ b/coordination/forward/advised_harness_test.go
@@ -0,0 +1,340 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/backpressure"
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/state"
+)
+
+// advisedFleet is hosts that share runners which ask something in their answers.
+type advisedFleet struct {
+	t       *testing.T
+	hosts   []*advisedHost
+	runners []*advisedRunner
+
+	mu sync.Mutex
+	// served and unserved count the callers' requests, late those served after their objective.
+	served, unserved, late int
+	// refused are the refusals that callers got.
+	refused []*Refusal
+}
+
+type advisedHost struct {
+	*Dispatcher
+	f      *advisedFleet
+	name   string
+	domain string
+	clock  *clocktest.Machine
+	fleet  *placement.Fleet
+	advice *backpressure.Registry
+}
+
+// advisedRunner is one runner. What it asks is changed under the fleet's lock.
+type advisedRunner struct {
+	name   string
+	domain string
+	role   state.Role
+	born   int64
+	// limit is named while limited is set; rest is asked of each that is turned away while
+	// resting is set.
+	limited, leaving, resting bool
+	limit                     float64
+	rest                      time.Duration
+
+	arrivals []arrival
+}
+
+// arrival is a request that reached a run of a runner from a host.
+type arrival struct {
+	host string
+	born int64
+	at   time.Time
+	// toldLeaving and restUntil are what the runner had told that host by then.
+	toldLeaving time.Time
+	restUntil   time.Time
+}
+
+func (r *advisedRunner) instance() state.Instance {
+	service := "model"
+	if r.role == "" {
+		service = "plain"
+	}
+	return state.Instance{ID: state.InstanceID{Name: r.name, Born: r.born}, Service: service, Addr: r.name + ":1", FailureDomain: r.domain, Role: r.role, Slots: engineSlots}
+}
+
+// domains are the failure domains of an advisedFleet.
+const domains = 3
+
+// newAdvisedFleet has eight engines that read, four that generate and three runners of a
+// plain service.
+func newAdvisedFleet(t *testing.T, hosts int) *advisedFleet {
+	t.Helper()
+	f := &advisedFleet{t: t}
+	for n := range 15 {
+		r := &advisedRunner{name: fmt.Sprint("p", n), role: state.RolePrefill, born: 1, domain: fmt.Sprint("d", n%domains)}
+		switch {
+		case n < 4:
+			r.name, r.role = fmt.Sprint("d", n), state.RoleDecode
+		case n >= 12:
+			r.name, r.role = fmt.Sprint("s", n), ""
+		}
+		f.runners = append(f.runners, r)
+	}
+	for n := range hosts {
+		f.hosts = append(f.hosts, f.newHost(fmt.Sprint("h", n), fmt.Sprint("d", n%domains)))
+	}
+	f.list()
+	return f
+}
+
+func (f *advisedFleet) newHost(name, domain string) *advisedHost {
+	f.t.Helper()
+	clock := &clocktest.Machine{}
+	h := &advisedHost{f: f, name: name, domain: domain, clock: clock, fleet: placement.NewFleet(placement.Options{Clock: clock, FailureDomain: domain})}
+	var err error
+	h.advice, err = backpressure.New(backpressure.Options{Clock: clock, Log: slog.New(slog.DiscardHandler), Observer: noObserver{}})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	h.Dispatcher, err = New(Options{
+		Upstream: &advisedUpstream{h}, Placer: h.fleet, Gate: newScriptedGate(f.t).Gate, Budget: anyBudget{}, Observer: noObserver{},
+		Outliers: &silentRunners{}, Crashes: &brokenWork{}, Quarantine: &quarantineOf{}, Clock: clock, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return h
+}
+
+// Advised implements backpressure.Observer.
+func (noObserver) Advised(string, backpressure.Kind) {}
+
+// list puts the present runners in the hosts' lists; none is listed as leaving, however long
+// ago it said so.
+func (f *advisedFleet) list() {
+	f.mu.Lock()
+	var list []state.Instance
+	for _, r := range f.runners {
+		list = append(list, r.instance())
+	}
+	f.mu.Unlock()
+	for _, h := range f.hosts {
+		h.fleet.Update(slices.Clone(list))
+		h.advice.Listed(list)
+	}
+}
+
+// set changes what runners ask.
+func (f *advisedFleet) set(change func(r *advisedRunner), names ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.runners {
+		if slices.Contains(names, r.name) {
+			change(r)
+		}
+	}
+}
+
+func (f *advisedFleet) runner(name string) *advisedRunner {
+	for _, r := range f.runners {
+		if r.name == name {
+			return r
+		}
+	}
+	f.t.Fatalf("no runner %s", name)
+	return nil
+}
+
+// advisedUpstream is a host's way to the runners.
+type advisedUpstream struct{ h *advisedHost }
+
+var _ Upstream = (*advisedUpstream)(nil)
+
+// wayTime is that of a request to a runner, and of the answer back.
+const wayTime = time.Millisecond
+
+func (u *advisedUpstream) Send(ctx context.Context, a *Attempt) (Response, error) {
+	h, f := u.h, u.h.f
+	sentAt := h.clock.Now()
+	time.Sleep(wayTime)
+	r := f.runner(a.Instance.ID.Name)
+	f.mu.Lock()
+	advice, misdirected := f.arrive(r, h, a)
+	f.mu.Unlock()
+	time.Sleep(wayTime)
+	if misdirected {
+		return &crashResponse{head: &Head{Status: statusMisdirected, NotRun: true}}, nil
+	}
+	h.advice.Heard(a.Instance, sentAt, advice, true)
+	never := make(chan struct{})
+	switch {
+	case advice.Rest > 0:
+		return &crashResponse{head: &Head{Status: 503, NotRun: true}}, nil
+	case a.PrefillOnly:
+		return &crashResponse{head: &Head{Status: 200}, ctx: ctx, ended: never, events: []string{"handle"}, pause: 10 * time.Millisecond}, nil
+	case r.role == "":
+		return &crashResponse{head: &Head{Status: 200, Sealed: true}, ctx: ctx, ended: never, events: []string{"answer"}, pause: 15 * time.Millisecond}, nil
+	}
+	return &crashResponse{head: &Head{Status: 200, Events: true, Sealed: true}, ctx: ctx, ended: never, events: []string{"id: 1\n\n", "id: 2\n\n"}, pause: 20 * time.Millisecond}, nil
+}
+
+// arrive notes a request at a runner and returns what the answer asks; f.mu is held.
+func (f *advisedFleet) arrive(r *advisedRunner, h *advisedHost, a *Attempt) (advice backpressure.Advice, misdirected bool) {
+	if r.born != a.Instance.ID.Born {
+		return advice, true
+	}
+	now := time.Now()
+	arrived := arrival{host: h.name, born: r.born, at: now}
+	for _, before := range slices.Backward(r.arrivals) {
+		if before.host == h.name && before.born == r.born {
+			arrived.toldLeaving, arrived.restUntil = before.toldLeaving, before.restUntil
+			break
+		}
+	}
+	advice = backpressure.Advice{Limited: r.limited, Limit: r.limit, Leaving: r.leaving}
+	if r.leaving && arrived.toldLeaving.IsZero() {
+		arrived.toldLeaving = now
+	}
+	if r.resting {
+		advice.Rest = r.rest
+		if until := now.Add(r.rest); until.After(arrived.restUntil) {
+			arrived.restUntil = until
+		}
+	}
+	r.arrivals = append(r.arrivals, arrived)
+	return advice, false
+}
+
+// Alive implements Upstream.
+func (u *advisedUpstream) Alive(context.Context, *state.Instance) bool { return true }
+
+// Move implements Upstream.
+func (u *advisedUpstream) Move(context.Context, *state.Instance, string, *state.Instance) (string, error) {
+	return "", errors.New("no run is moved")
+}
+
+// PrefillHandle implements Upstream.
+func (u *advisedUpstream) PrefillHandle(body []byte) (string, error) { return string(body), nil }
+
+// Discard implements Upstream.
+func (u *advisedUpstream) Discard(*KVSource) error { return nil }
+
+// ask sends a request through a host and notes what became of it.
+func (h *advisedHost) ask(r *Request) {
+	began := h.clock.Now()
+	r.ArrivedAt, r.Deadline = began, began.Add(2*time.Second)
+	ctx, cancel := context.WithTimeout(h.f.t.Context(), 2*time.Second)
+	defer cancel()
+	answer, err := h.Forward(ctx, r)
+	if err == nil && answer.Stream != nil {
+		_, err = readAll(answer.Stream)
+	}
+	f := h.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var refusal *Refusal
+	switch {
+	case errors.As(err, &refusal):
+		f.unserved++
+		f.refused = append(f.refused, refusal)
+	case err != nil || answer.Head.Status >= 300:
+		f.unserved++
+	default:
+		f.served++
+		if h.clock.Now().Sub(began) > r.Route.Objective {
+			f.late++
+		}
+	}
+}
+
+// load is what callers ask for, in requests a second of all hosts together. Each is drawn at
+// a host by share, which gives the weight of host n; nil weighs all alike.
+type load struct {
+	prompts, questions, calls float64
+	share                     func(n int) float64
+}
+
+// play lets callers ask for so long.
+func (f *advisedFleet) play(rng *rand.Rand, l load, long time.Duration) {
+	var weights []float64
+	total := 0.0
+	for n := range f.hosts {
+		w := 1.0
+		if l.share != nil {
+			w = l.share(n)
+		}
+		total += w
+		weights = append(weights, total)
+	}
+	perSecond := l.prompts + l.questions + l.calls
+	var callers sync.WaitGroup
+	for end := time.Now().Add(long); time.Now().Before(end); {
+		time.Sleep(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
+		at, _ := slices.BinarySearch(weights, rng.Float64()*total)
+		h := f.hosts[min(at, len(f.hosts)-1)]
+		r := l.draw(rng.Float64() * perSecond)
+		callers.Go(func() { h.ask(r) })
+	}
+	callers.Wait()
+}
+
+// draw makes a request of the kind at a place in the load.
+func (l load) draw(at float64) *Request {
+	switch {
+	case at < l.prompts:
+		return modelRequest(2200, true)
+	case at < l.prompts+l.questions:
+		return modelRequest(200, false)
+	default:
+		return request(state.RouteSafe, 2, false)
+	}
+}
+
+const (
+	// limitWindow and limitSlack are the span in which a limit is judged and what is borne
+	// beyond limitFactor times what it allows.
+	limitWindow = 4 * time.Second
+	limitSlack  = 5
+	limitFactor = 1.5
+)
+
+// mostIn is the most that a runner got in any window of that length which begins in a span.
+func (r *advisedRunner) mostIn(window time.Duration, from, to time.Time) int {
+	most, first := 0, 0
+	for n, a := range r.arrivals {
+		if a.at.Before(from) {
+			first = n + 1
+			continue
+		}
+		if a.at.After(to) {
+			break
+		}
+		for a.at.Sub(r.arrivals[first].at) > window {
+			first++
+		}
+		most = max(most, n-first+1)
+	}
+	return most
+}
+
+// between counts what a runner got in a span.
+func (r *advisedRunner) between(from, to time.Time) int {
+	n := 0
+	for _, a := range r.arrivals {
+		if !a.at.Before(from) && a.at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
