Keep to the limits that runners name, over all hosts

Callers saw nothing; runners in need got all that hosts had for them: 129 requests in 4 s at a limit of 12.2 a second, of 78 that are borne.

Cause: no host took a limit from any answer. Class: a bound that only all hosts together can keep, and that nobody kept.

Change: a request for a runner that names a limit needs a permit of the host that owns the runner's count; a runner whose permits are used up is passed over until the next is due. When all are, a request waits for the first that opens if its answer is still in time then, and takes its permit ahead; it is refused at once otherwise, as not run, with the time at which there will be room. Nothing is read that no engine generates in time.

Weighed: an even share for each host needs no calls, but at 300 hosts and 8.4 a second gives each one request in 36 s, whoever has the callers; shares that are leased and moved cost calls of all hosts all the time, and lag behind. A permit a request costs one call between hosts, and only where a runner is in need; the places at engines are asked of the same owners, whose choice and avoidance are used. The budget of repeats is each host's own part of a bound that grows with its requests; a limit doesn't.

Why it holds: a limit is spread evenly in time at its first owner, whatever the hosts know. Hosts that don't reach it may get a quarter from the next, a sixteenth from the one after, and a tenth is for those that reach none: less than one and a half times the limit, however the hosts are cut off.

--- a/coordination/backpressure/registry.go
+++ b/coordination/backpressure/registry.go
@@ -62,6 +62,8 @@
 	rate float64
 	// heardAt is when the last answer arrived that named it.
 	heardAt time.Time
+	// opensAt is when the next request of this host may leave; zero if one may at once.
+	opensAt time.Time
 }
 
 // New validates the options.
@@ -131,7 +133,11 @@
 
 func (r *Registry) limited(i *state.Instance, known *run, rate float64, now time.Time) {
 	before := known.limit.Load()
-	known.limit.Store(&limit{rate: rate, heardAt: now})
+	named := &limit{rate: rate, heardAt: now}
+	if before != nil && before.rate == rate {
+		named.opensAt = before.opensAt
+	}
+	known.limit.Store(named)
 	if before != nil && before.rate == rate {
 		return
 	}
@@ -212,6 +218,46 @@
 	return known != nil && known.leaving.Load()
 }
 
+// Limit is how many requests a second a run takes of all hosts together, if it names a limit.
+func (r *Registry) Limit(id state.InstanceID) (rate float64, limited bool) {
+	known := r.run(id)
+	if known == nil {
+		return 0, false
+	}
+	l := known.limit.Load()
+	if l == nil {
+		return 0, false
+	}
+	return l.rate, true
+}
+
+// Closed notes that the limit of a run leaves nothing for this host until then.
+func (r *Registry) Closed(id state.InstanceID, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.run(id)
+	if known == nil {
+		return
+	}
+	if l := known.limit.Load(); l != nil {
+		known.limit.Store(&limit{l.rate, l.heardAt, until})
+	}
+}
+
+// OpensAt is when a run takes a request of this host again; zero if it does now, as far as is
+// known here.
+func (r *Registry) OpensAt(id state.InstanceID) time.Time {
+	known := r.run(id)
+	if known == nil {
+		return time.Time{}
+	}
+	l := known.limit.Load()
+	if l == nil || !r.o.Clock.Now().Before(l.opensAt) {
+		return time.Time{}
+	}
+	return l.opensAt
+}
+
 // Counts are the runs that ask something at present.
 type Counts struct{ Limited, Leaving, Resting int }
 
--- /dev/null
+++ b/coordination/forward/advice.go
@@ -0,0 +1,119 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/state"
+)
+
+// Advice is what runners ask of this host.
+type Advice interface {
+	// Limit is how many requests a second a runner takes of all hosts together, if it names
+	// a limit.
+	Limit(id state.InstanceID) (rate float64, limited bool)
+	// Closed notes that a limit leaves nothing for this host until then. The placer doesn't
+	// choose the runner meanwhile.
+	Closed(id state.InstanceID, until time.Time)
+}
+
+const (
+	// permitFor is how long after its time a permit may be used. A host that was held up or
+	// suspended longer asks again: others have got what it didn't use.
+	permitFor = 250 * time.Millisecond
+	// leastClosed is the shortest time for which a used up limit closes a runner, so that a
+	// request doesn't ask again at once.
+	leastClosed = time.Millisecond
+	// answerTime is kept of an objective for the answer: a short one and its way.
+	answerTime = 50 * time.Millisecond
+	// resumeWait is how long a stream that broke off waits for a runner that takes it.
+	// Callers give one up after two seconds without an event.
+	resumeWait = time.Second
+)
+
+// permitted reports whether a request may be sent to a runner, by the limit that the runner
+// names. It waits for that so long at most.
+func (d *Dispatcher) permitted(ctx context.Context, i *state.Instance, part string, rec *record, wait time.Duration) bool {
+	rate, limited := d.o.Advice.Limit(i.ID)
+	if !limited {
+		return true
+	}
+	asked := d.o.Clock.Now()
+	p := d.o.Gate.Permit(ctx, occupancy.PermitAsk{Runner: i.ID, Rate: rate, MaxWait: max(0, wait)})
+	if !p.Granted {
+		d.o.Advice.Closed(i.ID, d.o.Clock.Now().Add(max(p.Wait, leastClosed)))
+		rec.add(i, part, outcomeLimited, 0, nil)
+		return false
+	}
+	if p.Wait > 0 && d.o.Clock.Sleep(ctx, p.Wait) != nil {
+		return false
+	}
+	return d.o.Clock.Now().Sub(asked) <= p.Wait+permitFor
+}
+
+// part is what a runner does for the request after its prompt was read apart, if it is.
+func (d *Dispatcher) part(r *Request, rec *record) placement.Part {
+	switch {
+	case r.Generation == nil:
+		return placement.PartCall
+	case d.long(r) && !rec.apart:
+		return placement.PartRead
+	default:
+		return placement.PartGenerate
+	}
+}
+
+// pick chooses a runner for the next sending. If all are closed it waits for the first that
+// opens until by at most, and refuses the request otherwise.
+func (d *Dispatcher) pick(ctx context.Context, r *Request, rec *record, by time.Time) (choice, error) {
+	c, err := d.choose(ctx, r, rec)
+	if err != nil || c.Runner != nil {
+		return c, err
+	}
+	runner, err := d.awaitOpening(ctx, r, rec, d.part(r, rec), by)
+	return choice{Runner: runner, permitted: true}, err
+}
+
+// awaitOpening waits for a runner that takes such work, until by at most, and takes the permit
+// that its limit asks for.
+func (d *Dispatcher) awaitOpening(ctx context.Context, r *Request, rec *record, p placement.Part, by time.Time) (*placement.Runner, error) {
+	for {
+		runner, at := d.o.Placer.Soonest(r.Service, p, rec.tried)
+		if runner == nil {
+			return nil, d.refuse(r, rec, ReasonNoRunner)
+		}
+		if at.After(by) {
+			return nil, d.refuseUntil(rec, at)
+		}
+		if err := d.over(ctx, r, rec); err != nil {
+			return nil, err
+		}
+		if d.permitted(ctx, runner.Instance, "wait", rec, by.Sub(d.o.Clock.Now())) {
+			return runner, nil
+		}
+	}
+}
+
+// refuseUntil refuses a request that no runner takes before a time.
+func (d *Dispatcher) refuseUntil(rec *record, at time.Time) error {
+	return &Refusal{Reason: ReasonBackpressure, NotRun: !rec.mayHaveRun, RetryAfter: d.spread(at.Sub(d.o.Clock.Now()))}
+}
+
+// usefulBy is the last moment at which a request that waits for a runner is answered in time.
+func (d *Dispatcher) usefulBy(r *Request) time.Time {
+	if r.Route.Objective <= 0 {
+		return r.Deadline.Add(-answerTime)
+	}
+	return r.ArrivedAt.Add(r.Route.Objective - answerTime)
+}
+
+// generates refuses a request that no engine takes in time after its prompt was read.
+func (d *Dispatcher) generates(r *Request, rec *record) error {
+	runner, at := d.o.Placer.Soonest(r.Service, placement.PartGenerate, rec.tried)
+	if runner == nil || !at.After(d.usefulBy(r)) {
+		return nil
+	}
+	return d.refuseUntil(rec, at)
+}
--- a/coordination/forward/advised_harness_test.go
+++ b/coordination/forward/advised_harness_test.go
@@ -8,12 +8,16 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/backpressure"
 	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -22,8 +26,12 @@
 	t       *testing.T
 	hosts   []*advisedHost
 	runners []*advisedRunner
+	// asks counts the asks for permits between hosts.
+	asks atomic.Int64
 
 	mu sync.Mutex
+	// peers lists the hosts; it is replaced whole.
+	peers []state.Peer
 	// served and unserved count the callers' requests, late those served after their objective.
 	served, unserved, late int
 	// refused are the refusals that callers got.
@@ -38,6 +46,12 @@
 	clock  *clocktest.Machine
 	fleet  *placement.Fleet
 	advice *backpressure.Registry
+	book   *occupancy.Book
+	gate   *occupancy.Gate
+	// island is the part of the network that the host reaches; hosts of other parts aren't.
+	// Runners are reached from all. It is changed under the fleet's lock.
+	island int
+	gone   bool
 }
 
 // advisedRunner is one runner. What it asks is changed under the fleet's lock.
@@ -94,6 +108,7 @@
 	for n := range hosts {
 		f.hosts = append(f.hosts, f.newHost(fmt.Sprint("h", n), fmt.Sprint("d", n%domains)))
 	}
+	f.listHosts()
 	f.list()
 	return f
 }
@@ -101,15 +116,19 @@
 func (f *advisedFleet) newHost(name, domain string) *advisedHost {
 	f.t.Helper()
 	clock := &clocktest.Machine{}
-	h := &advisedHost{f: f, name: name, domain: domain, clock: clock, fleet: placement.NewFleet(placement.Options{Clock: clock, FailureDomain: domain})}
+	h := &advisedHost{f: f, name: name, domain: domain, clock: clock, advice: newAdvice(f.t, clock)}
+	h.fleet = placement.NewFleet(placement.Options{Clock: clock, FailureDomain: domain, Advice: h.advice})
 	var err error
-	h.advice, err = backpressure.New(backpressure.Options{Clock: clock, Log: slog.New(slog.DiscardHandler), Observer: noObserver{}})
+	h.book = occupancy.NewBook(clock, slog.New(slog.DiscardHandler))
+	h.gate, err = occupancy.NewGate(occupancy.GateOptions{
+		Book: h.book, Peers: advisedPeers{h}, Self: name, Hosts: f.listedHosts, Clock: clock, Log: slog.New(slog.DiscardHandler),
+	})
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	h.Dispatcher, err = New(Options{
-		Upstream: &advisedUpstream{h}, Placer: h.fleet, Gate: newScriptedGate(f.t).Gate, Budget: anyBudget{}, Observer: noObserver{},
-		Outliers: &silentRunners{}, Crashes: &brokenWork{}, Quarantine: &quarantineOf{}, Clock: clock, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
+		Upstream: &advisedUpstream{h}, Placer: h.fleet, Gate: h.gate, Budget: anyBudget{}, Observer: noObserver{}, Advice: h.advice,
+		Outliers: &silentRunners{}, Crashes: &brokenWork{}, Quarantine: noQuarantine{}, Clock: clock, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
 		f.t.Fatal(err)
@@ -117,9 +136,106 @@
 	return h
 }
 
+// listedHosts is the list of hosts, which doesn't know who is gone or cut off.
+func (f *advisedFleet) listedHosts() []state.Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peers
+}
+
+// peerTime is the way to another host.
+const peerTime = time.Millisecond
+
+// advisedPeers is a host's way to the others.
+type advisedPeers struct{ h *advisedHost }
+
+var _ occupancy.Peers = advisedPeers{}
+
+var errNotReached = errors.New("the host isn't reached")
+
+// reach is the host at an address after the way there, or an error when the caller has waited
+// long enough for one that isn't reached.
+func (p advisedPeers) reach(ctx context.Context, addr string) (*advisedHost, error) {
+	time.Sleep(peerTime)
+	f := p.h.f
+	f.mu.Lock()
+	var to *advisedHost
+	for _, h := range f.hosts {
+		if h.name == addr && !h.gone && h.island == p.h.island {
+			to = h
+		}
+	}
+	f.mu.Unlock()
+	if to == nil {
+		<-ctx.Done()
+		return nil, errNotReached
+	}
+	return to, nil
+}
+
+// Enter implements occupancy.Peers.
+func (p advisedPeers) Enter(ctx context.Context, addr string, a occupancy.Ask) (occupancy.Answer, error) {
+	to, err := p.reach(ctx, addr)
+	if err != nil {
+		return occupancy.Answer{}, err
+	}
+	defer time.Sleep(peerTime)
+	return to.book.Enter(a), nil
+}
+
+// Remaining implements occupancy.Peers.
+func (p advisedPeers) Remaining(ctx context.Context, addr string, engine state.InstanceID, id uint64) (backlog.Forecast, backlog.Progress, error) {
+	to, err := p.reach(ctx, addr)
+	if err != nil {
+		return backlog.Forecast{}, backlog.Unknown, err
+	}
+	forecast, progress := to.book.Remaining(engine, id)
+	return forecast, progress, nil
+}
+
+// Leave implements occupancy.Peers.
+func (p advisedPeers) Leave(ctx context.Context, addr string, engine state.InstanceID, id uint64, done bool) error {
+	to, err := p.reach(ctx, addr)
+	if err != nil {
+		return err
+	}
+	to.book.Leave(engine, id, done)
+	return nil
+}
+
+// Permit implements occupancy.Peers.
+func (p advisedPeers) Permit(ctx context.Context, addr string, a occupancy.PermitAsk) (occupancy.Permit, error) {
+	to, err := p.reach(ctx, addr)
+	if err != nil {
+		return occupancy.Permit{}, err
+	}
+	defer time.Sleep(peerTime)
+	p.h.f.asks.Add(1)
+	return to.gate.Grant(a), nil
+}
+
+// noQuarantine holds nothing.
+type noQuarantine struct{}
+
+func (noQuarantine) Held(quarantine.Digest) *quarantine.Hold { return nil }
+
+func (noQuarantine) Answered(quarantine.Digest) {}
+
 // Advised implements backpressure.Observer.
 func (noObserver) Advised(string, backpressure.Kind) {}
 
+// listHosts lists the hosts that are there.
+func (f *advisedFleet) listHosts() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers = nil
+	for _, h := range f.hosts {
+		if !h.gone {
+			f.peers = append(f.peers, state.Peer{Addr: h.name, FailureDomain: h.domain})
+		}
+	}
+}
+
 // list puts the present runners in the hosts' lists; none is listed as leaving, however long
 // ago it said so.
 func (f *advisedFleet) list() {
@@ -287,8 +403,12 @@
 		callers.Go(func() { h.ask(r) })
 	}
 	callers.Wait()
+	time.Sleep(settleTime)
 }
 
+// settleTime lets hosts tell each other what nobody waits for.
+const settleTime = time.Second
+
 // draw makes a request of the kind at a place in the load.
 func (l load) draw(at float64) *Request {
 	switch {
@@ -327,14 +447,3 @@
 	}
 	return most
 }
-
-// between counts what a runner got in a span.
-func (r *advisedRunner) between(from, to time.Time) int {
-	n := 0
-	for _, a := range r.arrivals {
-		if !a.at.Before(from) && a.at.Before(to) {
-			n++
-		}
-	}
-	return n
-}
--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -14,6 +14,10 @@
 // ended without one.
 func (d *Dispatcher) attempt(ctx context.Context, a *Attempt, c choice, rec *record) (*Answer, outcome) {
 	runner, sent := c.Runner, c.begin()
+	if !c.permitted && !d.permitted(ctx, a.Instance, "run", rec, 0) {
+		sent.end()
+		return nil, outcomeLimited
+	}
 	rec.exclude(a.Instance)
 	if !d.o.Placer.Has(a.Instance.ID) {
 		sent.end()
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -27,6 +27,8 @@
 	Runner(id state.InstanceID) *placement.Runner
 	// Has reports whether work may be sent to the instance at this moment.
 	Has(id state.InstanceID) bool
+	// Soonest is the first runner to take such work again, and when; zero for now.
+	Soonest(service string, p placement.Part, tried []state.InstanceID) (*placement.Runner, time.Time)
 }
 
 // Budget limits further sendings over all hosts.
@@ -55,6 +57,8 @@
 // Gate gives places at engines, counted over all hosts.
 type Gate interface {
 	Enter(ctx context.Context, a occupancy.Ask) occupancy.Verdict
+	// Permit asks to send a request to a runner that names a limit.
+	Permit(ctx context.Context, a occupancy.PermitAsk) occupancy.Permit
 }
 
 // Outliers is told of runners that don't answer.
@@ -88,6 +92,7 @@
 	Crashes  Crashes
 	// Quarantine is asked before each sending.
 	Quarantine Quarantine
+	Advice     Advice
 	Clock      state.Clock
 	Log        *slog.Logger
 	// SplitTokens is the prompt size from which a prompt is read at a prefill
@@ -104,7 +109,7 @@
 
 // New validates the options.
 func New(o Options) (*Dispatcher, error) {
-	if o.Upstream == nil || o.Placer == nil || o.Gate == nil || o.Budget == nil || o.Observer == nil || o.Outliers == nil || o.Crashes == nil || o.Quarantine == nil || o.Clock == nil || o.Log == nil {
+	if o.Upstream == nil || o.Placer == nil || o.Gate == nil || o.Budget == nil || o.Observer == nil || o.Outliers == nil || o.Crashes == nil || o.Quarantine == nil || o.Advice == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("forward: a field of Options is nil; set all of them")
 	}
 	return &Dispatcher{o: o}, nil
@@ -199,13 +204,10 @@
 		if err := d.over(ctx, r, rec); err != nil {
 			return nil, err
 		}
-		c, err := d.choose(ctx, r, rec)
+		c, err := d.pick(ctx, r, rec, d.usefulBy(r))
 		if err != nil {
 			return nil, err
 		}
-		if c.Runner == nil {
-			return nil, d.refuse(r, rec, ReasonNoRunner)
-		}
 		if err := d.barred(ctx, r, rec); err != nil {
 			c.begin().end()
 			return nil, err
@@ -219,6 +221,7 @@
 			rec.failed = answer
 		}
 		switch {
+		case end == outcomeLimited:
 		case end == outcomeUnsent && unsent < maxUnsent:
 			unsent++
 		case !d.mayRepeat(r, rec):
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/backlog"
+	"github.com/thymerack/thymerack/coordination/backpressure"
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
@@ -291,6 +292,7 @@
 	silent *silentRunners
 	broken *brokenWork
 	held   *quarantineOf
+	advice *backpressure.Registry
 }
 
 func newWorld(t *testing.T, budget int, replies ...reply) *world {
@@ -302,7 +304,8 @@
 func newWorldAt(t *testing.T, clock state.Clock, budget int, replies ...reply) *world {
 	t.Helper()
 	up := &fakeUpstream{t: t, replies: replies, discarded: make(chan string, 4)}
-	fleet := placement.NewFleet(placement.Options{Clock: clocktest.Bubble{}, FailureDomain: "d1"})
+	advice := newAdvice(t, clock)
+	fleet := placement.NewFleet(placement.Options{Clock: clocktest.Bubble{}, FailureDomain: "d1", Advice: advice})
 	var list []state.Instance
 	for _, id := range []string{"1", "2", "3", "4", "5"} {
 		list = append(list,
@@ -314,13 +317,22 @@
 	gate := newScriptedGate(t)
 	silent, broken, held := &silentRunners{}, &brokenWork{}, &quarantineOf{}
 	d, err := New(Options{
-		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: silent, Crashes: broken, Quarantine: held, Clock: clock,
+		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: silent, Crashes: broken, Quarantine: held, Advice: advice, Clock: clock,
 		Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &world{d, up, fleet, gate, silent, broken, held}
+	return &world{d, up, fleet, gate, silent, broken, held, advice}
+}
+
+func newAdvice(t *testing.T, clock state.Clock) *backpressure.Registry {
+	t.Helper()
+	advice, err := backpressure.New(backpressure.Options{Clock: clock, Log: slog.New(slog.DiscardHandler), Observer: noObserver{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return advice
 }
 
 // readingAsks counts the questions for a place to read.
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -25,6 +25,8 @@
 	outcomeCut      outcome = "cut"
 	// outcomeMoved is a run that was moved to another engine, as its own one leaves.
 	outcomeMoved outcome = "moved"
+	// outcomeLimited is a runner whose limit left nothing for the request.
+	outcomeLimited outcome = "limited"
 	// outcomeFull is an engine that has as many prompts as it reads in time, or no
 	// free slot.
 	outcomeFull outcome = "full"
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -226,6 +226,8 @@
 	ReasonDeadline  Reason = "deadline_passed"
 	ReasonCancelled Reason = "caller_left"
 	ReasonOverload  Reason = "overloaded"
+	// ReasonBackpressure says that the limits which runners name leave nothing in time.
+	ReasonBackpressure Reason = "backpressure"
 	// ReasonCrashes says that runners crashed under copies of the request.
 	ReasonCrashes Reason = "crashes_runners"
 )
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -19,10 +19,13 @@
 // an engine takes is free; others draw on the budget.
 func (d *Dispatcher) readPrompt(ctx context.Context, r *Request, rec *record) (*KVSource, error) {
 	var tried []state.InstanceID
-	for try := 0; try < maxPrefills; try++ {
+	for len(tried) < maxPrefills {
 		if d.over(ctx, r, rec) != nil || !d.pay(r, rec) {
 			return nil, nil
 		}
+		if err := d.generates(r, rec); err != nil {
+			return nil, err
+		}
 		t, err := d.takeTurn(ctx, r, rec, tried)
 		if err != nil {
 			return nil, err
@@ -31,6 +34,10 @@
 		if t.runner == nil {
 			return nil, nil
 		}
+		if !d.permitted(ctx, t.runner.Instance, "prefill", rec, 0) {
+			t.end(false)
+			continue
+		}
 		if err := d.barred(ctx, r, rec); err != nil {
 			t.end(false)
 			return nil, err
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -184,8 +184,8 @@
 	s.broken()
 	s.rec.add(s.a.Instance, "run", outcomeUnknown, s.d.o.Clock.Now().Sub(s.started), cause)
 	for s.d.over(s.ctx, r, s.rec) == nil && s.d.mayRepeat(r, s.rec) {
-		c, err := s.d.choose(s.ctx, r, s.rec)
-		if err != nil || c.Runner == nil {
+		c, err := s.d.pick(s.ctx, r, s.rec, s.d.o.Clock.Now().Add(resumeWait))
+		if err != nil {
 			return false
 		}
 		if s.d.barred(s.ctx, r, s.rec) != nil {
@@ -212,6 +212,10 @@
 // resumeWith makes an attempt that goes on after the last whole event.
 func (s *Stream) resumeWith(a *Attempt, c choice) bool {
 	runner, sent := c.Runner, c.begin()
+	if !c.permitted && !s.d.permitted(s.ctx, a.Instance, "resume", s.rec, resumeWait) {
+		sent.end()
+		return false
+	}
 	s.rec.exclude(a.Instance)
 	a.Left = s.d.left(a.Request)
 	started := s.d.o.Clock.Now()
--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -73,6 +73,8 @@
 	turn turn
 	// reads is set if the place is for reading the prompt and ends with that.
 	reads bool
+	// permitted is set if the runner's limit was asked already.
+	permitted bool
 }
 
 // rank is the order of the sending at its runner.
--- a/coordination/occupancy/book.go
+++ b/coordination/occupancy/book.go
@@ -65,6 +65,7 @@
 	engines map[state.InstanceID]*engine
 	// estimators are by service.
 	estimators map[string]*backlog.Estimator
+	permits    map[state.InstanceID]*permits
 }
 
 // engine is what is under way at one engine.
@@ -83,7 +84,7 @@
 
 // NewBook returns an empty book.
 func NewBook(clock state.Clock, log *slog.Logger) *Book {
-	return &Book{clock: clock, log: log, engines: map[state.InstanceID]*engine{}, estimators: map[string]*backlog.Estimator{}}
+	return &Book{clock: clock, log: log, engines: map[state.InstanceID]*engine{}, estimators: map[string]*backlog.Estimator{}, permits: map[state.InstanceID]*permits{}}
 }
 
 // Enter gives a place at the engine, or none if as much is under way there as is
--- a/coordination/occupancy/gate.go
+++ b/coordination/occupancy/gate.go
@@ -41,6 +41,7 @@
 	Enter(ctx context.Context, addr string, a Ask) (Answer, error)
 	Remaining(ctx context.Context, addr string, engine state.InstanceID, id uint64) (backlog.Forecast, backlog.Progress, error)
 	Leave(ctx context.Context, addr string, engine state.InstanceID, id uint64, done bool) error
+	Permit(ctx context.Context, addr string, a PermitAsk) (Permit, error)
 }
 
 // GateOptions configure a Gate. All fields are required.
--- a/coordination/occupancy/gate_test.go
+++ b/coordination/occupancy/gate_test.go
@@ -47,6 +47,14 @@
 	return nil
 }
 
+func (n *network) Permit(_ context.Context, addr string, a PermitAsk) (Permit, error) {
+	n.asked = append(n.asked, addr)
+	if n.lost[addr] {
+		return Permit{}, errors.New("no answer")
+	}
+	return n.books[addr].Permit(a, shareOfRank(a.Rank)), nil
+}
+
 // fleet returns the gates of hosts of the given classes.
 func fleet(t *testing.T, classes ...int) (*network, []*Gate) {
 	t.Helper()
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -50,11 +50,19 @@
 	}
 }
 
+// Advice is what runners ask of this host.
+type Advice interface {
+	// OpensAt is when a runner takes a request again; zero if it does now.
+	OpensAt(id state.InstanceID) time.Time
+}
+
 // Options configure a Fleet.
 type Options struct {
 	Clock state.Clock
 	// FailureDomain is the host's own, preferred among equals.
 	FailureDomain string
+	// Advice closes runners for a while, which are then never chosen; nil closes none.
+	Advice Advice
 }
 
 // Fleet is the list of instances. It is safe for concurrent use; Update has one
@@ -288,8 +296,55 @@
 	return loadFactor*float64(total)/float64(len(runners)) + loadSlack
 }
 
-// least returns the runner of least cost; runners that lately failed cost more,
-// and suspects are taken only when nothing else is left. Ties are broken at
+// Part is what a runner is to do.
+type Part int
+
+// The parts.
+const (
+	// PartCall is a call of a plain service.
+	PartCall Part = iota
+	// PartRead is the reading of a prompt apart.
+	PartRead
+	// PartGenerate is the rest of a model request.
+	PartGenerate
+)
+
+// Soonest is the runner that is the first to take such work again, and when; the time is zero
+// if one does now. It returns nil if there is none.
+func (f *Fleet) Soonest(service string, p Part, tried []state.InstanceID) (*Runner, time.Time) {
+	var best *Runner
+	var bestAt time.Time
+	for _, r := range f.service(service).of(p) {
+		if slices.Contains(tried, r.Instance.ID) {
+			continue
+		}
+		if at := f.opensAt(r); best == nil || at.Before(bestAt) {
+			best, bestAt = r, at
+		}
+	}
+	return best, bestAt
+}
+
+func (s runners) of(p Part) []*Runner {
+	switch p {
+	case PartRead:
+		return s.reading
+	case PartGenerate:
+		return s.generating
+	default:
+		return s.all
+	}
+}
+
+func (f *Fleet) opensAt(r *Runner) time.Time {
+	if f.o.Advice == nil {
+		return time.Time{}
+	}
+	return f.o.Advice.OpensAt(r.Instance.ID)
+}
+
+// least returns the runner of least cost among those that take work; runners that lately
+// failed cost more, and suspects are taken only when nothing else is left. Ties are broken at
 // random, so that hosts don't all choose the same one.
 func (f *Fleet) least(runners []*Runner, tried []state.InstanceID, cost func(*Runner) float64) *Runner {
 	now := f.o.Clock.Now()
@@ -297,7 +352,7 @@
 	bestCost := 0.0
 	ties := 0
 	for _, r := range runners {
-		if slices.Contains(tried, r.Instance.ID) {
+		if slices.Contains(tried, r.Instance.ID) || !f.opensAt(r).IsZero() {
 			continue
 		}
 		c := cost(r) * (1 + failureWeight*r.FailureRate(now))
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -176,7 +176,7 @@
 	if err != nil {
 		return err
 	}
-	h.fleet = placement.NewFleet(placement.Options{Clock: h.clock, FailureDomain: h.s.FailureDomain})
+	h.fleet = placement.NewFleet(placement.Options{Clock: h.clock, FailureDomain: h.s.FailureDomain, Advice: h.advice})
 	h.config = follow.NewConfig(platform.ConfigName, platform.DecodeConfig, h.log)
 	h.instances = follow.NewInstances(follow.InstancesOptions{
 		Clock: h.clock, Log: h.log, Decode: platform.DecodeInstance, Publish: h.publish, Unusable: h.metrics.unusableEntry,
@@ -240,7 +240,7 @@
 	}
 	dispatcher, err := forward.New(forward.Options{
 		Upstream: h.pool, Placer: h.fleet, Gate: h.gate, Budget: budget, Clock: h.clock, Log: h.log, SplitTokens: h.o.SplitTokens,
-		Observer: h.metrics, Outliers: h.outliers, Crashes: h.crashes, Quarantine: h.quarantine,
+		Observer: h.metrics, Outliers: h.outliers, Crashes: h.crashes, Quarantine: h.quarantine, Advice: h.advice,
 	})
 	if err != nil {
 		return err
--- a/daemon/routed/peers.go
+++ b/daemon/routed/peers.go
@@ -68,7 +68,6 @@
 
 func (h *Host) buildGate() error {
 	book := occupancy.NewBook(h.clock, h.log)
-	places.Register(h.peerServer, book)
 	roles.Subscribe(h.fanout, h.fleet.Expect, h.log)
 	var err error
 	h.gate, err = occupancy.NewGate(occupancy.GateOptions{
@@ -78,6 +77,7 @@
 	if err != nil {
 		return err
 	}
+	places.Register(h.peerServer, book, h.gate)
 	return h.buildOutliers()
 }
 
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -86,6 +86,8 @@
 	// what it was told of a window.
 	KindTellUsage Kind = 19
 	KindAskUsage  Kind = 20
+	// KindPermit asks an owner for a permit to send a request to a runner that names a limit.
+	KindPermit Kind = 21
 )
 
 // FrameType tells how a frame's body is meant.
--- a/transport/places/places.go
+++ b/transport/places/places.go
@@ -74,8 +74,31 @@
 // Left answers a Leave.
 type Left struct{}
 
-// Register lets the server answer peers from the host's book.
-func Register(s *peer.Server, book *occupancy.Book) {
+// Permit asks for a permit to send a request to a runner that names a limit.
+type Permit struct {
+	Runner    string  `msgpack:"e"`
+	Born      int64   `msgpack:"b,omitempty"`
+	Rate      float64 `msgpack:"r"`
+	MaxWaitMS float64 `msgpack:"w"`
+	Rank      int     `msgpack:"k"`
+}
+
+// Permitted answers a Permit.
+type Permitted struct {
+	Granted bool    `msgpack:"g"`
+	WaitMS  float64 `msgpack:"w"`
+}
+
+// Register lets the server answer peers from the host's book, and from its gate for what it
+// owns of runners' limits.
+func Register(s *peer.Server, book *occupancy.Book, gate *occupancy.Gate) {
+	s.Handle(peerapi.KindPermit, peer.HandleMsg(func(_ context.Context, _ state.HostID, q Permit) (Permitted, error) {
+		if !(q.Rate >= 0) || !(q.MaxWaitMS >= 0 && q.MaxWaitMS < mostWaitMS) || q.Rank < 0 {
+			return Permitted{}, errPermit
+		}
+		got := gate.Grant(occupancy.PermitAsk{Runner: state.InstanceID{Name: q.Runner, Born: q.Born}, Rate: q.Rate, MaxWait: state.Millis(q.MaxWaitMS), Rank: q.Rank})
+		return Permitted{got.Granted, state.InMillis(got.Wait)}, nil
+	}))
 	s.Handle(peerapi.KindEnter, peer.HandleMsg(func(_ context.Context, _ state.HostID, q Enter) (Entered, error) {
 		a, err := q.ask()
 		if err != nil {
@@ -94,6 +117,9 @@
 	}))
 }
 
+// errPermit says that an ask for a permit can't be right.
+var errPermit = errors.New("places: an ask for a permit has a rate, wait or rank out of range; run the same version on all hosts")
+
 // errParts says that a prompt's parts and their sizes can't be right.
 var errParts = errors.New("places: a prompt's parts have no sizes, or ones out of range; run the same version on all hosts")
 
@@ -103,6 +129,8 @@
 	// mostFetchMS is above every time in which an engine fetches: it doesn't begin what
 	// would wait for more than two seconds.
 	mostFetchMS = 60_000
+	// mostWaitMS is above every wait for a permit: callers leave before.
+	mostWaitMS = 3_600_000
 )
 
 func outOfRange(tokens int) bool { return tokens < 0 || tokens > mostTokens }
@@ -175,3 +203,10 @@
 	_, err := peer.CallMsg[Leave, Left](ctx, p.Client, addr, peerapi.KindLeave, Leave{engine.Name, engine.Born, id, done})
 	return err
 }
+
+// Permit implements occupancy.Peers.
+func (p Peers) Permit(ctx context.Context, addr string, a occupancy.PermitAsk) (occupancy.Permit, error) {
+	q := Permit{a.Runner.Name, a.Runner.Born, a.Rate, state.InMillis(a.MaxWait), a.Rank}
+	got, err := peer.CallMsg[Permit, Permitted](ctx, p.Client, addr, peerapi.KindPermit, q)
+	return occupancy.Permit{Granted: got.Granted, Wait: state.Millis(got.WaitMS)}, err
+}
--- a/transport/places/places_test.go
+++ b/transport/places/places_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -33,7 +34,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	Register(s, occupancy.NewBook(wallclock.Clock{}, slog.New(slog.DiscardHandler)))
+	book := occupancy.NewBook(wallclock.Clock{}, slog.New(slog.DiscardHandler))
+	gate, err := occupancy.NewGate(occupancy.GateOptions{
+		Book: book, Peers: Peers{}, Self: "self", Clock: wallclock.Clock{}, Log: slog.New(slog.DiscardHandler),
+		Hosts: func() []state.Peer { return []state.Peer{{Addr: "self"}} },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	Register(s, book, gate)
 	c, err := peer.NewClient(peer.ClientOptions{Self: hostID("asks")})
 	if err != nil {
 		t.Fatal(err)
@@ -120,3 +129,19 @@
 	is.True(err != nil)
 	is.Equal(progress, backlog.Unknown)
 }
+
+func TestPermitsAreGivenOverTheNetwork(t *testing.T) {
+	is := is.New(t)
+	addr, peers := serve(t)
+	a := occupancy.PermitAsk{Runner: engine, Rate: 0.1}
+	p, err := peers.Permit(t.Context(), addr, a)
+	is.NoErr(err)
+	is.True(p.Granted)
+	p, err = peers.Permit(t.Context(), addr, a)
+	is.NoErr(err)
+	is.True(!p.Granted)
+	is.True(p.Wait > 9*time.Second)
+	a.Rate = math.NaN()
+	_, err = peers.Permit(t.Context(), addr, a)
+	is.True(err != nil)
+}
