Show that hosts learn of a limit one by one

At 83 and 300 hosts a runner with a limit of 8.4 a second got 17 a second, 111 in 4 s: each host sends until an answer of its own names the limit.

--- a/coordination/forward/advised_harness_test.go
+++ b/coordination/forward/advised_harness_test.go
@@ -447,3 +447,14 @@
 	}
 	return most
 }
+
+// between counts what a runner got in a span.
+func (r *advisedRunner) between(from, to time.Time) int {
+	n := 0
+	for _, a := range r.arrivals {
+		if !a.at.Before(from) && a.at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
--- a/coordination/forward/limits_test.go
+++ b/coordination/forward/limits_test.go
@@ -43,3 +43,57 @@
 		is.Equal(f.unserved, 0) // two other engines have room
 	})
 }
+
+// alone is a load of one host's callers.
+func alone(n int) float64 {
+	if n == 0 {
+		return 1
+	}
+	return 0
+}
+
+// uneven gives a few hosts most of the callers.
+func uneven(n int) float64 { return 1 / float64(1+n) }
+
+// A limit is used as well as kept, whoever has the callers and however many hosts there are:
+// callers ask for more than all runners of the service take.
+func TestLimitIsUsed(t *testing.T) {
+	for name, c := range map[string]struct {
+		hosts int
+		limit float64
+		share func(int) float64
+	}{
+		"7 hosts":                    {7, 50, nil},
+		"one host has all callers":   {7, 50, alone},
+		"a few have most":            {83, 50, uneven},
+		"83 hosts, a low limit":      {83, 8.4, nil},
+		"300 hosts, a low limit":     {300, 8.4, nil},
+		"300 hosts, a few have most": {300, 8.4, uneven},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newAdvisedFleet(t, c.hosts)
+				rng := rand.New(rand.NewPCG(38, 1))
+				l := load{calls: 80, share: c.share}
+				f.set(func(r *advisedRunner) { r.limited, r.limit = true, 0 }, "s13", "s14")
+				f.set(func(r *advisedRunner) { r.limited, r.limit = true, c.limit }, "s12")
+				f.play(rng, l, 5*time.Second)
+				began, asks := time.Now(), f.asks.Load()
+				f.play(rng, l, 20*time.Second)
+				s := f.runner("s12")
+				got, most := s.between(began, began.Add(20*time.Second)), s.mostIn(limitWindow, began, time.Now())
+				t.Logf("%.1f a second of %.1f, at most %d in %s; %.1f asks a second", float64(got)/20, c.limit, most, limitWindow, float64(f.asks.Load()-asks)/20)
+				is.True(float64(got) >= 0.9*c.limit*20)
+				is.True(float64(most) <= limitFactor*c.limit*limitWindow.Seconds()+limitSlack)
+				for _, name := range []string{"s13", "s14"} { // that take nothing
+					is.True(f.runner(name).mostIn(limitWindow, began, time.Now()) <= 1)
+				}
+				for _, r := range f.refused {
+					is.True(r.NotRun)
+					is.True(r.RetryAfter > 0)
+				}
+			})
+		})
+	}
+}
