Tell all hosts what a runner asks of them

Callers saw nothing; with 300 hosts a runner with a limit of 8.4 a second got 17 a second, 111 in 4 s, since each host sends until an answer of its own names the limit. Class: a belief that concerns all hosts was kept by the one that heard it.

Change: a host that hears a limit, its end, or that a runner leaves, tells all others by the notices that carry verdicts on silent runners; what holds on is told again every two seconds, to hosts that start or missed it. A host's own hearing of the last 300 ms goes before the others' word. Weighed: the owner telling with its permits reaches only those who ask already; entries at the store cost writes and fail with it. No carrier is added.

Why it holds without the carrier: permits bind each host that has heard an answer, whoever else knows.

--- a/coordination/backpressure/registry.go
+++ b/coordination/backpressure/registry.go
@@ -18,6 +18,13 @@
 	// mostRuns bounds the runs that are kept: twice the largest fleet, for a release that
 	// replaces all of it.
 	mostRuns = 4096
+	// tellEvery bounds how often a host tells the others of one run's limit, and renewEvery is
+	// how often what holds on is told again, to hosts that start or missed it.
+	tellEvery  = 250 * time.Millisecond
+	renewEvery = 2 * time.Second
+	// ownWord is how long this host's own hearing of a limit outweighs the others' word:
+	// about the time in which they come to it.
+	ownWord = 300 * time.Millisecond
 	// unreadableEvery bounds the log lines on what a run writes and nobody can read.
 	unreadableEvery = 10 * time.Second
 )
@@ -27,8 +34,19 @@
 	Advised(service string, k Kind)
 }
 
+// Notice is what a run asks of all hosts, told by one that heard it.
+type Notice struct {
+	Instance state.InstanceID
+	Service  string
+	// What is KindLimit, with the limit, KindLifted or KindLeaving.
+	What  Kind
+	Limit float64
+}
+
 // Options configure a Registry. All fields are required.
 type Options struct {
+	// Tell tells all hosts; this one may hear it too. It must not wait.
+	Tell     func(Notice)
 	Clock    state.Clock
 	Log      *slog.Logger
 	Observer Observer
@@ -52,23 +70,24 @@
 	restUntil atomic.Pointer[time.Time]
 	leaving   atomic.Bool
 
-	// listedAt is when the run was known to be listed, unreadableAt when it last wrote what
-	// can't be read.
-	listedAt, unreadableAt time.Time
+	// listedAt is when the run was known to be listed, toldAt when all hosts were told of its
+	// limit and unreadableAt when it last wrote what can't be read.
+	listedAt, toldAt, unreadableAt time.Time
 }
 
 // limit is what a run takes of all hosts together.
 type limit struct {
 	rate float64
-	// heardAt is when the last answer arrived that named it.
-	heardAt time.Time
+	// heardAt is when it was last heard of, and ownAt when an answer to this host last named
+	// it.
+	heardAt, ownAt time.Time
 	// opensAt is when the next request of this host may leave; zero if one may at once.
 	opensAt time.Time
 }
 
 // New validates the options.
 func New(o Options) (*Registry, error) {
-	if o.Clock == nil || o.Log == nil || o.Observer == nil {
+	if o.Clock == nil || o.Log == nil || o.Observer == nil || o.Tell == nil {
 		return nil, errors.New("backpressure: a field of Options is nil; set all of them")
 	}
 	r := &Registry{o: o}
@@ -83,40 +102,91 @@
 	if !a.asks() && r.run(i.ID) == nil {
 		return
 	}
+	for _, n := range r.heard(i, sentAt, a, ofRequest) {
+		r.o.Tell(n)
+	}
+}
+
+// heard takes an advice and returns what all hosts are to be told.
+func (r *Registry) heard(i *state.Instance, sentAt time.Time, a Advice, ofRequest bool) (tell []Notice) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.o.Clock.Now()
-	known := r.entry(i, now)
+	known := r.entry(i.ID, i.Service, now)
+	before := known.limit.Load()
 	switch {
 	case a.Limited:
-		r.limited(i, known, a.Limit, now)
-	case ofRequest && len(a.Unreadable) == 0:
-		r.lift(i, known, sentAt)
+		r.limited(i.ID, known, limit{rate: a.Limit, heardAt: now, ownAt: now})
+		if known.mayTell(now, before == nil || before.rate != a.Limit) {
+			tell = append(tell, Notice{i.ID, i.Service, KindLimit, a.Limit})
+		}
+	case ofRequest && len(a.Unreadable) == 0 && before != nil && sentAt.After(before.heardAt):
+		// Answers overtake each other: only one that was asked for after the limit was last
+		// heard of is known to be newer.
+		r.lift(i.ID, known)
+		tell = append(tell, Notice{i.ID, i.Service, KindLifted, 0})
 	}
-	if a.Leaving {
-		r.leaves(i, known)
+	if a.Leaving && r.leaves(i.ID, known, "an answer") {
+		tell = append(tell, Notice{i.ID, i.Service, KindLeaving, 0})
 	}
 	if a.Rest > 0 {
 		r.rests(i, known, now, a.Rest)
 	}
 	r.unreadable(i, known, now, a.Unreadable)
+	return tell
+}
+
+// mayTell reports whether all hosts should be told of the limit now.
+func (k *run) mayTell(now time.Time, changed bool) bool {
+	wait := renewEvery
+	if changed {
+		wait = tellEvery
+	}
+	if !k.toldAt.IsZero() && now.Sub(k.toldAt) < wait {
+		return false
+	}
+	k.toldAt = now
+	return true
+}
+
+// Take takes what another host heard. What this one has just heard itself goes before it.
+func (r *Registry) Take(n Notice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.o.Clock.Now()
+	known := r.entry(n.Instance, n.Service, now)
+	before := known.limit.Load()
+	own := before != nil && now.Sub(before.ownAt) < ownWord
+	switch n.What {
+	case KindLimit:
+		known.toldAt = now
+		if !own {
+			r.limited(n.Instance, known, limit{rate: n.Limit, heardAt: now})
+		}
+	case KindLifted:
+		if before != nil && !own {
+			r.lift(n.Instance, known)
+		}
+	case KindLeaving:
+		r.leaves(n.Instance, known, "another host")
+	}
 }
 
 // run is what is known of a run, or nil.
 func (r *Registry) run(id state.InstanceID) *run { return (*r.runs.Load())[id] }
 
 // entry is what is known of a run, made if nothing is; r.mu is held.
-func (r *Registry) entry(i *state.Instance, now time.Time) *run {
-	if known := r.run(i.ID); known != nil {
+func (r *Registry) entry(id state.InstanceID, service string, now time.Time) *run {
+	if known := r.run(id); known != nil {
 		return known
 	}
 	runs := maps.Clone(*r.runs.Load())
 	if len(runs) >= mostRuns {
 		delete(runs, oldest(runs))
 	}
-	runs[i.ID] = &run{service: i.Service, listedAt: now}
+	runs[id] = &run{service: service, listedAt: now}
 	r.runs.Store(&runs)
-	return runs[i.ID]
+	return runs[id]
 }
 
 // oldest is the run that was listed last the longest time ago.
@@ -131,43 +201,44 @@
 	return out
 }
 
-func (r *Registry) limited(i *state.Instance, known *run, rate float64, now time.Time) {
+// limited notes a limit.
+func (r *Registry) limited(id state.InstanceID, known *run, named limit) {
 	before := known.limit.Load()
-	named := &limit{rate: rate, heardAt: now}
-	if before != nil && before.rate == rate {
+	same := before != nil && before.rate == named.rate
+	if same {
 		named.opensAt = before.opensAt
 	}
-	known.limit.Store(named)
-	if before != nil && before.rate == rate {
+	if before != nil && named.ownAt.IsZero() {
+		named.ownAt = before.ownAt
+	}
+	known.limit.Store(&named)
+	if same {
 		return
 	}
-	attrs := []any{"instance", i.ID, "service", i.Service, "per_second", rate}
+	attrs := []any{"instance", id, "service", known.service, "per_second", named.rate, "own_answer", named.ownAt.Equal(named.heardAt)}
 	if before != nil {
 		attrs = append(attrs, "before", before.rate)
 	}
 	r.o.Log.Info("runner names a limit", attrs...)
-	r.o.Observer.Advised(i.Service, KindLimit)
+	r.o.Observer.Advised(known.service, KindLimit)
 }
 
-// lift ends a limit that an answer doesn't name any more. Answers overtake each other: only
-// one whose request left after the limit was last heard is known to be newer.
-func (r *Registry) lift(i *state.Instance, known *run, sentAt time.Time) {
-	before := known.limit.Load()
-	if before == nil || !sentAt.After(before.heardAt) {
-		return
-	}
-	known.limit.Store(nil)
-	r.o.Log.Info("runner names no limit any more", "instance", i.ID, "service", i.Service, "before", before.rate, "age", sentAt.Sub(before.heardAt))
-	r.o.Observer.Advised(i.Service, KindLifted)
+// lift ends a limit that isn't named any more.
+func (r *Registry) lift(id state.InstanceID, known *run) {
+	before := known.limit.Swap(nil)
+	r.o.Log.Info("runner names no limit any more", "instance", id, "service", known.service, "before", before.rate, "heard_last", r.o.Clock.Now().Sub(before.heardAt))
+	r.o.Observer.Advised(known.service, KindLifted)
 }
 
-// leaves notes that a run leaves. It has no way back: a runner that stays starts again.
-func (r *Registry) leaves(i *state.Instance, known *run) {
+// leaves notes that a run leaves, and reports whether that is news. It has no way back: a
+// runner that stays starts again.
+func (r *Registry) leaves(id state.InstanceID, known *run, by string) bool {
 	if known.leaving.Swap(true) {
-		return
+		return false
 	}
-	r.o.Log.Info("runner says that it leaves", "instance", i.ID, "service", i.Service, "listed_as_draining", i.Draining)
-	r.o.Observer.Advised(i.Service, KindLeaving)
+	r.o.Log.Info("runner says that it leaves", "instance", id, "service", known.service, "heard_of", by)
+	r.o.Observer.Advised(known.service, KindLeaving)
+	return true
 }
 
 // rests notes a rest. A later, shorter one doesn't shorten what was asked before.
@@ -240,7 +311,9 @@
 		return
 	}
 	if l := known.limit.Load(); l != nil {
-		known.limit.Store(&limit{l.rate, l.heardAt, until})
+		closed := *l
+		closed.opensAt = until
+		known.limit.Store(&closed)
 	}
 }
 
--- a/coordination/backpressure/registry_test.go
+++ b/coordination/backpressure/registry_test.go
@@ -26,13 +26,14 @@
 	*Registry
 	log    *bytes.Buffer
 	counts counts
+	told   []Notice
 }
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
 	w := &world{log: &bytes.Buffer{}, counts: counts{}}
 	var err error
-	w.Registry, err = New(Options{Clock: clocktest.Bubble{}, Log: slog.New(slog.NewTextHandler(w.log, nil)), Observer: w.counts})
+	w.Registry, err = New(Options{Clock: clocktest.Bubble{}, Log: slog.New(slog.NewTextHandler(w.log, nil)), Observer: w.counts, Tell: func(n Notice) { w.told = append(w.told, n) }})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -142,3 +143,57 @@
 		is.Equal(len(*w.runs.Load()), mostRuns)
 	})
 }
+
+// What a runner asks of all hosts is told to them when it changes, and again while it holds; a
+// rest concerns one host.
+func TestChangesAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		i := instance("a", 1)
+		for range 41 { // in 4 s
+			w.hear(i, Advice{Limited: true, Limit: 8.4, Rest: time.Second})
+			time.Sleep(100 * time.Millisecond)
+		}
+		limit := Notice{i.ID, "s", KindLimit, 8.4}
+		is.Equal(w.told, []Notice{limit, limit, limit})
+		w.told = nil
+		for n := range 20 { // a limit that changes with each answer, in 1 s
+			w.hear(i, Advice{Limited: true, Limit: float64(n)})
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.True(len(w.told) <= 5)
+		w.told = nil
+		w.hear(i, Advice{Leaving: true})
+		w.hear(i, Advice{Leaving: true})
+		is.Equal(w.told, []Notice{{i.ID, "s", KindLifted, 0}, {i.ID, "s", KindLeaving, 0}})
+	})
+}
+
+// Another host's word counts, but for what this host has just heard itself, and isn't told on.
+func TestOthersWordCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		i := instance("a", 1)
+		w.Take(Notice{i.ID, "s", KindLimit, 8})
+		rate, limited := w.Limit(i.ID)
+		is.True(limited)
+		is.Equal(rate, 8.0)
+		time.Sleep(time.Second)
+		w.hear(i, Advice{Limited: true, Limit: 9})
+		w.told = nil
+		w.Take(Notice{i.ID, "s", KindLimit, 8})
+		w.Take(Notice{i.ID, "s", KindLifted, 0})
+		rate, _ = w.Limit(i.ID)
+		is.Equal(rate, 9.0) // its own word
+		time.Sleep(time.Second)
+		w.Take(Notice{i.ID, "s", KindLifted, 0})
+		_, limited = w.Limit(i.ID)
+		is.True(!limited)
+		w.Take(Notice{i.ID, "s", KindLeaving, 0})
+		is.True(w.Leaving(i.ID))
+		w.Take(Notice{i.ID, "s", "something new", 0})
+		is.Equal(len(w.told), 0)
+	})
+}
--- a/coordination/forward/advised_harness_test.go
+++ b/coordination/forward/advised_harness_test.go
@@ -28,6 +28,8 @@
 	runners []*advisedRunner
 	// asks counts the asks for permits between hosts.
 	asks atomic.Int64
+	// notices counts the notices that hosts told all others.
+	notices atomic.Int64
 
 	mu sync.Mutex
 	// peers lists the hosts; it is replaced whole.
@@ -116,7 +118,8 @@
 func (f *advisedFleet) newHost(name, domain string) *advisedHost {
 	f.t.Helper()
 	clock := &clocktest.Machine{}
-	h := &advisedHost{f: f, name: name, domain: domain, clock: clock, advice: newAdvice(f.t, clock)}
+	h := &advisedHost{f: f, name: name, domain: domain, clock: clock}
+	h.advice = newAdvice(f.t, clock, h.tell)
 	h.fleet = placement.NewFleet(placement.Options{Clock: clock, FailureDomain: domain, Advice: h.advice})
 	var err error
 	h.book = occupancy.NewBook(clock, slog.New(slog.DiscardHandler))
@@ -136,6 +139,25 @@
 	return h
 }
 
+// tell brings a notice to the hosts that are reached.
+func (h *advisedHost) tell(n backpressure.Notice) {
+	f := h.f
+	f.notices.Add(1)
+	time.AfterFunc(noticeTime, func() {
+		f.mu.Lock()
+		var reached []*advisedHost
+		for _, to := range f.hosts {
+			if !to.gone && !h.gone && to.island == h.island {
+				reached = append(reached, to)
+			}
+		}
+		f.mu.Unlock()
+		for _, to := range reached {
+			to.advice.Take(n)
+		}
+	})
+}
+
 // listedHosts is the list of hosts, which doesn't know who is gone or cut off.
 func (f *advisedFleet) listedHosts() []state.Peer {
 	f.mu.Lock()
--- a/coordination/forward/crashes_test.go
+++ b/coordination/forward/crashes_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/backpressure"
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/follow"
@@ -135,7 +136,7 @@
 	}
 	h.Dispatcher, err = New(Options{
 		Upstream: up, Placer: h.fleet, Gate: newScriptedGate(f.t).Gate, Budget: anyBudget{}, Observer: noObserver{},
-		Outliers: &silentRunners{}, Crashes: crashes, Quarantine: h.Registry, Advice: newAdvice(f.t, clocktest.Bubble{}), Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
+		Outliers: &silentRunners{}, Crashes: crashes, Quarantine: h.Registry, Advice: newAdvice(f.t, clocktest.Bubble{}, func(backpressure.Notice) {}), Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -304,7 +304,7 @@
 func newWorldAt(t *testing.T, clock state.Clock, budget int, replies ...reply) *world {
 	t.Helper()
 	up := &fakeUpstream{t: t, replies: replies, discarded: make(chan string, 4)}
-	advice := newAdvice(t, clock)
+	advice := newAdvice(t, clock, func(backpressure.Notice) {})
 	fleet := placement.NewFleet(placement.Options{Clock: clocktest.Bubble{}, FailureDomain: "d1", Advice: advice})
 	var list []state.Instance
 	for _, id := range []string{"1", "2", "3", "4", "5"} {
@@ -326,9 +326,9 @@
 	return &world{d, up, fleet, gate, silent, broken, held, advice}
 }
 
-func newAdvice(t *testing.T, clock state.Clock) *backpressure.Registry {
+func newAdvice(t *testing.T, clock state.Clock, tell func(backpressure.Notice)) *backpressure.Registry {
 	t.Helper()
-	advice, err := backpressure.New(backpressure.Options{Clock: clock, Log: slog.New(slog.DiscardHandler), Observer: noObserver{}})
+	advice, err := backpressure.New(backpressure.Options{Clock: clock, Log: slog.New(slog.DiscardHandler), Observer: noObserver{}, Tell: tell})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -25,6 +25,7 @@
 	"github.com/thymerack/thymerack/coordination/usage"
 	"github.com/thymerack/thymerack/platform"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/advices"
 	"github.com/thymerack/thymerack/transport/gateway"
 	"github.com/thymerack/thymerack/transport/httpclient"
 	"github.com/thymerack/thymerack/transport/peer"
@@ -172,7 +173,7 @@
 
 func (h *Host) buildLists() error {
 	var err error
-	h.advice, err = backpressure.New(backpressure.Options{Clock: h.clock, Log: h.log, Observer: h.metrics})
+	h.advice, err = backpressure.New(backpressure.Options{Clock: h.clock, Log: h.log, Observer: h.metrics, Tell: h.tellAdvice})
 	if err != nil {
 		return err
 	}
@@ -207,6 +208,13 @@
 // notifyFollowers wakes the hosts that wait for news of this one.
 func (h *Host) notifyFollowers() { h.fanout.Notify() }
 
+// tellAdvice tells all hosts what a runner asks of them.
+func (h *Host) tellAdvice(n backpressure.Notice) {
+	if err := advices.Publish(context.Background(), h.fanout, n); err != nil {
+		h.log.Error("what a runner asks not told", "instance", n.Instance, "what", string(n.What), "cause", err.Error())
+	}
+}
+
 // publish puts a new list of instances in force.
 func (h *Host) publish(instances []state.Instance) {
 	h.fleet.Update(instances)
--- a/daemon/routed/peers.go
+++ b/daemon/routed/peers.go
@@ -14,6 +14,7 @@
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/platform"
 	"github.com/thymerack/thymerack/state"
+	"github.com/thymerack/thymerack/transport/advices"
 	"github.com/thymerack/thymerack/transport/outliers"
 	"github.com/thymerack/thymerack/transport/peer"
 	"github.com/thymerack/thymerack/transport/pings"
@@ -69,6 +70,7 @@
 func (h *Host) buildGate() error {
 	book := occupancy.NewBook(h.clock, h.log)
 	roles.Subscribe(h.fanout, h.fleet.Expect, h.log)
+	advices.Subscribe(h.fanout, h.advice.Take, h.log)
 	var err error
 	h.gate, err = occupancy.NewGate(occupancy.GateOptions{
 		Book: book, Peers: places.Peers{Client: h.peers}, Self: h.members.addr(h.s.IP), Hosts: h.members.All,
