Begin a part of a limit with a phase of the host's own

Found by a property test of hosts, runners that name limits and cuts between hosts: when every host was cut off from every other just as a runner named one request a second, it got 15 in 4 s, since each host's new book gives its first permit at once. Books that give a part only begin at a phase of their own now, by a hash of host and runner.

--- a/coordination/forward/advised_harness_test.go
+++ b/coordination/forward/advised_harness_test.go
@@ -68,17 +68,27 @@
 	limit                     float64
 	rest                      time.Duration
 
+	// asked is what was asked, as it changed.
+	asked    []asking
 	arrivals []arrival
 }
 
+// asking is what a run asks from a moment on.
+type asking struct {
+	from    time.Time
+	born    int64
+	limited bool
+	limit   float64
+}
+
 // arrival is a request that reached a run of a runner from a host.
 type arrival struct {
 	host string
 	born int64
 	at   time.Time
-	// toldLeaving and restUntil are what the runner had told that host by then.
-	toldLeaving time.Time
-	restUntil   time.Time
+	// toldLimit and toldLeaving are when the runner first told that host that it names a limit,
+	// and that it leaves, and restUntil the end of the rest that it asked that host for.
+	toldLimit, toldLeaving, restUntil time.Time
 }
 
 func (r *advisedRunner) instance() state.Instance {
@@ -336,11 +346,17 @@
 	arrived := arrival{host: h.name, born: r.born, at: now}
 	for _, before := range slices.Backward(r.arrivals) {
 		if before.host == h.name && before.born == r.born {
-			arrived.toldLeaving, arrived.restUntil = before.toldLeaving, before.restUntil
+			arrived.toldLimit, arrived.toldLeaving, arrived.restUntil = before.toldLimit, before.toldLeaving, before.restUntil
 			break
 		}
 	}
 	advice = backpressure.Advice{Limited: r.limited, Limit: r.limit, Leaving: r.leaving}
+	switch {
+	case !r.limited:
+		arrived.toldLimit = time.Time{}
+	case arrived.toldLimit.IsZero():
+		arrived.toldLimit = now
+	}
 	if r.leaving && arrived.toldLeaving.IsZero() {
 		arrived.toldLeaving = now
 	}
@@ -370,6 +386,7 @@
 
 // ask sends a request through a host and notes what became of it.
 func (h *advisedHost) ask(r *Request) {
+	suspended := h.suspended()
 	began := h.clock.Now()
 	r.ArrivedAt, r.Deadline = began, began.Add(2*time.Second)
 	ctx, cancel := context.WithTimeout(h.f.t.Context(), 2*time.Second)
@@ -383,6 +400,8 @@
 	defer f.mu.Unlock()
 	var refusal *Refusal
 	switch {
+	case h.gone || h.suspended() != suspended:
+		return // nobody can tell what became of it in time
 	case errors.As(err, &refusal):
 		f.unserved++
 		f.refused = append(f.refused, refusal)
@@ -396,6 +415,11 @@
 	}
 }
 
+// suspended is how long the host was suspended so far.
+func (h *advisedHost) suspended() time.Duration {
+	return h.clock.Now().Sub(time.Now()).Round(time.Millisecond)
+}
+
 // load is what callers ask for, in requests a second of all hosts together. Each is drawn at
 // a host by share, which gives the weight of host n; nil weighs all alike.
 type load struct {
@@ -420,7 +444,10 @@
 	for end := time.Now().Add(long); time.Now().Before(end); {
 		time.Sleep(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
 		at, _ := slices.BinarySearch(weights, rng.Float64()*total)
-		h := f.hosts[min(at, len(f.hosts)-1)]
+		h := f.present(min(at, len(f.hosts)-1))
+		if h == nil {
+			return
+		}
 		r := l.draw(rng.Float64() * perSecond)
 		callers.Go(func() { h.ask(r) })
 	}
@@ -431,6 +458,18 @@
 // settleTime lets hosts tell each other what nobody waits for.
 const settleTime = time.Second
 
+// present is the host of that number, or the next one that isn't gone.
+func (f *advisedFleet) present(n int) *advisedHost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.hosts {
+		if h := f.hosts[(n+i)%len(f.hosts)]; !h.gone {
+			return h
+		}
+	}
+	return nil
+}
+
 // draw makes a request of the kind at a place in the load.
 func (l load) draw(at float64) *Request {
 	switch {
@@ -451,21 +490,20 @@
 	limitFactor = 1.5
 )
 
-// mostIn is the most that a runner got in any window of that length which begins in a span.
-func (r *advisedRunner) mostIn(window time.Duration, from, to time.Time) int {
-	most, first := 0, 0
-	for n, a := range r.arrivals {
-		if a.at.Before(from) {
-			first = n + 1
+// mostIn is the most that a runner got in any window of that length in a span, of the arrivals
+// that count; nil counts all.
+func (r *advisedRunner) mostIn(window time.Duration, from, to time.Time, counts func(arrival) bool) int {
+	var in []time.Time
+	most := 0
+	for _, a := range r.arrivals {
+		if a.at.Before(from) || a.at.After(to) || (counts != nil && !counts(a)) {
 			continue
 		}
-		if a.at.After(to) {
-			break
-		}
-		for a.at.Sub(r.arrivals[first].at) > window {
-			first++
+		in = append(in, a.at)
+		for a.at.Sub(in[0]) > window {
+			in = in[1:]
 		}
-		most = max(most, n-first+1)
+		most = max(most, len(in))
 	}
 	return most
 }
--- a/coordination/forward/limits_test.go
+++ b/coordination/forward/limits_test.go
@@ -35,7 +35,7 @@
 		f.play(rng, l, 12*time.Second)
 		for _, name := range []string{"d1", "d2"} {
 			limit := limits[name]
-			got := f.runner(name).mostIn(limitWindow, named.Add(contact), time.Now())
+			got := f.runner(name).mostIn(limitWindow, named.Add(contact), time.Now(), nil)
 			t.Logf("%s names %.1f a second: at most %d in %s", name, limit, got, limitWindow)
 			is.True(float64(got) <= limitFactor*limit*limitWindow.Seconds()+limitSlack)
 		}
@@ -82,12 +82,12 @@
 				began, asks := time.Now(), f.asks.Load()
 				f.play(rng, l, 20*time.Second)
 				s := f.runner("s12")
-				got, most := s.between(began, began.Add(20*time.Second)), s.mostIn(limitWindow, began, time.Now())
+				got, most := s.between(began, began.Add(20*time.Second)), s.mostIn(limitWindow, began, time.Now(), nil)
 				t.Logf("%.1f a second of %.1f, at most %d in %s; %.1f asks a second", float64(got)/20, c.limit, most, limitWindow, float64(f.asks.Load()-asks)/20)
 				is.True(float64(got) >= 0.9*c.limit*20)
 				is.True(float64(most) <= limitFactor*c.limit*limitWindow.Seconds()+limitSlack)
 				for _, name := range []string{"s13", "s14"} { // that take nothing
-					is.True(f.runner(name).mostIn(limitWindow, began, time.Now()) <= 1)
+					is.True(f.runner(name).mostIn(limitWindow, began, time.Now(), nil) <= 1)
 				}
 				for _, r := range f.refused {
 					is.True(r.NotRun)
--- a/coordination/occupancy/gate_test.go
+++ b/coordination/occupancy/gate_test.go
@@ -52,7 +52,7 @@
 	if n.lost[addr] {
 		return Permit{}, errors.New("no answer")
 	}
-	return n.books[addr].Permit(a, shareOfRank(a.Rank)), nil
+	return n.books[addr].Permit(a, Part{Share: shareOfRank(a.Rank)}), nil
 }
 
 // fleet returns the gates of hosts of the given classes.
--- a/coordination/occupancy/rate.go
+++ b/coordination/occupancy/rate.go
@@ -66,7 +66,7 @@
 	for rank, owner := range g.ranking(a.Runner) {
 		a.Rank = rank
 		if owner == g.o.Self {
-			return g.o.Book.Permit(a, shareOfRank(rank))
+			return g.o.Book.Permit(a, g.part(a.Runner, shareOfRank(rank)))
 		}
 		if asked == maxOwnersAsked || g.passedOver(owner) {
 			continue
@@ -76,7 +76,27 @@
 			return p
 		}
 	}
-	return g.o.Book.Permit(a, aloneShare/float64(max(1, len(g.o.Hosts()))))
+	return g.o.Book.Permit(a, g.part(a.Runner, aloneShare/float64(max(1, len(g.o.Hosts())))))
+}
+
+// Part is a part of a limit that one book may give.
+type Part struct {
+	Share float64
+	// Phase is where a new book begins with a part that isn't the whole, from 0 to 1 of the
+	// time between two permits. Hosts that all begin in the same moment would otherwise give a
+	// permit each at once.
+	Phase float64
+}
+
+// whole is a limit that one book keeps alone.
+var whole = Part{Share: 1}
+
+// part is a share of a runner's limit, with this host's own phase.
+func (g *Gate) part(runner state.InstanceID, share float64) Part {
+	if share >= 1 {
+		return whole
+	}
+	return Part{share, float64(xxhash.Sum64String(g.o.Self+runner.Name)) / (1 << 64)}
 }
 
 func (g *Gate) askPermit(ctx context.Context, owner string, a PermitAsk) (Permit, error) {
@@ -99,7 +119,7 @@
 	if rank < 0 {
 		rank = maxRanked
 	}
-	return g.o.Book.Permit(a, shareOfRank(max(rank, a.Rank)))
+	return g.o.Book.Permit(a, g.part(a.Runner, shareOfRank(max(rank, a.Rank))))
 }
 
 // shareOfRank is the part of a limit that the owner of a rank may give.
@@ -150,13 +170,13 @@
 
 // Permit gives a permit of a part of the limit. What is given is spread evenly in time, but for
 // those of burstTime. A book that hasn't seen the runner has saved none.
-func (b *Book) Permit(a PermitAsk, share float64) Permit {
+func (b *Book) Permit(a PermitAsk, part Part) Permit {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	interval := time.Duration(float64(time.Second) / (max(a.Rate, leastRate) * share))
+	interval := time.Duration(float64(time.Second) / (max(a.Rate, leastRate) * part.Share))
 	saved := max(0, burstTime-interval)
-	p := b.permitsOf(a.Runner, now, saved)
+	p := b.permitsOf(a.Runner, now, saved+time.Duration(part.Phase*float64(interval)))
 	wait := min(max(0, p.next.Add(-saved).Sub(now)), longestWait)
 	if wait > a.MaxWait {
 		return Permit{Wait: wait}
@@ -168,9 +188,9 @@
 	return Permit{Granted: true, Wait: wait}
 }
 
-// permitsOf is what was given for a runner; b.mu is held. A new one drops those that nobody has
-// asked for lately.
-func (b *Book) permitsOf(runner state.InstanceID, now time.Time, saved time.Duration) *permits {
+// permitsOf is what was given for a runner, a new one as if so much were given already; b.mu is
+// held. A new one drops those that nobody has asked for lately.
+func (b *Book) permitsOf(runner state.InstanceID, now time.Time, given time.Duration) *permits {
 	p := b.permits[runner]
 	if p == nil {
 		for other, old := range b.permits {
@@ -178,7 +198,7 @@
 				delete(b.permits, other)
 			}
 		}
-		p = &permits{next: now.Add(saved)}
+		p = &permits{next: now.Add(given)}
 		b.permits[runner] = p
 	}
 	p.askedAt = now
--- a/coordination/occupancy/rate_test.go
+++ b/coordination/occupancy/rate_test.go
@@ -16,10 +16,10 @@
 var limited = state.InstanceID{Name: "r", Born: 1}
 
 // take asks a book for permits in quick succession for so long and counts those that it gives.
-func take(b *Book, rate, share float64, long time.Duration) int {
+func take(b *Book, rate float64, long time.Duration) int {
 	n := 0
 	for end := time.Now().Add(long); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if b.Permit(PermitAsk{Runner: limited, Rate: rate}, share).Granted {
+		if b.Permit(PermitAsk{Runner: limited, Rate: rate}, whole).Granted {
 			n++
 		}
 	}
@@ -34,7 +34,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				b := NewBook(clocktest.Bubble{}, slog.New(slog.DiscardHandler))
-				got := take(b, rate, 1, 20*time.Second)
+				got := take(b, rate, 20*time.Second)
 				t.Logf("%d in 20 s", got)
 				is.True(got <= want+1)
 				is.True(got >= want*9/10)
@@ -48,10 +48,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := NewBook(clocktest.Bubble{}, slog.New(slog.DiscardHandler))
-		is.Equal(take(b, 50, 1, time.Millisecond), 1)
+		is.Equal(take(b, 50, time.Millisecond), 1)
 		time.Sleep(time.Hour)
 		saved := 0
-		for b.Permit(PermitAsk{Runner: limited, Rate: 50}, 1).Granted {
+		for b.Permit(PermitAsk{Runner: limited, Rate: 50}, whole).Granted {
 			saved++
 		}
 		is.Equal(saved, 10) // 200 ms of 50 a second
@@ -64,10 +64,10 @@
 		is := is.New(t)
 		b := NewBook(clocktest.Bubble{}, slog.New(slog.DiscardHandler))
 		a := PermitAsk{Runner: limited, Rate: 4, MaxWait: 600 * time.Millisecond}
-		is.Equal(b.Permit(a, 1), Permit{Granted: true})
-		is.Equal(b.Permit(a, 1), Permit{Granted: true, Wait: 250 * time.Millisecond})
-		is.Equal(b.Permit(a, 1), Permit{Granted: true, Wait: 500 * time.Millisecond})
-		is.Equal(b.Permit(a, 1), Permit{Wait: 750 * time.Millisecond})
+		is.Equal(b.Permit(a, whole), Permit{Granted: true})
+		is.Equal(b.Permit(a, whole), Permit{Granted: true, Wait: 250 * time.Millisecond})
+		is.Equal(b.Permit(a, whole), Permit{Granted: true, Wait: 500 * time.Millisecond})
+		is.Equal(b.Permit(a, whole), Permit{Wait: 750 * time.Millisecond})
 	})
 }
 
