Bring requests to leaving and to resting runners about without a network

Two tests, both failing: a runner that says in its answers that it leaves gets 222 to 1229 requests in the next 12 s while its entry calls it ready, and one that asks for 3 s of rest gets 1, 19 and 80 in rests (plain service, generating and reading engine).

--- a/coordination/forward/advised_harness_test.go
+++ b/coordination/forward/advised_harness_test.go
@@ -87,8 +87,10 @@
 	born int64
 	at   time.Time
 	// toldLimit and toldLeaving are when the runner first told that host that it names a limit,
-	// and that it leaves, and restUntil the end of the rest that it asked that host for.
-	toldLimit, toldLeaving, restUntil time.Time
+	// and that it leaves. restedAt and restUntil are the rest that it had asked that host for
+	// before; zero if there is none.
+	toldLimit, toldLeaving, restedAt, restUntil time.Time
+	turnedAway                                  bool
 }
 
 func (r *advisedRunner) instance() state.Instance {
@@ -346,7 +348,8 @@
 	arrived := arrival{host: h.name, born: r.born, at: now}
 	for _, before := range slices.Backward(r.arrivals) {
 		if before.host == h.name && before.born == r.born {
-			arrived.toldLimit, arrived.toldLeaving, arrived.restUntil = before.toldLimit, before.toldLeaving, before.restUntil
+			arrived.toldLimit, arrived.toldLeaving = before.toldLimit, before.toldLeaving
+			arrived.restedAt, arrived.restUntil = before.restAfter(r.rest)
 			break
 		}
 	}
@@ -361,15 +364,23 @@
 		arrived.toldLeaving = now
 	}
 	if r.resting {
-		advice.Rest = r.rest
-		if until := now.Add(r.rest); until.After(arrived.restUntil) {
-			arrived.restUntil = until
-		}
+		advice.Rest, arrived.turnedAway = r.rest, true
 	}
 	r.arrivals = append(r.arrivals, arrived)
 	return advice, false
 }
 
+// restAfter is the rest that holds for a host after an arrival.
+func (a arrival) restAfter(rest time.Duration) (from, until time.Time) {
+	if !a.turnedAway || a.at.Add(rest).Before(a.restUntil) {
+		return a.restedAt, a.restUntil
+	}
+	if a.at.Before(a.restUntil) {
+		return a.restedAt, a.at.Add(rest)
+	}
+	return a.at, a.at.Add(rest)
+}
+
 // Alive implements Upstream.
 func (u *advisedUpstream) Alive(context.Context, *state.Instance) bool { return true }
 
@@ -518,3 +529,24 @@
 	}
 	return n
 }
+
+// answerWay is the time in which an answer that asks for rest reaches its host, with what the
+// host had sent by then.
+const answerWay = 2 * wayTime
+
+// inRest counts the requests that reached a runner from a host that it had asked for rest, later
+// than the answer's way, and those that it turned away.
+func (r *advisedRunner) inRest() (during, turnedAway int) {
+	for _, a := range r.arrivals {
+		if a.restedAt.IsZero() {
+			continue
+		}
+		if a.at.Sub(a.restedAt) > answerWay && a.at.Before(a.restUntil) {
+			during++
+		}
+		if a.turnedAway {
+			turnedAway++
+		}
+	}
+	return during, turnedAway
+}
