Take a runner's own word that it leaves

Callers saw 504, 500 and lost answers of a runner that had said for twelve seconds that it leaves: the store was away, and the list called it ready.

Cause: who leaves was taken from the list alone. Class: what a runner says of itself was read on one path only, that of the store.

Change: the first answer that says so, of any status and to any call, makes the run count as draining at that host, and at all others by notice: it is chosen no more, runs are moved off it, its unused connections are closed, as for one listed as leaving, by the same list. A list that calls it ready, older or newer, doesn't count; another run under its name is another runner. The runner is looked at once more when there is a connection, right before the first byte: one such place for runs, prompts read apart, resumptions and moves.

Also mended, found by the test of that look: a prompt that this host itself kept back (no connection left to the engine) was counted as a sign that the engine doesn't answer, and reported to its owner.

--- a/coordination/backpressure/registry.go
+++ b/coordination/backpressure/registry.go
@@ -45,11 +45,13 @@
 
 // Options configure a Registry. All fields are required.
 type Options struct {
-	// Tell tells all hosts; this one may hear it too. It must not wait.
-	Tell     func(Notice)
 	Clock    state.Clock
 	Log      *slog.Logger
 	Observer Observer
+	// Tell tells all hosts; this one may hear it too. It must not wait.
+	Tell func(Notice)
+	// Left is called when it becomes known that a run leaves. It may ask the registry.
+	Left func()
 }
 
 // Registry is what this host knows of the runners' advices. It is safe for concurrent use, and
@@ -87,7 +89,7 @@
 
 // New validates the options.
 func New(o Options) (*Registry, error) {
-	if o.Clock == nil || o.Log == nil || o.Observer == nil || o.Tell == nil {
+	if o.Clock == nil || o.Log == nil || o.Observer == nil || o.Tell == nil || o.Left == nil {
 		return nil, errors.New("backpressure: a field of Options is nil; set all of them")
 	}
 	r := &Registry{o: o}
@@ -102,8 +104,13 @@
 	if !a.asks() && r.run(i.ID) == nil {
 		return
 	}
+	left := false
 	for _, n := range r.heard(i, sentAt, a, ofRequest) {
 		r.o.Tell(n)
+		left = left || n.What == KindLeaving
+	}
+	if left {
+		r.o.Left()
 	}
 }
 
@@ -151,6 +158,13 @@
 
 // Take takes what another host heard. What this one has just heard itself goes before it.
 func (r *Registry) Take(n Notice) {
+	if r.take(n) {
+		r.o.Left()
+	}
+}
+
+// take takes a notice and reports whether it is news that the run leaves.
+func (r *Registry) take(n Notice) (left bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.o.Clock.Now()
@@ -168,8 +182,9 @@
 			r.lift(n.Instance, known)
 		}
 	case KindLeaving:
-		r.leaves(n.Instance, known, "another host")
+		return r.leaves(n.Instance, known, "another host")
 	}
+	return false
 }
 
 // run is what is known of a run, or nil.
--- a/coordination/backpressure/registry_test.go
+++ b/coordination/backpressure/registry_test.go
@@ -27,13 +27,14 @@
 	log    *bytes.Buffer
 	counts counts
 	told   []Notice
+	left   int
 }
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
 	w := &world{log: &bytes.Buffer{}, counts: counts{}}
 	var err error
-	w.Registry, err = New(Options{Clock: clocktest.Bubble{}, Log: slog.New(slog.NewTextHandler(w.log, nil)), Observer: w.counts, Tell: func(n Notice) { w.told = append(w.told, n) }})
+	w.Registry, err = New(Options{Clock: clocktest.Bubble{}, Log: slog.New(slog.NewTextHandler(w.log, nil)), Observer: w.counts, Tell: func(n Notice) { w.told = append(w.told, n) }, Left: func() { w.left++ }})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -167,6 +168,7 @@
 		w.hear(i, Advice{Leaving: true})
 		w.hear(i, Advice{Leaving: true})
 		is.Equal(w.told, []Notice{{i.ID, "s", KindLifted, 0}, {i.ID, "s", KindLeaving, 0}})
+		is.Equal(w.left, 1)
 	})
 }
 
--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -310,7 +310,7 @@
 
 func newInstances(outage *bool, published *[]string) *Instances {
 	return NewInstances(InstancesOptions{
-		Clock: clocktest.Bubble{}, Log: quiet, HoldFor: time.Second, Unusable: func() {}, Outage: func() bool { return *outage },
+		Clock: clocktest.Bubble{}, Log: quiet, HoldFor: time.Second, Leaving: func(state.InstanceID) bool { return false }, Unusable: func() {}, Outage: func() bool { return *outage },
 		Decode: func(id string, v []byte) (state.Instance, error) {
 			return state.Instance{ID: state.InstanceID{Name: id}, Addr: id, Draining: string(v) == "draining"}, nil
 		},
@@ -338,7 +338,7 @@
 	is := is.New(t)
 	var published []state.Instance
 	l := NewInstances(InstancesOptions{
-		Clock: clocktest.Bubble{}, Log: quiet, Outage: func() bool { return false }, Unusable: func() {},
+		Clock: clocktest.Bubble{}, Log: quiet, Outage: func() bool { return false }, Leaving: func(state.InstanceID) bool { return false }, Unusable: func() {},
 		Decode: func(id string, v []byte) (state.Instance, error) {
 			born, err := strconv.ParseInt(string(v), 10, 64)
 			return state.Instance{ID: state.InstanceID{Name: id, Born: born}}, err
@@ -359,7 +359,7 @@
 	var published []string
 	unusable := 0
 	l := NewInstances(InstancesOptions{
-		Clock: clocktest.Bubble{}, Log: quiet, Outage: func() bool { return true }, HoldFor: time.Minute,
+		Clock: clocktest.Bubble{}, Log: quiet, Outage: func() bool { return true }, HoldFor: time.Minute, Leaving: func(state.InstanceID) bool { return false },
 		Unusable: func() { unusable++ },
 		Decode: func(id string, v []byte) (state.Instance, error) {
 			if string(v) != "ready" {
@@ -401,7 +401,7 @@
 	is := is.New(t)
 	var published []string
 	l := NewInstances(InstancesOptions{
-		Clock: clocktest.Bubble{}, Log: quiet, Outage: func() bool { return false }, Unusable: func() {},
+		Clock: clocktest.Bubble{}, Log: quiet, Outage: func() bool { return false }, Leaving: func(state.InstanceID) bool { return false }, Unusable: func() {},
 		Decode: func(id string, v []byte) (state.Instance, error) {
 			return state.Instance{ID: state.InstanceID{Name: id}, Addr: string(v)}, nil
 		},
@@ -516,3 +516,29 @@
 		is.True(!m.Lost()) // though nothing has changed
 	})
 }
+
+// A run that says itself that it leaves counts as draining at once, whatever its entry says,
+// then and later; another run under its name doesn't.
+func TestRunThatSaysItLeavesIsDraining(t *testing.T) {
+	is := is.New(t)
+	left := map[state.InstanceID]bool{}
+	var got []state.Instance
+	l := NewInstances(InstancesOptions{
+		Clock: clocktest.Bubble{}, Log: quiet, Outage: func() bool { return false }, Unusable: func() {},
+		Leaving: func(id state.InstanceID) bool { return left[id] },
+		Decode: func(id string, v []byte) (state.Instance, error) {
+			born, err := strconv.ParseInt(string(v), 10, 64)
+			return state.Instance{ID: state.InstanceID{Name: id, Born: born}, Addr: id}, err
+		},
+		Publish: func(list []state.Instance) { got = list },
+	})
+	l.Changed(Copy{Revision: 1, Objects: []store.Object{{Name: "a", Version: 1, Value: []byte("7")}}})
+	is.True(!got[0].Draining)
+	left[got[0].ID] = true
+	l.Left()
+	is.True(got[0].Draining)
+	l.Changed(Copy{Revision: 2, Objects: []store.Object{{Name: "a", Version: 2, Value: []byte("7")}}}) // ready, says a heartbeat
+	is.True(got[0].Draining)
+	l.Changed(Copy{Revision: 3, Objects: []store.Object{{Name: "a", Version: 3, Value: []byte("8")}}})
+	is.True(!got[0].Draining)
+}
--- a/coordination/follow/instances.go
+++ b/coordination/follow/instances.go
@@ -25,6 +25,9 @@
 	Outage func() bool
 	// HoldFor bounds how long a missing entry still counts meanwhile.
 	HoldFor time.Duration
+	// Leaving reports whether a run has said itself that it leaves. Such a run counts as
+	// draining whatever its entry says: the store may take its word many seconds later.
+	Leaving func(id state.InstanceID) bool
 }
 
 // Instances turns copies of the list into instances. An entry that goes missing
@@ -140,13 +143,23 @@
 	return out
 }
 
+// Left publishes the list anew when a run has said that it leaves.
+func (l *Instances) Left() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.publish()
+}
+
 func (l *Instances) publish() {
 	out := make([]state.Instance, 0, len(l.entries))
 	latest := l.latestAt()
 	for _, e := range l.entries {
-		if !e.unusable && latest[e.instance.Addr] == e {
-			out = append(out, e.instance)
+		if e.unusable || latest[e.instance.Addr] != e {
+			continue
 		}
+		instance := e.instance
+		instance.Draining = instance.Draining || l.o.Leaving(instance.ID)
+		out = append(out, instance)
 	}
 	l.o.Publish(out)
 }
--- a/coordination/forward/advice.go
+++ b/coordination/forward/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/occupancy"
@@ -53,6 +54,22 @@
 	return d.o.Clock.Now().Sub(asked) <= p.Wait+permitFor
 }
 
+// ErrRunnerCloses is the cause of a SendError that was withheld since its runner takes nothing
+// any more.
+var ErrRunnerCloses = errors.New("the runner leaves; choose another")
+
+// send is the only way of an attempt to a runner. The runner is looked at once more when the
+// request is about to leave: a connection may have taken a while, or the host stood still.
+func (d *Dispatcher) send(ctx context.Context, a *Attempt) (Response, error) {
+	a.Permit = func() error {
+		if !d.o.Placer.Has(a.Instance.ID) {
+			return ErrRunnerCloses
+		}
+		return nil
+	}
+	return d.o.Upstream.Send(ctx, a)
+}
+
 // part is what a runner does for the request after its prompt was read apart, if it is.
 func (d *Dispatcher) part(r *Request, rec *record) placement.Part {
 	switch {
--- a/coordination/forward/advised_harness_test.go
+++ b/coordination/forward/advised_harness_test.go
@@ -32,8 +32,9 @@
 	notices atomic.Int64
 
 	mu sync.Mutex
-	// peers lists the hosts; it is replaced whole.
-	peers []state.Peer
+	// peers lists the hosts and listed the runners; they are replaced whole.
+	peers  []state.Peer
+	listed []state.Instance
 	// served and unserved count the callers' requests, late those served after their objective.
 	served, unserved, late int
 	// refused are the refusals that callers got.
@@ -54,6 +55,8 @@
 	// Runners are reached from all. It is changed under the fleet's lock.
 	island int
 	gone   bool
+	// updating is held while the list is put in force.
+	updating sync.Mutex
 }
 
 // advisedRunner is one runner. What it asks is changed under the fleet's lock.
@@ -131,7 +134,7 @@
 	f.t.Helper()
 	clock := &clocktest.Machine{}
 	h := &advisedHost{f: f, name: name, domain: domain, clock: clock}
-	h.advice = newAdvice(f.t, clock, h.tell)
+	h.advice = newAdvice(f.t, clock, h.tell, h.update)
 	h.fleet = placement.NewFleet(placement.Options{Clock: clock, FailureDomain: domain, Advice: h.advice})
 	var err error
 	h.book = occupancy.NewBook(clock, slog.New(slog.DiscardHandler))
@@ -278,13 +281,27 @@
 	for _, r := range f.runners {
 		list = append(list, r.instance())
 	}
+	f.listed = list
 	f.mu.Unlock()
 	for _, h := range f.hosts {
-		h.fleet.Update(slices.Clone(list))
+		h.update()
 		h.advice.Listed(list)
 	}
 }
 
+// update puts the list in force at a host, which counts those as draining that said so.
+func (h *advisedHost) update() {
+	h.updating.Lock()
+	defer h.updating.Unlock()
+	h.f.mu.Lock()
+	list := slices.Clone(h.f.listed)
+	h.f.mu.Unlock()
+	for i := range list {
+		list[i].Draining = h.advice.Leaving(list[i].ID)
+	}
+	h.fleet.Update(list)
+}
+
 // set changes what runners ask.
 func (f *advisedFleet) set(change func(r *advisedRunner), names ...string) {
 	f.mu.Lock()
@@ -316,6 +333,10 @@
 
 func (u *advisedUpstream) Send(ctx context.Context, a *Attempt) (Response, error) {
 	h, f := u.h, u.h.f
+	time.Sleep(2 * wayTime) // a connection is made
+	if err := a.Permit(); err != nil {
+		return nil, &SendError{Withheld: true, Cause: err}
+	}
 	sentAt := h.clock.Now()
 	time.Sleep(wayTime)
 	r := f.runner(a.Instance.ID.Name)
@@ -428,7 +449,7 @@
 
 // suspended is how long the host was suspended so far.
 func (h *advisedHost) suspended() time.Duration {
-	return h.clock.Now().Sub(time.Now()).Round(time.Millisecond)
+	return time.Until(h.clock.Now()).Round(time.Millisecond)
 }
 
 // load is what callers ask for, in requests a second of all hosts together. Each is drawn at
--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -31,7 +31,7 @@
 	a.Left = d.left(a.Request)
 	started := d.o.Clock.Now()
 	running, first := d.awaitFirst(ctx, a, rec)
-	resp, err := d.o.Upstream.Send(running, a)
+	resp, err := d.send(running, a)
 	took := d.o.Clock.Now().Sub(started)
 	if err != nil {
 		first.cancel()
@@ -88,7 +88,7 @@
 // sendFailed notes an attempt without a response.
 func (d *Dispatcher) sendFailed(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record, part string, took time.Duration, err error) outcome {
 	failed := sendError(err)
-	if !failed.Busy {
+	if !failed.Withheld {
 		d.noteBroken(ctx, runner)
 	}
 	if !failed.Sent {
--- a/coordination/forward/backup_test.go
+++ b/coordination/forward/backup_test.go
@@ -72,7 +72,7 @@
 		"out of reach":              {dark: true, goesOn: true},
 		"reset, but it answers":     {err: errSent},
 		"refused, so it may go on":  {err: errors.New("answered 409")},
-		"no connection to ask with": {err: &SendError{Busy: true, Cause: errors.New("busy")}},
+		"no connection to ask with": {err: &SendError{Withheld: true, Cause: errors.New("busy")}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -41,8 +41,9 @@
 	replies  []reply
 	attempts []Attempt
 	cuts     int
-	// noted, if set, is called at each sending.
-	noted func()
+	// noted, if set, is called at each sending, connected before the request leaves.
+	noted     func()
+	connected func(a *Attempt)
 	// discarded gets the handles that are freed.
 	discarded chan string
 	// asked are the engines that were asked whether they are there; those that are dark
@@ -58,6 +59,12 @@
 }
 
 func (u *fakeUpstream) Send(ctx context.Context, a *Attempt) (Response, error) {
+	if u.connected != nil {
+		u.connected(a)
+	}
+	if err := a.Permit(); err != nil {
+		return nil, &SendError{Withheld: true, Cause: err}
+	}
 	u.attempts = append(u.attempts, *a)
 	if u.noted != nil {
 		u.noted()
@@ -304,7 +311,7 @@
 func newWorldAt(t *testing.T, clock state.Clock, budget int, replies ...reply) *world {
 	t.Helper()
 	up := &fakeUpstream{t: t, replies: replies, discarded: make(chan string, 4)}
-	advice := newAdvice(t, clock, func(backpressure.Notice) {})
+	advice := newAdvice(t, clock, func(backpressure.Notice) {}, func() {})
 	fleet := placement.NewFleet(placement.Options{Clock: clocktest.Bubble{}, FailureDomain: "d1", Advice: advice})
 	var list []state.Instance
 	for _, id := range []string{"1", "2", "3", "4", "5"} {
@@ -326,9 +333,9 @@
 	return &world{d, up, fleet, gate, silent, broken, held, advice}
 }
 
-func newAdvice(t *testing.T, clock state.Clock, tell func(backpressure.Notice)) *backpressure.Registry {
+func newAdvice(t *testing.T, clock state.Clock, tell func(backpressure.Notice), left func()) *backpressure.Registry {
 	t.Helper()
-	advice, err := backpressure.New(backpressure.Options{Clock: clock, Log: slog.New(slog.DiscardHandler), Observer: noObserver{}, Tell: tell})
+	advice, err := backpressure.New(backpressure.Options{Clock: clock, Log: slog.New(slog.DiscardHandler), Observer: noObserver{}, Tell: tell, Left: left})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/coordination/forward/leaving_test.go
+++ b/coordination/forward/leaving_test.go
@@ -1,12 +1,16 @@
 package forward
 
 import (
+	"io"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/state"
 )
 
 // What was seen: a runner said in each answer that it leaves, and for the twelve seconds until
@@ -44,3 +48,45 @@
 // leavingWithin is the time in which all hosts must know that a runner leaves, from its first
 // answer that says so. Its first answer may take a while.
 const leavingWithin = 300 * time.Millisecond
+
+// A runner that says so while the connection for a request is made doesn't get it, of any part
+// of a request; nor is it taken for one that doesn't answer.
+func TestLeavingIsSeenBeforeARequestLeaves(t *testing.T) {
+	event := "id: 1\ndata: x\n\n"
+	for name, c := range map[string]struct {
+		request *Request
+		// leaves is the sending whose runner says that it leaves.
+		leaves  int
+		replies []reply
+	}{
+		"a call":              {request(state.RouteSafe, 2, false), 1, []reply{{status: 200}}},
+		"a question":          {modelRequest(200, false), 1, []reply{{status: 200, events: true, body: event}}},
+		"a prompt":            {modelRequest(2000, false), 1, []reply{{status: 200, body: "h"}, {status: 200, events: true, body: event}}},
+		"after a prompt":      {modelRequest(2000, false), 2, []reply{{status: 200, body: "h"}, {status: 200, events: true, body: event}}},
+		"a stream goes on at": {modelRequest(200, true), 2, []reply{{status: 200, events: true, body: event, readErr: io.ErrUnexpectedEOF}, {status: 200, events: true, body: event}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, plenty, c.replies...)
+				connections := 0
+				var left state.InstanceID
+				w.up.connected = func(a *Attempt) {
+					if connections++; connections == c.leaves {
+						left = a.Instance.ID
+						w.drain(left)
+					}
+				}
+				answer, err := w.Forward(t.Context(), c.request)
+				is.NoErr(err)
+				if answer.Stream != nil {
+					_, err = readAll(answer.Stream)
+					is.NoErr(err)
+				}
+				is.True(!slices.ContainsFunc(w.up.attempts, func(a Attempt) bool { return a.Instance.ID == left }))
+				is.Equal(len(w.up.attempts), len(c.replies))
+				is.True(!slices.Contains(w.silent.ids, left))
+			})
+		})
+	}
+}
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -135,6 +135,9 @@
 	LastEventID string
 	// Backup is the engine to which the run's memory is copied as it grows, or nil.
 	Backup *state.Instance
+	// Permit is asked when there is a connection, before the first byte leaves; after an
+	// error nothing is sent.
+	Permit func() error
 }
 
 // Head is the beginning of a runner's response.
@@ -181,9 +184,10 @@
 type SendError struct {
 	// Sent is false only if no byte of the request left this host.
 	Sent bool
-	// Busy says that this host has no connection left to the runner.
-	Busy  bool
-	Cause error
+	// Withheld says that this host kept the request back: it has no connection left to the
+	// runner, or the runner takes nothing now.
+	Withheld bool
+	Cause    error
 }
 
 // Error implements error.
@@ -200,7 +204,7 @@
 // unreached reports whether err says that nothing was heard of the runner.
 func unreached(err error) bool {
 	var failed *SendError
-	return errors.As(err, &failed) && !failed.Busy
+	return errors.As(err, &failed) && !failed.Withheld
 }
 
 // sendError is the SendError in err; of any other error it isn't known what was sent.
--- a/coordination/forward/split.go
+++ b/coordination/forward/split.go
@@ -102,7 +102,7 @@
 	started := d.o.Clock.Now()
 	done := runner.Begin()
 	defer done()
-	resp, err := d.o.Upstream.Send(ctx, a)
+	resp, err := d.send(ctx, a)
 	var body []byte
 	if err == nil {
 		if body, err = readWhole(resp); err != nil {
@@ -111,15 +111,16 @@
 	}
 	took := d.o.Clock.Now().Sub(started)
 	if err != nil {
-		if sendError(err).Sent {
+		failed := sendError(err)
+		if failed.Sent {
 			rec.notePrefill(false)
 		}
 		// Reading a prompt runs nothing, so a lost response breaks no promise. That
 		// a prompt isn't read in its time says nothing of an engine that reads others.
-		if ctx.Err() == nil || p.dark.Load() {
+		if (ctx.Err() == nil || p.dark.Load()) && !failed.Withheld {
 			runner.Broken()
 			d.o.Outliers.Silent(runner.Instance.ID)
-			if sendError(err).Sent {
+			if failed.Sent {
 				d.noteWork(outer, r, runner, rec, took, false)
 			}
 		}
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -219,7 +219,7 @@
 	s.rec.exclude(a.Instance)
 	a.Left = s.d.left(a.Request)
 	started := s.d.o.Clock.Now()
-	resp, err := s.d.o.Upstream.Send(s.ctx, a)
+	resp, err := s.d.send(s.ctx, a)
 	took := s.d.o.Clock.Now().Sub(started)
 	if err != nil {
 		sent.end()
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -173,7 +173,7 @@
 
 func (h *Host) buildLists() error {
 	var err error
-	h.advice, err = backpressure.New(backpressure.Options{Clock: h.clock, Log: h.log, Observer: h.metrics, Tell: h.tellAdvice})
+	h.advice, err = backpressure.New(backpressure.Options{Clock: h.clock, Log: h.log, Observer: h.metrics, Tell: h.tellAdvice, Left: func() { h.instances.Left() }})
 	if err != nil {
 		return err
 	}
@@ -182,7 +182,7 @@
 	h.instances = follow.NewInstances(follow.InstancesOptions{
 		Clock: h.clock, Log: h.log, Decode: platform.DecodeInstance, Publish: h.publish, Unusable: h.metrics.unusableEntry,
 		Outage:  func() bool { return h.listed.UnavailableWithin(outageWindow) },
-		HoldFor: holdFor,
+		HoldFor: holdFor, Leaving: h.advice.Leaving,
 	})
 	outage := &follow.Outage{}
 	h.configs, err = follow.New(follow.Options{Outage: outage, Store: h.proving, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig, Notify: h.notifyFollowers})
--- a/transport/runners/pool.go
+++ b/transport/runners/pool.go
@@ -135,13 +135,14 @@
 	}
 	if int(c.inUse.Add(1)) > p.o.ConnLimit(a.Instance.Service) {
 		c.inUse.Add(-1)
-		return nil, &forward.SendError{Busy: true, Cause: errBusy}
+		return nil, &forward.SendError{Withheld: true, Cause: errBusy}
 	}
 	req := &fasthttp.Request{}
 	p.o.Codec.EncodeAttempt(a, req)
 	limits := httpclient.Limits{
 		Timeout:      a.Left + responseSlack,
 		MaxBodyBytes: 1,
+		Permit:       a.Permit,
 		Stray:        func(resp *fasthttp.Response) bool { return !p.o.Codec.OfRequest(resp, a.Request.ID) },
 	}
 	sentAt := wallclock.Now()
@@ -166,7 +167,7 @@
 	if !errors.As(err, &failed) {
 		return &forward.SendError{Sent: true, Cause: err}
 	}
-	return &forward.SendError{Sent: failed.Sent, Busy: errors.Is(err, httpclient.ErrBusy), Cause: failed.Cause}
+	return &forward.SendError{Sent: failed.Sent, Withheld: errors.Is(err, httpclient.ErrBusy) || errors.Is(err, forward.ErrRunnerCloses), Cause: failed.Cause}
 }
 
 // PrefillHandle implements forward.Upstream.
--- a/transport/runners/pool_test.go
+++ b/transport/runners/pool_test.go
@@ -283,7 +283,7 @@
 	_, err := p.Send(ctx, attemptAt(r, "c", 0))
 	var failed *forward.SendError
 	is.True(errors.As(err, &failed))
-	is.True(failed.Busy && !failed.Sent)
+	is.True(failed.Withheld && !failed.Sent)
 	cancel()
 	waiting.Wait()
 }
@@ -388,3 +388,19 @@
 		})
 	}
 }
+
+// What isn't permitted when the connection stands sends no byte, and says nothing of the runner.
+func TestWithheldRequestSendsNothing(t *testing.T) {
+	is := is.New(t)
+	got := make(chan string, 1)
+	r := newRunner(t, func(_ net.Conn, br *bufio.Reader) { got <- requestOf(br) })
+	p := newPool(t, 4)
+	a := attemptAt(r, "r1", 0)
+	a.Permit = func() error { return forward.ErrRunnerCloses }
+	_, err := p.Send(t.Context(), a)
+	var failed *forward.SendError
+	is.True(errors.As(err, &failed))
+	is.True(!failed.Sent)
+	is.True(failed.Withheld)
+	is.Equal(<-got, "")
+}
