Leave a runner alone for as long as it asks

Cause: how long a runner wants nothing was not read; a refusal paused it for a tenth of a second to one second, by the host's own schedule.

Change: the longest end of what a run asked this host for holds (a later, shorter one doesn't shorten it), taken up to a tenth longer, so that hosts don't come back together. Until then the runner isn't chosen, and the last look before the first byte keeps back what was chosen before. A rest is no failure and no limit. After it one request at a time finds out whether the runner takes work again; one that was turned away already isn't spent on that while another runner is open. When all rest, a request waits for the first that ends if it is answered in time then, and is refused at once otherwise, as not run, with that time; no prompt is read that no engine generates in time.

--- a/coordination/backpressure/registry.go
+++ b/coordination/backpressure/registry.go
@@ -4,6 +4,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,12 @@
 	// ownWord is how long this host's own hearing of a limit outweighs the others' word:
 	// about the time in which they come to it.
 	ownWord = 300 * time.Millisecond
+	// restSpread is the part of a rest by which it is taken longer at most, so that hosts that
+	// were turned away together don't come back together.
+	restSpread = 0.1
+	// trialFor is how long the first request after a rest keeps the runner from others of this
+	// host, if it isn't answered before.
+	trialFor = 250 * time.Millisecond
 	// unreadableEvery bounds the log lines on what a run writes and nobody can read.
 	unreadableEvery = 10 * time.Second
 )
@@ -70,7 +77,11 @@
 	limit   atomic.Pointer[limit]
 	// restUntil is zero if none was asked for.
 	restUntil atomic.Pointer[time.Time]
-	leaving   atomic.Bool
+	// unproven is set from a rest on until a request sent after it was taken; trialUntil is
+	// while one of this host is on its way to find out.
+	unproven   atomic.Bool
+	trialUntil atomic.Pointer[time.Time]
+	leaving    atomic.Bool
 
 	// listedAt is when the run was known to be listed, toldAt when all hosts were told of its
 	// limit and unreadableAt when it last wrote what can't be read.
@@ -136,8 +147,11 @@
 	if a.Leaving && r.leaves(i.ID, known, "an answer") {
 		tell = append(tell, Notice{i.ID, i.Service, KindLeaving, 0})
 	}
-	if a.Rest > 0 {
+	switch until := known.restUntil.Load(); {
+	case a.Rest > 0:
 		r.rests(i, known, now, a.Rest)
+	case ofRequest && until != nil && sentAt.After(*until):
+		known.unproven.Store(false)
 	}
 	r.unreadable(i, known, now, a.Unreadable)
 	return tell
@@ -258,12 +272,14 @@
 
 // rests notes a rest. A later, shorter one doesn't shorten what was asked before.
 func (r *Registry) rests(i *state.Instance, known *run, now time.Time, rest time.Duration) {
-	until := now.Add(rest)
+	until := now.Add(rest + time.Duration(rand.Float64()*restSpread*float64(rest)))
 	before := known.restUntil.Load()
 	if before != nil && !until.After(*before) {
 		return
 	}
 	known.restUntil.Store(&until)
+	known.trialUntil.Store(nil)
+	known.unproven.Store(true)
 	r.o.Observer.Advised(i.Service, KindRest)
 	if before == nil || now.After(*before) {
 		r.o.Log.Info("runner asks for rest", "instance", i.ID, "service", i.Service, "for", rest)
@@ -332,18 +348,60 @@
 	}
 }
 
-// OpensAt is when a run takes a request of this host again; zero if it does now, as far as is
-// known here.
+// OpensAt is when a run takes a request of this host again, by its limit and the rest that it
+// asked for; zero if it does now, as far as is known here.
 func (r *Registry) OpensAt(id state.InstanceID) time.Time {
 	known := r.run(id)
 	if known == nil {
 		return time.Time{}
 	}
-	l := known.limit.Load()
-	if l == nil || !r.o.Clock.Now().Before(l.opensAt) {
+	now := r.o.Clock.Now()
+	at := known.restsUntil(now)
+	if trial := known.trialUntil.Load(); known.unproven.Load() && trial != nil && trial.After(now) {
+		at = *trial
+	}
+	if l := known.limit.Load(); l != nil && l.opensAt.After(now) && l.opensAt.After(at) {
+		at = l.opensAt
+	}
+	return at
+}
+
+// RestsUntil is the end of the rest that a run asked this host for; zero if it wants none now.
+func (r *Registry) RestsUntil(id state.InstanceID) time.Time {
+	known := r.run(id)
+	if known == nil {
 		return time.Time{}
 	}
-	return l.opensAt
+	return known.restsUntil(r.o.Clock.Now())
+}
+
+// Unproven reports whether a run asked for rest and took nothing of this host since.
+func (r *Registry) Unproven(id state.InstanceID) bool {
+	known := r.run(id)
+	return known != nil && known.unproven.Load()
+}
+
+// Try asks to send a request to a run. After a rest one request is let through to find out
+// whether the runner takes work again; those that waited for it don't all come at once.
+func (r *Registry) Try(id state.InstanceID) bool {
+	known := r.run(id)
+	if known == nil || !known.unproven.Load() {
+		return true
+	}
+	now := r.o.Clock.Now()
+	before := known.trialUntil.Load()
+	if before != nil && before.After(now) {
+		return false
+	}
+	until := now.Add(trialFor)
+	return known.trialUntil.CompareAndSwap(before, &until)
+}
+
+func (k *run) restsUntil(now time.Time) time.Time {
+	if until := k.restUntil.Load(); until != nil && now.Before(*until) {
+		return *until
+	}
+	return time.Time{}
 }
 
 // Counts are the runs that ask something at present.
@@ -360,7 +418,7 @@
 		if known.leaving.Load() {
 			out.Leaving++
 		}
-		if until := known.restUntil.Load(); until != nil && now.Before(*until) {
+		if !known.restsUntil(now).IsZero() {
 			out.Resting++
 		}
 	}
--- a/coordination/backpressure/registry_test.go
+++ b/coordination/backpressure/registry_test.go
@@ -103,6 +103,8 @@
 		w.hear(i, Advice{Rest: time.Second})
 		time.Sleep(1500 * time.Millisecond)
 		is.Equal(w.Count().Resting, 1)
+		is.Equal(w.OpensAt(i.ID), w.RestsUntil(i.ID))
+		is.True(w.RestsUntil(i.ID).After(time.Now().Add(499 * time.Millisecond)))
 		time.Sleep(time.Second)
 		is.Equal(w.Count().Resting, 0)
 	})
@@ -199,3 +201,30 @@
 		is.Equal(len(w.told), 0)
 	})
 }
+
+// After a rest one request at a time finds out whether the runner takes work again.
+func TestOneRequestTriesAfterARest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		i := instance("a", 1)
+		is.True(w.Try(i.ID)) // it never rested
+		w.hear(i, Advice{Rest: time.Second})
+		is.True(w.Unproven(i.ID))
+		time.Sleep(2 * time.Second)
+		is.True(w.OpensAt(i.ID).IsZero())
+		sentAt := time.Now()
+		is.True(w.Try(i.ID))
+		is.True(!w.Try(i.ID))
+		is.True(!w.OpensAt(i.ID).IsZero()) // it isn't chosen meanwhile
+		time.Sleep(trialFor)
+		is.True(w.Try(i.ID)) // the first one was lost
+		w.Heard(i, sentAt.Add(-2*time.Second), Advice{}, true)
+		is.True(w.Unproven(i.ID)) // asked for before the rest
+		w.Heard(i, sentAt, Advice{}, true)
+		is.True(!w.Unproven(i.ID))
+		is.True(w.OpensAt(i.ID).IsZero())
+		is.True(w.Try(i.ID))
+		is.True(w.Try(i.ID))
+	})
+}
--- a/coordination/forward/advice.go
+++ b/coordination/forward/advice.go
@@ -18,6 +18,13 @@
 	// Closed notes that a limit leaves nothing for this host until then. The placer doesn't
 	// choose the runner meanwhile.
 	Closed(id state.InstanceID, until time.Time)
+	// RestsUntil is the end of the rest that a runner asked this host for; zero if there is
+	// none now.
+	RestsUntil(id state.InstanceID) time.Time
+	// Unproven reports whether a runner has taken nothing since it asked for rest, and Try asks
+	// to send it something: one request at a time finds out.
+	Unproven(id state.InstanceID) bool
+	Try(id state.InstanceID) bool
 }
 
 const (
@@ -34,9 +41,13 @@
 	resumeWait = time.Second
 )
 
-// permitted reports whether a request may be sent to a runner, by the limit that the runner
-// names. It waits for that so long at most.
+// permitted reports whether a request may be sent to a runner, by the rest that is over and the
+// limit that it names. It waits for the latter so long at most.
 func (d *Dispatcher) permitted(ctx context.Context, i *state.Instance, part string, rec *record, wait time.Duration) bool {
+	if !d.o.Advice.Try(i.ID) {
+		rec.add(i, part, outcomeLimited, 0, nil)
+		return false
+	}
 	rate, limited := d.o.Advice.Limit(i.ID)
 	if !limited {
 		return true
@@ -56,13 +67,13 @@
 
 // ErrRunnerCloses is the cause of a SendError that was withheld since its runner takes nothing
 // any more.
-var ErrRunnerCloses = errors.New("the runner leaves; choose another")
+var ErrRunnerCloses = errors.New("the runner leaves or wants rest; choose another")
 
 // send is the only way of an attempt to a runner. The runner is looked at once more when the
 // request is about to leave: a connection may have taken a while, or the host stood still.
 func (d *Dispatcher) send(ctx context.Context, a *Attempt) (Response, error) {
 	a.Permit = func() error {
-		if !d.o.Placer.Has(a.Instance.ID) {
+		if !d.o.Placer.Has(a.Instance.ID) || d.rests(a.Instance) {
 			return ErrRunnerCloses
 		}
 		return nil
@@ -70,6 +81,9 @@
 	return d.o.Upstream.Send(ctx, a)
 }
 
+// rests reports whether a runner wants nothing from this host now.
+func (d *Dispatcher) rests(i *state.Instance) bool { return !d.o.Advice.RestsUntil(i.ID).IsZero() }
+
 // part is what a runner does for the request after its prompt was read apart, if it is.
 func (d *Dispatcher) part(r *Request, rec *record) placement.Part {
 	switch {
@@ -85,14 +99,34 @@
 // pick chooses a runner for the next sending. If all are closed it waits for the first that
 // opens until by at most, and refuses the request otherwise.
 func (d *Dispatcher) pick(ctx context.Context, r *Request, rec *record, by time.Time) (choice, error) {
-	c, err := d.choose(ctx, r, rec)
-	if err != nil || c.Runner != nil {
-		return c, err
+	for {
+		c, err := d.choose(ctx, r, rec)
+		if err != nil {
+			return c, err
+		}
+		if c.Runner == nil && !rec.reconsider() {
+			break
+		}
+		if c.Runner != nil && !d.passOver(c.Runner.Instance, rec) {
+			return c, nil
+		}
+		c.giveBack()
 	}
 	runner, err := d.awaitOpening(ctx, r, rec, d.part(r, rec), by)
 	return choice{Runner: runner, permitted: true}, err
 }
 
+// passOver keeps a request that a runner has turned away from one whose rest has only just
+// ended, while there are others: it would use up its attempts on trials.
+func (d *Dispatcher) passOver(i *state.Instance, rec *record) bool {
+	if !rec.turnedAway || !d.o.Advice.Unproven(i.ID) {
+		return false
+	}
+	rec.exclude(i)
+	rec.passedOver = append(rec.passedOver, i.ID)
+	return true
+}
+
 // awaitOpening waits for a runner that takes such work, until by at most, and takes the permit
 // that its limit asks for.
 func (d *Dispatcher) awaitOpening(ctx context.Context, r *Request, rec *record, p placement.Part, by time.Time) (*placement.Runner, error) {
@@ -107,6 +141,12 @@
 		if err := d.over(ctx, r, rec); err != nil {
 			return nil, err
 		}
+		if rest := d.o.Advice.RestsUntil(runner.Instance.ID); !rest.IsZero() {
+			if d.o.Clock.Sleep(ctx, rest.Sub(d.o.Clock.Now())) != nil {
+				return nil, d.over(ctx, r, rec)
+			}
+			continue
+		}
 		if d.permitted(ctx, runner.Instance, "wait", rec, by.Sub(d.o.Clock.Now())) {
 			return runner, nil
 		}
--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -48,6 +48,7 @@
 	if head.NotRun {
 		drain(resp)
 		sent.end()
+		rec.turnedAway = true
 		d.noteRefused(runner, head)
 		rec.add(a.Instance, "run", outcomeNotRun, took, &statusError{head.Status})
 		return nil, outcomeNotRun
@@ -135,9 +136,13 @@
 	})
 }
 
-// noteRefused counts a refusal against the runner. One that is not the run that was meant
-// is asked for: it may be gone, with another at its address.
+// noteRefused counts a refusal against the runner, unless it asked for rest: it is passed over
+// until then, and has not failed. One that is not the run that was meant is asked for: it may be
+// gone, with another at its address.
 func (d *Dispatcher) noteRefused(runner *placement.Runner, head *Head) {
+	if d.rests(runner.Instance) {
+		return
+	}
 	runner.Refused()
 	if head.Status == statusMisdirected {
 		d.o.Outliers.Silent(runner.Instance.ID)
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -63,6 +63,10 @@
 	// The first reading of the prompt that an engine takes doesn't count.
 	arrivals, paid int
 	promptTaken    bool
+	// turnedAway is set once a runner has refused the request, and passedOver are the tried
+	// runners that were left out for that alone.
+	turnedAway bool
+	passedOver []state.InstanceID
 	// mayHaveRun is set once a runner may have begun.
 	mayHaveRun bool
 	tried      []state.InstanceID
@@ -119,6 +123,16 @@
 // exclude keeps later choices from the instance.
 func (r *record) exclude(i *state.Instance) { r.tried = append(r.tried, i.ID) }
 
+// reconsider lets runners be chosen that were passed over, and reports whether there are any.
+func (r *record) reconsider() bool {
+	if len(r.passedOver) == 0 {
+		return false
+	}
+	r.tried = slices.DeleteFunc(r.tried, func(id state.InstanceID) bool { return slices.Contains(r.passedOver, id) })
+	r.turnedAway, r.passedOver = false, nil
+	return true
+}
+
 // LogValue implements slog.LogValuer: one word for each sending, and the last cause.
 func (r *record) LogValue() slog.Value {
 	var b strings.Builder
--- a/coordination/forward/resting_test.go
+++ b/coordination/forward/resting_test.go
@@ -1,12 +1,16 @@
 package forward
 
 import (
+	"errors"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/backpressure"
+	"github.com/thymerack/thymerack/state"
 )
 
 // What was seen: engines turned requests away and asked for three seconds of rest; single hosts
@@ -43,3 +47,83 @@
 		})
 	}
 }
+
+// ask has the runners of these names ask for something by an answer.
+func (w *world) ask(a backpressure.Advice, names ...string) {
+	for _, name := range names {
+		w.advice.Heard(&state.Instance{ID: state.InstanceID{Name: name}, Service: "s"}, time.Now(), a, true)
+	}
+}
+
+// When no runner takes a request now, one that can be served in time waits for the first that
+// does; any other is refused at once, as not run, with the time at which it could be. No prompt
+// is read that no engine generates in time.
+func TestRequestsWithoutAnOpenRunner(t *testing.T) {
+	plain := []string{"s1", "s2", "s3", "s4", "s5"}
+	generating := []string{"d1", "d2", "d3", "d4", "d5"}
+	reading := []string{"p1", "p2", "p3", "p4", "p5"}
+	event := []reply{{status: 200, events: true, body: "id: 1\n\n"}}
+	rest := func(d time.Duration) backpressure.Advice { return backpressure.Advice{Rest: d} }
+	for name, c := range map[string]struct {
+		request *Request
+		who     []string
+		advice  backpressure.Advice
+		replies []reply
+		// reason is "" for those that are served, after so long at least.
+		reason Reason
+		after  time.Duration
+	}{
+		"calls wait for a short rest":       {request(state.RouteSafe, 2, false), plain, rest(100 * time.Millisecond), []reply{{status: 200}}, "", 100 * time.Millisecond},
+		"one that may run once as well":     {request(state.RouteUnsafe, 1, false), plain, rest(100 * time.Millisecond), []reply{{status: 200}}, "", 100 * time.Millisecond},
+		"questions wait for a short rest":   {modelRequest(200, false), generating, rest(100 * time.Millisecond), event, "", 100 * time.Millisecond},
+		"calls don't wait for a long rest":  {request(state.RouteSafe, 2, false), plain, rest(3 * time.Second), nil, ReasonBackpressure, 3 * time.Second},
+		"nothing is read in vain":           {modelRequest(2000, false), generating, rest(3 * time.Second), nil, ReasonBackpressure, 3 * time.Second},
+		"prompts are read where generated":  {modelRequest(2000, false), reading, rest(3 * time.Second), event, "", 0},
+		"one runner that is open is enough": {request(state.RouteSafe, 2, false), plain[1:], rest(3 * time.Second), []reply{{status: 200}}, "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, plenty, c.replies...)
+				w.ask(c.advice, c.who...)
+				c.request.ArrivedAt, c.request.Deadline = time.Now(), time.Now().Add(2*time.Second)
+				began := time.Now()
+				answer, err := w.Forward(t.Context(), c.request)
+				took := time.Since(began)
+				if c.reason == "" {
+					is.NoErr(err)
+					is.True(took >= c.after && took < c.after+c.after/5+time.Millisecond)
+					if answer.Stream != nil {
+						_, err = readAll(answer.Stream)
+						is.NoErr(err)
+					}
+					return
+				}
+				var refusal *Refusal
+				is.True(errors.As(err, &refusal))
+				is.Equal(refusal.Reason, c.reason)
+				is.True(refusal.NotRun)
+				is.Equal(took, time.Duration(0))
+				is.True(refusal.RetryAfter >= c.after)
+				is.True(refusal.RetryAfter < 2*c.after)
+			})
+		})
+	}
+}
+
+// A refusal that asks for rest says nothing of the runner's soundness: it is back when the rest
+// is over, however often it asked.
+func TestRestIsNoFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, plenty)
+		for range 5 {
+			w.ask(backpressure.Advice{Rest: 100 * time.Millisecond}, "s1")
+			w.noteRefused(w.fleet.Runner(state.InstanceID{Name: "s1"}), &Head{Status: 503, NotRun: true})
+			time.Sleep(time.Second)
+		}
+		s := w.fleet.Runner(state.InstanceID{Name: "s1"})
+		is.Equal(s.FailureRate(time.Now()), 0.0)
+		is.True(!s.Suspect(time.Now()))
+	})
+}
--- a/coordination/forward/turn.go
+++ b/coordination/forward/turn.go
@@ -103,6 +103,13 @@
 	return &sending{done: c.Runner.Begin(), turn: c.turn, reads: c.reads}
 }
 
+// giveBack ends the place of a choice that isn't used; it may have none.
+func (c choice) giveBack() {
+	if c.Runner != nil {
+		c.turn.end(false)
+	}
+}
+
 // fetchFrom is the address of the engine that keeps shared parts; "" if none is known.
 func (c choice) fetchFrom() string {
 	if c.turn.source == nil {
