Leave an upstream of the product's own interface alone while it wants rest

The same cause elsewhere: an upstream of the product's own interface that refused work with Retry-After was tried again after its breaker's schedule or at once; the time was decoded and read by nobody.

Change: the same registry keeps it, for each run, and the router passes the runner over; when all want rest the caller is refused at once with the time at which the first takes work again. A refusal of another attempt says nothing. Limits and leaving have no place in what these upstreams say: the list and peers tell who leaves, by run, and that has no way back there either.

Tests: routing passes over runners at rest and names the first end; the client tells a rest of its own attempts only.

--- a/coordination/route/gather.go
+++ b/coordination/route/gather.go
@@ -113,6 +113,8 @@
 		return notExcluded{}.Name()
 	case !r.breaker.Keep(n, q):
 		return r.breaker.Name()
+	case !r.awake.Keep(n, q):
+		return r.awake.Name()
 	default:
 		return ""
 	}
@@ -161,6 +163,21 @@
 	return now.Sub(r.Load.TakenAt).Milliseconds()
 }
 
+// firstAwake is the time until the first runner that wants nothing but rest takes work again; 0
+// if there is none.
+func (r *Router) firstAwake(q *Query, all []*snapshot.Runner) time.Duration {
+	wait := time.Duration(0)
+	for _, n := range all {
+		if r.rejectedBy(q, n) != r.awake.Name() {
+			continue
+		}
+		if left := r.awake.until(n).Sub(r.clock.Now()); wait == 0 || left < wait {
+			wait = left
+		}
+	}
+	return wait
+}
+
 // none returns the error that says which filter removed the last runner.
 func (r *Router) none(q *Query, all []*snapshot.Runner) (Choice, error) {
 	reasons := map[string]Reason{
@@ -170,6 +187,9 @@
 		notExcluded{}.Name():  ReasonAllTried,
 		breakerReady{}.Name(): ReasonBreakersOpen,
 	}
+	if wait := r.firstAwake(q, all); wait > 0 {
+		return Choice{}, &NoRunnerError{q.Service, ReasonResting, wait}
+	}
 	order := []string{breakerReady{}.Name(), notExcluded{}.Name(), hasModel{}.Name(), servesPart{}.Name()}
 	seen := make([]string, 0, len(order))
 	for _, n := range all[:min(len(all), maxDraws)] {
--- a/coordination/route/plugins.go
+++ b/coordination/route/plugins.go
@@ -103,6 +103,15 @@
 	return f.breakers == nil || f.breakers.Ready(r.Name)
 }
 
+// awake removes runners that want rest.
+type awake struct {
+	until func(r *snapshot.Runner) time.Time
+}
+
+func (awake) Name() string { return "awake" }
+
+func (f awake) Keep(r *snapshot.Runner, _ *Query) bool { return f.until == nil || f.until(r).IsZero() }
+
 // homeCredit is the share of the gathered part of a prompt that its home is
 // expected to have, when nothing is known: another host may have sent the same
 // document there a moment ago. It also makes the first one go there.
--- a/coordination/route/router_test.go
+++ b/coordination/route/router_test.go
@@ -276,3 +276,29 @@
 	k.SetPeerWork(epoch, map[string]snapshot.Work{"s1": {Requests: 9}})
 	is.Equal(pick(), "s0") // the peers' calls count as well
 }
+
+// A runner that wants rest isn't chosen; when all do, the caller learns when the first is over.
+func TestRunnersAtRestAreNotChosen(t *testing.T) {
+	is := is.New(t)
+	rest := map[string]time.Duration{"engine-0000": 3 * time.Second, "engine-0001": 2 * time.Second}
+	r, err := New(Options{Clock: fixedClock{}, Seed: 1, RestsUntil: func(n *snapshot.Runner) time.Time {
+		if d := rest[n.Name]; d > 0 {
+			return epoch.Add(d)
+		}
+		return time.Time{}
+	}})
+	is.NoErr(err)
+	k := engines(3)
+	q := &Query{Service: "llm", Model: "m", PromptTokens: 100, ExpectedOutput: 10}
+	for range 20 {
+		c, err := r.Pick(k.View(), q)
+		is.NoErr(err)
+		is.Equal(c.Runner.Name, "engine-0002")
+	}
+	rest["engine-0002"] = time.Minute
+	_, err = r.Pick(k.View(), q)
+	var none *NoRunnerError
+	is.True(errors.As(err, &none))
+	is.Equal(none.Reason, ReasonResting)
+	is.Equal(none.RetryAfter, 2*time.Second)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/thymerack/thymerack/coordination/answer"
+	"github.com/thymerack/thymerack/coordination/backpressure"
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/dispatch"
 	"github.com/thymerack/thymerack/coordination/explain"
@@ -69,12 +70,14 @@
 	metrics  *measure.Set
 	platform *platform.Client
 	upstream *upstreams.Client
-	book     *loggedBook
-	answers  *answer.Registry
-	watcher  *order.Watcher
-	prober   *probe.Prober
-	decide   *decisions
-	front    *front.Server
+	// advice is what upstreams ask of this host.
+	advice  *backpressure.Registry
+	book    *loggedBook
+	answers *answer.Registry
+	watcher *order.Watcher
+	prober  *probe.Prober
+	decide  *decisions
+	front   *front.Server
 
 	member     *member.Manager
 	peers      *peer.Client
@@ -146,10 +149,26 @@
 	if err != nil {
 		return err
 	}
-	d.upstream, err = upstreams.New(upstreams.Options{})
+	d.advice, err = backpressure.New(backpressure.Options{
+		Clock: d.clock, Log: d.log, Observer: d.metrics, Tell: func(backpressure.Notice) {}, Left: func() {},
+	})
+	if err != nil {
+		return err
+	}
+	d.upstream, err = upstreams.New(upstreams.Options{Rest: d.rests})
 	return err
 }
 
+// rests notes that a run of an upstream wants no work of this host for so long. Limits, and that
+// it leaves, are no part of what upstreams say in their answers: the list tells of the latter.
+func (d *Daemon) rests(u state.Upstream, rest time.Duration) {
+	d.advice.Heard(runOf(u), d.clock.Now(), backpressure.Advice{Rest: rest}, true)
+}
+
+func (d *Daemon) restsUntil(r *snapshot.Runner) time.Time {
+	return d.advice.RestsUntil(runOf(r.Upstream).ID)
+}
+
 // newRand returns a random source of its own for one component.
 func (d *Daemon) newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(d.rnd.Uint64(), d.rnd.Uint64()))
--- a/transport/measure/measure.go
+++ b/transport/measure/measure.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/thymerack/thymerack/coordination/backpressure"
 	"github.com/thymerack/thymerack/coordination/dispatch"
 )
 
@@ -90,6 +91,11 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf("thymerack_refused_total{reason=%q}", reason)).Inc()
 }
 
+// Advised implements backpressure.Observer.
+func (s *Set) Advised(service string, k backpressure.Kind) {
+	s.set.GetOrCreateCounter(fmt.Sprintf("thymerack_runner_advice_total{service=%q,kind=%q}", service, k)).Inc()
+}
+
 // PolicyFailed counts a policy's failure at run time.
 func (s *Set) PolicyFailed(policy string) {
 	s.set.GetOrCreateCounter(fmt.Sprintf("thymerack_policy_failures_total{policy=%q}", policy)).Inc()
--- a/transport/upstreams/engines.go
+++ b/transport/upstreams/engines.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return sendError(u, err)
 	}
-	return statusError(u, body.Response, problem)
+	return c.refused(u, statusError(u, body.Response, problem))
 }
 
 // Prefill implements upstream.Engines.
--- a/transport/upstreams/errors.go
+++ b/transport/upstreams/errors.go
@@ -84,6 +84,15 @@
 	}
 }
 
+// refused tells for how long an upstream that refused work wants none.
+func (c *Client) refused(u state.Upstream, err *upstream.SendError) *upstream.SendError {
+	var answered *StatusError
+	if c.opts.Rest != nil && err.Refused && errors.As(err.Cause, &answered) && answered.RetryAfter > 0 {
+		c.opts.Rest(u, answered.RetryAfter)
+	}
+	return err
+}
+
 // refuses reports whether a status says that the work was not taken.
 func refuses(status int) bool {
 	return status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable
--- a/transport/upstreams/services.go
+++ b/transport/upstreams/services.go
@@ -45,16 +45,16 @@
 	if err := exchange(ctx, h, u, req, resp, limits); err != nil {
 		return upstream.Answer{}, err
 	}
-	return answer(u, q, resp)
+	return c.answer(u, q, resp)
 }
 
-func answer(u state.Upstream, q upstream.Call, resp *fasthttp.Response) (upstream.Answer, error) {
+func (c *Client) answer(u state.Upstream, q upstream.Call, resp *fasthttp.Response) (upstream.Answer, error) {
 	attempt := string(resp.Header.Peek(engineapi.HeaderAttempt))
 	if refuses(resp.StatusCode()) {
 		err := statusError(u, resp, resp.Body())
 		// The refusal of another attempt says nothing of this one.
 		err.Refused = attempt == "" || attempt == q.Attempt
-		return upstream.Answer{}, err
+		return upstream.Answer{}, c.refused(u, err)
 	}
 	return upstream.Answer{
 		Attempt:     attempt,
--- a/transport/upstreams/services_test.go
+++ b/transport/upstreams/services_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/thymerack/thymerack/coordination/upstream"
 	"github.com/thymerack/thymerack/protocol/engineapi"
+	"github.com/thymerack/thymerack/state"
 )
 
 func TestCallPassesRequestAndAnswer(t *testing.T) {
@@ -77,7 +78,8 @@
 func TestRefusalOfAnotherAttemptIsNoRefusal(t *testing.T) {
 	for attempt, refused := range map[string]bool{"": true, "a1": true, "a2": false} {
 		is := is.New(t)
-		_, c := serve(t, func(ctx *fasthttp.RequestCtx) {
+		rests := time.Duration(0)
+		_, c := serveWith(t, Options{Rest: func(_ state.Upstream, d time.Duration) { rests += d }}, func(ctx *fasthttp.RequestCtx) {
 			if attempt != "" {
 				ctx.Response.Header.Set(engineapi.HeaderAttempt, attempt)
 			}
@@ -91,6 +93,7 @@
 		var st *StatusError
 		is.True(errors.As(err, &st))
 		is.Equal(*st, StatusError{Status: 503, Problem: "busy", RetryAfter: 3 * time.Second})
+		is.Equal(rests > 0, refused) // of another attempt it says nothing
 	}
 }
 
