Let runners of the soak name limits, ask for rest and say that they leave

Nothing of the soak did, so that no seed ever played it. Runners note what reached them and what their answers asked; the soak joins that with what callers saw and judges: nothing reaches a runner from a process that passed on, half a second before, that it leaves, whatever happens; none in a rest and no window above the limit while hosts and store are well. Limits, rests and leaving disturb nothing, so that they excuse nothing.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -22,8 +22,9 @@
 	length time.Duration
 	bin    string
 	dir    string
-	// fatal lets a request come that ends whatever runs it.
-	fatal bool
+	// fatal lets a request come that ends whatever runs it, and asking has runners ask
+	// something of the hosts in their answers.
+	fatal, asking bool
 }
 
 // fleet is one deployment with its callers.
@@ -105,6 +106,7 @@
 	callers.Wait()
 	f.judgeRuns()
 	f.judgeFatal()
+	f.judgeAsking()
 	f.judgeDuties()
 	f.recovered(proven)
 	f.stop()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,6 +18,7 @@
 	hosts     = flag.Int("soak.hosts", 4, "hosts of each fleet")
 	callers   = flag.Int("soak.callers", 12, "callers of each fleet")
 	fatal     = flag.Bool("soak.fatal", false, "let a request come that ends whatever runs it")
+	asked     = flag.Bool("soak.asking", false, "let runners name limits, ask for rest and say that they leave")
 	keep      = flag.String("soak.keep", "", "folder for the logs of seeds that fail")
 )
 
@@ -43,9 +44,12 @@
 	return bin
 }
 
-func playSeed(t *testing.T, bin string, seed uint64, fatal bool) {
+// with is what a seed is played with, beside what happens to all.
+type with struct{ fatal, asking bool }
+
+func playSeed(t *testing.T, bin string, seed uint64, w with) {
 	dir := t.TempDir()
-	problems, log, err := play(options{seed: seed, hosts: *hosts, callers: *callers, length: *length, bin: bin, dir: dir, fatal: fatal})
+	problems, log, err := play(options{seed: seed, hosts: *hosts, callers: *callers, length: *length, bin: bin, dir: dir, fatal: w.fatal, asking: w.asking})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,7 +73,7 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
 			t.Parallel()
-			playSeed(t, bin, r.seed, false)
+			playSeed(t, bin, r.seed, with{})
 		})
 	}
 }
@@ -81,7 +85,19 @@
 	for _, seed := range []uint64{301, 304} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			playSeed(t, bin, seed, true)
+			playSeed(t, bin, seed, with{fatal: true})
+		})
+	}
+}
+
+// Runners name limits, ask for rest and say that they leave, beside other trouble and beside
+// planned work alone (the second seed).
+func TestSoakRunnersThatAsk(t *testing.T) {
+	bin := build(t)
+	for _, seed := range []uint64{601, 604} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playSeed(t, bin, seed, with{asking: true})
 		})
 	}
 }
@@ -95,7 +111,7 @@
 		seed := *firstSeed + uint64(n)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			playSeed(t, bin, seed, *fatal)
+			playSeed(t, bin, seed, with{*fatal, *asked})
 		})
 	}
 }
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -118,9 +119,13 @@
 	defer close(relisting)
 	end := time.Now().Add(f.o.length)
 	plannedOnly := f.o.seed%4 == 0
+	may := actions
+	if f.o.asking {
+		may = slices.Concat(actions, asking, asking)
+	}
 	for n := uint64(0); time.Now().Before(end); n++ {
 		time.Sleep(time.Duration(200+f.rng.IntN(900)) * time.Millisecond)
-		a := actions[f.rng.IntN(len(actions))]
+		a := may[f.rng.IntN(len(may))]
 		if plannedOnly && !a.planned {
 			continue
 		}
