Keep an owner of places that knows no permits yet

Callers saw nothing yet: while hosts are updated one by one, an owner of the earlier version would answer an ask for a permit with an error, and be passed over for places at engines, too. Only an owner that answers nothing in time is passed over now.

--- a/coordination/occupancy/gate_test.go
+++ b/coordination/occupancy/gate_test.go
@@ -20,7 +20,9 @@
 type network struct {
 	books map[string]*Book
 	lost  map[string]bool
-	asked []string
+	// ignorant hosts know no permits.
+	ignorant map[string]bool
+	asked    []string
 }
 
 func (n *network) Enter(_ context.Context, addr string, a Ask) (Answer, error) {
@@ -47,9 +49,13 @@
 	return nil
 }
 
-func (n *network) Permit(_ context.Context, addr string, a PermitAsk) (Permit, error) {
+func (n *network) Permit(ctx context.Context, addr string, a PermitAsk) (Permit, error) {
 	n.asked = append(n.asked, addr)
+	if n.ignorant[addr] {
+		return Permit{}, errors.New("unknown kind of request")
+	}
 	if n.lost[addr] {
+		<-ctx.Done()
 		return Permit{}, errors.New("no answer")
 	}
 	return n.books[addr].Permit(a, Part{Share: shareOfRank(a.Rank)}), nil
@@ -58,7 +64,7 @@
 // fleet returns the gates of hosts of the given classes.
 func fleet(t *testing.T, classes ...int) (*network, []*Gate) {
 	t.Helper()
-	n := &network{books: map[string]*Book{}, lost: map[string]bool{}}
+	n := &network{books: map[string]*Book{}, lost: map[string]bool{}, ignorant: map[string]bool{}}
 	var hosts []state.Peer
 	for i, class := range classes {
 		hosts = append(hosts, state.Peer{Addr: fmt.Sprint("host-", i), Class: class})
--- a/coordination/occupancy/rate.go
+++ b/coordination/occupancy/rate.go
@@ -99,6 +99,8 @@
 	return Part{share, float64(xxhash.Sum64String(g.o.Self+runner.Name)) / (1 << 64)}
 }
 
+// askPermit asks one owner. One that answers nothing in time is passed over from then on; an
+// error at once costs little, and may be that of a host which knows no permits yet.
 func (g *Gate) askPermit(ctx context.Context, owner string, a PermitAsk) (Permit, error) {
 	bounded, cancel := context.WithTimeout(ctx, enterTimeout)
 	defer cancel()
@@ -106,7 +108,7 @@
 	switch {
 	case err == nil:
 		g.trust(owner)
-	case ctx.Err() == nil:
+	case ctx.Err() == nil && bounded.Err() != nil:
 		g.avoid(owner, err)
 	}
 	return p, err
--- a/coordination/occupancy/rate_test.go
+++ b/coordination/occupancy/rate_test.go
@@ -121,3 +121,22 @@
 		is.True(alone >= 10 && alone <= 30) // 20 x 0.1 / 7 a second, and what was left of the owners' parts
 	})
 }
+
+// While hosts are updated one by one, an owner that knows no permits yet is asked for places all
+// the same, and the next one gives its part.
+func TestOwnerThatKnowsNoPermitsStaysOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, gates := fleet(t, 1, 1, 1, 1, 1, 1, 1)
+		ranked := gates[0].ranking(limited)
+		n.ignorant[ranked[0]] = true
+		for _, g := range gates {
+			if g.o.Self == ranked[0] || g.o.Self == ranked[1] {
+				continue
+			}
+			time.Sleep(time.Second)
+			is.True(g.Permit(t.Context(), PermitAsk{Runner: limited, Rate: 20}).Granted)
+			is.Equal(g.Owner(limited), ranked[0])
+		}
+	})
+}
