--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -97,13 +97,17 @@
 	if !r.Load.TakenAt.IsZero() {
 		age = b.d.clock.Now().Sub(r.Load.TakenAt).Milliseconds()
 	}
+	rest := int64(0)
+	if until := b.d.restsUntil(r); !until.IsZero() {
+		rest = until.Sub(b.d.clock.Now()).Milliseconds()
+	}
 	breaker := breakers[r.Name]
 	if breaker == "" {
 		breaker = "closed"
 	}
 	return operatorapi.Upstream{
 		Upstream: r.Upstream, Target: r.Target, Order: r.Order.State, Fence: r.Order.Fence, Drained: r.Order.Drained,
-		Leaving: r.Leaving, Unhealthy: r.Unhealthy, Breaker: breaker,
+		Leaving: r.Leaving, Unhealthy: r.Unhealthy, Breaker: breaker, RestMillis: rest,
 		InFlight: r.Track.Load().Requests, PeersInFlight: r.Peers.Requests,
 		PrefillBacklogTokens: r.Load.PrefillBacklogTokens, DecodeRunning: r.Load.DecodeRunning, ReportAgeMillis: age,
 	}
