Sleep until a trial after a rest is over

Callers would have waited at a host that turns round and round: when all runners of a service rested, the requests that wait for the first to open asked again and again, without a pause, while one of them found out whether that runner takes work again (250 ms at most). The cause: the end of a trial closed the runner for choices and not for those that wait.

--- a/coordination/backpressure/registry.go
+++ b/coordination/backpressure/registry.go
@@ -356,10 +356,7 @@
 		return time.Time{}
 	}
 	now := r.o.Clock.Now()
-	at := known.restsUntil(now)
-	if trial := known.trialUntil.Load(); known.unproven.Load() && trial != nil && trial.After(now) {
-		at = *trial
-	}
+	at := known.pausedUntil(now)
 	if l := known.limit.Load(); l != nil && l.opensAt.After(now) && l.opensAt.After(at) {
 		at = l.opensAt
 	}
@@ -375,6 +372,23 @@
 	return known.restsUntil(r.o.Clock.Now())
 }
 
+// PausedUntil is RestsUntil, or the end of the trial after a rest while a request of this host is
+// on its way to the run.
+func (r *Registry) PausedUntil(id state.InstanceID) time.Time {
+	known := r.run(id)
+	if known == nil {
+		return time.Time{}
+	}
+	return known.pausedUntil(r.o.Clock.Now())
+}
+
+func (k *run) pausedUntil(now time.Time) time.Time {
+	if trial := k.trialUntil.Load(); k.unproven.Load() && trial != nil && trial.After(now) {
+		return *trial
+	}
+	return k.restsUntil(now)
+}
+
 // Unproven reports whether a run asked for rest and took nothing of this host since.
 func (r *Registry) Unproven(id state.InstanceID) bool {
 	known := r.run(id)
--- a/coordination/forward/advice.go
+++ b/coordination/forward/advice.go
@@ -21,6 +21,8 @@
 	// RestsUntil is the end of the rest that a runner asked this host for; zero if there is
 	// none now.
 	RestsUntil(id state.InstanceID) time.Time
+	// PausedUntil is RestsUntil, or the end of the trial that follows it.
+	PausedUntil(id state.InstanceID) time.Time
 	// Unproven reports whether a runner has taken nothing since it asked for rest, and Try asks
 	// to send it something: one request at a time finds out.
 	Unproven(id state.InstanceID) bool
@@ -141,8 +143,8 @@
 		if err := d.over(ctx, r, rec); err != nil {
 			return nil, err
 		}
-		if rest := d.o.Advice.RestsUntil(runner.Instance.ID); !rest.IsZero() {
-			if d.o.Clock.Sleep(ctx, rest.Sub(d.o.Clock.Now())) != nil {
+		if pause := d.o.Advice.PausedUntil(runner.Instance.ID); !pause.IsZero() {
+			if d.o.Clock.Sleep(ctx, pause.Sub(d.o.Clock.Now())) != nil {
 				return nil, d.over(ctx, r, rec)
 			}
 			continue
--- a/coordination/forward/resting_test.go
+++ b/coordination/forward/resting_test.go
@@ -127,3 +127,29 @@
 		is.True(!s.Suspect(time.Now()))
 	})
 }
+
+// Many requests wait for the same rest of all runners of a service: when it ends one goes first,
+// the others follow once that is answered, and nobody asks in vain meanwhile.
+func TestRequestsThatWaitForOneRest(t *testing.T) {
+	for _, hosts := range []int{1, 7} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newAdvisedFleet(t, hosts)
+			rng := rand.New(rand.NewPCG(37, 4))
+			all := []string{"s12", "s13", "s14"}
+			f.set(func(r *advisedRunner) { r.resting, r.rest = true, 150*time.Millisecond }, all...)
+			f.play(rng, load{calls: 200}, time.Second)
+			f.set(func(r *advisedRunner) { r.resting = false }, all...)
+			refused := f.unserved
+			f.play(rng, load{calls: 200}, 2*time.Second)
+			for _, name := range all {
+				during, turnedAway := f.runner(name).inRest()
+				is.Equal(during, 0)
+				is.True(turnedAway <= 10*hosts) // one for each rest and host, and two of the first moment
+			}
+			t.Logf("%d served, %d late, %d refused while they rested, %d after", f.served, f.late, refused, f.unserved-refused)
+			is.Equal(f.late, 0)
+			is.Equal(f.unserved, refused)
+		})
+	}
+}
