Name the runner that opens first in the line of a request

A request that was refused, or waited, since all runners were closed named none in its line, so that operators couldn't get from its id to what the runner had asked. A test of its own; another shows what callers get when all runners of a service say that they leave. Log lines only.

--- a/coordination/forward/advice.go
+++ b/coordination/forward/advice.go
@@ -138,13 +138,15 @@
 			return nil, d.refuse(r, rec, ReasonNoRunner)
 		}
 		if at.After(by) {
-			return nil, d.refuseUntil(rec, at)
+			return nil, d.refuseUntil(rec, runner.Instance, at)
 		}
 		if err := d.over(ctx, r, rec); err != nil {
 			return nil, err
 		}
 		if pause := d.o.Advice.PausedUntil(runner.Instance.ID); !pause.IsZero() {
-			if d.o.Clock.Sleep(ctx, pause.Sub(d.o.Clock.Now())) != nil {
+			wait := pause.Sub(d.o.Clock.Now())
+			rec.add(runner.Instance, "wait", outcomeClosed, wait, nil)
+			if d.o.Clock.Sleep(ctx, wait) != nil {
 				return nil, d.over(ctx, r, rec)
 			}
 			continue
@@ -155,9 +157,12 @@
 	}
 }
 
-// refuseUntil refuses a request that no runner takes before a time.
-func (d *Dispatcher) refuseUntil(rec *record, at time.Time) error {
-	return &Refusal{Reason: ReasonBackpressure, NotRun: !rec.mayHaveRun, RetryAfter: d.spread(at.Sub(d.o.Clock.Now()))}
+// refuseUntil refuses a request that no runner takes before a time; first is the one that does
+// then.
+func (d *Dispatcher) refuseUntil(rec *record, first *state.Instance, at time.Time) error {
+	wait := at.Sub(d.o.Clock.Now())
+	rec.add(first, "wait", outcomeClosed, wait, nil)
+	return &Refusal{Reason: ReasonBackpressure, NotRun: !rec.mayHaveRun, RetryAfter: d.spread(wait)}
 }
 
 // usefulBy is the last moment at which a request that waits for a runner is answered in time.
@@ -174,5 +179,5 @@
 	if runner == nil || !at.After(d.usefulBy(r)) {
 		return nil
 	}
-	return d.refuseUntil(rec, at)
+	return d.refuseUntil(rec, runner.Instance, at)
 }
--- a/coordination/forward/leaving_test.go
+++ b/coordination/forward/leaving_test.go
@@ -90,3 +90,23 @@
 		})
 	}
 }
+
+// When all runners of a service say that they leave, callers are told at once that nothing ran.
+func TestAllRunnersLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newAdvisedFleet(t, 1)
+		rng := rand.New(rand.NewPCG(37, 5))
+		f.set(func(r *advisedRunner) { r.leaving = true }, "s12", "s13", "s14")
+		f.play(rng, load{calls: 50}, time.Second)
+		is.True(f.served > 0) // those from whose answers it was learned
+		f.served, f.refused = 0, nil
+		f.play(rng, load{calls: 50}, time.Second)
+		is.Equal(f.served, 0)
+		is.True(len(f.refused) > 20)
+		for _, r := range f.refused {
+			is.Equal(r.Reason, ReasonNoRunner)
+			is.True(r.NotRun)
+		}
+	})
+}
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -27,6 +27,8 @@
 	outcomeMoved outcome = "moved"
 	// outcomeLimited is a runner whose limit left nothing for the request.
 	outcomeLimited outcome = "limited"
+	// outcomeClosed is the first runner to open when all were closed, and the time until then.
+	outcomeClosed outcome = "closed"
 	// outcomeFull is an engine that has as many prompts as it reads in time, or no
 	// free slot.
 	outcomeFull outcome = "full"
--- a/coordination/forward/resting_test.go
+++ b/coordination/forward/resting_test.go
@@ -153,3 +153,20 @@
 		})
 	}
 }
+
+// The line of a request that was refused since all runners are closed names the first to open.
+func TestRefusalNamesTheRunnerThatOpensFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, plenty)
+		w.ask(backpressure.Advice{Rest: 9 * time.Second}, "s1", "s2", "s4", "s5")
+		w.ask(backpressure.Advice{Rest: 3 * time.Second}, "s3")
+		rec := &record{}
+		_, err := w.pick(t.Context(), request(state.RouteSafe, 2, false), rec, time.Now().Add(time.Second))
+		is.True(err != nil)
+		is.Equal(len(rec.steps), 1)
+		is.Equal(rec.steps[0].instance.Name, "s3")
+		is.Equal(rec.steps[0].outcome, outcomeClosed)
+		is.True(rec.steps[0].took >= 3*time.Second)
+	})
+}
