--- a/coordination/quarantine/registry.go
+++ b/coordination/quarantine/registry.go
@@ -256,8 +256,8 @@
 	loops.Wait()
 }
 
-// review lets bystanders go, and holds what they hid. Those that follow the store remove their entries, as each host lets
-// them go by itself.
+// review lets bystanders go, and holds what they hid. Each host does so by itself; those that
+// follow the store note it in the entries.
 func (r *Registry) review() {
 	r.mu.Lock()
 	letGo, found := r.o.Table.Review()
--- a/coordination/quarantine/storage.go
+++ b/coordination/quarantine/storage.go
@@ -161,7 +161,7 @@
 func (r *Registry) sweep(ctx context.Context) {
 	release, remove := r.due()
 	for d, s := range release {
-		_, s.Outdone = r.isOutdone(d)
+		s.Outdone = r.isOutdone(d)
 		s.Released = true
 		r.put(ctx, d, s.entry, s.version)
 	}
@@ -178,11 +178,11 @@
 	}
 }
 
-func (r *Registry) isOutdone(d Digest) (answer, bool) {
+func (r *Registry) isOutdone(d Digest) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a, outdone := r.outdone[d]
-	return a, outdone
+	_, outdone := r.outdone[d]
+	return outdone
 }
 
 // due are the entries to be released and to be removed.
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -155,8 +155,8 @@
 }
 
 // enough reports whether enough speaks against a request: the crashes that no other explains,
-// twice as many that others do, a further one if it was let go before, or all of them if it was at all those of one that is held
-// and at more, which was the bystander then. t.mu is held.
+// twice as many that others do, a further one if it was let go before, or all of them if it was
+// at all those of one that is held and at more, which was the bystander then. t.mu is held.
 func (t *Table) enough(d Digest, r *record) bool {
 	alone, total := t.weigh(d, r)
 	if alone >= holdWeight || total >= sharedHoldWeight || (r.released && alone > 0) || (r.letGo > 0 && len(r.crashes) > r.letGo) {
