--- a/coordination/backpressure/registry_test.go
+++ b/coordination/backpressure/registry_test.go
@@ -56,7 +56,7 @@
 		w := newWorld(t)
 		i := instance("a", 1)
 		for range 3 {
-			w.hear(i, Advice{Limited: true, Limit: 8.4, Leaving: true, Rest: time.Second, Unreadable: []Field{{"Server-Limit", "x"}}})
+			w.hear(i, Advice{Limited: true, Limit: 8.4, Leaving: true, Rest: time.Second, Unreadable: []Field{{"limit", "x"}}})
 		}
 		is.Equal(w.Count(), Counts{Limited: 1, Leaving: 1, Resting: 1})
 		for _, line := range []string{"runner names a limit", "runner says that it leaves", "runner asks for rest", "not readable"} {
@@ -85,7 +85,7 @@
 		is.Equal(w.Count().Limited, 1)
 		w.Heard(i, time.Now(), Advice{}, false) // a call of the system's own
 		is.Equal(w.Count().Limited, 1)
-		w.hear(i, Advice{Unreadable: []Field{{"Server-Limit", "-"}}})
+		w.hear(i, Advice{Unreadable: []Field{{"limit", "-"}}})
 		is.Equal(w.Count().Limited, 1)
 		w.hear(i, Advice{})
 		is.Equal(w.Count().Limited, 0)
