Let a request that drops out of the held list explain nothing

Callers would have met runners that end under a request for longer: when more requests are held than the list takes, the oldest drops out, but its crashes went on being explained by it, so that they didn't count against others. Found by reading the change once more; the test fails without the mend. Whatever ends a hold gives its crashes back in one place now.

--- a/coordination/quarantine/bystander_test.go
+++ b/coordination/quarantine/bystander_test.go
@@ -285,3 +285,19 @@
 		})
 	}
 }
+
+// A request that drops out of the list as too many are held hides no other any more.
+func TestRequestThatIsHeldNoMoreHidesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable(clocktest.Bubble{})
+		const first, other = 1, 2
+		is.Equal(crashes(table, []Suspect{fresh(first)}, []Suspect{fresh(first), fresh(other)}), []Digest{digest(first)})
+		for n := range mostHeld {
+			time.Sleep(time.Millisecond)
+			is.True(table.Hold(digest(100+n), nil))
+		}
+		is.True(table.Held(digest(first)) == nil)
+		is.Equal(table.Note(crashOf(9, fresh(other)), false), []Digest{digest(other)}) // its second crash
+	})
+}
--- a/coordination/quarantine/hold.go
+++ b/coordination/quarantine/hold.go
@@ -66,7 +66,9 @@
 	r := t.records[d]
 	next := maps.Clone(*t.held.Load())
 	if len(next) >= mostHeld {
-		delete(next, oldest(next))
+		gone := oldest(next)
+		delete(next, gone)
+		t.unblame(gone)
 	}
 	next[d] = &Hold{Evidence: evidence, Own: r != nil && r.own, At: now}
 	t.held.Store(&next)
@@ -143,6 +145,12 @@
 	next := maps.Clone(*t.held.Load())
 	delete(next, d)
 	t.held.Store(&next)
+	t.unblame(d)
+}
+
+// unblame has the crashes of a request that is held no more count against others again; t.mu is
+// held.
+func (t *Table) unblame(d Digest) {
 	for _, run := range t.runs {
 		if i := slices.Index(run.causes, d); i >= 0 {
 			run.causes = slices.Delete(run.causes, i, i+1)
