--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -209,7 +209,7 @@
 			return nil, err
 		}
 		if err := d.barred(ctx, r, rec); err != nil {
-			c.begin().end()
+			c.giveBack()
 			return nil, err
 		}
 		a := &Attempt{Request: r, Instance: c.Instance, Source: source, LastEventID: r.LastEventID, Rank: c.rank(r), FetchFrom: c.fetchFrom()}
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -189,7 +189,7 @@
 			return false
 		}
 		if s.d.barred(s.ctx, r, s.rec) != nil {
-			c.begin().end()
+			c.giveBack()
 			return false
 		}
 		if s.resumeAt(c) {
--- a/coordination/occupancy/rate.go
+++ b/coordination/occupancy/rate.go
@@ -1,6 +1,7 @@
 package occupancy
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -150,12 +151,7 @@
 		class = host.Class
 		all = append(all, scored{host.Addr, xxhash.Sum64String(runner.Name + host.Addr)})
 	}
-	slices.SortFunc(all, func(a, b scored) int {
-		if a.score > b.score {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	out := make([]string, 0, maxRanked)
 	for _, s := range all[:min(len(all), maxRanked)] {
 		out = append(out, s.addr)
--- a/coordination/quarantine/storage.go
+++ b/coordination/quarantine/storage.go
@@ -161,7 +161,6 @@
 func (r *Registry) sweep(ctx context.Context) {
 	release, remove := r.due()
 	for d, s := range release {
-		s.Outdone = r.isOutdone(d)
 		s.Released = true
 		r.put(ctx, d, s.entry, s.version)
 	}
@@ -178,13 +177,6 @@
 	}
 }
 
-func (r *Registry) isOutdone(d Digest) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	_, outdone := r.outdone[d]
-	return outdone
-}
-
 // due are the entries to be released and to be removed.
 func (r *Registry) due() (release, remove map[Digest]stored) {
 	follows := r.o.FollowsStore()
@@ -207,6 +199,7 @@
 		case answered && (a.own || follows), follows && s.Released && age > forgetAfter:
 			remove[d] = s
 		case follows && !s.Released && (outdone || age > s.holdFor()):
+			s.Outdone = outdone
 			release[d] = s
 		}
 	}
--- a/soak/asking.go
+++ b/soak/asking.go
@@ -19,6 +19,9 @@
 	limitSlack  = 5
 )
 
+// limits are what runners name, in requests a second.
+var limits = []float64{0.5, 3, 8.4, 20}
+
 // asks has a runner ask something of the hosts for a while. It excuses nothing.
 func asks(name string, long time.Duration, what func(rng *rand.Rand) platformtest.Asking) action {
 	return action{name: name, planned: true, do: func(f *fleet, rng *rand.Rand) error {
@@ -33,7 +36,7 @@
 // asking are the actions of runners that ask something of the hosts.
 var asking = []action{
 	asks("runner names a limit", 8*time.Second, func(rng *rand.Rand) platformtest.Asking {
-		return platformtest.Asking{Limit: []float64{0.5, 3, 8.4, 20}[rng.IntN(4)]}
+		return platformtest.Asking{Limit: limits[rng.IntN(len(limits))]}
 	}),
 	asks("runner wants rest", time.Second, func(rng *rand.Rand) platformtest.Asking {
 		return platformtest.Asking{Rest: time.Duration(500+rng.IntN(2000)) * time.Millisecond}
@@ -136,7 +139,7 @@
 
 // judgeLimit: what processes sent that had passed on an answer with the limit, in each window.
 func (f *fleet) judgeLimit(r *runner, arrivals []heard) {
-	for _, limit := range []float64{0.5, 3, 8.4, 20} {
+	for _, limit := range limits {
 		told := map[string]time.Time{}
 		var counted []time.Time
 		most := 0
