Tell which state of the store a copy didn't take

Callers were routed by an old configuration for seconds. The logs couldn't tell whether the store's lists lacked the change or the copy refused them: no line named the revision that a list came with, and the line that repeated, 900 times a second over seven hosts, pushed all others out of the record.

Now an answer that is older than the copy is logged with both revisions and counted (thymerack_store_answers_total), lines of the same text come once a second with the number of those omitted, and the revision of each copy and the configuration in force are gauges.

The test failed before: no line named the store's revision, and some 600 lines said that the history is gone.

--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -79,6 +79,7 @@
 	fresh atomic.Bool
 	// proof is the latest Proven; nil before the first.
 	proof atomic.Pointer[time.Time]
+	sight sight
 }
 
 // New validates the options.
@@ -86,7 +87,7 @@
 	if o.Store == nil || o.Clock == nil || o.Log == nil || o.Kind == "" || o.Changed == nil || o.Outage == nil {
 		return nil, errors.New("follow: a field of Options is missing; set all of them")
 	}
-	return &Mirror{o: o, objects: map[string]store.Object{}}, nil
+	return &Mirror{o: o, objects: map[string]store.Object{}, sight: newSight()}, nil
 }
 
 // Lost reports whether the store doesn't answer this host.
@@ -205,7 +206,7 @@
 		return err
 	}
 	m.answered()
-	m.replace(objects, revision)
+	m.takeList(objects, revision)
 	m.prove(asked)
 	return nil
 }
@@ -219,10 +220,10 @@
 	}
 	m.answered()
 	if batch.Gap {
-		m.o.Log.Info("history is gone; listing again", "kind", m.o.Kind, "revision", m.Revision())
+		m.noteGap()
 		return false, nil
 	}
-	m.apply(batch)
+	m.takeBatch(batch)
 	m.prove(asked)
 	if len(batch.Events) > 0 && m.o.Gather > 0 {
 		return true, m.o.Clock.Sleep(ctx, m.o.Gather)
--- a/coordination/follow/proof.go
+++ b/coordination/follow/proof.go
@@ -54,7 +54,7 @@
 	if err != nil || batch.Gap {
 		return false, err
 	}
-	m.apply(batch)
+	m.takeBatch(batch)
 	m.prove(asked)
 	return true, nil
 }
@@ -65,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	m.replace(objects, revision)
+	m.takeList(objects, revision)
 	m.prove(asked)
 	return nil
 }
--- /dev/null
+++ b/coordination/follow/sight_test.go
@@ -0,0 +1,59 @@
+package follow
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/store"
+)
+
+// atRevision is a store that lists nothing, at a revision, and has no history.
+type atRevision struct {
+	store.Store
+	revision atomic.Uint64
+}
+
+func (s *atRevision) List(context.Context, string) ([]store.Object, uint64, error) {
+	return nil, s.revision.Load(), nil
+}
+
+func (s *atRevision) Watch(ctx context.Context, _ string, _ uint64) (store.Batch, error) {
+	return store.Batch{Gap: true}, clocktest.Bubble{}.Sleep(ctx, 5*time.Millisecond)
+}
+
+// Guards against a store whose lists are refused without a sign of it: the revision of the list
+// and that of the copy must be told, and the lines must not crowd out all others.
+func TestTellsThatTheStoreIsOlderThanTheCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var log bytes.Buffer
+		s := &atRevision{}
+		s.revision.Store(48)
+		m, err := New(Options{
+			Outage: &Outage{}, Store: s, Clock: clocktest.Bubble{}, Kind: "things", Changed: func(Copy) {},
+			Log: slog.New(slog.NewTextHandler(&log, nil)),
+		})
+		is.NoErr(err)
+		end := run(t, m)
+		time.Sleep(time.Millisecond)
+		s.revision.Store(44)
+		time.Sleep(3 * time.Second)
+		end()
+		const line = "the store's state is older than the copy; not taken"
+		is.True(strings.Contains(log.String(), `msg="`+line+`" kind=things omitted=0 store_revision=44 revision=48`))
+		is.True(strings.Count(log.String(), line) <= 4)
+		is.True(strings.Count(log.String(), "history is gone") <= 4)
+		is.True(m.Answers().Older > 100)
+		is.True(m.Answers().Gaps > 100)
+		is.True(m.Answers().Current > 0)
+	})
+}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -110,14 +110,10 @@
 
 // buildGauges adds what is read when the metrics are.
 func (h *Host) buildGauges() {
-	for kind, m := range map[string]*follow.Mirror{platform.KindConfig: h.configs, platform.KindInstances: h.listed} {
-		h.metrics.gauge(fmt.Sprintf(`thymerack_store_lost{kind=%q}`, kind), func() float64 {
-			if m.Lost() {
-				return 1
-			}
-			return 0
-		})
+	for kind, m := range map[string]*follow.Mirror{platform.KindConfig: h.configs, platform.KindInstances: h.listed, kindHosts: h.members.copy, quarantine.Kind: h.held} {
+		h.buildCopyGauges(kind, m)
 	}
+	h.metrics.gauge("thymerack_config_version", h.configVersion)
 	h.metrics.gauge("thymerack_follows_store", func() float64 {
 		if h.fanout.FollowsStore() {
 			return 1
@@ -133,6 +129,33 @@
 	h.metrics.gauge("thymerack_log_lines_dropped_total", func() float64 { return float64(h.o.LinesDropped()) })
 }
 
+// buildCopyGauges adds what is known of the copy of one kind.
+func (h *Host) buildCopyGauges(kind string, m *follow.Mirror) {
+	h.metrics.gauge(fmt.Sprintf(`thymerack_store_lost{kind=%q}`, kind), func() float64 {
+		if m.Lost() {
+			return 1
+		}
+		return 0
+	})
+	h.metrics.gauge(fmt.Sprintf(`thymerack_copy_revision{kind=%q}`, kind), func() float64 { return float64(m.Revision()) })
+	for answer, count := range map[string]func(follow.Answers) uint64{
+		"current": func(a follow.Answers) uint64 { return a.Current },
+		"gap":     func(a follow.Answers) uint64 { return a.Gaps },
+		"older":   func(a follow.Answers) uint64 { return a.Older },
+	} {
+		h.metrics.gauge(fmt.Sprintf(`thymerack_store_answers_total{kind=%q,answer=%q}`, kind, answer), func() float64 { return float64(count(m.Answers())) })
+	}
+}
+
+// configVersion is the version of the configuration in force; 0 before the first.
+func (h *Host) configVersion() float64 {
+	table := h.config.Table()
+	if table == nil {
+		return 0
+	}
+	return float64(table.Version)
+}
+
 func (h *Host) buildStore() error {
 	client, err := httpclient.New(httpclient.Options{
 		Addr: h.s.StoreAddr, DialTimeout: storeTimeout, WriteTimeout: storeTimeout,
