Order the store's states by its epoch before their revision

What callers saw: for some seconds after the store had come back from an older copy they were routed by a configuration whose successor was acknowledged long before, and their requests were sent to runners that had left.

Cause: each reader of the store took a higher revision for a newer state. A restored store gives its revisions out again, so every list it answered was older than the copy and was thrown away, and the watch after it named a revision that the store didn't have. A host that was cut off until the revisions had passed its own went on from there and mixed two histories.

Evidence: the loop of pairs of answered and refused calls in both records, ended at all hosts when the revisions passed the old ones; TestCopyFollowsARestoredStore, which logs each list as older than the copy; TestCopyTakesNoTwoHistoriesForOne.

Change: the adapter makes one number of the epoch, which the store tells in each answer, and the revision, as the epoch counts first. All who compare versions and revisions (copies, peers' deltas, the list of hosts, held requests) compare these numbers as before, so that the order of two states is decided in one place. A watch whose answer is of a later epoch is a gap. A condition on a version of an epoch that is over is a conflict, and isn't asked where that is known. An answer that was on its way counts in its own epoch. An era that is missing, no number, too large or lower than one told before the question changes nothing and is logged. A store that tells none has the numbers that it had.

Why it works: each restoration is later than all that was told in the epoch before it, and within an epoch the revisions order the states.

--- a/coordination/follow/config.go
+++ b/coordination/follow/config.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/thymerack/thymerack/coordination/routing"
+	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -40,7 +41,7 @@
 		config, err := c.decode(object.Value)
 		c.unreadable.Store(err != nil)
 		if err != nil {
-			c.log.Error("configuration not readable; the last one stays in force", "version", object.Version, "cause", err.Error())
+			c.log.Error("configuration not readable; the last one stays in force", "version", store.FormatVersion(object.Version), "cause", err.Error())
 			return
 		}
 		present := c.table.Load()
@@ -48,6 +49,6 @@
 			return
 		}
 		c.table.Store(routing.NewTable(config))
-		c.log.Info("configuration in force", "config_version", config.Version, "revision", copied.Revision, "routes", len(config.Routes))
+		c.log.Info("configuration in force", "config_version", config.Version, "revision", store.FormatVersion(copied.Revision), "routes", len(config.Routes))
 	}
 }
--- a/coordination/follow/instances.go
+++ b/coordination/follow/instances.go
@@ -72,11 +72,11 @@
 		}
 		if hold && !e.instance.Draining && !e.unusable {
 			e.missing = now
-			l.o.Log.Info("instance missing after an outage; held", "instance", id, "revision", c.Revision)
+			l.o.Log.Info("instance missing after an outage; held", "instance", id, "revision", store.FormatVersion(c.Revision))
 			continue
 		}
 		delete(l.entries, id)
-		l.o.Log.Info("instance gone", "instance", id, "service", e.instance.Service, "revision", c.Revision)
+		l.o.Log.Info("instance gone", "instance", id, "service", e.instance.Service, "revision", store.FormatVersion(c.Revision))
 	}
 	l.publish()
 }
@@ -92,12 +92,12 @@
 	instance, err := l.o.Decode(object.Name, object.Value)
 	if err != nil {
 		l.o.Unusable()
-		l.o.Log.Warn("entry names no instance", "entry", object.Name, "version", object.Version, "replaces", known != nil && !known.unusable, "cause", err.Error())
+		l.o.Log.Warn("entry names no instance", "entry", object.Name, "version", store.FormatVersion(object.Version), "replaces", known != nil && !known.unusable, "cause", err.Error())
 		l.entries[object.Name] = &entry{version: object.Version, unusable: true}
 		return
 	}
 	if known == nil || known.instance.ID != instance.ID || known.instance.Draining != instance.Draining || known.instance.Role != instance.Role {
-		l.o.Log.Info("instance listed", "instance", instance.ID, "service", instance.Service, "draining", instance.Draining, "role", string(instance.Role), "version", object.Version)
+		l.o.Log.Info("instance listed", "instance", instance.ID, "service", instance.Service, "draining", instance.Draining, "role", string(instance.Role), "version", store.FormatVersion(object.Version))
 	}
 	l.entries[object.Name] = &entry{version: object.Version, instance: instance}
 }
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -142,7 +142,7 @@
 	if !m.replace(c.Objects, c.Revision) {
 		return false
 	}
-	m.o.Log.Info("copy adopted from a peer", "kind", m.o.Kind, "revision", c.Revision, "peer", from)
+	m.o.Log.Info("copy adopted from a peer", "kind", m.o.Kind, "revision", store.FormatVersion(c.Revision), "peer", from)
 	return true
 }
 
@@ -330,7 +330,7 @@
 	now := m.o.Clock.Now()
 	m.regainedAt.Store(&now)
 	away := now.Sub(m.lostAt)
-	m.o.Log.Info("store regained", "kind", m.o.Kind, "away", away, "revision", m.Revision())
+	m.o.Log.Info("store regained", "kind", m.o.Kind, "away", away, "revision", store.FormatVersion(m.Revision()))
 }
 
 func (m *Mirror) failed(ctx context.Context, err error) {
@@ -344,5 +344,5 @@
 		return
 	}
 	m.lostAt = m.o.Clock.Now()
-	m.o.Log.Warn("store lost", "kind", m.o.Kind, "revision", m.Revision(), "cause", fmt.Sprint(err))
+	m.o.Log.Warn("store lost", "kind", m.o.Kind, "revision", store.FormatVersion(m.Revision()), "cause", fmt.Sprint(err))
 }
--- a/coordination/follow/sight.go
+++ b/coordination/follow/sight.go
@@ -43,7 +43,7 @@
 		return
 	}
 	m.sight.answers.Older++
-	m.logSeldom("the store's state is older than the copy; not taken", "store_revision", revision, "revision", copied)
+	m.logSeldom("the store's state is older than the copy; not taken", "store_revision", store.FormatVersion(revision), "revision", store.FormatVersion(copied))
 }
 
 // noteGap notes a watch whose history is gone.
@@ -52,7 +52,7 @@
 	m.sight.mu.Lock()
 	defer m.sight.mu.Unlock()
 	m.sight.answers.Gaps++
-	m.logSeldom("history is gone; listing again", "revision", copied)
+	m.logSeldom("history is gone; listing again", "revision", store.FormatVersion(copied))
 }
 
 // logSeldom logs a line unless the same text was logged a moment ago; m.sight.mu is held.
--- a/coordination/quarantine/storage.go
+++ b/coordination/quarantine/storage.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		r.o.Table.Forget(d)
-		r.o.Log.Info("request no longer held", "digest", d.String(), "revision", c.Revision)
+		r.o.Log.Info("request no longer held", "digest", d.String(), "revision", store.FormatVersion(c.Revision))
 	}
 	r.entries, r.revision = present, c.Revision
 }
@@ -68,7 +68,7 @@
 func (r *Registry) noteUnreadable(o store.Object, err error) {
 	if r.unreadable[o.Name] != o.Version {
 		r.unreadable[o.Name] = o.Version
-		r.o.Log.Warn("entry of a held request not readable", "name", o.Name, "version", o.Version, "cause", err.Error())
+		r.o.Log.Warn("entry of a held request not readable", "name", o.Name, "version", store.FormatVersion(o.Version), "cause", err.Error())
 	}
 }
 
@@ -112,7 +112,7 @@
 	switch {
 	case err == nil:
 		r.wrote(d, stored{e, now, r.o.Clock.Now()})
-		r.o.Log.Info("held request written", "digest", d.String(), "released", e.Released, "times", e.Times, "version", now)
+		r.o.Log.Info("held request written", "digest", d.String(), "released", e.Released, "times", e.Times, "version", store.FormatVersion(now))
 	case store.IsConflict(err):
 		// the copy of the store will show what the other wrote
 	case ctx.Err() == nil:
--- a/coordination/store/store.go
+++ b/coordination/store/store.go
@@ -70,11 +70,17 @@
 	Kind, Name string
 	// Expected is the version that the writer named; Present is the one found.
 	Expected, Present uint64
+	// Restored says that the store was restored since Expected was read. What it has at present
+	// isn't known, nor whether the write took effect: its condition was of another history.
+	Restored bool
 }
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("%s %q is at version %d, not %d; read it again and repeat the change on that version", e.Kind, e.Name, e.Present, e.Expected)
+	if e.Restored {
+		return fmt.Sprintf("%s %q was read at version %s, before the store was restored; read it again and repeat the change if it is still due", e.Kind, e.Name, FormatVersion(e.Expected))
+	}
+	return fmt.Sprintf("%s %q is at version %s, not %s; read it again and repeat the change on that version", e.Kind, e.Name, FormatVersion(e.Present), FormatVersion(e.Expected))
 }
 
 // UnavailableError says that the platform gave no usable answer.
--- a/ctl/store.go
+++ b/ctl/store.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/platform"
 	"github.com/thymerack/thymerack/transport/httpclient"
 	ownplatform "github.com/thymerack/thymerack/transport/platform"
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 // StoreFlags name the platform's store, for commands that ask no host.
@@ -48,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return platform.NewStore(platform.StoreOptions{Client: client, Host: f.Store, Timeout: storeTimeout, ListTimeout: storeTimeout, WatchWait: storeTimeout}), nil
+	return platform.NewStore(platform.StoreOptions{Client: client, Host: f.Store, Epochs: platform.NewEpochs(wallclock.Clock{}, slog.New(slog.DiscardHandler)), Timeout: storeTimeout, ListTimeout: storeTimeout, WatchWait: storeTimeout}), nil
 }
 
 // explain names the store in the error of one that gave no answer.
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -22,6 +22,7 @@
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/scale"
 	"github.com/thymerack/thymerack/coordination/stages"
+	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/coordination/usage"
 	"github.com/thymerack/thymerack/platform"
 	"github.com/thymerack/thymerack/state"
@@ -44,6 +45,8 @@
 	clock wallclock.Clock
 
 	store *platform.Store
+	// epochs knows how often the store was restored.
+	epochs *platform.Epochs
 	// bound is the store with watches short enough for what must be in force in time, and
 	// proving with those short enough to prove that keys hold.
 	bound     *platform.Store
@@ -113,6 +116,7 @@
 	for kind, m := range map[string]*follow.Mirror{platform.KindConfig: h.configs, platform.KindInstances: h.listed, kindHosts: h.members.copy, quarantine.Kind: h.held} {
 		h.buildCopyGauges(kind, m)
 	}
+	h.metrics.gauge("thymerack_store_epoch", func() float64 { return float64(h.epochs.Known()) })
 	h.metrics.gauge("thymerack_config_version", h.configVersion)
 	h.metrics.gauge("thymerack_follows_store", func() float64 {
 		if h.fanout.FollowsStore() {
@@ -137,7 +141,8 @@
 		}
 		return 0
 	})
-	h.metrics.gauge(fmt.Sprintf(`thymerack_copy_revision{kind=%q}`, kind), func() float64 { return float64(m.Revision()) })
+	h.metrics.gauge(fmt.Sprintf(`thymerack_copy_revision{kind=%q}`, kind), func() float64 { return float64(store.RevisionOf(m.Revision())) })
+	h.metrics.gauge(fmt.Sprintf(`thymerack_copy_epoch{kind=%q}`, kind), func() float64 { return float64(store.EpochOf(m.Revision())) })
 	for answer, count := range map[string]func(follow.Answers) uint64{
 		"current": func(a follow.Answers) uint64 { return a.Current },
 		"gap":     func(a follow.Answers) uint64 { return a.Gaps },
@@ -165,8 +170,9 @@
 	if err != nil {
 		return err
 	}
+	h.epochs = platform.NewEpochs(h.clock, h.log)
 	o := platform.StoreOptions{
-		Client: client, Host: h.s.StoreAddr, Timeout: storeTimeout, ListTimeout: listTimeout, WatchWait: watchWait,
+		Client: client, Host: h.s.StoreAddr, Epochs: h.epochs, Timeout: storeTimeout, ListTimeout: listTimeout, WatchWait: watchWait,
 	}
 	h.store = platform.NewStore(o)
 	o.WatchWait = h.boundWatch()
--- a/daemon/routed/members.go
+++ b/daemon/routed/members.go
@@ -149,7 +149,7 @@
 	}
 	m.writtenAt.Store(version)
 	m.registered.Store(true)
-	m.log.Info("host listed", "addr", m.addr(m.s.IP), "version", version)
+	m.log.Info("host listed", "addr", m.addr(m.s.IP), "version", store.FormatVersion(version))
 }
 
 // replace brings an entry of this host's name up to date.
@@ -200,7 +200,7 @@
 	m.listed.Store(&hosts)
 	m.entries.Store(&entries)
 	if before != len(hosts) {
-		m.log.Info("hosts listed", "hosts", len(hosts), "before", before, "revision", c.Revision)
+		m.log.Info("hosts listed", "hosts", len(hosts), "before", before, "revision", store.FormatVersion(c.Revision))
 	}
 	if !found && c.Revision >= m.writtenAt.Load() {
 		m.registered.Store(false)
@@ -210,7 +210,7 @@
 func (m *members) noteUnreadable(o store.Object) {
 	if m.unreadable[o.Name] != o.Version {
 		m.unreadable[o.Name] = o.Version
-		m.log.Warn("entry of a host not readable", "host", o.Name, "version", o.Version)
+		m.log.Warn("entry of a host not readable", "host", o.Name, "version", store.FormatVersion(o.Version))
 	}
 }
 
