Ask a store that brings nothing with pauses

What callers saw: configurations and lists were late at hosts whose lists were answered 429, and the processes used a third of their processor on the loop.

Cause: a gap is followed by a list at once and a list by a watch at once, so that a store which has no history for a host, or tells an older state than its copy, is asked as fast as it answers.

Evidence: 1,500 answered and as many refused calls a second of seven hosts, 48 to 139 a second over the store's rate, in the records; the same in the test before: 17,000 a second.

Change: after the second gap in a row a host rests before it lists, 0.2 s and longer each time up to a second. A list that is older than what the host knew before it asked is an error, after which it rests as after any other; the message says what to do where the store was replaced. A copy that a peer brings while the list is on its way isn't such a case.

Why it works: whatever a store answers, two calls that bring nothing are apart.

TestAsksAStoreThatBringsNothingWithPauses failed before. The counts in TestTellsThatTheStoreIsOlderThanTheCopy were of the loop itself, over a hundred in three seconds; they are at least one now, and the new test bounds the calls from above and below.

--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -75,6 +75,8 @@
 	lost       atomic.Bool
 	// again is set for the list that follows a watch which was cut; Run alone uses it.
 	again bool
+	// gaps is the number of watches in a row whose history was gone; Run alone uses it.
+	gaps int
 	// fresh is set while Run follows the store and is answered.
 	fresh atomic.Bool
 	// proof is the latest Proven; nil before the first.
@@ -200,17 +202,28 @@
 		ctx, cancel = context.WithTimeout(ctx, againWithin)
 		defer cancel()
 	}
-	asked := m.o.Clock.Now()
+	asked, known := m.o.Clock.Now(), m.Revision()
 	objects, revision, err := m.o.Store.List(ctx, m.o.Kind)
 	if err != nil {
 		return err
 	}
-	m.answered()
 	m.takeList(objects, revision)
+	if revision < known {
+		return &olderError{store: revision, copied: known}
+	}
+	m.answered()
 	m.prove(asked)
 	return nil
 }
 
+// olderError says that the store told a state older than one that this host knew before it asked.
+type olderError struct{ store, copied uint64 }
+
+// Error implements error.
+func (e *olderError) Error() string {
+	return fmt.Sprintf("the store is at %s and this host's copy at %s; the copy stands until the store is as new: if the store was replaced by another, restart the hosts", store.FormatVersion(e.store), store.FormatVersion(e.copied))
+}
+
 // watch waits for changes. listed is false when the copy has to be read anew.
 func (m *Mirror) watch(ctx context.Context) (listed bool, err error) {
 	asked := m.o.Clock.Now()
@@ -221,8 +234,9 @@
 	m.answered()
 	if batch.Gap {
 		m.noteGap()
-		return false, nil
+		return false, m.restBetweenGaps(ctx)
 	}
+	m.gaps = 0
 	m.takeBatch(batch)
 	m.prove(asked)
 	if len(batch.Events) > 0 && m.o.Gather > 0 {
@@ -231,6 +245,16 @@
 	return true, nil
 }
 
+// restBetweenGaps waits before the list that follows a gap, unless it is the first one in a row: a
+// store that has no history for this host must not be asked without a pause.
+func (m *Mirror) restBetweenGaps(ctx context.Context) error {
+	m.gaps++
+	if m.gaps == 1 {
+		return nil
+	}
+	return m.o.Clock.Sleep(ctx, jitter(min(retryFirst<<min(m.gaps-2, 8), retryMost)))
+}
+
 // next returns the next changes. A store that didn't answer, or wasn't asked yet, is
 // asked without waiting first: a watch would tell its return only with the next change.
 func (m *Mirror) next(ctx context.Context) (store.Batch, error) {
