Keep what is known of runners when the store comes back from an older copy

What callers saw, or would have: with states ordered by epoch a host takes the restored list at once. A runner that had left is listed as ready there and would get requests again (DRAIN), one that is gone would get them until the store drops its entry, and one that registered in the time that was lost would lose its requests though it is there.

Cause: the list was taken as the newest word of each runner. The first list after a restoration holds what each said some seconds before what this host knows.

Change: on the first copy of a later epoch a run that was leaving goes on leaving; a run that was gone, or had been replaced under its id, doesn't count until its entry is written anew or has outlived the time in which the store drops a silent one (three heartbeats and a second); an entry that is missing is held as after an outage, for the two seconds in which living runners write themselves again. Each of these is logged.

A copy tells its followers the whole of itself across a restoration, also when it has no objects: the property test of copies, which now restores the store at any moment and has lists overtaken by it, found a follower that kept an object which its relay had never had.

Why it works: what a run said is never taken back by itself, so that the later of the two words is the more final one; a run that writes again decides for itself.

--- /dev/null
+++ b/coordination/fanout/restore_test.go
@@ -0,0 +1,92 @@
+package fanout
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// drill has the store go away and come back as it was so long before.
+func (f *fleet) drill(away, back time.Duration) {
+	f.setDown(true)
+	f.cutWatches()
+	time.Sleep(away)
+	f.store.RestoreBefore(away + back)
+	f.setDown(false)
+}
+
+func (f *fleet) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+// testContact is how long after the store's return the bound on changes applies again.
+const testContact = testBound + time.Second
+
+// inLine waits until every host that isn't silent has these values of r0 and of the configuration,
+// and returns how long it took.
+func (f *fleet) inLine(t *testing.T, config, thing string, limit time.Duration) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for {
+		late := append(f.behind(kindConfig, "main", config), f.behind(kindThings, "r0", thing)...)
+		if len(late) == 0 {
+			return time.Since(began)
+		}
+		if time.Since(began) > limit {
+			t.Fatalf("%s after the write %s don't have configuration %s and r0 %s", limit, some(late), config, thing)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against hosts that are behind for longer than a change may take, or ask the store more often
+// than its rates allow, after the store came back from an older copy; twice in a row, while a relay
+// is silent and some hosts are turned away by the store.
+func TestFleetIsInLineAfterTheStoreWasRestored(t *testing.T) {
+	for _, n := range []int{7, 83, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				// mostCallsPerSecond is a fifth of the reads that the store of such a fleet allows.
+				mostCallsPerSecond := map[int]int{7: 400, 83: 1200, 300: 1200}[n]
+				f := newFleet(t, n)
+				f.start()
+				defer f.end()
+				time.Sleep(10 * time.Second)
+				f.write(kindThings, "r0", "draining")
+				for round := range 3 {
+					for i := range 30 { // what the store will have lost, more than it writes again
+						f.write(kindThings, fmt.Sprint("lost", i), "ready")
+					}
+					f.write(kindConfig, "main", fmt.Sprint("lost ", round))
+					time.Sleep(2 * time.Second)
+					switch round {
+					case 1:
+						f.set(f.silent, f.relays()[0].self.Addr, true)
+					case 2:
+						f.set(f.refuse, f.relays()[0].self.Addr, true)
+						f.set(f.refuse, f.hosts[n-1].self.Addr, true)
+					}
+					f.drill(2*time.Second, 3*time.Second)
+					f.spent()
+					const pause = 500 * time.Millisecond
+					time.Sleep(pause)
+					config, thing := fmt.Sprint("again ", round), fmt.Sprint("ready ", round)
+					f.write(kindConfig, "main", config)
+					f.write(kindThings, "r0", thing)
+					took := f.inLine(t, config, thing, max(testBound, testContact-pause))
+					calls := f.spent()
+					t.Logf("round %d: in line %s after the writes, %d calls", round, took, calls)
+					is.True(calls <= mostCallsPerSecond*int(1+(took+pause)/time.Second))
+					is.Equal(len(f.behind(kindThings, "lost0", "")), 0) // nobody keeps what the store doesn't have
+					time.Sleep(5 * time.Second)
+				}
+			})
+		})
+	}
+}
--- a/coordination/follow/history.go
+++ b/coordination/follow/history.go
@@ -79,7 +79,8 @@
 func (d Delta) Empty() bool { return !d.Whole && len(d.Objects) == 0 && len(d.Deleted) == 0 }
 
 // Since returns what changed after a revision: nothing if that isn't lower than the
-// copy's own, and the whole copy if the history doesn't reach so far back.
+// copy's own, and the whole copy if the history doesn't reach so far back or the store was
+// restored since.
 func (m *Mirror) Since(revision uint64) Delta {
 	// The proof is read before the copy, which holds what is proven or more.
 	proven := m.Proven()
@@ -91,7 +92,7 @@
 	}
 	switch {
 	case revision >= m.history.changedAt:
-	case !m.history.reaches(revision):
+	case !m.history.reaches(revision) || store.EpochOf(revision) != store.EpochOf(m.revision):
 		d.Whole, d.Objects = true, m.copyLocked().Objects
 	default:
 		m.addChanges(&d, revision)
--- a/coordination/follow/history_test.go
+++ b/coordination/follow/history_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -18,14 +19,38 @@
 // origin is a store that tells every revision's objects, as an oracle.
 type origin struct {
 	revision uint64
-	events   []store.Event // with the revision as their object's version
-	states   []map[string]uint64
+	// events are those of the present epoch, the first of revision 1, with the revision as their
+	// object's version.
+	events []store.Event
+	states map[uint64]map[string]uint64
 }
 
-func newOrigin() *origin { return &origin{states: []map[string]uint64{{}}} }
+func newOrigin() *origin { return &origin{states: map[uint64]map[string]uint64{0: {}}} }
+
+// restore goes back to a revision, in a new epoch.
+func (o *origin) restore(to uint64) {
+	epoch := store.EpochOf(o.revision) + 1
+	anew := func(version uint64) uint64 { return store.MakeVersion(epoch, store.RevisionOf(version)) }
+	for r := uint64(0); r <= to; r++ {
+		state := map[string]uint64{}
+		for name, version := range o.states[store.MakeVersion(epoch-1, r)] {
+			state[name] = anew(version)
+		}
+		o.states[store.MakeVersion(epoch, r)] = state
+	}
+	o.events = slices.Clone(o.events[:to])
+	for i := range o.events {
+		e := &o.events[i].Object
+		e.Version = anew(e.Version)
+		if e.Value != nil {
+			e.Value = []byte(strconv.FormatUint(e.Version, 10))
+		}
+	}
+	o.revision = store.MakeVersion(epoch, to)
+}
 
 func (o *origin) change(name string, deleted bool) {
-	state := maps.Clone(o.states[len(o.states)-1])
+	state := maps.Clone(o.states[o.revision])
 	if _, there := state[name]; deleted && !there {
 		return
 	}
@@ -39,12 +64,15 @@
 		state[name] = o.revision
 	}
 	o.events = append(o.events, e)
-	o.states = append(o.states, state)
+	o.states[o.revision] = state
 }
 
 // batch is what a watch after a revision returns.
 func (o *origin) batch(after uint64) store.Batch {
-	return store.Batch{Revision: o.revision, Events: o.events[after:]}
+	if store.EpochOf(after) != store.EpochOf(o.revision) {
+		return store.Batch{Gap: true}
+	}
+	return store.Batch{Revision: o.revision, Events: o.events[store.RevisionOf(after):]}
 }
 
 func (o *origin) list() Copy {
@@ -88,19 +116,35 @@
 			"list": func(t *rapid.T) { c := o.list(); anyCopy.Draw(t, "copy").replace(c.Objects, c.Revision) },
 			"watch": func(t *rapid.T) {
 				m := anyCopy.Draw(t, "copy")
-				m.apply(o.batch(m.Revision()))
+				if b := o.batch(m.Revision()); !b.Gap {
+					m.apply(b)
+				}
 			},
 			"late watch": func(t *rapid.T) { // one that began at an older revision
 				m := anyCopy.Draw(t, "copy")
-				m.apply(o.batch(rapid.Uint64Range(0, m.Revision()).Draw(t, "after")))
+				after := rapid.Uint64Range(0, store.RevisionOf(m.Revision())).Draw(t, "after")
+				if b := o.batch(store.MakeVersion(store.EpochOf(m.Revision()), after)); !b.Gap {
+					m.apply(b)
+				}
+			},
+			"overtaken list": func(t *rapid.T) { // on its way when the store was restored
+				m, c := anyCopy.Draw(t, "copy"), o.list()
+				o.restore(rapid.Uint64Range(0, store.RevisionOf(o.revision)).Draw(t, "to"))
+				if rapid.Bool().Draw(t, "after the next") {
+					next := o.list()
+					m.replace(next.Objects, next.Revision)
+				}
+				m.replace(c.Objects, c.Revision)
 			},
+			"restore": func(t *rapid.T) { o.restore(rapid.Uint64Range(0, store.RevisionOf(o.revision)).Draw(t, "to")) },
 			"peer": func(t *rapid.T) {
 				from, to := anyCopy.Draw(t, "from"), anyCopy.Draw(t, "to")
 				to.Merge(from.Since(to.Revision()), "peer", time.Now())
 			},
 			"late peer": func(t *rapid.T) { // asked at an older revision
 				from, to := anyCopy.Draw(t, "from"), anyCopy.Draw(t, "to")
-				to.Merge(from.Since(rapid.Uint64Range(0, to.Revision()).Draw(t, "since")), "peer", time.Now())
+				since := rapid.Uint64Range(0, store.RevisionOf(to.Revision())).Draw(t, "since")
+				to.Merge(from.Since(store.MakeVersion(store.EpochOf(to.Revision()), since)), "peer", time.Now())
 			},
 			"": func(t *rapid.T) {
 				for i, m := range copies {
--- a/coordination/follow/instances.go
+++ b/coordination/follow/instances.go
@@ -28,17 +28,24 @@
 	// Leaving reports whether a run has said itself that it leaves. Such a run counts as
 	// draining whatever its entry says: the store may take its word many seconds later.
 	Leaving func(id state.InstanceID) bool
+	// SilentFor is how long the store lists an instance that is silent.
+	SilentFor time.Duration
 }
 
 // Instances turns copies of the list into instances. An entry that goes missing
 // around an outage of the store counts until the outage is over and for HoldFor at
 // most, because living instances need a moment to register again. An entry that can't
 // be used names no instance, also where it has replaced one that could; the others hold.
+// When the store comes back from an older copy, what is known of a run counts before its entry
+// there until that is written again.
 type Instances struct {
 	o InstancesOptions
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	// revision is that of the last copy; 0 before the first.
+	revision uint64
+	gone     goneRuns
 }
 
 type entry struct {
@@ -46,10 +53,17 @@
 	instance state.Instance
 	// unusable is set for an entry that names no instance.
 	unusable bool
-	// missing is when the entry went missing; zero while it is listed.
+	// missing is when the entry went missing; zero while it is listed. lost says that the store
+	// lost it in a restoration.
 	missing time.Time
+	lost    bool
+	// goneUntil is set for an entry of a restored store whose run was gone before.
+	goneUntil time.Time
 }
 
+// used reports whether the entry names an instance that is there.
+func (e *entry) used() bool { return !e.unusable && e.goneUntil.IsZero() }
+
 // NewInstances returns an empty list.
 func NewInstances(o InstancesOptions) *Instances {
 	return &Instances{o: o, entries: map[string]*entry{}}
@@ -59,28 +73,41 @@
 func (l *Instances) Changed(c Copy) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	restored := l.advance(c.Revision)
 	listed := make(map[string]bool, len(c.Objects))
 	for _, object := range c.Objects {
 		listed[object.Name] = true
-		l.take(object)
+		if restored {
+			l.takeRestored(object)
+		} else {
+			l.take(object)
+		}
 	}
 	now := l.o.Clock.Now()
-	hold := l.o.Outage()
+	hold := restored || l.o.Outage()
 	for id, e := range l.entries {
 		if listed[id] || !e.missing.IsZero() {
 			continue
 		}
-		if hold && !e.instance.Draining && !e.unusable {
-			e.missing = now
+		if hold && !e.instance.Draining && e.used() {
+			e.missing, e.lost = now, restored
 			l.o.Log.Info("instance missing after an outage; held", "instance", id, "revision", store.FormatVersion(c.Revision))
 			continue
 		}
-		delete(l.entries, id)
+		l.drop(id, e, now)
 		l.o.Log.Info("instance gone", "instance", id, "service", e.instance.Service, "revision", store.FormatVersion(c.Revision))
 	}
 	l.publish()
 }
 
+// drop forgets an entry, but that its run was there.
+func (l *Instances) drop(name string, e *entry, now time.Time) {
+	delete(l.entries, name)
+	if !e.unusable {
+		l.gone.add(e.instance.ID, now)
+	}
+}
+
 // take decodes a new or changed entry. The store's order of versions decides between
 // two runs under one name: their clocks may differ.
 func (l *Instances) take(object store.Object) {
@@ -99,6 +126,10 @@
 	if known == nil || known.instance.ID != instance.ID || known.instance.Draining != instance.Draining || known.instance.Role != instance.Role {
 		l.o.Log.Info("instance listed", "instance", instance.ID, "service", instance.Service, "draining", instance.Draining, "role", string(instance.Role), "version", store.FormatVersion(object.Version))
 	}
+	if known != nil && !known.unusable && known.instance.ID != instance.ID {
+		l.gone.add(known.instance.ID, l.o.Clock.Now())
+	}
+	l.gone.forget(instance.ID)
 	l.entries[object.Name] = &entry{version: object.Version, instance: instance}
 }
 
@@ -117,16 +148,16 @@
 	defer l.mu.Unlock()
 	now := l.o.Clock.Now()
 	outage := l.o.Outage()
-	dropped := false
+	changed := l.endGone(now)
 	for id, e := range l.entries {
-		if e.missing.IsZero() || (outage && now.Sub(e.missing) < l.o.HoldFor) {
+		if e.missing.IsZero() || (outage && (e.lost || now.Sub(e.missing) < l.o.HoldFor)) {
 			continue
 		}
-		delete(l.entries, id)
-		dropped = true
+		l.drop(id, e, now)
+		changed = true
 		l.o.Log.Info("held instance gone", "instance", id, "service", e.instance.Service)
 	}
-	if dropped {
+	if changed {
 		l.publish()
 	}
 }
@@ -136,7 +167,7 @@
 func (l *Instances) latestAt() map[string]*entry {
 	out := make(map[string]*entry, len(l.entries))
 	for _, e := range l.entries {
-		if other := out[e.instance.Addr]; !e.unusable && (other == nil || other.version < e.version) {
+		if other := out[e.instance.Addr]; e.used() && (other == nil || other.version < e.version) {
 			out[e.instance.Addr] = e
 		}
 	}
@@ -154,7 +185,7 @@
 	out := make([]state.Instance, 0, len(l.entries))
 	latest := l.latestAt()
 	for _, e := range l.entries {
-		if e.unusable || latest[e.instance.Addr] != e {
+		if !e.used() || latest[e.instance.Addr] != e {
 			continue
 		}
 		instance := e.instance
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -271,9 +271,10 @@
 	if revision < m.revision || (revision == m.revision && m.revision != 0) {
 		return false
 	}
+	restored := m.noteEpoch(revision)
 	before := m.objects
 	m.objects = make(map[string]store.Object, len(objects))
-	changed := len(before) != len(objects)
+	changed := restored || len(before) != len(objects)
 	for _, o := range objects {
 		m.objects[o.Name] = o
 		changed = changed || before[o.Name].Version != o.Version
@@ -289,6 +290,18 @@
 	return true
 }
 
+// noteEpoch reports whether a revision is of a later epoch, and notes it: what the store lost is
+// written again, as after an outage, whether or not this host was without an answer. m.mu is held.
+func (m *Mirror) noteEpoch(revision uint64) (restored bool) {
+	if m.revision == 0 || store.EpochOf(revision) == store.EpochOf(m.revision) {
+		return false
+	}
+	now := m.o.Clock.Now()
+	m.regainedAt.Store(&now)
+	m.o.Log.Warn("copy of a restored store", "kind", m.o.Kind, "revision", store.FormatVersion(revision), "before", store.FormatVersion(m.revision), "objects_before", len(m.objects))
+	return true
+}
+
 // missing are the objects of one copy that another lacks.
 func missing(before, now map[string]store.Object) []store.Object {
 	var out []store.Object
@@ -301,11 +314,12 @@
 }
 
 // apply takes the events of a watch. Those that the copy has already are skipped:
-// a peer's copy may have come while the watch was waiting.
+// a peer's copy may have come while the watch was waiting. Changes to another epoch's copy say
+// nothing of this one.
 func (m *Mirror) apply(b store.Batch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if b.Revision <= m.revision {
+	if b.Revision <= m.revision || store.EpochOf(b.Revision) != store.EpochOf(m.revision) {
 		return
 	}
 	changed, before := false, m.history.changedAt
--- /dev/null
+++ b/coordination/store/storetest/restore.go
@@ -0,0 +1,61 @@
+package storetest
+
+import (
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/store"
+)
+
+// Restore brings the store back as it was at a revision: later changes are lost, their revisions
+// are given out again, and the epoch rises by one.
+func (p *Platform) Restore(revision uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.restore(func(c change) bool { return store.RevisionOf(c.revision) <= revision })
+}
+
+// RestoreBefore brings the store back as it was some time ago.
+func (p *Platform) RestoreBefore(ago time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	to := time.Now().Add(-ago)
+	p.restore(func(c change) bool { return !c.at.After(to) })
+}
+
+// Revision is the store's present revision.
+func (p *Platform) Revision() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.revision
+}
+
+// restore keeps the first changes, as far as they are kept by a function; p.mu is held.
+func (p *Platform) restore(keeps func(change) bool) {
+	epoch := store.EpochOf(p.revision) + 1
+	n := 0
+	for n < len(p.past) && keeps(p.past[n]) {
+		n++
+	}
+	p.past = p.past[:n:n]
+	p.objects = map[key]store.Object{}
+	p.revision, p.oldest = store.MakeVersion(epoch, 0), store.MakeVersion(epoch, store.RevisionOf(p.oldest))
+	for i := range p.past {
+		p.replay(&p.past[i], epoch)
+	}
+	p.oldest = min(p.oldest, p.revision)
+	p.changes = append([]change(nil), p.past...)
+	p.signal()
+}
+
+// replay makes a change one of the epoch.
+func (p *Platform) replay(c *change, epoch uint64) {
+	c.revision = store.MakeVersion(epoch, store.RevisionOf(c.revision))
+	o := &c.event.Object
+	o.Version = store.MakeVersion(epoch, store.RevisionOf(o.Version))
+	p.revision = c.revision
+	if c.event.Deleted {
+		delete(p.objects, key{o.Kind, o.Name})
+		return
+	}
+	p.objects[key{o.Kind, o.Name}] = *o
+}
--- a/coordination/store/storetest/storetest.go
+++ b/coordination/store/storetest/storetest.go
@@ -44,6 +44,7 @@
 type key struct{ kind, name string }
 
 type change struct {
+	at       time.Time
 	revision uint64
 	event    store.Event
 }
@@ -55,10 +56,12 @@
 	objects  map[key]store.Object
 	changes  []change
 	oldest   uint64
-	wake     chan struct{}
-	script   Script
-	calls    int
-	maxWait  time.Duration
+	// past is all changes, for Restore.
+	past    []change
+	wake    chan struct{}
+	script  Script
+	calls   int
+	maxWait time.Duration
 }
 
 // NewPlatform returns an empty platform whose watches wait for at most maxWait;
@@ -103,7 +106,9 @@
 }
 
 func (p *Platform) record(e store.Event) {
-	p.changes = append(p.changes, change{revision: p.revision, event: e})
+	c := change{at: time.Now(), revision: p.revision, event: e}
+	p.changes = append(p.changes, c)
+	p.past = append(p.past, c)
 	p.signal()
 }
 
@@ -168,20 +173,30 @@
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
 	k := key{kind, name}
-	present := c.p.objects[k].Version
-	if present != ifVersion {
+	conflict := &store.ConflictError{Kind: kind, Name: name, Expected: ifVersion, Present: c.p.objects[k].Version}
+	if !c.p.meets(conflict) {
 		if err := lost(f, true); err != nil {
 			return 0, err
 		}
-		return 0, &store.ConflictError{Kind: kind, Name: name, Expected: ifVersion, Present: present}
+		return 0, conflict
 	}
 	c.p.revision++
 	o := store.Object{Kind: kind, Name: name, Version: c.p.revision, Value: slices.Clone(value)}
 	c.p.objects[k] = o
 	c.p.record(store.Event{Object: o})
+	if conflict.Restored {
+		return 0, conflict
+	}
 	return o.Version, lost(f, true)
 }
 
+// meets reports whether a write's condition holds: the store knows its revisions alone, and those
+// of before a restoration may have been given out again.
+func (p *Platform) meets(c *store.ConflictError) bool {
+	c.Restored = c.Expected != store.Absent && store.EpochOf(c.Expected) < store.EpochOf(p.revision)
+	return store.RevisionOf(c.Expected) == store.RevisionOf(c.Present)
+}
+
 // Delete implements store.Store.
 func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion uint64) error {
 	f, err := c.begin(ctx, "delete", kind, name)
@@ -195,12 +210,16 @@
 	if !ok {
 		return store.ErrNotFound
 	}
-	if o.Version != ifVersion {
-		return &store.ConflictError{Kind: kind, Name: name, Expected: ifVersion, Present: o.Version}
+	conflict := &store.ConflictError{Kind: kind, Name: name, Expected: ifVersion, Present: o.Version}
+	if !c.p.meets(conflict) {
+		return conflict
 	}
 	delete(c.p.objects, k)
 	c.p.revision++
 	c.p.record(store.Event{Object: store.Object{Kind: kind, Name: name, Version: c.p.revision}, Deleted: true})
+	if conflict.Restored {
+		return conflict
+	}
 	return lost(f, true)
 }
 
@@ -256,7 +275,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := store.Batch{Revision: p.revision}
-	if after < p.oldest {
+	if after < p.oldest || after > p.revision {
 		b.Gap = true
 		return b, p.wake
 	}
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -211,7 +212,7 @@
 	h.instances = follow.NewInstances(follow.InstancesOptions{
 		Clock: h.clock, Log: h.log, Decode: platform.DecodeInstance, Publish: h.publish, Unusable: h.metrics.unusableEntry,
 		Outage:  func() bool { return h.listed.UnavailableWithin(outageWindow) },
-		HoldFor: holdFor, Leaving: h.advice.Leaving,
+		HoldFor: holdFor, Leaving: h.advice.Leaving, SilentFor: heartbeatsMissed*cmp.Or(h.s.Heartbeat, defaultHeartbeat) + heartbeatSlack,
 	})
 	outage := &follow.Outage{}
 	h.configs, err = follow.New(follow.Options{Outage: outage, Store: h.proving, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig, Notify: h.notifyFollowers})
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -84,6 +84,12 @@
 	// to for 2 s, and a peer's word of it may be a moment old.
 	outageWindow = 2100 * time.Millisecond
 	holdFor      = 1800 * time.Millisecond
+	// heartbeatsMissed is how many heartbeats of a runner the store waits for before it drops its
+	// entry, defaultHeartbeat is theirs where the settings don't say, and heartbeatSlack is for
+	// the store's look and the way of its answer.
+	heartbeatsMissed = 3
+	defaultHeartbeat = 1200 * time.Millisecond
+	heartbeatSlack   = time.Second
 	// leaseTTL is how long a holder of the duties' lease may be silent. lookers hosts
 	// look every lookOften and all others every lookSeldom, so that the calls for it
 	// don't grow with the fleet. A lost holder is replaced, and its successor's silence
