Ask the peers of a host that is turned away in turn

Cause: it asked any peer at random every half second, the same useless ones again and again.

Change: it asks the listed hosts in turn, from one that is chosen at random.

Why it works: one of use is asked within one round of the list.

--- a/coordination/fanout/ask.go
+++ b/coordination/fanout/ask.go
@@ -44,12 +44,27 @@
 	}
 }
 
-// peekAtAny takes what some host has, while this one has lost the store and knows no relay.
-func (n *Node) peekAtAny(ctx context.Context) {
-	if len(n.plannedOf) < 2 {
+// nextPeer is the other hosts in turn, from one that is chosen at random; "" if there are none.
+func (n *Node) nextPeer() string {
+	if n.peeked == 0 {
+		n.peeked = n.o.Rand.IntN(max(1, len(n.plannedOf)))
+	}
+	for range n.plannedOf {
+		n.peeked++
+		if addr := n.plannedOf[n.peeked%len(n.plannedOf)].Addr; addr != n.o.Self.Addr {
+			return addr
+		}
+	}
+	return ""
+}
+
+// peekAtNext takes what another host has, while this one has lost the store and knows no relay.
+// Hosts that are of no use, as they are silent or have lost the store too, cost a turn each.
+func (n *Node) peekAtNext(ctx context.Context) {
+	addr := n.nextPeer()
+	if addr == "" {
 		return
 	}
-	addr := n.plannedOf[n.o.Rand.IntN(len(n.plannedOf))].Addr
 	bounded, cancel := context.WithTimeout(ctx, silenceSlack)
 	defer cancel()
 	asked := n.o.Clock.Now()
--- a/coordination/fanout/node.go
+++ b/coordination/fanout/node.go
@@ -68,6 +68,8 @@
 	source string
 	// reachAt is when the store may be asked next while the relays have lost it.
 	reachAt time.Time
+	// peeked is the number of the last peer that was asked without being a relay; Run alone uses it.
+	peeked int
 	// begunAt is when Run began; Run alone uses it.
 	begunAt time.Time
 	// planned is the plan for the list of hosts of plannedOf; Run alone uses them.
@@ -139,7 +141,7 @@
 	case source != "" && (!relays || asked || n.lost()):
 		n.ask(ctx, source, relays)
 	case n.lost():
-		n.peekAtAny(ctx) // some other host may still reach the store
+		n.peekAtNext(ctx) // some other host may still reach the store
 		_ = n.o.Clock.Sleep(ctx, checkEvery)
 	default:
 		_ = n.o.Clock.Sleep(ctx, checkEvery)
