Let a lease outlive a store that lost who holds it

What callers saw, or would have: after a restoration the store has an earlier record of the lease of the duties, or none. The host that it names would have taken the lease at once while the present holder still gives orders: two hosts act in turn, and with fences that can be equal or go back, as revisions are given out again.

Cause: the record was taken for the latest.

Change: a record names the epoch of the version that it was written over. One of an earlier epoch than the store's says nothing of who holds the lease now: the host whose last renewal isn't a TTL old writes it again, under a condition; all others, the host that it names and the next run on its machine too, wait until they have seen it unchanged for the TTL. Where no record is there although one may be lost (the store tells epochs, and this isn't the first start of the fleet), a host that creates it keeps silence for the TTL and a call's time.

Why it works: a holder's belief ends a TTL after its last renewal, which was before the restoration, and others' waiting begins after it.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -7,6 +7,10 @@
 // the object that it changes. Calls to systems that check nothing are as safe as
 // the time between Permit and the arrival of the call is short.
 //
+// A store that is restored from an older copy may have lost the last records of a lease. One that was
+// written in an earlier epoch of the store says nothing of who holds it now: whoever still does by
+// its own clock writes it again, and others wait as for a holder that is silent.
+//
 // No clocks of two hosts are compared. A waiter takes a lease over only after it
 // has itself watched the object unchanged for the TTL; a holder gives up when its
 // own clock says that the last renewal is a TTL old.
@@ -62,6 +66,9 @@
 	// that few hosts of many look often and others step in for them; nil stands for a
 	// third of the TTL.
 	LookEvery func() time.Duration
+	// MayBeLost reports whether an object of the lease that doesn't exist may have been lost by
+	// the store; nil stands for never.
+	MayBeLost func() bool
 	// Log gets acquisitions and losses; nil means none.
 	Log *slog.Logger
 }
@@ -103,8 +110,14 @@
 	Nonce string `json:"nonce"`
 	// Machine is that of the last holder; it stands after a release.
 	Machine string `json:"machine,omitempty"`
+	// Epoch is that of the version which the record was written over.
+	Epoch uint64 `json:"epoch,omitempty"`
 }
 
+// restored reports whether the record came back with a restored store, which may have lost later
+// ones.
+func (r record) restored(at uint64) bool { return r.Epoch < store.EpochOf(at) }
+
 // Lessor acquires and keeps one lease. It is used by one goroutine at a time, but
 // for Held, Fence and First, which the work under the lease may ask.
 type Lessor struct {
@@ -175,7 +188,7 @@
 	now := l.opts.Clock.Now()
 	obj, err := l.opts.Store.Get(ctx, store.KindLease, l.opts.Name)
 	if errors.Is(err, store.ErrNotFound) {
-		return l.take(ctx, store.Absent, false, 0)
+		return l.takeAbsent(ctx)
 	}
 	if err != nil {
 		return false, err
@@ -183,6 +196,12 @@
 	var r record
 	readable := json.Unmarshal(obj.Value, &r) == nil
 	own := readable && l.own(r)
+	if readable && r.restored(obj.Version) {
+		if !l.lapsed(obj, now) {
+			return false, nil
+		}
+		return l.take(ctx, obj.Version, false, l.opts.CallTime)
+	}
 	switch {
 	case readable && r.Holder == l.opts.Holder:
 		return l.take(ctx, obj.Version, true, l.callsEndIn(now))
@@ -196,6 +215,18 @@
 	return false, nil
 }
 
+// takeAbsent creates the lease's object. A holder whose record the store has lost may act until it
+// hasn't been able to renew for the TTL.
+func (l *Lessor) takeAbsent(ctx context.Context) (bool, error) {
+	if !l.mayBeLost() {
+		return l.take(ctx, store.Absent, false, 0)
+	}
+	l.opts.Log.Warn("lease not at the store; it may have been lost", "lease", l.opts.Name, "silence", l.opts.TTL+l.opts.CallTime)
+	return l.take(ctx, store.Absent, false, l.opts.TTL+l.opts.CallTime)
+}
+
+func (l *Lessor) mayBeLost() bool { return l.opts.MayBeLost != nil && l.opts.MayBeLost() }
+
 // callsEndIn is how long the last call of this run may still be on its way.
 func (l *Lessor) callsEndIn(now time.Time) time.Duration {
 	l.mu.Lock()
@@ -222,8 +253,8 @@
 func (l *Lessor) take(ctx context.Context, version uint64, own bool, silence time.Duration) (bool, error) {
 	err := l.write(ctx, version, l.opts.Holder)
 	if err == nil {
-		silent := l.opts.Clock.Now().Add(silence)
-		l.change(func(t *term) { t.fence, t.first, t.own, t.silentUntil = t.held, version == store.Absent, own, silent })
+		silent, first := l.opts.Clock.Now().Add(silence), version == store.Absent && !l.mayBeLost()
+		l.change(func(t *term) { t.fence, t.first, t.own, t.silentUntil = t.held, first, own, silent })
 	}
 	if store.IsConflict(err) {
 		return false, nil
@@ -295,14 +326,17 @@
 	return l.renewOwn(ctx)
 }
 
-// renewOwn renews over an earlier write of this host whose answer was lost.
+// renewOwn renews over an earlier write of this host whose answer was lost, or over what a restored
+// store has instead of its last write.
 func (l *Lessor) renewOwn(ctx context.Context) error {
 	obj, err := l.opts.Store.Get(ctx, store.KindLease, l.opts.Name)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
 	}
 	var r record
-	if err == nil && json.Unmarshal(obj.Value, &r) == nil && r.Holder == l.opts.Holder {
+	readable := err == nil && json.Unmarshal(obj.Value, &r) == nil
+	own := readable && r.Holder == l.opts.Holder && !r.restored(obj.Version)
+	if own || l.outlasts(obj, r, readable) {
 		err = l.write(ctx, obj.Version, l.opts.Holder)
 		if !store.IsConflict(err) {
 			return err
@@ -312,6 +346,20 @@
 	return ErrLost
 }
 
+// outlasts reports whether the term goes on though the store has an earlier record, or none: the
+// store was restored, and nobody else can have taken the lease while this host's last renewal isn't
+// a TTL old. A term that is still silent doesn't: it may have begun beside one that was lost.
+func (l *Lessor) outlasts(obj store.Object, r record, readable bool) bool {
+	if !l.Held() || l.Silent() {
+		return false
+	}
+	outlasts := readable && r.restored(obj.Version) || obj.Version == store.Absent && l.mayBeLost()
+	if outlasts {
+		l.opts.Log.Warn("lease written again at a restored store", "lease", l.opts.Name, "version", store.FormatVersion(obj.Version), "record_of", r.Holder.String())
+	}
+	return outlasts
+}
+
 // Release gives a held lease up, so that a waiter needn't wait for the TTL.
 // Releasing a lease that isn't held is no error.
 func (l *Lessor) Release(ctx context.Context) error {
@@ -335,7 +383,7 @@
 func (l *Lessor) write(ctx context.Context, version uint64, holder state.HostID) error {
 	started := l.opts.Clock.Now()
 	l.writes++
-	r := record{Holder: holder, Machine: l.opts.Machine, Nonce: fmt.Sprintf("%s/%d", l.opts.Holder, l.writes)}
+	r := record{Holder: holder, Machine: l.opts.Machine, Epoch: store.EpochOf(version), Nonce: fmt.Sprintf("%s/%d", l.opts.Holder, l.writes)}
 	value, err := json.Marshal(r)
 	if err != nil {
 		return fmt.Errorf("lease %s: %w", l.opts.Name, err)
@@ -357,7 +405,7 @@
 		return 0, cause
 	}
 	var r record
-	if err == nil && json.Unmarshal(obj.Value, &r) == nil && r.Nonce == nonce {
+	if err == nil && json.Unmarshal(obj.Value, &r) == nil && r.Nonce == nonce && (version == store.Absent || !r.restored(obj.Version)) {
 		return obj.Version, nil
 	}
 	if obj.Version == version {
--- a/daemon/routed/duties.go
+++ b/daemon/routed/duties.go
@@ -28,11 +28,17 @@
 		Store: h.store, Clock: h.clock, Rand: newRand(),
 		Name: leaseName, Holder: h.id, Machine: h.s.Host + "@" + h.s.IP,
 		TTL: leaseTTL, LookEvery: h.lookEvery, Log: h.log,
-		Apart: h.s.Bounds.LeaseTime + h.s.Bounds.ThawTime, CallTime: dutyCallTime,
+		Apart: h.s.Bounds.LeaseTime + h.s.Bounds.ThawTime, CallTime: dutyCallTime, MayBeLost: h.leaseMayBeLost,
 	})
 	return err
 }
 
+// leaseMayBeLost reports whether the store may have lost the lease's object: it loses what it has
+// acknowledged, and this isn't the first start of the fleet.
+func (h *Host) leaseMayBeLost() bool {
+	return h.epochs.MayLose() && (!h.s.FirstStart || h.epochs.Restored())
+}
+
 // buildDuties makes what carries them out, those that are asked for.
 func (h *Host) buildDuties() error {
 	if h.s.DutiesAddr == "" {
