Keep what is held and released when the store comes back from an older copy

What callers saw, or would have: a request that crashes its runners is let go at all hosts at once, as the restored store has no entry of it, and crashes them again; one that an operator released is held anew for minutes.

Cause: an entry that a copy lacks was taken for released, one that it has for held.

Evidence: TestHeldRequestStaysHeldThoughTheStoreLostIt and TestReleaseOutlivesARestoredStore failed with the code before.

Change: on the first copy of a later epoch what a host knows of an entry stands, and the hosts that follow the store write it again under a condition; it counts for thirty seconds without an entry. An entry that had been removed in the last five minutes is removed again.

Why it works: entries are knowledge that only grows newer, and the first conditional write is the one that counts: at 300 hosts with ten that follow the store at most twelve writes for an entry and a restoration, two in a row.

--- a/coordination/quarantine/entry.go
+++ b/coordination/quarantine/entry.go
@@ -39,6 +39,9 @@
 	version uint64
 	// seenAt is when this host first saw this version.
 	seenAt time.Time
+	// owedAt is when a restored store turned out to have it as it was before, or not at all; zero
+	// once it is written again.
+	owedAt time.Time
 }
 
 // decodeEntry reads an object; anybody may write there.
--- a/coordination/quarantine/registry.go
+++ b/coordination/quarantine/registry.go
@@ -88,6 +88,8 @@
 	// this host was writing. Their entries are to go, also one that a host writes which hasn't
 	// heard of it.
 	answered map[Digest]answer
+	// removed is when entries were removed of late.
+	removed map[Digest]time.Time
 }
 
 // answer is what a host knows of the answer to a suspected request.
@@ -103,7 +105,7 @@
 	if o.Host == "" || o.Table == nil || o.Store == nil || o.FollowsStore == nil || o.Publish == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("quarantine: a field of Options is missing; set all of them")
 	}
-	return &Registry{o: o, news: make(chan struct{}, 1), changed: make(chan struct{}, 1), entries: map[Digest]stored{}, unreadable: map[string]uint64{}, answered: map[Digest]answer{}, outdone: map[Digest]answer{}}, nil
+	return &Registry{o: o, news: make(chan struct{}, 1), changed: make(chan struct{}, 1), entries: map[Digest]stored{}, unreadable: map[string]uint64{}, answered: map[Digest]answer{}, outdone: map[Digest]answer{}, removed: map[Digest]time.Time{}}, nil
 }
 
 // Held returns why a request is held, or nil.
@@ -248,6 +250,7 @@
 	loops.Go(func() {
 		r.each(ctx, r.changed, func() {
 			r.review()
+			r.writeAgain(ctx)
 			r.write(ctx)
 			r.sweep(ctx)
 			r.reconcile()
--- a/coordination/quarantine/storage.go
+++ b/coordination/quarantine/storage.go
@@ -14,7 +14,7 @@
 func (r *Registry) Changed(c follow.Copy) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.o.Clock.Now()
+	restored := r.advance(c.Revision)
 	present := make(map[Digest]stored, len(c.Objects))
 	for _, o := range c.Objects {
 		d, e, err := decodeEntry(o)
@@ -22,26 +22,37 @@
 			r.noteUnreadable(o, err)
 			continue
 		}
-		s := stored{e, o.Version, now}
-		if before, known := r.entries[d]; known && before.version == o.Version {
-			s = before
-		} else {
-			r.adopt(d, e)
-		}
-		present[d] = s
+		present[d] = r.take(d, e, o.Version, restored)
 	}
 	for d, s := range r.entries {
 		if _, there := present[d]; there {
 			continue
 		}
-		if s.version > c.Revision { // written since this copy
-			present[d] = s
+		if kept, is := r.keep(s, c.Revision, restored); is {
+			present[d] = kept
 			continue
 		}
+		r.removedNow(d)
 		r.o.Table.Forget(d)
 		r.o.Log.Info("request no longer held", "digest", d.String(), "revision", store.FormatVersion(c.Revision))
 	}
-	r.entries, r.revision = present, c.Revision
+	r.entries = present
+	if restored {
+		r.rouse()
+	}
+}
+
+// take takes an entry of a copy; r.mu is held.
+func (r *Registry) take(d Digest, e entry, version uint64, restored bool) stored {
+	before, known := r.entries[d]
+	switch {
+	case restored:
+		return r.takeRestored(d, e, version)
+	case known && before.version == version:
+		return before
+	}
+	r.adopt(d, e)
+	return stored{entry: e, version: version, seenAt: r.o.Clock.Now()}
 }
 
 // adopt takes a new version of an entry; r.mu is held.
@@ -111,7 +122,7 @@
 	now, err := r.o.Store.Put(ctx, Kind, d.String(), version, value)
 	switch {
 	case err == nil:
-		r.wrote(d, stored{e, now, r.o.Clock.Now()})
+		r.wrote(d, stored{entry: e, version: now, seenAt: r.o.Clock.Now()})
 		r.o.Log.Info("held request written", "digest", d.String(), "released", e.Released, "times", e.Times, "version", store.FormatVersion(now))
 	case store.IsConflict(err):
 		// the copy of the store will show what the other wrote
@@ -192,6 +203,9 @@
 		}
 	}
 	for d, s := range r.entries {
+		if s.version == store.Absent {
+			continue // lost by the store, and not written again yet
+		}
 		age := now.Sub(s.seenAt)
 		a, answered := r.answered[d]
 		_, outdone := r.outdone[d]
