Decide no usage twice when the store comes back from an older copy

What the platform would have got: two reports of one window with different counts, as the restored store had lost the first.

Cause: what was decided was read from the store alone, after any failed write and in each term.

Evidence: TestReportsAreOneThoughTheStoreIsRestored failed before.

Change: within a term what the holder knew as decided stands, and is written again with the next window. A host that takes over and finds reports of an earlier epoch gives up the windows that have ended, and says so: the holder before may have decided and sent them.

Why it works: a window is sent after it is decided at the store, so that whoever decided it and still holds the term knows it; whoever doesn't know can't tell.

What it costs: up to two windows where holder and store are lost together.

--- a/coordination/usage/fleet_test.go
+++ b/coordination/usage/fleet_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/lease"
+	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/coordination/store/storetest"
 	"github.com/thymerack/thymerack/coordination/truetime"
 	"github.com/thymerack/thymerack/state"
@@ -92,6 +93,18 @@
 	return f
 }
 
+// restore has the store go away and come back as it was some seconds before.
+func (f *fleet) restore(rng *rand.Rand) {
+	for _, h := range f.hosts {
+		f.set(f.refused, h.self.Addr, true)
+	}
+	f.load(rng, time.Duration(rng.IntN(2000))*time.Millisecond)
+	f.store.RestoreBefore(time.Duration(rng.IntN(12000)) * time.Millisecond)
+	for _, h := range f.hosts {
+		f.set(f.refused, h.self.Addr, false)
+	}
+}
+
 func (f *fleet) is(set map[string]bool, addr string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -151,6 +164,7 @@
 		Store: f.store.Client(h.self.Addr), Clock: h.clock, Rand: rand.New(rand.NewPCG(uint64(f.runs), 1)), Name: "duties",
 		Holder: state.HostID{Name: h.self.Addr, Incarnation: run}, Machine: h.self.Addr, TTL: 6 * time.Second,
 		LookEvery: func() time.Duration { return time.Second }, Apart: leaseTime, CallTime: time.Second,
+		MayBeLost: func() bool { return store.EpochOf(f.store.Revision()) > 0 },
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/coordination/usage/reporter.go
+++ b/coordination/usage/reporter.go
@@ -73,6 +73,9 @@
 	o Options
 	// known are the reports as they are at the store; nil until they are read in a term.
 	known *reports
+	// decided are the reports as they were last known in this term; nil before the first. A
+	// restored store may have lost some of them.
+	decided *reports
 	// writes numbers this run's writes.
 	writes int
 	// triedAt is when a report was last sent in vain.
@@ -89,7 +92,7 @@
 
 // Hold decides and sends reports for one term of the lease, until ctx ends with it.
 func (r *Reporter) Hold(ctx context.Context) {
-	r.known = nil
+	r.known, r.decided = nil, nil
 	for {
 		if err := r.step(ctx); err != nil && ctx.Err() == nil {
 			r.o.Log.Warn("usage not decided; tried again", "cause", err.Error())
@@ -120,13 +123,32 @@
 	if err != nil {
 		return fmt.Errorf("read the reports of usage: %w", err)
 	}
-	if known == nil {
+	switch {
+	case r.decided != nil:
+		known = r.decided.over(known)
+	case known == nil:
 		known = &reports{Through: r.present() - 1}
+	case known.restored():
+		r.giveUpLost(known)
 	}
-	r.known = known
+	r.know(known)
 	return nil
 }
 
+// know takes the reports as they are.
+func (r *Reporter) know(known *reports) { r.known, r.decided = known, known }
+
+// giveUpLost gives up the windows that an earlier holder may have decided and sent, where a restored
+// store has lost what it decided: a second report with other counts would be worse than none.
+func (r *Reporter) giveUpLost(known *reports) {
+	through := r.present() - 1
+	if known.Through >= through {
+		return
+	}
+	r.o.Log.Error("usage of windows given up: the store was restored, and another host may have reported them", "from", known.Through+1, "to", through)
+	known.Through = through
+}
+
 func (r *Reporter) present() Window { return WindowAt(r.o.Time.Now(), r.o.Length) }
 
 // decide decides the next window once it has ended and its counts are in.
@@ -167,7 +189,7 @@
 		r.known = nil
 		return fmt.Errorf("decide window %d: %w", report.Window, err)
 	}
-	r.known = next
+	r.know(next)
 	return nil
 }
 
--- a/coordination/usage/reports.go
+++ b/coordination/usage/reports.go
@@ -37,10 +37,16 @@
 	Reports []Report `json:"reports"`
 	// Writer marks the last write, so that its writer recognises it.
 	Writer string `json:"writer"`
+	// Epoch is that of the version which the reports were written over.
+	Epoch uint64 `json:"epoch,omitempty"`
 
 	version uint64
 }
 
+// restored reports whether the reports came back with a restored store, which may have lost later
+// ones.
+func (r *reports) restored() bool { return r.Epoch < store.EpochOf(r.version) }
+
 // UnreadableError says that the object of the reports can't be read.
 type UnreadableError struct{ Cause error }
 
@@ -70,6 +76,7 @@
 
 // save writes the reports in place of the version that they were read at.
 func (r *reports) save(ctx context.Context, s store.Store) error {
+	r.Epoch = store.EpochOf(r.version)
 	value, err := json.Marshal(r)
 	if err != nil {
 		return fmt.Errorf("encode the reports of usage: %w", err)
@@ -112,3 +119,17 @@
 	out.Reports = append([]Report(nil), r.Reports...)
 	return &out
 }
+
+// over returns the reports with what a restored store has lost of them: present is what it has, nil
+// for nothing.
+func (r *reports) over(present *reports) *reports {
+	if present != nil && present.Through >= r.Through {
+		return present
+	}
+	out := r.clone()
+	out.version = store.Absent
+	if present != nil {
+		out.version = present.version
+	}
+	return out
+}
--- a/coordination/usage/usage_test.go
+++ b/coordination/usage/usage_test.go
@@ -208,6 +208,54 @@
 	}
 }
 
+// Guards against a window that is reported with two counts, since a restored store lost what was
+// decided: with the holder killed, frozen, cut off or left alone, twice in a row or once.
+func TestReportsAreOneThoughTheStoreIsRestored(t *testing.T) {
+	for seed := range uint64(25) {
+		inFleet(t, 9, func(is *is.I, f *fleet, _ *rand.Rand) {
+			rng := rand.New(rand.NewPCG(seed, 9))
+			answers := rand.New(rand.NewPCG(seed, 11))
+			f.receiver.slow = rand.New(rand.NewPCG(seed, 12))
+			f.receiver.lose = func() bool { return answers.IntN(4) == 0 }
+			for range 20 {
+				h := f.victim([]string{"holder", "collector", "any"}[rng.IntN(3)], rng)
+				switch rng.IntN(6) {
+				case 0:
+					h.kill()
+					h.start()
+				case 1:
+					f.freeze(h.self.Addr, time.Duration(rng.IntN(9000))*time.Millisecond)
+				case 2:
+					f.set(f.cut, h.self.Addr, true)
+					time.AfterFunc(time.Duration(rng.IntN(9000))*time.Millisecond, func() { f.set(f.cut, h.self.Addr, false) })
+				default:
+					f.restore(rng)
+				}
+				f.load(rng, time.Duration(rng.IntN(6000))*time.Millisecond)
+			}
+			is.Equal(f.receiver.problems, nil)
+		})
+	}
+}
+
+// A restoration costs no window where the holder lives: what was decided is known to it.
+func TestRestoredStoreCostsNoWindowWhileTheHolderLives(t *testing.T) {
+	inFleet(t, 9, func(is *is.I, f *fleet, rng *rand.Rand) {
+		f.load(rng, 7*time.Second)
+		first := WindowAt(time.Now(), window) + 1
+		for range 3 {
+			f.load(rng, 13*time.Second)
+			f.restore(rng)
+		}
+		f.load(rng, 20*time.Second)
+		windows, inTime, off := f.judge(first)
+		is.True(windows >= 8)
+		is.Equal(inTime, windows)
+		is.Equal(off, 0)
+		is.Equal(f.receiver.problems, nil)
+	})
+}
+
 // Clocks that are wrong from the start of a run on count with the others' middle.
 func TestWrongClocksCountInTheRightWindow(t *testing.T) {
 	inFleet(t, 24, func(is *is.I, f *fleet, rng *rand.Rand) {
