Take no answer of a store that has just been restored for a proof

What callers saw, or would have: a request with a revoked key is served, at a host that was cut off when the revocation came or that started while the store was behind. The restored store says the configuration before it, and that was taken for proof that the key holds.

Cause: a linearizable answer proved that a copy held all that had been acknowledged. After a restoration it holds only what the store still has.

A host that starts and follows the store itself asks a peer first whether, and when, the store came back; one whose peer is of an earlier epoch than the store takes it that it was restored now. A peer's proof counts only in the epoch of its copy.

What a host has in force never goes back, so that its own proof of before stands.

What it costs: keyed requests at a host that was out of touch for longer than the bound less two seconds are refused, as not run, until then.

--- a/coordination/fanout/ask.go
+++ b/coordination/fanout/ask.go
@@ -14,6 +14,9 @@
 	// startSlack is how much longer its answer may take: a first copy of the list of 3,000
 	// instances has some 100 KB, and the relay's link sends it to thirty hosts at once.
 	startSlack = 400 * time.Millisecond
+	// startPeeks is how many peers a host that starts asks at most whether the store has come
+	// back lately: some may be starting too, or gone.
+	startPeeks = 3
 )
 
 // ask asks a relay for news. One that follows the store is followed from then on, unless
@@ -46,12 +49,12 @@
 
 // nextPeer is the other hosts in turn, from one that is chosen at random; "" if there are none.
 func (n *Node) nextPeer() string {
-	if n.peeked == 0 {
-		n.peeked = n.o.Rand.IntN(max(1, len(n.plannedOf)))
+	if n.turn == 0 {
+		n.turn = n.o.Rand.IntN(max(1, len(n.plannedOf)))
 	}
 	for range n.plannedOf {
-		n.peeked++
-		if addr := n.plannedOf[n.peeked%len(n.plannedOf)].Addr; addr != n.o.Self.Addr {
+		n.turn++
+		if addr := n.plannedOf[n.turn%len(n.plannedOf)].Addr; addr != n.o.Self.Addr {
 			return addr
 		}
 	}
@@ -61,19 +64,42 @@
 // peekAtNext takes what another host has, while this one has lost the store and knows no relay.
 // Hosts that are of no use, as they are silent or have lost the store too, cost a turn each.
 func (n *Node) peekAtNext(ctx context.Context) {
-	addr := n.nextPeer()
-	if addr == "" {
-		return
+	if addr := n.nextPeer(); addr != "" {
+		n.peek(ctx, addr)
+	}
+}
+
+// settleAtStart learns from a peer whether the store has come back lately, which a host that has just
+// started and follows the store itself can't know; one that finds no peer takes it that it hasn't.
+func (n *Node) settleAtStart(ctx context.Context) {
+	var told News
+	for range startPeeks {
+		addr := n.nextPeer()
+		if addr == "" {
+			break
+		}
+		news, answered := n.peek(ctx, addr)
+		if answered {
+			told = news
+			break
+		}
+	}
+	for kind, m := range n.o.Copies {
+		m.Settled(told.Changes[kind].Revision, told.Regained, told.Ever)
 	}
+}
+
+func (n *Node) peek(ctx context.Context, addr string) (news News, answered bool) {
 	bounded, cancel := context.WithTimeout(ctx, silenceSlack)
 	defer cancel()
 	asked := n.o.Clock.Now()
 	news, err := n.o.Peers.Follow(bounded, addr, Question{From: n.o.Self.Addr, Since: n.revisions(), Peek: true})
 	if err != nil {
 		n.o.Log.Debug("peer not reached", "peer", addr, "cause", err.Error())
-		return
+		return News{}, false
 	}
 	n.merge(news, addr, asked)
+	return news, true
 }
 
 // merge takes what changed in the copies of a peer that was asked then.
--- a/coordination/fanout/fleet_test.go
+++ b/coordination/fanout/fleet_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +26,8 @@
 	testWait    = time.Second // a quarter of a bound of 4 s
 	testBound   = 4 * time.Second
 	testDomains = 5
+	// testSettle is how long after a restoration what the store lost may not be written again.
+	testSettle = 2 * time.Second
 )
 
 var kinds = []string{kindConfig, kindThings}
@@ -52,8 +56,10 @@
 	list   []state.Peer
 	copies map[string]*follow.Mirror
 	heard  []string // notices, by their bodies
-	stop   context.CancelFunc
-	ended  chan struct{}
+	// inForce is the highest version of the configuration that the host has had.
+	inForce atomic.Int64
+	stop    context.CancelFunc
+	ended   chan struct{}
 }
 
 // noticed is how long a cut from the store goes unnoticed by a waiting watch.
@@ -101,7 +107,7 @@
 	for _, kind := range kinds {
 		m, err := follow.New(follow.Options{
 			Store: faulty{f.store.Client(h.self.Addr), f, h.self.Addr}, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
-			Kind: kind, Changed: func(follow.Copy) {}, Outage: outage, Notify: func() { h.Notify() },
+			Kind: kind, Changed: h.changed, Outage: outage, Notify: func() { h.Notify() }, Settle: testSettle,
 		})
 		if err != nil {
 			f.t.Fatal(err)
@@ -124,6 +130,16 @@
 	return h
 }
 
+// changed puts a higher version of the configuration in force, as a host does.
+func (h *host) changed(c follow.Copy) {
+	for _, o := range c.Objects {
+		version, err := strconv.ParseInt(string(o.Value), 10, 64)
+		if o.Kind == kindConfig && err == nil && version > h.inForce.Load() {
+			h.inForce.Store(version)
+		}
+	}
+}
+
 func (h *host) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop, h.ended = cancel, make(chan struct{})
@@ -365,6 +381,8 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	n.f.mu.Lock()
+	defer n.f.mu.Unlock()
 	for _, h := range n.f.hosts {
 		if h.self.Addr == addr {
 			return h, nil
--- a/coordination/fanout/message.go
+++ b/coordination/fanout/message.go
@@ -28,8 +28,8 @@
 type News struct {
 	// Lost says that the relay doesn't follow the store at present.
 	Lost bool
-	// Regained is how long ago the store answered the relay again; Ever is false if it
-	// always has.
+	// Regained is how long ago the store answered the relay again, 0 while it doesn't; Ever is
+	// false if it always has.
 	Regained time.Duration
 	Ever     bool
 	// Changes are by kind.
--- a/coordination/fanout/node.go
+++ b/coordination/fanout/node.go
@@ -68,8 +68,10 @@
 	source string
 	// reachAt is when the store may be asked next while the relays have lost it.
 	reachAt time.Time
-	// peeked is the number of the last peer that was asked without being a relay; Run alone uses it.
-	peeked int
+	// turn is the number of the last peer that was asked without being a relay, and settled is set
+	// once one was asked whether the store has come back lately; Run alone uses them.
+	turn    int
+	settled bool
 	// begunAt is when Run began; Run alone uses it.
 	begunAt time.Time
 	// planned is the plan for the list of hosts of plannedOf; Run alone uses them.
@@ -114,6 +116,9 @@
 func (n *Node) Run(ctx context.Context) {
 	defer n.followStoreNoMore()
 	n.begunAt = n.o.Clock.Now()
+	for _, m := range n.o.Copies {
+		m.Doubt()
+	}
 	for ctx.Err() == nil {
 		n.step(ctx)
 	}
@@ -134,6 +139,10 @@
 		return
 	case relays || source == "" || n.starting():
 		n.followStore(ctx)
+		if !n.settled {
+			n.settled = true
+			n.settleAtStart(ctx)
+		}
 	}
 	// A relay that is asked follows another one beside the store: what one of them misses
 	// in a cut that it hasn't noticed, it hears from the other.
--- a/coordination/fanout/proof_test.go
+++ b/coordination/fanout/proof_test.go
@@ -25,10 +25,7 @@
 // proofHolds reports whether a host's copy has all that its proof says.
 func (a acked) proofHolds(h *host) error {
 	proven := h.copies[kindConfig].Proven()
-	have := 0
-	for _, o := range h.copies[kindConfig].Export().Objects {
-		have, _ = strconv.Atoi(string(o.Value)) // the tests' own values
-	}
+	have := int(h.inForce.Load())
 	if have < len(a) && a[have].Before(proven) {
 		return fmt.Errorf("%s has version %d by a proof as of %s after version %d", h.self.Addr, have, proven.Sub(a[have]), have+1)
 	}
@@ -78,6 +75,62 @@
 	}
 }
 
+// Guards against a key that was revoked and is served again, because a restored store has lost the
+// revocation and proves the configuration before it: at hosts that were cut off when it came, or
+// that start while the store is behind.
+func TestProofsHoldThoughTheStoreIsRestored(t *testing.T) {
+	for _, size := range []int{7, 83} {
+		for seed := range uint64(20) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleetWatching(t, size, proofWait)
+				f.start()
+				defer f.end()
+				time.Sleep(10 * time.Second)
+				rng := rand.New(rand.NewPCG(seed, 3))
+				versions := acked{time.Now()}
+				check := func(span time.Duration) {
+					for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+						for _, h := range f.hosts {
+							if err := versions.proofHolds(h); err != nil {
+								t.Fatalf("%d hosts, seed %d: %v", size, seed, err)
+							}
+						}
+					}
+				}
+				for range 6 {
+					cut := f.hosts[rng.IntN(size)].self.Addr
+					f.set(f.cut, cut, true)
+					check(time.Duration(1000+rng.IntN(4000)) * time.Millisecond)
+					f.write(kindConfig, "main", strconv.Itoa(len(versions)+1))
+					versions = append(versions, time.Now())
+					check(time.Duration(rng.IntN(1000)) * time.Millisecond)
+					f.setDown(true)
+					f.cutWatches()
+					f.set(f.cut, cut, false)
+					check(time.Duration(rng.IntN(2000)) * time.Millisecond)
+					f.store.RestoreBefore(time.Duration(2000+rng.IntN(2000)) * time.Millisecond)
+					f.setDown(false)
+					f.replace(rng.IntN(size))
+					check(time.Duration(rng.IntN(int(testSettle))))
+					f.write(kindConfig, "main", strconv.Itoa(len(versions))) // again
+					check(2 * time.Second)
+				}
+			})
+		}
+	}
+}
+
+// replace ends a host and starts one that knows nothing in its place.
+func (f *fleet) replace(i int) {
+	f.hosts[i].end()
+	h := f.newHost(i)
+	h.list = f.peers()
+	f.mu.Lock()
+	f.hosts[i] = h
+	f.mu.Unlock()
+	h.start()
+}
+
 // disturb begins or ends one trouble, mostly at a relay.
 func (f *fleet) disturb(rng *rand.Rand) {
 	victim := f.hosts[rng.IntN(len(f.hosts))]
--- a/coordination/fanout/serve.go
+++ b/coordination/fanout/serve.go
@@ -91,5 +91,8 @@
 			out.Regained, out.Ever = ago, true
 		}
 	}
+	if n.lost() {
+		out.Regained, out.Ever = 0, true
+	}
 	return out, any
 }
--- a/coordination/follow/history.go
+++ b/coordination/follow/history.go
@@ -83,12 +83,12 @@
 // restored since.
 func (m *Mirror) Since(revision uint64) Delta {
 	// The proof is read before the copy, which holds what is proven or more.
-	proven := m.Proven()
+	proven := m.proof.Load()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := Delta{Revision: m.revision}
-	if !proven.IsZero() {
-		d.Proven, d.Age = true, m.o.Clock.Now().Sub(proven)
+	if proven != nil && proven.epoch == store.EpochOf(m.revision) {
+		d.Proven, d.Age = true, m.o.Clock.Now().Sub(proven.at)
 	}
 	switch {
 	case revision >= m.history.changedAt:
@@ -118,7 +118,7 @@
 func (m *Mirror) Merge(d Delta, from string, asked time.Time) {
 	m.mergeChanges(d, from)
 	if d.Proven {
-		m.prove(asked.Add(-d.Age))
+		m.proveByPeer(asked.Add(-d.Age), d.Revision)
 	}
 }
 
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -3,6 +3,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -51,6 +52,9 @@
 	// Gather is the pause after a watch that brought changes, so that changes in
 	// quick succession cost one call; it delays the later ones. May be zero.
 	Gather time.Duration
+	// Settle is how long after a restoration of the store what it lost may not be written again:
+	// what it answers until then proves nothing. May be zero.
+	Settle time.Duration
 }
 
 // Copy is the objects of a kind at one revision of the store.
@@ -67,7 +71,9 @@
 	mu       sync.Mutex
 	objects  map[string]store.Object
 	revision uint64
-	history  history
+	// peers is the revision of a peer's copy when this host started.
+	peers   uint64
+	history history
 	// lostAt is when the store stopped answering; Run alone uses it.
 	lostAt time.Time
 	// regainedAt is when it answered again; nil if it has always answered.
@@ -80,8 +86,12 @@
 	// fresh is set while Run follows the store and is answered.
 	fresh atomic.Bool
 	// proof is the latest Proven; nil before the first.
-	proof atomic.Pointer[time.Time]
-	sight sight
+	proof atomic.Pointer[proof]
+	// doubted is set while the store's answers prove nothing, since this host has just started.
+	doubted atomic.Bool
+	// restoredAt is when this host learnt that the store was restored; nil if it never was.
+	restoredAt atomic.Pointer[time.Time]
+	sight      sight
 }
 
 // New validates the options.
@@ -212,7 +222,7 @@
 		return &olderError{store: revision, copied: known}
 	}
 	m.answered()
-	m.prove(asked)
+	m.proveBy(asked, revision)
 	return nil
 }
 
@@ -238,7 +248,7 @@
 	}
 	m.gaps = 0
 	m.takeBatch(batch)
-	m.prove(asked)
+	m.proveBy(asked, batch.Revision)
 	if len(batch.Events) > 0 && m.o.Gather > 0 {
 		return true, m.o.Clock.Sleep(ctx, m.o.Gather)
 	}
@@ -293,12 +303,14 @@
 // noteEpoch reports whether a revision is of a later epoch, and notes it: what the store lost is
 // written again, as after an outage, whether or not this host was without an answer. m.mu is held.
 func (m *Mirror) noteEpoch(revision uint64) (restored bool) {
-	if m.revision == 0 || store.EpochOf(revision) == store.EpochOf(m.revision) {
+	known := cmp.Or(m.revision, m.peers)
+	if known == 0 || store.EpochOf(revision) <= store.EpochOf(known) {
 		return false
 	}
 	now := m.o.Clock.Now()
 	m.regainedAt.Store(&now)
-	m.o.Log.Warn("copy of a restored store", "kind", m.o.Kind, "revision", store.FormatVersion(revision), "before", store.FormatVersion(m.revision), "objects_before", len(m.objects))
+	m.restoredAt.Store(&now)
+	m.o.Log.Warn("copy of a restored store", "kind", m.o.Kind, "revision", store.FormatVersion(revision), "before", store.FormatVersion(known), "objects_before", len(m.objects))
 	return true
 }
 
--- a/coordination/follow/proof.go
+++ b/coordination/follow/proof.go
@@ -3,8 +3,17 @@
 import (
 	"context"
 	"time"
+
+	"github.com/thymerack/thymerack/coordination/store"
 )
 
+// proof is what Proven returns, with the epoch of the store's answer. A copy of a later epoch may
+// lack what was acknowledged by then: the proof holds for this host, which had it, but for no peer.
+type proof struct {
+	at    time.Time
+	epoch uint64
+}
+
 // Proven is a moment, by the clock of this host, at which the copy held all that the store
 // had acknowledged; zero if none is known. What was read of the copy after Proven returned
 // holds it too.
@@ -15,26 +24,69 @@
 // of changes. An answer of a peer proves as much as the peer's own proof, aged by the whole
 // time of the question, so that no two clocks are compared.
 func (m *Mirror) Proven() time.Time {
-	if at := m.proof.Load(); at != nil {
-		return *at
+	if p := m.proof.Load(); p != nil {
+		return p.at
 	}
 	return time.Time{}
 }
 
 // prove notes that the copy holds what was acknowledged before a question of that time. The
 // copy must have taken the answer before.
-func (m *Mirror) prove(asked time.Time) {
+func (m *Mirror) prove(p proof) {
 	for {
 		known := m.proof.Load()
-		if known != nil && !known.Before(asked) {
+		if known != nil && !known.at.Before(p.at) {
 			return
 		}
-		if m.proof.CompareAndSwap(known, &asked) {
+		if m.proof.CompareAndSwap(known, &p) {
 			return
 		}
 	}
 }
 
+// proveBy notes that the store answered a question of that time with its state at a revision. A store
+// that was restored lacks what it had acknowledged and lost, until that is written again.
+func (m *Mirror) proveBy(asked time.Time, revision uint64) {
+	if m.doubted.Load() {
+		return
+	}
+	at := m.restoredAt.Load()
+	if at != nil && store.EpochOf(revision) >= store.EpochOf(m.Revision()) && asked.Before(at.Add(m.o.Settle)) {
+		return
+	}
+	m.prove(proof{asked, store.EpochOf(revision)})
+}
+
+// proveByPeer notes a proof of a peer whose copy, of that revision, this one has taken. Another
+// epoch's copy may hold what this one never had.
+func (m *Mirror) proveByPeer(at time.Time, revision uint64) {
+	if store.EpochOf(revision) == store.EpochOf(m.Revision()) {
+		m.prove(proof{at, store.EpochOf(revision)})
+	}
+}
+
+// Doubt has the store's answers prove nothing until Settled: a host that has just started can't
+// know whether the store was restored a moment ago.
+func (m *Mirror) Doubt() { m.doubted.Store(true) }
+
+// Settled ends Doubt. revision is that of a peer's copy, 0 if no peer told one, and the store came back
+// to that peer so long ago, if ever it was away. A store of a later epoch has been restored since the
+// peer looked.
+func (m *Mirror) Settled(revision uint64, ago time.Duration, ever bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.revision > 0 && revision > 0 && store.EpochOf(m.revision) > store.EpochOf(revision) {
+		ago, ever = 0, true
+	}
+	if ever && ago < m.o.Settle {
+		at := m.o.Clock.Now().Add(-ago)
+		m.restoredAt.Store(&at)
+		m.o.Log.Info("the store came back lately; its answers prove nothing yet", "kind", m.o.Kind, "ago", ago, "for", m.o.Settle-ago)
+	}
+	m.peers = revision
+	m.doubted.Store(false)
+}
+
 // Prove asks the store for changes at once and takes them. It may be called while Run
 // follows the store.
 func (m *Mirror) Prove(ctx context.Context) error {
@@ -55,7 +107,7 @@
 		return false, err
 	}
 	m.takeBatch(batch)
-	m.prove(asked)
+	m.proveBy(asked, batch.Revision)
 	return true, nil
 }
 
@@ -66,6 +118,6 @@
 		return err
 	}
 	m.takeList(objects, revision)
-	m.prove(asked)
+	m.proveBy(asked, revision)
 	return nil
 }
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -215,7 +215,7 @@
 		HoldFor: holdFor, Leaving: h.advice.Leaving, SilentFor: heartbeatsMissed*cmp.Or(h.s.Heartbeat, defaultHeartbeat) + heartbeatSlack,
 	})
 	outage := &follow.Outage{}
-	h.configs, err = follow.New(follow.Options{Outage: outage, Store: h.proving, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig, Notify: h.notifyFollowers})
+	h.configs, err = follow.New(follow.Options{Outage: outage, Store: h.proving, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig, Settle: outageWindow, Notify: h.notifyFollowers})
 	if err != nil {
 		return err
 	}
