Let the soak's store come back from older copies

With -soak.restored the store goes away for up to 1.5 s and comes back as it was up to 2.5 s before that, beside all other trouble; operator and runners write again within half a second. Two seeds are played whenever the tests run; the other lists of actions, and so their seeds, are as they were.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -25,6 +25,8 @@
 	// fatal lets a request come that ends whatever runs it, and asking has runners ask
 	// something of the hosts in their answers.
 	fatal, asking bool
+	// restored has the store come back from older copies more often.
+	restored bool
 }
 
 // fleet is one deployment with its callers.
@@ -38,6 +40,8 @@
 	hosts   []*host
 	version atomic.Uint64
 	began   time.Time
+	// writing is held while the operator writes.
+	writing sync.Mutex
 
 	runnersMu sync.Mutex
 	runners   []*runner
@@ -58,6 +62,8 @@
 	link   *proxy
 	domain string
 	gone   bool
+	// removed is set once its entry is removed.
+	removed bool
 	// listedStage is the role that the list tells.
 	listedStage string
 }
@@ -182,14 +188,28 @@
 }
 
 func (f *fleet) putConfig() {
+	f.writing.Lock()
+	defer f.writing.Unlock()
 	v := f.version.Load() + 1
 	f.mu.Lock()
 	f.written[v] = time.Now()
 	f.mu.Unlock()
-	f.store.Put(platformtest.KindConfig, platformtest.ConfigName, platformtest.KeyedConfig(v, f.keys.present(), []string{"domain-0", "domain-1", "domain-2"}))
+	f.storeConfig(v)
 	f.version.Store(v)
 }
 
+func (f *fleet) storeConfig(version uint64) {
+	f.store.Put(platformtest.KindConfig, platformtest.ConfigName, platformtest.KeyedConfig(version, f.keys.present(), []string{"domain-0", "domain-1", "domain-2"}))
+}
+
+// unlist removes a runner's entry.
+func (f *fleet) unlist(r *runner) {
+	f.runnersMu.Lock()
+	defer f.runnersMu.Unlock()
+	r.removed = true
+	f.store.Remove(platformtest.KindInstances, r.ID)
+}
+
 func (f *fleet) addRunner(service, stage string) error {
 	f.runnersMu.Lock()
 	defer f.runnersMu.Unlock()
@@ -271,7 +291,7 @@
 	r.Drain()
 	f.list(r)
 	time.AfterFunc(platformtest.Drain+4*time.Second, func() {
-		f.store.Remove(platformtest.KindInstances, r.ID)
+		f.unlist(r)
 		r.Crash()
 		r.link.close()
 	})
@@ -287,7 +307,7 @@
 	r.Crash()
 	r.link.close()
 	time.Sleep(time.Second)
-	f.store.Remove(platformtest.KindInstances, r.ID)
+	f.unlist(r)
 	return f.addRunner(r.Service, stage)
 }
 
--- /dev/null
+++ b/soak/restore.go
@@ -0,0 +1,44 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/thymerack/thymerack/platform/platformtest"
+)
+
+const (
+	// mostAway is how long the store is away before it is restored, and mostLost how long before
+	// that the copy was made.
+	mostAway = 1500 * time.Millisecond
+	mostLost = 2500 * time.Millisecond
+	// writtenAgain is how long after that the operator and the runners have written again.
+	writtenAgain = 500 * time.Millisecond
+)
+
+// restoreStore has the store go away and come back from an older copy.
+func (f *fleet) restoreStore(rng *rand.Rand) {
+	f.store.SetFault([]platformtest.StoreFault{platformtest.StoreBusy, platformtest.StoreSilent}[rng.IntN(2)])
+	away := time.Duration(rng.Int64N(int64(mostAway)))
+	time.Sleep(away)
+	f.store.RestoreBefore(away + time.Duration(rng.Int64N(int64(mostLost))))
+	f.store.SetFault(platformtest.StoreSound)
+	time.Sleep(time.Duration(rng.Int64N(int64(writtenAgain))))
+	f.writeAgain()
+}
+
+// writeAgain has the operator and the runners write what a restored store may have lost.
+func (f *fleet) writeAgain() {
+	f.writing.Lock()
+	f.storeConfig(f.version.Load())
+	f.writing.Unlock()
+	f.runnersMu.Lock()
+	defer f.runnersMu.Unlock()
+	for _, r := range f.runners {
+		if r.removed {
+			f.store.Remove(platformtest.KindInstances, r.ID)
+			continue
+		}
+		f.list(r)
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,7 @@
 	callers   = flag.Int("soak.callers", 12, "callers of each fleet")
 	fatal     = flag.Bool("soak.fatal", false, "let a request come that ends whatever runs it")
 	asked     = flag.Bool("soak.asking", false, "let runners name limits, ask for rest and say that they leave")
+	restore   = flag.Bool("soak.restored", false, "have the store come back from older copies more often")
 	keep      = flag.String("soak.keep", "", "folder for the logs of seeds that fail")
 )
 
@@ -45,11 +46,11 @@
 }
 
 // with is what a seed is played with, beside what happens to all.
-type with struct{ fatal, asking bool }
+type with struct{ fatal, asking, restored bool }
 
 func playSeed(t *testing.T, bin string, seed uint64, w with) {
 	dir := t.TempDir()
-	problems, log, err := play(options{seed: seed, hosts: *hosts, callers: *callers, length: *length, bin: bin, dir: dir, fatal: w.fatal, asking: w.asking})
+	problems, log, err := play(options{seed: seed, hosts: *hosts, callers: *callers, length: *length, bin: bin, dir: dir, fatal: w.fatal, asking: w.asking, restored: w.restored})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -102,6 +103,17 @@
 	}
 }
 
+// The store comes back from older copies again and again, beside other trouble.
+func TestSoakRestoredStore(t *testing.T) {
+	bin := build(t)
+	for _, seed := range []uint64{901, 902} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playSeed(t, bin, seed, with{restored: true})
+		})
+	}
+}
+
 func TestSoak(t *testing.T) {
 	if *seeds == 0 {
 		t.Skip("give -soak.seeds to play fresh ones; TestSoakRegressions runs always")
@@ -111,7 +123,7 @@
 		seed := *firstSeed + uint64(n)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			playSeed(t, bin, seed, with{*fatal, *asked})
+			playSeed(t, bin, seed, with{*fatal, *asked, *restore})
 		})
 	}
 }
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -110,6 +110,9 @@
 	}},
 }
 
+// restored has the store come back from an older copy.
+var restored = action{name: "store restored", do: func(f *fleet, rng *rand.Rand) error { f.restoreStore(rng); return nil }}
+
 // trouble plays a seeded series; some seeds have planned work only. Actions of a
 // series overlap; two at one host wait for each other.
 func (f *fleet) trouble() {
@@ -123,6 +126,9 @@
 	if f.o.asking {
 		may = slices.Concat(actions, asking, asking)
 	}
+	if f.o.restored {
+		may = slices.Concat(may, slices.Repeat([]action{restored}, len(actions)/2))
+	}
 	for n := uint64(0); time.Now().Before(end); n++ {
 		time.Sleep(time.Duration(200+f.rng.IntN(900)) * time.Millisecond)
 		a := may[f.rng.IntN(len(may))]
