Write again what a restored store lost of splits and needs

What operators would have seen: after a restoration and a change of the holder the split of engines is learnt anew, and the number of runners counts as many as earlier holders had ordered.

Cause: the holder wrote both once and took them for kept.

Change: the lease tells in which epoch of the store this host wrote it last; what was kept in an earlier one is written again, under a condition, at the next sample or tick.

Why it works: only the holder writes them, and its own knowledge is the newest.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -315,6 +315,10 @@
 // holder to holder.
 func (l *Lessor) Fence() uint64 { return l.present().fence }
 
+// Epoch is that of the store at this host's last write of the lease, 0 if it isn't held. What the
+// holder wrote to the store in an earlier epoch may be lost.
+func (l *Lessor) Epoch() uint64 { return store.EpochOf(l.present().held) }
+
 // First reports whether nobody held the lease before the present term.
 func (l *Lessor) First() bool { return l.present().first }
 
--- a/coordination/scale/manager.go
+++ b/coordination/scale/manager.go
@@ -81,8 +81,11 @@
 // service is what is known of one service in a term.
 type service struct {
 	begun time.Time
-	// need is the number of runners that carry the load; 0 until it is known.
-	need int
+	// need is the number of runners that carry the load; 0 until it is known. base is what it was
+	// worked out from, and keptIn the store's epoch in which that was last known to be kept.
+	need   int
+	base   int
+	keptIn uint64
 	// counted is how many runners were listed when last they were counted, since when.
 	counted int
 	since   time.Time
@@ -234,6 +237,7 @@
 // deployment starts with, once that has stood for a moment, and keeps it for the others.
 func (m *Manager) known(ctx context.Context, name string, s *service, serving Numbers, now time.Time) bool {
 	if s.need > 0 {
+		m.keepAgain(ctx, name, s)
 		return true
 	}
 	if n := serving.total(); n == 0 || n != s.counted {
@@ -251,11 +255,27 @@
 		s.since = now
 		return false
 	}
+	s.base, s.keptIn = base, m.o.Lease.Epoch()
 	s.need = max(1, int(m.o.NeedShare*float64(base)+0.5))
 	m.o.Log.Info("need of a new term", "service", name, "need", s.need, "at_start", base, "listed", s.counted)
 	return true
 }
 
+// keepAgain keeps the number at the start again once the store was restored from an older copy.
+func (m *Manager) keepAgain(ctx context.Context, name string, s *service) {
+	epoch := m.o.Lease.Epoch()
+	if epoch <= s.keptIn {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := m.o.Needs.First(ctx, name, s.base); err != nil {
+		m.o.Log.Warn("number of runners at the start not kept again; tried again", "service", name, "cause", err.Error())
+		return
+	}
+	s.keptIn = epoch
+}
+
 // limited bounds the spot runners of failure domains where no more are to be had.
 func (s *service) limited(serving Numbers, spec state.ServiceSpec, now time.Time) map[string]int {
 	out := map[string]int{}
--- a/coordination/scale/manager_test.go
+++ b/coordination/scale/manager_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/lease"
+	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/coordination/store/storetest"
 	"github.com/thymerack/thymerack/state"
 )
@@ -178,6 +179,7 @@
 	lessor, err := lease.New(lease.Options{
 		Store: p.Client(host), Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(1, uint64(len(host)))), Name: "duties",
 		Holder: state.HostID{Name: host, Incarnation: "1"}, Machine: host, TTL: 6 * time.Second, Apart: 3 * time.Second, CallTime: time.Second,
+		MayBeLost: func() bool { return store.EpochOf(p.Revision()) > 0 },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -278,6 +280,20 @@
 	})
 }
 
+// Guards against a need that grows with each holder, because a restored store lost how many runners
+// there were at the start: the next holder counts what others have ordered.
+func TestNeedThatARestoredStoreLostIsKeptAgain(t *testing.T) {
+	inCloud(t, func(is *is.I, c *cloud, p *storetest.Platform, stop func()) {
+		time.Sleep(20 * time.Second)
+		p.RestoreBefore(time.Minute)
+		time.Sleep(10 * time.Second)
+		stop()
+		n, err := Needs{p.Client("test")}.First(context.Background(), c.spec.Name, 999)
+		is.NoErr(err)
+		is.Equal(n, 57)
+	})
+}
+
 // Orders whose answers are lost are given again and do no harm.
 func TestLostAnswersAreOrderedAgain(t *testing.T) {
 	inCloud(t, func(is *is.I, c *cloud, _ *storetest.Platform, _ func()) {
--- a/coordination/stages/demand_test.go
+++ b/coordination/stages/demand_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/coordination/store/storetest"
 	"github.com/thymerack/thymerack/state"
 )
@@ -143,6 +144,31 @@
 	})
 }
 
+// Guards against a split that is learnt anew after the next change of the holder, because a restored
+// store lost what was learnt.
+func TestSplitThatARestoredStoreLostIsSavedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeEngines(engines(8, 4), 0, 1)
+		f.perEngine = 8
+		p := storetest.NewPlatform(time.Second)
+		stop := runHolder(t, p, f, "h1")
+		time.Sleep(40 * time.Second)
+		f.setLoad(0.7) // no reason to change anything
+		time.Sleep(20 * time.Second)
+		learnt, _, err := Shares{p.Client("test")}.Load(t.Context(), "llm")
+		is.NoErr(err)
+		p.RestoreBefore(5 * time.Minute)
+		time.Sleep(20 * time.Second)
+		stop()
+		again, version, err := Shares{p.Client("test")}.Load(t.Context(), "llm")
+		is.NoErr(err)
+		is.True(version != store.Absent)
+		is.Equal(again, learnt)
+		is.Equal(len(f.problems), 0)
+	})
+}
+
 // A share that the store did not take stands in this host's next term.
 func TestSplitThatWasNotSavedIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/coordination/stages/learn.go
+++ b/coordination/stages/learn.go
@@ -64,9 +64,11 @@
 	return share
 }
 
-// save keeps the share for the next holder; it is tried again until it succeeds.
+// save keeps the share for the next holder, and again after the store was restored from an older copy;
+// it is tried again until it succeeds.
 func (m *Manager) save(ctx context.Context, service string) {
 	k := m.kept[service]
+	k.unsaved = k.unsaved || k.version != store.Absent && store.EpochOf(k.version) < m.o.Lease.Epoch()
 	if !k.unsaved {
 		return
 	}
