Say that the store's configuration is older than the one in force

What is in force never goes back, and a host whose entry is lost lists itself again; both held before and have tests for a restored store now. That the store is behind was told nowhere: an operator who sees a route that the store doesn't have finds the line with both versions.

--- a/coordination/follow/config.go
+++ b/coordination/follow/config.go
@@ -45,6 +45,9 @@
 			return
 		}
 		present := c.table.Load()
+		if present != nil && config.Version < present.Version {
+			c.log.Warn("the store's configuration is older than the one in force, which stays", "config_version", present.Version, "store_version", config.Version, "revision", store.FormatVersion(copied.Revision))
+		}
 		if present != nil && config.Version <= present.Version {
 			return
 		}
--- a/coordination/follow/restored_test.go
+++ b/coordination/follow/restored_test.go
@@ -1,7 +1,9 @@
 package follow
 
 import (
+	"bytes"
 	"fmt"
+	"log/slog"
 	"slices"
 	"strconv"
 	"strings"
@@ -151,6 +153,28 @@
 	})
 }
 
+// Guards against a configuration that goes back because the store did, and against one that nobody is
+// told of.
+func TestConfigurationOfARestoredStoreDoesNotGoBack(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	c := NewConfig("main", func(v []byte) (*state.RoutingConfig, error) {
+		version, err := strconv.ParseUint(string(v), 10, 64)
+		return &state.RoutingConfig{Version: version}, err
+	}, slog.New(slog.NewTextHandler(&log, nil)))
+	take := func(epoch, revision uint64, value string) {
+		at := store.MakeVersion(epoch, revision)
+		c.Changed(Copy{Revision: at, Objects: []store.Object{{Name: "main", Version: at, Value: []byte(value)}}})
+	}
+	take(1, 9, "24")
+	take(2, 6, "22")
+	is.Equal(c.Table().Version, uint64(24))
+	is.True(strings.Contains(log.String(), `older than the one in force, which stays" config_version=24 store_version=22 revision=2/6`))
+	take(2, 7, "24") // written again
+	take(2, 8, "27")
+	is.Equal(c.Table().Version, uint64(27))
+}
+
 // Guards against a record of runs that are gone which grows without a bound.
 func TestRunsThatAreGoneAreRememberedForAWhile(t *testing.T) {
 	is := is.New(t)
--- a/daemon/routed/members_test.go
+++ b/daemon/routed/members_test.go
@@ -60,3 +60,15 @@
 	is.True(!m.registered.Load())
 	is.True(!m.lists(m.self()))
 }
+
+// Guards against a host that isn't listed any more, since a restored store lost its entry.
+func TestHostListsItselfAgainWhenARestoredStoreLostIt(t *testing.T) {
+	is := is.New(t)
+	m := newHost(t).members
+	m.registered.Store(true)
+	m.writtenAt.Store(store.MakeVersion(1, 30))
+	m.changed(follow.Copy{Revision: store.MakeVersion(1, 29)}) // a copy of before its entry
+	is.True(m.registered.Load())
+	m.changed(follow.Copy{Revision: store.MakeVersion(2, 12)})
+	is.True(!m.registered.Load())
+}
