Have a configuration that the store lost from peers

What callers saw, or would have: a host that was cut off when a configuration came, or starts while the store is behind, routes by the older one until the operator has written again.

Cause: hosts that have it keep it in force and tell nobody: their copies are the store's.

Evidence: TestConfigurationThatTheStoreLostIsHadFromPeers failed before at the hosts that were cut off and those that started.

Change: where values tell which is newer, as a configuration's version does, a copy keeps the newer object over a restoration, under the version that the restored one has. A host that starts and follows the store, or learns of a restoration, asks up to three peers for such kinds whole.

Why it works: versions of configurations only rise, and one that was had was acknowledged; what nobody has is not made up. Costs three questions of the hosts that follow the store for a restoration.

--- a/coordination/fanout/ask.go
+++ b/coordination/fanout/ask.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/thymerack/thymerack/coordination/store"
 )
 
 const (
@@ -61,8 +63,8 @@
 	return ""
 }
 
-// peekAtNext takes what another host has, while this one has lost the store and knows no relay.
-// Hosts that are of no use, as they are silent or have lost the store too, cost a turn each.
+// peekAtNext takes what another host has: while this one has lost the store and knows no relay, or after
+// a restoration. Hosts that are of no use, as they are silent or have lost the store too, cost a turn each.
 func (n *Node) peekAtNext(ctx context.Context) {
 	if addr := n.nextPeer(); addr != "" {
 		n.peek(ctx, addr)
@@ -89,11 +91,35 @@
 	}
 }
 
+// askAfterRestoration asks some peers what they kept, once the store was restored: this host may have
+// missed what the store has lost since.
+func (n *Node) askAfterRestoration(ctx context.Context) {
+	revision := uint64(0)
+	for _, m := range n.o.Copies {
+		revision = max(revision, m.Revision())
+	}
+	before := n.revision
+	n.revision = revision
+	if before == 0 || store.EpochOf(revision) == store.EpochOf(before) {
+		return
+	}
+	for range startPeeks {
+		n.peekAtNext(ctx)
+	}
+}
+
+// peek asks another host once. What that may have kept over a restoration is asked for whole.
 func (n *Node) peek(ctx context.Context, addr string) (news News, answered bool) {
+	since := n.revisions()
+	for kind, m := range n.o.Copies {
+		if m.KeepsNewer() {
+			delete(since, kind)
+		}
+	}
 	bounded, cancel := context.WithTimeout(ctx, silenceSlack)
 	defer cancel()
 	asked := n.o.Clock.Now()
-	news, err := n.o.Peers.Follow(bounded, addr, Question{From: n.o.Self.Addr, Since: n.revisions(), Peek: true})
+	news, err := n.o.Peers.Follow(bounded, addr, Question{From: n.o.Self.Addr, Since: since, Peek: true})
 	if err != nil {
 		n.o.Log.Debug("peer not reached", "peer", addr, "cause", err.Error())
 		return News{}, false
--- a/coordination/fanout/fleet_test.go
+++ b/coordination/fanout/fleet_test.go
@@ -105,7 +105,12 @@
 	h.copies = map[string]*follow.Mirror{}
 	outage := &follow.Outage{}
 	for _, kind := range kinds {
+		var newer func(a, b store.Object) bool
+		if kind == kindConfig {
+			newer = func(a, b store.Object) bool { return versionOf(a) > versionOf(b) }
+		}
 		m, err := follow.New(follow.Options{
+			Newer: newer,
 			Store: faulty{f.store.Client(h.self.Addr), f, h.self.Addr}, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
 			Kind: kind, Changed: h.changed, Outage: outage, Notify: func() { h.Notify() }, Settle: testSettle,
 		})
@@ -133,13 +138,21 @@
 // changed puts a higher version of the configuration in force, as a host does.
 func (h *host) changed(c follow.Copy) {
 	for _, o := range c.Objects {
-		version, err := strconv.ParseInt(string(o.Value), 10, 64)
-		if o.Kind == kindConfig && err == nil && version > h.inForce.Load() {
+		if version := versionOf(o); version > h.inForce.Load() {
 			h.inForce.Store(version)
 		}
 	}
 }
 
+// versionOf is the version of a configuration, 0 for any other object.
+func versionOf(o store.Object) int64 {
+	version, err := strconv.ParseInt(string(o.Value), 10, 64)
+	if o.Name != "main" || err != nil {
+		return 0
+	}
+	return version
+}
+
 func (h *host) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop, h.ended = cancel, make(chan struct{})
--- a/coordination/fanout/node.go
+++ b/coordination/fanout/node.go
@@ -72,6 +72,9 @@
 	// once one was asked whether the store has come back lately; Run alone uses them.
 	turn    int
 	settled bool
+	// revision is the latest of the copies when they were last looked at for a restoration; Run
+	// alone uses it.
+	revision uint64
 	// begunAt is when Run began; Run alone uses it.
 	begunAt time.Time
 	// planned is the plan for the list of hosts of plannedOf; Run alone uses them.
@@ -143,6 +146,7 @@
 			n.settled = true
 			n.settleAtStart(ctx)
 		}
+		n.askAfterRestoration(ctx)
 	}
 	// A relay that is asked follows another one beside the store: what one of them misses
 	// in a cut that it hasn't noticed, it hears from the other.
--- a/coordination/fanout/restore_test.go
+++ b/coordination/fanout/restore_test.go
@@ -114,3 +114,46 @@
 		})
 	}
 }
+
+// Guards against a host that routes by an older configuration until the operator has written the newer
+// one again: it was cut off when that came, or starts while the store is behind, and others have it.
+func TestConfigurationThatTheStoreLostIsHadFromPeers(t *testing.T) {
+	for _, n := range []int{7, 83} {
+		for late := range 4 {
+			t.Run(fmt.Sprint(n, " hosts, ", late), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t, n)
+					f.start()
+					defer f.end()
+					time.Sleep(10 * time.Second)
+					cut := f.hosts[late]
+					f.set(f.cut, cut.self.Addr, true)
+					f.set(f.silent, cut.self.Addr, true)
+					time.Sleep(5 * time.Second)
+					f.write(kindConfig, "main", "2")
+					time.Sleep(2 * time.Second)
+					f.setDown(true)
+					f.cutWatches()
+					f.set(f.cut, cut.self.Addr, false)
+					f.set(f.silent, cut.self.Addr, false)
+					time.Sleep(time.Second)
+					f.store.RestoreBefore(4 * time.Second)
+					f.setDown(false)
+					time.Sleep(time.Second)
+					started := n - 1 - late
+					f.replace(started)
+					const soon = 4 * time.Second
+					time.Sleep(soon)
+					for _, h := range f.hosts {
+						if h.inForce.Load() != 2 {
+							t.Errorf("%s has configuration %d in force %s after the store's return", h.self.Addr, h.inForce.Load(), soon+time.Second)
+						}
+					}
+					f.write(kindConfig, "main", "3")
+					f.write(kindThings, "r0", "draining")
+					f.inLine(t, "3", "draining", testBound)
+				})
+			})
+		}
+	}
+}
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -3,6 +3,7 @@
 package follow
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -55,6 +56,9 @@
 	// Settle is how long after a restoration of the store what it lost may not be written again:
 	// what it answers until then proves nothing. May be zero.
 	Settle time.Duration
+	// Newer reports whether the first of two objects of a name is the newer by its value alone; nil
+	// if values can't tell. Such a one stays when a restored store has the other.
+	Newer func(a, b store.Object) bool
 }
 
 // Copy is the objects of a kind at one revision of the store.
@@ -152,6 +156,7 @@
 // Adopt takes a copy that a peer has, if it is newer, and reports whether it was.
 func (m *Mirror) Adopt(c Copy, from string) bool {
 	if !m.replace(c.Objects, c.Revision) {
+		m.retain(c, from)
 		return false
 	}
 	m.o.Log.Info("copy adopted from a peer", "kind", m.o.Kind, "revision", store.FormatVersion(c.Revision), "peer", from)
@@ -286,6 +291,9 @@
 	m.objects = make(map[string]store.Object, len(objects))
 	changed := restored || len(before) != len(objects)
 	for _, o := range objects {
+		if known, have := before[o.Name]; have && (restored || known.Version == o.Version) && m.newer(known, o) {
+			o.Value = known.Value
+		}
 		m.objects[o.Name] = o
 		changed = changed || before[o.Name].Version != o.Version
 	}
@@ -300,6 +308,34 @@
 	return true
 }
 
+// KeepsNewer reports whether objects stay that are newer by their values than a restored store's.
+func (m *Mirror) KeepsNewer() bool { return m.o.Newer != nil }
+
+func (m *Mirror) newer(a, b store.Object) bool {
+	return m.o.Newer != nil && !bytes.Equal(a.Value, b.Value) && m.o.Newer(a, b)
+}
+
+// retain takes what a peer kept of objects of which a restored store has older ones, which this host
+// knows alone.
+func (m *Mirror) retain(c Copy, from string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	taken := false
+	for _, o := range c.Objects {
+		own, have := m.objects[o.Name]
+		if !have || !m.newer(o, own) {
+			continue
+		}
+		m.o.Log.Info("object kept by a peer is newer than the restored store's", "kind", m.o.Kind, "name", o.Name, "version", store.FormatVersion(own.Version), "kept", store.FormatVersion(o.Version), "peer", from)
+		own.Value, taken = o.Value, true
+		m.objects[o.Name] = own
+	}
+	if taken {
+		m.o.Changed(m.copyLocked())
+		m.notify()
+	}
+}
+
 // noteEpoch reports whether a revision is of a later epoch, and notes it: what the store lost is
 // written again, as after an outage, whether or not this host was without an answer. m.mu is held.
 func (m *Mirror) noteEpoch(revision uint64) (restored bool) {
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -215,7 +215,7 @@
 		HoldFor: holdFor, Leaving: h.advice.Leaving, SilentFor: heartbeatsMissed*cmp.Or(h.s.Heartbeat, defaultHeartbeat) + heartbeatSlack,
 	})
 	outage := &follow.Outage{}
-	h.configs, err = follow.New(follow.Options{Outage: outage, Store: h.proving, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig, Settle: outageWindow, Notify: h.notifyFollowers})
+	h.configs, err = follow.New(follow.Options{Outage: outage, Store: h.proving, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Changed: h.config.Changed, Gather: gatherConfig, Settle: outageWindow, Newer: newerConfig, Notify: h.notifyFollowers})
 	if err != nil {
 		return err
 	}
@@ -232,6 +232,17 @@
 	return err
 }
 
+// newerConfig reports whether a configuration has a higher version than another; one that can't be read
+// is never the newer.
+func newerConfig(a, b store.Object) bool {
+	first, err := platform.DecodeConfig(a.Value)
+	if err != nil {
+		return false
+	}
+	second, err := platform.DecodeConfig(b.Value)
+	return err != nil || first.Version > second.Version
+}
+
 // changedHolds takes a new copy of the requests that are held.
 func (h *Host) changedHolds(c follow.Copy) { h.quarantine.Changed(c) }
 
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -104,7 +104,9 @@
 	if o.fatal {
 		callers.Go(f.fatalRequest)
 	}
+	f.settle()
 	f.trouble()
+	f.settle()
 	time.Sleep(recovery)
 	proven := time.Now()
 	time.Sleep(proof)
--- a/soak/host.go
+++ b/soak/host.go
@@ -37,7 +37,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	settings := filepath.Join(h.dir, h.addrs.Name+".json")
-	if err := os.WriteFile(settings, platformtest.SettingsFile(h.addrs), 0o600); err != nil {
+	addrs := h.addrs
+	addrs.FirstStart = h.run == 0
+	if err := os.WriteFile(settings, platformtest.SettingsFile(addrs), 0o600); err != nil {
 		return err
 	}
 	out, err := os.OpenFile(filepath.Join(h.dir, h.addrs.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -14,8 +14,18 @@
 	mostLost = 2500 * time.Millisecond
 	// writtenAgain is how long after that the operator and the runners have written again.
 	writtenAgain = 500 * time.Millisecond
+	// leaseSettles is how long it takes at most until the duties have a holder that may act, and a
+	// window of usage has been reported: a restoration begins the waiting for the lease anew.
+	leaseSettles = 8 * time.Second
 )
 
+// settle waits, where the store is restored again and again, until the duties have a holder.
+func (f *fleet) settle() {
+	if f.o.restored {
+		time.Sleep(leaseSettles)
+	}
+}
+
 // restoreStore has the store go away and come back from an older copy.
 func (f *fleet) restoreStore(rng *rand.Rand) {
 	f.store.SetFault([]platformtest.StoreFault{platformtest.StoreBusy, platformtest.StoreSilent}[rng.IntN(2)])
