Let a host that follows a peer prove keys by asking the store

What callers would have seen: keyed requests refused by hosts that lost their relays, and a key that was just added refused at a host that had it from the store.

Cause: a host takes no answer of the store for a proof until a peer told it whether the store came back lately, and only hosts that follow the store asked.

Evidence: TestHostThatFollowsAPeerMayAskTheStore failed before.

Change: a relay's first answer tells it as well.

--- a/coordination/fanout/ask.go
+++ b/coordination/fanout/ask.go
@@ -86,6 +86,12 @@
 			break
 		}
 	}
+	n.settle(told)
+}
+
+// settle takes a peer's word on the store at the start of this host.
+func (n *Node) settle(told News) {
+	n.settled = true
 	for kind, m := range n.o.Copies {
 		m.Settled(told.Changes[kind].Revision, told.Regained, told.Ever)
 	}
@@ -154,6 +160,9 @@
 		return
 	}
 	n.trust(source)
+	if !n.settled {
+		n.settle(news)
+	}
 	if !relays {
 		n.followPeer(source)
 	}
--- a/coordination/fanout/node.go
+++ b/coordination/fanout/node.go
@@ -69,7 +69,7 @@
 	// reachAt is when the store may be asked next while the relays have lost it.
 	reachAt time.Time
 	// turn is the number of the last peer that was asked without being a relay, and settled is set
-	// once one was asked whether the store has come back lately; Run alone uses them.
+	// once one has told whether the store came back lately, or none could; Run alone uses them.
 	turn    int
 	settled bool
 	// revision is the latest of the copies when they were last looked at for a restoration; Run
@@ -143,7 +143,6 @@
 	case relays || source == "" || n.starting():
 		n.followStore(ctx)
 		if !n.settled {
-			n.settled = true
 			n.settleAtStart(ctx)
 		}
 		n.askAfterRestoration(ctx)
--- a/coordination/fanout/proof_test.go
+++ b/coordination/fanout/proof_test.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -190,3 +191,15 @@
 		})
 	}
 }
+
+// Guards against a host that follows a peer and can't prove a key by asking the store itself.
+func TestHostThatFollowsAPeerMayAskTheStore(t *testing.T) {
+	inFleet(t, 83, func(is *is.I, f *fleet) {
+		for _, h := range f.hosts {
+			asked := time.Now()
+			is.NoErr(h.copies[kindConfig].Prove(context.Background()))
+			is.True(!h.copies[kindConfig].Proven().Before(asked))
+			time.Sleep(time.Millisecond)
+		}
+	})
+}
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -315,8 +315,8 @@
 	return m.o.Newer != nil && !bytes.Equal(a.Value, b.Value) && m.o.Newer(a, b)
 }
 
-// retain takes what a peer kept of objects of which a restored store has older ones, which this host
-// knows alone.
+// retain takes the objects that a peer kept and that are newer than this copy's, which are those of a
+// restored store.
 func (m *Mirror) retain(c Copy, from string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
