Say some things of this change in plainer words

Comments and two log texts alone, one index and the soak's names; what befalls hosts in the tests of usage stands once. Behaviour is as it was.

--- a/coordination/fanout/ask.go
+++ b/coordination/fanout/ask.go
@@ -16,8 +16,8 @@
 	// startSlack is how much longer its answer may take: a first copy of the list of 3,000
 	// instances has some 100 KB, and the relay's link sends it to thirty hosts at once.
 	startSlack = 400 * time.Millisecond
-	// startPeeks is how many peers a host that starts asks at most whether the store has come
-	// back lately: some may be starting too, or gone.
+	// startPeeks is how many peers a host asks at most when it starts or learns of a restoration:
+	// some may be starting too, or gone.
 	startPeeks = 3
 )
 
@@ -63,16 +63,15 @@
 	return ""
 }
 
-// peekAtNext takes what another host has: while this one has lost the store and knows no relay, or after
-// a restoration. Hosts that are of no use, as they are silent or have lost the store too, cost a turn each.
+// peekAtNext asks the next peer in turn, which may be of no use: silent, or without the store as well.
 func (n *Node) peekAtNext(ctx context.Context) {
 	if addr := n.nextPeer(); addr != "" {
 		n.peek(ctx, addr)
 	}
 }
 
-// settleAtStart learns from a peer whether the store has come back lately, which a host that has just
-// started and follows the store itself can't know; one that finds no peer takes it that it hasn't.
+// settleAtStart asks peers whether the store was restored recently, which a host that has just started
+// and follows the store itself can't know; without a peer it assumes that it wasn't.
 func (n *Node) settleAtStart(ctx context.Context) {
 	var told News
 	for range startPeeks {
@@ -89,7 +88,7 @@
 	n.settle(told)
 }
 
-// settle takes a peer's word on the store at the start of this host.
+// settle takes a peer's answer on that.
 func (n *Node) settle(told News) {
 	n.settled = true
 	for kind, m := range n.o.Copies {
@@ -97,8 +96,8 @@
 	}
 }
 
-// askAfterRestoration asks some peers what they kept, once the store was restored: this host may have
-// missed what the store has lost since.
+// askAfterRestoration asks some peers what they kept, once after each restoration of the store: this host
+// may never have had what the store lost.
 func (n *Node) askAfterRestoration(ctx context.Context) {
 	revision := uint64(0)
 	for _, m := range n.o.Copies {
@@ -114,7 +113,8 @@
 	}
 }
 
-// peek asks another host once. What that may have kept over a restoration is asked for whole.
+// peek asks another host once, without following it. Kinds of which it may have kept newer objects than a
+// restored store has are asked for whole.
 func (n *Node) peek(ctx context.Context, addr string) (news News, answered bool) {
 	since := n.revisions()
 	for kind, m := range n.o.Copies {
--- a/coordination/fanout/node.go
+++ b/coordination/fanout/node.go
@@ -68,8 +68,8 @@
 	source string
 	// reachAt is when the store may be asked next while the relays have lost it.
 	reachAt time.Time
-	// turn is the number of the last peer that was asked without being a relay, and settled is set
-	// once one has told whether the store came back lately, or none could; Run alone uses them.
+	// turn is the index of the peer that was peeked at last, and settled is set once a peer has told
+	// whether the store was restored recently, or none could; Run alone uses them.
 	turn    int
 	settled bool
 	// revision is the latest of the copies when they were last looked at for a restoration; Run
@@ -153,7 +153,7 @@
 	case source != "" && (!relays || asked || n.lost()):
 		n.ask(ctx, source, relays)
 	case n.lost():
-		n.peekAtNext(ctx) // some other host may still reach the store
+		n.peekAtNext(ctx) // it may still reach the store
 		_ = n.o.Clock.Sleep(ctx, checkEvery)
 	default:
 		_ = n.o.Clock.Sleep(ctx, checkEvery)
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -336,8 +336,8 @@
 	}
 }
 
-// noteEpoch reports whether a revision is of a later epoch, and notes it: what the store lost is
-// written again, as after an outage, whether or not this host was without an answer. m.mu is held.
+// noteEpoch reports whether a revision is of a later epoch, and notes it: what the store lost is being
+// written again, as after an outage, even if this host always got its answers. m.mu is held.
 func (m *Mirror) noteEpoch(revision uint64) (restored bool) {
 	known := cmp.Or(m.revision, m.peers)
 	if known == 0 || store.EpochOf(revision) <= store.EpochOf(known) {
--- a/coordination/follow/proof.go
+++ b/coordination/follow/proof.go
@@ -65,13 +65,13 @@
 	}
 }
 
-// Doubt has the store's answers prove nothing until Settled: a host that has just started can't
+// Doubt makes the store's answers prove nothing until Settled: a host that has just started can't
 // know whether the store was restored a moment ago.
 func (m *Mirror) Doubt() { m.doubted.Store(true) }
 
-// Settled ends Doubt. revision is that of a peer's copy, 0 if no peer told one, and the store came back
-// to that peer so long ago, if ever it was away. A store of a later epoch has been restored since the
-// peer looked.
+// Settled ends Doubt. revision is that of a peer's copy, 0 if no peer answered, and ago is how long ago
+// that peer regained the store, if it ever lost it. A store of a later epoch than the peer's has been
+// restored since the peer last heard of it.
 func (m *Mirror) Settled(revision uint64, ago time.Duration, ever bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -81,7 +81,7 @@
 	if ever && ago < m.o.Settle {
 		at := m.o.Clock.Now().Add(-ago)
 		m.restoredAt.Store(&at)
-		m.o.Log.Info("the store came back lately; its answers prove nothing yet", "kind", m.o.Kind, "ago", ago, "for", m.o.Settle-ago)
+		m.o.Log.Info("the store may have been restored; its answers prove nothing yet", "kind", m.o.Kind, "ago", ago, "for", m.o.Settle-ago)
 	}
 	m.peers = revision
 	m.doubted.Store(false)
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -120,8 +120,8 @@
 // owed is OwedMS as a duration.
 func (r record) owed() time.Duration { return time.Duration(r.OwedMS) * time.Millisecond }
 
-// restored reports whether the record came back with a restored store, which may have lost later
-// ones.
+// restored reports whether the record, read at that version, is older than the store's last
+// restoration, so that later records may be lost.
 func (r record) restored(at uint64) bool { return r.Epoch < store.EpochOf(at) }
 
 // Lessor acquires and keeps one lease. It is used by one goroutine at a time, but
--- a/coordination/quarantine/entry.go
+++ b/coordination/quarantine/entry.go
@@ -39,7 +39,7 @@
 	version uint64
 	// seenAt is when this host first saw this version.
 	seenAt time.Time
-	// owedAt is when a restored store turned out to have it as it was before, or not at all; zero
+	// owedAt is when this host saw that a restored store lacks the entry or has an older one; zero
 	// once it is written again.
 	owedAt time.Time
 }
--- a/coordination/usage/reports.go
+++ b/coordination/usage/reports.go
@@ -43,8 +43,8 @@
 	version uint64
 }
 
-// restored reports whether the reports came back with a restored store, which may have lost later
-// ones.
+// restored reports whether the reports are older than the store's last restoration, so that later
+// ones may be lost.
 func (r *reports) restored() bool { return r.Epoch < store.EpochOf(r.version) }
 
 // UnreadableError says that the object of the reports can't be read.
--- a/coordination/usage/usage_test.go
+++ b/coordination/usage/usage_test.go
@@ -170,6 +170,21 @@
 	f.troubled = rng
 }
 
+// befall has a host killed and started again (0), frozen (1) or cut off for a while (2).
+func (f *fleet) befall(h *host, what int, rng *rand.Rand) {
+	span := func() time.Duration { return time.Duration(rng.IntN(9000)) * time.Millisecond }
+	switch what {
+	case 0:
+		h.kill()
+		h.start()
+	case 1:
+		f.freeze(h.self.Addr, span())
+	case 2:
+		f.set(f.cut, h.self.Addr, true)
+		time.AfterFunc(span(), func() { f.set(f.cut, h.self.Addr, false) })
+	}
+}
+
 // Whatever fails, no window is reported with two counts, no term is shared or goes back and no
 // two machines take turns: kills, freezes, cuts, lost answers of the receiver, a store
 // that loses answers and carries writes out late, hosts that are gone for good.
@@ -182,15 +197,9 @@
 			f.receiver.lose = func() bool { return answers.IntN(4) == 0 }
 			for range 40 {
 				h := f.victim([]string{"holder", "collector", "any"}[rng.IntN(3)], rng)
-				switch rng.IntN(7) {
-				case 0:
-					h.kill()
-					h.start()
-				case 1:
-					f.freeze(h.self.Addr, time.Duration(rng.IntN(9000))*time.Millisecond)
-				case 2:
-					f.set(f.cut, h.self.Addr, true)
-					time.AfterFunc(time.Duration(rng.IntN(9000))*time.Millisecond, func() { f.set(f.cut, h.self.Addr, false) })
+				switch what := rng.IntN(7); what {
+				case 0, 1, 2:
+					f.befall(h, what, rng)
 				case 3:
 					f.trouble(rand.New(rand.NewPCG(seed, 10)))
 				case 4:
@@ -219,15 +228,9 @@
 			f.receiver.lose = func() bool { return answers.IntN(4) == 0 }
 			for range 20 {
 				h := f.victim([]string{"holder", "collector", "any"}[rng.IntN(3)], rng)
-				switch rng.IntN(6) {
-				case 0:
-					h.kill()
-					h.start()
-				case 1:
-					f.freeze(h.self.Addr, time.Duration(rng.IntN(9000))*time.Millisecond)
-				case 2:
-					f.set(f.cut, h.self.Addr, true)
-					time.AfterFunc(time.Duration(rng.IntN(9000))*time.Millisecond, func() { f.set(f.cut, h.self.Addr, false) })
+				switch what := rng.IntN(6); what {
+				case 0, 1, 2:
+					f.befall(h, what, rng)
 				default:
 					f.restore(rng)
 				}
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// mostAway is how long the store is away before it is restored, and mostLost how long before
+	// mostDown is how long the store is down before it is restored, and mostLost how long before
 	// that the copy was made.
-	mostAway = 1500 * time.Millisecond
+	mostDown = 1500 * time.Millisecond
 	mostLost = 2500 * time.Millisecond
 	// writtenAgain is how long after that the operator and the runners have written again.
 	writtenAgain = 500 * time.Millisecond
@@ -26,12 +26,12 @@
 	}
 }
 
-// restoreStore has the store go away and come back from an older copy.
+// restoreStore takes the store down and restores it from an older copy.
 func (f *fleet) restoreStore(rng *rand.Rand) {
 	f.store.SetFault([]platformtest.StoreFault{platformtest.StoreBusy, platformtest.StoreSilent}[rng.IntN(2)])
-	away := time.Duration(rng.Int64N(int64(mostAway)))
-	time.Sleep(away)
-	f.store.RestoreBefore(away + time.Duration(rng.Int64N(int64(mostLost))))
+	down := time.Duration(rng.Int64N(int64(mostDown)))
+	time.Sleep(down)
+	f.store.RestoreBefore(down + time.Duration(rng.Int64N(int64(mostLost))))
 	f.store.SetFault(platformtest.StoreSound)
 	time.Sleep(time.Duration(rng.Int64N(int64(writtenAgain))))
 	f.writeAgain()
