--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -396,8 +396,8 @@
 // owedMS rounds up, so that no silence is forgotten.
 func owedMS(owed time.Duration) int64 { return (owed + time.Millisecond - 1).Milliseconds() }
 
-// write stores a record over version, of a term that keeps silence for so long. An answer that was lost is read back and
-// recognised by its nonce.
+// write stores a record over version, of a term that still has to keep silence for owed. An answer
+// that was lost is read back and recognised by its nonce.
 func (l *Lessor) write(ctx context.Context, version uint64, holder state.HostID, owed time.Duration) error {
 	started := l.opts.Clock.Now()
 	l.writes++
