Ask in one place whether the store was restored between two versions

The comparison of two epochs, with 0 for a version that isn't known, stood in the copies (twice), the list of runners, the held requests and the questions to peers; each now calls store.RestoredBetween.

--- a/coordination/fanout/ask.go
+++ b/coordination/fanout/ask.go
@@ -105,7 +105,7 @@
 	}
 	before := n.revision
 	n.revision = revision
-	if before == 0 || store.EpochOf(revision) == store.EpochOf(before) {
+	if !store.RestoredBetween(before, revision) {
 		return
 	}
 	for range startPeeks {
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -340,7 +340,7 @@
 // written again, as after an outage, even if this host always got its answers. m.mu is held.
 func (m *Mirror) noteEpoch(revision uint64) (restored bool) {
 	known := cmp.Or(m.revision, m.peers)
-	if known == 0 || store.EpochOf(revision) <= store.EpochOf(known) {
+	if !store.RestoredBetween(known, revision) {
 		return false
 	}
 	now := m.o.Clock.Now()
--- a/coordination/follow/proof.go
+++ b/coordination/follow/proof.go
@@ -75,7 +75,7 @@
 func (m *Mirror) Settled(revision uint64, ago time.Duration, ever bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.revision > 0 && revision > 0 && store.EpochOf(m.revision) > store.EpochOf(revision) {
+	if store.RestoredBetween(revision, m.revision) {
 		ago, ever = 0, true
 	}
 	if ever && ago < m.o.Settle {
--- a/coordination/follow/restored.go
+++ b/coordination/follow/restored.go
@@ -40,7 +40,7 @@
 
 // advance takes a copy's revision and reports whether the store was restored since the last copy.
 func (l *Instances) advance(revision uint64) (restored bool) {
-	restored = l.revision != 0 && store.EpochOf(revision) > store.EpochOf(l.revision)
+	restored = store.RestoredBetween(l.revision, revision)
 	l.revision = revision
 	return restored
 }
--- a/coordination/quarantine/restored.go
+++ b/coordination/quarantine/restored.go
@@ -19,7 +19,7 @@
 // advance takes a copy's revision and reports whether the store was restored since the last copy.
 // r.mu is held.
 func (r *Registry) advance(revision uint64) (restored bool) {
-	restored = r.revision != 0 && store.EpochOf(revision) > store.EpochOf(r.revision)
+	restored = store.RestoredBetween(r.revision, revision)
 	r.revision = revision
 	return restored
 }
--- a/coordination/store/version.go
+++ b/coordination/store/version.go
@@ -27,6 +27,12 @@
 // RevisionOf is the store's own number of a version.
 func RevisionOf(version uint64) uint64 { return version & MostRevision }
 
+// RestoredBetween reports whether the store was restored after one version and before another; 0 stands
+// for a version that isn't known.
+func RestoredBetween(before, after uint64) bool {
+	return before != 0 && after != 0 && EpochOf(after) > EpochOf(before)
+}
+
 // FormatVersion writes a version for a reader, as EPOCH/REVISION; stores that tell no epoch have
 // revisions only.
 func FormatVersion(version uint64) string {
