follow: say which call brought a change of an instance, and how old the copy was

The logs couldn't tell the hypotheses about late requests to leaving runners apart: whether a host held the runner's entry, didn't know yet, or knew and sent.

Each line of a change names its source (watch, poll, list, a peer, the end of a hold) and copy_age, how old the copy was proven before it, so that the store's word is at most that old. A held instance is published as unconfirmed, which marks requests sent to it. New metrics: thymerack_copy_age_seconds, thymerack_departure_age_seconds, thymerack_instances_unconfirmed, thymerack_sent_to_unconfirmed_total.

No decision changes.

--- a/coordination/follow/answers.go
+++ b/coordination/follow/answers.go
@@ -76,11 +76,11 @@
 // applyList counts and applies a list from the store.
 func (m *Mirror) applyList(objects []store.Object, revision uint64) {
 	m.countAnswer(revision)
-	m.replace(objects, revision)
+	m.replace(objects, revision, SourceList)
 }
 
-// applyBatch counts and applies the changes of a watch.
-func (m *Mirror) applyBatch(b store.Batch) {
+// applyBatch counts and applies the changes that a watch or a poll returned.
+func (m *Mirror) applyBatch(b store.Batch, source Source) {
 	m.countAnswer(b.Revision)
-	m.apply(b)
+	m.apply(b, source)
 }
--- a/coordination/follow/batchlog.go
+++ b/coordination/follow/batchlog.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"time"
 
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/state"
@@ -22,20 +23,24 @@
 type batchLog struct {
 	log      *slog.Logger
 	revision uint64
-	counts   map[string]int
+	// source is the call that brought the update, and age how old the copy before it was.
+	source Source
+	age    time.Duration
+	counts map[string]int
 	// unlogged are the first instances of each message that have no line of their own.
 	unlogged map[string][]string
 }
 
-func newBatchLog(log *slog.Logger, revision uint64) *batchLog {
-	return &batchLog{log: log, revision: revision, counts: map[string]int{}, unlogged: map[string][]string{}}
+func newBatchLog(log *slog.Logger, revision uint64, source Source, age time.Duration) *batchLog {
+	return &batchLog{log: log, revision: revision, source: source, age: age, counts: map[string]int{}, unlogged: map[string][]string{}}
 }
 
-// add logs a change of an instance, or counts it.
-func (b *batchLog) add(message string, i state.Instance) {
+// add logs a change of an instance with further attributes, or counts it.
+func (b *batchLog) add(message string, i state.Instance, attrs ...any) {
 	b.counts[message]++
 	if b.counts[message] <= maxBatchLines {
-		b.log.Info(message, "instance", i.ID, "service", i.Service, "draining", i.Draining, "role", string(i.Role), "revision", store.FormatVersion(b.revision))
+		all := []any{"instance", i.ID, "service", i.Service, "draining", i.Draining, "role", string(i.Role), "revision", store.FormatVersion(b.revision), "source", string(b.source), "copy_age", b.age}
+		b.log.Info(message, append(all, attrs...)...)
 		return
 	}
 	if names := b.unlogged[message]; len(names) < maxBatchNames {
--- a/coordination/follow/batchlog_test.go
+++ b/coordination/follow/batchlog_test.go
@@ -24,7 +24,7 @@
 			is := is.New(t)
 			var out bytes.Buffer
 			l := NewInstances(InstancesOptions{
-				Clock: clocktest.Bubble{}, Log: slog.New(slog.NewTextHandler(&out, nil)), Publish: func(state.InstanceChanges) {}, OnUnusable: func() {},
+				Clock: clocktest.Bubble{}, Log: slog.New(slog.NewTextHandler(&out, nil)), Publish: func(state.InstanceChanges) {}, OnUnusable: func() {}, OnDeparture: func(Departure, time.Duration) {},
 				Decode: func(id string, _ []byte) (state.Instance, error) {
 					return state.Instance{ID: state.InstanceID{Name: id}, Service: "s", Addr: id}, nil
 				},
--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -341,7 +341,7 @@
 // *published is the sorted names of the last published list.
 func newInstances(outage *bool, published *[]string) *Instances {
 	return NewInstances(InstancesOptions{
-		Clock: clocktest.Bubble{}, Log: quiet, HoldFor: time.Second, Leaving: func(state.InstanceID) bool { return false }, OnUnusable: func() {}, EntriesMayBeMissing: func() bool { return *outage },
+		Clock: clocktest.Bubble{}, Log: quiet, HoldFor: time.Second, Leaving: func(state.InstanceID) bool { return false }, OnUnusable: func() {}, OnDeparture: func(Departure, time.Duration) {}, EntriesMayBeMissing: func() bool { return *outage },
 		Decode: func(id string, v []byte) (state.Instance, error) {
 			return state.Instance{ID: state.InstanceID{Name: id}, Addr: id, Draining: string(v) == "draining"}, nil
 		},
@@ -370,7 +370,7 @@
 	is := is.New(t)
 	var published []state.Instance
 	l := NewInstances(InstancesOptions{
-		Clock: clocktest.Bubble{}, Log: quiet, EntriesMayBeMissing: func() bool { return false }, Leaving: func(state.InstanceID) bool { return false }, OnUnusable: func() {},
+		Clock: clocktest.Bubble{}, Log: quiet, EntriesMayBeMissing: func() bool { return false }, Leaving: func(state.InstanceID) bool { return false }, OnUnusable: func() {}, OnDeparture: func(Departure, time.Duration) {},
 		Decode: func(id string, v []byte) (state.Instance, error) {
 			born, err := strconv.ParseInt(string(v), 10, 64)
 			return state.Instance{ID: state.InstanceID{Name: id, Born: born}}, err
@@ -392,7 +392,7 @@
 	unusable := 0
 	l := NewInstances(InstancesOptions{
 		Clock: clocktest.Bubble{}, Log: quiet, EntriesMayBeMissing: func() bool { return true }, HoldFor: time.Minute, Leaving: func(state.InstanceID) bool { return false },
-		OnUnusable: func() { unusable++ },
+		OnUnusable: func() { unusable++ }, OnDeparture: func(Departure, time.Duration) {},
 		Decode: func(id string, v []byte) (state.Instance, error) {
 			if string(v) != "ready" {
 				return state.Instance{}, errors.New("not a runner's entry")
@@ -433,7 +433,7 @@
 	is := is.New(t)
 	var published []string
 	l := NewInstances(InstancesOptions{
-		Clock: clocktest.Bubble{}, Log: quiet, EntriesMayBeMissing: func() bool { return false }, Leaving: func(state.InstanceID) bool { return false }, OnUnusable: func() {},
+		Clock: clocktest.Bubble{}, Log: quiet, EntriesMayBeMissing: func() bool { return false }, Leaving: func(state.InstanceID) bool { return false }, OnUnusable: func() {}, OnDeparture: func(Departure, time.Duration) {},
 		Decode: func(id string, v []byte) (state.Instance, error) {
 			return state.Instance{ID: state.InstanceID{Name: id}, Addr: string(v)}, nil
 		},
@@ -496,15 +496,15 @@
 	// This watch began before the copy was adopted and ends now.
 	f.apply(store.Batch{Revision: 12, Events: []store.Event{
 		{Object: object("gone", 11)}, {Object: object("kept", 10), Deleted: true},
-	}})
+	}}, SourceWatch)
 	is.Equal(values(f.Export()), []string{"kept=15"})
 	is.Equal(f.Revision(), uint64(20))
 	// A watch that ends at a later revision also returns events that the copy already reflects.
 	f.apply(store.Batch{Revision: 22, Events: []store.Event{
 		{Object: object("gone", 11)}, {Object: object("kept", 10), Deleted: true}, {Object: object("new", 21)},
-	}})
+	}}, SourceWatch)
 	is.Equal(values(f.Export()), []string{"kept=15", "new=21"})
-	f.apply(store.Batch{Revision: 24, Events: []store.Event{{Object: object("kept", 15), Deleted: true}}})
+	f.apply(store.Batch{Revision: 24, Events: []store.Event{{Object: object("kept", 15), Deleted: true}}}, SourceWatch)
 	is.Equal(values(f.Export()), []string{"new=21"})
 }
 
@@ -564,7 +564,7 @@
 	left := map[state.InstanceID]bool{}
 	var got []state.Instance
 	l := NewInstances(InstancesOptions{
-		Clock: clocktest.Bubble{}, Log: quiet, EntriesMayBeMissing: func() bool { return false }, OnUnusable: func() {},
+		Clock: clocktest.Bubble{}, Log: quiet, EntriesMayBeMissing: func() bool { return false }, OnUnusable: func() {}, OnDeparture: func(Departure, time.Duration) {},
 		Leaving: func(id state.InstanceID) bool { return left[id] },
 		Decode: func(id string, v []byte) (state.Instance, error) {
 			born, err := strconv.ParseInt(string(v), 10, 64)
--- a/coordination/follow/history.go
+++ b/coordination/follow/history.go
@@ -120,8 +120,26 @@
 	// up to Age ago.
 	Proven bool
 	Age    time.Duration
+	// Source is the call that brought the changes to this host. ProvenBefore is a time at which the
+	// copy without them held everything that the store had acknowledged; zero if none is known. Both
+	// are set in calls of Options.OnDelta only, and aren't sent to peers.
+	Source       Source
+	ProvenBefore time.Time
 }
 
+// Source is the call that brought changes to a mirror.
+type Source string
+
+// The sources; a peer's changes have PeerSource.
+const (
+	SourceWatch Source = "watch"
+	SourcePoll  Source = "poll"
+	SourceList  Source = "list"
+)
+
+// PeerSource is the source of the changes that the peer at an address sent.
+func PeerSource(addr string) Source { return Source("peer " + addr) }
+
 // Empty reports whether nothing changed.
 func (d Delta) Empty() bool { return !d.Full && len(d.Objects) == 0 && len(d.Deleted) == 0 }
 
@@ -199,7 +217,7 @@
 	for _, o := range d.Objects {
 		b.Events = append(b.Events, store.Event{Object: o})
 	}
-	m.apply(b)
+	m.apply(b, PeerSource(from))
 }
 
 // MarkLost records that neither the store nor a peer keeps this mirror up to date.
--- a/coordination/follow/history_test.go
+++ b/coordination/follow/history_test.go
@@ -117,18 +117,18 @@
 					o.change(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), rapid.Bool().Draw(t, "deleted"))
 				}
 			},
-			"list": func(t *rapid.T) { c := o.list(); anyCopy.Draw(t, "copy").replace(c.Objects, c.Revision) },
+			"list": func(t *rapid.T) { c := o.list(); anyCopy.Draw(t, "copy").replace(c.Objects, c.Revision, SourceList) },
 			"watch": func(t *rapid.T) {
 				m := anyCopy.Draw(t, "copy")
 				if b := o.batch(m.Revision()); !b.Gap {
-					m.apply(b)
+					m.apply(b, SourceWatch)
 				}
 			},
 			"late watch": func(t *rapid.T) { // one that began at an older revision
 				m := anyCopy.Draw(t, "copy")
 				after := rapid.Uint64Range(0, store.RevisionOf(m.Revision())).Draw(t, "after")
 				if b := o.batch(store.MakeVersion(store.EpochOf(m.Revision()), after)); !b.Gap {
-					m.apply(b)
+					m.apply(b, SourceWatch)
 				}
 			},
 			"overtaken list": func(t *rapid.T) { // in flight when the store was restored
@@ -136,9 +136,9 @@
 				o.restore(rapid.Uint64Range(0, store.RevisionOf(o.revision)).Draw(t, "to"))
 				if rapid.Bool().Draw(t, "after the next") {
 					next := o.list()
-					m.replace(next.Objects, next.Revision)
+					m.replace(next.Objects, next.Revision, SourceList)
 				}
-				m.replace(c.Objects, c.Revision)
+				m.replace(c.Objects, c.Revision, SourceList)
 			},
 			"restore": func(t *rapid.T) { o.restore(rapid.Uint64Range(0, store.RevisionOf(o.revision)).Draw(t, "to")) },
 			"peer": func(t *rapid.T) {
@@ -176,7 +176,7 @@
 	for _, o := range c.Objects {
 		b.Events = append(b.Events, store.Event{Object: o, Deleted: true})
 	}
-	f.apply(b)
+	f.apply(b, SourceWatch)
 	d := f.Since(objects)
 	is.True(!d.Full)
 	is.Equal(len(d.Deleted), objects)
@@ -188,7 +188,7 @@
 	f := newTestMirror(t, storetest.NewPlatform(0), 0)
 	is.True(f.Adopt(Copy{Revision: 1, Objects: []store.Object{{Name: "kept", Version: 1}}}, "peer"))
 	for i := range uint64(minDeletionsBound + 10) {
-		f.apply(store.Batch{Revision: i + 2, Events: []store.Event{{Object: store.Object{Name: fmt.Sprint(i), Version: 1}, Deleted: true}}})
+		f.apply(store.Batch{Revision: i + 2, Events: []store.Event{{Object: store.Object{Name: fmt.Sprint(i), Version: 1}, Deleted: true}}}, SourceWatch)
 	}
 	is.True(f.Since(5).Full)
 	d := f.Since(minDeletionsBound)
@@ -207,7 +207,7 @@
 				c.Objects = append(c.Objects, store.Object{Name: fmt.Sprint(i), Version: uint64(i + 1)})
 			}
 			m.Adopt(c, "peer")
-			m.apply(store.Batch{Revision: uint64(n + 1), Events: []store.Event{{Object: store.Object{Name: "7", Version: uint64(n + 1)}}}})
+			m.apply(store.Batch{Revision: uint64(n + 1), Events: []store.Event{{Object: store.Object{Name: "7", Version: uint64(n + 1)}}}}, SourceWatch)
 			b.ReportAllocs()
 			for b.Loop() {
 				if d := m.Since(uint64(n)); len(d.Objects) != 1 {
--- a/coordination/follow/instances.go
+++ b/coordination/follow/instances.go
@@ -21,6 +21,10 @@
 	Publish func(state.InstanceChanges)
 	// OnUnusable is called for each version of an entry that can't be decoded.
 	OnUnusable func()
+	// OnDeparture is called for each instance that begins to leave. The store accepted the change at
+	// most age ago: that is how old the copy of the list was before it. For DepartureHeld, age is how
+	// long the instance was held.
+	OnDeparture func(d Departure, age time.Duration)
 	// EntriesMayBeMissing reports whether the store is unavailable or was so recently, so that
 	// entries of live instances may be missing.
 	EntriesMayBeMissing func() bool
@@ -33,6 +37,17 @@
 	HeartbeatTimeout time.Duration
 }
 
+// Departure is how an instance that accepted work stops doing so.
+type Departure string
+
+// The departures: the entry says draining, the entry is gone, or the instance was held after its entry
+// had gone.
+const (
+	DepartureDraining Departure = "draining"
+	DepartureRemoved  Departure = "removed"
+	DepartureHeld     Departure = "held"
+)
+
 // Instances turns changes of the store's list of entries into changes of instances, at a cost that
 // grows with the changes and not with the list. A run is one lifetime of an
 // instance's process: a restart under the same name is another run.
@@ -80,13 +95,13 @@
 // publishedEntry is an entry as it was published.
 type publishedEntry struct {
 	*entry
-	draining bool
+	draining, unconfirmed bool
 }
 
 // asInstance returns what was published.
 func (p publishedEntry) asInstance() state.Instance {
 	i := p.instance
-	i.Draining = p.draining
+	i.Draining, i.Unconfirmed = p.draining, p.unconfirmed
 	return i
 }
 
@@ -106,7 +121,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	restored := l.advance(d.Revision)
-	l.log = newBatchLog(l.o.Log, d.Revision)
+	l.log = newBatchLog(l.o.Log, d.Revision, d.Source, l.age(d.ProvenBefore))
 	defer l.log.finish()
 	for _, object := range d.Objects {
 		if restored {
@@ -122,6 +137,14 @@
 	l.publish()
 }
 
+// age returns how long ago the copy was proven to be up to date; 0 if it never was.
+func (l *Instances) age(provenAt time.Time) time.Duration {
+	if provenAt.IsZero() {
+		return 0
+	}
+	return l.o.Clock.Now().Sub(provenAt)
+}
+
 // missing returns the names of the entries that a delta no longer lists.
 func (l *Instances) missing(d Delta) []string {
 	var out []string
@@ -153,11 +176,15 @@
 	if hold && !e.instance.Draining && e.active() {
 		e.missingSince, e.lostInRestore = now, restored
 		l.held[name] = true
+		l.touched[e.instance.Addr] = true
 		l.log.add("instance missing after an outage; held for now", e.instance)
 		return
 	}
 	l.remove(name, e, now)
 	l.log.add("instance removed", e.instance)
+	if e.active() && !e.instance.Draining {
+		l.o.OnDeparture(DepartureRemoved, l.log.age)
+	}
 }
 
 // put sets the entry of a name.
@@ -212,6 +239,8 @@
 		if !known.missingSince.IsZero() {
 			known.missingSince = time.Time{}
 			delete(l.held, object.Name)
+			l.touched[known.instance.Addr] = true
+			l.log.add("held instance listed again", known.instance)
 		}
 		return
 	}
@@ -225,6 +254,9 @@
 	if known == nil || known.instance.ID != instance.ID || known.instance.Draining != instance.Draining || known.instance.Role != instance.Role {
 		l.log.add("instance listed", instance)
 	}
+	if known != nil && known.instance.ID == instance.ID && instance.Draining && !known.instance.Draining {
+		l.o.OnDeparture(DepartureDraining, l.log.age)
+	}
 	if known != nil && !known.unusable && known.instance.ID != instance.ID {
 		l.departed.add(known.instance.ID, l.o.Clock.Now(), len(l.entries))
 	}
@@ -239,6 +271,9 @@
 	}
 }
 
+// sourceTimer is the source of the changes that the end of a hold brings.
+const sourceTimer Source = "timer"
+
 // holdCheckInterval is the interval between two checks of the held entries.
 const holdCheckInterval = 100 * time.Millisecond
 
@@ -248,7 +283,7 @@
 	defer l.mu.Unlock()
 	now := l.o.Clock.Now()
 	outage := l.o.EntriesMayBeMissing()
-	l.log = newBatchLog(l.o.Log, l.revision)
+	l.log = newBatchLog(l.o.Log, l.revision, sourceTimer, 0)
 	defer l.log.finish()
 	l.activateIgnored(now)
 	for name := range l.held {
@@ -257,11 +292,26 @@
 			continue
 		}
 		l.remove(name, e, now)
-		l.log.add("held instance removed", e.instance)
+		held := now.Sub(e.missingSince)
+		l.log.add("held instance removed", e.instance, "held", held)
+		l.o.OnDeparture(DepartureHeld, held)
 	}
 	l.publish()
 }
 
+// Unconfirmed returns the number of instances that are held although their entries are missing.
+func (l *Instances) Unconfirmed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for name := range l.held {
+		if !l.entries[name].missingSince.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // Republish publishes an instance again that announced that it leaves.
 func (l *Instances) Republish(id state.InstanceID) {
 	l.mu.Lock()
@@ -308,5 +358,5 @@
 	if latest == nil {
 		return publishedEntry{}, false
 	}
-	return publishedEntry{latest, latest.instance.Draining || l.o.Leaving(latest.instance.ID)}, true
+	return publishedEntry{latest, latest.instance.Draining || l.o.Leaving(latest.instance.ID), !latest.missingSince.IsZero()}, true
 }
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -169,7 +169,7 @@
 
 // Adopt replaces the copy by a peer's copy if that is newer, and reports whether it was.
 func (m *Mirror) Adopt(c Copy, from string) bool {
-	if !m.replace(c.Objects, c.Revision) {
+	if !m.replace(c.Objects, c.Revision, PeerSource(from)) {
 		m.adoptNewerValues(c, from)
 		return false
 	}
@@ -258,7 +258,7 @@
 // watch waits for changes and applies them. listed is false if the objects must be listed again.
 func (m *Mirror) watch(ctx context.Context) (listed bool, err error) {
 	sentAt := m.o.Clock.Now()
-	batch, err := m.fetchChanges(ctx)
+	batch, source, err := m.fetchChanges(ctx)
 	if err != nil {
 		return true, err
 	}
@@ -268,7 +268,7 @@
 		return false, m.backOffAfterGap(ctx)
 	}
 	m.consecutiveGaps = 0
-	m.applyBatch(batch)
+	m.applyBatch(batch, source)
 	m.recordStoreProof(sentAt, batch.Revision)
 	if len(batch.Events) > 0 && m.o.CoalesceDelay > 0 {
 		return true, m.o.Clock.Sleep(ctx, m.o.CoalesceDelay)
@@ -288,15 +288,17 @@
 
 // fetchChanges returns the next changes. A store that didn't answer the last call, or wasn't called
 // yet, is polled without a wait: a watch would reveal its recovery only with the next change.
-func (m *Mirror) fetchChanges(ctx context.Context) (store.Batch, error) {
+func (m *Mirror) fetchChanges(ctx context.Context) (store.Batch, Source, error) {
 	if p, ok := m.o.Store.(Poller); ok && !m.Following() {
-		return p.Poll(ctx, m.o.Kind, m.Revision())
+		b, err := p.Poll(ctx, m.o.Kind, m.Revision())
+		return b, SourcePoll, err
 	}
-	return m.o.Store.Watch(ctx, m.o.Kind, m.Revision())
+	b, err := m.o.Store.Watch(ctx, m.o.Kind, m.Revision())
+	return b, SourceWatch, err
 }
 
 // replace replaces the copy by a newer one and reports whether it was newer.
-func (m *Mirror) replace(objects []store.Object, revision uint64) bool {
+func (m *Mirror) replace(objects []store.Object, revision uint64, source Source) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if revision < m.revision || (revision == m.revision && m.revision != 0) {
@@ -320,17 +322,17 @@
 	m.revision = revision
 	if changed || first {
 		m.history.recordChange(revision)
-		m.passOnCopy()
+		m.passOnCopy(source)
 		m.notify()
 	}
 	return true
 }
 
 // passOnCopy passes on the whole copy; m.mu is held.
-func (m *Mirror) passOnCopy() {
+func (m *Mirror) passOnCopy(source Source) {
 	c := m.copyLocked()
 	if m.o.OnDelta != nil {
-		m.o.OnDelta(Delta{Revision: c.Revision, Full: true, Objects: c.Objects})
+		m.o.OnDelta(Delta{Revision: c.Revision, Full: true, Objects: c.Objects, Source: source, ProvenBefore: m.ProvenAt()})
 		return
 	}
 	m.o.OnChange(c)
@@ -359,7 +361,7 @@
 		m.objects[o.Name], m.all = own, nil
 	}
 	if adopted {
-		m.passOnCopy()
+		m.passOnCopy(PeerSource(from))
 		m.notify()
 	}
 }
@@ -393,7 +395,7 @@
 // apply applies the events of a watch. Events that the copy already reflects are skipped, because
 // a peer's copy may have been adopted during the watch. A batch of another epoch is skipped: its
 // changes don't apply to this copy.
-func (m *Mirror) apply(b store.Batch) {
+func (m *Mirror) apply(b store.Batch, source Source) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if b.Revision <= m.revision || store.EpochOf(b.Revision) != store.EpochOf(m.revision) {
@@ -416,7 +418,7 @@
 	m.revision = b.Revision
 	if len(changed) > 0 {
 		m.history.recordChange(b.Revision)
-		m.passOnChanges(changed)
+		m.passOnChanges(changed, source)
 	}
 	if m.history.changedAt != before {
 		m.notify()
@@ -424,12 +426,12 @@
 }
 
 // passOnChanges passes on the objects that have changed, by name; m.mu is held.
-func (m *Mirror) passOnChanges(changed map[string]store.Object) {
+func (m *Mirror) passOnChanges(changed map[string]store.Object, source Source) {
 	if m.o.OnDelta == nil {
 		m.o.OnChange(m.copyLocked())
 		return
 	}
-	d := Delta{Revision: m.revision}
+	d := Delta{Revision: m.revision, Source: source, ProvenBefore: m.ProvenAt()}
 	for name, last := range changed {
 		if o, listed := m.objects[name]; listed {
 			d.Objects = append(d.Objects, o)
--- a/coordination/follow/proof.go
+++ b/coordination/follow/proof.go
@@ -107,7 +107,7 @@
 	if err != nil || batch.Gap {
 		return false, err
 	}
-	m.applyBatch(batch)
+	m.applyBatch(batch, SourcePoll)
 	m.recordStoreProof(sentAt, batch.Revision)
 	return true, nil
 }
--- a/coordination/follow/restored_test.go
+++ b/coordination/follow/restored_test.go
@@ -36,7 +36,7 @@
 func newTestInstances() *testInstances {
 	r := &testInstances{startedAt: time.Now()}
 	r.Instances = NewInstances(InstancesOptions{
-		Clock: clocktest.Bubble{}, Log: quiet, HoldFor: testHold * 9 / 10, HeartbeatTimeout: testSilent, OnUnusable: func() {},
+		Clock: clocktest.Bubble{}, Log: quiet, HoldFor: testHold * 9 / 10, HeartbeatTimeout: testSilent, OnUnusable: func() {}, OnDeparture: func(Departure, time.Duration) {},
 		Leaving:             func(state.InstanceID) bool { return false },
 		EntriesMayBeMissing: func() bool { return time.Now().Before(r.outageUntil) },
 		Decode: func(id string, v []byte) (state.Instance, error) {
--- a/coordination/follow/update_test.go
+++ b/coordination/follow/update_test.go
@@ -19,7 +19,7 @@
 func newListedInstances() (l *Instances, listed map[state.InstanceID]state.Instance) {
 	listed = map[state.InstanceID]state.Instance{}
 	return NewInstances(InstancesOptions{
-		Clock: clocktest.Bubble{}, Log: quiet, OnUnusable: func() {},
+		Clock: clocktest.Bubble{}, Log: quiet, OnUnusable: func() {}, OnDeparture: func(Departure, time.Duration) {},
 		Decode: func(id string, value []byte) (state.Instance, error) {
 			if len(value) == 0 {
 				return state.Instance{}, fmt.Errorf("entry %q is empty", id)
--- a/coordination/forward/advice.go
+++ b/coordination/forward/advice.go
@@ -84,6 +84,9 @@
 		if !d.o.Placer.Accepts(a.Instance.ID) || d.inBackoff(a.Instance) {
 			return ErrRunnerClosed
 		}
+		if a.Instance.Unconfirmed {
+			d.o.Observer.SentToUnconfirmed(a.Request.Service)
+		}
 		return nil
 	}
 	return d.o.Upstream.Send(ctx, a)
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -62,6 +62,8 @@
 	PrefillPlaced(service string, reason CrossDomainReason, fetchesAcross bool)
 	// RequestHeld counts a request that the quarantine kept from the runners.
 	RequestHeld(service string)
+	// SentToUnconfirmed counts a request that is sent to an instance without an entry in the store.
+	SentToUnconfirmed(service string)
 	// RequestStarted records when a request of a customer started to run, by the dispatcher's
 	// clock. It is called once per request.
 	RequestStarted(customer string, at time.Time)
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -271,6 +271,7 @@
 }
 
 func (noObserver) RequestHeld(string)               {}
+func (noObserver) SentToUnconfirmed(string)         {}
 func (noObserver) RequestStarted(string, time.Time) {}
 
 // fakeQuarantine holds every request after holdAfter lookups; it holds none if holdAfter is 0.
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -135,6 +135,7 @@
 	})
 	h.metrics.gauge("thymerack_key_proof_age_seconds", func() float64 { return h.clock.Now().Sub(h.configProvenAt()).Seconds() })
 	h.metrics.gauge("thymerack_hosts", func() float64 { return float64(h.members.Hosts()) })
+	h.metrics.gauge("thymerack_instances_unconfirmed", func() float64 { return float64(h.instances.Unconfirmed()) })
 	h.metrics.gauge("thymerack_quarantined", func() float64 { return float64(h.quarantine.Size()) })
 	h.metrics.gauge(`thymerack_runners_asking{what="limit"}`, func() float64 { return float64(h.advice.Count().Limited) })
 	h.metrics.gauge(`thymerack_runners_asking{what="leaving"}`, func() float64 { return float64(h.advice.Count().Leaving) })
@@ -155,6 +156,7 @@
 	})
 	h.metrics.gauge(fmt.Sprintf(`thymerack_copy_revision{kind=%q}`, kind), func() float64 { return float64(store.RevisionOf(m.Revision())) })
 	h.metrics.gauge(fmt.Sprintf(`thymerack_copy_epoch{kind=%q}`, kind), func() float64 { return float64(store.EpochOf(m.Revision())) })
+	h.metrics.gauge(fmt.Sprintf(`thymerack_copy_age_seconds{kind=%q}`, kind), func() float64 { return h.clock.Now().Sub(m.ProvenAt()).Seconds() })
 	for answer, count := range map[string]func(follow.Answers) uint64{
 		"current": func(a follow.Answers) uint64 { return a.Current },
 		"gap":     func(a follow.Answers) uint64 { return a.Gaps },
@@ -223,7 +225,7 @@
 	h.fleet = placement.NewFleet(placement.Options{Clock: h.clock, FailureDomain: h.settings.FailureDomain, Advice: h.advice})
 	h.config = follow.NewConfig(platform.ConfigName, platform.DecodeConfig, h.log)
 	h.instances = follow.NewInstances(follow.InstancesOptions{
-		Clock: h.clock, Log: h.log, Decode: platform.DecodeInstance, Publish: h.publish, OnUnusable: h.metrics.countUnusableEntry,
+		Clock: h.clock, Log: h.log, Decode: platform.DecodeInstance, Publish: h.publish, OnUnusable: h.metrics.countUnusableEntry, OnDeparture: h.metrics.observeDeparture,
 		EntriesMayBeMissing: func() bool { return h.instanceMirror.UnavailableWithin(storeRecoveryTime) },
 		HoldFor:             missingEntryHoldTime, Leaving: h.advice.Leaving, HeartbeatTimeout: missedHeartbeats*cmp.Or(h.settings.Heartbeat, defaultHeartbeatInterval) + heartbeatSlack,
 	})
--- a/daemon/routed/metrics.go
+++ b/daemon/routed/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/thymerack/thymerack/coordination/backpressure"
 	"github.com/thymerack/thymerack/coordination/contention"
 	"github.com/thymerack/thymerack/coordination/crash"
+	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/coordination/quota"
 	"github.com/thymerack/thymerack/coordination/usage"
@@ -140,6 +141,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_held_total{service=%q}`, service)).Inc()
 }
 
+// SentToUnconfirmed implements forward.Observer.
+func (m *hostMetrics) SentToUnconfirmed(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_sent_to_unconfirmed_total{service=%q}`, service)).Inc()
+}
+
+// observeDeparture records how late this host learned that an instance leaves.
+func (m *hostMetrics) observeDeparture(d follow.Departure, age time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`thymerack_departure_age_seconds{change=%q}`, d)).Update(age.Seconds())
+}
+
 // RequestStarted implements forward.Observer.
 func (m *hostMetrics) RequestStarted(customer string, at time.Time) {
 	if m.usage != nil {
--- a/daemon/routed/metrics_test.go
+++ b/daemon/routed/metrics_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/thymerack/thymerack/coordination/contention"
+	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/measure"
@@ -77,3 +78,22 @@
 	is.True(strings.Contains(out.String(), `thymerack_prefills_ordered_total{level="0",outcome="late"} 1`+"\n"))
 	is.Equal(strings.Count(out.String(), "thymerack_customer_prefills_deferred_total"), maxCustomerHistograms+1)
 }
+
+// Guards against metrics that can't tell a host that learned late of a leaving runner from one that
+// sent to a runner whose entry was missing.
+func TestDepartureMetrics(t *testing.T) {
+	is := is.New(t)
+	m := newHostMetrics()
+	m.observeDeparture(follow.DepartureDraining, 300*time.Millisecond)
+	m.observeDeparture(follow.DepartureHeld, 2*time.Second)
+	m.SentToUnconfirmed("llm")
+	var out strings.Builder
+	m.set.WritePrometheus(&out)
+	for _, line := range []string{
+		`thymerack_departure_age_seconds_sum{change="draining"} 0.3`,
+		`thymerack_departure_age_seconds_sum{change="held"} 2`,
+		`thymerack_sent_to_unconfirmed_total{service="llm"} 1`,
+	} {
+		is.True(strings.Contains(out.String(), line+"\n"))
+	}
+}
--- a/state/routing.go
+++ b/state/routing.go
@@ -188,6 +188,9 @@
 	Slots         int
 	// Draining instances take no new work.
 	Draining bool
+	// Unconfirmed instances are listed although the store has no entry of them: the entry went
+	// missing around an outage, and the instance may register again.
+	Unconfirmed bool
 	// Spot instances may be taken back, all of a failure domain at once.
 	Spot bool
 	// Role is empty for runners of plain services.
