--- a/coordination/fanout/fetch.go
+++ b/coordination/fanout/fetch.go
@@ -4,13 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/propagation"
 	"github.com/thymerack/thymerack/coordination/store"
 )
 
 const (
-	// responseSlack is how much longer than the requested wait a relay's response may take: a
-	// host with a fifth of a core stalls for a tenth of a second at times.
-	responseSlack = 250 * time.Millisecond
+	// responseSlack is how much longer than the requested wait a relay's response may take.
+	responseSlack = propagation.RelaySlack
 	// startupFetchWait limits the wait of fetches while this host lacks a copy: the relay may be
 	// starting too.
 	startupFetchWait = 250 * time.Millisecond
--- a/coordination/fanout/fleet_test.go
+++ b/coordination/fanout/fleet_test.go
@@ -60,6 +60,10 @@
 	// fullCopyTime is how long a host is busy with each response that has full copies; it sends one
 	// after the other.
 	fullCopyTime time.Duration
+	// fetchWait is the FetchWait of all hosts.
+	fetchWait time.Duration
+	// configure changes the options of a host's copy; nil for none.
+	configure func(h *host, kind string, o *follow.Options)
 	// watchesDropped ends all waiting watches with an error when it is closed.
 	watchesDropped chan struct{}
 }
@@ -90,8 +94,13 @@
 
 // newFleetWithWatchWait returns a fleet of n hosts whose watches wait at the store for at most wait.
 func newFleetWithWatchWait(t *testing.T, n int, wait time.Duration) *fleet {
+	return newConfiguredFleet(t, n, wait, testFetchWait, nil)
+}
+
+// newConfiguredFleet returns a fleet of n hosts whose copies have their options changed by configure.
+func newConfiguredFleet(t *testing.T, n int, wait, fetchWait time.Duration, configure func(h *host, kind string, o *follow.Options)) *fleet {
 	f := &fleet{
-		t: t, store: storetest.NewPlatform(wait),
+		t: t, store: storetest.NewPlatform(wait), fetchWait: fetchWait, configure: configure,
 		unresponsive: map[string]bool{}, partitioned: map[string]bool{}, refused: map[string]bool{}, calls: map[string]int{}, watchesDropped: make(chan struct{}),
 	}
 	f.store.SetScript(f.script)
@@ -130,11 +139,15 @@
 		if kind == kindConfig {
 			newer = func(a, b store.Object) bool { return versionOf(a) > versionOf(b) }
 		}
-		m, err := follow.New(follow.Options{
+		o := follow.Options{
 			Newer: newer,
 			Store: faultyStore{f.store.Client(h.self.Addr), f, h.self.Addr}, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
 			Kind: kind, OnChange: h.applyConfig, RetryGroup: outage, Notify: func() { h.WakeFollowers() }, RecoveryTime: testSettle,
-		})
+		}
+		if f.configure != nil {
+			f.configure(h, kind, &o)
+		}
+		m, err := follow.New(o)
 		if err != nil {
 			f.t.Fatal(err)
 		}
@@ -142,7 +155,7 @@
 	}
 	n, err := New(Options{
 		Self: h.self, RunID: h.self.Addr + "-1", Hosts: func() []state.Peer { return h.list }, Copies: h.copies, Peers: network{f, h.self.Addr},
-		Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(7, uint64(i))), Log: slog.New(slog.DiscardHandler), FetchWait: testFetchWait,
+		Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(7, uint64(i))), Log: slog.New(slog.DiscardHandler), FetchWait: f.fetchWait,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/coordination/follow/answers_test.go
+++ b/coordination/follow/answers_test.go
@@ -80,7 +80,7 @@
 				end()
 				const maxCallsPerSecond = 4
 				is.True(s.calls.Load() <= maxCallsPerSecond*int64(duration/time.Second))
-				is.True(s.calls.Load() >= int64(duration/maxRetryDelay)) // a change is still noticed in time
+				is.True(s.calls.Load() >= int64(duration/m.maxRetryDelay())) // a change is still noticed in time
 				is.Equal(m.Lost(), revision < 48)
 			})
 		})
--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -17,11 +17,15 @@
 	"pgregory.net/rapid"
 
 	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/propagation"
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/coordination/store/storetest"
 	"github.com/thymerack/thymerack/state"
 )
 
+// defaultDelays are the delays of mirrors whose options set none.
+var defaultDelays = propagation.New(propagation.Bounds{})
+
 var quiet = slog.New(slog.DiscardHandler)
 
 // testMirror is a mirror of a test platform's objects, with the copies that it passed on.
@@ -123,7 +127,7 @@
 		var all []*Mirror
 		for _, caller := range callers {
 			m, err := New(Options{
-				Store: pollingClient{p.Client(caller)}, Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", RetryGroup: group, OnChange: func(Copy) {},
+				Store: p.Client(caller), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", RetryGroup: group, OnChange: func(Copy) {},
 			})
 			is.NoErr(err)
 			defer run(t, m)()
@@ -147,9 +151,9 @@
 		mu.Lock()
 		most, least := max(refused["h1"], refused["h2"]), min(refused["h1"], refused["h2"])
 		mu.Unlock()
-		is.True(most >= int(outageTime/(3*maxRetryDelay/2)))
-		is.True(least <= int(outageTime/maxRecoveryWait)+1)
-		time.Sleep(2 * maxRetryDelay)
+		is.True(most >= int(outageTime/defaultDelays.Retry))
+		is.True(least <= int(outageTime/defaultDelays.PeerCopyWait)+1)
+		time.Sleep(2 * defaultDelays.Retry * 2 / 3)
 		for _, m := range all {
 			is.Equal(values(m.Export()), []string{"a=2"})
 			is.True(!m.Lost())
@@ -158,14 +162,14 @@
 }
 
 // Guards against a mirror that waits for ever for a leader whose calls fail.
-func TestMirrorRetriesItselfAfterMaxRecoveryWait(t *testing.T) {
+func TestMirrorRetriesItselfAfterPeerCopyWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p := storetest.NewPlatform(20 * time.Second)
 		group := &RetryGroup{}
 		mirror := func(kind, caller string) *Mirror {
 			m, err := New(Options{
-				Store: pollingClient{p.Client(caller)}, Clock: clocktest.Bubble{}, Log: quiet, Kind: kind, RetryGroup: group, OnChange: func(Copy) {},
+				Store: p.Client(caller), Clock: clocktest.Bubble{}, Log: quiet, Kind: kind, RetryGroup: group, OnChange: func(Copy) {},
 			})
 			is.NoErr(err)
 			return m
@@ -182,7 +186,7 @@
 			}
 			return storetest.None
 		})
-		time.Sleep(maxRecoveryWait + time.Second)
+		time.Sleep(defaultDelays.PeerCopyWait + time.Second)
 		is.True(first.Lost())
 		is.True(!second.Lost())
 	})
@@ -524,16 +528,6 @@
 	})
 }
 
-// pollingClient is a test store that implements Poller.
-type pollingClient struct{ *storetest.Client }
-
-func (s pollingClient) Poll(ctx context.Context, kind string, after uint64) (store.Batch, error) {
-	if _, _, err := s.List(ctx, kind); err != nil {
-		return store.Batch{}, err
-	}
-	return store.Batch{Revision: after}, nil
-}
-
 // Guards against a store that counts as lost until something changes: its recovery must be noticed
 // without a change.
 func TestDetectsStoreRecoveryWithoutChanges(t *testing.T) {
@@ -543,7 +537,7 @@
 		put(t, p, "a", "1", store.Absent)
 		m, err := New(Options{
 			RetryGroup: &RetryGroup{},
-			Store:      pollingClient{p.Client("h")}, Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", OnChange: func(Copy) {},
+			Store:      p.Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", OnChange: func(Copy) {},
 		})
 		is.NoErr(err)
 		defer run(t, m)()
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -14,22 +14,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/propagation"
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/state"
 )
 
-const (
-	// initialRetryDelay and maxRetryDelay bound the pauses between calls to a store that doesn't
-	// answer. The pauses grow because each call is billed. A pause of 1 s is short enough: the time
-	// limit for a new configuration, 2 s or more, only counts from when the store has been back for
-	// some seconds.
-	initialRetryDelay = 200 * time.Millisecond
-	maxRetryDelay     = time.Second
-	// relistTimeout bounds the list call after a watch that was cut. A store that drops its
-	// waiting watches answers the next call in some milliseconds, though watches may return nothing
-	// for a second, and peers that get changes from this host shouldn't all switch to the store.
-	relistTimeout = 500 * time.Millisecond
-)
+// initialRetryDelay is the first pause between calls to a store that doesn't answer. The pauses grow
+// because each call is billed.
+const initialRetryDelay = 200 * time.Millisecond
 
 // Poller is implemented by a store that can return changes without waiting.
 type Poller interface {
@@ -54,6 +46,9 @@
 	Notify func()
 	// RetryGroup is shared by the mirrors that follow the same store.
 	RetryGroup *RetryGroup
+	// Delays are the longest delays of the mirror's calls and pauses; zero for those of the default
+	// bounds.
+	Delays propagation.Delays
 	// CoalesceDelay is the pause after a watch that returned changes, so that changes in quick
 	// succession cost one call; it delays the later ones. May be zero.
 	CoalesceDelay time.Duration
@@ -115,6 +110,9 @@
 	if (o.OnChange == nil) == (o.OnDelta == nil) {
 		return nil, errors.New("follow: Options.OnChange and OnDelta are both set or both missing; set one of them")
 	}
+	if o.Delays == (propagation.Delays{}) {
+		o.Delays = propagation.New(propagation.Bounds{})
+	}
 	return &Mirror{o: o, objects: map[string]store.Object{}, answerStats: newAnswerStats()}, nil
 }
 
@@ -203,10 +201,13 @@
 		if m.waitToRetry(ctx, pause) != nil {
 			return
 		}
-		pause = min(2*pause, maxRetryDelay)
+		pause = min(2*pause, m.maxRetryDelay())
 	}
 }
 
+// maxRetryDelay returns the longest pause between calls to a store that doesn't answer, without jitter.
+func (m *Mirror) maxRetryDelay() time.Duration { return m.o.Delays.Retry * 2 / 3 }
+
 // stopped records that Run no longer follows the store.
 func (m *Mirror) stopped() {
 	m.o.RetryGroup.release(m)
@@ -226,11 +227,13 @@
 	return d/2 + rand.N(d)
 }
 
-// list replaces the copy by a list from the store.
+// list replaces the copy by a list from the store. After a watch that was cut, the call has a short
+// timeout: a store that drops its waiting watches answers the next call in some milliseconds, and peers
+// that get changes from this host shouldn't all switch to the store.
 func (m *Mirror) list(ctx context.Context) error {
 	if m.relisting {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, relistTimeout)
+		ctx, cancel = context.WithTimeout(ctx, m.o.Delays.ListTimeout)
 		defer cancel()
 	}
 	sentAt, known := m.o.Clock.Now(), m.Revision()
@@ -283,13 +286,15 @@
 	if m.consecutiveGaps == 1 {
 		return nil
 	}
-	return m.o.Clock.Sleep(ctx, jitter(min(initialRetryDelay<<min(m.consecutiveGaps-2, 8), maxRetryDelay)))
+	return m.o.Clock.Sleep(ctx, jitter(min(initialRetryDelay<<min(m.consecutiveGaps-2, 8), m.maxRetryDelay())))
 }
 
 // fetchChanges returns the next changes. A store that didn't answer the last call, or wasn't called
 // yet, is polled without a wait: a watch would reveal its recovery only with the next change.
 func (m *Mirror) fetchChanges(ctx context.Context) (store.Batch, Source, error) {
 	if p, ok := m.o.Store.(Poller); ok && !m.Following() {
+		ctx, cancel := context.WithTimeout(ctx, m.o.Delays.AnswerTimeout)
+		defer cancel()
 		b, err := p.Poll(ctx, m.o.Kind, m.Revision())
 		return b, SourcePoll, err
 	}
--- a/coordination/follow/retrygroup.go
+++ b/coordination/follow/retrygroup.go
@@ -44,7 +44,7 @@
 	if isLeader {
 		return true
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, relistTimeout)
+	waitCtx, cancel := context.WithTimeout(ctx, m.o.Delays.ListTimeout)
 	defer cancel()
 	select {
 	case <-recovered:
@@ -54,17 +54,14 @@
 	}
 }
 
-// maxRecoveryWait bounds the wait for the leader's answer: the leader's call may be lost, while
-// changes must be in force within a limit, 2 s or more, after the store's recovery.
-const maxRecoveryWait = 2 * time.Second
-
-// waitToRetry waits until a mirror whose call failed should call the store again.
+// waitToRetry waits until a mirror whose call failed should call the store again. The wait for the
+// leader's answer is bounded, since the leader's call may be lost.
 func (m *Mirror) waitToRetry(ctx context.Context, pause time.Duration) error {
 	isLeader, recovered := m.o.RetryGroup.elect(m)
 	if isLeader {
 		return m.o.Clock.Sleep(ctx, jitter(pause))
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, maxRecoveryWait)
+	waitCtx, cancel := context.WithTimeout(ctx, m.o.Delays.PeerCopyWait)
 	defer cancel()
 	select {
 	case <-recovered:
--- a/coordination/store/storetest/storetest.go
+++ b/coordination/store/storetest/storetest.go
@@ -24,12 +24,15 @@
 	Refuse
 	// LoseAnswer performs the call and fails it with a lost answer.
 	LoseAnswer
+	// Silence performs no call and fails it once the client's timeout has passed; a watch fails once
+	// its wait and the timeout have passed, as one whose answer never arrives.
+	Silence
 )
 
 // Call describes a call for a Script.
 type Call struct {
 	Caller string
-	// Op is get, put, delete, list or watch; Name is empty for list and watch.
+	// Op is get, put, delete, list, watch or poll; Name is empty for the last three.
 	Op, Kind, Name string
 }
 
@@ -39,6 +42,7 @@
 var (
 	errRefused = errors.New("refused by the test")
 	errLost    = errors.New("answer lost by the test")
+	errSilent  = errors.New("no answer in time")
 )
 
 type key struct{ kind, name string }
@@ -66,15 +70,20 @@
 	script  Script
 	calls   int
 	maxWait time.Duration
+	// silent are the callers that get no answers, and silences how often each began to get none.
+	silent   map[string]bool
+	silences map[string]int
 }
 
 // NewPlatform returns an empty platform whose watches wait for at most maxWait; with 0 they
 // return at once.
 func NewPlatform(maxWait time.Duration) *Platform {
 	return &Platform{
-		objects: map[key]store.Object{},
-		changed: make(chan struct{}),
-		maxWait: maxWait,
+		objects:  map[key]store.Object{},
+		changed:  make(chan struct{}),
+		maxWait:  maxWait,
+		silent:   map[string]bool{},
+		silences: map[string]int{},
 	}
 }
 
@@ -85,6 +94,24 @@
 	p.script = s
 }
 
+// SetSilent sets whether a caller gets no answers. Its waiting watches are dropped without a word: they
+// get no answer either, even after the silence.
+func (p *Platform) SetSilent(caller string, silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent[caller] = silent
+	if silent {
+		p.silences[caller]++
+	}
+}
+
+// silence returns whether a caller gets no answers, and how often that has begun.
+func (p *Platform) silence(caller string) (now bool, began int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[caller], p.silences[caller]
+}
+
 // Calls returns the number of calls so far.
 func (p *Platform) Calls() int {
 	p.mu.Lock()
@@ -122,6 +149,23 @@
 type Client struct {
 	p      *Platform
 	caller string
+	// timeout is how long the client waits for an answer to a call.
+	timeout time.Duration
+}
+
+// WithTimeout returns a client that fails calls without an answer after a timeout.
+func (c *Client) WithTimeout(timeout time.Duration) *Client {
+	return &Client{p: c.p, caller: c.caller, timeout: timeout}
+}
+
+// hang waits for an answer that doesn't arrive.
+func (c *Client) hang(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return &store.UnavailableError{UnknownOutcome: true, Cause: errSilent}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 var _ store.Store = (*Client)(nil)
@@ -134,13 +178,24 @@
 	c.p.mu.Lock()
 	c.p.calls++
 	script := c.p.script
+	silent := c.p.silent[c.caller]
 	c.p.mu.Unlock()
-	if script == nil {
-		return None, nil
+	f := None
+	if script != nil {
+		f = script(Call{Caller: c.caller, Op: op, Kind: kind, Name: name})
+	}
+	if silent {
+		f = Silence
 	}
-	f := script(Call{Caller: c.caller, Op: op, Kind: kind, Name: name})
-	if f == Refuse {
+	switch f {
+	case Refuse:
 		return f, &store.UnavailableError{Cause: errRefused}
+	case Silence:
+		wait := c.timeout
+		if op == "watch" {
+			wait += c.p.maxWait
+		}
+		return f, c.hang(ctx, wait)
 	}
 	return f, nil
 }
@@ -262,23 +317,41 @@
 	if err := lostAnswer(f, false); err != nil {
 		return store.Batch{}, err
 	}
+	_, silences := c.p.silence(c.caller)
+	began := time.Now()
 	limit := time.NewTimer(c.p.maxWait)
 	defer limit.Stop()
-	for {
+	for waiting := c.p.maxWait > 0; ; {
 		batch, changed := c.p.changesSince(kind, after)
-		if batch.Gap || len(batch.Events) > 0 || c.p.maxWait == 0 {
+		if batch.Gap || len(batch.Events) > 0 || !waiting {
+			if _, n := c.p.silence(c.caller); n != silences {
+				return store.Batch{}, c.hang(ctx, c.p.maxWait+c.timeout-time.Since(began))
+			}
 			return batch, nil
 		}
 		select {
 		case <-changed:
 		case <-limit.C:
-			return batch, nil
+			waiting = false
 		case <-ctx.Done():
 			return store.Batch{}, ctx.Err()
 		}
 	}
 }
 
+// Poll returns the changes of a kind after a revision at once.
+func (c *Client) Poll(ctx context.Context, kind string, after uint64) (store.Batch, error) {
+	f, err := c.begin(ctx, "poll", kind, "")
+	if err != nil {
+		return store.Batch{}, err
+	}
+	if err := lostAnswer(f, false); err != nil {
+		return store.Batch{}, err
+	}
+	batch, _ := c.p.changesSince(kind, after)
+	return batch, nil
+}
+
 // changesSince returns the changes of a kind after a revision, and a channel that is closed at the
 // next change of any kind.
 func (p *Platform) changesSince(kind string, after uint64) (store.Batch, <-chan struct{}) {
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -20,6 +20,7 @@
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/outlier"
 	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/coordination/propagation"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/quota"
 	"github.com/thymerack/thymerack/coordination/scale"
@@ -190,7 +191,7 @@
 		Client: client, Host: h.settings.StoreAddr, Epochs: h.epochs, Timeout: storeTimeout, ListTimeout: listTimeout, WatchWait: watchWait,
 	}
 	h.store = platform.NewStore(o)
-	o.WatchWait = h.boundedWatchWait()
+	o.WatchWait, o.Timeout = h.delays().WatchWait, h.delays().AnswerTimeout
 	h.boundedStore = platform.NewStore(o)
 	o.WatchWait = h.proofWatchWait()
 	h.proofStore = platform.NewStore(o)
@@ -198,25 +199,22 @@
 	return nil
 }
 
-// boundedWatchWait returns how long a watch for configurations or instances waits. After an
-// outage the store may have dropped waiting watches but kept their connections open: such a
-// watch receives no changes until it times out, and the missed changes must be known when the
-// bounds apply again.
-func (h *Host) boundedWatchWait() time.Duration {
-	return min(watchWait, max(minWatchWait, h.settings.Bounds.Contact+h.shortestBound()-storeTimeout-instancesCoalesceDelay-watchMargin))
-}
-
-// shortestBound returns the shortest time within which a change must be in force.
-func (h *Host) shortestBound() time.Duration {
-	bound := h.settings.Bounds.Drain
+// bounds returns the bounds on the propagation of changes of instances and of the configuration.
+func (h *Host) bounds() propagation.Bounds {
+	inForce := h.settings.Bounds.Drain
 	if config := h.settings.Bounds.ConfigInForce; config > 0 {
-		bound = min(bound, config)
+		inForce = min(inForce, config)
 	}
-	return bound
+	return propagation.Bounds{InForce: inForce, Contact: h.settings.Bounds.Contact}
 }
 
+// delays returns the delays of the steps by which changes of instances and of the configuration
+// propagate to this host.
+func (h *Host) delays() propagation.Delays { return propagation.New(h.bounds()) }
+
 // buildMirrors creates the mirrors of the store and the components that they update.
 func (h *Host) buildMirrors() error {
+	delays := h.delays()
 	var err error
 	h.advice, err = backpressure.New(backpressure.Options{Clock: h.clock, Log: h.log, Observer: h.metrics, Broadcast: h.broadcastAdvice, OnLeaving: func(id state.InstanceID) { h.instances.Republish(id) }})
 	if err != nil {
@@ -226,15 +224,15 @@
 	h.config = follow.NewConfig(platform.ConfigName, platform.DecodeConfig, h.log)
 	h.instances = follow.NewInstances(follow.InstancesOptions{
 		Clock: h.clock, Log: h.log, Decode: platform.DecodeInstance, Publish: h.publish, OnUnusable: h.metrics.countUnusableEntry, OnDeparture: h.metrics.observeDeparture,
-		EntriesMayBeMissing: func() bool { return h.instanceMirror.UnavailableWithin(storeRecoveryTime) },
+		EntriesMayBeMissing: func() bool { return h.instanceMirror.UnavailableWithin(delays.Hold) },
 		HoldFor:             missingEntryHoldTime, Leaving: h.advice.Leaving, HeartbeatTimeout: missedHeartbeats*cmp.Or(h.settings.Heartbeat, defaultHeartbeatInterval) + heartbeatSlack,
 	})
 	retryGroup := &follow.RetryGroup{}
-	h.configMirror, err = follow.New(follow.Options{RetryGroup: retryGroup, Store: h.proofStore, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, OnChange: h.config.Update, CoalesceDelay: configCoalesceDelay, RecoveryTime: storeRecoveryTime, Newer: newerConfig, Notify: h.notifyFollowers})
+	h.configMirror, err = follow.New(follow.Options{RetryGroup: retryGroup, Store: h.proofStore, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Delays: delays, OnChange: h.config.Update, CoalesceDelay: configCoalesceDelay, RecoveryTime: storeRecoveryTime, Newer: newerConfig, Notify: h.notifyFollowers})
 	if err != nil {
 		return err
 	}
-	h.instanceMirror, err = follow.New(follow.Options{RetryGroup: retryGroup, Store: h.boundedStore, Clock: h.clock, Log: h.log, Kind: platform.KindInstances, OnDelta: h.instances.Apply, CoalesceDelay: instancesCoalesceDelay, Notify: h.notifyFollowers})
+	h.instanceMirror, err = follow.New(follow.Options{RetryGroup: retryGroup, Store: h.boundedStore, Clock: h.clock, Log: h.log, Kind: platform.KindInstances, Delays: delays, OnDelta: h.instances.Apply, CoalesceDelay: delays.Coalesce, Notify: h.notifyFollowers})
 	if err != nil {
 		return err
 	}
--- a/daemon/routed/host_test.go
+++ b/daemon/routed/host_test.go
@@ -130,8 +130,8 @@
 			is := is.New(t)
 			h := newHost(t)
 			h.settings.Bounds = b
-			is.True(h.boundedWatchWait() >= minWatchWait)
-			is.True(h.boundedWatchWait()+storeTimeout+instancesCoalesceDelay < b.Contact+min(b.Drain, b.ConfigInForce))
+			is.True(h.delays().WatchWait >= time.Second)
+			is.True(h.delays().WatchWait+h.delays().AnswerTimeout+h.delays().Coalesce < b.Contact+min(b.Drain, b.ConfigInForce))
 		})
 	}
 }
--- a/daemon/routed/keys.go
+++ b/daemon/routed/keys.go
@@ -48,7 +48,7 @@
 // tolerates the loss of two relays in a row.
 func (h *Host) proofWatchWait() time.Duration {
 	if h.settings.Bounds.Revoke <= 0 {
-		return h.boundedWatchWait()
+		return h.delays().WatchWait
 	}
-	return min(h.boundedWatchWait(), h.settings.Bounds.Revoke/5)
+	return min(h.delays().WatchWait, h.settings.Bounds.Revoke/5)
 }
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -55,10 +55,6 @@
 	listTimeout = 8 * time.Second
 	// watchWait is how long a watch waits at the store; the platform allows 30 s.
 	watchWait = 20 * time.Second
-	// minWatchWait is the shortest wait of a watch. watchMargin is the part of the bounds that
-	// is reserved for relaying a change to other hosts.
-	minWatchWait = time.Second
-	watchMargin  = 500 * time.Millisecond
 	// defaultConfigBound is the time within which a new key must be accepted if the settings
 	// give no bound: the shortest bound of all known deployments.
 	defaultConfigBound = 2 * time.Second
@@ -73,14 +69,12 @@
 	storeMaxConns       = 8
 	storeMaxIdle        = 20 * time.Second
 	storeMaxHeaderBytes = 4 << 10
-	// configCoalesceDelay and instancesCoalesceDelay make changes in quick succession cost one
-	// call; the shortest bound on either kind of change is 2 s.
-	configCoalesceDelay    = 800 * time.Millisecond
-	instancesCoalesceDelay = time.Second
-	hostsCoalesceDelay     = time.Second
-	holdsCoalesceDelay     = time.Second
-	// storeRecoveryTime is how long after the store recovers entries of live runners may be
-	// missing: "about two seconds" by the platform's documentation. missingEntryHoldTime bounds
+	// The coalescing delays make changes in quick succession cost one call.
+	configCoalesceDelay = 800 * time.Millisecond
+	hostsCoalesceDelay  = time.Second
+	holdsCoalesceDelay  = time.Second
+	// storeRecoveryTime is how long after the store recovers entries may be missing that are
+	// written again: "about two seconds" by the platform's documentation. missingEntryHoldTime bounds
 	// how long a runner without an entry stays listed while the store is unavailable: a
 	// leaving runner may receive requests for 2 s, and a peer's copy of the list may be slightly
 	// stale.
--- a/daemon/routed/peers.go
+++ b/daemon/routed/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
 
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/fanout"
@@ -44,7 +43,7 @@
 		return err
 	}
 	h.fanout, err = fanout.New(fanout.Options{
-		Self: h.members.self(), RunID: h.id.String(), Hosts: h.members.All, Peers: relay.Peers{Client: h.peers}, Clock: h.clock, Rand: newRand(), Log: h.log, FetchWait: h.relayFetchWait(),
+		Self: h.members.self(), RunID: h.id.String(), Hosts: h.members.All, Peers: relay.Peers{Client: h.peers}, Clock: h.clock, Rand: newRand(), Log: h.log, FetchWait: h.delays().RelayWait,
 		Copies: map[string]*follow.Mirror{platform.KindConfig: h.configMirror, platform.KindInstances: h.instanceMirror, kindHosts: h.members.mirror, quarantine.Kind: h.heldMirror},
 	})
 	if err != nil {
@@ -63,10 +62,6 @@
 	return h.buildGate()
 }
 
-// relayFetchWait returns how long a fetch waits at a relay: a quarter of the shortest time within
-// which a change must be in force.
-func (h *Host) relayFetchWait() time.Duration { return h.shortestBound() / 4 }
-
 // newRand returns a randomly seeded generator.
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
