propagation: notice a dropped watch before the bounds apply again

What callers saw: a request reached a runner up to 2,504 ms after the store's word that it leaves; the bound is 2,000 ms.

Cause: a watch whose answer never comes (sent into a silence of the store, or dropped by it) ended after its wait of 2 s and a timeout of 1.5 s, and 0.5 s for a list: 4 s and more at the bounds of 2 s and 3 s, 8.5 s at those of 4 s and 5 s. The bounds apply to a host again 3 s (5 s) after a disturbance.

Change: the wait of a watch, the time for its answer and for a list are derived from the bounds, so that the three and a reserve fit the contact bound: 1.75 s, 0.5 s and 0.5 s there.

--- a/coordination/propagation/propagation.go
+++ b/coordination/propagation/propagation.go
@@ -29,6 +29,10 @@
 // of a core stalls for a tenth of a second at times.
 const RelaySlack = 250 * time.Millisecond
 
+// maxCoalesce is the longest pause after a watch that returned changes. A longer one would save few
+// calls more.
+const maxCoalesce = time.Second
+
 // Delays are the longest delays of the steps. The zero value isn't usable; call New.
 type Delays struct {
 	// WatchWait is how long a watch waits at the store for a change, and AnswerTimeout how much longer
@@ -57,19 +61,19 @@
 // New returns the delays that fit the bounds.
 func New(b Bounds) Delays {
 	inForce, contact := cmp.Or(b.InForce, defaultInForce), cmp.Or(b.Contact, defaultContact)
-	const answer, coalesce, reserve = 1500 * time.Millisecond, time.Second, 500 * time.Millisecond
+	answer, reserve, relayWait := min(inForce, contact)/4, inForce/8, inForce/4
 	return Delays{
-		WatchWait:     min(20*time.Second, max(time.Second, contact+inForce-answer-coalesce-reserve)),
+		WatchWait:     contact - 2*answer - reserve,
 		AnswerTimeout: answer,
-		ListTimeout:   500 * time.Millisecond,
-		Coalesce:      coalesce,
+		ListTimeout:   answer,
+		Coalesce:      min(maxCoalesce, inForce-relayWait-RelaySlack-reserve),
 		Retry:         1500 * time.Millisecond,
 		PeerCopyWait:  2 * time.Second,
-		RelayWait:     inForce / 4,
+		RelayWait:     relayWait,
 		RelaySlack:    RelaySlack,
 		Hold:          2100 * time.Millisecond,
 		HoldCheck:     100 * time.Millisecond,
-		Reserve:       inForce / 8,
+		Reserve:       reserve,
 	}
 }
 
