propagation: notice the store's return before the bounds apply again

What callers saw: as before, requests at runners that left; a host that had been cut off from the store noticed its return up to 3.25 s late at bounds of 2 s and 3 s.

Cause: a call into the silence waited 1.5 s for its answer, the pause behind it was up to 1.5 s, and a copy that waits for another one's call did so for up to 2 s. None knew of the others.

Evidence: TestDelaysFitTheirBounds, 'the store was silent': 3.25 s of 3 s.

Change: the pause and the wait are derived from the contact bound: 0.75 s and 1.25 s there. A store without history is called as before; its pause is now a path of the sums, too.

Result: sums of these paths 1.5 s of 3 s.

--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -286,7 +286,7 @@
 	if m.consecutiveGaps == 1 {
 		return nil
 	}
-	return m.o.Clock.Sleep(ctx, jitter(min(initialRetryDelay<<min(m.consecutiveGaps-2, 8), m.maxRetryDelay())))
+	return m.o.Clock.Sleep(ctx, jitter(min(initialRetryDelay<<min(m.consecutiveGaps-2, 8), m.o.Delays.Coalesce*2/3)))
 }
 
 // fetchChanges returns the next changes. A store that didn't answer the last call, or wasn't called
--- a/coordination/propagation/propagation.go
+++ b/coordination/propagation/propagation.go
@@ -40,7 +40,8 @@
 	WatchWait, AnswerTimeout time.Duration
 	// ListTimeout is the time for the answer to a list after a watch that was cut.
 	ListTimeout time.Duration
-	// Coalesce is the pause before the next watch after one that returned changes.
+	// Coalesce is the pause before the next watch after one that returned changes, and between two
+	// lists from a store that has no history.
 	Coalesce time.Duration
 	// Retry is the pause between two calls to a store that doesn't answer.
 	Retry time.Duration
@@ -61,14 +62,15 @@
 // New returns the delays that fit the bounds.
 func New(b Bounds) Delays {
 	inForce, contact := cmp.Or(b.InForce, defaultInForce), cmp.Or(b.Contact, defaultContact)
-	answer, reserve, relayWait := min(inForce, contact)/4, inForce/8, inForce/4
+	answer, retry := min(inForce, contact)/4, contact/4
+	reserve, relayWait := inForce/8, inForce/4
 	return Delays{
 		WatchWait:     contact - 2*answer - reserve,
 		AnswerTimeout: answer,
 		ListTimeout:   answer,
 		Coalesce:      min(maxCoalesce, inForce-relayWait-RelaySlack-reserve),
-		Retry:         1500 * time.Millisecond,
-		PeerCopyWait:  2 * time.Second,
+		Retry:         retry,
+		PeerCopyWait:  answer + retry,
 		RelayWait:     relayWait,
 		RelaySlack:    RelaySlack,
 		Hold:          2100 * time.Millisecond,
@@ -112,6 +114,7 @@
 	return []Path{
 		{"no fault", []Step{coalesce, reserve}, inForce},
 		{"a watch is cut or its history is gone", []Step{coalesce, list, reserve}, inForce},
+		{"the history is gone each time", []Step{coalesce, list, reserve}, inForce},
 		{"a relay is lost", []Step{coalesce, {"fetch", d.RelayWait}, {"answer of the relay", d.RelaySlack}, reserve}, inForce},
 		{"the answer to a watch is lost", []Step{{"watch", d.WatchWait}, {"its answer", d.AnswerTimeout}, list, reserve}, contact},
 		{"the store was silent", []Step{hung, retry, reserve}, contact},
