propagation: end the hold of removed entries before the bounds apply again

Cause: an entry that goes missing around an outage may belong to a live runner, so that it is held. The bounds apply again 3 s after it, also if the store had been away for this host alone and the runner had really left.

Change: the hold is what the contact bound leaves after the time to notice the return: 1.4 s at the smallest bounds, 1.775 s and 2.1 s at larger ones.

--- a/coordination/follow/instances.go
+++ b/coordination/follow/instances.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/propagation"
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/state"
 )
@@ -266,7 +267,7 @@
 
 // Run removes held entries once their time is over, until ctx ends.
 func (l *Instances) Run(ctx context.Context) {
-	for l.o.Clock.Sleep(ctx, holdCheckInterval) == nil {
+	for l.o.Clock.Sleep(ctx, propagation.HoldCheck) == nil {
 		l.removeExpired()
 	}
 }
@@ -274,9 +275,6 @@
 // sourceTimer is the source of the changes that the end of a hold brings.
 const sourceTimer Source = "timer"
 
-// holdCheckInterval is the interval between two checks of the held entries.
-const holdCheckInterval = 100 * time.Millisecond
-
 // removeExpired removes the held entries whose time is over.
 func (l *Instances) removeExpired() {
 	l.mu.Lock()
--- a/coordination/propagation/propagation.go
+++ b/coordination/propagation/propagation.go
@@ -29,6 +29,14 @@
 // of a core stalls for a tenth of a second at times.
 const RelaySlack = 250 * time.Millisecond
 
+const (
+	// HoldCheck is the interval at which the end of holds is checked.
+	HoldCheck = 100 * time.Millisecond
+	// maxHold is how long after the return of the platform's store entries of live instances may be
+	// missing: "about two seconds" by its documentation.
+	maxHold = 2100 * time.Millisecond
+)
+
 // maxCoalesce is the longest pause after a watch that returned changes. A longer one would save few
 // calls more.
 const maxCoalesce = time.Second
@@ -52,7 +60,7 @@
 	// answer may take.
 	RelayWait, RelaySlack time.Duration
 	// Hold is how long after the store's return, as this host notices it, instances stay listed whose
-	// entries are missing. HoldCheck is the interval at which the end of holds is checked.
+	// entries are missing, and HoldCheck how much later they may be removed.
 	Hold, HoldCheck time.Duration
 	// Reserve is left for what has no timeout: a stalled process, and the way to the runner from the
 	// last check of its state.
@@ -73,8 +81,8 @@
 		PeerCopyWait:  answer + retry,
 		RelayWait:     relayWait,
 		RelaySlack:    RelaySlack,
-		Hold:          2100 * time.Millisecond,
-		HoldCheck:     100 * time.Millisecond,
+		Hold:          min(maxHold, contact-answer-retry-HoldCheck-reserve),
+		HoldCheck:     HoldCheck,
 		Reserve:       reserve,
 	}
 }
