follow: don't hold an entry whose last value said that its runner leaves

What callers would see: requests go on to a runner that said draining and has since ended, for as long as removed entries are held.

Cause: a host that was cut off gets the word and the removal of one entry in one batch. The mirror passed on the removal only, whose object has no value, so that the list took the runner for one that said nothing.

Evidence: TestRunnerThatSaidItLeavesIsNotHeld failed (the runner is listed as unconfirmed).

Change: a removal carries the entry's last value to the host's own list, which reads the word from it. Hosts that get the removal from a relay don't have the value; they hold the entry within the bounds.

--- a/coordination/follow/departure_test.go
+++ b/coordination/follow/departure_test.go
@@ -122,3 +122,27 @@
 		is.Equal(f.departures, []string{"draining 1.5s", "removed 1.5s", "held 1.8s"})
 	})
 }
+
+// Guards against a hold of a runner that said that it leaves: the host learns of the word and of the
+// removal by one batch, after it was cut off from the store.
+func TestRunnerThatSaidItLeavesIsNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFollowedInstances(t)
+		f.write(t, "a", "ready")
+		f.write(t, "b", "ready")
+		defer run(t, f.Mirror)()
+		time.Sleep(time.Second)
+		f.cutOff(true)
+		time.Sleep(3 * time.Second)
+		f.write(t, "a", "draining")
+		time.Sleep(testHold)
+		f.remove(t, "a")
+		f.remove(t, "b")
+		f.cutOff(false)
+		time.Sleep(testHold / 2)
+		_, held := f.listed["a"]
+		is.True(!held)
+		is.True(f.listed["b"].Unconfirmed) // it said nothing, and may register again
+	})
+}
--- a/coordination/follow/instances.go
+++ b/coordination/follow/instances.go
@@ -132,8 +132,8 @@
 		}
 	}
 	hold := restored || l.o.EntriesMayBeMissing()
-	for _, name := range l.missing(d) {
-		l.applyMissing(name, hold, restored)
+	for _, object := range l.missing(d) {
+		l.applyMissing(object, hold, restored)
 	}
 	l.publish()
 }
@@ -146,33 +146,32 @@
 	return l.o.Clock.Now().Sub(provenAt)
 }
 
-// missing returns the names of the entries that a delta no longer lists.
-func (l *Instances) missing(d Delta) []string {
-	var out []string
+// missing returns the entries that a delta no longer lists, those of a full copy without a value.
+func (l *Instances) missing(d Delta) []store.Object {
 	if !d.Full {
-		for _, object := range d.Deleted {
-			out = append(out, object.Name)
-		}
-		return out
+		return d.Deleted
 	}
+	var out []store.Object
 	listed := make(map[string]bool, len(d.Objects))
 	for _, object := range d.Objects {
 		listed[object.Name] = true
 	}
 	for name := range l.entries {
 		if !listed[name] {
-			out = append(out, name)
+			out = append(out, store.Object{Name: name})
 		}
 	}
 	return out
 }
 
 // applyMissing removes an entry that is no longer listed, or holds it for now.
-func (l *Instances) applyMissing(name string, hold, restored bool) {
+func (l *Instances) applyMissing(object store.Object, hold, restored bool) {
+	name := object.Name
 	e := l.entries[name]
 	if e == nil || !e.missingSince.IsZero() {
 		return
 	}
+	l.applyLastValue(object, e)
 	now := l.o.Clock.Now()
 	if hold && !e.instance.Draining && e.active() {
 		e.missingSince, e.lostInRestore = now, restored
@@ -188,6 +187,16 @@
 	}
 }
 
+// applyLastValue marks an entry as draining if it said so in its last value. The update that brought that
+// value and the removal can arrive together.
+func (l *Instances) applyLastValue(removed store.Object, e *entry) {
+	if e.unusable || e.instance.Draining || len(removed.Value) == 0 {
+		return
+	}
+	last, err := l.o.Decode(removed.Name, removed.Value)
+	e.instance.Draining = err == nil && last.ID == e.instance.ID && last.Draining
+}
+
 // put sets the entry of a name.
 func (l *Instances) put(name string, e *entry) {
 	l.unlink(name)
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -411,6 +411,7 @@
 	for _, e := range b.Events {
 		if e.Deleted {
 			m.history.recordDeletion(e.Object, b.Revision)
+			e.Object.Value = m.objects[e.Object.Name].Value
 		}
 		if !m.applyEvent(e) {
 			continue
