fanout: hosts of domains without relays fetch from another host as well

What callers saw: requests at a runner that left, from one host, while all others knew for seconds.

Cause: in a failure domain of fewer than five hosts each one follows the store by itself and hears of others only once it knows that it lost the store. A host whose watch gets no answer doesn't know that: it missed a change for the pause after another one (1 s), the rest of the watch and its timeout. Relays already fetch from another relay for the same reason.

Change: such hosts form a ring, by turns of the failure domains, and fetch from the next one beside the store; what one knows passes along it. A lost neighbor is skipped as a lost relay is.

Nothing changes for domains with relays.

Weighed and not done: to let the first change behind another through without a pause (a rate limit with a burst in place of the pause).

--- a/coordination/fanout/node.go
+++ b/coordination/fanout/node.go
@@ -177,11 +177,11 @@
 		}
 		n.peekAfterRestore(ctx)
 	}
-	// A relay with followers fetches from another relay in addition to following the store:
-	// if its connection to the store is cut and neither side has noticed, it still gets the
-	// changes through the other relay.
+	// A relay with followers, and a host of a domain without relays, fetches from another host in
+	// addition to following the store: if its connection to the store is cut and neither side has
+	// noticed, it still gets the changes through the other host.
 	switch {
-	case source != "" && (!isRelay || hasFollowers || n.storeUnavailable()):
+	case source != "" && (!isRelay || hasFollowers || p.alwaysFetches || n.storeUnavailable()):
 		n.fetch(ctx, source, isRelay)
 	case n.storeUnavailable():
 		n.peekNext(ctx) // another host may still reach the store
--- a/coordination/fanout/relays.go
+++ b/coordination/fanout/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -21,6 +22,8 @@
 	// maxRemoteRelays is the number of relays of other domains that a host uses when those of
 	// its own domain fail.
 	maxRemoteRelays = 2
+	// maxPartners is the number of hosts that a host of a domain without relays uses as sources.
+	maxPartners = 3
 )
 
 // plan is what a host does according to the list of hosts alone.
@@ -32,6 +35,9 @@
 	// prefers the relays of its own domain. A relay prefers those of others, so that it isn't
 	// cut off together with its whole domain.
 	sources []string
+	// alwaysFetches is set for a host of a domain without relays: it has no followers, but fetches from
+	// another host in addition to following the store, so that it misses nothing that others know.
+	alwaysFetches bool
 	// computed is set once the plan has been computed; false in the zero plan.
 	computed bool
 }
@@ -42,7 +48,7 @@
 	others := slices.DeleteFunc(slices.Clone(hosts), func(h state.Peer) bool { return h.Addr == self.Addr })
 	domains := byDomain(append(others, self))
 	local := relaysOf(domains[self.FailureDomain])
-	p := plan{isRelay: len(local) == 0 || slices.Contains(local, self.Addr)}
+	p := plan{isRelay: len(local) == 0 || slices.Contains(local, self.Addr), alwaysFetches: len(local) == 0}
 	var remote []string
 	for domain, members := range domains {
 		if domain != self.FailureDomain {
@@ -56,9 +62,42 @@
 		local, remote = remote, local
 	}
 	p.sources = append(local, remote...)
+	if p.alwaysFetches && len(p.sources) == 0 {
+		p.sources = partners(self, hosts)
+	}
 	return p
 }
 
+// partners returns the addresses of the hosts after self in a ring of all hosts, nearest first. Neighbors in
+// the ring are of different failure domains as far as possible, and a change that one host knows passes
+// along the ring to all.
+func partners(self state.Peer, hosts []state.Peer) []string {
+	ring := ringOrder(hosts)
+	at := slices.Index(ring, self.Addr)
+	if at < 0 {
+		return nil
+	}
+	after := slices.Concat(ring[at+1:], ring[:at])
+	return after[:min(maxPartners, len(after))]
+}
+
+// ringOrder returns the addresses of the hosts by their rank within their failure domain, and then by
+// domain.
+func ringOrder(hosts []state.Peer) []string {
+	domains := byDomain(hosts)
+	var out []string
+	for rank := 0; len(out) < len(hosts); rank++ {
+		for _, domain := range slices.Sorted(maps.Keys(domains)) {
+			members := addresses(domains[domain])
+			slices.Sort(members)
+			if rank < len(members) {
+				out = append(out, members[rank])
+			}
+		}
+	}
+	return out
+}
+
 // byDomain groups hosts by failure domain.
 func byDomain(hosts []state.Peer) map[string][]state.Peer {
 	out := map[string][]state.Peer{}
