follow: bound the list after a gap in the store's history

What callers would see: a host goes on with routes and runners of up to eight seconds ago.

Cause: the list after a gap had the timeout of a first list, 8 s, which 300 hosts need that start at once. A host with a copy that needs a list is out of date: its list must end within its part of the bounds, as the sum of the paths has it (0.5 s at bounds of 2 s and 3 s).

Evidence: TestListAfterGapThatGetsNoAnswerIsRepeatedInTime failed in both parts.

Change: a list of a host that has a copy takes the timeout of the list after a cut watch, doubled with each one that times out in a row, so that a long list over a slow link gets through.

Result: the test passes.

--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -89,6 +89,8 @@
 	lost atomic.Bool
 	// relisting is set for the list call that follows a cut watch; only Run uses it.
 	relisting bool
+	// listTimeouts is the number of successive lists that timed out; only Run uses it.
+	listTimeouts int
 	// consecutiveGaps is the number of successive watches that returned a gap; only Run uses it.
 	consecutiveGaps int
 	// following is set while Run runs and the store answered its last call.
@@ -227,18 +229,26 @@
 	return d/2 + rand.N(d)
 }
 
-// list replaces the copy by a list from the store. After a watch that was cut, the call has a short
-// timeout: a store that drops its waiting watches answers the next call in some milliseconds, and peers
-// that get changes from this host shouldn't all switch to the store.
+// maxListDoublings is how often the timeout of a list is doubled, so that a long list gets through to a
+// host with a slow link.
+const maxListDoublings = 4
+
+// list replaces the copy by a list from the store. The first one takes as long as the store allows. A
+// later one, after a gap in the history or a watch that was cut, has a short timeout: the store answers it
+// in some milliseconds, the host has a copy that is out of date, and peers that get changes from this
+// host shouldn't all switch to the store.
 func (m *Mirror) list(ctx context.Context) error {
-	if m.relisting {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, m.o.Delays.ListTimeout)
-		defer cancel()
-	}
 	sentAt, known := m.o.Clock.Now(), m.Revision()
-	objects, revision, err := m.o.Store.List(ctx, m.o.Kind)
+	listCtx, cancel := ctx, context.CancelFunc(func() {})
+	if known > 0 {
+		listCtx, cancel = context.WithTimeout(ctx, m.o.Delays.ListTimeout<<min(m.listTimeouts, maxListDoublings))
+	}
+	defer cancel()
+	objects, revision, err := m.o.Store.List(listCtx, m.o.Kind)
 	if err != nil {
+		if listCtx.Err() != nil {
+			m.listTimeouts++
+		}
 		return err
 	}
 	m.applyList(objects, revision)
@@ -468,6 +478,7 @@
 
 // markAnswered records that the store answered.
 func (m *Mirror) markAnswered() {
+	m.listTimeouts = 0
 	m.o.RetryGroup.release(m)
 	if !m.following.Swap(true) {
 		m.notify()
