soak: runners leave in quick series while single hosts lose the store

With -soak.leaving up to three runners leave within a second of each other, half of them by the removal of their entries without a word, and single hosts lose the store for up to two seconds. Such a loss excuses the requests of that host only; until now each disturbance excused all hosts.

It covers the real program where the scenarios of coordination/fanout cover its parts.

--- a/soak/asking.go
+++ b/soak/asking.go
@@ -45,7 +45,7 @@
 		r := f.present(rng)
 		r.Ask(platformtest.Asking{Leaving: true})
 		time.Sleep(listedLate)
-		return f.leave(r)
+		return f.leave(r, true)
 	}},
 }
 
@@ -126,7 +126,7 @@
 		turnedAway++
 		from, until := a.At.Add(knownWithin), a.At.Add(a.Asked.Rest)
 		for _, b := range arrivals {
-			if b.host == a.host && b.At.After(from) && b.At.Before(until) && f.calm(a.At, b.At, false) {
+			if b.host == a.host && b.At.After(from) && b.At.Before(until) && f.calm(b.host, a.At, b.At, false) {
 				during++
 				f.problem("request %s reached runner %s from host %s %s after it had asked that for %s of rest", b.ID, r.ID, b.host, b.At.Sub(a.At), a.Asked.Rest)
 			}
@@ -158,7 +158,7 @@
 			}
 			counted = append(counted, a.At)
 			counted = slices.DeleteFunc(counted, func(t time.Time) bool { return a.At.Sub(t) > limitWindow })
-			if f.calm(counted[0], a.At, false) {
+			if f.calm("", counted[0], a.At, false) {
 				most = max(most, len(counted))
 			}
 		}
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -72,7 +72,7 @@
 		}
 		late := map[string]bool{}
 		for _, a := range runs.Arrivals {
-			if a.At.After(runs.Ends[2].Add(knownAfter)) && f.calm(a.At, a.At, false) {
+			if a.At.After(runs.Ends[2].Add(knownAfter)) && f.calm("", a.At, a.At, false) {
 				late[a.ID] = true
 			}
 		}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -27,6 +27,8 @@
 	fatal, asking bool
 	// restored has the store come back from older copies more often.
 	restored bool
+	// leaving has runners leave in quick series while single hosts lose the store for a moment.
+	leaving bool
 }
 
 // fleet is one deployment with its callers.
@@ -281,8 +283,9 @@
 	return !was
 }
 
-// leave has a runner drain and end while another takes its part.
-func (f *fleet) leave(r *runner) error {
+// leave has a runner drain and end while another takes its part. Its entry says so, or, without a word,
+// is removed.
+func (f *fleet) leave(r *runner, word bool) error {
 	if !f.retire(r) {
 		return nil
 	}
@@ -291,7 +294,11 @@
 		return err
 	}
 	r.Drain()
-	f.list(r)
+	if word {
+		f.list(r)
+	} else {
+		f.unlist(r)
+	}
 	time.AfterFunc(platformtest.Drain+4*time.Second, func() {
 		f.unlist(r)
 		r.Crash()
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -19,15 +19,25 @@
 	runners bool
 	// late says that calls under the lease of the duties may be held back.
 	late bool
+	// host is the name of the only host that was disturbed; "" if others were, too.
+	host string
 }
 
 // disturb notes a disturbance, of runners alone or not, that may hold calls under the lease
 // back or not; the returned function ends it.
 func (f *fleet) disturb(runners, late bool) (end func()) {
+	return f.begin(span{runners: runners, late: late})
+}
+
+// disturbHost notes a disturbance of one host alone; the returned function ends it.
+func (f *fleet) disturbHost(h *host) (end func()) { return f.begin(span{host: h.addrs.Name}) }
+
+func (f *fleet) begin(disturbed span) (end func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.spans = append(f.spans, &span{from: time.Now(), runners: runners, late: late})
-	s := f.spans[len(f.spans)-1]
+	s := &disturbed
+	s.from = time.Now()
+	f.spans = append(f.spans, s)
 	return func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -35,15 +45,19 @@
 	}
 }
 
-// undisturbed reports whether nothing was disturbed from calm before from to to.
-func (f *fleet) undisturbed(from, to time.Time) bool { return f.calm(from, to, true) }
+// undisturbed reports whether nothing that concerns a process was disturbed from calm before from to to.
+func (f *fleet) undisturbed(process string, from, to time.Time) bool {
+	return f.calm(process, from, to, true)
+}
 
-// calm reports whether hosts and store, and the runners if they count, were left alone.
-func (f *fleet) calm(from, to time.Time, runners bool) bool {
+// calm reports whether hosts and store, and the runners if they count, were left alone; of what was
+// done to one host alone, that is asked for the process only, or for all hosts if it is "".
+func (f *fleet) calm(process string, from, to time.Time, runners bool) bool {
+	name, _, _ := strings.Cut(process, "/")
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.spans {
-		if s.runners && !runners {
+		if s.runners && !runners || s.host != "" && name != "" && s.host != name {
 			continue
 		}
 		if s.from.Before(to) && (s.to.IsZero() || s.to.After(from.Add(-calm))) {
@@ -75,7 +89,7 @@
 			f.problem("request %s got %q, not its own answer %q", r.id, r.body, want)
 		}
 	}
-	if f.undisturbed(r.began, r.ended) {
+	if f.undisturbed(r.host, r.began, r.ended) {
 		f.judgeUndisturbed(r)
 	}
 }
@@ -104,7 +118,7 @@
 	if r.status == 404 && r.version <= inForce {
 		f.problem("host %s knew version %d and answers 404 for version %d", r.host, inForce, r.version)
 	}
-	if r.status == 404 && r.began.Sub(f.writtenAt(r.version)) > 2*time.Second && f.undisturbed(r.began, r.ended) {
+	if r.status == 404 && r.began.Sub(f.writtenAt(r.version)) > 2*time.Second && f.undisturbed(r.host, r.began, r.ended) {
 		f.problem("host %s does not know version %d %s after it was written", r.host, r.version, r.began.Sub(f.writtenAt(r.version)))
 	}
 }
@@ -142,7 +156,7 @@
 			f.problem("request %s may run once and ran at %s and %s", r.id, runs[0].Runner, runs[1].Runner)
 		}
 		for _, run := range runs {
-			if run.Draining > platformtest.Drain+500*time.Millisecond && f.undisturbed(run.At, run.At) {
+			if run.Draining > platformtest.Drain+500*time.Millisecond && f.undisturbed(r.host, run.At, run.At) {
 				f.problem("request %s reached runner %s %s after its leaving was listed", r.id, run.Runner, run.Draining)
 			}
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,6 +20,7 @@
 	fatal     = flag.Bool("soak.fatal", false, "let a request come that ends whatever runs it")
 	asked     = flag.Bool("soak.asking", false, "let runners name limits, ask for rest and say that they leave")
 	restore   = flag.Bool("soak.restored", false, "have the store come back from older copies more often")
+	leave     = flag.Bool("soak.leaving", false, "have runners leave in quick series while single hosts lose the store for a moment")
 	keep      = flag.String("soak.keep", "", "folder for the logs of seeds that fail")
 )
 
@@ -46,11 +47,11 @@
 }
 
 // with is what a seed is played with, beside what happens to all.
-type with struct{ fatal, asking, restored bool }
+type with struct{ fatal, asking, restored, leaving bool }
 
 func playSeed(t *testing.T, bin string, seed uint64, w with) {
 	dir := t.TempDir()
-	problems, log, err := play(options{seed: seed, hosts: *hosts, callers: *callers, length: *length, bin: bin, dir: dir, fatal: w.fatal, asking: w.asking, restored: w.restored})
+	problems, log, err := play(options{seed: seed, hosts: *hosts, callers: *callers, length: *length, bin: bin, dir: dir, fatal: w.fatal, asking: w.asking, restored: w.restored, leaving: w.leaving})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -115,6 +116,18 @@
 	}
 }
 
+// Runners leave in quick series, some without a word, while single hosts lose the store for a moment, beside
+// other trouble and beside planned work alone (the second seed).
+func TestSoakRunnersLeaveInSeries(t *testing.T) {
+	bin := build(t)
+	for _, seed := range []uint64{1101, 1104} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playSeed(t, bin, seed, with{leaving: true})
+		})
+	}
+}
+
 func TestSoak(t *testing.T) {
 	if *seeds == 0 {
 		t.Skip("give -soak.seeds to play fresh ones; TestSoakRegressions runs always")
@@ -124,7 +137,7 @@
 		seed := *firstSeed + uint64(n)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			playSeed(t, bin, seed, with{*fatal, *asked, *restore})
+			playSeed(t, bin, seed, with{*fatal, *asked, *restore, *leave})
 		})
 	}
 }
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -61,7 +61,7 @@
 		f.anyHost(rng).signal(syscall.SIGHUP)
 		return nil
 	}},
-	{name: "runner leaves", planned: true, do: func(f *fleet, rng *rand.Rand) error { return f.leave(f.present(rng)) }},
+	{name: "runner leaves", planned: true, do: func(f *fleet, rng *rand.Rand) error { return f.leave(f.present(rng), true) }},
 	{name: "runner crashes", runners: true, do: func(f *fleet, rng *rand.Rand) error { return f.crash(f.present(rng)) }},
 	{name: "host killed", do: func(f *fleet, rng *rand.Rand) error {
 		return f.anyHost(rng).kill(time.Duration(rng.IntN(1500)) * time.Millisecond)
@@ -126,6 +126,9 @@
 	if f.o.asking {
 		may = slices.Concat(actions, asking, asking)
 	}
+	if f.o.leaving {
+		may = slices.Concat(may, slices.Repeat(leaving, len(actions)/2))
+	}
 	if f.o.restored {
 		may = slices.Concat(may, slices.Repeat([]action{restored}, len(actions)/2))
 	}
