follow: a removed entry is held as the last run that it stood for

What callers would see: requests go to an earlier run of a runner, or to a run whose address another has taken, while the entry of the later run is missing.

Cause: a batch that brings a new run of a name and the removal of its entry left the mirror with the removal only: the list held the run that it knew, which another had replaced. The word draining was the only part of the last value that was read, and not at all if the entry was held already.

Change: the last value and version of a removed object are applied like an update before the removal.

--- a/coordination/follow/history.go
+++ b/coordination/follow/history.go
@@ -113,8 +113,8 @@
 	Revision uint64
 	// Full says that Objects are all objects of the copy, in a list that must not be modified and is
 	// the same in each such delta until an object changes. Otherwise Objects are those that changed,
-	// and Deleted those that were deleted, each with its last version. Calls of Options.OnDelta also
-	// have its last value, which may be one that the receiver hasn't seen.
+	// and Deleted those that were deleted, each with a version that isn't below its last one. In calls
+	// of Options.OnDelta they have their last version and value, which the receiver may not have seen.
 	Full             bool
 	Objects, Deleted []store.Object
 	// Proven says that the copy with these changes held everything that the store had acknowledged
--- a/coordination/follow/instances.go
+++ b/coordination/follow/instances.go
@@ -167,11 +167,17 @@
 // applyMissing removes an entry that is no longer listed, or holds it for now.
 func (l *Instances) applyMissing(object store.Object, hold, restored bool) {
 	name := object.Name
+	known := l.entries[name]
+	if known == nil {
+		return
+	}
+	if len(object.Value) > 0 && object.Version != known.version {
+		l.applyEntry(object) // a last value that is new: of another run, or of one that said draining
+	}
 	e := l.entries[name]
-	if e == nil || !e.missingSince.IsZero() {
+	if !e.missingSince.IsZero() {
 		return
 	}
-	l.applyLastValue(object, e)
 	now := l.o.Clock.Now()
 	if hold && !e.instance.Draining && e.active() {
 		e.missingSince, e.lostInRestore = now, restored
@@ -187,16 +193,6 @@
 	}
 }
 
-// applyLastValue marks an entry as draining if it said so in its last value. The update that brought that
-// value and the removal can arrive together.
-func (l *Instances) applyLastValue(removed store.Object, e *entry) {
-	if e.unusable || e.instance.Draining || len(removed.Value) == 0 {
-		return
-	}
-	last, err := l.o.Decode(removed.Name, removed.Value)
-	e.instance.Draining = err == nil && last.ID == e.instance.ID && last.Draining
-}
-
 // put sets the entry of a name.
 func (l *Instances) put(name string, e *entry) {
 	l.unlink(name)
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -419,14 +419,14 @@
 	m.history.recordSize(len(m.objects))
 	before, changed := m.history.changedAt, map[string]store.Object{}
 	for _, e := range b.Events {
+		last := m.objects[e.Object.Name]
 		if e.Deleted {
 			m.history.recordDeletion(e.Object, b.Revision)
-			e.Object.Value = m.objects[e.Object.Name].Value
 		}
 		if !m.applyEvent(e) {
 			continue
 		}
-		changed[e.Object.Name], m.all = e.Object, nil
+		changed[e.Object.Name], m.all = last, nil
 		if !e.Deleted {
 			m.history.recordUpdate(e.Object.Name, b.Revision)
 		}
@@ -441,7 +441,8 @@
 	}
 }
 
-// passOnChanges passes on the objects that have changed, by name; m.mu is held.
+// passOnChanges passes on the objects that have changed, by name, each as it was before the last change;
+// m.mu is held.
 func (m *Mirror) passOnChanges(changed map[string]store.Object, source Source) {
 	if m.o.OnDelta == nil {
 		m.o.OnChange(m.copyLocked())
