follow: a relay's outage is none of its followers that others served

What callers would see: requests at a runner that left 2 s before, from a host that was never cut off.

Cause: a follower whose relay had lost the store moved to another one, and back once the first was usable again. It took over the first one's outage then, and held removed entries for its hold, counted from that relay's return. The bounds bind such a host all the time; the hold relies on a host's own disturbance.

TestFollowerHoldsNoEntryForTheOutageOfARelay plays it at relays in turn and failed: 'h8 sends to i27 2s after the store's word'.

Change: a follower takes over a relay's outage only if it had lost the store and all relays itself.

--- a/coordination/fanout/departure_test.go
+++ b/coordination/fanout/departure_test.go
@@ -309,3 +309,18 @@
 		})
 	}
 }
+
+// Guards against a follower that holds the entry of a runner that left because one of its relays had lost the
+// store: the follower itself was always served, so that the bounds bind it all the time.
+func TestFollowerHoldsNoEntryForTheOutageOfARelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newDepartureFleet(t, 83)
+		relays := f.relays()
+		for i, at := 0, -3*time.Second; at < 0; i, at = i+1, at+150*time.Millisecond {
+			d := departure{fault: refusedFor(time.Second), removed: true, gap: 100 * time.Millisecond, faultAt: at}
+			if v := f.play(d, relays[i%len(relays)]); v != "" {
+				t.Fatal(v)
+			}
+		}
+	})
+}
--- a/coordination/follow/history.go
+++ b/coordination/follow/history.go
@@ -237,10 +237,9 @@
 
 // MarkRelayed records that a peer that follows the store keeps this mirror up to date. regained
 // is how long ago the store answered that peer again after an outage; ever is false if that peer
-// saw no outage.
+// saw no outage. The outage of a peer isn't one of this mirror if others kept it up to date.
 func (m *Mirror) MarkRelayed(regained time.Duration, ever bool) {
-	m.lost.Store(false)
-	if !ever {
+	if !m.lost.Swap(false) || !ever {
 		return
 	}
 	at := m.o.Clock.Now().Add(-regained)
