--- a/coordination/fanout/fleet_test.go
+++ b/coordination/fanout/fleet_test.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -76,6 +77,7 @@
 	// list is the host's list of all hosts.
 	list   []state.Peer
 	copies map[string]*follow.Mirror
+	log    hostLog
 	// received are the bodies of the notices that the host got.
 	received []string
 	// inForce is the highest version of the configuration that the host has had.
@@ -141,7 +143,7 @@
 		}
 		o := follow.Options{
 			Newer: newer,
-			Store: faultyStore{f.store.Client(h.self.Addr), f, h.self.Addr}, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler),
+			Store: faultyStore{f.store.Client(h.self.Addr), f, h.self.Addr}, Clock: clocktest.Bubble{}, Log: h.log.logger(),
 			Kind: kind, OnChange: h.applyConfig, RetryGroup: outage, Notify: func() { h.WakeFollowers() }, RecoveryTime: testSettle,
 		}
 		if f.configure != nil {
@@ -155,7 +157,7 @@
 	}
 	n, err := New(Options{
 		Self: h.self, RunID: h.self.Addr + "-1", Hosts: func() []state.Peer { return h.list }, Copies: h.copies, Peers: network{f, h.self.Addr},
-		Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(7, uint64(i))), Log: slog.New(slog.DiscardHandler), FetchWait: f.fetchWait,
+		Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(7, uint64(i))), Log: h.log.logger(), FetchWait: f.fetchWait,
 	})
 	if err != nil {
 		f.t.Fatal(err)
@@ -169,6 +171,35 @@
 	return h
 }
 
+// hostLog is the log of a host, with the times of the bubble.
+type hostLog struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *hostLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *hostLog) logger() *slog.Logger { return slog.New(slog.NewTextHandler(l, nil)) }
+
+// since returns the lines that were logged after a time.
+func (l *hostLog) since(t time.Time) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out strings.Builder
+	for line := range strings.Lines(l.text.String()) {
+		at, _, _ := strings.Cut(strings.TrimPrefix(line, "time="), " ")
+		if logged, err := time.Parse(time.RFC3339Nano, at); err == nil && logged.After(t) {
+			out.WriteString(line)
+		}
+	}
+	return out.String()
+}
+
 // applyConfig puts the configuration of a copy in force if its version is higher.
 func (h *host) applyConfig(c follow.Copy) {
 	for _, o := range c.Objects {
--- a/coordination/fanout/restore_test.go
+++ b/coordination/fanout/restore_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,12 +38,23 @@
 			return time.Since(start)
 		}
 		if time.Since(start) > limit {
-			t.Fatalf("%s after the write, %s don't have configuration %s and r0 %s", limit, summarize(stale), config, thing)
+			t.Fatalf("%s after the write, %s don't have configuration %s and r0 %s; since 5 s before it they logged\n%s", limit, summarize(stale), config, thing, f.logsOf(stale, start.Add(-5*time.Second)))
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
+// logsOf returns what some hosts logged after a time.
+func (f *fleet) logsOf(addrs []string, since time.Time) string {
+	var out strings.Builder
+	for _, h := range f.hosts {
+		if slices.Contains(addrs, h.self.Addr) {
+			fmt.Fprintf(&out, "%s, follows the store: %v\n%s", h.self.Addr, h.FollowsStore(), h.log.since(since))
+		}
+	}
+	return out.String()
+}
+
 // Guards against hosts that are out of date for longer than a change may take, or that call the store
 // more often than its rate limits allow, after the store was restored from an older copy. It is
 // restored three times, the second time with an unresponsive relay and then also with hosts that the
