propagation: own the relays' backoff and the hold during an outage as well

Two delays on the way of a change were still constants of their own: how long a relay isn't asked that lost the store (1 s, up to 1.25 s with its jitter), and how long a runner without an entry stays listed while the store doesn't answer this host but a peer (1.8 s). Both are derived from the bounds now, with paths of their own in TestDelaysFitTheirBounds; the pause of the configuration's copy can't exceed its part either.

At bounds of 2 s and 3 s the first stays as it is, and the second becomes 1.65 s, which with the check of holds and the reserve is the bound: 2 s.

--- a/coordination/fanout/backoff.go
+++ b/coordination/fanout/backoff.go
@@ -13,10 +13,6 @@
 	// tried within that time, each for responseSlack.
 	backoffInitial = 2 * time.Second
 	backoffMax     = 4 * time.Second
-	// backoffUnavailable replaces both for a relay that responds but has lost the store. Such a
-	// relay calls the store about every second, and a change must be in force some seconds after
-	// the store's return.
-	backoffUnavailable = time.Second
 )
 
 // relayBackoff is the backoff of a relay that failed.
@@ -50,7 +46,7 @@
 	a := n.backoffs[source]
 	pause := min(backoffInitial<<min(a.failures, 8), backoffMax)
 	if unavailable {
-		pause = backoffUnavailable
+		pause = n.o.Delays.RelayBackoff * 4 / 5 // before jitter
 	}
 	if lacksCopy {
 		pause = startupRetryInterval
--- a/coordination/fanout/departure_test.go
+++ b/coordination/fanout/departure_test.go
@@ -31,7 +31,6 @@
 // departureFleet is a fleet whose hosts choose among runners, the objects of kindThings.
 type departureFleet struct {
 	*fleet
-	delays propagation.Delays
 	// chosen is what each host chooses among, by its address.
 	chosen map[string]*placement.Fleet
 	// disturbedUntil is when the last disturbance of a host ended, by its address.
@@ -44,11 +43,12 @@
 }
 
 func newDepartureFleet(t *testing.T, hosts int) *departureFleet {
+	delays := propagation.New(departureBounds)
 	f := &departureFleet{
-		delays: propagation.New(departureBounds), chosen: map[string]*placement.Fleet{},
+		chosen:         map[string]*placement.Fleet{},
 		disturbedUntil: map[string]time.Time{}, departedAt: map[string]time.Time{}, live: map[string]time.Time{},
 	}
-	f.fleet = newConfiguredFleet(t, hosts, f.delays.WatchWait, f.delays.RelayWait, f.configureCopy)
+	f.fleet = newConfiguredFleet(t, hosts, delays.WatchWait, delays, f.configureCopy)
 	f.start()
 	t.Cleanup(f.end)
 	time.Sleep(10 * time.Second)
@@ -57,8 +57,8 @@
 
 // configureCopy gives a host the delays of the deployment, and the list of runners to choose among.
 func (f *departureFleet) configureCopy(h *host, kind string, o *follow.Options) {
-	store := h.f.store.Client(h.self.Addr).WithTimeout(f.delays.AnswerTimeout)
-	o.Store, o.Delays, o.CoalesceDelay = store, f.delays, f.delays.Coalesce
+	store := h.f.store.Client(h.self.Addr).WithTimeout(h.f.delays.AnswerTimeout)
+	o.Store, o.Delays, o.CoalesceDelay = store, h.f.delays, h.f.delays.Coalesce
 	if kind != kindThings {
 		return
 	}
@@ -66,8 +66,8 @@
 	instances := follow.NewInstances(follow.InstancesOptions{
 		Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), Publish: runners.Apply, OnUnusable: func() {},
 		OnDeparture: func(follow.Departure, time.Duration) {}, Leaving: func(state.InstanceID) bool { return false },
-		EntriesMayBeMissing: func() bool { return h.copies[kindThings].UnavailableWithin(f.delays.Hold) },
-		HoldFor:             1800 * time.Millisecond, HeartbeatTimeout: 4 * time.Second,
+		EntriesMayBeMissing: func() bool { return h.copies[kindThings].UnavailableWithin(h.f.delays.Hold) },
+		HoldFor:             h.f.delays.OutageHold, HeartbeatTimeout: 4 * time.Second,
 		Decode: func(id string, v []byte) (state.Instance, error) {
 			return state.Instance{ID: state.InstanceID{Name: id}, Service: "s", Addr: id, Draining: string(v) == "draining"}, nil
 		},
--- a/coordination/fanout/fanouttest/fanouttest.go
+++ b/coordination/fanout/fanouttest/fanouttest.go
@@ -6,11 +6,11 @@
 	"log/slog"
 	"math/rand/v2"
 	"testing"
-	"time"
 
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/fanout"
 	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/propagation"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -29,7 +29,7 @@
 	t.Helper()
 	n, err := fanout.New(fanout.Options{
 		Self: state.Peer{Addr: "h"}, RunID: "h-1", Hosts: func() []state.Peer { return nil }, Copies: map[string]*follow.Mirror{"a": nil},
-		Peers: noPeers{}, Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler), FetchWait: time.Second,
+		Peers: noPeers{}, Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler), Delays: propagation.New(propagation.Bounds{}),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/coordination/fanout/fetch.go
+++ b/coordination/fanout/fetch.go
@@ -28,7 +28,7 @@
 // fetch fetches from a relay. If the relay follows the store, this host follows that relay from
 // then on, unless this host relays as well.
 func (n *Node) fetch(ctx context.Context, source string, isRelay bool) {
-	wait := n.o.FetchWait
+	wait := n.o.Delays.RelayWait
 	switch {
 	case !isRelay && n.lacksCopy():
 		wait = min(wait, startupFetchWait)
--- a/coordination/fanout/fleet_test.go
+++ b/coordination/fanout/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/propagation"
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/coordination/store/storetest"
 	"github.com/thymerack/thymerack/state"
@@ -25,7 +26,7 @@
 	// kindConfig has one object, "main", whose value is a version number; kindThings has r0 to r19.
 	kindConfig = "config"
 	kindThings = "things"
-	// testFetchWait is the FetchWait of all hosts, a quarter of propagationBound.
+	// testFetchWait is the time that a fetch waits at a relay, a quarter of propagationBound.
 	testFetchWait = time.Second
 	// propagationBound is the time within which a change must be in force.
 	propagationBound = 4 * time.Second
@@ -61,8 +62,8 @@
 	// fullCopyTime is how long a host is busy with each response that has full copies; it sends one
 	// after the other.
 	fullCopyTime time.Duration
-	// fetchWait is the FetchWait of all hosts.
-	fetchWait time.Duration
+	// delays are the Delays of all hosts.
+	delays propagation.Delays
 	// configure changes the options of a host's copy; nil for none.
 	configure func(h *host, kind string, o *follow.Options)
 	// watchesDropped ends all waiting watches with an error when it is closed.
@@ -96,13 +97,13 @@
 
 // newFleetWithWatchWait returns a fleet of n hosts whose watches wait at the store for at most wait.
 func newFleetWithWatchWait(t *testing.T, n int, wait time.Duration) *fleet {
-	return newConfiguredFleet(t, n, wait, testFetchWait, nil)
+	return newConfiguredFleet(t, n, wait, propagation.New(propagation.Bounds{InForce: propagationBound}), nil)
 }
 
 // newConfiguredFleet returns a fleet of n hosts whose copies have their options changed by configure.
-func newConfiguredFleet(t *testing.T, n int, wait, fetchWait time.Duration, configure func(h *host, kind string, o *follow.Options)) *fleet {
+func newConfiguredFleet(t *testing.T, n int, wait time.Duration, delays propagation.Delays, configure func(h *host, kind string, o *follow.Options)) *fleet {
 	f := &fleet{
-		t: t, store: storetest.NewPlatform(wait), fetchWait: fetchWait, configure: configure,
+		t: t, store: storetest.NewPlatform(wait), delays: delays, configure: configure,
 		unresponsive: map[string]bool{}, partitioned: map[string]bool{}, refused: map[string]bool{}, calls: map[string]int{}, watchesDropped: make(chan struct{}),
 	}
 	f.store.SetScript(f.script)
@@ -157,7 +158,7 @@
 	}
 	n, err := New(Options{
 		Self: h.self, RunID: h.self.Addr + "-1", Hosts: func() []state.Peer { return h.list }, Copies: h.copies, Peers: network{f, h.self.Addr},
-		Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(7, uint64(i))), Log: h.log.logger(), FetchWait: f.fetchWait,
+		Clock: clocktest.Bubble{}, Rand: rand.New(rand.NewPCG(7, uint64(i))), Log: h.log.logger(), Delays: f.delays,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/coordination/fanout/node.go
+++ b/coordination/fanout/node.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/propagation"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -48,10 +49,10 @@
 	// goroutine of Run only.
 	Rand *rand.Rand
 	Log  *slog.Logger
-	// FetchWait is how long a fetch waits at a relay for changes. A host backs off from a relay
-	// that doesn't respond within FetchWait and responseSlack. A quarter of the time in which
-	// changes must be in force leaves time for the response of the next relay.
-	FetchWait time.Duration
+	// Delays are the longest delays of the steps by which changes propagate. A fetch waits for
+	// RelayWait at a relay, and a host backs off from a relay that doesn't respond within that and
+	// RelaySlack.
+	Delays propagation.Delays
 }
 
 // Node keeps the copies of one host up to date, and serves them to its followers.
@@ -114,7 +115,7 @@
 
 // New returns a node. It fails if a field of the options is missing.
 func New(o Options) (*Node, error) {
-	if o.Self.Addr == "" || o.RunID == "" || o.Hosts == nil || len(o.Copies) == 0 || o.Peers == nil || o.Clock == nil || o.Rand == nil || o.Log == nil || o.FetchWait <= 0 {
+	if o.Self.Addr == "" || o.RunID == "" || o.Hosts == nil || len(o.Copies) == 0 || o.Peers == nil || o.Clock == nil || o.Rand == nil || o.Log == nil || o.Delays.RelayWait <= 0 {
 		return nil, errors.New("fanout: a field of Options is missing; set all of them")
 	}
 	return &Node{o: o, notices: newNoticeLog(o.RunID), handlers: map[Topic]func([]byte){}, cursors: map[string]Cursor{}, backoffs: map[string]relayBackoff{}, lastFetchFrom: map[string]time.Time{}, responseLimiters: map[string]*rate.Limiter{}, changed: make(chan struct{})}, nil
--- a/coordination/propagation/propagation.go
+++ b/coordination/propagation/propagation.go
@@ -37,6 +37,10 @@
 	maxHold = 2100 * time.Millisecond
 )
 
+// maxRelayBackoff is the longest pause before a relay is asked again that lost the store. Such a relay
+// calls the store about every second itself.
+const maxRelayBackoff = 1250 * time.Millisecond
+
 // maxCoalesce is the longest pause after a watch that returned changes. A longer one would save few
 // calls more.
 const maxCoalesce = time.Second
@@ -59,6 +63,11 @@
 	// RelayWait is how long a fetch waits at a relay for a change, and RelaySlack how much longer its
 	// answer may take.
 	RelayWait, RelaySlack time.Duration
+	// RelayBackoff is how long a relay isn't asked that reported that it lost the store.
+	RelayBackoff time.Duration
+	// OutageHold is how long an instance stays listed whose entry goes missing while the store doesn't
+	// answer this host, though it answers a peer.
+	OutageHold time.Duration
 	// Hold is how long after the store's return, as this host notices it, instances stay listed whose
 	// entries are missing, and HoldCheck how much later they may be removed.
 	Hold, HoldCheck time.Duration
@@ -81,6 +90,8 @@
 		PeerCopyWait:  answer + retry,
 		RelayWait:     relayWait,
 		RelaySlack:    RelaySlack,
+		RelayBackoff:  min(maxRelayBackoff, contact-answer-retry-reserve),
+		OutageHold:    inForce - HoldCheck - reserve,
 		Hold:          min(maxHold, contact-answer-retry-HoldCheck-reserve),
 		HoldCheck:     HoldCheck,
 		Reserve:       reserve,
@@ -127,6 +138,8 @@
 		{"the answer to a watch is lost", []Step{{"watch", d.WatchWait}, {"its answer", d.AnswerTimeout}, list, reserve}, contact},
 		{"the store was silent", []Step{hung, retry, reserve}, contact},
 		{"the store was silent, another copy calls it", []Step{{"wait for that copy", d.PeerCopyWait}, reserve}, contact},
+		{"the store was silent to the relays of a host", []Step{hung, retry, {"pause before the next fetch", d.RelayBackoff}, reserve}, contact},
+		{"an entry is removed while the store is silent to this host", []Step{{"hold", d.OutageHold}, {"check of holds", d.HoldCheck}, reserve}, inForce},
 		{"an entry was removed while the store was silent", []Step{hung, retry, {"hold", d.Hold}, {"check of holds", d.HoldCheck}, reserve}, contact},
 	}
 }
--- a/coordination/propagation/propagation_test.go
+++ b/coordination/propagation/propagation_test.go
@@ -28,7 +28,7 @@
 			}
 			for name, delay := range map[string]time.Duration{
 				"WatchWait": d.WatchWait, "AnswerTimeout": d.AnswerTimeout, "ListTimeout": d.ListTimeout, "Coalesce": d.Coalesce, "Retry": d.Retry,
-				"PeerCopyWait": d.PeerCopyWait, "RelayWait": d.RelayWait, "RelaySlack": d.RelaySlack, "Hold": d.Hold, "HoldCheck": d.HoldCheck, "Reserve": d.Reserve,
+				"PeerCopyWait": d.PeerCopyWait, "RelayWait": d.RelayWait, "RelaySlack": d.RelaySlack, "RelayBackoff": d.RelayBackoff, "OutageHold": d.OutageHold, "Hold": d.Hold, "HoldCheck": d.HoldCheck, "Reserve": d.Reserve,
 			} {
 				if delay <= 0 {
 					t.Errorf("%s is %v; it must be positive", name, delay)
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -225,10 +225,10 @@
 	h.instances = follow.NewInstances(follow.InstancesOptions{
 		Clock: h.clock, Log: h.log, Decode: platform.DecodeInstance, Publish: h.publish, OnUnusable: h.metrics.countUnusableEntry, OnDeparture: h.metrics.observeDeparture,
 		EntriesMayBeMissing: func() bool { return h.instanceMirror.UnavailableWithin(delays.Hold) },
-		HoldFor:             missingEntryHoldTime, Leaving: h.advice.Leaving, HeartbeatTimeout: missedHeartbeats*cmp.Or(h.settings.Heartbeat, defaultHeartbeatInterval) + heartbeatSlack,
+		HoldFor:             delays.OutageHold, Leaving: h.advice.Leaving, HeartbeatTimeout: missedHeartbeats*cmp.Or(h.settings.Heartbeat, defaultHeartbeatInterval) + heartbeatSlack,
 	})
 	retryGroup := &follow.RetryGroup{}
-	h.configMirror, err = follow.New(follow.Options{RetryGroup: retryGroup, Store: h.proofStore, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Delays: delays, OnChange: h.config.Update, CoalesceDelay: configCoalesceDelay, RecoveryTime: storeRecoveryTime, Newer: newerConfig, Notify: h.notifyFollowers})
+	h.configMirror, err = follow.New(follow.Options{RetryGroup: retryGroup, Store: h.proofStore, Clock: h.clock, Log: h.log, Kind: platform.KindConfig, Delays: delays, OnChange: h.config.Update, CoalesceDelay: min(configCoalesceDelay, delays.Coalesce), RecoveryTime: storeRecoveryTime, Newer: newerConfig, Notify: h.notifyFollowers})
 	if err != nil {
 		return err
 	}
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -74,12 +74,8 @@
 	hostsCoalesceDelay  = time.Second
 	holdsCoalesceDelay  = time.Second
 	// storeRecoveryTime is how long after the store recovers entries may be missing that are
-	// written again: "about two seconds" by the platform's documentation. missingEntryHoldTime bounds
-	// how long a runner without an entry stays listed while the store is unavailable: a
-	// leaving runner may receive requests for 2 s, and a peer's copy of the list may be slightly
-	// stale.
-	storeRecoveryTime    = 2100 * time.Millisecond
-	missingEntryHoldTime = 1800 * time.Millisecond
+	// written again: "about two seconds" by the platform's documentation.
+	storeRecoveryTime = 2100 * time.Millisecond
 	// missedHeartbeats is the number of missed heartbeats after which the store drops a runner's
 	// entry. defaultHeartbeatInterval is used if the settings give no interval. heartbeatSlack
 	// allows for the interval of the store's checks and for the latency of its answer.
--- a/daemon/routed/peers.go
+++ b/daemon/routed/peers.go
@@ -43,7 +43,7 @@
 		return err
 	}
 	h.fanout, err = fanout.New(fanout.Options{
-		Self: h.members.self(), RunID: h.id.String(), Hosts: h.members.All, Peers: relay.Peers{Client: h.peers}, Clock: h.clock, Rand: newRand(), Log: h.log, FetchWait: h.delays().RelayWait,
+		Self: h.members.self(), RunID: h.id.String(), Hosts: h.members.All, Peers: relay.Peers{Client: h.peers}, Clock: h.clock, Rand: newRand(), Log: h.log, Delays: h.delays(),
 		Copies: map[string]*follow.Mirror{platform.KindConfig: h.configMirror, platform.KindInstances: h.instanceMirror, kindHosts: h.members.mirror, quarantine.Kind: h.heldMirror},
 	})
 	if err != nil {
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/thymerack/thymerack/coordination/fanout"
 	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/propagation"
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/coordination/store/storetest"
 	"github.com/thymerack/thymerack/state"
@@ -46,7 +47,7 @@
 	}
 	n, err = fanout.New(fanout.Options{
 		Self: state.Peer{Addr: "answers"}, RunID: "answers-1", Hosts: func() []state.Peer { return nil }, Copies: map[string]*follow.Mirror{"a": m},
-		Peers: Peers{}, Clock: wallclock.Clock{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler), FetchWait: time.Second,
+		Peers: Peers{}, Clock: wallclock.Clock{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler), Delays: propagation.New(propagation.Bounds{}),
 	})
 	if err != nil {
 		t.Fatal(err)
