--- a/coordination/follow/runs_test.go
+++ b/coordination/follow/runs_test.go
@@ -79,6 +79,8 @@
 // accepted returns the runs that requests may be sent to.
 func (m *runModel) accepted() map[state.InstanceID]bool {
 	out := map[state.InstanceID]bool{}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for _, i := range m.followedInstances.listed {
 		if !i.Draining {
 			out[i.ID] = true
