propagation, fanout: group the limits, and say what hosts without relays do

Found by reading the diff as a newcomer: limits of delays in four blocks, a list's timeout that is said to be for one of its two cases, a field whose comment said that such a host has no followers. Comments and order only; no value changes.

--- a/coordination/fanout/relays.go
+++ b/coordination/fanout/relays.go
@@ -33,10 +33,10 @@
 	isRelay bool
 	// sources are the addresses of the relays to fetch from, in order of preference. A follower
 	// prefers the relays of its own domain. A relay prefers those of others, so that it isn't
-	// cut off together with its whole domain.
+	// cut off together with its whole domain. In a fleet without relays they are other hosts.
 	sources []string
-	// alwaysFetches is set for a host of a domain without relays: it has no followers, but fetches from
-	// another host in addition to following the store, so that it misses nothing that others know.
+	// alwaysFetches is set for a host of a domain without relays. It follows the store, and fetches from
+	// another host besides, so that it doesn't miss what others know.
 	alwaysFetches bool
 	// computed is set once the plan has been computed; false in the zero plan.
 	computed bool
--- a/coordination/propagation/propagation.go
+++ b/coordination/propagation/propagation.go
@@ -25,37 +25,35 @@
 	defaultContact = 3 * time.Second
 )
 
-// RelaySlack is how much longer than the requested wait a relay's answer may take: a host with a fifth
-// of a core stalls for a tenth of a second at times.
-const RelaySlack = 250 * time.Millisecond
-
 const (
+	// RelaySlack is how much longer than the requested wait a relay's answer may take: a host with a
+	// fifth of a core stalls for a tenth of a second at times.
+	RelaySlack = 250 * time.Millisecond
 	// HoldCheck is the interval at which the end of holds is checked.
 	HoldCheck = 100 * time.Millisecond
 	// maxHold is how long after the return of the platform's store entries of live instances may be
 	// missing: "about two seconds" by its documentation.
 	maxHold = 2100 * time.Millisecond
+	// maxRelayBackoff is the longest pause before a relay is asked again that lost the store. Such a
+	// relay calls the store about every second itself.
+	maxRelayBackoff = 1250 * time.Millisecond
+	// maxCoalesce is the longest pause after a watch that returned changes. A longer one would save few
+	// calls more.
+	maxCoalesce = time.Second
 )
 
-// maxRelayBackoff is the longest pause before a relay is asked again that lost the store. Such a relay
-// calls the store about every second itself.
-const maxRelayBackoff = 1250 * time.Millisecond
-
-// maxCoalesce is the longest pause after a watch that returned changes. A longer one would save few
-// calls more.
-const maxCoalesce = time.Second
-
 // Delays are the longest delays of the steps. The zero value isn't usable; call New.
 type Delays struct {
 	// WatchWait is how long a watch waits at the store for a change, and AnswerTimeout how much longer
 	// its answer may take; AnswerTimeout is also the time for the answer to a poll.
 	WatchWait, AnswerTimeout time.Duration
-	// ListTimeout is the time for the answer to a list after a watch that was cut.
+	// ListTimeout is the time for the answer to a list of a host that has a copy: after a watch that was
+	// cut, or a gap in the store's history.
 	ListTimeout time.Duration
 	// Coalesce is the pause before the next watch after one that returned changes, and between two
 	// lists from a store that has no history.
 	Coalesce time.Duration
-	// Retry is the pause between two calls to a store that doesn't answer.
+	// Retry is the pause between two calls to a store that doesn't answer, with its jitter.
 	Retry time.Duration
 	// PeerCopyWait is how long a copy that the store doesn't answer waits for the answer to another
 	// copy of the same host.
@@ -63,7 +61,7 @@
 	// RelayWait is how long a fetch waits at a relay for a change, and RelaySlack how much longer its
 	// answer may take.
 	RelayWait, RelaySlack time.Duration
-	// RelayBackoff is how long a relay isn't asked that reported that it lost the store.
+	// RelayBackoff is how long a relay isn't asked that reported that it lost the store, with its jitter.
 	RelayBackoff time.Duration
 	// OutageHold is how long an instance stays listed whose entry goes missing while the store doesn't
 	// answer this host, though it answers a peer.
