--- a/coordination/propagation/propagation.go
+++ b/coordination/propagation/propagation.go
@@ -37,8 +37,7 @@
 	// maxRelayBackoff is the longest pause before a relay is asked again that lost the store. Such a
 	// relay calls the store about every second itself.
 	maxRelayBackoff = 1250 * time.Millisecond
-	// maxCoalesce is the longest pause after a watch that returned changes. A longer one would save few
-	// calls more.
+	// maxCoalesce is the longest pause after a watch that returned changes.
 	maxCoalesce = time.Second
 )
 
