follow: every mirror takes the delays of its deployment's bounds

The mirrors of the hosts and of held requests had no delays of their own and fell back to those of the default bounds, 2 s and 3 s. At larger bounds they called a store that doesn't answer more often than the others of their host, with whom they share the retries, and gave up answers sooner: two places again where one should own the delays.

Change: Options.Delays is required, so that a mirror without them can't be built; the host passes those of its bounds to all four.

Evidence: with the field required and the host unchanged, the tests of daemon/routed that build a host fail ('a required field of Options is missing'); with the change they pass.

--- a/coordination/fanout/fanout_test.go
+++ b/coordination/fanout/fanout_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/propagation"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -380,7 +381,7 @@
 	h := f.hosts[0]
 	entered, release := make(chan struct{}), make(chan struct{})
 	m, err := follow.New(follow.Options{
-		Store: f.store.Client("h"), Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), Kind: "slow", RetryGroup: &follow.RetryGroup{},
+		Delays: propagation.New(propagation.Bounds{}), Store: f.store.Client("h"), Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), Kind: "slow", RetryGroup: &follow.RetryGroup{},
 		OnChange: func(follow.Copy) {
 			close(entered)
 			<-release
--- a/coordination/fanout/fleet_test.go
+++ b/coordination/fanout/fleet_test.go
@@ -143,7 +143,7 @@
 			newer = func(a, b store.Object) bool { return versionOf(a) > versionOf(b) }
 		}
 		o := follow.Options{
-			Newer: newer,
+			Newer: newer, Delays: f.delays,
 			Store: faultyStore{f.store.Client(h.self.Addr), f, h.self.Addr}, Clock: clocktest.Bubble{}, Log: h.log.logger(),
 			Kind: kind, OnChange: h.applyConfig, RetryGroup: outage, Notify: func() { h.WakeFollowers() }, RecoveryTime: testSettle,
 		}
--- a/coordination/follow/answers_test.go
+++ b/coordination/follow/answers_test.go
@@ -42,7 +42,7 @@
 		s := &fixedRevisionStore{}
 		s.revision.Store(48)
 		m, err := New(Options{
-			RetryGroup: &RetryGroup{}, Store: s, Clock: clocktest.Bubble{}, Kind: "things", OnChange: func(Copy) {},
+			Delays: defaultDelays, RetryGroup: &RetryGroup{}, Store: s, Clock: clocktest.Bubble{}, Kind: "things", OnChange: func(Copy) {},
 			Log: slog.New(slog.NewTextHandler(&log, nil)),
 		})
 		is.NoErr(err)
@@ -70,7 +70,7 @@
 				is := is.New(t)
 				s := &fixedRevisionStore{}
 				s.revision.Store(48)
-				m, err := New(Options{RetryGroup: &RetryGroup{}, Store: s, Clock: clocktest.Bubble{}, Kind: "things", OnChange: func(Copy) {}, Log: quiet})
+				m, err := New(Options{Delays: defaultDelays, RetryGroup: &RetryGroup{}, Store: s, Clock: clocktest.Bubble{}, Kind: "things", OnChange: func(Copy) {}, Log: quiet})
 				is.NoErr(err)
 				end := run(t, m)
 				time.Sleep(time.Millisecond)
--- a/coordination/follow/departure_test.go
+++ b/coordination/follow/departure_test.go
@@ -55,7 +55,7 @@
 	})
 	var err error
 	f.Mirror, err = New(Options{
-		Store: f.store.Client("h"), Clock: clocktest.Bubble{}, Log: log, Kind: "things", RetryGroup: &RetryGroup{}, OnDelta: f.Apply,
+		Delays: defaultDelays, Store: f.store.Client("h"), Clock: clocktest.Bubble{}, Log: log, Kind: "things", RetryGroup: &RetryGroup{}, OnDelta: f.Apply,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -23,7 +23,7 @@
 	"github.com/thymerack/thymerack/state"
 )
 
-// defaultDelays are the delays of mirrors whose options set none.
+// defaultDelays are the delays of the default bounds.
 var defaultDelays = propagation.New(propagation.Bounds{})
 
 var quiet = slog.New(slog.DiscardHandler)
@@ -37,8 +37,8 @@
 func newTestMirror(t testing.TB, p *storetest.Platform, gather time.Duration) *testMirror {
 	f := &testMirror{}
 	m, err := New(Options{
-		RetryGroup: &RetryGroup{},
-		Store:      p.Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", CoalesceDelay: gather,
+		Delays: defaultDelays, RetryGroup: &RetryGroup{},
+		Store: p.Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", CoalesceDelay: gather,
 		OnChange: func(c Copy) { f.copies = append(f.copies, c) },
 	})
 	if err != nil {
@@ -127,7 +127,7 @@
 		var all []*Mirror
 		for _, caller := range callers {
 			m, err := New(Options{
-				Store: p.Client(caller), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", RetryGroup: group, OnChange: func(Copy) {},
+				Delays: defaultDelays, Store: p.Client(caller), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", RetryGroup: group, OnChange: func(Copy) {},
 			})
 			is.NoErr(err)
 			defer run(t, m)()
@@ -169,7 +169,7 @@
 		group := &RetryGroup{}
 		mirror := func(kind, caller string) *Mirror {
 			m, err := New(Options{
-				Store: p.Client(caller), Clock: clocktest.Bubble{}, Log: quiet, Kind: kind, RetryGroup: group, OnChange: func(Copy) {},
+				Delays: defaultDelays, Store: p.Client(caller), Clock: clocktest.Bubble{}, Log: quiet, Kind: kind, RetryGroup: group, OnChange: func(Copy) {},
 			})
 			is.NoErr(err)
 			return m
@@ -255,8 +255,8 @@
 	config := NewConfig("main", decode, quiet)
 	problem, last := "", uint64(0)
 	m, err := New(Options{
-		RetryGroup: &RetryGroup{},
-		Store:      p.Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things",
+		Delays: defaultDelays, RetryGroup: &RetryGroup{},
+		Store: p.Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things",
 		OnChange: func(c Copy) {
 			config.Update(c)
 			if table := config.Table(); table != nil {
@@ -536,8 +536,8 @@
 		p := storetest.NewPlatform(20 * time.Second)
 		put(t, p, "a", "1", store.Absent)
 		m, err := New(Options{
-			RetryGroup: &RetryGroup{},
-			Store:      p.Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", OnChange: func(Copy) {},
+			Delays: defaultDelays, RetryGroup: &RetryGroup{},
+			Store: p.Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", OnChange: func(Copy) {},
 		})
 		is.NoErr(err)
 		defer run(t, m)()
--- a/coordination/follow/history_test.go
+++ b/coordination/follow/history_test.go
@@ -103,7 +103,7 @@
 		var copies []*Mirror
 		for range 4 {
 			m, err := New(Options{
-				Store: storetest.NewPlatform(0).Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", RetryGroup: &RetryGroup{}, OnChange: func(Copy) {},
+				Delays: defaultDelays, Store: storetest.NewPlatform(0).Client("h"), Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", RetryGroup: &RetryGroup{}, OnChange: func(Copy) {},
 			})
 			if err != nil {
 				t.Fatal(err)
--- a/coordination/follow/list_test.go
+++ b/coordination/follow/list_test.go
@@ -44,7 +44,7 @@
 				p := storetest.NewPlatform(20 * time.Second)
 				put(t, p, "a", "1", store.Absent)
 				s := &slowLists{Client: p.Client("h"), takes: takes}
-				m, err := New(Options{Store: s, Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", RetryGroup: &RetryGroup{}, OnChange: func(Copy) {}})
+				m, err := New(Options{Delays: defaultDelays, Store: s, Clock: clocktest.Bubble{}, Log: quiet, Kind: "things", RetryGroup: &RetryGroup{}, OnChange: func(Copy) {}})
 				is.NoErr(err)
 				defer run(t, m)()
 				time.Sleep(3 * time.Second)
--- a/coordination/follow/mirror.go
+++ b/coordination/follow/mirror.go
@@ -46,8 +46,7 @@
 	Notify func()
 	// RetryGroup is shared by the mirrors that follow the same store.
 	RetryGroup *RetryGroup
-	// Delays are the longest delays of the mirror's calls and pauses; zero for those of the default
-	// bounds.
+	// Delays are the longest delays of the mirror's calls and pauses.
 	Delays propagation.Delays
 	// CoalesceDelay is the pause after a watch that returned changes, so that changes in quick
 	// succession cost one call; it delays the later ones. May be zero.
@@ -106,15 +105,12 @@
 
 // New returns an empty mirror, or an error if a required option is missing.
 func New(o Options) (*Mirror, error) {
-	if o.Store == nil || o.Clock == nil || o.Log == nil || o.Kind == "" || o.RetryGroup == nil {
-		return nil, errors.New("follow: a required field of Options is missing; set Store, Clock, Log, Kind and RetryGroup")
+	if o.Store == nil || o.Clock == nil || o.Log == nil || o.Kind == "" || o.RetryGroup == nil || o.Delays == (propagation.Delays{}) {
+		return nil, errors.New("follow: a required field of Options is missing; set Store, Clock, Log, Kind, RetryGroup and Delays")
 	}
 	if (o.OnChange == nil) == (o.OnDelta == nil) {
 		return nil, errors.New("follow: Options.OnChange and OnDelta are both set or both missing; set one of them")
 	}
-	if o.Delays == (propagation.Delays{}) {
-		o.Delays = propagation.New(propagation.Bounds{})
-	}
 	return &Mirror{o: o, objects: map[string]store.Object{}, answerStats: newAnswerStats()}, nil
 }
 
--- a/coordination/forward/crashes_test.go
+++ b/coordination/forward/crashes_test.go
@@ -20,6 +20,7 @@
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/coordination/propagation"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/store/storetest"
 	"github.com/thymerack/thymerack/state"
@@ -172,7 +173,7 @@
 		h.f.t.Fatal(err)
 	}
 	mirror, err := follow.New(follow.Options{
-		Store: client, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), Kind: quarantine.Kind, OnChange: h.ApplyCopy, RetryGroup: &follow.RetryGroup{},
+		Delays: propagation.New(propagation.Bounds{}), Store: client, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), Kind: quarantine.Kind, OnChange: h.ApplyCopy, RetryGroup: &follow.RetryGroup{},
 	})
 	if err != nil {
 		h.f.t.Fatal(err)
--- a/coordination/quarantine/registry_test.go
+++ b/coordination/quarantine/registry_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/propagation"
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/coordination/store/storetest"
 )
@@ -84,7 +85,7 @@
 		f.t.Fatal(err)
 	}
 	mirror, err := follow.New(follow.Options{
-		Store: client, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), Kind: Kind, OnChange: h.ApplyCopy, RetryGroup: &follow.RetryGroup{},
+		Delays: propagation.New(propagation.Bounds{}), Store: client, Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), Kind: Kind, OnChange: h.ApplyCopy, RetryGroup: &follow.RetryGroup{},
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -8,6 +8,7 @@
 
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/follow"
+	"github.com/thymerack/thymerack/coordination/propagation"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/quarantines"
@@ -34,7 +35,7 @@
 	}
 	quarantines.Register(d.peerServer, d.quarantine.Receive)
 	held, err := follow.New(follow.Options{
-		Store: d.store, Clock: d.clock, Log: d.log, Kind: quarantine.Kind, OnChange: d.quarantine.ApplyCopy, CoalesceDelay: gatherHolds, RetryGroup: &follow.RetryGroup{},
+		Delays: propagation.New(propagation.Bounds{}), Store: d.store, Clock: d.clock, Log: d.log, Kind: quarantine.Kind, OnChange: d.quarantine.ApplyCopy, CoalesceDelay: gatherHolds, RetryGroup: &follow.RetryGroup{},
 	})
 	if err != nil {
 		return err
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -236,12 +236,12 @@
 	if err != nil {
 		return err
 	}
-	h.members.mirror, err = follow.New(follow.Options{RetryGroup: retryGroup, Store: h.store, Clock: h.clock, Log: h.log, Kind: kindHosts, OnChange: h.applyHosts, CoalesceDelay: hostsCoalesceDelay, Notify: h.notifyFollowers})
+	h.members.mirror, err = follow.New(follow.Options{RetryGroup: retryGroup, Store: h.store, Clock: h.clock, Log: h.log, Kind: kindHosts, Delays: delays, OnChange: h.applyHosts, CoalesceDelay: hostsCoalesceDelay, Notify: h.notifyFollowers})
 	if err != nil {
 		return err
 	}
 	// Held requests are broadcast to all hosts at once, so a long watch suffices.
-	h.heldMirror, err = follow.New(follow.Options{RetryGroup: retryGroup, Store: h.store, Clock: h.clock, Log: h.log, Kind: quarantine.Kind, OnChange: h.applyHeldRequests, CoalesceDelay: holdsCoalesceDelay, Notify: h.notifyFollowers})
+	h.heldMirror, err = follow.New(follow.Options{RetryGroup: retryGroup, Store: h.store, Clock: h.clock, Log: h.log, Kind: quarantine.Kind, Delays: delays, OnChange: h.applyHeldRequests, CoalesceDelay: holdsCoalesceDelay, Notify: h.notifyFollowers})
 	return err
 }
 
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -39,7 +39,7 @@
 	t.Helper()
 	var n *fanout.Node
 	m, err := follow.New(follow.Options{
-		Store: p.Client("answers"), Clock: wallclock.Clock{}, Log: slog.New(slog.DiscardHandler), Kind: "a",
+		Delays: propagation.New(propagation.Bounds{}), Store: p.Client("answers"), Clock: wallclock.Clock{}, Log: slog.New(slog.DiscardHandler), Kind: "a",
 		OnChange: func(follow.Copy) {}, RetryGroup: &follow.RetryGroup{}, Notify: func() { n.WakeFollowers() },
 	})
 	if err != nil {
