httpclient, forward: tell how a response's body ended

The HTTP client returns io.EOF only with such proof, and ErrUnframed at the end of a body without framing. The dispatcher counts both (thymerack_response_bodies_total) and logs body_end=connection with the request. What it concludes from either is unchanged by this commit.

TestBodyThatEndsWithItsConnectionIsWholeOnlyIfClosedInOrder stated that a body closed in order is whole, which is the fault that is being looked for. It is replaced by a stricter one: such a body has all its bytes and ends with ErrUnframed, a reset one with another error.

--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -57,7 +57,7 @@
 	rec.mayHaveRun = true
 	d.noteStarted(a.Request, rec, started)
 	defer sent.end()
-	body, err := readBody(resp)
+	body, err := d.readBody(a.Request, rec, resp)
 	took = d.o.Clock.Now().Sub(started)
 	if err == nil && head.Status < firstErrorStatus && !head.Signed {
 		err = errUnsigned
@@ -156,8 +156,16 @@
 const statusMisdirected = 421
 
 // readBody reads the body to its end.
-func readBody(resp Response) ([]byte, error) {
-	return io.ReadAll(responseReader{resp})
+func (d *Dispatcher) readBody(r *Request, rec *record, resp Response) ([]byte, error) {
+	body, err := io.ReadAll(responseReader{resp})
+	if errors.Is(err, ErrUnframed) {
+		d.noteBodyEnd(r, rec, EndConnection)
+		return body, nil
+	}
+	if err == nil {
+		d.noteBodyEnd(r, rec, EndFramed)
+	}
+	return body, err
 }
 
 // responseReader makes a Response an io.Reader.
@@ -165,7 +173,7 @@
 
 // discardBody reads the rest of a response whose body isn't needed, and ends it.
 func discardBody(resp Response) {
-	if _, err := io.Copy(io.Discard, responseReader{resp}); err != nil {
+	if _, err := io.Copy(io.Discard, responseReader{resp}); err != nil && !errors.Is(err, ErrUnframed) {
 		resp.Abort()
 		return
 	}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -63,6 +63,8 @@
 	// PrefillPlaced counts a reserved prefill: why it is in another failure domain than this host,
 	// if it is, and whether it fetches cached prefixes from another domain than its own.
 	PrefillPlaced(service string, reason CrossDomainReason, fetchesAcross bool)
+	// BodyEnded counts a response of a runner whose body has ended.
+	BodyEnded(service string, e BodyEnd)
 	// RequestHeld counts a request that the quarantine kept from the runners.
 	RequestHeld(service string)
 	// SentToUnconfirmed counts a request that is sent to an instance without an entry in the store.
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -274,6 +274,7 @@
 	s.silent = append(s.silent, id)
 }
 
+func (noObserver) BodyEnded(string, BodyEnd)        {}
 func (noObserver) RequestHeld(string)               {}
 func (noObserver) SentToUnconfirmed(string)         {}
 func (noObserver) RequestStarted(string, time.Time) {}
--- a/coordination/forward/prefill.go
+++ b/coordination/forward/prefill.go
@@ -106,7 +106,7 @@
 	resp, err := d.send(ctx, a, rec)
 	var body []byte
 	if err == nil {
-		if body, err = readBody(resp); err != nil {
+		if body, err = d.readBody(r, rec, resp); err != nil {
 			resp.Abort()
 		}
 	}
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -101,6 +101,8 @@
 	promptKV *KVSource
 	// sourceDropped is set once an attempt is made without promptKV because another may have taken it.
 	sourceDropped bool
+	// lastEnd is how the last body ended that was read to its end; "" if there was none.
+	lastEnd BodyEnd
 	// tunnels are those by which attempts were sent through other hosts.
 	tunnels []string
 	// order is the last decision about the prompt's order at an engine; nil if there was none.
@@ -131,6 +133,12 @@
 	d.o.Observer.RequestStarted(r.Customer.Name, at)
 }
 
+// noteBodyEnd records how a body ended.
+func (d *Dispatcher) noteBodyEnd(r *Request, rec *record, e BodyEnd) {
+	rec.lastEnd = e
+	d.o.Observer.BodyEnded(r.Service, e)
+}
+
 // countPrefill counts a prefill that may have reached an engine.
 func (r *record) countPrefill(refused bool) {
 	if !refused && !r.prefillAccepted {
@@ -189,6 +197,9 @@
 	if cause != "" {
 		attrs = append(attrs, slog.String("cause", cause))
 	}
+	if r.lastEnd == EndConnection {
+		attrs = append(attrs, slog.String("body_end", string(r.lastEnd)))
+	}
 	if len(r.tunnels) > 0 {
 		attrs = append(attrs, slog.String("tunnels", strings.Join(r.tunnels, " ")))
 	}
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -175,11 +175,25 @@
 	EventStream bool
 }
 
+// ErrUnframed marks the end of a body that has neither a length nor chunks, after the runner has closed
+// the connection in order. A runner that breaks off may do so as well.
+var ErrUnframed = errors.New("the body ended with its connection; its content must show whether it is complete")
+
+// BodyEnd is how the end of a response's body was recognized.
+type BodyEnd string
+
+// The ends of a body: by its length or last chunk, or by the end of its connection.
+const (
+	EndFramed     BodyEnd = "framed"
+	EndConnection BodyEnd = "connection"
+)
+
 // Response is a runner's response whose body is read as it arrives. The reader must call Finish
 // or Abort.
 type Response interface {
 	Head() *Head
-	// Read returns io.EOF only at the end of a complete body.
+	// Read returns io.EOF only at the end of a complete body, and ErrUnframed at the end of one that the
+	// end of its connection can't show to be complete.
 	Read(p []byte) (int, error)
 	// Finish releases the connection for reuse after the whole body has been read.
 	Finish()
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -153,11 +153,16 @@
 	if s.events > events {
 		s.noteGap()
 	}
-	if err == io.EOF {
-		s.eof = true
-		return nil
+	switch {
+	case err == io.EOF:
+		s.d.noteBodyEnd(s.a.Request, s.rec, EndFramed)
+	case errors.Is(err, ErrUnframed):
+		s.d.noteBodyEnd(s.a.Request, s.rec, EndConnection)
+	default:
+		return err
 	}
-	return err
+	s.eof = true
+	return nil
 }
 
 // scanEvents advances s.ready to the end of the last whole event. Before from there is no
--- a/daemon/routed/metrics.go
+++ b/daemon/routed/metrics.go
@@ -136,6 +136,11 @@
 	}
 }
 
+// BodyEnded implements forward.Observer.
+func (m *hostMetrics) BodyEnded(service string, e forward.BodyEnd) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_response_bodies_total{service=%q,end=%q}`, service, e)).Inc()
+}
+
 // RequestHeld implements forward.Observer.
 func (m *hostMetrics) RequestHeld(service string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_held_total{service=%q}`, service)).Inc()
--- a/daemon/routed/metrics_test.go
+++ b/daemon/routed/metrics_test.go
@@ -97,3 +97,17 @@
 		is.True(strings.Contains(out.String(), line+"\n"))
 	}
 }
+
+// Guards against metrics that can't tell a body that is known to be whole from one that ended with its
+// connection.
+func TestBodyEndMetrics(t *testing.T) {
+	is := is.New(t)
+	m := newHostMetrics()
+	m.BodyEnded("llm", forward.EndConnection)
+	m.BodyEnded("llm", forward.EndFramed)
+	m.BodyEnded("llm", forward.EndFramed)
+	var out strings.Builder
+	m.set.WritePrometheus(&out)
+	is.True(strings.Contains(out.String(), `thymerack_response_bodies_total{service="llm",end="connection"} 1`+"\n"))
+	is.True(strings.Contains(out.String(), `thymerack_response_bodies_total{service="llm",end="framed"} 2`+"\n"))
+}
--- a/transport/gateway/slow_test.go
+++ b/transport/gateway/slow_test.go
@@ -41,6 +41,7 @@
 func (streamDeps) BackoffUntil(state.InstanceID) time.Time                       { return time.Time{} }
 func (streamDeps) Held(quarantine.Digest) *quarantine.Hold                       { return nil }
 func (streamDeps) ReportAnswered(quarantine.Digest)                              {}
+func (streamDeps) BodyEnded(string, forward.BodyEnd)                             {}
 func (streamDeps) ReportSilent(state.InstanceID)                                 {}
 func (streamDeps) ReportBroken(*state.Instance, quarantine.Suspect)              {}
 func (streamDeps) Enter(context.Context, occupancy.Request) (r occupancy.Result) { return r }
--- a/transport/httpclient/client.go
+++ b/transport/httpclient/client.go
@@ -76,7 +76,9 @@
 	Permit func() error
 }
 
-// Do sends req and reads the whole response. Every error is an *Error.
+// Do sends req and reads the whole response. Every error is an *Error. A body without a length or
+// chunks ends with the connection, so that its content must show whether it is complete, as that of a
+// JSON object does; see ErrUnframed.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, l Limits) error {
 	x, err := c.send(ctx, req, l.Permit)
 	if err != nil {
@@ -91,9 +93,11 @@
 	return nil
 }
 
+// untilClose is fasthttp's content length of a body without framing.
+const untilClose = -2
+
 // reusable reports whether the connection may carry another request.
 func reusable(req *fasthttp.Request, resp *fasthttp.Response) bool {
-	const untilClose = -2 // fasthttp's content length of a body without framing
 	return !req.ConnectionClose() && !resp.ConnectionClose() && resp.Header.ContentLength() != untilClose
 }
 
--- a/transport/httpclient/stream.go
+++ b/transport/httpclient/stream.go
@@ -12,6 +12,10 @@
 	"github.com/valyala/fasthttp"
 )
 
+// ErrUnframed is the cause of a read at the end of a body that has neither a length nor chunks. The server
+// closed the connection in order, which it also does when it breaks off.
+var ErrUnframed = errors.New("the connection ended a body without a length or chunks; its content must show whether it is complete")
+
 // ErrClosed is the cause of a read on a stream that this host has closed.
 var ErrClosed = errors.New("the stream was closed by this host; start another attempt")
 
@@ -23,8 +27,10 @@
 	// Response has the status and the header; its body must be read through Read.
 	Response *fasthttp.Response
 
-	x       *exchange
-	reuse   bool
+	x     *exchange
+	reuse bool
+	// framed is set if the body has a length or chunks, so that its end shows that it is whole.
+	framed  bool
 	silence time.Duration
 	closed  atomic.Bool
 
@@ -42,7 +48,7 @@
 	if err := x.readResponse(resp, l); err != nil {
 		return nil, x.fail(err)
 	}
-	return &Stream{Response: resp, x: x, reuse: reusable(req, resp), silence: l.Timeout}, nil
+	return &Stream{Response: resp, x: x, reuse: reusable(req, resp), framed: resp.Header.ContentLength() != untilClose, silence: l.Timeout}, nil
 }
 
 // SetSilence changes how long a Read may wait. Call it before the first Read.
@@ -51,8 +57,9 @@
 // Conn returns the connection that carries the stream.
 func (s *Stream) Conn() net.Conn { return s.x.conn.Conn }
 
-// Read reads the body. It returns io.EOF at the end of a whole body and an
-// *Error for anything else, a body cut short included.
+// Read reads the body. It returns io.EOF once a length or the last chunk has shown that
+// the body is whole, and an *Error for anything else: one with the cause ErrUnframed at the
+// end of a body without either, and another one for a body cut short.
 func (s *Stream) Read(p []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,10 +74,14 @@
 		return 0, s.failed(err)
 	}
 	n, err := body.Read(p)
-	if err == nil || err == io.EOF {
+	switch {
+	case err == io.EOF && !s.framed:
+		return n, s.failed(ErrUnframed)
+	case err == nil || err == io.EOF:
 		return n, err
+	default:
+		return n, s.failed(err)
 	}
-	return n, s.failed(err)
 }
 
 func (s *Stream) failed(err error) *Error {
--- a/transport/httpclient/stream_test.go
+++ b/transport/httpclient/stream_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -120,3 +121,58 @@
 	is.True(<-end != nil)
 	is.Equal(c.Conns(), 0)
 }
+
+// Guards against a body that may have been broken off being read as a whole one: only a length or the last
+// chunk shows that nothing is missing.
+func TestReadTellsHowTheBodyEnded(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\n"
+	for name, c := range map[string]struct {
+		response string
+		reset    bool
+		want     error // nil: not a particular one
+		whole    bool
+	}{
+		"length":             {response: status + "Content-Length: 3\r\n\r\nabc", whole: true},
+		"short of length":    {response: status + "Content-Length: 4\r\n\r\nabc", want: io.ErrUnexpectedEOF},
+		"chunks":             {response: chunkedHeader + oneChunk + lastChunk, whole: true},
+		"without last chunk": {response: chunkedHeader + oneChunk, want: io.ErrUnexpectedEOF},
+		"inside a chunk":     {response: chunkedHeader + "4\r\nabc", want: io.ErrUnexpectedEOF},
+		"inside trailers":    {response: chunkedHeader + oneChunk + "0\r\nA: b\r\n"},
+		"unframed":           {response: status + "\r\nabc", want: ErrUnframed},
+		"unframed, empty":    {response: status + "\r\n", want: ErrUnframed},
+		"unframed, HTTP/1.0": {response: "HTTP/1.0 200 OK\r\n\r\nabc", want: ErrUnframed},
+		"unframed, reset":    {response: status + "\r\nabc", reset: true, want: syscall.ECONNRESET},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			received := make(chan struct{})
+			allow := sync.OnceFunc(func() { close(received) })
+			defer allow()
+			addr := listen(t, func(_ int, conn *net.TCPConn) {
+				readRequest(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, c.response)
+				if c.reset {
+					<-received // a reset drops what wasn't read
+					_ = conn.SetLinger(0)
+				}
+			})
+			s, err := newClient(t, testOptions(addr)).Stream(t.Context(), request(fasthttp.MethodGet), testLimits)
+			is.NoErr(err)
+			defer s.Cut()
+			var body []byte
+			for err == nil {
+				var b [16]byte
+				var n int
+				n, err = s.Read(b[:])
+				if body = append(body, b[:n]...); len(body) == 3 {
+					allow()
+				}
+			}
+			is.Equal(err == io.EOF, c.whole)
+			if c.want != nil {
+				is.True(errors.Is(err, c.want))
+			}
+			is.True(strings.HasPrefix("abc", string(body)))
+		})
+	}
+}
--- a/transport/runners/pool.go
+++ b/transport/runners/pool.go
@@ -339,7 +339,13 @@
 func (r *response) Head() *forward.Head { return r.head }
 
 // Read implements forward.Response.
-func (r *response) Read(p []byte) (int, error) { return r.stream.Read(p) }
+func (r *response) Read(p []byte) (int, error) {
+	n, err := r.stream.Read(p)
+	if errors.Is(err, httpclient.ErrUnframed) {
+		err = forward.ErrUnframed
+	}
+	return n, err
+}
 
 // Finish implements forward.Response.
 func (r *response) Finish() {
--- a/transport/runners/pool_test.go
+++ b/transport/runners/pool_test.go
@@ -153,7 +153,7 @@
 	body, err := io.ReadAll(struct{ io.Reader }{resp})
 	if err != nil {
 		resp.Abort()
-		return "", err
+		return string(body), err
 	}
 	resp.Finish()
 	return string(body), nil
@@ -252,7 +252,9 @@
 	}
 }
 
-func TestBodyThatEndsWithItsConnectionIsWholeOnlyIfClosedInOrder(t *testing.T) {
+// Guards against a body without a length or chunks that ends like one which is known to be whole, and against
+// one whose connection was reset that ends like one whose connection was closed in order.
+func TestBodyThatEndsWithItsConnectionIsMarked(t *testing.T) {
 	for _, reset := range []bool{false, true} {
 		is := is.New(t)
 		r := newRunner(t, func(c net.Conn, br *bufio.Reader) {
@@ -264,7 +266,8 @@
 			}
 		})
 		body, err := send(t, newPool(t, 4), attemptAt(r, "a", 0))
-		is.Equal(err != nil, reset)
+		is.True(err != nil)
+		is.Equal(errors.Is(err, forward.ErrUnframed), !reset)
 		if !reset {
 			is.Equal(body, "until the end")
 		}
