--- /dev/null
+++ b/coordination/forward/bodyend_test.go
@@ -0,0 +1,85 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// sixEvents are the events of a whole stream.
+func sixEvents() string {
+	var out strings.Builder
+	for id := 1; id <= 6; id++ {
+		fmt.Fprintf(&out, "id: %d\ndata: %s\n\n", id, strings.Repeat("x", 11))
+	}
+	return out.String()
+}
+
+// rest returns the events after the last whole one of a part of a stream.
+func rest(whole, part string) string {
+	end := strings.LastIndex(part, "\n\n")
+	if end < 0 {
+		return whole
+	}
+	return whole[end+2:]
+}
+
+// Guards against a stream that broke off inside an event being delivered as a complete one, or cleared as
+// answered: whatever the framing, at each offset.
+func TestStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
+	whole := sixEvents()
+	for end, bodyEnd := range map[BodyEnd]error{EndFramed: io.EOF, EndConnection: ErrUnframed} {
+		for offset := range len(whole) {
+			part := whole[:offset]
+			if strings.HasSuffix(part, "\n\n") || (end == EndFramed && offset == 0) {
+				continue // no event is incomplete
+			}
+			t.Run(fmt.Sprint(end, offset, "resumable"), func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, plenty, reply{status: 200, events: true, body: part, readErr: bodyEnd}, reply{status: 200, events: true, body: rest(whole, part)})
+				answer, err := w.Forward(t.Context(), modelRequest(500, true))
+				is.NoErr(err)
+				got, err := readAll(answer.Stream)
+				is.NoErr(err)
+				is.Equal(got, whole)
+				is.Equal(len(w.up.attempts), 2)
+				is.Equal(len(w.quarantine.answered), 1)
+			})
+			t.Run(fmt.Sprint(end, offset, "at most once"), func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, plenty, reply{status: 200, events: true, body: part, readErr: bodyEnd})
+				answer, err := w.Forward(t.Context(), modelRequest(500, false))
+				if !strings.Contains(part, "\n\n") {
+					var refusal *Refusal
+					is.True(errors.As(err, &refusal))
+					is.True(!refusal.NotRun)
+				} else {
+					is.NoErr(err)
+					_, err = readAll(answer.Stream)
+					is.True(errors.Is(err, ErrStreamInterrupted))
+				}
+				is.Equal(len(w.up.attempts), 1)
+				is.Equal(len(w.quarantine.answered), 0)
+				is.Equal(len(w.crashes.suspects), 1)
+			})
+		}
+	}
+}
+
+// Guards against a sound stream being broken off or repeated since its runner names no length: it is complete
+// if it ends after a whole event.
+func TestUnframedStreamThatEndsAfterAnEventIsComplete(t *testing.T) {
+	is := is.New(t)
+	whole := sixEvents()
+	w := newWorld(t, plenty, reply{status: 200, events: true, body: whole, readErr: ErrUnframed})
+	answer, err := w.Forward(t.Context(), modelRequest(500, true))
+	is.NoErr(err)
+	got, err := readAll(answer.Stream)
+	is.NoErr(err)
+	is.Equal(got, whole)
+	is.Equal(len(w.up.attempts), 1)
+}
