forward: a stream that ends inside an event has been broken off

Callers got a part of a stream, framed as complete: its runner had named neither a length nor chunks and closed the connection in order when the run crashed. The class: the end of a connection was taken for a proof that what it carried is whole.

The stream decides at the end of a body, by what it read: inside an event it broke off, however the body was framed; without framing and before the first event it may have. Then it is resumed where the route allows it, and else ends visibly broken; it isn't reported as answered, and its runner is examined for a crash. coordination/eventstream finds events as the HTML standard defines them: lines end with CR, LF or CRLF (only LF was known), and a block of comments is no event, so that it doesn't open a stream.

--- a/coordination/forward/bodyend_test.go
+++ b/coordination/forward/bodyend_test.go
@@ -83,3 +83,32 @@
 	is.Equal(got, whole)
 	is.Equal(len(w.up.attempts), 1)
 }
+
+// Guards against a stream being opened by a comment: until its first event has come, the request can be sent to
+// another runner.
+func TestCommentOpensNoStream(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{status: 200, events: true, body: ": queued\n\n", readErr: ErrUnframed}, reply{status: 200, events: true, body: "id: 1\r\ndata: a\r\n\r\n"})
+	answer, err := w.Forward(t.Context(), modelRequest(500, true))
+	is.NoErr(err)
+	got, err := readAll(answer.Stream)
+	is.NoErr(err)
+	is.Equal(got, "id: 1\r\ndata: a\r\n\r\n")
+	is.Equal(len(w.up.attempts), 2)
+}
+
+// Guards against events being missed since their lines end as the HTML standard allows and the platform's own
+// runners don't: the stream goes on after the last whole one.
+func TestStreamResumesWhateverEndsItsLines(t *testing.T) {
+	for _, eol := range []string{"\n", "\r\n", "\r"} {
+		is := is.New(t)
+		event := func(id string) string { return "id: " + id + eol + "data: x" + eol + eol }
+		w := newWorld(t, plenty, reply{status: 200, events: true, body: event("1") + event("2") + "id: 3" + eol, readErr: ErrUnframed}, reply{status: 200, events: true, body: event("3")})
+		answer, err := w.Forward(t.Context(), modelRequest(500, true))
+		is.NoErr(err)
+		got, err := readAll(answer.Stream)
+		is.NoErr(err)
+		is.Equal(got, event("1")+event("2")+event("3"))
+		is.Equal(w.up.attempts[1].LastEventID, "2")
+	}
+}
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -197,7 +197,7 @@
 	if cause != "" {
 		attrs = append(attrs, slog.String("cause", cause))
 	}
-	if r.lastEnd == EndConnection {
+	if r.lastEnd != "" && r.lastEnd != EndFramed {
 		attrs = append(attrs, slog.String("body_end", string(r.lastEnd)))
 	}
 	if len(r.tunnels) > 0 {
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -186,6 +186,9 @@
 const (
 	EndFramed     BodyEnd = "framed"
 	EndConnection BodyEnd = "connection"
+	// EndInsideEvent and EndBeforeEvent are ends of either kind that show that a stream broke off.
+	EndInsideEvent BodyEnd = "inside_event"
+	EndBeforeEvent BodyEnd = "before_event"
 )
 
 // Response is a runner's response whose body is read as it arrives. The reader must call Finish
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -1,12 +1,12 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/eventstream"
 	"github.com/thymerack/thymerack/coordination/placement"
 )
 
@@ -29,6 +29,8 @@
 	failovers int
 
 	started time.Time
+	// scanner finds the events of the current run.
+	scanner eventstream.Scanner
 	// buf holds what has been read. Its first ready bytes are whole events that Next hasn't
 	// returned yet.
 	buf   []byte
@@ -47,12 +49,6 @@
 	longestPause, callerPause time.Duration
 }
 
-// eventTerminator ends each event.
-var eventTerminator = []byte("\n\n")
-
-// eventIDField starts the line with the ID of an event.
-var eventIDField = []byte("id:")
-
 // ErrStreamInterrupted means that a stream broke off before its last event and can't be resumed.
 var ErrStreamInterrupted = errors.New("the stream was cut and can't be resumed; ask again")
 
@@ -74,7 +70,7 @@
 	if !resp.Head().Signed {
 		err = errUnsigned
 	}
-	for err == nil && s.ready == 0 && !s.eof {
+	for err == nil && s.scanner.Events() == 0 && !s.eof {
 		err = s.fill()
 	}
 	firstWatch.stop()
@@ -149,34 +145,53 @@
 	}
 	before, events := len(s.buf), s.events
 	s.buf = s.buf[:before+n]
-	s.scanEvents(max(0, before-len(eventTerminator)))
+	s.scanEvents(before)
 	if s.events > events {
 		s.noteGap()
 	}
 	switch {
 	case err == io.EOF:
-		s.d.noteBodyEnd(s.a.Request, s.rec, EndFramed)
+		return s.endBody(EndFramed)
 	case errors.Is(err, ErrUnframed):
-		s.d.noteBodyEnd(s.a.Request, s.rec, EndConnection)
+		return s.endBody(EndConnection)
 	default:
 		return err
 	}
-	s.eof = true
-	return nil
 }
 
-// scanEvents advances s.ready to the end of the last whole event. Before from there is no
-// unnoticed end of an event.
+// Errors of a run whose response has ended although the stream isn't complete.
+var (
+	errInsideEvent = errors.New("the response ended inside an event; the run broke off")
+	errBeforeEvent = errors.New("the response ended with its connection before the first event; the run may have broken off")
+)
+
+// endBody decides whether the stream is complete, now that the body of its current run has ended. A body that ends
+// inside an event isn't, even if it has its whole length: callers drop such an event.
+func (s *Stream) endBody(end BodyEnd) error {
+	var err error
+	switch {
+	case s.scanner.Inside():
+		end, err = EndInsideEvent, errInsideEvent
+	case end == EndConnection && s.scanner.Events() == 0:
+		end, err = EndBeforeEvent, errBeforeEvent
+	}
+	s.d.noteBodyEnd(s.a.Request, s.rec, end)
+	s.eof = err == nil
+	return err
+}
+
+// scanEvents advances s.ready to the end of the last whole event. The scanner has read the buffer up to from.
 func (s *Stream) scanEvents(from int) {
-	from = max(from, s.ready)
-	for {
-		i := bytes.Index(s.buf[from:], eventTerminator)
-		if i < 0 {
-			return
+	for from < len(s.buf) {
+		events := s.scanner.Events()
+		n, ended := s.scanner.Next(s.buf[from:])
+		from += n
+		if s.scanner.Events() > events {
+			s.noteEvent(s.buf[s.ready:from])
+		}
+		if ended {
+			s.ready = from
 		}
-		end := from + i + len(eventTerminator)
-		s.noteEvent(s.buf[s.ready:end])
-		s.ready, from = end, end
 	}
 }
 
@@ -203,10 +218,8 @@
 // noteEvent counts a whole event and remembers its ID.
 func (s *Stream) noteEvent(event []byte) {
 	s.events++
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if id, ok := bytes.CutPrefix(line, eventIDField); ok {
-			s.lastID = string(bytes.TrimSpace(id))
-		}
+	if id, found := eventstream.ID(event); found {
+		s.lastID = id
 	}
 }
 
@@ -291,6 +304,7 @@
 	}
 	sent.markAnswered()
 	s.a, s.runner, s.resp, s.sent, s.started = a, runner, resp, sent, started
+	s.scanner = eventstream.Scanner{}
 	s.buf, s.ready, s.eof, s.closed, s.longestPause, s.callerPause, s.lastEventAt = nil, 0, false, false, 0, 0, time.Time{}
 	s.startWatch()
 	return true
