gateway: a stream for a caller of HTTP/1.0 has a length

Such a caller got the chunks of a stream as its content, and a broken stream ended for it like a complete one: HTTP/1.0 has no chunks.

The stream is collected and sent with its length; if it breaks off or exceeds the largest body, the caller gets 502. No other framing changes.

--- a/transport/gateway/body.go
+++ b/transport/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"io"
 
@@ -69,3 +70,26 @@
 	b.done()
 	return nil
 }
+
+// errStreamTooLong is the cause of the refusal of a stream that exceeds what is held for a caller.
+var errStreamTooLong = errors.New("the stream is too long to be held for a caller without chunks; send the request as HTTP/1.1")
+
+// collect reads a stream to its end. Callers of HTTP/1.0 know no chunks, so that only a length shows them that
+// an answer is whole.
+func (s *Server) collect(answer *forward.Answer) (*forward.Answer, error) {
+	var body []byte
+	for {
+		events, err := answer.Stream.Next()
+		if body = append(body, events...); err == nil && len(body) > s.o.MaxBodyBytes {
+			err = errStreamTooLong
+		}
+		if err == io.EOF {
+			answer.Stream.Close(nil)
+			return &forward.Answer{Head: answer.Head, Body: body}, nil
+		}
+		if err != nil {
+			answer.Stream.Close(err)
+			return nil, &forward.Refusal{Reason: forward.ReasonUnknown, Cause: err}
+		}
+	}
+}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -293,6 +293,14 @@
 		s.refuse(ctx, r, err, took)
 		return
 	}
+	if answer.Stream != nil && !ctx.Request.Header.IsHTTP11() {
+		answer, err = s.collect(answer)
+		if err != nil {
+			end()
+			s.refuse(ctx, r, err, took)
+			return
+		}
+	}
 	s.o.Observer.Answered(r, answer.Head.Status, took)
 	s.writeHead(ctx, answer.Head)
 	if answer.Stream != nil {
--- a/transport/gateway/slow_test.go
+++ b/transport/gateway/slow_test.go
@@ -36,6 +36,7 @@
 }
 
 func (streamDeps) CountRequest(string)                                           {}
+func (streamDeps) Allow(string) bool                                             { return false }
 func (streamDeps) AllowTrial(state.InstanceID) bool                              { return true }
 func (streamDeps) Limit(state.InstanceID) (float64, bool)                        { return 0, false }
 func (streamDeps) BackoffUntil(state.InstanceID) time.Time                       { return time.Time{} }
@@ -92,7 +93,15 @@
 // serveStreams starts a server that forwards to a streamUpstream.
 func serveStreams(t *testing.T, maxBytes int64) (*Server, *streamUpstream, string) {
 	t.Helper()
-	up, deps := &streamUpstream{}, streamDeps{}
+	up := &streamUpstream{}
+	s, addr := serveUpstream(t, up, maxBytes)
+	return s, up, addr
+}
+
+// serveUpstream starts a server that forwards to one runner.
+func serveUpstream(t *testing.T, up forward.Upstream, maxBytes int64) (*Server, string) {
+	t.Helper()
+	deps := streamDeps{}
 	fleet := placement.NewFleet(placement.Options{Clock: wallclock.Clock{}, FailureDomain: "d"})
 	fleet.Update([]state.Instance{{ID: state.InstanceID{Name: "e"}, Service: "s", Addr: "e:1", FailureDomain: "d"}})
 	d, err := forward.New(forward.Options{
@@ -119,7 +128,7 @@
 		_ = s.Close()
 		<-served
 	})
-	return s, up, ln.Addr().String()
+	return s, ln.Addr().String()
 }
 
 // dialSlow opens a stream that is never read.
