forward: an answer that ended with its connection clears no suspect by itself

A runner that crashes closes its connections in order, and the end of an answer without framing looks the same, a call's always, a stream's if it crashed between two events.

A framed answer still clears at once. Otherwise only suspects matter, which are few: their runner is probed, and the request is cleared if it lives. TestUnframedAnswerClearsASuspectOnlyIfItsRunnerLives failed in the four cases whose request must not be cleared.

--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/quarantine"
+	"github.com/thymerack/thymerack/state"
 )
 
 // attempt sends the request to one runner. It returns an answer, or the outcome of an attempt
@@ -76,7 +77,7 @@
 		rec.addStep(a.Instance, "run", outcomeFailed, took, nil)
 	} else {
 		runner.RecordSuccess(took)
-		d.o.Quarantine.ReportAnswered(rec.digest)
+		d.reportAnswered(ctx, a.Instance, rec)
 		rec.addStep(a.Instance, "run", outcomeAnswered, took, nil)
 	}
 	return &Answer{Head: head, Body: body}, outcomeAnswered
@@ -138,6 +139,26 @@
 	})
 }
 
+// reportAnswered reports a request whose answer is complete, which clears it of the suspicion that it crashes its
+// runners. If the answer ended with its connection the runner may have crashed with it, so a suspect is cleared
+// only if the runner answers a probe afterwards.
+func (d *Dispatcher) reportAnswered(ctx context.Context, i *state.Instance, rec *record) {
+	digest := rec.digest
+	if rec.lastEnd == EndFramed {
+		d.o.Quarantine.ReportAnswered(digest)
+		return
+	}
+	if !d.o.Quarantine.Suspected(digest) {
+		return
+	}
+	ctx = context.WithoutCancel(ctx)
+	go func() {
+		if d.alive(ctx, i) {
+			d.o.Quarantine.ReportAnswered(digest)
+		}
+	}()
+}
+
 // noteRefusal counts a refusal against the runner, unless the runner asked for a backoff: then it
 // hasn't failed, and isn't chosen until the backoff ends. A runner that a request was misdirected
 // to is also reported as silent, so that it is probed: the intended run may have ended, and
--- a/coordination/forward/bodyend_test.go
+++ b/coordination/forward/bodyend_test.go
@@ -6,8 +6,12 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/state"
 )
 
 // sixEvents are the events of a whole stream.
@@ -112,3 +116,48 @@
 		is.Equal(w.up.attempts[1].LastEventID, "2")
 	}
 }
+
+// Guards against a request that crashes its runners being cleared by an answer without a length, which the crash
+// itself may have ended: a suspect is cleared once its runner answers after that.
+func TestUnframedAnswerClearsASuspectOnlyIfItsRunnerLives(t *testing.T) {
+	events, call := sixEvents(), "answer"
+	for name, c := range map[string]struct {
+		events, framed, suspected, ended, cleared bool
+	}{
+		"call, framed":                           {framed: true, suspected: true, ended: true, cleared: true},
+		"call of a suspect, runner ended":        {suspected: true, ended: true},
+		"call of a suspect, runner lives":        {suspected: true, cleared: true},
+		"call, not suspected":                    {},
+		"stream, framed":                         {events: true, framed: true, suspected: true, ended: true, cleared: true},
+		"stream of a suspect, runner ended":      {events: true, suspected: true, ended: true},
+		"stream of a suspect, runner lives":      {events: true, suspected: true, cleared: true},
+		"stream, not suspected, runner is ended": {events: true, ended: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r, a := request(state.RouteSafe, 1, false), reply{status: 200, body: call}
+				if c.events {
+					r, a = modelRequest(500, true), reply{status: 200, events: true, body: events}
+				}
+				if !c.framed {
+					a.readErr = ErrUnframed
+				}
+				w := newWorld(t, plenty, a)
+				w.quarantine.suspected = c.suspected
+				if c.ended {
+					w.up.onSend = func() { w.up.setUnresponsive(w.up.attempts[0].Instance.ID) }
+				}
+				answer, err := w.Forward(t.Context(), r)
+				is.NoErr(err)
+				if c.events {
+					_, err = readAll(answer.Stream)
+					is.NoErr(err)
+				}
+				time.Sleep(time.Second)
+				synctest.Wait()
+				is.Equal(len(w.quarantine.answered) == 1, c.cleared)
+			})
+		})
+	}
+}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -98,6 +98,8 @@
 type Quarantine interface {
 	// Held returns the hold of a request that no runner may get, or nil.
 	Held(d quarantine.Digest) *quarantine.Hold
+	// Suspected reports whether a request is suspected to crash its runners.
+	Suspected(d quarantine.Digest) bool
 	// ReportAnswered records that a runner answered the request completely.
 	ReportAnswered(d quarantine.Digest)
 }
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -282,9 +282,14 @@
 // fakeQuarantine holds every request after holdAfter lookups; it holds none if holdAfter is 0.
 type fakeQuarantine struct {
 	holdAfter, lookups int
+	suspected          bool
+	mu                 sync.Mutex
 	answered           []quarantine.Digest
 }
 
+// Suspected implements Quarantine.
+func (q *fakeQuarantine) Suspected(quarantine.Digest) bool { return q.suspected }
+
 func (q *fakeQuarantine) Held(quarantine.Digest) *quarantine.Hold {
 	q.lookups++
 	if q.holdAfter == 0 || q.lookups <= q.holdAfter {
@@ -293,7 +298,11 @@
 	return &quarantine.Hold{Evidence: make([]quarantine.Evidence, 2)}
 }
 
-func (q *fakeQuarantine) ReportAnswered(d quarantine.Digest) { q.answered = append(q.answered, d) }
+func (q *fakeQuarantine) ReportAnswered(d quarantine.Digest) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.answered = append(q.answered, d)
+}
 
 // fakeCrashes records the requests that broke off.
 type fakeCrashes struct {
--- a/coordination/forward/sim_harness_test.go
+++ b/coordination/forward/sim_harness_test.go
@@ -166,6 +166,7 @@
 func (noQuarantine) Held(quarantine.Digest) *quarantine.Hold { return nil }
 
 func (noQuarantine) ReportAnswered(quarantine.Digest) {}
+func (noQuarantine) Suspected(quarantine.Digest) bool { return false }
 
 // ObserveAdvice implements backpressure.Observer.
 func (noObserver) ObserveAdvice(string, backpressure.Kind) {}
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -331,7 +331,7 @@
 		s.closed = true
 		if s.eof {
 			s.resp.Finish()
-			s.d.o.Quarantine.ReportAnswered(s.rec.digest)
+			s.d.reportAnswered(s.ctx, s.a.Instance, s.rec)
 			s.d.observeOutput(s.a.Request, s.events)
 			s.rec.addStep(s.a.Instance, "run", outcomeAnswered, took, nil)
 		} else {
--- a/coordination/quarantine/hold.go
+++ b/coordination/quarantine/hold.go
@@ -124,6 +124,16 @@
 	t.deleteRecord(d)
 }
 
+// Suspected reports whether crashes are counted against a request, or whether it is held.
+func (t *Table) Suspected(d Digest) bool {
+	if t.suspected.Load() == 0 && t.Held(d) == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.records[d] != nil || t.Held(d) != nil
+}
+
 // ReportAnswered notes that a copy of the request was answered completely, which never happens to a
 // request that crashes its runners. It clears the request, and reports whether it had been
 // suspected or held, and whether it had been held.
--- a/coordination/quarantine/registry.go
+++ b/coordination/quarantine/registry.go
@@ -119,6 +119,9 @@
 // Held returns the hold of a request, or nil if it isn't held.
 func (r *Registry) Held(d Digest) *Hold { return r.o.Table.Held(d) }
 
+// Suspected reports whether crashes are counted against a request, or whether it is held.
+func (r *Registry) Suspected(d Digest) bool { return r.o.Table.Suspected(d) }
+
 // Size returns the number of held requests.
 func (r *Registry) Size() int { return len(r.o.Table.Holds()) }
 
--- a/coordination/reach/fleet_test.go
+++ b/coordination/reach/fleet_test.go
@@ -330,6 +330,7 @@
 func (h *host) Discard(*forward.KVSource) error         { return errLink }
 func (h *host) LinkFailed(string, reach.Evidence)       {}
 func (h *host) GroupAdded(reach.Group)                  {}
+func (h *host) Suspected(quarantine.Digest) bool        { return false }
 func (h *host) ReportAnswered(quarantine.Digest)        {}
 func (h *host) Held(quarantine.Digest) *quarantine.Hold { return nil }
 func (h *host) CountRequest(string)                     {}
--- a/transport/gateway/slow_test.go
+++ b/transport/gateway/slow_test.go
@@ -41,6 +41,7 @@
 func (streamDeps) Limit(state.InstanceID) (float64, bool)                        { return 0, false }
 func (streamDeps) BackoffUntil(state.InstanceID) time.Time                       { return time.Time{} }
 func (streamDeps) Held(quarantine.Digest) *quarantine.Hold                       { return nil }
+func (streamDeps) Suspected(quarantine.Digest) bool                              { return false }
 func (streamDeps) ReportAnswered(quarantine.Digest)                              {}
 func (streamDeps) BodyEnded(string, forward.BodyEnd)                             {}
 func (streamDeps) ReportSilent(state.InstanceID)                                 {}
