forward: a stream isn't resumed after an event without ID

Callers got events twice if a resumable stream broke off whose events have no ID, or whose last one had none: the stream was resumed from its start, or from the last event with an ID.

The position of a stream is that of its last event. Without one the stream ends visibly broken.

--- a/coordination/forward/bodyend_test.go
+++ b/coordination/forward/bodyend_test.go
@@ -161,3 +161,19 @@
 		})
 	}
 }
+
+// Guards against events that come twice: a stream can only be resumed after an event that has an ID.
+func TestStreamIsNotResumedAfterAnEventWithoutID(t *testing.T) {
+	for name, body := range map[string]string{"no IDs": "data: a\n\nda", "last one without ID": "id: 1\ndata: a\n\ndata: b\n\nda", "ID reset": "id: 1\ndata: a\n\nid\ndata: b\n\nda"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, plenty, reply{status: 200, events: true, body: body, readErr: errors.New("reset")}, reply{status: 200, events: true, body: sixEvents()})
+			answer, err := w.Forward(t.Context(), modelRequest(500, true))
+			is.NoErr(err)
+			got, err := readAll(answer.Stream)
+			is.True(errors.Is(err, ErrStreamInterrupted))
+			is.Equal(got, body[:len(body)-len("da")])
+			is.Equal(len(w.up.attempts), 1)
+		})
+	}
+}
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -35,7 +35,8 @@
 	// returned yet.
 	buf   []byte
 	ready int
-	// lastID is the ID of the last whole event that was read.
+	// lastID is the ID of the last whole event that was read; "" if it has none, so that the stream can't be
+	// resumed after it.
 	lastID string
 	events int
 	// lastEventAt is when the last events of the present run were read; zero before its first.
@@ -218,9 +219,7 @@
 // noteEvent counts a whole event and remembers its ID.
 func (s *Stream) noteEvent(event []byte) {
 	s.events++
-	if id, found := eventstream.ID(event); found {
-		s.lastID = id
-	}
+	s.lastID, _ = eventstream.ID(event)
 }
 
 // resume continues a stream that broke off, and reports whether it could.
@@ -241,6 +240,9 @@
 	s.closeRun()
 	s.noteBrokenRun()
 	s.rec.addStep(s.a.Instance, "run", outcomeUnknown, s.d.o.Clock.Now().Sub(s.started), cause)
+	if s.lastID == "" {
+		return false
+	}
 	for s.d.checkDeadline(s.ctx, r, s.rec) == nil && s.d.takeRetry(r, s.rec) {
 		c, err := s.d.pickRunner(s.ctx, r, s.rec, s.d.o.Clock.Now().Add(resumeWait))
 		if err != nil {
