--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -31,6 +31,8 @@
 	leaving bool
 	// partitioned has single hosts lose their links to runners in series.
 	partitioned bool
+	// unframed has runners end answers with their connections, and crash with an orderly close.
+	unframed bool
 }
 
 // fleet is one deployment with its callers.
@@ -66,6 +68,8 @@
 	link   *proxy
 	domain string
 	gone   bool
+	// endsInOrder is set if the runner closes its connections in order when it crashes.
+	endsInOrder bool
 	// removed is set once its entry is removed.
 	removed bool
 	// listedStage is the role that the list tells.
@@ -77,6 +81,9 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+f.o.seed%200, 1+f.o.seed/200%200, n)
 }
 
+// orderlyEnd is the time in which the ends of a crashed runner's connections reach the hosts.
+const orderlyEnd = 50 * time.Millisecond
+
 const (
 	// recovery is how long after the last disturbance requests may still fail.
 	recovery = 8 * time.Second
@@ -233,7 +240,7 @@
 	if err != nil {
 		return err
 	}
-	out := &runner{Runner: r, link: link, domain: fmt.Sprint("domain-", f.nextID%3)}
+	out := &runner{Runner: r, link: link, domain: fmt.Sprint("domain-", f.nextID%3), endsInOrder: f.o.unframed && f.nextID%2 == 0}
 	r.OnFatal(func() {
 		if err := f.crash(out); err != nil {
 			f.problem("a runner that a request ended is not replaced: %v", err)
@@ -320,7 +327,12 @@
 		return nil
 	}
 	stage, _ := r.Entry("", "")["stage"].(string)
-	r.Crash()
+	if r.endsInOrder {
+		r.CrashInOrder()
+		time.Sleep(orderlyEnd) // its link resets what it hasn't passed on
+	} else {
+		r.Crash()
+	}
 	r.link.close()
 	time.Sleep(time.Second)
 	f.unlist(r)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,7 @@
 	restore   = flag.Bool("soak.restored", false, "have the store come back from older copies more often")
 	leave     = flag.Bool("soak.leaving", false, "have runners leave in quick series while single hosts lose the store for a moment")
 	cut       = flag.Bool("soak.partitioned", false, "have single hosts lose their links to runners in series")
+	noFraming = flag.Bool("soak.unframed", false, "have runners end answers with their connections, and crash with an orderly close")
 	keep      = flag.String("soak.keep", "", "folder for the logs of seeds that fail")
 )
 
@@ -48,11 +49,11 @@
 }
 
 // with is what a seed is played with, beside what happens to all.
-type with struct{ fatal, asking, restored, leaving, partitioned bool }
+type with struct{ fatal, asking, restored, leaving, partitioned, unframed bool }
 
 func playSeed(t *testing.T, bin string, seed uint64, w with) {
 	dir := t.TempDir()
-	problems, log, err := play(options{seed: seed, hosts: *hosts, callers: *callers, length: *length, bin: bin, dir: dir, fatal: w.fatal, asking: w.asking, restored: w.restored, leaving: w.leaving, partitioned: w.partitioned})
+	problems, log, err := play(options{seed: seed, hosts: *hosts, callers: *callers, length: *length, bin: bin, dir: dir, fatal: w.fatal, asking: w.asking, restored: w.restored, leaving: w.leaving, partitioned: w.partitioned, unframed: w.unframed})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -146,6 +147,17 @@
 	}
 }
 
+// Runners end answers with their connections, break streams off in the same way and crash with an orderly close.
+func TestSoakAnswersWithoutFraming(t *testing.T) {
+	bin := build(t)
+	for _, seed := range []uint64{2001} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playSeed(t, bin, seed, with{unframed: true})
+		})
+	}
+}
+
 func TestSoak(t *testing.T) {
 	if *seeds == 0 {
 		t.Skip("give -soak.seeds to play fresh ones; TestSoakRegressions runs always")
@@ -155,7 +167,7 @@
 		seed := *firstSeed + uint64(n)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			playSeed(t, bin, seed, with{*fatal, *asked, *restore, *leave, *cut})
+			playSeed(t, bin, seed, with{*fatal, *asked, *restore, *leave, *cut, *noFraming})
 		})
 	}
 }
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -113,6 +113,13 @@
 // restored has the store come back from an older copy.
 var restored = action{name: "store restored", do: func(f *fleet, rng *rand.Rand) error { f.restoreStore(rng); return nil }}
 
+// unframed has a runner end its answers with their connections, and break some off so.
+var unframed = action{name: "runner answers without framing", runners: true, do: lasting("", func(f *fleet, rng *rand.Rand) func() {
+	r := f.present(rng)
+	r.SetFault(platformtest.RunnerUnframed)
+	return func() { r.SetFault(platformtest.RunnerSound) }
+}).do}
+
 // trouble plays a seeded series; some seeds have planned work only. Actions of a
 // series overlap; two at one host wait for each other.
 func (f *fleet) trouble() {
@@ -129,6 +136,9 @@
 	if f.o.leaving {
 		may = slices.Concat(may, slices.Repeat(leaving, len(actions)/2))
 	}
+	if f.o.unframed {
+		may = slices.Concat(may, slices.Repeat([]action{unframed}, len(actions)/2))
+	}
 	if f.o.partitioned {
 		may = slices.Concat(may, slices.Repeat(partitions, len(actions)/2))
 	}
