follow, forward: log the version of runners and which stream a request takes up

The hypotheses of docs/incidents/streams-of-two-versions.md couldn't be told apart: the version of a runner was required of its entry and dropped, and Resumes was known nowhere. instance listed and request ended name the version, and request ended also names Resumes and Last-Event-Id. No choice depends on them yet.

--- a/coordination/follow/instances.go
+++ b/coordination/follow/instances.go
@@ -257,8 +257,8 @@
 		l.put(object.Name, &entry{version: object.Version, unusable: true})
 		return
 	}
-	if known == nil || known.instance.ID != instance.ID || known.instance.Draining != instance.Draining || known.instance.Role != instance.Role {
-		l.log.add("instance listed", instance)
+	if known == nil || known.instance.ID != instance.ID || known.instance.Draining != instance.Draining || known.instance.Role != instance.Role || known.instance.Version != instance.Version {
+		l.log.add("instance listed", instance, "runner_version", instance.Version)
 	}
 	if known != nil && known.instance.ID == instance.ID && instance.Draining && !known.instance.Draining {
 		l.o.OnDeparture(DepartureDraining, l.log.age)
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -241,6 +241,9 @@
 	if g := r.Generation; g != nil {
 		attrs = append(attrs, slog.Int("prompt_tokens", g.PromptTokens), slog.Int("max_output", g.MaxOutput), rec.crossDomainAttr())
 	}
+	if r.LastEventID != "" {
+		attrs = append(attrs, slog.String("resumes", r.Resumes), slog.String("last_event_id", r.LastEventID))
+	}
 	level := slog.LevelInfo
 	if err != nil {
 		level = slog.LevelWarn
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -101,6 +101,8 @@
 	promptKV *KVSource
 	// sourceDropped is set once an attempt is made without promptKV because another may have taken it.
 	sourceDropped bool
+	// version is that of the runner whose events the caller has, or gets first; "" before there is one.
+	version string
 	// lastEnd is how the last body ended that was read to its end; "" if there was none.
 	lastEnd BodyEnd
 	// tunnels are those by which attempts were sent through other hosts.
@@ -200,6 +202,9 @@
 	if r.lastEnd != "" && r.lastEnd != EndFramed {
 		attrs = append(attrs, slog.String("body_end", string(r.lastEnd)))
 	}
+	if r.version != "" {
+		attrs = append(attrs, slog.String("runner_version", r.version))
+	}
 	if len(r.tunnels) > 0 {
 		attrs = append(attrs, slog.String("tunnels", strings.Join(r.tunnels, " ")))
 	}
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -70,7 +70,10 @@
 	// LastEventID is the last event that the caller has of a stream that it resumes; "" for the
 	// start of the stream.
 	LastEventID string
-	Route       *state.Route
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that it resumes; ""
+	// if it names none.
+	Resumes string
+	Route   *state.Route
 	// Service is the one of the route's services that serves this request.
 	Service       string
 	ConfigVersion uint64
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -88,6 +88,7 @@
 		return nil, outcomeUnknown
 	}
 	d.noteStarted(a.Request, rec, d.o.Clock.Now())
+	rec.version = a.Instance.Version
 	runner.RecordSuccess(took)
 	sent.markAnswered()
 	if a.Source != nil {
--- a/state/routing.go
+++ b/state/routing.go
@@ -195,6 +195,9 @@
 	Spot bool
 	// Role is empty for runners of plain services.
 	Role Role
+	// Version is that of the runner's software. What two versions write doesn't fit together, so that a stream
+	// goes on only at the version that began it. Versions have no order.
+	Version string
 }
 
 // InstanceChanges are changes of the list of instances. Set are instances that are new or have
