forward: failing tests of streams that change their version within an answer

Engines of three versions side by side: a stream that breaks goes on at any of them, also if no runner of its own version is left, and KV caches are backed up across versions.

--- /dev/null
+++ b/coordination/forward/versions_test.go
@@ -0,0 +1,93 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/state"
+)
+
+// listVersions lists decode engines of the versions, as many as named each, in place of all other instances.
+func (w *world) listVersions(counts map[string]int) {
+	var list []state.Instance
+	for version, n := range counts {
+		for i := range n {
+			name := fmt.Sprint("d-", version, "-", i)
+			list = append(list, state.Instance{ID: state.InstanceID{Name: name}, Service: "model", Addr: name + ":1", FailureDomain: "d1", Role: state.RoleDecode, Slots: engineSlots, Version: version})
+		}
+	}
+	w.fleet.Update(list)
+}
+
+// Guards against a stream that goes on at another version of its runners' software than the one that began it.
+func TestStreamGoesOnAtTheVersionThatBeganIt(t *testing.T) {
+	is := is.New(t)
+	for range 60 {
+		w := newWorld(t, plenty,
+			reply{status: 200, events: true, body: "id: 1\ndata: a\n\n", readErr: errors.New("reset")},
+			reply{status: 503, notRun: true},
+			reply{status: 200, events: true, body: "id: 2\ndata: b\n\n"})
+		w.listVersions(map[string]int{"v1": 3, "v1.1": 3, "v1.2": 3})
+		r := modelRequest(500, true)
+		r.Route.MaxAttempts = 3
+		answer, err := w.Forward(t.Context(), r)
+		is.NoErr(err)
+		_, err = readAll(answer.Stream)
+		is.NoErr(err)
+		for _, a := range w.up.attempts {
+			is.Equal(a.Instance.Version, w.up.attempts[0].Instance.Version)
+		}
+	}
+}
+
+// Guards against a stream that goes on at another version since its own has no other runner, or that waits for
+// one: it ends at once.
+func TestStreamEndsIfNoOtherRunnerHasItsVersion(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		w := newWorld(t, plenty, reply{status: 200, events: true, body: "id: 1\ndata: a\n\n", readErr: errors.New("reset")})
+		w.listVersions(map[string]int{"v1": 1, "v1.1": 1})
+		answer, err := w.Forward(t.Context(), modelRequest(500, true))
+		is.NoErr(err)
+		got, err := readAll(answer.Stream)
+		is.True(errors.Is(err, ErrStreamInterrupted))
+		is.Equal(got, "id: 1\ndata: a\n\n")
+		is.Equal(len(w.up.attempts), 1)
+	}
+}
+
+// Guards against requests that are kept to the version of a run that gave no event.
+func TestAnyVersionMayBeTriedBeforeTheFirstEvent(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{err: errSent}, reply{status: 200, events: true, body: "id: 1\ndata: a\n\n"})
+	w.listVersions(map[string]int{"v1": 1, "v1.1": 1})
+	answer, err := w.Forward(t.Context(), modelRequest(500, true))
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.True(w.up.attempts[0].Instance.Version != w.up.attempts[1].Instance.Version)
+}
+
+// Guards against a KV cache that is copied to an engine of another version, at which its run can't go on.
+func TestBackupsStayAtTheirVersion(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		w := newWorld(t, plenty, reply{status: 200, events: true, body: "id: 1\ndata: a\n\n"})
+		w.listVersions(map[string]int{"v1": 2, "v1.1": 2, "v1.2": 1})
+		r := modelRequest(500, false)
+		r.Engine = &state.EngineSpec{Slots: engineSlots, Backups: true, KVTokens: 1 << 20}
+		answer, err := w.Forward(t.Context(), r)
+		is.NoErr(err)
+		_, err = readAll(answer.Stream)
+		is.NoErr(err)
+		a := w.up.attempts[0]
+		if a.Instance.Version == "v1.2" {
+			is.True(a.Backup == nil)
+			continue
+		}
+		is.True(a.Backup != nil && a.Backup.Version == a.Instance.Version)
+	}
+}
