--- a/coordination/forward/advice.go
+++ b/coordination/forward/advice.go
@@ -76,6 +76,9 @@
 // runner leaves or requested a backoff.
 var ErrRunnerClosed = errors.New("the runner leaves or wants rest; choose another")
 
+// errOtherVersion is the cause of a SendError for a stream that was withheld from a runner of another version.
+var errOtherVersion = errors.New("the runner's software has another version than the one that began the stream; choose a runner of that version")
+
 // send is the only path from an attempt to a runner. The runner's state is checked again when
 // the request is about to leave: connecting may have taken a while, or the host may have been
 // paused.
@@ -84,6 +87,9 @@
 		if !d.o.Placer.Accepts(a.Instance.ID) || d.inBackoff(a.Instance) {
 			return ErrRunnerClosed
 		}
+		if !a.PrefillOnly && !rec.mayRunAt(a.Instance) {
+			return errOtherVersion
+		}
 		if a.Instance.Unconfirmed {
 			d.o.Observer.SentToUnconfirmed(a.Request.Service)
 		}
@@ -150,7 +156,7 @@
 // the permit that the runner's limit requires.
 func (d *Dispatcher) awaitRunner(ctx context.Context, r *Request, rec *record, p placement.Phase, by time.Time) (*placement.Runner, error) {
 	for {
-		runner, at := d.o.Placer.EarliestAvailable(r.Service, p, rec.tried)
+		runner, at := d.o.Placer.EarliestAvailable(rec.pool(r), p, rec.tried)
 		if runner == nil {
 			return nil, d.refuse(r, rec, ReasonNoRunner)
 		}
@@ -193,7 +199,7 @@
 
 // checkDecodeInTime refuses a request that no engine would decode in time after its prefill.
 func (d *Dispatcher) checkDecodeInTime(r *Request, rec *record) error {
-	runner, at := d.o.Placer.EarliestAvailable(r.Service, placement.PhaseDecode, rec.tried)
+	runner, at := d.o.Placer.EarliestAvailable(rec.pool(r), placement.PhaseDecode, rec.tried)
 	if runner == nil || !at.After(d.startDeadline(r)) {
 		return nil
 	}
--- a/coordination/forward/alive_test.go
+++ b/coordination/forward/alive_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/thymerack/thymerack/coordination/backlog"
+	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -90,7 +91,7 @@
 		is.NoErr(err)
 		is.True(w.up.attempts[1].Instance.ID != w.up.attempts[2].Instance.ID)
 		is.True(time.Since(r.ArrivedAt) < r.Route.Objective)
-		next := w.fleet.ChooseForDecode("model", "", "", nil)
+		next := w.fleet.ChooseForDecode(placement.Pool{Service: "model"}, "", "", nil)
 		is.True(next.Instance.ID != w.up.attempts[1].Instance.ID) // later requests avoid it
 	})
 }
--- a/coordination/forward/backup.go
+++ b/coordination/forward/backup.go
@@ -65,7 +65,7 @@
 	if !r.runsAtMostOnce() || !d.hasBackupMemory(r) {
 		return nil
 	}
-	runner := d.o.Placer.ChooseForBackup(r.Service, at, append(slices.Clone(tried), at.ID))
+	runner := d.o.Placer.ChooseForBackup(placement.Pool{Service: r.Service, Version: at.Version}, at, append(slices.Clone(tried), at.ID))
 	if runner == nil {
 		return nil
 	}
--- a/coordination/forward/direct.go
+++ b/coordination/forward/direct.go
@@ -41,7 +41,7 @@
 	limit := r.ArrivedAt.Add(r.Route.Objective).Sub(d.o.Clock.Now())
 	excluded := slices.Clone(rec.tried)
 	for range maxDirectCandidates {
-		runner := d.o.Placer.ChooseForDecode(r.Service, "", "", excluded)
+		runner := d.o.Placer.ChooseForDecode(rec.pool(r), "", "", excluded)
 		if runner == nil {
 			break
 		}
--- a/coordination/forward/evacuate.go
+++ b/coordination/forward/evacuate.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -40,7 +41,7 @@
 		return
 	}
 	defer close(e.done)
-	runner := d.o.Placer.ChooseForBackup(a.Request.Service, a.Instance, slices.Concat(w.tried, []state.InstanceID{a.Instance.ID}))
+	runner := d.o.Placer.ChooseForBackup(placement.Pool{Service: a.Request.Service, Version: a.Instance.Version}, a.Instance, slices.Concat(w.tried, []state.InstanceID{a.Instance.ID}))
 	if runner == nil || !d.o.Budget.AllowMove(a.Request.Service) {
 		return
 	}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -14,21 +14,21 @@
 	"github.com/thymerack/thymerack/state"
 )
 
-// Placer chooses runners. tried lists instances that must not be chosen again. Methods that
+// Placer chooses runners of a pool. tried lists instances that must not be chosen again. Methods that
 // choose return nil if there is no runner.
 type Placer interface {
 	// ChooseForCall chooses a runner for a call of a plain service.
-	ChooseForCall(service string, tried []state.InstanceID) *placement.Runner
+	ChooseForCall(p placement.Pool, tried []state.InstanceID) *placement.Runner
 	// ChooseForDecode chooses an engine that generates. It prefers engines of the failure domain near;
 	// "" means the host's own domain.
-	ChooseForDecode(service, session, near string, tried []state.InstanceID) *placement.Runner
+	ChooseForDecode(p placement.Pool, session, near string, tried []state.InstanceID) *placement.Runner
 	// ChooseForPrefill chooses an engine that computes a prompt.
-	ChooseForPrefill(service, session string, tried []state.InstanceID) *placement.Runner
+	ChooseForPrefill(p placement.Pool, session string, tried []state.InstanceID) *placement.Runner
 	// PrefillRoute returns the failure domain at which a service's sessions start.
 	PrefillRoute(service string) placement.PrefillRoute
 	// ChooseForBackup chooses an engine for the backup of a run at another engine. It avoids engines
 	// that can be lost together with that engine.
-	ChooseForBackup(service string, at *state.Instance, tried []state.InstanceID) *placement.Runner
+	ChooseForBackup(p placement.Pool, at *state.Instance, tried []state.InstanceID) *placement.Runner
 	// SeparatesPrefill reports whether some of the service's engines only compute prompts.
 	SeparatesPrefill(service string) bool
 	// Runner returns an instance with this host's knowledge of it, or nil if it isn't listed.
@@ -37,10 +37,10 @@
 	Accepts(id state.InstanceID) bool
 	// EarliestAvailable returns the runner that is the first to accept such work, and when it does; the
 	// time is zero if it does now.
-	EarliestAvailable(service string, p placement.Phase, tried []state.InstanceID) (*placement.Runner, time.Time)
+	EarliestAvailable(p placement.Pool, phase placement.Phase, tried []state.InstanceID) (*placement.Runner, time.Time)
 	// NextAttempt returns when the next attempt to connect is made, if this host has no path to any runner
 	// for such work; zero if there may be one.
-	NextAttempt(service string, p placement.Phase) time.Time
+	NextAttempt(p placement.Pool, phase placement.Phase) time.Time
 }
 
 // Budget limits retries over all hosts.
@@ -366,7 +366,7 @@
 
 // checkPath returns the refusal of a request that this host can't send to any runner that could finish it.
 func (d *Dispatcher) checkPath(r *Request, rec *record) error {
-	if d.pathIn(r) <= 0 {
+	if d.pathIn(r, rec) <= 0 {
 		return nil
 	}
 	return d.refuse(r, rec, ReasonNoRunner)
@@ -374,12 +374,12 @@
 
 // pathIn returns the time until this host tries again to connect to a runner that could finish the request;
 // 0 if there may be a path now.
-func (d *Dispatcher) pathIn(r *Request) time.Duration {
+func (d *Dispatcher) pathIn(r *Request, rec *record) time.Duration {
 	phase := placement.PhaseCall
 	if r.Generation != nil {
 		phase = placement.PhaseDecode
 	}
-	at := d.o.Placer.NextAttempt(r.Service, phase)
+	at := d.o.Placer.NextAttempt(rec.pool(r), phase)
 	if at.IsZero() {
 		return 0
 	}
@@ -392,7 +392,7 @@
 	if r.Generation != nil {
 		after = retryAfterGeneration
 	}
-	if wait := d.pathIn(r); wait > 0 {
+	if wait := d.pathIn(r, rec); wait > 0 {
 		after = max(after, d.addJitter(wait))
 	}
 	return &Refusal{Reason: reason, NotRun: !rec.mayHaveRun, RetryAfter: after}
@@ -402,7 +402,7 @@
 func (d *Dispatcher) choose(ctx context.Context, r *Request, rec *record) (choice, error) {
 	switch {
 	case r.Generation == nil:
-		return choice{Runner: d.o.Placer.ChooseForCall(r.Service, rec.tried)}, nil
+		return choice{Runner: d.o.Placer.ChooseForCall(rec.pool(r), rec.tried)}, nil
 	case rec.separatePrefill:
 		return d.chooseDecodeEngine(ctx, r, rec), nil
 	case d.hasLongPrompt(r):
--- a/coordination/forward/local_test.go
+++ b/coordination/forward/local_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/contention"
+	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -81,8 +82,8 @@
 				return backlog.Forecast{Wait: wait, Finish: wait + 30*time.Millisecond, CachedTokens: 400, CachedAtStart: 400, Reliable: true}
 			}
 			session := modelRequest(9000, true).Generation.Session()
-			first := w.fleet.ChooseForPrefill("model", session, nil).Instance.ID
-			second := w.fleet.ChooseForPrefill("model", session, []state.InstanceID{first})
+			first := w.fleet.ChooseForPrefill(placement.Pool{Service: "model"}, session, nil).Instance.ID
+			second := w.fleet.ChooseForPrefill(placement.Pool{Service: "model"}, session, []state.InstanceID{first})
 			w.gate.refusal = []backlog.Forecast{cached(c.wait), cached(55 * time.Millisecond), cached(200 * time.Millisecond), cached(200 * time.Millisecond)}
 			w.mustServe(t)
 			if c.domain == "d1" {
@@ -105,7 +106,7 @@
 	}
 	inTime := forecast(30*time.Millisecond, contention.InTime)
 	w.gate.refusal = []backlog.Forecast{forecast(400*time.Millisecond, contention.Late), inTime, inTime, inTime}
-	home := w.fleet.ChooseForPrefill("model", modelRequest(9000, true).Generation.Session(), nil).Instance.ID
+	home := w.fleet.ChooseForPrefill(placement.Pool{Service: "model"}, modelRequest(9000, true).Generation.Session(), nil).Instance.ID
 	w.mustServe(t)
 	is.Equal(w.prefillAsks(), maxPrefillCandidates+1)
 	is.True(w.up.attempts[0].Instance.ID != home)
--- a/coordination/forward/memory_test.go
+++ b/coordination/forward/memory_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/thymerack/thymerack/coordination/contention"
 	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -34,7 +35,7 @@
 // decodeOrder returns the engines in the order in which they are asked for a slot.
 func (w *world) decodeOrder(session string) (order []state.InstanceID) {
 	for range 5 {
-		order = append(order, w.fleet.ChooseForDecode("model", session, "", order).Instance.ID)
+		order = append(order, w.fleet.ChooseForDecode(placement.Pool{Service: "model"}, session, "", order).Instance.ID)
 	}
 	return order
 }
@@ -102,7 +103,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newMixedWorld(t, plenty, generated)
-		home := w.fleet.ChooseForPrefill("model", "b", nil).Instance.ID
+		home := w.fleet.ChooseForPrefill(placement.Pool{Service: "model"}, "b", nil).Instance.ID
 		w.fillMemory(t, home)
 		answer, err := w.Forward(t.Context(), knownMemory(9000))
 		is.NoErr(err)
--- a/coordination/forward/nopath_test.go
+++ b/coordination/forward/nopath_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -62,8 +63,8 @@
 			w.links.lose(i.ID, time.Second)
 		}
 		for range 20 {
-			is.Equal(w.fleet.ChooseForCall("plain", nil).Instance.ID, runners[0].ID)
+			is.Equal(w.fleet.ChooseForCall(placement.Pool{Service: "plain"}, nil).Instance.ID, runners[0].ID)
 		}
-		is.True(w.fleet.ChooseForCall("plain", []state.InstanceID{runners[0].ID}) != nil) // rather than none
+		is.True(w.fleet.ChooseForCall(placement.Pool{Service: "plain"}, []state.InstanceID{runners[0].ID}) != nil) // rather than none
 	})
 }
--- a/coordination/forward/prefill.go
+++ b/coordination/forward/prefill.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -173,7 +174,7 @@
 	if t.prefixSource != nil {
 		return t.prefixSource.Instance.Addr
 	}
-	decoder := d.o.Placer.ChooseForDecode(r.Service, r.Generation.Session(), t.runner.Instance.FailureDomain, nil)
+	decoder := d.o.Placer.ChooseForDecode(placement.Pool{Service: r.Service}, r.Generation.Session(), t.runner.Instance.FailureDomain, nil)
 	if decoder == nil {
 		return ""
 	}
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/state"
 )
@@ -135,6 +136,15 @@
 	d.o.Observer.RequestStarted(r.Customer.Name, at)
 }
 
+// pool returns the runners that may run the request: all of its service until the first event, and those of
+// one version afterwards. Each choice of a runner is made from it.
+func (r *record) pool(req *Request) placement.Pool {
+	return placement.Pool{Service: req.Service, Version: r.version}
+}
+
+// mayRunAt reports whether the instance is of the version that the request is bound to, if it is bound to one.
+func (r *record) mayRunAt(i *state.Instance) bool { return r.version == "" || r.version == i.Version }
+
 // noteBodyEnd records how a body ended.
 func (d *Dispatcher) noteBodyEnd(r *Request, rec *record, e BodyEnd) {
 	rec.lastEnd = e
--- a/coordination/forward/reservation.go
+++ b/coordination/forward/reservation.go
@@ -218,7 +218,7 @@
 func (d *Dispatcher) findFreeSlot(ctx context.Context, r *Request, rec *record, session, near string) (free candidate, full []candidate) {
 	excluded := slices.Clone(rec.tried)
 	for range maxSlotCandidates {
-		runner := d.o.Placer.ChooseForDecode(r.Service, session, near, excluded)
+		runner := d.o.Placer.ChooseForDecode(rec.pool(r), session, near, excluded)
 		if runner == nil {
 			break
 		}
--- a/coordination/forward/reservation_test.go
+++ b/coordination/forward/reservation_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -19,7 +20,7 @@
 func TestColdSessionPrefillsAtOneEngine(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, plenty, prefilled, generated, prefilled, generated)
-	home := w.fleet.ChooseForPrefill("model", "b", nil)
+	home := w.fleet.ChooseForPrefill(placement.Pool{Service: "model"}, "b", nil)
 	w.mustServe(t)
 	is.Equal(w.prefillAsks(), maxPrefillCandidates+1)
 	is.Equal(w.up.attempts[0].Instance.ID, home.Instance.ID)
@@ -40,7 +41,7 @@
 		{Wait: 250 * time.Millisecond, Finish: 300 * time.Millisecond, UncachedTime: 30 * time.Millisecond},
 	}
 	w.mustServe(t)
-	home := w.fleet.ChooseForPrefill("model", "b", nil)
+	home := w.fleet.ChooseForPrefill(placement.Pool{Service: "model"}, "b", nil)
 	is.Equal(w.gate.asks[0].Engine, home.Instance.ID)
 	is.Equal(w.up.attempts[0].Instance.ID, w.gate.asks[2].Engine)
 	is.Equal(w.up.attempts[0].FetchFrom, home.Instance.Addr)
@@ -212,7 +213,7 @@
 			session := modelRequest(9000, true).Generation.Session()
 			var order []state.InstanceID
 			for range 5 {
-				order = append(order, w.fleet.ChooseForDecode("model", session, "", order).Instance.ID)
+				order = append(order, w.fleet.ChooseForDecode(placement.Pool{Service: "model"}, session, "", order).Instance.ID)
 			}
 			for _, id := range order[:c.full] {
 				for range engineSlots {
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -247,6 +247,7 @@
 	for s.d.checkDeadline(s.ctx, r, s.rec) == nil && s.d.takeRetry(r, s.rec) {
 		c, err := s.d.pickRunner(s.ctx, r, s.rec, s.d.o.Clock.Now().Add(resumeWait))
 		if err != nil {
+			s.rec.addStep(s.a.Instance, "resume", outcomeUnsent, 0, err)
 			return false
 		}
 		if s.d.checkBeforeSend(s.ctx, r, s.rec) != nil {
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -144,12 +144,26 @@
 	return out
 }
 
-// service returns the runners of a service; there are none if the service isn't known.
-func (f *Fleet) service(name string) *serviceRunners {
-	if s := f.view.Load().byService[name]; s != nil {
-		return s
+// pool returns the runners of a pool; there are none if the service or the version isn't known.
+func (f *Fleet) pool(p Pool) *poolRunners {
+	if r := f.view.Load().byPool[p]; r != nil {
+		return r
 	}
-	return newServiceRunners()
+	return newPoolRunners()
+}
+
+// service returns the runners of a service, of all versions.
+func (f *Fleet) service(name string) *poolRunners { return f.pool(Pool{Service: name}) }
+
+// Versions returns the number of instances that accept work, by service and version.
+func (f *Fleet) Versions() map[Pool]int {
+	out := map[Pool]int{}
+	for p, r := range f.view.Load().byPool {
+		if p.Version != "" {
+			out[p] = r.all.size
+		}
+	}
+	return out
 }
 
 // Size returns the number of instances of a service that accept work.
@@ -209,8 +223,8 @@
 // ChooseForCall chooses a runner for a call of a plain service: the one with the lowest product
 // of requests in flight and latency. tried lists instances that must not be chosen again. It
 // returns nil if there is none.
-func (f *Fleet) ChooseForCall(service string, tried []state.InstanceID) *Runner {
-	return f.choose(f.service(service).all, "", tried, func(_ []*Runner, r *Runner) float64 {
+func (f *Fleet) ChooseForCall(p Pool, tried []state.InstanceID) *Runner {
+	return f.choose(f.pool(p).all, "", tried, func(_ []*Runner, r *Runner) float64 {
 		cost := float64(r.InFlight()+1) * r.Latency().Seconds()
 		if r.Instance.FailureDomain != f.o.FailureDomain {
 			cost *= crossDomainCostFactor
@@ -232,11 +246,11 @@
 // from this host. It prefers the failure domain near, or the host's own if near is "". Requests
 // of a session go to the same engine of that domain, where its prefixes are cached, unless the
 // engine has more than the load limit and crossDomainPenalty in flight.
-func (f *Fleet) ChooseForDecode(service, session, near string, tried []state.InstanceID) *Runner {
+func (f *Fleet) ChooseForDecode(p Pool, session, near string, tried []state.InstanceID) *Runner {
 	if near == "" {
 		near = f.o.FailureDomain
 	}
-	return f.choose(f.service(service).decode, session, tried, func(group []*Runner, r *Runner) float64 {
+	return f.choose(f.pool(p).decode, session, tried, func(group []*Runner, r *Runner) float64 {
 		otherDomain := r.Instance.FailureDomain != near
 		if session == "" {
 			return inFlightTime(r) + crossDomainPenalty*indicator(otherDomain)
@@ -248,8 +262,8 @@
 // ChooseForBackup chooses an engine that decodes for the backup of a run at another engine. It
 // prefers the same failure domain, except between spot engines, since all spot engines of a
 // failure domain are lost together.
-func (f *Fleet) ChooseForBackup(service string, engine *state.Instance, tried []state.InstanceID) *Runner {
-	return f.choose(f.service(service).decode, "", tried, func(_ []*Runner, r *Runner) float64 {
+func (f *Fleet) ChooseForBackup(p Pool, engine *state.Instance, tried []state.InstanceID) *Runner {
+	return f.choose(f.pool(p).decode, "", tried, func(_ []*Runner, r *Runner) float64 {
 		sameDomain := r.Instance.FailureDomain == engine.FailureDomain
 		return float64(r.InFlight()+1) + crossDomainPenalty*indicator(!sameDomain) + sharedFailurePenalty*indicator(sameDomain && engine.Spot && r.Instance.Spot)
 	})
@@ -278,11 +292,11 @@
 // same engine and the same order of fallbacks without coordination, so the session's prefixes
 // stay cached there. An engine with more than the load limit in flight from this host comes
 // after the others. If the service's prefixes are local, the order is that of chooseLocal.
-func (f *Fleet) ChooseForPrefill(service, session string, tried []state.InstanceID) *Runner {
-	if f.local.Load().applies(service) {
-		return f.chooseLocal(service, session, tried)
+func (f *Fleet) ChooseForPrefill(p Pool, session string, tried []state.InstanceID) *Runner {
+	if f.local.Load().applies(p.Service) {
+		return f.chooseLocal(p, session, tried)
 	}
-	return f.choose(f.service(service).prefill, session, tried, func(group []*Runner, r *Runner) float64 {
+	return f.choose(f.pool(p).prefill, session, tried, func(group []*Runner, r *Runner) float64 {
 		if session == "" {
 			return inFlightTime(r)
 		}
@@ -328,10 +342,10 @@
 
 // EarliestAvailable returns the runner that accepts a request of the phase first, and when; the
 // time is zero if it accepts one now. It returns nil if there is no runner that isn't in tried.
-func (f *Fleet) EarliestAvailable(service string, phase Phase, tried []state.InstanceID) (*Runner, time.Time) {
+func (f *Fleet) EarliestAvailable(p Pool, phase Phase, tried []state.InstanceID) (*Runner, time.Time) {
 	var best *Runner
 	var bestAt time.Time
-	for _, group := range f.service(service).forPhase(phase).groups {
+	for _, group := range f.pool(p).forPhase(phase).groups {
 		for _, r := range group {
 			if slices.Contains(tried, r.Instance.ID) {
 				continue
@@ -349,7 +363,7 @@
 }
 
 // forPhase returns the runners that can do the phase.
-func (s *serviceRunners) forPhase(phase Phase) index {
+func (s *poolRunners) forPhase(phase Phase) index {
 	switch phase {
 	case PhasePrefill:
 		return s.prefill
@@ -370,9 +384,9 @@
 
 // NextAttempt returns when the next attempt to connect to a runner that can do the phase is made, if this
 // host has no path to any of them; zero if there may be one. It is zero if there is no runner.
-func (f *Fleet) NextAttempt(service string, phase Phase) time.Time {
+func (f *Fleet) NextAttempt(p Pool, phase Phase) time.Time {
 	var first time.Time
-	for _, group := range f.service(service).forPhase(phase).groups {
+	for _, group := range f.pool(p).forPhase(phase).groups {
 		for _, r := range group {
 			at := f.nextAttempt(r)
 			if at.IsZero() {
--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -76,8 +76,8 @@
 	const sessions = 900
 	for i := range sessions {
 		session := fmt.Sprint("session-", i)
-		x := a.ChooseForPrefill("s", session, nil)
-		y := b.ChooseForPrefill("s", session, nil)
+		x := a.ChooseForPrefill(Pool{Service: "s"}, session, nil)
+		y := b.ChooseForPrefill(Pool{Service: "s"}, session, nil)
 		is.Equal(x.Instance.ID, y.Instance.ID)
 		sessionsOf[x.Instance.ID]++
 	}
@@ -91,8 +91,8 @@
 	f, withoutLast := newFleet("d0", 9, state.RolePrefill), newFleet("d0", 8, state.RolePrefill)
 	for i := range 500 {
 		session := fmt.Sprint("session-", i)
-		before := f.ChooseForPrefill("s", session, nil)
-		after := withoutLast.ChooseForPrefill("s", session, nil)
+		before := f.ChooseForPrefill(Pool{Service: "s"}, session, nil)
+		after := withoutLast.ChooseForPrefill(Pool{Service: "s"}, session, nil)
 		if before.Instance.ID != instanceID("e08") {
 			is.Equal(before.Instance.ID, after.Instance.ID)
 		}
@@ -102,13 +102,13 @@
 func TestOverloadedSessionEngineIsAvoided(t *testing.T) {
 	is := is.New(t)
 	f := newFleet("d0", 9, state.RolePrefill)
-	preferred := f.ChooseForPrefill("s", "x", nil)
+	preferred := f.ChooseForPrefill(Pool{Service: "s"}, "x", nil)
 	for range 10 {
 		preferred.Begin()
 	}
-	chosen := f.ChooseForPrefill("s", "x", nil)
+	chosen := f.ChooseForPrefill(Pool{Service: "s"}, "x", nil)
 	is.True(chosen.Instance.ID != preferred.Instance.ID)
-	again := f.ChooseForPrefill("s", "x", []state.InstanceID{chosen.Instance.ID})
+	again := f.ChooseForPrefill(Pool{Service: "s"}, "x", []state.InstanceID{chosen.Instance.ID})
 	is.True(again.Instance.ID != chosen.Instance.ID)
 }
 
@@ -117,7 +117,7 @@
 	f := newFleet("d1", 9, state.RoleDecode)
 	for i := range 50 {
 		for _, session := range []string{"", fmt.Sprint(i)} {
-			is.Equal(f.ChooseForDecode("s", session, "", nil).Instance.FailureDomain, "d1")
+			is.Equal(f.ChooseForDecode(Pool{Service: "s"}, session, "", nil).Instance.FailureDomain, "d1")
 		}
 	}
 	for _, r := range f.Runners("s") {
@@ -128,18 +128,18 @@
 		}
 	}
 	for _, session := range []string{"", "x"} {
-		is.True(f.ChooseForDecode("s", session, "", nil).Instance.FailureDomain != "d1") // the preference has a limit
+		is.True(f.ChooseForDecode(Pool{Service: "s"}, session, "", nil).Instance.FailureDomain != "d1") // the preference has a limit
 	}
 }
 
 func TestChoiceMatchesRole(t *testing.T) {
 	is := is.New(t)
 	f := newFleet("d0", 3, state.RoleDecode)
-	chosen := f.ChooseForPrefill("s", "x", nil)
+	chosen := f.ChooseForPrefill(Pool{Service: "s"}, "x", nil)
 	is.True(chosen == nil)
-	is.True(f.ChooseForDecode("s", "x", "", nil) != nil)
-	is.True(f.ChooseForDecode("s", "x", "", []state.InstanceID{instanceID("e00"), instanceID("e01"), instanceID("e02")}) == nil)
-	is.True(f.ChooseForCall("other", nil) == nil)
+	is.True(f.ChooseForDecode(Pool{Service: "s"}, "x", "", nil) != nil)
+	is.True(f.ChooseForDecode(Pool{Service: "s"}, "x", "", []state.InstanceID{instanceID("e00"), instanceID("e01"), instanceID("e02")}) == nil)
+	is.True(f.ChooseForCall(Pool{Service: "other"}, nil) == nil)
 }
 
 // Engines that change their role refuse all requests for some seconds, so they are avoided
@@ -150,24 +150,24 @@
 		f := newFleet("d0", 3, state.RoleDecode)
 		f.ExpectRole([]state.InstanceID{instanceID("e00"), instanceID("e01"), instanceID("gone")}, state.RolePrefill, 8*time.Second)
 		for range 20 {
-			chosen := f.ChooseForDecode("s", "", "", nil)
+			chosen := f.ChooseForDecode(Pool{Service: "s"}, "", "", nil)
 			is.Equal(chosen.Instance.ID, instanceID("e02"))
 			chosen.RecordSuccess(time.Millisecond)
 		}
-		changing := f.ChooseForDecode("s", "", "", []state.InstanceID{instanceID("e02")}) // chosen if nothing else is left
+		changing := f.ChooseForDecode(Pool{Service: "s"}, "", "", []state.InstanceID{instanceID("e02")}) // chosen if nothing else is left
 		is.True(changing != nil)
 		changing.RecordSuccess(time.Millisecond) // a request accepted before the change
-		is.Equal(f.ChooseForDecode("s", "", "", nil).Instance.ID, instanceID("e02"))
+		is.Equal(f.ChooseForDecode(Pool{Service: "s"}, "", "", nil).Instance.ID, instanceID("e02"))
 
 		f.Update([]state.Instance{
 			{ID: instanceID("e00"), Service: "s", Role: state.RolePrefill}, {ID: instanceID("e01"), Service: "s", Role: state.RoleDecode}, {ID: instanceID("e02"), Service: "s", Role: state.RoleDecode},
 		})
-		prefiller := f.ChooseForPrefill("s", "", nil)
+		prefiller := f.ChooseForPrefill(Pool{Service: "s"}, "", nil)
 		is.Equal(prefiller.Instance.ID, instanceID("e00"))
 		is.True(!prefiller.Suspect(time.Now()))
-		is.Equal(f.ChooseForDecode("s", "", "", nil).Instance.ID, instanceID("e02"))
+		is.Equal(f.ChooseForDecode(Pool{Service: "s"}, "", "", nil).Instance.ID, instanceID("e02"))
 		time.Sleep(8*time.Second + time.Millisecond) // the order to e01 was lost
-		is.True(!f.ChooseForDecode("s", "", "", []state.InstanceID{instanceID("e02")}).Suspect(time.Now()))
+		is.True(!f.ChooseForDecode(Pool{Service: "s"}, "", "", []state.InstanceID{instanceID("e02")}).Suspect(time.Now()))
 	})
 }
 
@@ -178,7 +178,7 @@
 	is.True(!f.Accepts(instanceID("e00")))
 	is.True(f.Accepts(instanceID("e01")))
 	for range 20 {
-		is.Equal(f.ChooseForCall("s", nil).Instance.ID, instanceID("e01"))
+		is.Equal(f.ChooseForCall(Pool{Service: "s"}, nil).Instance.ID, instanceID("e01"))
 	}
 }
 
@@ -189,16 +189,16 @@
 		broken := f.Runners("s")[0]
 		broken.RecordConnectionFailure()
 		for range 20 {
-			is.True(f.ChooseForCall("s", nil).Instance.ID != broken.Instance.ID)
+			is.True(f.ChooseForCall(Pool{Service: "s"}, nil).Instance.ID != broken.Instance.ID)
 		}
-		is.Equal(f.ChooseForCall("s", []state.InstanceID{f.Runners("s")[1].Instance.ID}), broken) // chosen if nothing else is left
+		is.Equal(f.ChooseForCall(Pool{Service: "s"}, []state.InstanceID{f.Runners("s")[1].Instance.ID}), broken) // chosen if nothing else is left
 		time.Sleep(suspectMinBackoff + 20*failureHalfLife)
 		is.True(!broken.Suspect(time.Now()))
 		other := f.Runners("s")[1]
 		for range 5 {
 			other.Begin()
 		}
-		is.Equal(f.ChooseForCall("s", nil), broken)
+		is.Equal(f.ChooseForCall(Pool{Service: "s"}, nil), broken)
 	})
 }
 
@@ -220,13 +220,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet("d0", 9, state.RoleDecode)
-		preferred := f.ChooseForDecode("s", "x", "", nil)
+		preferred := f.ChooseForDecode(Pool{Service: "s"}, "x", "", nil)
 		preferred.RecordRefusal() // its role has changed, which the list doesn't show yet
 		for range 20 {
-			is.True(f.ChooseForDecode("s", "x", "", nil) != preferred)
+			is.True(f.ChooseForDecode(Pool{Service: "s"}, "x", "", nil) != preferred)
 		}
 		time.Sleep(refusalMinBackoff + 20*failureHalfLife)
-		is.Equal(f.ChooseForDecode("s", "x", "", nil), preferred)
+		is.Equal(f.ChooseForDecode(Pool{Service: "s"}, "x", "", nil), preferred)
 	})
 }
 
@@ -244,7 +244,7 @@
 			healthy.RecordSuccess(initialLatency)
 		}
 		healthy.Begin() // one more in flight than at the other
-		is.Equal(f.ChooseForCall("s", nil), healthy)
+		is.Equal(f.ChooseForCall(Pool{Service: "s"}, nil), healthy)
 	})
 }
 
@@ -258,7 +258,7 @@
 		f.ApplyReport(instanceID("e00"), time.Second)
 		f.ApplyReport(instanceID("gone"), time.Second)
 		for range 20 {
-			is.Equal(f.ChooseForCall("s", nil).Instance.ID, other.Instance.ID)
+			is.Equal(f.ChooseForCall(Pool{Service: "s"}, nil).Instance.ID, other.Instance.ID)
 		}
 		f.ApplyReport(instanceID("e00"), 0)
 		is.True(!reported.Suspect(time.Now()))
@@ -285,10 +285,10 @@
 		}
 		f.Update(list)
 		for range 50 {
-			sameDomain := f.ChooseForBackup("s", &list[0], []state.InstanceID{list[0].ID}).Instance.FailureDomain == "d0"
+			sameDomain := f.ChooseForBackup(Pool{Service: "s"}, &list[0], []state.InstanceID{list[0].ID}).Instance.FailureDomain == "d0"
 			is.Equal(sameDomain, !spot)
 		}
 		f.Update(list[:1])
-		is.True(f.ChooseForBackup("s", &list[0], []state.InstanceID{list[0].ID}) == nil)
+		is.True(f.ChooseForBackup(Pool{Service: "s"}, &list[0], []state.InstanceID{list[0].ID}) == nil)
 	}
 }
--- a/coordination/placement/index_test.go
+++ b/coordination/placement/index_test.go
@@ -39,7 +39,7 @@
 		f := newFleet("d0", n, state.RolePrefill)
 		sessions := map[string]int{}
 		for i := range 20 * n {
-			sessions[f.ChooseForPrefill("s", fmt.Sprint("session-", i), nil).Instance.ID.Name]++
+			sessions[f.ChooseForPrefill(Pool{Service: "s"}, fmt.Sprint("session-", i), nil).Instance.ID.Name]++
 		}
 		busiest := 0
 		for _, count := range sessions {
@@ -61,7 +61,7 @@
 	before := map[string]state.InstanceID{}
 	for i := range sessions {
 		s := fmt.Sprint("session-", i)
-		before[s] = f.ChooseForPrefill("s", s, nil).Instance.ID
+		before[s] = f.ChooseForPrefill(Pool{Service: "s"}, s, nil).Instance.ID
 	}
 	var rest []state.Instance
 	for _, r := range f.Runners("s") {
@@ -72,7 +72,7 @@
 	f.Update(rest)
 	for s, id := range before {
 		if id != gone {
-			is.Equal(f.ChooseForPrefill("s", s, nil).Instance.ID, id)
+			is.Equal(f.ChooseForPrefill(Pool{Service: "s"}, s, nil).Instance.ID, id)
 		}
 	}
 }
@@ -87,21 +87,21 @@
 		for _, r := range own {
 			r.RecordConnectionFailure()
 		}
-		is.True(!slices.Contains(own, f.ChooseForPrefill("s", "session", nil)))
-		is.True(!slices.Contains(own, f.ChooseForDecode("s", "session", "", nil)))
+		is.True(!slices.Contains(own, f.ChooseForPrefill(Pool{Service: "s"}, "session", nil)))
+		is.True(!slices.Contains(own, f.ChooseForDecode(Pool{Service: "s"}, "session", "", nil)))
 		var tried []state.InstanceID
 		for _, r := range f.Runners("s")[1:] {
 			tried = append(tried, r.Instance.ID)
 		}
 		last := f.Runners("s")[0]
 		for _, choose := range []func() *Runner{
-			func() *Runner { return f.ChooseForCall("s", tried) },
-			func() *Runner { return f.ChooseForPrefill("s", "session", tried) },
-			func() *Runner { return f.ChooseForDecode("s", "session", "", tried) },
+			func() *Runner { return f.ChooseForCall(Pool{Service: "s"}, tried) },
+			func() *Runner { return f.ChooseForPrefill(Pool{Service: "s"}, "session", tried) },
+			func() *Runner { return f.ChooseForDecode(Pool{Service: "s"}, "session", "", tried) },
 		} {
 			is.Equal(choose(), last)
 		}
-		is.Equal(f.ChooseForCall("s", append(tried, last.Instance.ID)), nil)
+		is.Equal(f.ChooseForCall(Pool{Service: "s"}, append(tried, last.Instance.ID)), nil)
 	})
 }
 
@@ -109,7 +109,7 @@
 func TestEarliestAvailableIsFirstOpenRunner(t *testing.T) {
 	is := is.New(t)
 	f := newFleet("d0", 20_000, state.RolePrefill)
-	r, at := f.EarliestAvailable("s", PhasePrefill, nil)
+	r, at := f.EarliestAvailable(Pool{Service: "s"}, PhasePrefill, nil)
 	is.Equal(r, f.Runners("s")[0])
 	is.True(at.IsZero())
 }
@@ -128,18 +128,18 @@
 }
 
 func BenchmarkChooseForPrefill(b *testing.B) {
-	benchmarkSizes(b, state.RolePrefill, func(f *Fleet) { f.ChooseForPrefill("s", "session", nil) })
+	benchmarkSizes(b, state.RolePrefill, func(f *Fleet) { f.ChooseForPrefill(Pool{Service: "s"}, "session", nil) })
 }
 
 // Two engines in three have a weight of their own.
 func BenchmarkChooseForPrefillByWeight(b *testing.B) {
-	benchmarkSizes(b, state.RolePrefill, func(f *Fleet) { f.ChooseForPrefill("s", "session", nil) }, 0.7, 1, 1.7)
+	benchmarkSizes(b, state.RolePrefill, func(f *Fleet) { f.ChooseForPrefill(Pool{Service: "s"}, "session", nil) }, 0.7, 1, 1.7)
 }
 
 func BenchmarkChooseForDecode(b *testing.B) {
-	benchmarkSizes(b, state.RoleDecode, func(f *Fleet) { f.ChooseForDecode("s", "session", "d0", nil) })
+	benchmarkSizes(b, state.RoleDecode, func(f *Fleet) { f.ChooseForDecode(Pool{Service: "s"}, "session", "d0", nil) })
 }
 
 func BenchmarkChooseForCall(b *testing.B) {
-	benchmarkSizes(b, "", func(f *Fleet) { f.ChooseForCall("s", nil) })
+	benchmarkSizes(b, "", func(f *Fleet) { f.ChooseForCall(Pool{Service: "s"}, nil) })
 }
--- a/coordination/placement/local.go
+++ b/coordination/placement/local.go
@@ -49,8 +49,8 @@
 // chooseLocal chooses a prefill engine if the service's prefixes are local: the session's first
 // engine of this host's own domain, then its first of each other domain, then the rest by score.
 // Requests without a session go to the least loaded engine, preferably of the own domain.
-func (f *Fleet) chooseLocal(service, session string, tried []state.InstanceID) *Runner {
-	x := f.service(service).prefill
+func (f *Fleet) chooseLocal(p Pool, session string, tried []state.InstanceID) *Runner {
+	x := f.pool(p).prefill
 	if session == "" {
 		return f.choose(x, "", tried, func(_ []*Runner, r *Runner) float64 {
 			return inFlightTime(r) + crossDomainPenalty*indicator(r.Instance.FailureDomain != f.o.FailureDomain)
--- a/coordination/placement/local_test.go
+++ b/coordination/placement/local_test.go
@@ -16,7 +16,7 @@
 // prefillOrder returns the engines of a session in the order in which they are chosen.
 func prefillOrder(f *Fleet, session string) (order []*Runner) {
 	var tried []state.InstanceID
-	for r := f.ChooseForPrefill("s", session, nil); r != nil; r = f.ChooseForPrefill("s", session, tried) {
+	for r := f.ChooseForPrefill(Pool{Service: "s"}, session, nil); r != nil; r = f.ChooseForPrefill(Pool{Service: "s"}, session, tried) {
 		order = append(order, r)
 		tried = append(tried, r.Instance.ID)
 	}
@@ -89,7 +89,7 @@
 		is.Equal(order[8], before[0])
 		next := slices.IndexFunc(before[1:], func(r *Runner) bool { return r.Instance.FailureDomain == "d1" }) + 1
 		before[0].RecordConnectionFailure()
-		is.Equal(f.ChooseForPrefill("s", "x", nil), before[next])
+		is.Equal(f.ChooseForPrefill(Pool{Service: "s"}, "x", nil), before[next])
 		time.Sleep(10 * time.Second)
 		is.True(!before[0].Suspect(time.Now()))
 	})
@@ -114,7 +114,7 @@
 	is := is.New(t)
 	f := newLocalFleet("d1", 9)
 	for range 20 {
-		is.Equal(f.ChooseForPrefill("s", "", nil).Instance.FailureDomain, "d1")
+		is.Equal(f.ChooseForPrefill(Pool{Service: "s"}, "", nil).Instance.FailureDomain, "d1")
 	}
 	for _, r := range f.Runners("s") {
 		if r.Instance.FailureDomain == "d1" {
@@ -123,7 +123,7 @@
 			}
 		}
 	}
-	is.True(f.ChooseForPrefill("s", "", nil).Instance.FailureDomain != "d1")
+	is.True(f.ChooseForPrefill(Pool{Service: "s"}, "", nil).Instance.FailureDomain != "d1")
 }
 
 // Requests read the list while it is replaced; run with the race detector.
@@ -133,7 +133,7 @@
 	for range 4 {
 		choices.Go(func() {
 			for i := range 200 {
-				f.ChooseForPrefill("s", fmt.Sprint(i), nil)
+				f.ChooseForPrefill(Pool{Service: "s"}, fmt.Sprint(i), nil)
 			}
 		})
 	}
@@ -149,7 +149,7 @@
 			b.Run(fmt.Sprint(n, "/", name), func(b *testing.B) {
 				b.ReportAllocs()
 				for b.Loop() {
-					f.ChooseForPrefill("s", "session", nil)
+					f.ChooseForPrefill(Pool{Service: "s"}, "session", nil)
 				}
 			})
 		}
--- a/coordination/placement/uneven_sim_test.go
+++ b/coordination/placement/uneven_sim_test.go
@@ -108,7 +108,7 @@
 	var best *simQueue
 	bestCost, limit := time.Duration(math.MaxInt64), 600*time.Millisecond
 	for range 4 {
-		id := w.fleet.ChooseForPrefill("s", fmt.Sprint("session-", session), tried).Instance.ID
+		id := w.fleet.ChooseForPrefill(Pool{Service: "s"}, fmt.Sprint("session-", session), tried).Instance.ID
 		tried = append(tried, id)
 		f := w.queues[id].queue.Forecast(simTime(now), prompt, limit)
 		if f.Wait <= 40*time.Millisecond && f.UncachedTime == 0 && f.Rank < backlog.Classes {
--- a/coordination/placement/view.go
+++ b/coordination/placement/view.go
@@ -9,21 +9,34 @@
 // view is an immutable snapshot of the listed instances. Its successors share what a change leaves as
 // it is, so that the cost of a change doesn't grow with the list.
 type view struct {
-	byService map[string]*serviceRunners
-	byID      *cowMap[state.InstanceID, *Runner]
-	byAddr    *cowMap[string, *Runner]
+	byPool map[Pool]*poolRunners
+	byID   *cowMap[state.InstanceID, *Runner]
+	byAddr *cowMap[string, *Runner]
 }
 
 func newView() *view {
 	return &view{
-		byService: map[string]*serviceRunners{},
-		byID:      newCowMap[state.InstanceID, *Runner](func(id state.InstanceID) string { return id.Name }),
-		byAddr:    newCowMap[string, *Runner](func(addr string) string { return addr }),
+		byPool: map[Pool]*poolRunners{},
+		byID:   newCowMap[state.InstanceID, *Runner](func(id state.InstanceID) string { return id.Name }),
+		byAddr: newCowMap[string, *Runner](func(addr string) string { return addr }),
 	}
 }
 
-// serviceRunners holds the instances of a service that accept work.
-type serviceRunners struct {
+// Pool is a set of runners among which one is chosen: those of a service, or of one version of their software
+// if Version isn't "".
+type Pool struct{ Service, Version string }
+
+// poolsOf returns the pools that a runner is in.
+func poolsOf(r *Runner) []Pool {
+	all := Pool{Service: r.Instance.Service}
+	if r.Instance.Version == "" {
+		return []Pool{all}
+	}
+	return []Pool{all, {r.Instance.Service, r.Instance.Version}}
+}
+
+// poolRunners holds the instances of a pool that accept work.
+type poolRunners struct {
 	all index
 	// prefill and decode hold the engines that have the role; an engine of both roles is in both.
 	prefill, decode index
@@ -33,14 +46,14 @@
 	prefillDomains map[string]int
 }
 
-func newServiceRunners() *serviceRunners {
-	return &serviceRunners{all: newIndex(nil), prefill: newIndex(nil), decode: newIndex(nil)}
+func newPoolRunners() *poolRunners {
+	return &poolRunners{all: newIndex(nil), prefill: newIndex(nil), decode: newIndex(nil)}
 }
 
-// with returns the runners of a service after a change; removed must be among them.
-func (s *serviceRunners) with(removed, added []*Runner) *serviceRunners {
+// with returns the runners of a pool after a change; removed must be among them.
+func (s *poolRunners) with(removed, added []*Runner) *poolRunners {
 	removedPrefill, addedPrefill := withoutRole(removed, state.RoleDecode), withoutRole(added, state.RoleDecode)
-	return &serviceRunners{
+	return &poolRunners{
 		all:            s.all.with(removed, added),
 		prefill:        s.prefill.with(removedPrefill, addedPrefill),
 		prefillDomains: countDomains(s.prefillDomains, removedPrefill, addedPrefill),
@@ -82,54 +95,47 @@
 // again in added.
 func (v *view) with(removed, added []*Runner) *view {
 	byID, byAddr := v.byID.edit(), v.byAddr.edit()
-	changes := map[string]*serviceChange{}
+	changes := map[Pool]*poolChange{}
 	for _, r := range removed {
 		byID.remove(r.Instance.ID)
 		if byAddr.m.get(r.Instance.Addr) == r {
 			byAddr.remove(r.Instance.Addr)
 		}
-		changeOf(changes, r).remove(r)
+		noteChange(changes, r, func(c *poolChange) { c.removed = append(c.removed, r) })
 	}
 	for _, r := range added {
 		byID.set(r.Instance.ID, r)
 		byAddr.set(r.Instance.Addr, r)
-		changeOf(changes, r).add(r)
-	}
-	next := &view{byService: make(map[string]*serviceRunners, len(v.byService)), byID: byID.m, byAddr: byAddr.m}
-	for service, runners := range v.byService {
-		next.byService[service] = runners
+		noteChange(changes, r, func(c *poolChange) { c.added = append(c.added, r) })
 	}
-	for service, c := range changes {
-		before := v.byService[service]
+	next := &view{byPool: make(map[Pool]*poolRunners, len(v.byPool)), byID: byID.m, byAddr: byAddr.m}
+	maps.Copy(next.byPool, v.byPool)
+	for pool, c := range changes {
+		before := v.byPool[pool]
 		if before == nil {
-			before = newServiceRunners()
+			before = newPoolRunners()
+		}
+		after := before.with(c.removed, c.added)
+		next.byPool[pool] = after
+		if after.all.size == 0 && pool.Version != "" {
+			delete(next.byPool, pool) // versions come and go
 		}
-		next.byService[service] = before.with(c.removed, c.added)
 	}
 	return next
 }
 
-// serviceChange is the change of one service: the runners that accepted work before, and those that do
-// after it.
-type serviceChange struct{ removed, added []*Runner }
+// poolChange is the change of one pool: the runners that accepted work before, and those that do after it.
+type poolChange struct{ removed, added []*Runner }
 
-func changeOf(changes map[string]*serviceChange, r *Runner) *serviceChange {
-	c := changes[r.Instance.Service]
-	if c == nil {
-		c = &serviceChange{}
-		changes[r.Instance.Service] = c
+// noteChange notes a change of a runner in each of its pools, unless it is draining.
+func noteChange(changes map[Pool]*poolChange, r *Runner, note func(c *poolChange)) {
+	if r.Instance.Draining {
+		return
 	}
-	return c
-}
-
-func (c *serviceChange) remove(r *Runner) {
-	if !r.Instance.Draining {
-		c.removed = append(c.removed, r)
-	}
-}
-
-func (c *serviceChange) add(r *Runner) {
-	if !r.Instance.Draining {
-		c.added = append(c.added, r)
+	for _, pool := range poolsOf(r) {
+		if changes[pool] == nil {
+			changes[pool] = &poolChange{}
+		}
+		note(changes[pool])
 	}
 }
--- a/coordination/placement/weights_test.go
+++ b/coordination/placement/weights_test.go
@@ -29,7 +29,7 @@
 func enginesOf(f *Fleet, sessions int) []state.InstanceID {
 	var out []state.InstanceID
 	for i := range sessions {
-		out = append(out, f.ChooseForPrefill("s", fmt.Sprint("session-", i), nil).Instance.ID)
+		out = append(out, f.ChooseForPrefill(Pool{Service: "s"}, fmt.Sprint("session-", i), nil).Instance.ID)
 	}
 	return out
 }
@@ -44,9 +44,9 @@
 		session := fmt.Sprint("session-", i)
 		var tried []state.InstanceID
 		for range 40 {
-			want := f.ChooseForPrefill("s", session, tried).Instance.ID
-			is.Equal(same.ChooseForPrefill("s", session, tried).Instance.ID, want)
-			is.Equal(scaled.ChooseForPrefill("s", session, tried).Instance.ID, want)
+			want := f.ChooseForPrefill(Pool{Service: "s"}, session, tried).Instance.ID
+			is.Equal(same.ChooseForPrefill(Pool{Service: "s"}, session, tried).Instance.ID, want)
+			is.Equal(scaled.ChooseForPrefill(Pool{Service: "s"}, session, tried).Instance.ID, want)
 			tried = append(tried, want)
 		}
 	}
@@ -160,9 +160,9 @@
 		f.SetSpeeds(map[state.InstanceID]float64{instanceID("e00"): 0.5, instanceID("e03"): 2})
 		for range 25 {
 			if role == state.RolePrefill {
-				f.ChooseForPrefill("s", "", nil).Begin()
+				f.ChooseForPrefill(Pool{Service: "s"}, "", nil).Begin()
 			} else {
-				f.ChooseForDecode("s", "", "d0", []state.InstanceID{instanceID("e01"), instanceID("e02")}).Begin()
+				f.ChooseForDecode(Pool{Service: "s"}, "", "d0", []state.InstanceID{instanceID("e01"), instanceID("e02")}).Begin()
 			}
 		}
 		slow, fast := f.Runner(instanceID("e00")).InFlight(), f.Runner(instanceID("e03")).InFlight()
@@ -177,7 +177,7 @@
 	f.SetLocalPrefixes([]string{"s"})
 	f.SetSpeeds(map[state.InstanceID]float64{instanceID("e00"): 0.5, instanceID("e03"): 2})
 	for range 100 {
-		f.ChooseForPrefill("s", "", nil).Begin()
+		f.ChooseForPrefill(Pool{Service: "s"}, "", nil).Begin()
 	}
 	slow, fast := f.Runner(instanceID("e00")).InFlight(), f.Runner(instanceID("e03")).InFlight()
 	is.True(fast >= 4*slow-4 && fast <= 4*slow+8)
@@ -189,12 +189,12 @@
 	is := is.New(t)
 	for speed, stays := range map[float64]bool{1: false, 4: true} {
 		f := newFleet("d0", 4, state.RolePrefill)
-		first := f.ChooseForPrefill("s", "x", nil)
+		first := f.ChooseForPrefill(Pool{Service: "s"}, "x", nil)
 		f.SetSpeeds(map[state.InstanceID]float64{first.Instance.ID: speed})
 		for range 2 {
 			first.Begin()
 		}
-		is.Equal(f.ChooseForPrefill("s", "x", nil) == first, stays)
+		is.Equal(f.ChooseForPrefill(Pool{Service: "s"}, "x", nil) == first, stays)
 	}
 }
 
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -291,6 +291,7 @@
 // backpressure registry.
 func (h *Host) publish(c state.InstanceChanges) {
 	h.fleet.Apply(c)
+	h.metrics.setVersions(h.fleet.Versions())
 	h.pool.Retain(h.fleet.Accepts)
 	h.links.Retain(h.fleet.Accepts)
 	h.advice.UpdateListed(func(id state.InstanceID) bool { return h.fleet.Runner(id) != nil })
--- a/daemon/routed/metrics.go
+++ b/daemon/routed/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/forward"
+	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/quota"
 	"github.com/thymerack/thymerack/coordination/usage"
 	"github.com/thymerack/thymerack/protocol/loadapi"
@@ -31,6 +32,8 @@
 	byCustomer sync.Map
 	// keyChecks counts the key checks by outcome.
 	keyChecks map[auth.Outcome]*metrics.Counter
+	// versions are the numbers of runners that setVersions set last.
+	versions map[placement.Pool]int
 	// usage counts requests by customer; nil if usage isn't reported.
 	usage *usage.Counter
 }
@@ -182,6 +185,24 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_crashed_requests_total{service=%q}`, r.Instance.Service)).Add(len(r.Suspects))
 }
 
+// setVersions sets the numbers of runners that accept work, by service and version; those that have none any more
+// are 0. Calls must not overlap.
+func (m *hostMetrics) setVersions(runners map[placement.Pool]int) {
+	for p := range m.versions {
+		if runners[p] == 0 {
+			m.versionGauge(p).Set(0)
+		}
+	}
+	for p, n := range runners {
+		m.versionGauge(p).Set(float64(n))
+	}
+	m.versions = runners
+}
+
+func (m *hostMetrics) versionGauge(p placement.Pool) *metrics.Gauge {
+	return m.set.GetOrCreateGauge(fmt.Sprintf(`thymerack_runners{service=%q,runner_version=%q}`, p.Service, p.Version), nil)
+}
+
 // gauge registers a gauge whose value is read when the metrics are scraped.
 func (m *hostMetrics) gauge(name string, read func() float64) { m.set.NewGauge(name, read) }
 
--- a/daemon/routed/metrics_test.go
+++ b/daemon/routed/metrics_test.go
@@ -11,6 +11,7 @@
 	"github.com/thymerack/thymerack/coordination/contention"
 	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/forward"
+	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/measure"
 )
@@ -111,3 +112,14 @@
 	is.True(strings.Contains(out.String(), `thymerack_response_bodies_total{service="llm",end="connection"} 1`+"\n"))
 	is.True(strings.Contains(out.String(), `thymerack_response_bodies_total{service="llm",end="framed"} 2`+"\n"))
 }
+
+func TestVersionMetrics(t *testing.T) {
+	is := is.New(t)
+	m := newHostMetrics()
+	m.setVersions(map[placement.Pool]int{{Service: "llm", Version: "v1"}: 6})
+	m.setVersions(map[placement.Pool]int{{Service: "llm", Version: "v1.1"}: 4})
+	var out strings.Builder
+	m.set.WritePrometheus(&out)
+	is.True(strings.Contains(out.String(), `thymerack_runners{service="llm",runner_version="v1"} 0`+"\n"))
+	is.True(strings.Contains(out.String(), `thymerack_runners{service="llm",runner_version="v1.1"} 4`+"\n"))
+}
