--- a/coordination/forward/versions_test.go
+++ b/coordination/forward/versions_test.go
@@ -91,3 +91,19 @@
 		is.True(a.Backup != nil && a.Backup.Version == a.Instance.Version)
 	}
 }
+
+// Guards against a stream that a caller takes up being run at any version, although it isn't known which one began
+// it: it is refused as not run.
+func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{status: 200, events: true, body: "id: 2\ndata: b\n\n"})
+	w.listVersions(map[string]int{"v1": 2, "v1.1": 2})
+	r := modelRequest(500, true)
+	r.LastEventID, r.Resumes = "1", "nobody-knows"
+	_, err := w.Forward(t.Context(), r)
+	var refusal *Refusal
+	is.True(errors.As(err, &refusal))
+	is.True(refusal.NotRun)
+	is.True(refusal.RetryAfter > 0)
+	is.Equal(len(w.up.attempts), 0)
+}
