origin: a stream that its caller takes up goes on at the version that began it

Callers that took a stream up at another host got events of another version: nothing tells a host which version began a stream that another host began.

coordination/origin keeps it. Each host remembers its streams for a minute. While a service has several versions, a stream is also written to three replicas, chosen by its ID, while its runner computes the first event; the caller gets that once a majority has it (30 ms at most). When a second version appears, streams under way are written in few messages. A host that is asked to go on asks the replicas. Without a record the version is certain only if the service has had one version for as long as the stream may be old, by this host's and the replicas' history, or, for hosts that have just started, by a note in the store, written when versions come and go. Otherwise the request is refused as not run, at once, with a time to come back; a version that has no runner left is refused without one. A split route sends a stream to the service that began it.

Weighed: asking all hosts (985 calls for each stream, and none answers for a host that is gone), a choice of version that follows from the ID (two lists give two choices), a record in the store for each stream (400 writes a second).

--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -32,6 +32,7 @@
 	a.TimeLeft = d.timeLeft(a.Request)
 	started := d.o.Clock.Now()
 	attemptCtx, firstWatch := d.watchFirstEvent(ctx, a, rec)
+	beginning := d.beginStream(a, rec)
 	resp, err := d.send(attemptCtx, a, rec)
 	took := d.o.Clock.Now().Sub(started)
 	if err != nil {
@@ -44,7 +45,11 @@
 	head := resp.Head()
 	if head.EventStream && head.Status < firstErrorStatus && !head.NotRun {
 		rec.mayHaveRun = true
-		return d.openStream(ctx, a, runner, rec, resp, sent, started, firstWatch)
+		answer, result := d.openStream(ctx, a, runner, rec, resp, sent, started, firstWatch)
+		if answer != nil {
+			beginning.Wait(ctx)
+		}
+		return answer, result
 	}
 	defer firstWatch.cancel()
 	if head.NotRun {
--- a/coordination/forward/crashes_test.go
+++ b/coordination/forward/crashes_test.go
@@ -135,7 +135,7 @@
 	}
 	h.Dispatcher, err = New(Options{
 		Upstream: up, Placer: h.fleet, Gate: newScriptedGate(f.t).Gate, Budget: unlimitedBudget{}, Observer: noObserver{},
-		Outliers: &fakeOutliers{}, Crashes: crashes, Quarantine: h.Registry, Quotas: noQuotas{}, Advice: newAdvice(f.t, clocktest.Bubble{}, func(backpressure.Notice) {}, func(state.InstanceID) {}), Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
+		Outliers: &fakeOutliers{}, Crashes: crashes, Quarantine: h.Registry, Quotas: noQuotas{}, Origins: &fakeOrigins{fleet: h.fleet}, Advice: newAdvice(f.t, clocktest.Bubble{}, func(backpressure.Notice) {}, func(state.InstanceID) {}), Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -124,9 +124,11 @@
 	Quarantine Quarantine
 	// Quotas is asked once for each request of a customer that has a quota.
 	Quotas Quotas
-	Advice Advice
-	Clock  state.Clock
-	Log    *slog.Logger
+	// Origins is asked about streams that callers take up again.
+	Origins Origins
+	Advice  Advice
+	Clock   state.Clock
+	Log     *slog.Logger
 	// SplitTokens is the prompt size, in tokens, from which a prefill engine computes the prompt
 	// and a decode engine continues from its KV cache.
 	SplitTokens int
@@ -143,7 +145,7 @@
 
 // New validates the options.
 func New(o Options) (*Dispatcher, error) {
-	if o.Upstream == nil || o.Placer == nil || o.Gate == nil || o.Budget == nil || o.Observer == nil || o.Outliers == nil || o.Crashes == nil || o.Quarantine == nil || o.Quotas == nil || o.Advice == nil || o.Clock == nil || o.Log == nil {
+	if o.Upstream == nil || o.Placer == nil || o.Gate == nil || o.Budget == nil || o.Observer == nil || o.Outliers == nil || o.Crashes == nil || o.Quarantine == nil || o.Quotas == nil || o.Origins == nil || o.Advice == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("forward: a field of Options is nil; set all of them")
 	}
 	return &Dispatcher{o: o}, nil
@@ -254,6 +256,9 @@
 
 // serve tries runners until one answers or no further attempt is allowed.
 func (d *Dispatcher) serve(ctx context.Context, r *Request, rec *record) (*Answer, error) {
+	if err := d.bindVersion(ctx, r, rec); err != nil {
+		return nil, err
+	}
 	if err := d.checkPath(r, rec); err != nil {
 		return nil, err
 	}
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/contention"
 	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/coordination/origin"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/quota"
@@ -176,6 +179,37 @@
 	})
 }
 
+// fakeOrigins knows the streams that it was told of. The version of others is unknown if the listed runners have several.
+type fakeOrigins struct {
+	fleet *placement.Fleet
+	began map[string]origin.Record
+}
+
+// Begin implements Origins.
+func (o *fakeOrigins) Begin(r origin.Record) *origin.Writing {
+	if o.began == nil {
+		o.began = map[string]origin.Record{}
+	}
+	o.began[r.ID] = r
+	return nil
+}
+
+// Version implements Origins.
+func (o *fakeOrigins) Version(_ context.Context, q origin.Query) (string, error) {
+	if r, found := o.began[q.ID]; found {
+		return r.Version, nil
+	}
+	versions := slices.Collect(maps.Keys(o.fleet.Versions()))
+	switch len(versions) {
+	case 0:
+		return "", nil
+	case 1:
+		return versions[0].Version, nil
+	default:
+		return "", &origin.UnknownError{Query: q}
+	}
+}
+
 // noQuotas admits every request.
 type noQuotas struct{}
 
@@ -327,6 +361,7 @@
 	outliers   *fakeOutliers
 	crashes    *fakeCrashes
 	quarantine *fakeQuarantine
+	origins    *fakeOrigins
 	advice     *backpressure.Registry
 	links      *fakeLinks
 }
@@ -362,15 +397,15 @@
 	}
 	fleet.Update(list)
 	gate := newScriptedGate(t)
-	outliers, crashes, holds := &fakeOutliers{}, &fakeCrashes{}, &fakeQuarantine{}
+	outliers, crashes, holds, origins := &fakeOutliers{}, &fakeCrashes{}, &fakeQuarantine{}, &fakeOrigins{fleet: fleet}
 	d, err := New(Options{
-		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: outliers, Crashes: crashes, Quarantine: holds, Quotas: noQuotas{}, Advice: advice, Clock: clock,
+		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: outliers, Crashes: crashes, Quarantine: holds, Quotas: noQuotas{}, Origins: origins, Advice: advice, Clock: clock,
 		Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &world{d, up, fleet, gate, outliers, crashes, holds, advice, links}
+	return &world{d, up, fleet, gate, outliers, crashes, holds, origins, advice, links}
 }
 
 func newAdvice(t *testing.T, clock state.Clock, tell func(backpressure.Notice), left func(state.InstanceID)) *backpressure.Registry {
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/state"
 )
@@ -104,6 +103,8 @@
 	sourceDropped bool
 	// version is that of the runner whose events the caller has, or gets first; "" before there is one.
 	version string
+	// beginnings counts the attempts that were to begin a stream.
+	beginnings int
 	// lastEnd is how the last body ended that was read to its end; "" if there was none.
 	lastEnd BodyEnd
 	// tunnels are those by which attempts were sent through other hosts.
@@ -136,15 +137,6 @@
 	d.o.Observer.RequestStarted(r.Customer.Name, at)
 }
 
-// pool returns the runners that may run the request: all of its service until the first event, and those of
-// one version afterwards. Each choice of a runner is made from it.
-func (r *record) pool(req *Request) placement.Pool {
-	return placement.Pool{Service: req.Service, Version: r.version}
-}
-
-// mayRunAt reports whether the instance is of the version that the request is bound to, if it is bound to one.
-func (r *record) mayRunAt(i *state.Instance) bool { return r.version == "" || r.version == i.Version }
-
 // noteBodyEnd records how a body ended.
 func (d *Dispatcher) noteBodyEnd(r *Request, rec *record, e BodyEnd) {
 	rec.lastEnd = e
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -284,6 +284,10 @@
 	// host can't tell whether it is.
 	ReasonQuota          Reason = "quota_exceeded"
 	ReasonQuotaUndecided Reason = "quota_undecided"
+	// ReasonOrigin means that it isn't known which version began the stream that the request takes up, and
+	// ReasonVersionGone that no runner of that version is left.
+	ReasonOrigin      Reason = "origin_unknown"
+	ReasonVersionGone Reason = "version_gone"
 )
 
 // Refusal is the final answer to a request that no runner answered.
@@ -300,7 +304,7 @@
 // Error implements error.
 func (e *Refusal) Error() string {
 	switch e.Reason {
-	case ReasonQuota, ReasonQuotaUndecided:
+	case ReasonQuota, ReasonQuotaUndecided, ReasonOrigin, ReasonVersionGone:
 		return fmt.Sprintf("the request was not run (%s): %v", e.Reason, e.Cause)
 	case ReasonCrashes:
 		run := "was not run"
--- a/coordination/forward/sim_harness_test.go
+++ b/coordination/forward/sim_harness_test.go
@@ -151,7 +151,7 @@
 		f.t.Fatal(err)
 	}
 	h.Dispatcher, err = New(Options{
-		Upstream: &simUpstream{h}, Placer: h.fleet, Gate: h.gate, Budget: unlimitedBudget{}, Observer: noObserver{}, Quotas: noQuotas{}, Advice: h.advice,
+		Upstream: &simUpstream{h}, Placer: h.fleet, Gate: h.gate, Budget: unlimitedBudget{}, Observer: noObserver{}, Quotas: noQuotas{}, Origins: &fakeOrigins{fleet: h.fleet}, Advice: h.advice,
 		Outliers: &fakeOutliers{}, Crashes: &fakeCrashes{}, Quarantine: noQuarantine{}, Clock: clock, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
--- /dev/null
+++ b/coordination/forward/version.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/origin"
+	"github.com/thymerack/thymerack/coordination/placement"
+	"github.com/thymerack/thymerack/state"
+)
+
+// Origins knows which version of its runner's software began each stream.
+type Origins interface {
+	// Begin remembers a stream that is about to begin. The result's Wait is called before the caller gets the
+	// first event.
+	Begin(r origin.Record) *origin.Writing
+	// Version returns the version that began a stream, or an *origin.UnknownError.
+	Version(ctx context.Context, q origin.Query) (string, error)
+}
+
+const (
+	// defaultStreamTime bounds the age of a stream whose route has no time-out: callers wait for 15 s at most.
+	defaultStreamTime = 15 * time.Second
+	// streamTimeSlack is added to that time: clients' clocks, and the way to a host and back.
+	streamTimeSlack = 5 * time.Second
+)
+
+// errVersionGone is the cause of the refusal of a stream whose version has no runner any more.
+var errVersionGone = errors.New("no runner of the version that began the stream is left; ask again from the start")
+
+// bindVersion binds a request that takes a stream up to the version that began it. It returns the refusal of one whose
+// version isn't known, or has no runner that accepts work.
+func (d *Dispatcher) bindVersion(ctx context.Context, r *Request, rec *record) error {
+	if r.LastEventID == "" || r.Route.Kind != state.RouteStream {
+		return nil
+	}
+	q := origin.Query{ID: r.Resumes, Service: r.Service, MaxAge: max(r.Route.Timeout, defaultStreamTime) + streamTimeSlack}
+	version, err := d.o.Origins.Version(ctx, q)
+	if err != nil {
+		return &Refusal{Reason: ReasonOrigin, NotRun: true, RetryAfter: d.addJitter(origin.RetryAfter), Cause: err}
+	}
+	rec.version = version
+	if first, _ := d.o.Placer.EarliestAvailable(rec.pool(r), d.remainingPart(r, rec), nil); first == nil {
+		return &Refusal{Reason: ReasonVersionGone, NotRun: true, Cause: fmt.Errorf("version %s of service %s: %w", version, r.Service, errVersionGone)}
+	}
+	return nil
+}
+
+// beginStream remembers the version at which a stream is about to begin.
+func (d *Dispatcher) beginStream(a *Attempt, rec *record) *origin.Writing {
+	r := a.Request
+	if r.Route.Kind != state.RouteStream || a.Instance.Version == "" {
+		return nil
+	}
+	rec.beginnings++
+	return d.o.Origins.Begin(origin.Record{ID: r.ID, Service: r.Service, Version: a.Instance.Version, Attempt: rec.beginnings})
+}
+
+// pool returns the runners that may run the request: all of its service until the first event, and those of
+// one version afterwards. Each choice of a runner is made from it.
+func (r *record) pool(req *Request) placement.Pool {
+	return placement.Pool{Service: req.Service, Version: r.version}
+}
+
+// mayRunAt reports whether the instance is of the version that the request is bound to, if it is bound to one.
+func (r *record) mayRunAt(i *state.Instance) bool { return r.version == "" || r.version == i.Version }
--- a/coordination/forward/versions_test.go
+++ b/coordination/forward/versions_test.go
@@ -4,9 +4,12 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/origin"
 	"github.com/thymerack/thymerack/state"
 )
 
@@ -107,3 +110,58 @@
 	is.True(refusal.RetryAfter > 0)
 	is.Equal(len(w.up.attempts), 0)
 }
+
+// Guards against a stream that its caller takes up going on at another version than the one that began it, at the first
+// attempt and at those after it.
+func TestResumedStreamGoesOnAtItsVersion(t *testing.T) {
+	is := is.New(t)
+	for range 40 {
+		w := newWorld(t, plenty, reply{err: errUnsent}, reply{status: 503, notRun: true}, reply{status: 200, events: true, body: "id: 2\ndata: b\n\n"})
+		w.listVersions(map[string]int{"v1": 3, "v1.1": 3})
+		w.origins.Begin(origin.Record{ID: "first", Service: "model", Version: "v1.1"})
+		r := modelRequest(500, true)
+		r.LastEventID, r.Resumes, r.Route.MaxAttempts = "1", "first", 3
+		answer, err := w.Forward(t.Context(), r)
+		is.NoErr(err)
+		_, err = readAll(answer.Stream)
+		is.NoErr(err)
+		is.Equal(len(w.up.attempts), 3)
+		for _, a := range w.up.attempts {
+			is.Equal(a.Instance.Version, "v1.1")
+		}
+		is.Equal(w.origins.began[r.ID].Version, "v1.1") // it may be named in its turn
+	}
+}
+
+// Guards against a stream whose version has no runner left being kept waiting, or its caller being told to come back.
+func TestStreamWhoseVersionIsGoneIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, plenty)
+		w.listVersions(map[string]int{"v1.1": 3})
+		w.origins.Begin(origin.Record{ID: "first", Service: "model", Version: "v1"})
+		r := modelRequest(500, true)
+		r.LastEventID, r.Resumes = "1", "first"
+		started := time.Now()
+		_, err := w.Forward(t.Context(), r)
+		var refusal *Refusal
+		is.True(errors.As(err, &refusal))
+		is.Equal(refusal.Reason, ReasonVersionGone)
+		is.True(refusal.NotRun)
+		is.Equal(refusal.RetryAfter, time.Duration(0))
+		is.Equal(time.Since(started), time.Duration(0))
+	})
+}
+
+// Guards against a stream being recorded at the version of a run that gave no event: the last beginning counts.
+func TestVersionIsThatOfTheRunThatGaveTheFirstEvent(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{err: errSent}, reply{status: 200, events: true, body: "id: 1\ndata: a\n\n"})
+	w.listVersions(map[string]int{"v1": 1, "v1.1": 1})
+	r := modelRequest(500, true)
+	answer, err := w.Forward(t.Context(), r)
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.Equal(w.origins.began[r.ID], origin.Record{ID: r.ID, Service: "model", Version: w.up.attempts[1].Instance.Version, Attempt: 2})
+}
--- /dev/null
+++ b/coordination/origin/fleet_test.go
@@ -0,0 +1,571 @@
+package origin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+
+	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/store"
+)
+
+const (
+	// maxAge is how old streams are that callers take up, and maxLag how late a host gets a list.
+	maxAge = 20 * time.Second
+	maxLag = time.Second
+	// maxDelay bounds the one-way delay between two hosts.
+	maxDelay = 3 * time.Millisecond
+	service  = "llm"
+)
+
+// testFleet is a number of hosts that begin streams at runners of several versions and take up each other's.
+type testFleet struct {
+	rng   *rand.Rand
+	hosts []*testHost
+
+	mu sync.Mutex
+	// listed is the list at the store, and notes are its objects.
+	listed  []string
+	goneAt  map[string]time.Time
+	notes   map[string]store.Object
+	streams []testStream
+	// wrong and refused are the streams that would have gone on at another version, and those of unknown version;
+	// resumed are all others.
+	wrong            []string
+	refused, resumed int
+	// storeDown cuts all hosts off from the store.
+	storeDown bool
+}
+
+type testStream struct {
+	id, version string
+	began       time.Time
+}
+
+// testHost is one host; a restart replaces the fields below mu.
+type testHost struct {
+	f    *testFleet
+	addr string
+
+	mu sync.Mutex
+	// side is the side of a partition on which the host is; storeCut cuts it off from the store.
+	side     int
+	storeCut bool
+	up       bool
+	run      int
+	listed   []string
+	provenAt time.Time
+	table    *Table
+	registry *Registry
+	stop     context.CancelFunc
+}
+
+func newTestFleet(seed uint64, n int, versions ...string) *testFleet {
+	f := &testFleet{rng: rand.New(rand.NewPCG(seed, uint64(n))), listed: versions, goneAt: map[string]time.Time{}, notes: map[string]store.Object{}}
+	for i := range n {
+		f.hosts = append(f.hosts, &testHost{f: f, addr: fmt.Sprint("host-", i)})
+	}
+	for _, h := range f.hosts {
+		h.start()
+	}
+	time.Sleep(maxAge + 2*maxLag)
+	return f
+}
+
+func (f *testFleet) intN(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.IntN(n)
+}
+
+func (f *testFleet) duration(most time.Duration) time.Duration {
+	return time.Duration(f.intN(int(most)))
+}
+
+func (f *testFleet) anyHost() *testHost { return f.hosts[f.intN(len(f.hosts))] }
+
+// replicas are the hosts of the highest scores.
+func (f *testFleet) replicas(id string) []string {
+	var out []string
+	for _, h := range f.hosts {
+		out = append(out, h.addr)
+	}
+	slices.SortFunc(out, func(a, b string) int {
+		if xxhash.Sum64String(id+a) < xxhash.Sum64String(id+b) {
+			return -1
+		}
+		return 1
+	})
+	return out[:min(ReplicaCount, len(out))]
+}
+
+// setListed changes the list of the store; hosts that reach it get it within maxLag.
+func (f *testFleet) setListed(versions ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, v := range f.listed {
+		if !slices.Contains(versions, v) {
+			f.goneAt[v] = time.Now()
+		}
+	}
+	f.listed = versions
+}
+
+// served is how long runners go on to serve once they aren't listed.
+const served = 4 * time.Second
+
+// serves reports whether a version has runners that serve.
+func (f *testFleet) serves(version string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Contains(f.listed, version) || time.Since(f.goneAt[version]) < served
+}
+
+// start starts the host's process, which knows nothing.
+func (h *testHost) start() {
+	clock, log := clocktest.Bubble{}, slog.New(slog.DiscardHandler)
+	ctx, stop := context.WithCancel(context.Background())
+	history, table := NewHistory(clock), NewTable(clock)
+	ledger, err := NewLedger(LedgerOptions{Store: testStore{h: h}, History: history, Writes: func() bool { return slices.Contains(h.f.writers(), h) }, Clock: clock, Log: log})
+	if err != nil {
+		panic(err)
+	}
+	registry, err := New(Options{
+		Self: h.addr, Table: table, History: history, Peers: testPeers{h}, Replicas: h.f.replicas, ListFresh: h.listFresh, Ledger: ledger,
+		Observer: noObserver{}, Clock: clock, Log: log,
+	})
+	if err != nil {
+		panic(err)
+	}
+	h.mu.Lock()
+	h.run++
+	h.up, h.listed, h.provenAt, h.table, h.registry, h.stop = true, nil, time.Time{}, table, registry, stop
+	h.mu.Unlock()
+	go ledger.Run(ctx)
+	go h.follow(ctx, registry)
+}
+
+// follow keeps the host's list up to date while it reaches the store.
+func (h *testHost) follow(ctx context.Context, r *Registry) {
+	for ctx.Err() == nil {
+		if h.reachesStore() {
+			h.f.mu.Lock()
+			listed, at := slices.Clone(h.f.listed), time.Now()
+			h.f.mu.Unlock()
+			time.Sleep(h.f.duration(maxLag / 2))
+			h.mu.Lock()
+			h.listed, h.provenAt = listed, at
+			h.mu.Unlock()
+			if ctx.Err() == nil {
+				r.Update(Listing{service: listed})
+			}
+		}
+		time.Sleep(h.f.duration(maxLag / 2))
+	}
+}
+
+func (h *testHost) reachesStore() bool {
+	h.f.mu.Lock()
+	down := h.f.storeDown
+	h.f.mu.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !down && !h.storeCut && h.up
+}
+
+func (h *testHost) listFresh() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.provenAt) <= 2*maxLag
+}
+
+func (h *testHost) isUp() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.up
+}
+
+func (h *testHost) kill() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.up = false
+	h.stop()
+}
+
+// restart kills the host and starts it again after a second.
+func (h *testHost) restart() {
+	if !h.isUp() {
+		return
+	}
+	h.kill()
+	time.Sleep(time.Second)
+	h.start()
+}
+
+// writers returns the first hosts that are up.
+func (f *testFleet) writers() []*testHost {
+	var out []*testHost
+	for _, h := range f.hosts {
+		if h.isUp() && len(out) < LedgerWriters {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func (f *testFleet) stop() {
+	for _, h := range f.hosts {
+		h.kill()
+	}
+	time.Sleep(10 * copyTimeout) // calls under way end
+}
+
+// begin begins a stream at a host, at a version of its list that still has runners: those that leave serve for a while.
+func (f *testFleet) begin(id string) {
+	h := f.anyHost()
+	h.mu.Lock()
+	registry, listed, run := h.registry, h.listed, h.run
+	h.mu.Unlock()
+	if !h.isUp() || len(listed) == 0 {
+		return
+	}
+	version := listed[f.intN(len(listed))]
+	if !f.serves(version) {
+		return
+	}
+	w := registry.Begin(Record{ID: id, Service: service, Version: version, Attempt: 1})
+	time.Sleep(f.duration(20 * time.Millisecond)) // until its first event
+	w.Wait(context.Background())
+	h.mu.Lock()
+	delivered := h.up && h.run == run
+	h.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if delivered {
+		f.streams = append(f.streams, testStream{id, version, time.Now()})
+	}
+}
+
+// resume takes a stream up at a host, and comes back once after a refusal: a host that began streams just before a second
+// version was listed writes them to their replicas when its list has that version.
+func (f *testFleet) resume() {
+	f.mu.Lock()
+	if len(f.streams) == 0 {
+		f.mu.Unlock()
+		return
+	}
+	s := f.streams[f.rng.IntN(len(f.streams))]
+	f.mu.Unlock()
+	if time.Since(s.began) > maxAge-streamSlack {
+		return
+	}
+	if f.tryResume(s) {
+		return
+	}
+	time.Sleep(max(RetryAfter, maxLag))
+	if !f.tryResume(s) {
+		f.mu.Lock()
+		f.refused++
+		f.mu.Unlock()
+	}
+}
+
+// tryResume takes a stream up at any host. It is false if that refused.
+func (f *testFleet) tryResume(s testStream) bool {
+	h := f.anyHost()
+	h.mu.Lock()
+	registry, run, ready := h.registry, h.run, h.up && len(h.listed) > 0
+	h.mu.Unlock()
+	if !ready {
+		return true // it takes no requests
+	}
+	version, err := registry.Version(context.Background(), Query{ID: s.id, Service: service, MaxAge: maxAge})
+	h.mu.Lock()
+	lives := h.up && h.run == run
+	h.mu.Unlock()
+	if !lives {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err != nil:
+		return false
+	case version != s.version:
+		f.wrong = append(f.wrong, fmt.Sprintf("%s began at %s %s ago, and goes on at %s at %s", s.id, s.version, time.Since(s.began), version, h.addr))
+	default:
+		f.resumed++
+	}
+	return true
+}
+
+// streamSlack is the time by which the oldest streams are younger than maxAge.
+const streamSlack = 5 * time.Second
+
+// load begins and takes up streams for a duration.
+func (f *testFleet) load(name string, d time.Duration) {
+	var group sync.WaitGroup
+	for n, end := 0, time.Now().Add(d); time.Now().Before(end); n++ {
+		group.Go(func() { f.begin(fmt.Sprint(name, "-", n)) })
+		group.Go(f.resume)
+		time.Sleep(f.duration(40 * time.Millisecond))
+	}
+	group.Wait()
+}
+
+// testStore is the store as a host reaches it.
+type testStore struct {
+	store.Store
+	h *testHost
+}
+
+func (s testStore) Get(_ context.Context, _, name string) (store.Object, error) {
+	if !s.h.reachesStore() {
+		return store.Object{}, &store.UnavailableError{Cause: errLost}
+	}
+	s.h.f.mu.Lock()
+	defer s.h.f.mu.Unlock()
+	o, found := s.h.f.notes[name]
+	if !found {
+		return store.Object{}, store.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s testStore) Put(_ context.Context, kind, name string, ifVersion uint64, value []byte) (uint64, error) {
+	if !s.h.reachesStore() {
+		return 0, &store.UnavailableError{Cause: errLost}
+	}
+	s.h.f.mu.Lock()
+	defer s.h.f.mu.Unlock()
+	o := s.h.f.notes[name]
+	if o.Version != ifVersion {
+		return 0, &store.ConflictError{Kind: kind, Name: name, Expected: ifVersion, Actual: o.Version}
+	}
+	s.h.f.notes[name] = store.Object{Kind: kind, Name: name, Version: o.Version + 1, Value: value}
+	return o.Version + 1, nil
+}
+
+var errLost = errors.New("no answer")
+
+// testPeers are the peers of one host.
+type testPeers struct{ from *testHost }
+
+func (p testPeers) call(ctx context.Context, addr string, handle func(h *testHost)) error {
+	f := p.from.f
+	i := slices.IndexFunc(f.hosts, func(h *testHost) bool { return h.addr == addr })
+	target := f.hosts[i]
+	time.Sleep(f.duration(maxDelay))
+	p.from.mu.Lock()
+	side, up := p.from.side, p.from.up
+	p.from.mu.Unlock()
+	target.mu.Lock()
+	reached := up && target.up && target.side == side
+	target.mu.Unlock()
+	if !reached {
+		<-ctx.Done()
+		return errLost
+	}
+	handle(target)
+	time.Sleep(f.duration(maxDelay))
+	return nil
+}
+
+func (p testPeers) Write(ctx context.Context, addr string, records []Record) error {
+	return p.call(ctx, addr, func(h *testHost) {
+		h.mu.Lock()
+		table := h.table
+		h.mu.Unlock()
+		for _, r := range records {
+			table.Put(r)
+		}
+	})
+}
+
+func (p testPeers) Find(ctx context.Context, addr string, q Query) (out Finding, err error) {
+	err = p.call(ctx, addr, func(h *testHost) {
+		h.mu.Lock()
+		registry := h.registry
+		h.mu.Unlock()
+		out = registry.Find(q)
+	})
+	return out, err
+}
+
+type noObserver struct{}
+
+func (noObserver) VersionAsked(string, Source) {}
+func (noObserver) OriginWritten(string, bool)  {}
+
+// sizes are the numbers of hosts that are played.
+var sizes = []int{2, 7, 60}
+
+// Guards against a stream that goes on at another version than the one that began it, while versions come and go, hosts
+// are killed, all at once too, cut off from each other or from the store, and the store is down.
+func TestNoStreamGoesOnAtAnotherVersion(t *testing.T) {
+	for _, n := range sizes {
+		for seed := range uint64(12) {
+			t.Run(fmt.Sprint(n, " hosts, seed ", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newTestFleet(seed, n, "v1")
+					var group sync.WaitGroup
+					stop := make(chan struct{})
+					for _, play := range []func(){f.rollOut, f.disturbHosts, f.partition, f.disturbStore} {
+						group.Go(func() {
+							for {
+								select {
+								case <-stop:
+									return
+								default:
+									play()
+								}
+							}
+						})
+					}
+					f.load("s", 2*time.Minute)
+					close(stop)
+					group.Wait()
+					f.stop()
+					for _, w := range f.wrong {
+						t.Error(w)
+					}
+					t.Logf("%d went on, %d refused", f.resumed, f.refused)
+					if f.resumed < f.refused/2 {
+						t.Errorf("%d streams went on, %d were refused", f.resumed, f.refused)
+					}
+				})
+			})
+		}
+	}
+}
+
+// rollOut replaces the version by another one, sometimes back.
+func (f *testFleet) rollOut() {
+	time.Sleep(5*time.Second + f.duration(15*time.Second))
+	f.mu.Lock()
+	before := f.listed[0]
+	f.mu.Unlock()
+	after := fmt.Sprint("v", 1+f.intN(3))
+	if after == before {
+		return
+	}
+	f.setListed(before, after)
+	time.Sleep(5*time.Second + f.duration(10*time.Second))
+	f.setListed(after)
+}
+
+// disturbHosts kills a host, or now and then all.
+func (f *testFleet) disturbHosts() {
+	time.Sleep(f.duration(4 * time.Second))
+	if f.intN(8) > 0 {
+		f.anyHost().restart()
+		return
+	}
+	var group sync.WaitGroup
+	for _, h := range f.hosts {
+		group.Go(h.restart)
+	}
+	group.Wait()
+}
+
+// partition cuts hosts off from the others for some seconds, some of them from the store as well.
+func (f *testFleet) partition() {
+	time.Sleep(f.duration(8 * time.Second))
+	for _, h := range f.hosts {
+		side, cut := f.intN(2), f.intN(3) == 0
+		h.mu.Lock()
+		h.side, h.storeCut = side, cut
+		h.mu.Unlock()
+	}
+	time.Sleep(f.duration(6 * time.Second))
+	for _, h := range f.hosts {
+		h.mu.Lock()
+		h.side, h.storeCut = 0, false
+		h.mu.Unlock()
+	}
+}
+
+// disturbStore has the store down for some seconds.
+func (f *testFleet) disturbStore() {
+	time.Sleep(f.duration(20 * time.Second))
+	f.mu.Lock()
+	f.storeDown = true
+	f.mu.Unlock()
+	time.Sleep(f.duration(5 * time.Second))
+	f.mu.Lock()
+	f.storeDown = false
+	f.mu.Unlock()
+}
+
+// Guards against streams that are refused although their version can be known: with two versions side by side and one host
+// in three replicas lost, all go on.
+func TestStreamsGoOnWhileVersionsServeSideBySide(t *testing.T) {
+	for _, n := range sizes {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(1, n, "v1")
+			f.load("before", 10*time.Second)
+			f.setListed("v1", "v2")
+			f.load("beside", 20*time.Second)
+			f.setListed("v2")
+			f.load("after", 30*time.Second)
+			if n > 2 {
+				time.Sleep(maxAge) // the streams of the killed host's own records only are too old
+				f.setListed("v2", "v3")
+				f.load("again", 5*time.Second)
+				f.hosts[3].kill()
+				f.load("killed", 20*time.Second)
+			}
+			f.stop()
+			is.Equal(len(f.wrong), 0)
+			is.Equal(f.refused, 0)
+			is.True(f.resumed > 500)
+		})
+	}
+}
+
+// Guards against a service that has one version all along and loses streams to the doubt about others: whatever hosts are
+// killed, all at once too, while the store answers or the replicas do.
+func TestServiceOfOneVersionLosesNoStream(t *testing.T) {
+	for _, n := range sizes {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(2, n, "v1")
+			stop := make(chan struct{})
+			var group sync.WaitGroup
+			group.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+						f.disturbHosts()
+					}
+				}
+			})
+			f.load("s", time.Minute)
+			close(stop)
+			group.Wait()
+			time.Sleep(maxAge)
+			f.load("calm", 5*time.Second)
+			f.mu.Lock()
+			f.storeDown = true
+			f.mu.Unlock()
+			f.load("store down", 20*time.Second)
+			f.stop()
+			is.Equal(len(f.wrong), 0)
+			is.Equal(f.refused, 0)
+			is.True(f.resumed > 500)
+		})
+	}
+}
--- /dev/null
+++ b/coordination/origin/ledger.go
@@ -0,0 +1,145 @@
+package origin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/thymerack/thymerack/coordination/store"
+	"github.com/thymerack/thymerack/state"
+)
+
+// Kind is the kind of the ledger's objects. Each is named after a service.
+const Kind = "runner-versions"
+
+// ledgerInterval is how often the ledger is compared with the history while no version comes or goes: a version is
+// taken out within that time after Retention.
+const ledgerInterval = 10 * time.Second
+
+// LedgerWriters is how many hosts write the ledger, so that it is written while some of them don't reach the store. The
+// first that does makes the others' writes needless.
+const LedgerWriters = 4
+
+// note is an object of the ledger.
+type note struct {
+	Versions []string `json:"versions"`
+}
+
+// LedgerOptions configures a Ledger. All fields are required.
+type LedgerOptions struct {
+	Store   store.Store
+	History *History
+	// Writes reports whether this host is one of those that write.
+	Writes func() bool
+	Clock  state.Clock
+	Log    *slog.Logger
+}
+
+// Ledger notes at the store which versions were listed within Retention, for each service that ever had several. A service that
+// has none there has had one version only. It is safe for concurrent use.
+type Ledger struct {
+	o    LedgerOptions
+	wake chan struct{}
+	// written are the notes as this host wrote or read them last. Only Run uses it.
+	written map[string][]string
+}
+
+// NewLedger returns an error if an option is missing.
+func NewLedger(o LedgerOptions) (*Ledger, error) {
+	if o.Store == nil || o.History == nil || o.Writes == nil || o.Clock == nil || o.Log == nil {
+		return nil, errors.New("origin: a field of LedgerOptions is missing; set all of them")
+	}
+	return &Ledger{o: o, wake: make(chan struct{}, 1), written: map[string][]string{}}, nil
+}
+
+// Wake makes Run compare the ledger with the history at once.
+func (l *Ledger) Wake() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes the ledger while this host is one of those that do, until ctx ends.
+func (l *Ledger) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if l.o.Writes() {
+			l.update(ctx)
+		}
+		wait, cancel := context.WithCancel(ctx)
+		go func() {
+			defer cancel()
+			_ = l.o.Clock.Sleep(wait, ledgerInterval) // its end is the end of wait
+		}()
+		select {
+		case <-l.wake:
+		case <-wait.Done():
+		}
+		cancel()
+	}
+}
+
+// update writes the notes that differ from the history.
+func (l *Ledger) update(ctx context.Context) {
+	for _, service := range l.o.History.Services() {
+		versions := l.o.History.Versions(service, Retention)
+		noted, known := l.written[service]
+		if (!known && len(versions) < 2) || slices.Equal(noted, versions) {
+			continue
+		}
+		if err := l.write(ctx, service, versions); err != nil {
+			l.o.Log.Warn("versions of a service not written to the store; tried again", "service", service, "versions", versions, "after", ledgerInterval, "cause", err.Error())
+		}
+	}
+}
+
+// write replaces the note of a service. A host that has followed the list for less than Retention keeps what the note has.
+func (l *Ledger) write(ctx context.Context, service string, versions []string) error {
+	object, err := l.o.Store.Get(ctx, Kind, service)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	noted, _ := decodeNote(object.Value)
+	if l.o.History.Age() < Retention {
+		versions = slices.Concat(versions, noted)
+		slices.Sort(versions)
+		versions = slices.Compact(versions)
+	}
+	if !slices.Equal(noted, versions) {
+		value, err := json.Marshal(note{versions})
+		if err != nil {
+			return err
+		}
+		if _, err := l.o.Store.Put(ctx, Kind, service, object.Version, value); err != nil {
+			return err
+		}
+		l.o.Log.Info("versions of a service written to the store", "service", service, "versions", versions)
+	}
+	l.written[service] = versions
+	return nil
+}
+
+// decodeNote returns the versions in a note; an object of another writer has none.
+func decodeNote(value []byte) ([]string, error) {
+	if len(value) == 0 {
+		return nil, nil
+	}
+	var n note
+	err := json.Unmarshal(value, &n)
+	return n.Versions, err
+}
+
+// Read returns the versions that are noted for a service; none if it has had one version only.
+func (l *Ledger) Read(ctx context.Context, service string) ([]string, error) {
+	object, err := l.o.Store.Get(ctx, Kind, service)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return decodeNote(object.Value)
+}
--- /dev/null
+++ b/coordination/origin/lookup.go
@@ -0,0 +1,115 @@
+package origin
+
+import (
+	"context"
+	"slices"
+	"time"
+)
+
+// lookup is one search for the version of a stream.
+type lookup struct {
+	r *Registry
+	q Query
+	// versions are those that were seen, age is the longest time for which somebody has looked, and answered
+	// the number of replicas that told.
+	versions []string
+	age      time.Duration
+	answered int
+}
+
+// run returns the version and what it is known by.
+func (l *lookup) run(ctx context.Context) (string, Source) {
+	own := l.r.Find(l.q)
+	if own.Found {
+		return own.Record.Version, SourceHost
+	}
+	l.add(own)
+	var replicas []string
+	if l.q.ID != "" {
+		replicas = l.r.o.Replicas(l.q.ID)
+	}
+	if rec, found := l.ask(ctx, replicas); found {
+		return rec.Version, SourceReplica
+	}
+	// Without a record, a stream of another version can be ruled out only if a majority of the replicas or an
+	// up-to-date list says so.
+	if l.answered <= len(replicas)/2 && !l.r.o.ListFresh() {
+		return "", SourceNone
+	}
+	if len(l.versions) == 1 && l.age < l.q.MaxAge {
+		l.addLedger(ctx)
+	}
+	if len(l.versions) != 1 || l.age < l.q.MaxAge {
+		return "", SourceNone
+	}
+	return l.versions[0], SourceSingle
+}
+
+// add notes what a host has seen.
+func (l *lookup) add(f Finding) {
+	l.age = max(l.age, f.Age)
+	l.addVersions(f.Versions)
+}
+
+func (l *lookup) addVersions(versions []string) {
+	for _, v := range versions {
+		if !slices.Contains(l.versions, v) {
+			l.versions = append(l.versions, v)
+		}
+	}
+}
+
+// addLedger notes the versions that the store has of the service; hosts that were there then may be gone.
+func (l *lookup) addLedger(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	versions, err := l.r.o.Ledger.Read(ctx, l.q.Service)
+	if err != nil {
+		l.r.o.Log.Info("versions of a service not read from the store", "service", l.q.Service, "cause", err.Error())
+		return
+	}
+	l.age = l.q.MaxAge
+	l.addVersions(versions)
+}
+
+// ask asks the replicas, until a majority has answered and one of them knows the stream, or all have. Records of several
+// attempts may be found; the latest one is at each majority.
+func (l *lookup) ask(ctx context.Context, replicas []string) (Record, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	type answer struct {
+		Finding
+		err error
+	}
+	answers := make(chan answer, len(replicas))
+	for _, addr := range replicas {
+		if addr == l.r.o.Self {
+			answers <- answer{Finding: l.r.Find(l.q)}
+			continue
+		}
+		go func() {
+			f, err := l.r.o.Peers.Find(ctx, addr, l.q)
+			answers <- answer{f, err}
+		}()
+	}
+	var latest Record
+	found := false
+	for heard := 0; heard < len(replicas); {
+		a := <-answers
+		heard++
+		if a.err != nil {
+			continue
+		}
+		l.add(a.Finding)
+		if a.Found && (!found || a.Record.Attempt > latest.Attempt) {
+			latest, found = a.Record, true
+		}
+		if a.Age >= l.q.MaxAge {
+			l.answered++ // one that started later may have lost the record
+		}
+		if found && heard > len(replicas)/2 {
+			break
+		}
+	}
+	return latest, found
+}
--- a/coordination/reach/fleet_test.go
+++ b/coordination/reach/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/coordination/origin"
 	"github.com/thymerack/thymerack/coordination/outlier"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/quarantine"
@@ -326,16 +327,18 @@
 func (h *host) Move(context.Context, *state.Instance, string, *state.Instance) (string, error) {
 	return "", errLink
 }
-func (h *host) PrefillHandle([]byte) (string, error)    { return "", errLink }
-func (h *host) Discard(*forward.KVSource) error         { return errLink }
-func (h *host) LinkFailed(string, reach.Evidence)       {}
-func (h *host) GroupAdded(reach.Group)                  {}
-func (h *host) Suspected(quarantine.Digest) bool        { return false }
-func (h *host) ReportAnswered(quarantine.Digest)        {}
-func (h *host) Held(quarantine.Digest) *quarantine.Hold { return nil }
-func (h *host) CountRequest(string)                     {}
-func (h *host) Allow(string) bool                       { return true }
-func (h *host) AllowMove(string) bool                   { return true }
+func (h *host) PrefillHandle([]byte) (string, error)                  { return "", errLink }
+func (h *host) Discard(*forward.KVSource) error                       { return errLink }
+func (h *host) LinkFailed(string, reach.Evidence)                     {}
+func (h *host) GroupAdded(reach.Group)                                {}
+func (h *host) Begin(origin.Record) *origin.Writing                   { return nil }
+func (h *host) Version(context.Context, origin.Query) (string, error) { return "", nil }
+func (h *host) Suspected(quarantine.Digest) bool                      { return false }
+func (h *host) ReportAnswered(quarantine.Digest)                      {}
+func (h *host) Held(quarantine.Digest) *quarantine.Hold               { return nil }
+func (h *host) CountRequest(string)                                   {}
+func (h *host) Allow(string) bool                                     { return true }
+func (h *host) AllowMove(string) bool                                 { return true }
 func (h *host) Acquire(context.Context, *state.Customer, uint64, float64) (*quota.Grant, error) {
 	return nil, nil
 }
@@ -459,7 +462,7 @@
 	must(err)
 	h.dispatcher, err = forward.New(forward.Options{
 		Upstream: h, Placer: h.placed, Gate: gate, Budget: h, Observer: observer{}, Outliers: h.outliers, Crashes: crashes,
-		Quarantine: h, Quotas: h, Advice: advice, Clock: clock, Log: log, SplitTokens: 600,
+		Quarantine: h, Quotas: h, Origins: h, Advice: advice, Clock: clock, Log: log, SplitTokens: 600,
 	})
 	must(err)
 	return h
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -18,6 +18,7 @@
 	"github.com/thymerack/thymerack/coordination/lease"
 	"github.com/thymerack/thymerack/coordination/liveness"
 	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/coordination/origin"
 	"github.com/thymerack/thymerack/coordination/outlier"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/propagation"
@@ -105,6 +106,10 @@
 	load hostLoad
 	// tracker holds the counts that this host owns.
 	tracker *occupancy.Tracker
+	// origins knows which version of its runner's software began each stream, and versions notes at the store which
+	// there were.
+	origins  *origin.Registry
+	versions *origin.Ledger
 	// quotas admits requests within their customers' quotas.
 	quotas *quota.Limiter
 }
@@ -291,7 +296,9 @@
 // backpressure registry.
 func (h *Host) publish(c state.InstanceChanges) {
 	h.fleet.Apply(c)
-	h.metrics.setVersions(h.fleet.Versions())
+	versions := h.fleet.Versions()
+	h.metrics.setVersions(versions)
+	h.origins.Update(origin.ListingOf(versions))
 	h.pool.Retain(h.fleet.Accepts)
 	h.links.Retain(h.fleet.Accepts)
 	h.advice.UpdateListed(func(id state.InstanceID) bool { return h.fleet.Runner(id) != nil })
@@ -326,7 +333,7 @@
 	}
 	dispatcher, err := forward.New(forward.Options{
 		Upstream: h.pool, Placer: h.fleet, Gate: h.gate, Budget: budget, Clock: h.clock, Log: h.log, SplitTokens: h.options.SplitTokens,
-		Observer: h.metrics, Outliers: h.outliers, Crashes: h.crashes, Quarantine: h.quarantine, Quotas: h.quotas, Advice: h.advice,
+		Observer: h.metrics, Outliers: h.outliers, Crashes: h.crashes, Quarantine: h.quarantine, Quotas: h.quotas, Origins: h.origins, Advice: h.advice,
 	})
 	if err != nil {
 		return err
--- a/daemon/routed/metrics.go
+++ b/daemon/routed/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/forward"
+	"github.com/thymerack/thymerack/coordination/origin"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/quota"
 	"github.com/thymerack/thymerack/coordination/usage"
@@ -144,6 +145,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_response_bodies_total{service=%q,end=%q}`, service, e)).Inc()
 }
 
+// VersionAsked implements origin.Observer.
+func (m *hostMetrics) VersionAsked(service string, s origin.Source) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_streams_resumed_total{service=%q,known_by=%q}`, service, s)).Inc()
+}
+
+// OriginWritten implements origin.Observer.
+func (m *hostMetrics) OriginWritten(service string, acknowledged bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_stream_origins_written_total{service=%q,acknowledged="%t"}`, service, acknowledged)).Inc()
+}
+
 // RequestHeld implements forward.Observer.
 func (m *hostMetrics) RequestHeld(service string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_held_total{service=%q}`, service)).Inc()
--- a/daemon/routed/peers.go
+++ b/daemon/routed/peers.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/fanout"
 	"github.com/thymerack/thymerack/coordination/follow"
 	"github.com/thymerack/thymerack/coordination/liveness"
 	"github.com/thymerack/thymerack/coordination/occupancy"
+	"github.com/thymerack/thymerack/coordination/origin"
 	"github.com/thymerack/thymerack/coordination/outlier"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/quota"
@@ -16,6 +18,7 @@
 	"github.com/thymerack/thymerack/state"
 	"github.com/thymerack/thymerack/transport/advices"
 	"github.com/thymerack/thymerack/transport/occupancies"
+	"github.com/thymerack/thymerack/transport/origins"
 	"github.com/thymerack/thymerack/transport/outliers"
 	"github.com/thymerack/thymerack/transport/peer"
 	"github.com/thymerack/thymerack/transport/pings"
@@ -87,6 +90,9 @@
 	if err := h.buildQuotas(); err != nil {
 		return err
 	}
+	if err := h.buildOrigins(); err != nil {
+		return err
+	}
 	return h.buildOutliers()
 }
 
@@ -106,6 +112,34 @@
 	return err
 }
 
+// buildOrigins creates the registry of the versions that began streams.
+func (h *Host) buildOrigins() error {
+	history, table := origin.NewHistory(h.clock), origin.NewTable(h.clock)
+	var err error
+	h.versions, err = origin.NewLedger(origin.LedgerOptions{
+		Store: h.store, History: history, Writes: func() bool { return h.gate.IsAmongFirst(origin.LedgerWriters) }, Clock: h.clock, Log: h.log,
+	})
+	if err != nil {
+		return err
+	}
+	h.origins, err = origin.New(origin.Options{
+		Self: h.members.addr(h.settings.IP), Table: table, History: history, Peers: origins.Peers{Client: h.peers},
+		Replicas:  func(id string) []string { return h.gate.Replicas(id, origin.ReplicaCount) },
+		ListFresh: func() bool { return h.clock.Now().Sub(h.instanceMirror.ProvenAt()) <= freshList },
+		Ledger:    h.versions, Observer: h.metrics, Clock: h.clock, Log: h.log,
+	})
+	if err != nil {
+		return err
+	}
+	origins.Register(h.peerServer, h.origins, table)
+	h.metrics.gauge("thymerack_stream_origins", func() float64 { return float64(table.Len()) })
+	return nil
+}
+
+// freshList is the age up to which a copy of the list of runners counts as up to date: a watch that brings nothing new
+// is answered more often.
+const freshList = 2 * time.Second
+
 // buildOutliers creates the detector of silent runners, whose verdicts are broadcast to all hosts.
 func (h *Host) buildOutliers() error {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/routed/run.go
+++ b/daemon/routed/run.go
@@ -30,6 +30,7 @@
 	group.Go(func() { h.members.Run(workCtx) })
 	group.Go(func() { h.monitor.Run(workCtx) })
 	group.Go(func() { h.quarantine.Run(workCtx) })
+	group.Go(func() { h.versions.Run(workCtx) })
 	group.Go(func() { h.pool.CheckLinks(workCtx) })
 	group.Go(func() { h.applyLoad(workCtx) })
 	group.Go(func() { wallclock.Watch(workCtx) })
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -97,6 +97,10 @@
 	KindLoad Kind = 25
 	// KindRunStatus asks whether a run of an upstream has ended for the host that is asked.
 	KindRunStatus Kind = 26
+	// KindOriginWrite writes which versions began streams to a replica, and KindOriginFind asks it for
+	// one.
+	KindOriginWrite Kind = 27
+	KindOriginFind  Kind = 28
 )
 
 // FrameType tells how a frame's body is meant.
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -210,7 +211,7 @@
 		s.reject(ctx, "body_too_large", fasthttp.StatusRequestEntityTooLarge, "the body is over the configured limit; send less")
 		return
 	}
-	r.Service = routing.Backend(route, r.ID)
+	r.Service = routing.Backend(route, cmp.Or(r.Resumes, r.ID)) // a stream goes on at its service
 	if spec := table.Service(r.Service); spec != nil {
 		r.Engine = spec.Engine
 	}
--- a/transport/gateway/slow_test.go
+++ b/transport/gateway/slow_test.go
@@ -29,6 +29,7 @@
 	forward.Gate
 	forward.Observer
 	forward.Quotas
+	forward.Origins
 	forward.Outliers
 	forward.Crashes
 	forward.Advice
@@ -106,7 +107,7 @@
 	fleet := placement.NewFleet(placement.Options{Clock: wallclock.Clock{}, FailureDomain: "d"})
 	fleet.Update([]state.Instance{{ID: state.InstanceID{Name: "e"}, Service: "s", Addr: "e:1", FailureDomain: "d"}})
 	d, err := forward.New(forward.Options{
-		Upstream: up, Placer: fleet, Gate: deps, Budget: deps, Observer: deps, Outliers: deps, Crashes: deps, Quarantine: deps, Quotas: deps, Advice: deps,
+		Upstream: up, Placer: fleet, Gate: deps, Budget: deps, Observer: deps, Outliers: deps, Crashes: deps, Quarantine: deps, Quotas: deps, Origins: deps, Advice: deps,
 		Clock: wallclock.Clock{}, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
