forward: a stream goes on only at the run that is listed

A runner may start again under its id, with another version, and take a stream before the list shows it: only its time of birth tells the runs apart, which a request doesn't name. Where runners have one, the run is probed before a stream goes on there; the probe fails at another run. It costs a round trip for each stream that goes on, and none on deployments whose ids are unique.

TestStreamGoesOnAtTheRunThatIsListed failed before.

--- a/coordination/forward/alive.go
+++ b/coordination/forward/alive.go
@@ -33,8 +33,22 @@
 // engine without a recent response to this host is probed first, which costs a round trip.
 func (d *Dispatcher) confirmReachable(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record) bool {
 	if !a.Request.runsAtMostOnce() || runner.RespondedWithin(recentResponse) {
+		return d.confirmRun(ctx, a, runner, rec)
+	}
+	return d.confirmByProbe(ctx, a, runner, rec)
+}
+
+// confirmRun reports whether a stream may go on at the runner. A later run under the same name may have another version, and
+// only its time of birth tells it apart; so a run that is listed with one is probed first.
+func (d *Dispatcher) confirmRun(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record) bool {
+	if rec.version == "" || a.Instance.ID.Born == 0 {
 		return true
 	}
+	return d.confirmByProbe(ctx, a, runner, rec)
+}
+
+// confirmByProbe reports whether the run answers a probe.
+func (d *Dispatcher) confirmByProbe(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record) bool {
 	started := d.o.Clock.Now()
 	if d.alive(ctx, a.Instance) {
 		runner.MarkResponsive()
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -288,6 +288,10 @@
 		return false
 	}
 	s.rec.exclude(a.Instance)
+	if !s.d.confirmRun(s.ctx, a, runner, s.rec) {
+		sent.end()
+		return false
+	}
 	a.TimeLeft = s.d.timeLeft(a.Request)
 	started := s.d.o.Clock.Now()
 	resp, err := s.d.send(s.ctx, a, s.rec)
--- a/coordination/forward/versions_test.go
+++ b/coordination/forward/versions_test.go
@@ -165,3 +165,29 @@
 	is.NoErr(err)
 	is.Equal(w.origins.began[r.ID], origin.Record{ID: r.ID, Service: "model", Version: w.up.attempts[1].Instance.Version, Attempt: 2})
 }
+
+// Guards against a stream that goes on at a later run of a runner under the same name, which may have another version: the
+// run is asked first.
+func TestStreamGoesOnAtTheRunThatIsListed(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, plenty, reply{status: 200, events: true, body: "id: 1\ndata: a\n\n", readErr: errors.New("reset")}, reply{status: 200, events: true, body: "id: 2\ndata: b\n\n"})
+			var list []state.Instance
+			for _, name := range []string{"a", "b"} {
+				list = append(list, state.Instance{ID: state.InstanceID{Name: name, Born: 7}, Service: "model", Addr: name + ":1", FailureDomain: "d1", Role: state.RoleDecode, Slots: engineSlots, Version: "v1"})
+			}
+			w.fleet.Update(list)
+			answer, err := w.Forward(t.Context(), modelRequest(500, true))
+			is.NoErr(err)
+			for _, i := range list {
+				if restarted && i.ID != w.up.attempts[0].Instance.ID {
+					w.up.setUnresponsive(i.ID)
+				}
+			}
+			_, err = readAll(answer.Stream)
+			is.Equal(errors.Is(err, ErrStreamInterrupted), restarted)
+			is.Equal(len(w.up.attempts) == 1, restarted)
+		})
+	}
+}
