--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -296,7 +296,7 @@
 			c.release()
 			return nil, err
 		}
-		a := &Attempt{Request: r, Instance: c.Instance, Source: rec.sourceFor(r, source), LastEventID: r.LastEventID, Rank: c.rank(r), FetchFrom: c.fetchFrom()}
+		a := &Attempt{Request: r, Instance: c.Instance, Source: rec.sourceFor(r, source), LastEventID: r.LastEventID, Rank: c.rank(r, rec), FetchFrom: c.fetchFrom()}
 		answer, result := d.attempt(ctx, a, c, rec)
 		if answer != nil && !d.isRetryableFailure(r, rec, answer) {
 			return answer, nil
--- a/coordination/forward/reservation.go
+++ b/coordination/forward/reservation.go
@@ -83,13 +83,14 @@
 	permitted bool
 }
 
-// rank is the attempt's rank in the queue of its runner.
-func (c choice) rank(r *Request) int {
+// rank is the attempt's rank in the queue of its runner. A stream that goes on isn't deferred: its caller has a part of it,
+// and the engines of its version may be few.
+func (c choice) rank(r *Request, rec *record) int {
 	rank := min(max(0, r.Priority()), defaultRank)
 	switch {
 	case c.forPrefill:
 		return c.reservation.forecast.Rank
-	case c.reservation.kind == ReservationDeferred:
+	case c.reservation.kind == ReservationDeferred && rec.version == "":
 		return min(deferredRank+rank, maxRank)
 	default:
 		return rank
--- a/coordination/forward/reservation_test.go
+++ b/coordination/forward/reservation_test.go
@@ -197,7 +197,7 @@
 	} {
 		r := modelRequest(500, true)
 		r.Route.Priority = c.priority
-		is.Equal(choice{reservation: reservation{kind: c.kind}}.rank(r), c.rank)
+		is.Equal(choice{reservation: reservation{kind: c.kind}}.rank(r, &record{}), c.rank)
 	}
 	is.True(2*backlog.Classes-1 <= maxRank)
 }
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -276,7 +276,7 @@
 
 // resumeAt resumes the stream at the chosen runner.
 func (s *Stream) resumeAt(c choice) bool {
-	return s.resumeWith(&Attempt{Request: s.a.Request, Instance: c.Instance, LastEventID: s.lastID, Rank: c.rank(s.a.Request)}, c)
+	return s.resumeWith(&Attempt{Request: s.a.Request, Instance: c.Instance, LastEventID: s.lastID, Rank: c.rank(s.a.Request, s.rec)}, c)
 }
 
 // resumeWith makes an attempt that continues after the last whole event. It reports whether the
--- a/coordination/forward/versions_test.go
+++ b/coordination/forward/versions_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/backlog"
+	"github.com/thymerack/thymerack/coordination/contention"
 	"github.com/thymerack/thymerack/coordination/origin"
 	"github.com/thymerack/thymerack/state"
 )
@@ -191,3 +193,20 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on being queued behind all new ones where every engine of its version is full: it has
+// fewer engines to choose from.
+func TestStreamThatGoesOnIsNotDeferred(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{status: 200, events: true, body: "id: 2\ndata: b\n\n"})
+	w.listVersions(map[string]int{"v1": 1})
+	full := backlog.Forecast{Outcome: contention.Deferred}
+	w.gate.refusal = []backlog.Forecast{full, full, full}
+	r := modelRequest(500, true)
+	r.LastEventID, r.Resumes, r.Route.Priority = "1", "first", 1
+	answer, err := w.Forward(t.Context(), r)
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.Equal(w.up.attempts[0].Rank, 1)
+}
