--- a/soak/caller.go
+++ b/soak/caller.go
@@ -68,8 +68,11 @@
 		}
 		kind := kinds[c.rng.IntN(len(kinds))]
 		id := fmt.Sprintf("c%d-%d", c.n, i)
-		r := c.ask(kind, id)
+		r := c.ask(kind, id, nil)
 		c.f.judge(r)
+		if c.f.o.versions && kind == platformtest.KindResume {
+			c.takeUp(r)
+		}
 	}
 }
 
@@ -80,7 +83,22 @@
 	}
 }
 
-func (c *caller) ask(kind platformtest.Kind, id string) result {
+// takeUp takes a broken stream up at any host, twice at most.
+func (c *caller) takeUp(r result) {
+	first, body := r.id, r.body
+	for n := 1; n <= 2 && r.status == 200 && !r.whole; n++ {
+		after := strings.Count(body, "\n\n")
+		if after == 0 {
+			return
+		}
+		r = c.ask(r.kind, fmt.Sprintf("%s-%d", first, n), func(req *fasthttp.Request) { platformtest.TakeUp(req, first, after) })
+		c.f.judgeTakenUp(r, first, after)
+		body = body[:strings.LastIndex(body, "\n\n")+2] + r.body
+	}
+}
+
+// ask sends a request, changed by change unless that is nil.
+func (c *caller) ask(kind platformtest.Kind, id string, change func(req *fasthttp.Request)) result {
 	r := result{id: id, kind: kind, began: time.Now()}
 	r.key = c.f.keys.choose(customerName(c.n), c.rng)
 	_, r.customer, _ = strings.Cut(r.key, "-of-")
@@ -102,7 +120,7 @@
 	}
 	r.dialled = true
 	r.host = c.host.incarnation()
-	if err := c.exchange(&r); err != nil {
+	if err := c.exchange(&r, change); err != nil {
 		r.err = err
 		c.drop()
 	}
@@ -112,8 +130,11 @@
 
 // exchange sends the request and reads the answer; an error leaves the
 // connection unusable.
-func (c *caller) exchange(r *result) error {
+func (c *caller) exchange(r *result, change func(req *fasthttp.Request)) error {
 	req := platformtest.Request(r.kind, r.version, r.id, deadline)
+	if change != nil {
+		change(req)
+	}
 	platformtest.ShowKey(req, r.key)
 	return c.send(r, req)
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -33,6 +33,8 @@
 	partitioned bool
 	// unframed has runners end answers with their connections, and crash with an orderly close.
 	unframed bool
+	// versions has runners of several versions replace each other, and callers take broken streams up at any host.
+	versions bool
 }
 
 // fleet is one deployment with its callers.
@@ -52,14 +54,18 @@
 	runnersMu sync.Mutex
 	runners   []*runner
 	nextID    int
+	// software is the version of runners that replace leaving ones.
+	software string
 
 	mu       sync.Mutex
 	spans    []*span
 	results  []result
 	problems []string
-	inForce  map[string]uint64
-	written  map[uint64]time.Time
-	log      []string
+	// takenUp counts the broken streams that callers took up, and notTakenUp those that were refused.
+	takenUp, notTakenUp int
+	inForce             map[string]uint64
+	written             map[uint64]time.Time
+	log                 []string
 }
 
 // runner is one instance behind its own link.
@@ -95,7 +101,7 @@
 func newFleet(o options) *fleet {
 	return &fleet{
 		o: o, rng: rand.New(rand.NewPCG(o.seed, 1)), ledger: platformtest.NewLedger(), keys: newKeyring(o.callers),
-		inForce: map[string]uint64{}, written: map[uint64]time.Time{}, began: time.Now(),
+		inForce: map[string]uint64{}, written: map[uint64]time.Time{}, began: time.Now(), software: "v1",
 	}
 }
 
@@ -135,6 +141,7 @@
 	f.recovered(proven)
 	f.stop()
 	stopped = true
+	f.note("%d streams went on at a runner; callers took %d up again and %d were refused", f.ledger.Resumed(), f.takenUp, f.notTakenUp)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.problems, f.log, nil
@@ -150,7 +157,7 @@
 	}
 	f.putConfig()
 	for range 3 {
-		if err := f.addRunner(platformtest.ServicePlain, ""); err != nil {
+		if err := f.addRunner(platformtest.ServicePlain, "", f.software); err != nil {
 			return err
 		}
 	}
@@ -159,7 +166,7 @@
 		if i < 2 {
 			stage = "prefill"
 		}
-		if err := f.addRunner(platformtest.ServiceEngines, stage); err != nil {
+		if err := f.addRunner(platformtest.ServiceEngines, stage, f.software); err != nil {
 			return err
 		}
 	}
@@ -228,7 +235,7 @@
 	f.store.Remove(platformtest.KindInstances, r.ID)
 }
 
-func (f *fleet) addRunner(service, stage string) error {
+func (f *fleet) addRunner(service, stage, version string) error {
 	f.runnersMu.Lock()
 	defer f.runnersMu.Unlock()
 	f.nextID++
@@ -240,6 +247,7 @@
 	if err != nil {
 		return err
 	}
+	r.SetVersion(version)
 	out := &runner{Runner: r, link: link, domain: fmt.Sprint("domain-", f.nextID%3), endsInOrder: f.o.unframed && f.nextID%2 == 0}
 	r.OnFatal(func() {
 		if err := f.crash(out); err != nil {
@@ -304,7 +312,7 @@
 		return nil
 	}
 	stage, _ := r.Entry("", "")["stage"].(string)
-	if err := f.addRunner(r.Service, stage); err != nil {
+	if err := f.addRunner(r.Service, stage, f.currentSoftware()); err != nil {
 		return err
 	}
 	r.Drain()
@@ -321,6 +329,27 @@
 	return nil
 }
 
+// currentSoftware is the version of runners that replace leaving ones.
+func (f *fleet) currentSoftware() string {
+	f.runnersMu.Lock()
+	defer f.runnersMu.Unlock()
+	return f.software
+}
+
+// rollOut has some runners leave, one after the other, while others of the given version take their part.
+func (f *fleet) rollOut(version string, rng *rand.Rand) error {
+	f.runnersMu.Lock()
+	f.software = version
+	f.runnersMu.Unlock()
+	for range 2 + rng.IntN(4) {
+		if err := f.leave(f.present(rng), true); err != nil {
+			return err
+		}
+		time.Sleep(time.Duration(rng.IntN(500)) * time.Millisecond)
+	}
+	return nil
+}
+
 // crash ends a runner at once; another takes its part after a while.
 func (f *fleet) crash(r *runner) error {
 	if !f.retire(r) {
@@ -336,7 +365,7 @@
 	r.link.close()
 	time.Sleep(time.Second)
 	f.unlist(r)
-	return f.addRunner(r.Service, stage)
+	return f.addRunner(r.Service, stage, r.Version())
 }
 
 func (f *fleet) stop() {
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -94,10 +94,26 @@
 	}
 }
 
-func (f *fleet) judgeStream(r result) {
+func (f *fleet) judgeStream(r result) { f.judgeEvents(r, r.id, 0) }
+
+// judgeTakenUp checks a stream that was taken up after an event of the attempt that began it.
+func (f *fleet) judgeTakenUp(r result, first string, after int) {
+	f.mu.Lock()
+	f.takenUp++
+	if r.status == 503 {
+		f.notTakenUp++
+	}
+	f.mu.Unlock()
+	if r.status == 200 {
+		f.judgeEvents(r, first, after)
+	}
+}
+
+// judgeEvents checks that an answer has the events of a stream after one of them, and is whole only with the last.
+func (f *fleet) judgeEvents(r result, first string, after int) {
 	var want strings.Builder
-	for n := 1; n <= platformtest.Events(r.id); n++ {
-		want.WriteString(platformtest.Event(r.id, n))
+	for n := after + 1; n <= platformtest.Events(first); n++ {
+		want.WriteString(platformtest.Event(first, n))
 	}
 	switch {
 	case r.whole && r.body != want.String():
--- a/soak/partition_test.go
+++ b/soak/partition_test.go
@@ -91,7 +91,7 @@
 					case <-time.After(time.Duration(5+c.rng.IntN(20)) * time.Millisecond):
 					}
 					kind := []platformtest.Kind{platformtest.KindSafe, platformtest.KindUnsafe, platformtest.KindOnce, platformtest.KindResume}[c.rng.IntN(4)]
-					r := c.ask(kind, fmt.Sprintf("p%d-%d", c.n, k))
+					r := c.ask(kind, fmt.Sprintf("p%d-%d", c.n, k), nil)
 					f.judge(r)
 					mu.Lock()
 					if !counted.IsZero() && r.began.After(counted) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,7 @@
 	leave     = flag.Bool("soak.leaving", false, "have runners leave in quick series while single hosts lose the store for a moment")
 	cut       = flag.Bool("soak.partitioned", false, "have single hosts lose their links to runners in series")
 	noFraming = flag.Bool("soak.unframed", false, "have runners end answers with their connections, and crash with an orderly close")
+	rollouts  = flag.Bool("soak.versions", false, "have runners of several versions replace each other, and callers take broken streams up at any host")
 	keep      = flag.String("soak.keep", "", "folder for the logs of seeds that fail")
 )
 
@@ -49,11 +50,11 @@
 }
 
 // with is what a seed is played with, beside what happens to all.
-type with struct{ fatal, asking, restored, leaving, partitioned, unframed bool }
+type with struct{ fatal, asking, restored, leaving, partitioned, unframed, versions bool }
 
 func playSeed(t *testing.T, bin string, seed uint64, w with) {
 	dir := t.TempDir()
-	problems, log, err := play(options{seed: seed, hosts: *hosts, callers: *callers, length: *length, bin: bin, dir: dir, fatal: w.fatal, asking: w.asking, restored: w.restored, leaving: w.leaving, partitioned: w.partitioned, unframed: w.unframed})
+	problems, log, err := play(options{seed: seed, hosts: *hosts, callers: *callers, length: *length, bin: bin, dir: dir, fatal: w.fatal, asking: w.asking, restored: w.restored, leaving: w.leaving, partitioned: w.partitioned, unframed: w.unframed, versions: w.versions})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -158,6 +159,17 @@
 	}
 }
 
+// Runners of several versions replace each other while streams break off and callers take them up at any host.
+func TestSoakVersionsSideBySide(t *testing.T) {
+	bin := build(t)
+	for _, seed := range []uint64{2301, 2303} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playSeed(t, bin, seed, with{versions: true})
+		})
+	}
+}
+
 func TestSoak(t *testing.T) {
 	if *seeds == 0 {
 		t.Skip("give -soak.seeds to play fresh ones; TestSoakRegressions runs always")
@@ -167,7 +179,7 @@
 		seed := *firstSeed + uint64(n)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			playSeed(t, bin, seed, with{*fatal, *asked, *restore, *leave, *cut, *noFraming})
+			playSeed(t, bin, seed, with{*fatal, *asked, *restore, *leave, *cut, *noFraming, *rollouts})
 		})
 	}
 }
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -113,6 +113,27 @@
 // restored has the store come back from an older copy.
 var restored = action{name: "store restored", do: func(f *fleet, rng *rand.Rand) error { f.restoreStore(rng); return nil }}
 
+// versions has runners of other versions take over, and streams break off meanwhile.
+var versions = []action{
+	{name: "runners of a version replaced", planned: true, do: func(f *fleet, rng *rand.Rand) error {
+		return f.rollOut(fmt.Sprint("v", 1+rng.IntN(3)), rng)
+	}},
+	{name: "runners break answers off", runners: true, do: lasting("", func(f *fleet, rng *rand.Rand) func() {
+		var broken []*runner
+		for range 8 {
+			broken = append(broken, f.present(rng))
+		}
+		for _, r := range broken {
+			r.SetFault(platformtest.RunnerCuts)
+		}
+		return func() {
+			for _, r := range broken {
+				r.SetFault(platformtest.RunnerSound)
+			}
+		}
+	}).do},
+}
+
 // unframed has a runner end its answers with their connections, and break some off so.
 var unframed = action{name: "runner answers without framing", runners: true, do: lasting("", func(f *fleet, rng *rand.Rand) func() {
 	r := f.present(rng)
@@ -136,6 +157,9 @@
 	if f.o.leaving {
 		may = slices.Concat(may, slices.Repeat(leaving, len(actions)/2))
 	}
+	if f.o.versions {
+		may = slices.Concat(may, slices.Repeat(versions, len(actions)/4))
+	}
 	if f.o.unframed {
 		may = slices.Concat(may, slices.Repeat([]action{unframed}, len(actions)/2))
 	}
