--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -43,6 +43,8 @@
 	// resumed are all others.
 	wrong            []string
 	refused, resumed int
+	// unnamed has callers take streams up without naming them.
+	unnamed bool
 	// storeDown cuts all hosts off from the store.
 	storeDown bool
 }
@@ -289,7 +291,13 @@
 	if !ready {
 		return true // it takes no requests
 	}
-	version, err := registry.Version(context.Background(), Query{ID: s.id, Service: service, MaxAge: maxAge})
+	q := Query{ID: s.id, Service: service, MaxAge: maxAge}
+	f.mu.Lock()
+	if f.unnamed {
+		q.ID = ""
+	}
+	f.mu.Unlock()
+	version, err := registry.Version(context.Background(), q)
 	h.mu.Lock()
 	lives := h.up && h.run == run
 	h.mu.Unlock()
@@ -562,6 +570,10 @@
 			f.storeDown = true
 			f.mu.Unlock()
 			f.load("store down", 20*time.Second)
+			f.mu.Lock()
+			f.unnamed = true
+			f.mu.Unlock()
+			f.load("unnamed", 10*time.Second)
 			f.stop()
 			is.Equal(len(f.wrong), 0)
 			is.Equal(f.refused, 0)
--- a/coordination/origin/lookup.go
+++ b/coordination/origin/lookup.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -24,10 +25,7 @@
 		return own.Record.Version, SourceHost
 	}
 	l.add(own)
-	var replicas []string
-	if l.q.ID != "" {
-		replicas = l.r.o.Replicas(l.q.ID)
-	}
+	replicas := l.r.o.Replicas(cmp.Or(l.q.ID, l.q.Service)) // some hosts that tell what they have seen, if no stream is named
 	if rec, found := l.ask(ctx, replicas); found {
 		return rec.Version, SourceReplica
 	}
