origin: a lookup doesn't wait for a replica that is gone

A caller that took a stream up waited 80 ms for each lost replica, although the other two said enough. The lookup ends once a majority has told, of which one has the latest record, or all have looked for long enough.

--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -581,3 +581,30 @@
 		})
 	}
 }
+
+// Guards against a caller that waits for a replica that is gone: two of three say enough.
+func TestLookupDoesNotWaitForALostReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(3, 7, "v1")
+		for _, id := range []string{"nobody's", "host-1's"} {
+			replicas := f.replicas(id)
+			lost := f.hosts[slices.IndexFunc(f.hosts, func(h *testHost) bool { return h.addr == replicas[0] })]
+			other := f.hosts[slices.IndexFunc(f.hosts, func(h *testHost) bool { return !slices.Contains(replicas, h.addr) })]
+			if id == "host-1's" {
+				for _, addr := range replicas {
+					is.NoErr(testPeers{other}.Write(t.Context(), addr, []Record{{ID: id, Service: service, Version: "v1", Attempt: 1}}))
+				}
+			}
+			lost.kill()
+			asked := time.Now()
+			version, err := other.registry.Version(t.Context(), Query{ID: id, Service: service, MaxAge: maxAge})
+			is.NoErr(err)
+			is.Equal(version, "v1")
+			is.True(time.Since(asked) <= 2*maxDelay)
+			lost.start()
+			time.Sleep(2 * maxAge)
+		}
+		f.stop()
+	})
+}
--- a/coordination/origin/lookup.go
+++ b/coordination/origin/lookup.go
@@ -70,8 +70,8 @@
 	l.addVersions(versions)
 }
 
-// ask asks the replicas, until a majority has answered and one of them knows the stream, or all have. Records of several
-// attempts may be found; the latest one is at each majority.
+// ask asks the replicas, until a majority has answered, or all have. Records of several attempts may be found; the latest
+// one is at each majority.
 func (l *lookup) ask(ctx context.Context, replicas []string) (Record, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -91,13 +91,13 @@
 		}()
 	}
 	var latest Record
-	found := false
-	for heard := 0; heard < len(replicas); {
+	found, told, majority := false, 0, len(replicas)/2+1
+	for range replicas {
 		a := <-answers
-		heard++
 		if a.err != nil {
 			continue
 		}
+		told++
 		l.add(a.Finding)
 		if a.Found && (!found || a.Record.Attempt > latest.Attempt) {
 			latest, found = a.Record, true
@@ -105,7 +105,7 @@
 		if a.Age >= l.q.MaxAge {
 			l.answered++ // one that started later may have lost the record
 		}
-		if found && heard > len(replicas)/2 {
+		if found && told >= majority || l.answered >= majority {
 			break
 		}
 	}
