forward: events of the read in which a run breaks off are delivered

Callers lost events of a stream that was resumed: whole events that came in the same read as the end of the run moved the position of the stream and were dropped with the buffer, so that the next run went on after them. It was so where a chunk had come and the end of its line hadn't; since also where a framed body ended inside an event, since its last read returns bytes and the end together.

Such an error is kept until the events have been returned; before the first event, the stream is opened with them.

--- a/coordination/forward/bodyend_test.go
+++ b/coordination/forward/bodyend_test.go
@@ -177,3 +177,38 @@
 		})
 	}
 }
+
+// Guards against whole events being lost that arrive in the read in which the run breaks off: they are delivered, and the
+// stream goes on after them.
+func TestEventsOfTheLastReadAreDelivered(t *testing.T) {
+	whole := sixEvents()
+	part := whole[:strings.Index(whole, "id: 4")]
+	for name, c := range map[string]reply{
+		"framed, inside an event": {body: part + "id: 4\nda", readErr: io.EOF},
+		"unframed":                {body: part + "id: 4\nda", readErr: ErrUnframed},
+		"reset after an event":    {body: part, readErr: errors.New("reset")},
+	} {
+		c.status, c.events, c.endsRead = 200, true, true
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, plenty, c, reply{status: 200, events: true, body: whole[len(part):]})
+			answer, err := w.Forward(t.Context(), modelRequest(500, true))
+			is.NoErr(err)
+			got, err := readAll(answer.Stream)
+			is.NoErr(err)
+			is.Equal(got, whole)
+			is.Equal(w.up.attempts[1].LastEventID, "3")
+		})
+		t.Run(name+", later read", func(t *testing.T) {
+			is := is.New(t)
+			late := c
+			late.body = strings.Repeat(": kept alive\n\n", 1) + c.body
+			w := newWorld(t, plenty, late, reply{status: 200, events: true, body: whole[len(part):]})
+			answer, err := w.Forward(t.Context(), modelRequest(500, true))
+			is.NoErr(err)
+			got, err := readAll(answer.Stream)
+			is.NoErr(err)
+			is.Equal(strings.TrimPrefix(got, ": kept alive\n\n"), whole)
+		})
+	}
+}
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -32,6 +32,8 @@
 	events   bool
 	body     string
 	readErr  error
+	// endsRead has the last read of the body return its bytes together with readErr.
+	endsRead bool
 	// hang blocks until the context ends.
 	hang bool
 	// stall is a pause between the body and its end; aborting the response ends it.
@@ -166,6 +168,9 @@
 	}
 	n := copy(p, f.r.body)
 	f.r.body = f.r.body[n:]
+	if f.r.endsRead && f.r.body == "" {
+		return n, f.r.readErr
+	}
 	return n, nil
 }
 
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -35,6 +35,8 @@
 	// returned yet.
 	buf   []byte
 	ready int
+	// pendingErr ended the current run in a read that also brought whole events, which are returned first.
+	pendingErr error
 	// lastID is the ID of the last whole event that was read; "" if it has none, so that the stream can't be
 	// resumed after it.
 	lastID string
@@ -138,6 +140,20 @@
 
 // fill reads a part of the body and finds the events in it.
 func (s *Stream) fill() error {
+	if err := s.pendingErr; err != nil {
+		s.pendingErr = nil
+		return err
+	}
+	err := s.read()
+	if err != nil && s.ready > 0 {
+		s.pendingErr = err
+		return nil
+	}
+	return err
+}
+
+// read is fill for one read, whose error may come with whole events.
+func (s *Stream) read() error {
 	if cap(s.buf)-len(s.buf) < streamReadSize/2 {
 		s.buf = append(make([]byte, 0, len(s.buf)+streamReadSize), s.buf...)
 	}
@@ -312,7 +328,7 @@
 	}
 	sent.markAnswered()
 	s.a, s.runner, s.resp, s.sent, s.started = a, runner, resp, sent, started
-	s.scanner = eventstream.Scanner{}
+	s.scanner, s.pendingErr = eventstream.Scanner{}, nil
 	s.buf, s.ready, s.eof, s.closed, s.longestPause, s.callerPause, s.lastEventAt = nil, 0, false, false, 0, 0, time.Time{}
 	s.startWatch()
 	return true
