origin: a version that is gone is remembered for as long as streams may last

On routes whose time-out is over 55 s a stream of a version that had been gone for a minute would have gone on at the version that is left: its record had expired, and so had the memory of the version, while hosts' age said that they had looked for long enough. An unknown version was taken for any.

Versions that are gone are remembered for an hour, a few words for each; records are kept for a minute as before.

--- a/coordination/origin/history.go
+++ b/coordination/origin/history.go
@@ -21,7 +21,10 @@
 	return l
 }
 
-// History holds the versions that were listed within Retention. It is safe for concurrent use.
+// historyRetention is how long versions that aren't listed any more are remembered. It exceeds the time-outs of all routes.
+const historyRetention = time.Hour
+
+// History holds the versions that were listed within historyRetention. It is safe for concurrent use.
 type History struct {
 	clock state.Clock
 
@@ -81,7 +84,7 @@
 	now := h.clock.Now()
 	for v, at := range h.gone[service] {
 		switch {
-		case now.Sub(at) >= Retention:
+		case now.Sub(at) >= historyRetention:
 			delete(h.gone[service], v)
 		case now.Sub(at) < within && !slices.Contains(out, v):
 			out = append(out, v)
--- a/coordination/origin/table.go
+++ b/coordination/origin/table.go
@@ -7,7 +7,7 @@
 	"github.com/thymerack/thymerack/state"
 )
 
-// Retention is how long streams and versions are remembered. It exceeds the time for which callers take streams
+// Retention is how long streams are remembered. It exceeds the time for which callers take streams
 // up, which their deadlines and the time-outs of routes bound (15 s at the known sites).
 const Retention = time.Minute
 
