--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -30,7 +30,8 @@
 
 // testFleet is a number of hosts that begin streams at runners of several versions and take up each other's.
 type testFleet struct {
-	rng   *rand.Rand
+	// seed decides all draws, see intN.
+	seed  uint64
 	hosts []*testHost
 
 	mu sync.Mutex
@@ -70,10 +71,12 @@
 	table    *Table
 	registry *Registry
 	stop     context.CancelFunc
+	// stopFollowing ends the host's watch of the list only.
+	stopFollowing context.CancelFunc
 }
 
 func newTestFleet(seed uint64, n int, versions ...string) *testFleet {
-	f := &testFleet{rng: rand.New(rand.NewPCG(seed, uint64(n))), listed: versions, goneAt: map[string]time.Time{}, notes: map[string]store.Object{}}
+	f := &testFleet{seed: seed, listed: versions, goneAt: map[string]time.Time{}, notes: map[string]store.Object{}}
 	for i := range n {
 		f.hosts = append(f.hosts, &testHost{f: f, addr: fmt.Sprint("host-", i)})
 	}
@@ -84,17 +87,18 @@
 	return f
 }
 
-func (f *testFleet) intN(n int) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.rng.IntN(n)
+// intN draws a number below n. It follows from the seed, the virtual time and who draws, so that a seed gives the same
+// run in whichever order the goroutines of one moment come.
+func (f *testFleet) intN(n int, who ...any) int {
+	key := xxhash.Sum64String(fmt.Sprint(time.Now().UnixNano(), who))
+	return rand.New(rand.NewPCG(f.seed, key)).IntN(n)
 }
 
-func (f *testFleet) duration(most time.Duration) time.Duration {
-	return time.Duration(f.intN(int(most)))
+func (f *testFleet) duration(most time.Duration, who ...any) time.Duration {
+	return time.Duration(f.intN(int(most), who...))
 }
 
-func (f *testFleet) anyHost() *testHost { return f.hosts[f.intN(len(f.hosts))] }
+func (f *testFleet) anyHost(who ...any) *testHost { return f.hosts[f.intN(len(f.hosts), who...)] }
 
 // replicas are the hosts of the highest scores.
 func (f *testFleet) replicas(id string) []string {
@@ -137,6 +141,7 @@
 func (h *testHost) start() {
 	clock, log := clocktest.Bubble{}, slog.New(slog.DiscardHandler)
 	ctx, stop := context.WithCancel(context.Background())
+	followCtx, stopFollowing := context.WithCancel(ctx)
 	history, table := NewHistory(clock), NewTable(clock)
 	ledger, err := NewLedger(LedgerOptions{Store: testStore{h: h}, History: history, Writes: func() bool { return slices.Contains(h.f.writers(), h) }, Clock: clock, Log: log})
 	if err != nil {
@@ -151,10 +156,10 @@
 	}
 	h.mu.Lock()
 	h.run++
-	h.up, h.listed, h.provenAt, h.table, h.registry, h.stop = true, nil, time.Time{}, table, registry, stop
+	h.up, h.listed, h.provenAt, h.table, h.registry, h.stop, h.stopFollowing = true, nil, time.Time{}, table, registry, stop, stopFollowing
 	h.mu.Unlock()
 	go ledger.Run(ctx)
-	go h.follow(ctx, registry)
+	go h.follow(followCtx, registry)
 }
 
 // follow keeps the host's list up to date while it reaches the store.
@@ -164,7 +169,7 @@
 			h.f.mu.Lock()
 			listed, at := slices.Clone(h.f.listed), time.Now()
 			h.f.mu.Unlock()
-			time.Sleep(h.f.duration(maxLag / 2))
+			time.Sleep(h.f.duration(maxLag/2, h.addr, "answer"))
 			h.mu.Lock()
 			h.listed, h.provenAt = listed, at
 			h.mu.Unlock()
@@ -172,7 +177,7 @@
 				r.Update(Listing{service: listed})
 			}
 		}
-		time.Sleep(h.f.duration(maxLag / 2))
+		time.Sleep(h.f.duration(maxLag/2, h.addr, "pause"))
 	}
 }
 
@@ -234,19 +239,19 @@
 
 // begin begins a stream at a host, at a version of its list that still has runners: those that leave serve for a while.
 func (f *testFleet) begin(id string) {
-	h := f.anyHost()
+	h := f.anyHost(id, "host")
 	h.mu.Lock()
 	registry, listed, run := h.registry, h.listed, h.run
 	h.mu.Unlock()
 	if !h.isUp() || len(listed) == 0 {
 		return
 	}
-	version := listed[f.intN(len(listed))]
+	version := listed[f.intN(len(listed), id, "version")]
 	if !f.serves(version) {
 		return
 	}
 	w := registry.Begin(Record{ID: id, Service: service, Version: version, Attempt: 1})
-	time.Sleep(f.duration(20 * time.Millisecond)) // until its first event
+	time.Sleep(f.duration(20*time.Millisecond, id, "event")) // until its first event
 	w.Wait(context.Background())
 	h.mu.Lock()
 	delivered := h.up && h.run == run
@@ -260,22 +265,22 @@
 
 // resume takes a stream up at a host, and comes back once after a refusal: a host that began streams just before a second
 // version was listed writes them to their replicas when its list has that version.
-func (f *testFleet) resume() {
+func (f *testFleet) resume(caller string) {
 	f.mu.Lock()
 	if len(f.streams) == 0 {
 		f.mu.Unlock()
 		return
 	}
-	s := f.streams[f.rng.IntN(len(f.streams))]
+	s := f.streams[f.intN(len(f.streams), caller, "stream")]
 	f.mu.Unlock()
 	if time.Since(s.began) > maxAge-streamSlack {
 		return
 	}
-	if f.tryResume(s) {
+	if f.tryResume(caller, s) {
 		return
 	}
 	time.Sleep(max(RetryAfter, maxLag))
-	if !f.tryResume(s) {
+	if !f.tryResume(caller, s) {
 		f.mu.Lock()
 		f.refused++
 		f.mu.Unlock()
@@ -283,8 +288,8 @@
 }
 
 // tryResume takes a stream up at any host. It is false if that refused.
-func (f *testFleet) tryResume(s testStream) bool {
-	h := f.anyHost()
+func (f *testFleet) tryResume(caller string, s testStream) bool {
+	h := f.anyHost(caller, "host")
 	h.mu.Lock()
 	registry, run, ready := h.registry, h.run, h.up && len(h.listed) > 0
 	h.mu.Unlock()
@@ -324,9 +329,10 @@
 func (f *testFleet) load(name string, d time.Duration) {
 	var group sync.WaitGroup
 	for n, end := 0, time.Now().Add(d); time.Now().Before(end); n++ {
-		group.Go(func() { f.begin(fmt.Sprint(name, "-", n)) })
-		group.Go(f.resume)
-		time.Sleep(f.duration(40 * time.Millisecond))
+		id := fmt.Sprint(name, "-", n)
+		group.Go(func() { f.begin(id) })
+		group.Go(func() { f.resume("caller of " + id) })
+		time.Sleep(f.duration(40*time.Millisecond, name))
 	}
 	group.Wait()
 }
@@ -373,7 +379,7 @@
 	f := p.from.f
 	i := slices.IndexFunc(f.hosts, func(h *testHost) bool { return h.addr == addr })
 	target := f.hosts[i]
-	time.Sleep(f.duration(maxDelay))
+	time.Sleep(f.duration(maxDelay, p.from.addr, addr, "there"))
 	p.from.mu.Lock()
 	side, up := p.from.side, p.from.up
 	p.from.mu.Unlock()
@@ -385,7 +391,7 @@
 		return errLost
 	}
 	handle(target)
-	time.Sleep(f.duration(maxDelay))
+	time.Sleep(f.duration(maxDelay, p.from.addr, addr, "back"))
 	return nil
 }
 
@@ -459,24 +465,24 @@
 
 // rollOut replaces the version by another one, sometimes back.
 func (f *testFleet) rollOut() {
-	time.Sleep(5*time.Second + f.duration(15*time.Second))
+	time.Sleep(5*time.Second + f.duration(15*time.Second, "roll-out begins"))
 	f.mu.Lock()
 	before := f.listed[0]
 	f.mu.Unlock()
-	after := fmt.Sprint("v", 1+f.intN(3))
+	after := fmt.Sprint("v", 1+f.intN(3, "roll-out"))
 	if after == before {
 		return
 	}
 	f.setListed(before, after)
-	time.Sleep(5*time.Second + f.duration(10*time.Second))
+	time.Sleep(5*time.Second + f.duration(10*time.Second, "roll-out ends"))
 	f.setListed(after)
 }
 
 // disturbHosts kills a host, or now and then all.
 func (f *testFleet) disturbHosts() {
-	time.Sleep(f.duration(4 * time.Second))
-	if f.intN(8) > 0 {
-		f.anyHost().restart()
+	time.Sleep(f.duration(4*time.Second, "kill"))
+	if f.intN(8, "kill one") > 0 {
+		f.anyHost("killed").restart()
 		return
 	}
 	var group sync.WaitGroup
@@ -488,14 +494,14 @@
 
 // partition cuts hosts off from the others for some seconds, some of them from the store as well.
 func (f *testFleet) partition() {
-	time.Sleep(f.duration(8 * time.Second))
+	time.Sleep(f.duration(8*time.Second, "partition begins"))
 	for _, h := range f.hosts {
-		side, cut := f.intN(2), f.intN(3) == 0
+		side, cut := f.intN(2, h.addr, "side"), f.intN(3, h.addr, "cut") == 0
 		h.mu.Lock()
 		h.side, h.storeCut = side, cut
 		h.mu.Unlock()
 	}
-	time.Sleep(f.duration(6 * time.Second))
+	time.Sleep(f.duration(6*time.Second, "partition ends"))
 	for _, h := range f.hosts {
 		h.mu.Lock()
 		h.side, h.storeCut = 0, false
@@ -505,14 +511,16 @@
 
 // disturbStore has the store down for some seconds.
 func (f *testFleet) disturbStore() {
-	time.Sleep(f.duration(20 * time.Second))
-	f.mu.Lock()
-	f.storeDown = true
-	f.mu.Unlock()
-	time.Sleep(f.duration(5 * time.Second))
+	time.Sleep(f.duration(20*time.Second, "store goes down"))
+	f.setStoreDown(true)
+	time.Sleep(f.duration(5*time.Second, "store is back"))
+	f.setStoreDown(false)
+}
+
+func (f *testFleet) setStoreDown(down bool) {
 	f.mu.Lock()
-	f.storeDown = false
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	f.storeDown = down
 }
 
 // Guards against streams that are refused although their version can be known: with two versions side by side and one host
@@ -566,9 +574,7 @@
 			group.Wait()
 			time.Sleep(maxAge)
 			f.load("calm", 5*time.Second)
-			f.mu.Lock()
-			f.storeDown = true
-			f.mu.Unlock()
+			f.setStoreDown(true)
 			f.load("store down", 20*time.Second)
 			f.mu.Lock()
 			f.unnamed = true
