origin: a single version is noted as well

What callers would see: after all hosts restarted while they were cut off from the store, streams of the version that left meanwhile go on at the one that came.

Cause: the store had a note of a service's versions only once some host had seen two of them, and a service without a note counted as one that had a single version all along. If one version comes and the other goes while no host reaches the store, and the hosts restart before they do, no host that lives has seen both and none writes a note.

Change: the versions of each service are noted from its first list on, and no note means unknown. A note is compared once for each change, and once more when the host has followed the list for Retention, in place of at each wake in that time.

--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -523,6 +523,31 @@
 	f.storeDown = down
 }
 
+// Guards against a service that counts as one of a single version because no host lives that saw two: a version comes and the
+// other goes while all hosts are cut off from the store, and they restart before they reach it.
+func TestVersionThatNoLivingHostHasSeenIsKnown(t *testing.T) {
+	for _, n := range sizes {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(4, n, "v1")
+			f.load("before", 5*time.Second)
+			f.setStoreDown(true)
+			f.setListed("v2")
+			var group sync.WaitGroup
+			for _, h := range f.hosts {
+				group.Go(h.restart)
+			}
+			group.Wait()
+			f.setStoreDown(false)
+			f.load("after", maxAge)
+			f.stop()
+			is.Equal(len(f.wrong), 0)
+			is.True(f.refused > 0) // those of v1
+			is.True(f.resumed > 200)
+		})
+	}
+}
+
 // Guards against streams that are refused although their version can be known: with two versions side by side and one host
 // in three replicas lost, all go on.
 func TestStreamsGoOnWhileVersionsServeSideBySide(t *testing.T) {
--- a/coordination/origin/ledger.go
+++ b/coordination/origin/ledger.go
@@ -38,13 +38,25 @@
 	Log    *slog.Logger
 }
 
-// Ledger notes at the store which versions were listed within Retention, for each service that ever had several. A service that
-// has none there has had one version only. It is safe for concurrent use.
+// Ledger notes at the store which versions of each service were listed within Retention. A host that has just started can't know
+// a version that has gone before, so that one version is noted as well: without a note, any may have been there. It is safe for
+// concurrent use.
 type Ledger struct {
 	o    LedgerOptions
 	wake chan struct{}
-	// written are the notes as this host wrote or read them last. Only Run uses it.
-	written map[string][]string
+	// compared is what each service's note was last compared with. Only Run uses it.
+	compared map[string]comparison
+}
+
+// comparison is what a note was compared with.
+type comparison struct {
+	versions []string
+	// replaced is set if the note was set to the versions, not only joined with them.
+	replaced bool
+}
+
+func (c comparison) equal(d comparison) bool {
+	return c.replaced == d.replaced && slices.Equal(c.versions, d.versions)
 }
 
 // NewLedger returns an error if an option is missing.
@@ -52,7 +64,7 @@
 	if o.Store == nil || o.History == nil || o.Writes == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("origin: a field of LedgerOptions is missing; set all of them")
 	}
-	return &Ledger{o: o, wake: make(chan struct{}, 1), written: map[string][]string{}}, nil
+	return &Ledger{o: o, wake: make(chan struct{}, 1), compared: map[string]comparison{}}, nil
 }
 
 // Wake makes Run compare the ledger with the history at once.
@@ -84,41 +96,45 @@
 
 // update writes the notes that differ from the history.
 func (l *Ledger) update(ctx context.Context) {
+	replace := l.o.History.Age() >= Retention
 	for _, service := range l.o.History.Services() {
-		versions := l.o.History.Versions(service, Retention)
-		noted, known := l.written[service]
-		if (!known && len(versions) < 2) || slices.Equal(noted, versions) {
+		c := comparison{versions: l.o.History.Versions(service, Retention), replaced: replace}
+		if last, compared := l.compared[service]; compared && last.equal(c) {
 			continue
 		}
-		if err := l.write(ctx, service, versions); err != nil {
-			l.o.Log.Warn("versions of a service not written to the store; tried again", "service", service, "versions", versions, "after", ledgerInterval, "cause", err.Error())
+		if err := l.write(ctx, service, c); err != nil {
+			l.o.Log.Warn("versions of a service not written to the store; tried again", "service", service, "versions", c.versions, "after", ledgerInterval, "cause", err.Error())
+			continue
 		}
+		l.compared[service] = c
 	}
 }
 
-// write replaces the note of a service. A host that has followed the list for less than Retention keeps what the note has.
-func (l *Ledger) write(ctx context.Context, service string, versions []string) error {
+// write replaces the note of a service, or adds the versions to it: a host that has followed the list for less than Retention
+// doesn't know all that belong there.
+func (l *Ledger) write(ctx context.Context, service string, c comparison) error {
 	object, err := l.o.Store.Get(ctx, Kind, service)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
 	}
 	noted, _ := decodeNote(object.Value)
-	if l.o.History.Age() < Retention {
+	versions := c.versions
+	if !c.replaced {
 		versions = slices.Concat(versions, noted)
 		slices.Sort(versions)
 		versions = slices.Compact(versions)
 	}
-	if !slices.Equal(noted, versions) {
-		value, err := json.Marshal(note{versions})
-		if err != nil {
-			return err
-		}
-		if _, err := l.o.Store.Put(ctx, Kind, service, object.Version, value); err != nil {
-			return err
-		}
-		l.o.Log.Info("versions of a service written to the store", "service", service, "versions", versions)
+	if err == nil && slices.Equal(noted, versions) {
+		return nil
 	}
-	l.written[service] = versions
+	value, err := json.Marshal(note{versions})
+	if err != nil {
+		return err
+	}
+	if _, err := l.o.Store.Put(ctx, Kind, service, object.Version, value); err != nil {
+		return err
+	}
+	l.o.Log.Info("versions of a service written to the store", "service", service, "versions", versions)
 	return nil
 }
 
@@ -132,12 +148,9 @@
 	return n.Versions, err
 }
 
-// Read returns the versions that are noted for a service; none if it has had one version only.
+// Read returns the versions that are noted for a service, or store.ErrNotFound if nobody has noted them yet.
 func (l *Ledger) Read(ctx context.Context, service string) ([]string, error) {
 	object, err := l.o.Store.Get(ctx, Kind, service)
-	if errors.Is(err, store.ErrNotFound) {
-		return nil, nil
-	}
 	if err != nil {
 		return nil, err
 	}
