origin: a stream older than the store's notes isn't known by them

What callers would see: on a route whose time-out is over 55 s, and after all hosts restarted, a stream goes on at another version than the one that began it, if that one left over a minute ago.

Change: a lookup of an older stream doesn't read the note; without a host that has looked for as long the version is unknown.

Test: TestNotesDoNotVouchForOlderStreams failed before (v2 for a stream of v1).

--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -548,6 +548,30 @@
 	}
 }
 
+// Guards against a stream older than the store's notes that counts as one of the only version: the note of its version has been
+// taken out.
+func TestNotesDoNotVouchForOlderStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(5, 7, "v1")
+		defer f.stop()
+		f.setListed("v2")
+		time.Sleep(Retention + 2*ledgerInterval)
+		var group sync.WaitGroup
+		for _, h := range f.hosts {
+			group.Go(h.restart)
+		}
+		group.Wait()
+		time.Sleep(maxLag)
+		_, err := f.hosts[0].registry.Version(t.Context(), Query{ID: "a stream of v1", Service: service, MaxAge: 2 * Retention})
+		var unknown *UnknownError
+		is.True(errors.As(err, &unknown))
+		version, err := f.hosts[0].registry.Version(t.Context(), Query{ID: "a stream of v2", Service: service, MaxAge: Retention})
+		is.NoErr(err)
+		is.Equal(version, "v2")
+	})
+}
+
 // Guards against streams that are refused although their version can be known: with two versions side by side and one host
 // in three replicas lost, all go on.
 func TestStreamsGoOnWhileVersionsServeSideBySide(t *testing.T) {
--- a/coordination/origin/lookup.go
+++ b/coordination/origin/lookup.go
@@ -34,7 +34,7 @@
 	if l.answered <= len(replicas)/2 && !l.r.o.ListFresh() {
 		return "", SourceNone
 	}
-	if len(l.versions) == 1 && l.age < l.q.MaxAge {
+	if len(l.versions) == 1 && l.age < l.q.MaxAge && l.q.MaxAge <= Retention { // the ledger doesn't know older streams
 		l.addLedger(ctx)
 	}
 	if len(l.versions) != 1 || l.age < l.q.MaxAge {
