origin: a note whose write failed is written within a second

What callers would see: streams of a new version that go on at another, if all hosts restart while its note isn't written and the version leaves.

Cause: a write that failed, also one that lost against another host's of the same moment, was left until the next change of the list or the next comparison, 10 s later. A store that was away for an instant left the note behind for that long. With a note for each service from the start, three of the four writers met that conflict at every start.

Change: a conflict is compared again at once, any other failure after a second.

Test: TestNoteIsWrittenSoonAfterTheStoreIsBack failed before (still [v1] 1 s after the store was back).

--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -572,6 +572,25 @@
 	})
 }
 
+// Guards against a note that waits for the next version or the next regular comparison after its write failed.
+func TestNoteIsWrittenSoonAfterTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(6, 1, "v1")
+		defer f.stop()
+		h := f.hosts[0]
+		h.stopFollowing()
+		f.setStoreDown(true)
+		h.registry.Update(Listing{service: {"v1", "v2"}})
+		time.Sleep(ledgerInterval/2 + 300*time.Millisecond)
+		f.setStoreDown(false)
+		time.Sleep(time.Second)
+		noted, err := h.registry.o.Ledger.Read(t.Context(), service)
+		is.NoErr(err)
+		is.Equal(noted, []string{"v1", "v2"})
+	})
+}
+
 // Guards against streams that are refused although their version can be known: with two versions side by side and one host
 // in three replicas lost, all go on.
 func TestStreamsGoOnWhileVersionsServeSideBySide(t *testing.T) {
--- a/coordination/origin/ledger.go
+++ b/coordination/origin/ledger.go
@@ -19,6 +19,13 @@
 // taken out within that time after Retention.
 const ledgerInterval = 10 * time.Second
 
+// ledgerRetryInterval is how soon a note is tried again whose write failed. Until it is written, a restart of all hosts
+// loses its versions.
+const ledgerRetryInterval = time.Second
+
+// ledgerConflictLimit is how often a note is compared again at once because another host has written it.
+const ledgerConflictLimit = 3
+
 // LedgerWriters is how many hosts write the ledger, so that it is written while some of them don't reach the store. The
 // first that does makes the others' writes needless.
 const LedgerWriters = 4
@@ -78,13 +85,14 @@
 // Run writes the ledger while this host is one of those that do, until ctx ends.
 func (l *Ledger) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if l.o.Writes() {
-			l.update(ctx)
+		interval := ledgerInterval
+		if l.o.Writes() && !l.update(ctx) {
+			interval = ledgerRetryInterval
 		}
 		wait, cancel := context.WithCancel(ctx)
 		go func() {
 			defer cancel()
-			_ = l.o.Clock.Sleep(wait, ledgerInterval) // its end is the end of wait
+			_ = l.o.Clock.Sleep(wait, interval) // its end is the end of wait
 		}()
 		select {
 		case <-l.wake:
@@ -94,8 +102,9 @@
 	}
 }
 
-// update writes the notes that differ from the history.
-func (l *Ledger) update(ctx context.Context) {
+// update writes the notes that differ from the history. It reports whether all of them are written.
+func (l *Ledger) update(ctx context.Context) bool {
+	complete := true
 	replace := l.o.History.Age() >= Retention
 	for _, service := range l.o.History.Services() {
 		c := comparison{versions: l.o.History.Versions(service, Retention), replaced: replace}
@@ -103,16 +112,28 @@
 			continue
 		}
 		if err := l.write(ctx, service, c); err != nil {
-			l.o.Log.Warn("versions of a service not written to the store; tried again", "service", service, "versions", c.versions, "after", ledgerInterval, "cause", err.Error())
+			l.o.Log.Warn("versions of a service not written to the store; tried again", "service", service, "versions", c.versions, "after", ledgerRetryInterval, "cause", err.Error())
+			complete = false
 			continue
 		}
 		l.compared[service] = c
 	}
+	return complete
 }
 
-// write replaces the note of a service, or adds the versions to it: a host that has followed the list for less than Retention
-// doesn't know all that belong there.
+// write brings the note of a service up to date, also if another host writes it at the same time.
 func (l *Ledger) write(ctx context.Context, service string, c comparison) error {
+	for conflicts := 0; ; conflicts++ {
+		err := l.tryWrite(ctx, service, c)
+		if !store.IsConflict(err) || conflicts == ledgerConflictLimit {
+			return err
+		}
+	}
+}
+
+// tryWrite replaces the note of a service, or adds the versions to it: a host that has followed the list for less than Retention
+// doesn't know all that belong there.
+func (l *Ledger) tryWrite(ctx context.Context, service string, c comparison) error {
 	object, err := l.o.Store.Get(ctx, Kind, service)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
