origin: notes that a restored store has lost are written again

What callers would see: after the store came back from an older copy, and a restart of all hosts later on, streams are refused for 20 s though their service has one version; with a note that is older, not gone, and a version that left since, one may go on at another version.

Cause: a host compared a note only when the versions changed, so that what a store loses later stayed lost.

Test: TestNoteThatTheStoreLostIsWrittenAgain failed before (no note a minute later).

--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -591,6 +591,23 @@
 	})
 }
 
+// Guards against notes that a store which was restored from an older copy has lost, and that nobody writes again.
+func TestNoteThatTheStoreLostIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(7, 7, "v1")
+		defer f.stop()
+		time.Sleep(Retention)
+		f.mu.Lock()
+		clear(f.notes)
+		f.mu.Unlock()
+		time.Sleep(Retention + 2*ledgerInterval)
+		noted, err := f.hosts[0].registry.o.Ledger.Read(t.Context(), service)
+		is.NoErr(err)
+		is.Equal(noted, []string{"v1"})
+	})
+}
+
 // Guards against streams that are refused although their version can be known: with two versions side by side and one host
 // in three replicas lost, all go on.
 func TestStreamsGoOnWhileVersionsServeSideBySide(t *testing.T) {
--- a/coordination/origin/ledger.go
+++ b/coordination/origin/ledger.go
@@ -51,8 +51,9 @@
 type Ledger struct {
 	o    LedgerOptions
 	wake chan struct{}
-	// compared is what each service's note was last compared with. Only Run uses it.
-	compared map[string]comparison
+	// compared is what each service's note was last compared with since the time comparedSince. Only Run uses them.
+	compared      map[string]comparison
+	comparedSince time.Time
 }
 
 // comparison is what a note was compared with.
@@ -105,6 +106,10 @@
 // update writes the notes that differ from the history. It reports whether all of them are written.
 func (l *Ledger) update(ctx context.Context) bool {
 	complete := true
+	if now := l.o.Clock.Now(); now.Sub(l.comparedSince) >= Retention {
+		clear(l.compared) // a store that was restored from an older copy may have lost a note
+		l.comparedSince = now
+	}
 	replace := l.o.History.Age() >= Retention
 	for _, service := range l.o.History.Services() {
 		c := comparison{versions: l.o.History.Versions(service, Retention), replaced: replace}
