--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -94,8 +94,9 @@
 	return rand.New(rand.NewPCG(f.seed, key)).IntN(n)
 }
 
+// duration draws a duration that isn't 0: one who draws again at the same time would draw the same for ever.
 func (f *testFleet) duration(most time.Duration, who ...any) time.Duration {
-	return time.Duration(f.intN(int(most), who...))
+	return time.Duration(1 + f.intN(int(most), who...))
 }
 
 func (f *testFleet) anyHost(who ...any) *testHost { return f.hosts[f.intN(len(f.hosts), who...)] }
