--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -8,12 +8,9 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/matryer/is"
 
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/store"
@@ -422,48 +419,6 @@
 func (noObserver) VersionAsked(string, Source) {}
 func (noObserver) OriginWritten(string, bool)  {}
 
-// sizes are the numbers of hosts that are played.
-var sizes = []int{2, 7, 60}
-
-// Guards against a stream that goes on at another version than the one that began it, while versions come and go, hosts
-// are killed, all at once too, cut off from each other or from the store, and the store is down.
-func TestNoStreamGoesOnAtAnotherVersion(t *testing.T) {
-	for _, n := range sizes {
-		for seed := range uint64(12) {
-			t.Run(fmt.Sprint(n, " hosts, seed ", seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					f := newTestFleet(seed, n, "v1")
-					var group sync.WaitGroup
-					stop := make(chan struct{})
-					for _, play := range []func(){f.rollOut, f.disturbHosts, f.partition, f.disturbStore} {
-						group.Go(func() {
-							for {
-								select {
-								case <-stop:
-									return
-								default:
-									play()
-								}
-							}
-						})
-					}
-					f.load("s", 2*time.Minute)
-					close(stop)
-					group.Wait()
-					f.stop()
-					for _, w := range f.wrong {
-						t.Error(w)
-					}
-					t.Logf("%d went on, %d refused", f.resumed, f.refused)
-					if f.resumed < f.refused/2 {
-						t.Errorf("%d streams went on, %d were refused", f.resumed, f.refused)
-					}
-				})
-			})
-		}
-	}
-}
-
 // rollOut replaces the version by another one, sometimes back.
 func (f *testFleet) rollOut() {
 	time.Sleep(5*time.Second + f.duration(15*time.Second, "roll-out begins"))
@@ -486,11 +441,7 @@
 		f.anyHost("killed").restart()
 		return
 	}
-	var group sync.WaitGroup
-	for _, h := range f.hosts {
-		group.Go(h.restart)
-	}
-	group.Wait()
+	f.restartAll()
 }
 
 // partition cuts hosts off from the others for some seconds, some of them from the store as well.
@@ -524,179 +475,33 @@
 	f.storeDown = down
 }
 
-// Guards against a service that counts as one of a single version because no host lives that saw two: a version comes and the
-// other goes while all hosts are cut off from the store, and they restart before they reach it.
-func TestVersionThatNoLivingHostHasSeenIsKnown(t *testing.T) {
-	for _, n := range sizes {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			f := newTestFleet(4, n, "v1")
-			f.load("before", 5*time.Second)
-			f.setStoreDown(true)
-			f.setListed("v2")
-			var group sync.WaitGroup
-			for _, h := range f.hosts {
-				group.Go(h.restart)
-			}
-			group.Wait()
-			f.setStoreDown(false)
-			f.load("after", maxAge)
-			f.stop()
-			is.Equal(len(f.wrong), 0)
-			is.True(f.refused > 0) // those of v1
-			is.True(f.resumed > 200)
-		})
+// restartAll kills all hosts at once and starts them again.
+func (f *testFleet) restartAll() {
+	var group sync.WaitGroup
+	for _, h := range f.hosts {
+		group.Go(h.restart)
 	}
+	group.Wait()
 }
 
-// Guards against a stream older than the store's notes that counts as one of the only version: the note of its version has been
-// taken out.
-func TestNotesDoNotVouchForOlderStreams(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newTestFleet(5, 7, "v1")
-		defer f.stop()
-		f.setListed("v2")
-		time.Sleep(Retention + 2*ledgerInterval)
-		var group sync.WaitGroup
-		for _, h := range f.hosts {
-			group.Go(h.restart)
-		}
-		group.Wait()
-		time.Sleep(maxLag)
-		_, err := f.hosts[0].registry.Version(t.Context(), Query{ID: "a stream of v1", Service: service, MaxAge: 2 * Retention})
-		var unknown *UnknownError
-		is.True(errors.As(err, &unknown))
-		version, err := f.hosts[0].registry.Version(t.Context(), Query{ID: "a stream of v2", Service: service, MaxAge: Retention})
-		is.NoErr(err)
-		is.Equal(version, "v2")
-	})
-}
-
-// Guards against a note that waits for the next version or the next regular comparison after its write failed.
-func TestNoteIsWrittenSoonAfterTheStoreIsBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newTestFleet(6, 1, "v1")
-		defer f.stop()
-		h := f.hosts[0]
-		h.stopFollowing()
-		f.setStoreDown(true)
-		h.registry.Update(Listing{service: {"v1", "v2"}})
-		time.Sleep(ledgerInterval/2 + 300*time.Millisecond)
-		f.setStoreDown(false)
-		time.Sleep(time.Second)
-		noted, err := h.registry.o.Ledger.Read(t.Context(), service)
-		is.NoErr(err)
-		is.Equal(noted, []string{"v1", "v2"})
-	})
-}
-
-// Guards against notes that a store which was restored from an older copy has lost, and that nobody writes again.
-func TestNoteThatTheStoreLostIsWrittenAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newTestFleet(7, 7, "v1")
-		defer f.stop()
-		time.Sleep(Retention)
-		f.mu.Lock()
-		clear(f.notes)
-		f.mu.Unlock()
-		time.Sleep(Retention + 2*ledgerInterval)
-		noted, err := f.hosts[0].registry.o.Ledger.Read(t.Context(), service)
-		is.NoErr(err)
-		is.Equal(noted, []string{"v1"})
-	})
-}
-
-// Guards against streams that are refused although their version can be known: with two versions side by side and one host
-// in three replicas lost, all go on.
-func TestStreamsGoOnWhileVersionsServeSideBySide(t *testing.T) {
-	for _, n := range sizes {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			f := newTestFleet(1, n, "v1")
-			f.load("before", 10*time.Second)
-			f.setListed("v1", "v2")
-			f.load("beside", 20*time.Second)
-			f.setListed("v2")
-			f.load("after", 30*time.Second)
-			if n > 2 {
-				time.Sleep(maxAge) // the streams of the killed host's own records only are too old
-				f.setListed("v2", "v3")
-				f.load("again", 5*time.Second)
-				f.hosts[3].kill()
-				f.load("killed", 20*time.Second)
+// repeat plays each of the disturbances again and again, beside each other, until end is called.
+func repeat(plays ...func()) (end func()) {
+	var group sync.WaitGroup
+	stop := make(chan struct{})
+	for _, play := range plays {
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					play()
+				}
 			}
-			f.stop()
-			is.Equal(len(f.wrong), 0)
-			is.Equal(f.refused, 0)
-			is.True(f.resumed > 500)
 		})
 	}
-}
-
-// Guards against a service that has one version all along and loses streams to the doubt about others: whatever hosts are
-// killed, all at once too, while the store answers or the replicas do.
-func TestServiceOfOneVersionLosesNoStream(t *testing.T) {
-	for _, n := range sizes {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			f := newTestFleet(2, n, "v1")
-			stop := make(chan struct{})
-			var group sync.WaitGroup
-			group.Go(func() {
-				for {
-					select {
-					case <-stop:
-						return
-					default:
-						f.disturbHosts()
-					}
-				}
-			})
-			f.load("s", time.Minute)
-			close(stop)
-			group.Wait()
-			time.Sleep(maxAge)
-			f.load("calm", 5*time.Second)
-			f.setStoreDown(true)
-			f.load("store down", 20*time.Second)
-			f.mu.Lock()
-			f.unnamed = true
-			f.mu.Unlock()
-			f.load("unnamed", 10*time.Second)
-			f.stop()
-			is.Equal(len(f.wrong), 0)
-			is.Equal(f.refused, 0)
-			is.True(f.resumed > 500)
-		})
+	return func() {
+		close(stop)
+		group.Wait()
 	}
 }
-
-// Guards against a caller that waits for a replica that is gone: two of three say enough.
-func TestLookupDoesNotWaitForALostReplica(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newTestFleet(3, 7, "v1")
-		for _, id := range []string{"nobody's", "host-1's"} {
-			replicas := f.replicas(id)
-			lost := f.hosts[slices.IndexFunc(f.hosts, func(h *testHost) bool { return h.addr == replicas[0] })]
-			other := f.hosts[slices.IndexFunc(f.hosts, func(h *testHost) bool { return !slices.Contains(replicas, h.addr) })]
-			if id == "host-1's" {
-				for _, addr := range replicas {
-					is.NoErr(testPeers{other}.Write(t.Context(), addr, []Record{{ID: id, Service: service, Version: "v1", Attempt: 1}}))
-				}
-			}
-			lost.kill()
-			asked := time.Now()
-			version, err := other.registry.Version(t.Context(), Query{ID: id, Service: service, MaxAge: maxAge})
-			is.NoErr(err)
-			is.Equal(version, "v1")
-			is.True(time.Since(asked) <= 2*maxDelay)
-			lost.start()
-			time.Sleep(2 * maxAge)
-		}
-		f.stop()
-	})
-}
--- /dev/null
+++ b/coordination/origin/ledger_test.go
@@ -0,0 +1,66 @@
+package origin
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a stream older than the store's notes that counts as one of the only version: the note of its version has been
+// taken out.
+func TestNotesDoNotVouchForOlderStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(5, 7, "v1")
+		defer f.stop()
+		f.setListed("v2")
+		time.Sleep(Retention + 2*ledgerInterval)
+		f.restartAll()
+		time.Sleep(maxLag)
+		_, err := f.hosts[0].registry.Version(t.Context(), Query{ID: "a stream of v1", Service: service, MaxAge: 2 * Retention})
+		var unknown *UnknownError
+		is.True(errors.As(err, &unknown))
+		version, err := f.hosts[0].registry.Version(t.Context(), Query{ID: "a stream of v2", Service: service, MaxAge: Retention})
+		is.NoErr(err)
+		is.Equal(version, "v2")
+	})
+}
+
+// Guards against a note that waits for the next version or the next regular comparison after its write failed.
+func TestNoteIsWrittenSoonAfterTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(6, 1, "v1")
+		defer f.stop()
+		h := f.hosts[0]
+		h.stopFollowing()
+		f.setStoreDown(true)
+		h.registry.Update(Listing{service: {"v1", "v2"}})
+		time.Sleep(ledgerInterval/2 + 300*time.Millisecond)
+		f.setStoreDown(false)
+		time.Sleep(time.Second)
+		noted, err := h.registry.o.Ledger.Read(t.Context(), service)
+		is.NoErr(err)
+		is.Equal(noted, []string{"v1", "v2"})
+	})
+}
+
+// Guards against notes that a store which was restored from an older copy has lost, and that nobody writes again.
+func TestNoteThatTheStoreLostIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(7, 7, "v1")
+		defer f.stop()
+		time.Sleep(Retention)
+		f.mu.Lock()
+		clear(f.notes)
+		f.mu.Unlock()
+		time.Sleep(Retention + 2*ledgerInterval)
+		noted, err := f.hosts[0].registry.o.Ledger.Read(t.Context(), service)
+		is.NoErr(err)
+		is.Equal(noted, []string{"v1"})
+	})
+}
