origin: a list that is behind doesn't prove a stream's version

What callers would see: a stream goes on at another version if its caller takes it up, right after that version came, at a host that a partition keeps from the stream's replicas.

Cause: where no majority of the replicas answered, a list that counts as up to date was enough to rule another version out. It counts so for as long as a watch may take (2 s in the test); a version that came in that time isn't in it.

Change: who finds no record reads the note of the service's versions, which the store answers linearizably, and goes by a majority alone only if it can't. ListFresh goes.

--- a/coordination/origin/doc.go
+++ b/coordination/origin/doc.go
@@ -8,7 +8,7 @@
 //
 // A host that is asked to go on with a stream looks it up at home and at the replicas. If nobody knows
 // the stream, its version is certain only if the service has had one version for as long as the stream
-// may be old. The replicas tell what they have seen, and the store has a note of each service's versions
-// (Ledger) for hosts that have started since. Otherwise the version is unknown, and the stream
-// must not go on.
+// may be old: by what the hosts that were asked have seen, and by the store's note of the service's
+// versions (Ledger). Lists alone don't say so, since each may be behind. Otherwise the version is unknown,
+// and the stream must not go on.
 package origin
--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -64,7 +64,6 @@
 	up       bool
 	run      int
 	listed   []string
-	provenAt time.Time
 	table    *Table
 	registry *Registry
 	stop     context.CancelFunc
@@ -98,6 +97,10 @@
 
 func (f *testFleet) anyHost(who ...any) *testHost { return f.hosts[f.intN(len(f.hosts), who...)] }
 
+func (f *testFleet) host(addr string) *testHost {
+	return f.hosts[slices.IndexFunc(f.hosts, func(h *testHost) bool { return h.addr == addr })]
+}
+
 // replicas are the hosts of the highest scores.
 func (f *testFleet) replicas(id string) []string {
 	var out []string
@@ -146,7 +149,7 @@
 		panic(err)
 	}
 	registry, err := New(Options{
-		Self: h.addr, Table: table, History: history, Peers: testPeers{h}, Replicas: h.f.replicas, ListFresh: h.listFresh, Ledger: ledger,
+		Self: h.addr, Table: table, History: history, Peers: testPeers{h}, Replicas: h.f.replicas, Ledger: ledger,
 		Observer: noObserver{}, Clock: clock, Log: log,
 	})
 	if err != nil {
@@ -154,7 +157,7 @@
 	}
 	h.mu.Lock()
 	h.run++
-	h.up, h.listed, h.provenAt, h.table, h.registry, h.stop, h.stopFollowing = true, nil, time.Time{}, table, registry, stop, stopFollowing
+	h.up, h.listed, h.table, h.registry, h.stop, h.stopFollowing = true, nil, table, registry, stop, stopFollowing
 	h.mu.Unlock()
 	go ledger.Run(ctx)
 	go h.follow(followCtx, registry)
@@ -165,11 +168,11 @@
 	for ctx.Err() == nil {
 		if h.reachesStore() {
 			h.f.mu.Lock()
-			listed, at := slices.Clone(h.f.listed), time.Now()
+			listed := slices.Clone(h.f.listed)
 			h.f.mu.Unlock()
 			time.Sleep(h.f.duration(maxLag/2, h.addr, "answer"))
 			h.mu.Lock()
-			h.listed, h.provenAt = listed, at
+			h.listed = listed
 			h.mu.Unlock()
 			if ctx.Err() == nil {
 				r.Update(Listing{service: listed})
@@ -188,12 +191,6 @@
 	return !down && !h.storeCut && h.up
 }
 
-func (h *testHost) listFresh() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return time.Since(h.provenAt) <= 2*maxLag
-}
-
 func (h *testHost) isUp() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -375,8 +372,7 @@
 
 func (p testPeers) call(ctx context.Context, addr string, handle func(h *testHost)) error {
 	f := p.from.f
-	i := slices.IndexFunc(f.hosts, func(h *testHost) bool { return h.addr == addr })
-	target := f.hosts[i]
+	target := f.host(addr)
 	time.Sleep(f.duration(maxDelay, p.from.addr, addr, "there"))
 	p.from.mu.Lock()
 	side, up := p.from.side, p.from.up
--- a/coordination/origin/lookup.go
+++ b/coordination/origin/lookup.go
@@ -29,13 +29,13 @@
 	if rec, found := l.ask(ctx, replicas); found {
 		return rec.Version, SourceReplica
 	}
-	// Without a record, a stream of another version can be ruled out only if a majority of the replicas or an
-	// up-to-date list says so.
-	if l.answered <= len(replicas)/2 && !l.r.o.ListFresh() {
+	if len(l.versions) > 1 {
 		return "", SourceNone
 	}
-	if len(l.versions) == 1 && l.age < l.q.MaxAge && l.q.MaxAge <= Retention { // the ledger doesn't know older streams
-		l.addLedger(ctx)
+	// Lists and replicas may not know yet a version that has just come. The store does; without it, a majority of the replicas
+	// would have the record.
+	if noted := l.addLedger(ctx); !noted && l.answered <= len(replicas)/2 {
+		return "", SourceNone
 	}
 	if len(l.versions) != 1 || l.age < l.q.MaxAge {
 		return "", SourceNone
@@ -57,17 +57,21 @@
 	}
 }
 
-// addLedger notes the versions that the store has of the service; hosts that were there then may be gone.
-func (l *lookup) addLedger(ctx context.Context) {
+// addLedger notes the versions that the store has of the service, and reports whether it has a note. A note tells of streams of
+// Retention, so that the hosts that were there then may be gone.
+func (l *lookup) addLedger(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	versions, err := l.r.o.Ledger.Read(ctx, l.q.Service)
 	if err != nil {
 		l.r.o.Log.Info("versions of a service not read from the store", "service", l.q.Service, "cause", err.Error())
-		return
+		return false
+	}
+	if l.q.MaxAge <= Retention {
+		l.age = l.q.MaxAge
 	}
-	l.age = l.q.MaxAge
 	l.addVersions(versions)
+	return true
 }
 
 // ask asks the replicas, until a majority has answered, or all have. Records of several attempts may be found; the latest
--- a/coordination/origin/origin_test.go
+++ b/coordination/origin/origin_test.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -59,6 +60,41 @@
 	}
 }
 
+// Guards against a host whose list doesn't have a version yet and that takes it for proof of the older one, although the
+// stream's record is at its replicas: a partition keeps the host from them.
+func TestListThatIsBehindDoesNotProveAVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(8, 7, "v1")
+		defer f.stop()
+		replicas := f.replicas("s")
+		var behind, ahead *testHost
+		for _, h := range f.hosts {
+			switch {
+			case slices.Contains(replicas, h.addr):
+			case behind == nil:
+				behind = h
+				h.stopFollowing()
+			default:
+				ahead = h
+			}
+		}
+		f.setListed("v1", "v2")
+		time.Sleep(maxLag)
+		ahead.registry.Begin(Record{ID: "s", Service: service, Version: "v2", Attempt: 1}).Wait(t.Context())
+		for _, h := range f.hosts {
+			h.mu.Lock()
+			if slices.Contains(replicas, h.addr) {
+				h.side = 1
+			}
+			h.mu.Unlock()
+		}
+		_, err := behind.registry.Version(t.Context(), Query{ID: "s", Service: service, MaxAge: maxAge})
+		var unknown *UnknownError
+		is.True(errors.As(err, &unknown))
+	})
+}
+
 // Guards against streams that are refused although their version can be known: with two versions side by side and one host
 // in three replicas lost, all go on.
 func TestStreamsGoOnWhileVersionsServeSideBySide(t *testing.T) {
@@ -119,7 +155,7 @@
 		f := newTestFleet(3, 7, "v1")
 		for _, id := range []string{"nobody's", "host-1's"} {
 			replicas := f.replicas(id)
-			lost := f.hosts[slices.IndexFunc(f.hosts, func(h *testHost) bool { return h.addr == replicas[0] })]
+			lost := f.host(replicas[0])
 			other := f.hosts[slices.IndexFunc(f.hosts, func(h *testHost) bool { return !slices.Contains(replicas, h.addr) })]
 			if id == "host-1's" {
 				for _, addr := range replicas {
--- a/coordination/origin/registry.go
+++ b/coordination/origin/registry.go
@@ -79,9 +79,7 @@
 	Peers   Peers
 	// Replicas returns the peer addresses of the replicas of a stream, alike at all hosts with the same list.
 	Replicas func(id string) []string
-	// ListFresh reports whether this host's list of runners is up to date.
-	ListFresh func() bool
-	// Ledger is read if neither this host nor the replicas have been there for long enough.
+	// Ledger is read if nobody has a record of a stream.
 	Ledger   *Ledger
 	Observer Observer
 	Clock    state.Clock
@@ -93,7 +91,7 @@
 
 // New returns an error if an option is missing.
 func New(o Options) (*Registry, error) {
-	if o.Self == "" || o.Table == nil || o.History == nil || o.Peers == nil || o.Replicas == nil || o.ListFresh == nil || o.Ledger == nil || o.Observer == nil || o.Clock == nil || o.Log == nil {
+	if o.Self == "" || o.Table == nil || o.History == nil || o.Peers == nil || o.Replicas == nil || o.Ledger == nil || o.Observer == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("origin: a field of Options is missing; set all of them")
 	}
 	return &Registry{o}, nil
--- a/daemon/routed/peers.go
+++ b/daemon/routed/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
 
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/fanout"
@@ -124,9 +123,8 @@
 	}
 	h.origins, err = origin.New(origin.Options{
 		Self: h.members.addr(h.settings.IP), Table: table, History: history, Peers: origins.Peers{Client: h.peers},
-		Replicas:  func(id string) []string { return h.gate.Replicas(id, origin.ReplicaCount) },
-		ListFresh: func() bool { return h.clock.Now().Sub(h.instanceMirror.ProvenAt()) <= h.freshList() },
-		Ledger:    h.versions, Observer: h.metrics, Clock: h.clock, Log: h.log,
+		Replicas: func(id string) []string { return h.gate.Replicas(id, origin.ReplicaCount) },
+		Ledger:   h.versions, Observer: h.metrics, Clock: h.clock, Log: h.log,
 	})
 	if err != nil {
 		return err
@@ -136,13 +134,6 @@
 	return nil
 }
 
-// freshList is the age up to which a copy of the list of runners counts as up to date: that of one that is watched without
-// a fault, just before the answer to a watch that brings nothing new.
-func (h *Host) freshList() time.Duration {
-	d := h.delays()
-	return d.WatchWait + d.AnswerTimeout + d.Coalesce
-}
-
 // buildOutliers creates the detector of silent runners, whose verdicts are broadcast to all hosts.
 func (h *Host) buildOutliers() error {
 	ctx, cancel := context.WithCancel(context.Background())
