origin: reads of a note at the same time share a call

Change: reads of a service's note that overlap share one call (golang.org/x/sync/singleflight).

Test: TestReadsOfANoteAtTheSameTimeShareACall; it fails with the sharing taken out.

--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,7 +23,9 @@
 	maxLag = time.Second
 	// maxDelay bounds the one-way delay between two hosts.
 	maxDelay = 3 * time.Millisecond
-	service  = "llm"
+	// storeDelay is the time of a read at the store.
+	storeDelay = 4 * time.Millisecond
+	service    = "llm"
 )
 
 // testFleet is a number of hosts that begin streams at runners of several versions and take up each other's.
@@ -45,6 +48,8 @@
 	unnamed bool
 	// storeDown cuts all hosts off from the store.
 	storeDown bool
+	// reads counts the reads at the store.
+	reads atomic.Int64
 }
 
 type testStream struct {
@@ -342,6 +347,8 @@
 	if !s.h.reachesStore() {
 		return store.Object{}, &store.UnavailableError{Cause: errLost}
 	}
+	s.h.f.reads.Add(1)
+	time.Sleep(storeDelay)
 	s.h.f.mu.Lock()
 	defer s.h.f.mu.Unlock()
 	o, found := s.h.f.notes[name]
--- a/coordination/origin/ledger.go
+++ b/coordination/origin/ledger.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/state"
 )
@@ -51,6 +53,8 @@
 type Ledger struct {
 	o    LedgerOptions
 	wake chan struct{}
+	// reads are the reads of notes under way, by service.
+	reads singleflight.Group
 	// compared is what each service's note was last compared with since the time comparedSince. Only Run uses them.
 	compared      map[string]comparison
 	comparedSince time.Time
@@ -174,11 +178,23 @@
 	return n.Versions, err
 }
 
-// Read returns the versions that are noted for a service, or store.ErrNotFound if nobody has noted them yet.
+// Read returns the versions that are noted for a service, or store.ErrNotFound if nobody has noted them yet. Reads of
+// a service at the same time share one call: callers take their streams up all at once when hosts were killed.
 func (l *Ledger) Read(ctx context.Context, service string) ([]string, error) {
-	object, err := l.o.Store.Get(ctx, Kind, service)
-	if err != nil {
-		return nil, err
+	shared := l.reads.DoChan(service, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
+		defer cancel()
+		object, err := l.o.Store.Get(ctx, Kind, service)
+		if err != nil {
+			return nil, err
+		}
+		return decodeNote(object.Value)
+	})
+	select {
+	case r := <-shared:
+		versions, _ := r.Val.([]string)
+		return versions, r.Err
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	return decodeNote(object.Value)
 }
--- a/coordination/origin/ledger_test.go
+++ b/coordination/origin/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,3 +65,25 @@
 		is.Equal(noted, []string{"v1"})
 	})
 }
+
+// Guards against streams that are refused because all read the store at once: many callers take theirs up when hosts were killed.
+func TestReadsOfANoteAtTheSameTimeShareACall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(9, 2, "v1")
+		defer f.stop()
+		f.restartAll()
+		time.Sleep(2 * maxLag)
+		before := f.reads.Load()
+		var group sync.WaitGroup
+		for range 100 {
+			group.Go(func() {
+				version, err := f.hosts[0].registry.Version(t.Context(), Query{Service: service, MaxAge: maxAge})
+				is.NoErr(err)
+				is.Equal(version, "v1")
+			})
+		}
+		group.Wait()
+		is.True(f.reads.Load()-before < 10)
+	})
+}
--- a/coordination/origin/lookup.go
+++ b/coordination/origin/lookup.go
@@ -60,8 +60,6 @@
 // addLedger notes the versions that the store has of the service, and reports whether it has a note. A note tells of streams of
 // Retention, so that the hosts that were there then may be gone.
 func (l *lookup) addLedger(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
 	versions, err := l.r.o.Ledger.Read(ctx, l.q.Service)
 	if err != nil {
 		l.r.o.Log.Info("versions of a service not read from the store", "service", l.q.Service, "cause", err.Error())
