origin: without the store, all replicas must say that a stream has no record

What callers would see: a stream goes on at another version at a host that a partition keeps from the one that began it, while it is cut off from the store.

Cause: a host that reaches no majority of a stream's replicas begins it all the same. The majority, cut off from the store too, has neither the record nor the version, and its word was enough.

Change: while the store can't be read, each replica must answer that it has no record. Streams of a service with one version are refused if the store is away and a replica is lost, until the lost host isn't a replica any more; with the store nothing changes.

Test: TestRecordThatReachedNoMajorityIsMissed failed before.

--- a/coordination/origin/lookup.go
+++ b/coordination/origin/lookup.go
@@ -12,10 +12,24 @@
 	r *Registry
 	q Query
 	// versions are those that were seen, age is the longest time for which somebody has looked, and answered
-	// the number of replicas that told.
+	// the number of replicas that told and have no record.
 	versions []string
 	age      time.Duration
 	answered int
+
+	// answers are those of the replicas, of which some are outstanding.
+	answers     chan answer
+	outstanding int
+	// latest is the record of the latest attempt that was found, if one was, among the answers of told replicas.
+	latest Record
+	found  bool
+	told   int
+}
+
+// answer is a replica's.
+type answer struct {
+	Finding
+	err error
 }
 
 // run returns the version and what it is known by.
@@ -26,21 +40,27 @@
 	}
 	l.add(own)
 	replicas := l.r.o.Replicas(cmp.Or(l.q.ID, l.q.Service)) // some hosts that tell what they have seen, if no stream is named
-	if rec, found := l.ask(ctx, replicas); found {
-		return rec.Version, SourceReplica
-	}
-	if len(l.versions) > 1 {
-		return "", SourceNone
-	}
-	// Lists and replicas may not know yet a version that has just come. The store does; without it, a majority of the replicas
-	// would have the record.
-	if noted := l.addLedger(ctx); !noted && l.answered <= len(replicas)/2 {
-		return "", SourceNone
+	ctx, cancel := context.WithTimeout(ctx, 2*askTimeout)
+	defer cancel()
+	l.ask(ctx, replicas)
+	majority := len(replicas)/2 + 1
+	l.collect(majority, majority)
+	// Lists and replicas may not know yet a version that has just come; the store does. Without the store all replicas must have
+	// answered: a host that reaches no majority of them begins a stream all the same.
+	if !l.found && len(l.versions) <= 1 && !l.addLedger(ctx) {
+		l.collect(majority, len(replicas))
+		if !l.found && l.answered < len(replicas) {
+			return "", SourceNone
+		}
 	}
-	if len(l.versions) != 1 || l.age < l.q.MaxAge {
+	switch {
+	case l.found:
+		return l.latest.Version, SourceReplica
+	case len(l.versions) == 1 && l.age >= l.q.MaxAge:
+		return l.versions[0], SourceSingle
+	default:
 		return "", SourceNone
 	}
-	return l.versions[0], SourceSingle
 }
 
 // add notes what a host has seen.
@@ -72,44 +92,39 @@
 	return true
 }
 
-// ask asks the replicas, until a majority has answered, or all have. Records of several attempts may be found; the latest
-// one is at each majority.
-func (l *lookup) ask(ctx context.Context, replicas []string) (Record, bool) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	type answer struct {
-		Finding
-		err error
-	}
-	answers := make(chan answer, len(replicas))
+// ask asks the replicas.
+func (l *lookup) ask(ctx context.Context, replicas []string) {
+	l.answers, l.outstanding = make(chan answer, len(replicas)), len(replicas)
 	for _, addr := range replicas {
 		if addr == l.r.o.Self {
-			answers <- answer{Finding: l.r.Find(l.q)}
+			l.answers <- answer{Finding: l.r.Find(l.q)}
 			continue
 		}
 		go func() {
+			ctx, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
 			f, err := l.r.o.Peers.Find(ctx, addr, l.q)
-			answers <- answer{f, err}
+			l.answers <- answer{f, err}
 		}()
 	}
-	var latest Record
-	found, told, majority := false, 0, len(replicas)/2+1
-	for range replicas {
-		a := <-answers
+}
+
+// collect reads answers until the given numbers of replicas have told of a record, or that they have none. Records of several
+// attempts may be found; the latest one is at each majority.
+func (l *lookup) collect(withRecord, withoutRecord int) {
+	for l.outstanding > 0 && !(l.found && l.told >= withRecord) && l.answered < withoutRecord {
+		a := <-l.answers
+		l.outstanding--
 		if a.err != nil {
 			continue
 		}
-		told++
+		l.told++
 		l.add(a.Finding)
-		if a.Found && (!found || a.Record.Attempt > latest.Attempt) {
-			latest, found = a.Record, true
+		if a.Found && (!l.found || a.Record.Attempt > l.latest.Attempt) {
+			l.latest, l.found = a.Record, true
 		}
-		if a.Age >= l.q.MaxAge {
+		if !a.Found && a.Age >= l.q.MaxAge {
 			l.answered++ // one that started later may have lost the record
 		}
-		if found && told >= majority || l.answered >= majority {
-			break
-		}
 	}
-	return latest, found
 }
--- a/coordination/origin/origin_test.go
+++ b/coordination/origin/origin_test.go
@@ -95,6 +95,31 @@
 	})
 }
 
+// Guards against a stream that began at a host which reached one of its replicas only, and that the others, cut off from the
+// store as well, take for one of the version they know.
+func TestRecordThatReachedNoMajorityIsMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(10, 7, "v1")
+		defer f.stop()
+		replicas := f.replicas("s")
+		for _, h := range f.hosts {
+			h.mu.Lock()
+			if h.addr != replicas[0] {
+				h.side, h.storeCut = 1, true
+			}
+			h.mu.Unlock()
+		}
+		time.Sleep(maxLag)
+		f.setListed("v1", "v2")
+		time.Sleep(2 * maxLag)
+		f.host(replicas[0]).registry.Begin(Record{ID: "s", Service: service, Version: "v2", Attempt: 1}).Wait(t.Context())
+		_, err := f.host(replicas[1]).registry.Version(t.Context(), Query{ID: "s", Service: service, MaxAge: maxAge})
+		var unknown *UnknownError
+		is.True(errors.As(err, &unknown))
+	})
+}
+
 // Guards against streams that are refused although their version can be known: with two versions side by side and one host
 // in three replicas lost, all go on.
 func TestStreamsGoOnWhileVersionsServeSideBySide(t *testing.T) {
