origin: a writer that is behind doesn't take a new version out of a note

What callers would see: a stream goes on at another version at a host that has to rely on the note of the service's versions.

Cause: a host that had followed the list for a minute replaced a note by the versions that its own list had in that minute. If the list was behind, a version that had just come, and that another writer had noted, was taken out. Seldom before, as a host compared a note only when its own versions changed; once a minute at each writer since notes are compared again in time.

Change: versions that others have added to a note become a part of the writer's history, as gone since then, before it is written; so a writer takes out what it hasn't seen for a minute. Only hosts whose list is up to date write. The difference between hosts that started lately and others goes: the same rule keeps what the former don't know.

Test: TestWriterThatIsBehindKeepsANewVersion failed before.

--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -69,6 +69,8 @@
 	up       bool
 	run      int
 	listed   []string
+	// provenAt is when the list was the store's.
+	provenAt time.Time
 	table    *Table
 	registry *Registry
 	stop     context.CancelFunc
@@ -149,7 +151,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	followCtx, stopFollowing := context.WithCancel(ctx)
 	history, table := NewHistory(clock), NewTable(clock)
-	ledger, err := NewLedger(LedgerOptions{Store: testStore{h: h}, History: history, Writes: func() bool { return slices.Contains(h.f.writers(), h) }, Clock: clock, Log: log})
+	ledger, err := NewLedger(LedgerOptions{Store: testStore{h: h}, History: history, Writes: func() bool { return slices.Contains(h.f.writers(), h) && h.listFresh() }, Clock: clock, Log: log})
 	if err != nil {
 		panic(err)
 	}
@@ -162,7 +164,7 @@
 	}
 	h.mu.Lock()
 	h.run++
-	h.up, h.listed, h.table, h.registry, h.stop, h.stopFollowing = true, nil, table, registry, stop, stopFollowing
+	h.up, h.listed, h.provenAt, h.table, h.registry, h.stop, h.stopFollowing = true, nil, time.Time{}, table, registry, stop, stopFollowing
 	h.mu.Unlock()
 	go ledger.Run(ctx)
 	go h.follow(followCtx, registry)
@@ -173,13 +175,14 @@
 	for ctx.Err() == nil {
 		if h.reachesStore() {
 			h.f.mu.Lock()
-			listed := slices.Clone(h.f.listed)
+			listed, at := slices.Clone(h.f.listed), time.Now()
 			h.f.mu.Unlock()
 			time.Sleep(h.f.duration(maxLag/2, h.addr, "answer"))
 			h.mu.Lock()
-			h.listed = listed
+			changed := !slices.Equal(h.listed, listed)
+			h.listed, h.provenAt = listed, at
 			h.mu.Unlock()
-			if ctx.Err() == nil {
+			if changed && ctx.Err() == nil {
 				r.Update(Listing{service: listed})
 			}
 		}
@@ -196,6 +199,12 @@
 	return !down && !h.storeCut && h.up
 }
 
+func (h *testHost) listFresh() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.provenAt) <= 2*maxLag
+}
+
 func (h *testHost) isUp() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/coordination/origin/history.go
+++ b/coordination/origin/history.go
@@ -68,6 +68,18 @@
 	return grown
 }
 
+// Add adds versions that other hosts have seen. One that isn't listed here counts as gone since now.
+func (h *History) Add(service string, versions []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	for _, v := range versions {
+		if !slices.Contains(h.listed[service], v) {
+			h.goneOf(service)[v] = now
+		}
+	}
+}
+
 // goneOf returns the versions of a service that are gone; h.mu is held.
 func (h *History) goneOf(service string) map[string]time.Time {
 	if h.gone[service] == nil {
--- a/coordination/origin/ledger.go
+++ b/coordination/origin/ledger.go
@@ -21,8 +21,8 @@
 // taken out within that time after Retention.
 const ledgerInterval = 10 * time.Second
 
-// ledgerRetryInterval is how soon a note is tried again whose write failed. Until it is written, a restart of all hosts
-// loses its versions.
+// ledgerRetryInterval is how soon a note is tried again whose write failed, and how often a host that doesn't write looks
+// whether it has to. Until a note is written, a restart of all hosts loses its versions.
 const ledgerRetryInterval = time.Second
 
 // ledgerConflictLimit is how often a note is compared again at once because another host has written it.
@@ -41,7 +41,8 @@
 type LedgerOptions struct {
 	Store   store.Store
 	History *History
-	// Writes reports whether this host is one of those that write.
+	// Writes reports whether this host is one of those that write. One whose list may have been behind for a part of Retention
+	// must not, since it takes versions out of notes that others have added.
 	Writes func() bool
 	Clock  state.Clock
 	Log    *slog.Logger
@@ -55,20 +56,15 @@
 	wake chan struct{}
 	// reads are the reads of notes under way, by service.
 	reads singleflight.Group
-	// compared is what each service's note was last compared with since the time comparedSince. Only Run uses them.
-	compared      map[string]comparison
-	comparedSince time.Time
+	// compared are the last comparisons by service. Only Run uses them.
+	compared map[string]comparison
 }
 
-// comparison is what a note was compared with.
+// comparison is one of a service's note with the history.
 type comparison struct {
-	versions []string
-	// replaced is set if the note was set to the versions, not only joined with them.
-	replaced bool
-}
-
-func (c comparison) equal(d comparison) bool {
-	return c.replaced == d.replaced && slices.Equal(c.versions, d.versions)
+	// noted are the versions that the note had afterwards.
+	noted []string
+	at    time.Time
 }
 
 // NewLedger returns an error if an option is missing.
@@ -90,9 +86,9 @@
 // Run writes the ledger while this host is one of those that do, until ctx ends.
 func (l *Ledger) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		interval := ledgerInterval
-		if l.o.Writes() && !l.update(ctx) {
-			interval = ledgerRetryInterval
+		interval := ledgerRetryInterval
+		if l.o.Writes() && l.update(ctx) {
+			interval = ledgerInterval
 		}
 		wait, cancel := context.WithCancel(ctx)
 		go func() {
@@ -110,62 +106,58 @@
 // update writes the notes that differ from the history. It reports whether all of them are written.
 func (l *Ledger) update(ctx context.Context) bool {
 	complete := true
-	if now := l.o.Clock.Now(); now.Sub(l.comparedSince) >= Retention {
-		clear(l.compared) // a store that was restored from an older copy may have lost a note
-		l.comparedSince = now
-	}
-	replace := l.o.History.Age() >= Retention
 	for _, service := range l.o.History.Services() {
-		c := comparison{versions: l.o.History.Versions(service, Retention), replaced: replace}
-		if last, compared := l.compared[service]; compared && last.equal(c) {
+		versions := l.o.History.Versions(service, Retention)
+		last, compared := l.compared[service]
+		// A note is compared again in time: a store that was restored from an older copy may have lost it.
+		if compared && slices.Equal(last.noted, versions) && l.o.Clock.Now().Sub(last.at) < Retention {
 			continue
 		}
-		if err := l.write(ctx, service, c); err != nil {
-			l.o.Log.Warn("versions of a service not written to the store; tried again", "service", service, "versions", c.versions, "after", ledgerRetryInterval, "cause", err.Error())
+		if err := l.write(ctx, service, last.noted); err != nil {
+			l.o.Log.Warn("versions of a service not written to the store; tried again", "service", service, "versions", versions, "after", ledgerRetryInterval, "cause", err.Error())
 			complete = false
-			continue
 		}
-		l.compared[service] = c
 	}
 	return complete
 }
 
-// write brings the note of a service up to date, also if another host writes it at the same time.
-func (l *Ledger) write(ctx context.Context, service string, c comparison) error {
+// write brings the note of a service up to date, also if another host writes it at the same time. It had the versions last when
+// this host compared it before.
+func (l *Ledger) write(ctx context.Context, service string, last []string) error {
 	for conflicts := 0; ; conflicts++ {
-		err := l.tryWrite(ctx, service, c)
+		noted, err := l.tryWrite(ctx, service, last)
+		if err == nil {
+			l.compared[service] = comparison{noted, l.o.Clock.Now()}
+		}
 		if !store.IsConflict(err) || conflicts == ledgerConflictLimit {
 			return err
 		}
 	}
 }
 
-// tryWrite replaces the note of a service, or adds the versions to it: a host that has followed the list for less than Retention
-// doesn't know all that belong there.
-func (l *Ledger) tryWrite(ctx context.Context, service string, c comparison) error {
+// tryWrite sets the note of a service to the history, and returns its versions. What other hosts have added to it becomes a part of the
+// history first: this host may have started later, or its list may be behind.
+func (l *Ledger) tryWrite(ctx context.Context, service string, last []string) ([]string, error) {
 	object, err := l.o.Store.Get(ctx, Kind, service)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return err
+		return nil, err
 	}
 	noted, _ := decodeNote(object.Value)
-	versions := c.versions
-	if !c.replaced {
-		versions = slices.Concat(versions, noted)
-		slices.Sort(versions)
-		versions = slices.Compact(versions)
-	}
+	added := slices.DeleteFunc(slices.Clone(noted), func(v string) bool { return slices.Contains(last, v) })
+	l.o.History.Add(service, added)
+	versions := l.o.History.Versions(service, Retention)
 	if err == nil && slices.Equal(noted, versions) {
-		return nil
+		return versions, nil
 	}
 	value, err := json.Marshal(note{versions})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if _, err := l.o.Store.Put(ctx, Kind, service, object.Version, value); err != nil {
-		return err
+		return nil, err
 	}
 	l.o.Log.Info("versions of a service written to the store", "service", service, "versions", versions)
-	return nil
+	return versions, nil
 }
 
 // decodeNote returns the versions in a note; an object of another writer has none.
--- a/coordination/origin/ledger_test.go
+++ b/coordination/origin/ledger_test.go
@@ -37,12 +37,16 @@
 		f := newTestFleet(6, 1, "v1")
 		defer f.stop()
 		h := f.hosts[0]
-		h.stopFollowing()
 		f.setStoreDown(true)
+		time.Sleep(maxLag) // the last answer is read
+		f.setListed("v1", "v2")
+		h.mu.Lock()
+		h.listed = []string{"v1", "v2"}
+		h.mu.Unlock()
 		h.registry.Update(Listing{service: {"v1", "v2"}})
-		time.Sleep(ledgerInterval/2 + 300*time.Millisecond)
+		time.Sleep(ledgerInterval / 2)
 		f.setStoreDown(false)
-		time.Sleep(time.Second)
+		time.Sleep(maxLag + time.Second)
 		noted, err := h.registry.o.Ledger.Read(t.Context(), service)
 		is.NoErr(err)
 		is.Equal(noted, []string{"v1", "v2"})
@@ -87,3 +91,27 @@
 		is.True(f.reads.Load()-before < 10)
 	})
 }
+
+// Guards against a writer whose list is behind and that takes a version which has just come out of a note.
+func TestWriterThatIsBehindKeepsANewVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(11, 2, "v1")
+		defer f.stop()
+		time.Sleep(Retention)
+		f.hosts[1].stopFollowing()
+		f.setListed("v1", "v2")
+		for end := time.Now().Add(Retention + 2*ledgerInterval); time.Now().Before(end); time.Sleep(maxLag) {
+			noted, err := f.hosts[0].registry.o.Ledger.Read(t.Context(), service)
+			is.NoErr(err)
+			if time.Until(end) < Retention+2*ledgerInterval-maxLag {
+				is.Equal(noted, []string{"v1", "v2"})
+			}
+		}
+		f.setListed("v2")
+		time.Sleep(3 * Retention)
+		noted, err := f.hosts[0].registry.o.Ledger.Read(t.Context(), service)
+		is.NoErr(err)
+		is.Equal(noted, []string{"v2"}) // not kept for ever
+	})
+}
--- a/daemon/routed/peers.go
+++ b/daemon/routed/peers.go
@@ -116,7 +116,7 @@
 	history, table := origin.NewHistory(h.clock), origin.NewTable(h.clock)
 	var err error
 	h.versions, err = origin.NewLedger(origin.LedgerOptions{
-		Store: h.store, History: history, Writes: func() bool { return h.gate.IsAmongFirst(origin.LedgerWriters) }, Clock: h.clock, Log: h.log,
+		Store: h.store, History: history, Writes: h.writesVersions, Clock: h.clock, Log: h.log,
 	})
 	if err != nil {
 		return err
@@ -134,6 +134,14 @@
 	return nil
 }
 
+// writesVersions reports whether this host writes the services' versions to the store: it is one of a few, and its list of
+// runners is as new as a copy that is watched without a fault can be, just before the answer to a watch that brings nothing new.
+func (h *Host) writesVersions() bool {
+	d := h.delays()
+	listAge := h.clock.Now().Sub(h.instanceMirror.ProvenAt())
+	return listAge <= d.WatchWait+d.AnswerTimeout+d.Coalesce && h.gate.IsAmongFirst(origin.LedgerWriters)
+}
+
 // buildOutliers creates the detector of silent runners, whose verdicts are broadcast to all hosts.
 func (h *Host) buildOutliers() error {
 	ctx, cancel := context.WithCancel(context.Background())
