--- a/coordination/origin/ledger.go
+++ b/coordination/origin/ledger.go
@@ -21,11 +21,11 @@
 // taken out within that time after Retention.
 const ledgerInterval = 10 * time.Second
 
-// ledgerRetryInterval is how soon a note is tried again whose write failed, and how often a host that doesn't write looks
-// whether it has to. Until a note is written, a restart of all hosts loses its versions.
+// ledgerRetryInterval is how soon a failed write is tried again, and how often a host that doesn't write checks whether it must.
+// Until a note is written, a restart of all hosts loses its versions.
 const ledgerRetryInterval = time.Second
 
-// ledgerConflictLimit is how often a note is compared again at once because another host has written it.
+// ledgerConflictLimit is how often a write that lost against another host's is repeated at once.
 const ledgerConflictLimit = 3
 
 // LedgerWriters is how many hosts write the ledger, so that it is written while some of them don't reach the store. The
@@ -41,8 +41,8 @@
 type LedgerOptions struct {
 	Store   store.Store
 	History *History
-	// Writes reports whether this host is one of those that write. One whose list may have been behind for a part of Retention
-	// must not, since it takes versions out of notes that others have added.
+	// Writes reports whether this host is one of those that write. A host whose list of runners isn't up to date must not: it would
+	// take versions that others have added out of notes.
 	Writes func() bool
 	Clock  state.Clock
 	Log    *slog.Logger
@@ -60,7 +60,7 @@
 	compared map[string]comparison
 }
 
-// comparison is one of a service's note with the history.
+// comparison is the result of comparing a service's note with the history.
 type comparison struct {
 	// noted are the versions that the note had afterwards.
 	noted []string
@@ -121,8 +121,8 @@
 	return complete
 }
 
-// write brings the note of a service up to date, also if another host writes it at the same time. It had the versions last when
-// this host compared it before.
+// write brings the note of a service up to date, also if another host writes it at the same time. last are the versions that it had
+// when this host last compared it.
 func (l *Ledger) write(ctx context.Context, service string, last []string) error {
 	for conflicts := 0; ; conflicts++ {
 		noted, err := l.tryWrite(ctx, service, last)
--- a/coordination/origin/lookup.go
+++ b/coordination/origin/lookup.go
@@ -11,19 +11,19 @@
 type lookup struct {
 	r *Registry
 	q Query
-	// versions are those that were seen, age is the longest time for which somebody has looked, and answered
-	// the number of replicas that told and have no record.
+	// versions are those that were seen, and age is the longest time for which somebody has looked.
 	versions []string
 	age      time.Duration
-	answered int
 
-	// answers are those of the replicas, of which some are outstanding.
+	// answers receives one answer of each replica, of which some are outstanding.
 	answers     chan answer
 	outstanding int
-	// latest is the record of the latest attempt that was found, if one was, among the answers of told replicas.
+	// answered is the number of replicas that answered, and lacking that of those among them that have no record and would
+	// have it.
+	answered, lacking int
+	// latest is the record of the latest attempt, if one was found.
 	latest Record
 	found  bool
-	told   int
 }
 
 // answer is a replica's.
@@ -45,11 +45,11 @@
 	l.ask(ctx, replicas)
 	majority := len(replicas)/2 + 1
 	l.collect(majority, majority)
-	// Lists and replicas may not know yet a version that has just come; the store does. Without the store all replicas must have
-	// answered: a host that reaches no majority of them begins a stream all the same.
+	// Lists and replicas may not know yet a version that has just come; the store does. Without the store all replicas must lack
+	// the record: a host that reaches no majority of them begins a stream all the same.
 	if !l.found && len(l.versions) <= 1 && !l.addLedger(ctx) {
 		l.collect(majority, len(replicas))
-		if !l.found && l.answered < len(replicas) {
+		if !l.found && l.lacking < len(replicas) {
 			return "", SourceNone
 		}
 	}
@@ -78,7 +78,7 @@
 }
 
 // addLedger notes the versions that the store has of the service, and reports whether it has a note. A note tells of streams of
-// Retention, so that the hosts that were there then may be gone.
+// Retention, also if the hosts that were there then are gone.
 func (l *lookup) addLedger(ctx context.Context) bool {
 	versions, err := l.r.o.Ledger.Read(ctx, l.q.Service)
 	if err != nil {
@@ -109,22 +109,22 @@
 	}
 }
 
-// collect reads answers until the given numbers of replicas have told of a record, or that they have none. Records of several
-// attempts may be found; the latest one is at each majority.
-func (l *lookup) collect(withRecord, withoutRecord int) {
-	for l.outstanding > 0 && !(l.found && l.told >= withRecord) && l.answered < withoutRecord {
+// collect reads answers until toFind replicas have answered and one of them has a record, or toLack replicas lack one, or all have
+// answered. Records of several attempts may be found; the latest one is at each majority.
+func (l *lookup) collect(toFind, toLack int) {
+	for l.outstanding > 0 && !(l.found && l.answered >= toFind) && l.lacking < toLack {
 		a := <-l.answers
 		l.outstanding--
 		if a.err != nil {
 			continue
 		}
-		l.told++
+		l.answered++
 		l.add(a.Finding)
 		if a.Found && (!l.found || a.Record.Attempt > l.latest.Attempt) {
 			l.latest, l.found = a.Record, true
 		}
 		if !a.Found && a.Age >= l.q.MaxAge {
-			l.answered++ // one that started later may have lost the record
+			l.lacking++ // one that started later may have lost the record
 		}
 	}
 }
