--- a/coordination/origin/ledger_test.go
+++ b/coordination/origin/ledger_test.go
@@ -10,6 +10,26 @@
 	"github.com/matryer/is"
 )
 
+// Guards against a service without a note that counts as one of a single version, at hosts that have just started.
+func TestMissingNoteIsNoProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(12, 2, "v1")
+		defer f.stop()
+		f.restartAll()
+		time.Sleep(2 * maxLag)
+		for _, h := range f.hosts {
+			h.stop() // nobody writes the note again
+		}
+		f.mu.Lock()
+		clear(f.notes)
+		f.mu.Unlock()
+		_, err := f.hosts[0].registry.Version(t.Context(), Query{ID: "s", Service: service, MaxAge: maxAge})
+		var unknown *UnknownError
+		is.True(errors.As(err, &unknown))
+	})
+}
+
 // Guards against a stream older than the store's notes that counts as one of the only version: the note of its version has been
 // taken out.
 func TestNotesDoNotVouchForOlderStreams(t *testing.T) {
