origin: a version that was taken out of a note isn't put back

What callers would see: long after a version left, streams without a record are refused as of unknown version at hosts of a service that has one.

A writer takes a version out a minute after it saw it go. Another that saw it go up to a second later, and compares in that second, put it back; the first then took it for added by others and remembered it for a minute more, so that it could go to and fro. Found by reading.

Change: what others have taken out of a note since the last comparison isn't put back unless it is listed.

--- a/coordination/origin/ledger.go
+++ b/coordination/origin/ledger.go
@@ -62,9 +62,9 @@
 
 // comparison is the result of comparing a service's note with the history.
 type comparison struct {
-	// noted are the versions that the note had afterwards.
-	noted []string
-	at    time.Time
+	// history are the versions that the history had, and noted those that the note had afterwards.
+	history, noted []string
+	at             time.Time
 }
 
 // NewLedger returns an error if an option is missing.
@@ -110,7 +110,7 @@
 		versions := l.o.History.Versions(service, Retention)
 		last, compared := l.compared[service]
 		// A note is compared again in time: a store that was restored from an older copy may have lost it.
-		if compared && slices.Equal(last.noted, versions) && l.o.Clock.Now().Sub(last.at) < Retention {
+		if compared && slices.Equal(last.history, versions) && l.o.Clock.Now().Sub(last.at) < Retention {
 			continue
 		}
 		if err := l.write(ctx, service, last.noted); err != nil {
@@ -125,9 +125,9 @@
 // when this host last compared it.
 func (l *Ledger) write(ctx context.Context, service string, last []string) error {
 	for conflicts := 0; ; conflicts++ {
-		noted, err := l.tryWrite(ctx, service, last)
+		c, err := l.tryWrite(ctx, service, last)
 		if err == nil {
-			l.compared[service] = comparison{noted, l.o.Clock.Now()}
+			l.compared[service] = c
 		}
 		if !store.IsConflict(err) || conflicts == ledgerConflictLimit {
 			return err
@@ -135,29 +135,36 @@
 	}
 }
 
-// tryWrite sets the note of a service to the history, and returns its versions. What other hosts have added to it becomes a part of the
-// history first: this host may have started later, or its list may be behind.
-func (l *Ledger) tryWrite(ctx context.Context, service string, last []string) ([]string, error) {
+// tryWrite sets the note of a service to the history. What other hosts have added to it becomes a part of the history first: this host
+// may have started later, or its list may be behind. What they have taken out isn't put back unless it is listed, so that a version
+// that is gone leaves the note for good.
+func (l *Ledger) tryWrite(ctx context.Context, service string, last []string) (comparison, error) {
 	object, err := l.o.Store.Get(ctx, Kind, service)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return nil, err
+		return comparison{}, err
 	}
 	noted, _ := decodeNote(object.Value)
-	added := slices.DeleteFunc(slices.Clone(noted), func(v string) bool { return slices.Contains(last, v) })
-	l.o.History.Add(service, added)
-	versions := l.o.History.Versions(service, Retention)
-	if err == nil && slices.Equal(noted, versions) {
-		return versions, nil
+	l.o.History.Add(service, without(noted, last))
+	history, listed := l.o.History.Versions(service, Retention), l.o.History.Versions(service, 0)
+	takenOut := without(without(last, noted), listed)
+	c := comparison{history: history, noted: without(history, takenOut), at: l.o.Clock.Now()}
+	if err == nil && slices.Equal(noted, c.noted) {
+		return c, nil
 	}
-	value, err := json.Marshal(note{versions})
+	value, err := json.Marshal(note{c.noted})
 	if err != nil {
-		return nil, err
+		return comparison{}, err
 	}
 	if _, err := l.o.Store.Put(ctx, Kind, service, object.Version, value); err != nil {
-		return nil, err
+		return comparison{}, err
 	}
-	l.o.Log.Info("versions of a service written to the store", "service", service, "versions", versions)
-	return versions, nil
+	l.o.Log.Info("versions of a service written to the store", "service", service, "versions", c.noted)
+	return c, nil
+}
+
+// without returns the versions that aren't among the excluded ones.
+func without(versions, excluded []string) []string {
+	return slices.DeleteFunc(slices.Clone(versions), func(v string) bool { return slices.Contains(excluded, v) })
 }
 
 // decodeNote returns the versions in a note; an object of another writer has none.
--- a/coordination/origin/ledger_test.go
+++ b/coordination/origin/ledger_test.go
@@ -135,3 +135,26 @@
 		is.Equal(noted, []string{"v2"}) // not kept for ever
 	})
 }
+
+// Guards against a version that is gone and that one writer puts back into a note after another has taken it out.
+func TestVersionThatIsGoneIsNotPutBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(12, 2, "v1", "v2")
+		defer f.stop()
+		first, second := f.hosts[0].registry.o.Ledger, f.hosts[1].registry.o.Ledger
+		for _, h := range f.hosts {
+			h.stop() // the test compares the notes itself
+		}
+		time.Sleep(maxLag)
+		first.o.History.Update(Listing{service: {"v2"}})
+		time.Sleep(maxLag)
+		second.o.History.Update(Listing{service: {"v2"}})
+		time.Sleep(Retention - maxLag)
+		is.True(first.update(t.Context())) // a minute has passed here
+		is.True(second.update(t.Context()))
+		noted, err := first.Read(t.Context(), service)
+		is.NoErr(err)
+		is.Equal(noted, []string{"v2"})
+	})
+}
