--- a/review/standins/fleet/fleet.go
+++ b/review/standins/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -69,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Net: 20 + os.Getpid()%200, dir: dir, record: out, began: time.Now(), entries: map[string]map[string]any{}}
+	f := &Fleet{Net: freeNet(), dir: dir, record: out, began: time.Now(), entries: map[string]map[string]any{}}
 	if f.Store, err = platformtest.NewStore(fmt.Sprintf("127.%d.200.1:0", f.Net)); err != nil {
 		return nil, err
 	}
@@ -82,6 +83,20 @@
 	return f, nil
 }
 
+// freeNet returns the second part of loopback addresses that no other run uses.
+func freeNet() int {
+	n := 0
+	for try := range 200 {
+		n = 20 + (os.Getpid()+try)%200
+		ln, err := net.Listen("tcp4", fmt.Sprintf("127.%d.1.1:%d", n, frontPort))
+		if err == nil {
+			_ = ln.Close()
+			break
+		}
+	}
+	return n
+}
+
 // Logf writes a line of the record.
 func (f *Fleet) Logf(format string, args ...any) {
 	f.mu.Lock()
--- a/review/standins/fleet/runner.go
+++ b/review/standins/fleet/runner.go
@@ -4,14 +4,14 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -33,6 +33,8 @@
 	Lost time.Time
 	// Events is how many events were made.
 	Events int
+	// Method, URI and Body are what the runner was sent; only those of plain services note them.
+	Method, URI, Body string
 }
 
 // Book notes what all runners do.
@@ -184,12 +186,16 @@
 	br := bufio.NewReader(c)
 	conn := &spoiltConn{TCPConn: c, r: r}
 	for {
-		var req fasthttp.Request
-		if req.Read(br) != nil {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
 			return
 		}
 		conn.begin()
-		if !r.answer(conn, br, from, &req) || conn.broken {
+		if !r.answer(conn, br, from, req, string(body)) || conn.broken {
 			return
 		}
 	}
@@ -237,20 +243,20 @@
 }
 
 // answer answers one request and reports whether the connection is kept.
-func (r *Runner) answer(c *spoiltConn, br *bufio.Reader, from string, req *fasthttp.Request) bool {
-	if want := string(req.Header.Peek("X-Thymerack-Expect-Instance")); want != "" && want != r.ID {
+func (r *Runner) answer(c *spoiltConn, br *bufio.Reader, from string, req *http.Request, body string) bool {
+	if want := req.Header.Get("X-Thymerack-Expect-Instance"); want != "" && want != r.ID {
 		return r.write(c, from, 421, "", "")
 	}
-	switch path := string(req.Header.RequestURI()); {
+	switch path := req.RequestURI; {
 	case path == "/health":
 		return r.write(c, from, 200, "X-Thymerack-Runner-Id: "+r.ID+"\r\n", "")
 	case r.plainService():
 	case path == "/api/report":
 		return r.report(c, from)
 	case path == "/api/order":
-		return r.order(c, from, req.Body())
+		return r.order(c, from, []byte(body))
 	case path == "/api/kv-move":
-		return r.move(c, from, req.Body())
+		return r.move(c, from, []byte(body))
 	case strings.HasPrefix(path, "/api/kv-handle/"):
 		r.book.update(func() { delete(r.book.handles, strings.TrimPrefix(path, "/api/kv-handle/")) })
 		return r.write(c, from, 200, "", "")
@@ -258,14 +264,14 @@
 	r.mu.Lock()
 	stage, busy := r.stage, r.busy
 	r.mu.Unlock()
-	id := string(req.Header.Peek("X-Thymerack-Request-Id"))
+	id := req.Header.Get("X-Thymerack-Request-Id")
 	head := "X-Thymerack-Request-Id: " + id + "\r\n"
-	prefill := string(req.Header.Peek("X-Thymerack-Stage")) == "prefill"
+	prefill := req.Header.Get("X-Thymerack-Stage") == "prefill"
 	switch {
 	case id == "":
 		return r.write(c, from, 400, "X-Thymerack-Not-Run: 1\r\n", "")
 	case stage == "":
-		return r.plain(c, from, req, id, head)
+		return r.plain(c, from, req, body, id, head)
 	case busy:
 		return r.write(c, from, 503, head+"X-Thymerack-Not-Run: 1\r\n", "")
 	case prefill != (stage == "prefill"):
@@ -283,8 +289,8 @@
 	return r.stage == ""
 }
 
-func (r *Runner) plain(c *spoiltConn, from string, req *fasthttp.Request, id, head string) bool {
-	w := &Work{Runner: r.ID, ID: id, From: from}
+func (r *Runner) plain(c *spoiltConn, from string, req *http.Request, body, id, head string) bool {
+	w := &Work{Runner: r.ID, ID: id, From: from, Method: req.Method, URI: req.RequestURI, Body: body}
 	r.book.begin(w)
 	time.Sleep(workTime)
 	r.book.end(w, "answered")
@@ -336,8 +342,8 @@
 	return r.write(c, from, status, "", "")
 }
 
-func (r *Runner) prefill(c *spoiltConn, from string, req *fasthttp.Request, id, head string) bool {
-	prompt, _, _ := strings.Cut(string(req.Header.Peek("X-Thymerack-Token-Count")), ",")
+func (r *Runner) prefill(c *spoiltConn, from string, req *http.Request, id, head string) bool {
+	prompt, _, _ := strings.Cut(req.Header.Get("X-Thymerack-Token-Count"), ",")
 	tokens, _ := strconv.Atoi(prompt)
 	time.Sleep(time.Duration(tokens) * time.Millisecond / prefillPerMs)
 	name := strconv.FormatUint(rand.Uint64(), 16)
@@ -387,12 +393,12 @@
 }
 
 // generate streams an answer.
-func (r *Runner) generate(c *spoiltConn, br *bufio.Reader, from string, req *fasthttp.Request, id, head string) bool {
-	source, after := string(req.Header.Peek("X-Thymerack-Kv-Source")), string(req.Header.Peek("Last-Event-Id"))
+func (r *Runner) generate(c *spoiltConn, br *bufio.Reader, from string, req *http.Request, id, head string) bool {
+	source, after := req.Header.Get("X-Thymerack-Kv-Source"), req.Header.Get("Last-Event-Id")
 	if !r.book.takeHandle(source, id) {
 		return r.write(c, from, 503, head+"X-Thymerack-Not-Run: 1\r\n", "")
 	}
-	if backup := string(req.Header.Peek("X-Thymerack-Kv-Backup")); backup != "" {
+	if backup := req.Header.Get("X-Thymerack-Kv-Backup"); backup != "" {
 		r.book.update(func() { r.book.handles[id] = handle{id} })
 	}
 	w := &Work{Runner: r.ID, ID: id, From: from, After: after, Source: source}
@@ -413,7 +419,7 @@
 	if lose != nil {
 		lostAfter, loses = lose(id)
 	}
-	_, output, _ := strings.Cut(string(req.Header.Peek("X-Thymerack-Token-Count")), ",")
+	_, output, _ := strings.Cut(req.Header.Get("X-Thymerack-Token-Count"), ",")
 	last, _ := strconv.Atoi(output)
 	first := 1
 	if n, err := strconv.Atoi(after); err == nil {
@@ -470,7 +476,7 @@
 
 // write sends a whole response and reports whether the connection is kept.
 func (r *Runner) write(c net.Conn, from string, status int, head, body string) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\nKeep-Alive: timeout=10\r\n\r\n%s", status, fasthttp.StatusMessage(status), head, len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\nKeep-Alive: timeout=10\r\n\r\n%s", status, http.StatusText(status), head, len(body), body)
 	if err == nil {
 		r.book.noteHeard(r.ID, from)
 	}
