--- a/review/standins/fleet/runner.go
+++ b/review/standins/fleet/runner.go
@@ -39,22 +39,28 @@
 
 // Book notes what all runners do.
 type Book struct {
-	f  *Fleet
-	mu sync.Mutex
+	logf func(format string, args ...any)
+	// onStage is called when an engine has changed its stage.
+	onStage func(id, stage string)
+	mu      sync.Mutex
 	// works are in the order of their beginnings. heard is when each runner last answered each address.
-	works   []*Work
-	heard   map[[2]string][]time.Time
-	handles map[string]handle
+	works []*Work
+	heard map[[2]string][]time.Time
+	// used are the handles of KV caches that were used up or freed.
+	used map[string]bool
 }
 
-// handle is a KV cache that an engine keeps.
-type handle struct{ id string }
+// NewBook returns an empty book of a fleet's runners.
+func NewBook(f *Fleet) *Book { return NewProcessBook(f.Logf, f.listStage) }
 
-// NewBook returns an empty book.
-func NewBook(f *Fleet) *Book {
-	return &Book{f: f, heard: map[[2]string][]time.Time{}, handles: map[string]handle{}}
+// NewProcessBook returns the book of a runner that is a process of its own.
+func NewProcessBook(logf func(format string, args ...any), onStage func(id, stage string)) *Book {
+	return &Book{logf: logf, onStage: onStage, heard: map[[2]string][]time.Time{}, used: map[string]bool{}}
 }
 
+// newHandle names a KV cache of a request; the name tells whose it is.
+func newHandle(id string) string { return id + "." + strconv.FormatUint(rand.Uint64(), 16) }
+
 // Works returns what was done so far.
 func (b *Book) Works() []Work {
 	b.mu.Lock()
@@ -83,14 +89,14 @@
 	defer b.mu.Unlock()
 	w.Begin = time.Now()
 	b.works = append(b.works, w)
-	b.f.Logf("%s begins %s after event %q from memory %q, sent by %s", w.Runner, w.ID, w.After, w.Source, w.From)
+	b.logf("%s begins %s after event %q from memory %q, sent by %s", w.Runner, w.ID, w.After, w.Source, w.From)
 }
 
 func (b *Book) end(w *Work, why string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w.End = time.Now()
-	b.f.Logf("%s ends %s (%s), %d events made", w.Runner, w.ID, why, w.Events)
+	b.logf("%s ends %s (%s), %d events made", w.Runner, w.ID, why, w.Events)
 }
 
 // update changes a work.
@@ -109,6 +115,8 @@
 	Pace time.Duration
 	// Keeps says that the runner goes on with a request when its connection closes, as some runners do.
 	Keeps bool
+	// Unframed says that its streams have no length and no chunks, and end with their connection.
+	Unframed bool
 
 	mu    sync.Mutex
 	stage string
@@ -216,7 +224,7 @@
 		return
 	}
 	late, _, _ := strings.Cut(string(c.late), "\r\n\r\n")
-	c.r.book.f.Logf("%s sends a second answer late: %q", c.r.ID, late)
+	c.r.book.logf("%s sends a second answer late: %q", c.r.ID, late)
 	_, _ = c.TCPConn.Write(c.late)
 	c.late = nil
 }
@@ -258,7 +266,7 @@
 	case path == "/api/kv-move":
 		return r.move(c, from, []byte(body))
 	case strings.HasPrefix(path, "/api/kv-handle/"):
-		r.book.update(func() { delete(r.book.handles, strings.TrimPrefix(path, "/api/kv-handle/")) })
+		r.book.update(func() { r.book.used[strings.TrimPrefix(path, "/api/kv-handle/")] = true })
 		return r.write(c, from, 200, "", "")
 	}
 	r.mu.Lock()
@@ -334,11 +342,11 @@
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.busy, r.stage = false, o.Stage
-			r.book.f.listStage(r.ID, o.Stage)
+			r.book.onStage(r.ID, o.Stage)
 		})
 	}
 	r.mu.Unlock()
-	r.book.f.Logf("%s is ordered to be %s by %s (fence %d): %d", r.ID, o.Stage, o.Holder, o.Fence, status)
+	r.book.logf("%s is ordered to be %s by %s (fence %d): %d", r.ID, o.Stage, o.Holder, o.Fence, status)
 	return r.write(c, from, status, "", "")
 }
 
@@ -346,8 +354,7 @@
 	prompt, _, _ := strings.Cut(req.Header.Get("X-Thymerack-Token-Count"), ",")
 	tokens, _ := strconv.Atoi(prompt)
 	time.Sleep(time.Duration(tokens) * time.Millisecond / prefillPerMs)
-	name := strconv.FormatUint(rand.Uint64(), 16)
-	r.book.update(func() { r.book.handles[name] = handle{id} })
+	name := newHandle(id)
 	return r.write(c, from, 200, head+"Content-Type: application/json\r\n", fmt.Sprintf(`{"handle":%q,"tokens":%d,"version":1}`, name, tokens))
 }
 
@@ -363,16 +370,15 @@
 	r.mu.Lock()
 	known := r.runs[m.ID]
 	r.mu.Unlock()
-	r.book.f.Logf("%s is asked by %s to move %s, last %t; it has such a run: %t", r.ID, from, m.ID, m.Last, known != nil)
+	r.book.logf("%s is asked by %s to move %s, last %t; it has such a run: %t", r.ID, from, m.ID, m.Last, known != nil)
 	if known == nil {
 		return r.write(c, from, 404, "", "")
 	}
 	if m.Last {
 		known.once.Do(func() { close(known.stop) })
 	}
-	name := strconv.FormatUint(rand.Uint64(), 16)
-	made := 0
-	r.book.update(func() { made = known.work.Events; r.book.handles[name] = handle{m.ID} })
+	name, made := newHandle(m.ID), 0
+	r.book.update(func() { made = known.work.Events })
 	return r.write(c, from, 200, "Content-Type: application/json\r\n", fmt.Sprintf(`{"handle":%q,"created-at":%d}`, name, made))
 }
 
@@ -384,12 +390,12 @@
 	_, name, _ := strings.Cut(source, "/")
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h, ok := b.handles[name]
-	delete(b.handles, name)
-	if ok && h.id != id {
-		b.f.Logf("BROKEN: %s goes on from the memory of %s", id, h.id)
+	taken := b.used[name]
+	b.used[name] = true
+	if owner, _, _ := strings.Cut(name, "."); owner != id {
+		b.logf("BROKEN: %s goes on from the memory of %s", id, owner)
 	}
-	return ok
+	return !taken
 }
 
 // generate streams an answer.
@@ -398,9 +404,6 @@
 	if !r.book.takeHandle(source, id) {
 		return r.write(c, from, 503, head+"X-Thymerack-Not-Run: 1\r\n", "")
 	}
-	if backup := req.Header.Get("X-Thymerack-Kv-Backup"); backup != "" {
-		r.book.update(func() { r.book.handles[id] = handle{id} })
-	}
 	w := &Work{Runner: r.ID, ID: id, From: from, After: after, Source: source}
 	this := &run{work: w, stop: make(chan struct{})}
 	r.mu.Lock()
@@ -430,7 +433,11 @@
 		_, _ = br.Peek(1)
 		close(gone)
 	}()
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s%sX-Thymerack-Weight-Versions: 1\r\nConnection: close\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head, r.seal(id))
+	framing := "Transfer-Encoding: chunked\r\n"
+	if r.Unframed {
+		framing = ""
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s%sX-Thymerack-Weight-Versions: 1\r\nConnection: close\r\nContent-Type: text/event-stream\r\n%s\r\n", head, r.seal(id), framing)
 	for n := first; n <= last; n++ {
 		select {
 		case <-this.stop:
@@ -452,13 +459,16 @@
 		r.book.update(func() { w.Events++ })
 		if loses && n-first+1 == lostAfter {
 			r.book.update(func() { w.Lost = time.Now() })
-			r.book.f.Logf("%s loses its answer to %s after event %d: the connection is reset, the run goes on", r.ID, id, n-1)
+			r.book.logf("%s loses its answer to %s after event %d: the connection is reset, the run goes on", r.ID, id, n-1)
 			_ = c.SetLinger(0)
 			_ = c.Close()
 		}
 		if w.Lost.IsZero() && err == nil {
 			event := fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n)
-			_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+			if !r.Unframed {
+				event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+			}
+			_, err = fmt.Fprint(c, event)
 			r.book.noteHeard(r.ID, from)
 		}
 	}
@@ -466,7 +476,9 @@
 	if !w.Lost.IsZero() || err != nil {
 		return false
 	}
-	_, _ = fmt.Fprint(c, "0\r\n\r\n") // the connection closes in any case
+	if !r.Unframed {
+		_, _ = fmt.Fprint(c, "0\r\n\r\n")
+	}
 	return false
 }
 
