--- a/review/standins/engine/main.go
+++ b/review/.standins/engine/main.go
@@ -7,7 +7,7 @@
 	"os"
 	"sync"
 
-	"github.com/thymerack/thymerack/review/standins/fleet"
+	"review/fleet"
 )
 
 func main() {
--- a/review/standins/goeson/main.go
+++ b/review/.standins/goeson/main.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/thymerack/thymerack/review/standins/fleet"
+	"review/fleet"
 )
 
 const (
--- a/review/standins/recover/main.go
+++ b/review/.standins/recover/main.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/thymerack/thymerack/review/standins/fleet"
+	"review/fleet"
 )
 
 const (
