gateway: forms reach runners as their callers sent them

Cause: the callers' server left the HTTP library's reading of forms on. The library reads such a body into a map before the handler runs, and what the handler gets as the body is written from the map.

Change: the reading of forms is off. Bodies are kept as they arrive, so that nothing is written anew and nothing has to be readable.

--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -129,6 +129,8 @@
 		CloseOnShutdown:       true,
 		Logger:                quiet{},
 		SecureErrorLogMessage: true, // errors are logged, and headers hold credentials
+		// The library would read a form into a map, and write it from there with other bytes.
+		DisablePreParseMultipartForm: true,
 	}
 	return s, nil
 }
