front: forms of calls reach services as their callers sent them

Callers of the project's own interface saw the fault of the gateway: forms were written anew, or refused with 400 if they couldn't be read.

Cause: the same option of the library, in the interface's own server.

Evidence: TestFormsOfCallsPassUnchanged failed before for a form with a preamble and for one that is cut short.

Change: the reading of forms is off here, too. After: the test passes.

--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -151,6 +151,8 @@
 		ErrorHandler:             s.onError,
 		DisableDefaultDate:       true,
 		DisableHeaderNormalizing: false,
+		// The library would read a form into a map, and write it from there with other bytes.
+		DisablePreParseMultipartForm: true,
 	})
 	server := s.app.Server()
 	server.ConnState = s.conns.Note
