front: paths of calls keep a slash or question mark at their end

Callers of the project's own interface saw calls of /services/NAME/x/ and /services/NAME/x? reach the service as /x.

Cause: the path was taken from the router's parameters, which lack a slash at the end, and the query was added only if it had bytes.

Evidence: TestPathsOfCallsPassUnchanged failed before for /x/, /x? and /x/?q=%41&q=+.

Change: the path is cut from the request's target. After: the test passes.

--- a/transport/front/services.go
+++ b/transport/front/services.go
@@ -93,15 +93,33 @@
 	return dispatch.ClearNotRun(err)
 }
 
-// servicePath is the part of the path behind the service's name, with the query.
+// servicePath is the part of the request's target behind the service's name, as the caller sent it. The router's own
+// parameters lack a slash at the end.
 func servicePath(c fiber.Ctx) string {
-	path := "/" + c.Params("*")
-	if query := c.RequestCtx().URI().QueryString(); len(query) > 0 {
-		path += "?" + string(query)
+	target := string(c.Request().Header.RequestURI())
+	if _, afterScheme, found := strings.Cut(target, "://"); found && !strings.HasPrefix(target, "/") {
+		target = afterScheme[max(0, strings.IndexByte(afterScheme, '/')):]
+	}
+	path, query, hasQuery := strings.Cut(target, "?")
+	path = "/" + behindName(path)
+	if hasQuery {
+		path += "?" + query
 	}
 	return path
 }
 
+// behindName returns what follows the slash behind the service's name in /services/NAME/REST.
+func behindName(path string) string {
+	parts := strings.SplitN(path, "/", servicePathParts)
+	if len(parts) < servicePathParts {
+		return ""
+	}
+	return parts[servicePathParts-1]
+}
+
+// servicePathParts is the number of parts of /services/NAME/REST, the empty one before the first slash included.
+const servicePathParts = 4
+
 // call runs the call and ends a repeatable one whose caller has left.
 func (s *Server) call(c fiber.Ctx, r *dispatch.Request, call upstream.Call) (upstream.Answer, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), wallclock.Steady(r.Deadline))
--- a/transport/front/unchanged_test.go
+++ b/transport/front/unchanged_test.go
@@ -22,3 +22,15 @@
 		})
 	}
 }
+
+// Guards against a server that normalizes paths: services get the part behind their name as the caller sent it.
+func TestPathsOfCallsPassUnchanged(t *testing.T) {
+	for _, path := range []string{"/x/", "/a//b", "/./a", "/a/../b", "/%2F", "/%zz", "/a%20b", "/;p=1", "/%C3%A9", "/x?", "/x?b=2&a=1", "/x/?q=%41&q=+", "/X/Y"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			h := newHost(t, nil)
+			is.Equal(h.ask(t, "POST", "/services/app"+path, "").status, 200)
+			is.Equal(h.dispatcher.calls[0].Path, path)
+		})
+	}
+}
