soak: callers send forms and chunks, runners compare what arrives

The soak sent one kind of body, so that a host which rewrites forms passed it. Half of the bodies are forms now, some with bytes around the parts, some cut short; a third comes in chunks.

--- a/soak/judge.go
+++ b/soak/judge.go
@@ -95,7 +95,8 @@
 		f.judgeStream(r)
 	case r.status == 200 && r.whole:
 		uri := "/" + string(r.kind) + "/x?id=" + r.id
-		if want := platformtest.Body(r.id, uri, []byte("body of "+r.id)); r.body != want {
+		_, sent := platformtest.CallerBody(r.id)
+		if want := platformtest.Body(r.id, uri, []byte(sent)); r.body != want {
 			f.problem("request %s got %q, not its own answer %q", r.id, r.body, want)
 		}
 	}
