forward: what is held of a plain answer is bounded

Callers saw: a runner that answers without end made a host take over 1 GB within 2 s, and requests got 504 at their deadline or nothing.

Cause: a plain answer was read to its end before any of it was passed on, whatever its length.

Change: coordination/buffers bounds what is held of one answer and of all. At the bound an answer whose length is declared, or whose request runs once, is passed on as it arrives. One without a declared end waits unread while another runner is tried, and is passed on if none has a whole answer. Bodies that are counted are given back once they are written.

--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -63,39 +63,16 @@
 		rec.addStep(a.Instance, "run", outcomeNotRun, took, &statusError{head.Status})
 		return d.endUnbegun(a, firstWatch, rec, outcomeNotRun)
 	}
-	defer firstWatch.cancel()
 	if other := firstWatch.finish(rec, true); other != nil {
 		resp.Abort()
 		sent.end()
+		firstWatch.cancel()
 		rec.addStep(a.Instance, "run", outcomeUnknown, took, errReplaced)
 		return other, outcomeAnswered
 	}
 	rec.mayHaveRun = true
 	d.noteStarted(a.Request, rec, started)
-	defer sent.end()
-	body, err := d.readBody(a.Request, rec, resp)
-	took = d.o.Clock.Now().Sub(started)
-	if err == nil && head.Status < firstErrorStatus && !head.Signed {
-		err = errUnsigned
-	}
-	if err != nil {
-		resp.Abort()
-		d.noteBrokenConnection(ctx, runner)
-		d.reportSuspect(ctx, a.Request, runner, rec, took, true)
-		rec.addStep(a.Instance, "run", outcomeUnknown, took, err)
-		return nil, outcomeUnknown
-	}
-	resp.Finish()
-	sent.markAnswered()
-	if head.Status >= 500 {
-		runner.RecordFailure()
-		rec.addStep(a.Instance, "run", outcomeFailed, took, nil)
-	} else {
-		runner.RecordSuccess(took)
-		d.reportAnswered(ctx, a.Instance, rec)
-		rec.addStep(a.Instance, "run", outcomeAnswered, took, nil)
-	}
-	return &Answer{Head: head, Body: body}, outcomeAnswered
+	return d.readAnswer(ctx, plainRun{attempt: a, runner: runner, resp: resp, sent: sent, started: started, cancel: firstWatch.cancel}, rec)
 }
 
 // endUnbegun ends an attempt that got no answer. It returns the answer that the watch has brought instead, if there is
@@ -208,19 +185,6 @@
 // statusMisdirected is the status of a runner that isn't the intended one, or has another role.
 const statusMisdirected = 421
 
-// readBody reads the body to its end.
-func (d *Dispatcher) readBody(r *Request, rec *record, resp Response) ([]byte, error) {
-	body, err := io.ReadAll(responseReader{resp})
-	if errors.Is(err, ErrUnframed) {
-		d.noteBodyEnd(r, rec, EndConnection)
-		return body, nil
-	}
-	if err == nil {
-		d.noteBodyEnd(r, rec, EndFramed)
-	}
-	return body, err
-}
-
 // responseReader makes a Response an io.Reader.
 type responseReader struct{ Response }
 
--- a/coordination/forward/crashes_test.go
+++ b/coordination/forward/crashes_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/thymerack/thymerack/coordination/backpressure"
+	"github.com/thymerack/thymerack/coordination/buffers/buffertest"
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/follow"
@@ -166,7 +167,7 @@
 	}
 	h.Dispatcher, err = New(Options{
 		Upstream: up, Placer: h.fleet, Gate: newScriptedGate(f.t).Gate, Budget: unlimitedBudget{}, Observer: noObserver{},
-		Outliers: &fakeOutliers{}, Crashes: crashes, Quarantine: h.Registry, Quotas: noQuotas{}, Origins: &fakeOrigins{fleet: h.fleet}, Advice: newAdvice(f.t, clocktest.Bubble{}, func(backpressure.Notice) {}, func(state.InstanceID) {}), Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
+		Outliers: &fakeOutliers{}, Crashes: crashes, Quarantine: h.Registry, Quotas: noQuotas{}, Origins: &fakeOrigins{fleet: h.fleet}, Advice: newAdvice(f.t, clocktest.Bubble{}, func(backpressure.Notice) {}, func(state.InstanceID) {}), Buffers: buffertest.New(f.t), Clock: clocktest.Bubble{}, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/buffers"
 	"github.com/thymerack/thymerack/coordination/contention"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
@@ -65,6 +66,8 @@
 	PrefillPlaced(service string, reason CrossDomainReason, fetchesAcross bool)
 	// BodyEnded counts a response of a runner whose body has ended.
 	BodyEnded(service string, e BodyEnd)
+	// LongAnswer counts an answer of which no more may be held.
+	LongAnswer(service string, o LongAnswerOutcome)
 	// StreamEnded counts a stream by how it ended for its caller.
 	StreamEnded(service string, e StreamEnd)
 	// SilentRun counts a run whose engine was silent.
@@ -134,6 +137,8 @@
 	// Origins is asked about streams that callers take up again.
 	Origins Origins
 	Advice  Advice
+	// Buffers bounds what is held of answers.
+	Buffers *buffers.Pool
 	Clock   state.Clock
 	Log     *slog.Logger
 	// SplitTokens is the prompt size, in tokens, from which a prefill engine computes the prompt
@@ -152,7 +157,7 @@
 
 // New validates the options.
 func New(o Options) (*Dispatcher, error) {
-	if o.Upstream == nil || o.Placer == nil || o.Gate == nil || o.Budget == nil || o.Observer == nil || o.Outliers == nil || o.Crashes == nil || o.Quarantine == nil || o.Quotas == nil || o.Origins == nil || o.Advice == nil || o.Clock == nil || o.Log == nil {
+	if o.Upstream == nil || o.Placer == nil || o.Gate == nil || o.Budget == nil || o.Observer == nil || o.Outliers == nil || o.Crashes == nil || o.Quarantine == nil || o.Quotas == nil || o.Origins == nil || o.Advice == nil || o.Buffers == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("forward: a field of Options is nil; set all of them")
 	}
 	return &Dispatcher{o: o}, nil
@@ -188,15 +193,15 @@
 		d.sizes.observe(r.Service, r.Generation.PromptTokens)
 	}
 	answer, err := d.serve(ctx, r, rec)
-	if err != nil && rec.failure != nil {
-		answer, err = rec.failure, nil
+	if kept := rec.takeFallback(ctx); kept != nil {
+		answer, err = prefer(kept, answer), nil
 	}
 	if !rec.mayHaveRun {
 		grant.Refund()
 	}
 	d.discardKV(r, rec)
-	if answer != nil && answer.Stream != nil {
-		return answer, nil // logged at the end of the stream
+	if answer != nil && (answer.Stream != nil || answer.Long != nil) {
+		return answer, nil // logged at its end
 	}
 	rec.trial.End()
 	status := 0
@@ -319,7 +324,7 @@
 			return answer, nil
 		}
 		if answer != nil {
-			rec.failure = answer
+			rec.keepFallback(answer)
 		}
 		switch {
 		case result == outcomeLimited:
@@ -494,9 +499,10 @@
 const minRetryTime = 15 * time.Millisecond
 
 // isRetryableFailure reports whether the request is retried after a runner's answer: the answer
-// says that the runner failed, the call may run more than once, and it has attempts left.
+// says that the runner failed, or may have no end, the call may run more than once, and it has attempts left.
 func (d *Dispatcher) isRetryableFailure(r *Request, rec *record, a *Answer) bool {
-	return r.Route.Kind == state.RouteSafe && a.Head.Status >= 500 && rec.attempts < r.Route.MaxAttempts
+	failed := a.Head.Status >= 500 || a.Long != nil && a.Head.Length == 0
+	return failed && r.Route.Kind == state.RouteSafe && rec.attempts < r.Route.MaxAttempts
 }
 
 // timeLeft returns the time until the request's deadline.
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/thymerack/thymerack/coordination/backlog"
 	"github.com/thymerack/thymerack/coordination/backpressure"
+	"github.com/thymerack/thymerack/coordination/buffers/buffertest"
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/contention"
 	"github.com/thymerack/thymerack/coordination/occupancy"
@@ -366,12 +367,13 @@
 	s.silent = append(s.silent, id)
 }
 
-func (noObserver) BodyEnded(string, BodyEnd)          {}
-func (noObserver) RequestHeld(string)                 {}
-func (noObserver) StreamEnded(string, StreamEnd)      {}
-func (noObserver) SilentRun(string, SilentRunOutcome) {}
-func (noObserver) SentToUnconfirmed(string)           {}
-func (noObserver) RequestStarted(string, time.Time)   {}
+func (noObserver) BodyEnded(string, BodyEnd)            {}
+func (noObserver) RequestHeld(string)                   {}
+func (noObserver) LongAnswer(string, LongAnswerOutcome) {}
+func (noObserver) StreamEnded(string, StreamEnd)        {}
+func (noObserver) SilentRun(string, SilentRunOutcome)   {}
+func (noObserver) SentToUnconfirmed(string)             {}
+func (noObserver) RequestStarted(string, time.Time)     {}
 
 // fakeQuarantine holds every request after holdAfter lookups; it holds none if holdAfter is 0.
 type fakeQuarantine struct {
@@ -469,7 +471,7 @@
 	gate := newScriptedGate(t)
 	outliers, crashes, holds, origins := &fakeOutliers{}, &fakeCrashes{}, &fakeQuarantine{}, &fakeOrigins{fleet: fleet}
 	d, err := New(Options{
-		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: outliers, Crashes: crashes, Quarantine: holds, Quotas: noQuotas{}, Origins: origins, Advice: advice, Clock: clock,
+		Upstream: up, Placer: fleet, Gate: gate, Budget: &countingBudget{budget}, Observer: noObserver{}, Outliers: outliers, Crashes: crashes, Quarantine: holds, Quotas: noQuotas{}, Origins: origins, Advice: advice, Buffers: buffertest.New(t), Clock: clock,
 		Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
--- a/coordination/forward/prefill.go
+++ b/coordination/forward/prefill.go
@@ -107,7 +107,7 @@
 	resp, err := d.send(ctx, a, rec)
 	var body []byte
 	if err == nil {
-		if body, err = d.readBody(r, rec, resp); err != nil {
+		if body, err = d.readPrefill(r, rec, resp); err != nil {
 			resp.Abort()
 		}
 	}
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -89,9 +89,9 @@
 	mayHaveRun bool
 	// tried are the runners that aren't chosen any more.
 	tried []state.InstanceID
-	// failure is a runner's answer that it failed, after which the request was retried. It is
-	// returned if no other runner gives a better answer.
-	failure *Answer
+	// fallback is a runner's answer that it failed, or one that is too long to be held, after which the request was
+	// retried. It is returned if no other runner gives a better answer.
+	fallback *Answer
 	// predicted is the forecast duration of the prefill in progress; 0 if there is none.
 	predicted time.Duration
 	// separatePrefill is set if a prefill engine computes the prompt before a decode engine
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/buffers"
 	"github.com/thymerack/thymerack/coordination/contention"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/state"
@@ -192,6 +193,8 @@
 	NotRun bool
 	// EventStream is set if the body is a stream of events.
 	EventStream bool
+	// Length is the length in bytes that the response declares for its body; 0 if it declares none.
+	Length int
 }
 
 // ErrUnframed marks the end of a body that has neither a length nor chunks, after the runner has closed
@@ -351,10 +354,14 @@
 // Unwrap returns the cause.
 func (e *Refusal) Unwrap() error { return e.Cause }
 
-// Answer is a runner's answer: a complete body, or a stream whose first event has been read.
+// Answer is a runner's answer: a complete body, a stream whose first event has been read, or a body that is too long to be
+// held.
 type Answer struct {
 	Head *Head
-	// Body is the complete body; unused if Stream is set.
+	// Body is the complete body; unused if Stream or Long is set.
 	Body   []byte
 	Stream *Stream
+	Long   *LongBody
+	// reserved is what is counted for Body; nil for nothing.
+	reserved *buffers.Reservation
 }
--- a/coordination/forward/sim_harness_test.go
+++ b/coordination/forward/sim_harness_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/backpressure"
+	"github.com/thymerack/thymerack/coordination/buffers/buffertest"
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
@@ -151,7 +152,7 @@
 		f.t.Fatal(err)
 	}
 	h.Dispatcher, err = New(Options{
-		Upstream: &simUpstream{h}, Placer: h.fleet, Gate: h.gate, Budget: unlimitedBudget{}, Observer: noObserver{}, Quotas: noQuotas{}, Origins: &fakeOrigins{fleet: h.fleet}, Advice: h.advice,
+		Upstream: &simUpstream{h}, Placer: h.fleet, Gate: h.gate, Budget: unlimitedBudget{}, Observer: noObserver{}, Quotas: noQuotas{}, Origins: &fakeOrigins{fleet: h.fleet}, Advice: h.advice, Buffers: buffertest.New(f.t),
 		Outliers: &fakeOutliers{}, Crashes: &fakeCrashes{}, Quarantine: noQuarantine{}, Clock: clock, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
--- a/coordination/reach/fleet_test.go
+++ b/coordination/reach/fleet_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/backpressure"
+	"github.com/thymerack/thymerack/coordination/buffers"
+	"github.com/thymerack/thymerack/coordination/buffers/buffertest"
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/forward"
@@ -362,13 +364,14 @@
 // observer takes the dispatcher's and the backpressure registry's measures.
 type observer struct{ forward.Observer }
 
-func (observer) RequestHeld(string)                         {}
-func (observer) StreamEnded(string, forward.StreamEnd)      {}
-func (observer) SilentRun(string, forward.SilentRunOutcome) {}
-func (observer) BodyEnded(string, forward.BodyEnd)          {}
-func (observer) SentToUnconfirmed(string)                   {}
-func (observer) RequestStarted(string, time.Time)           {}
-func (observer) ObserveAdvice(string, backpressure.Kind)    {}
+func (observer) RequestHeld(string)                           {}
+func (observer) LongAnswer(string, forward.LongAnswerOutcome) {}
+func (observer) StreamEnded(string, forward.StreamEnd)        {}
+func (observer) SilentRun(string, forward.SilentRunOutcome)   {}
+func (observer) BodyEnded(string, forward.BodyEnd)            {}
+func (observer) SentToUnconfirmed(string)                     {}
+func (observer) RequestStarted(string, time.Time)             {}
+func (observer) ObserveAdvice(string, backpressure.Kind)      {}
 
 const (
 	appService   = "app"
@@ -465,9 +468,11 @@
 		Clock: clock, Log: log,
 	})
 	must(err)
+	pool, err := buffers.New(buffers.Options{MaxBytes: buffertest.MaxBytes, MaxAnswerBytes: buffertest.MaxAnswerBytes})
+	must(err)
 	h.dispatcher, err = forward.New(forward.Options{
 		Upstream: h, Placer: h.placed, Gate: gate, Budget: h, Observer: observer{}, Outliers: h.outliers, Crashes: crashes,
-		Quarantine: h, Quotas: h, Origins: h, Advice: advice, Clock: clock, Log: log, SplitTokens: 600,
+		Quarantine: h, Quotas: h, Origins: h, Advice: advice, Buffers: pool, Clock: clock, Log: log, SplitTokens: 600,
 	})
 	must(err)
 	return h
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -12,6 +12,7 @@
 
 	"github.com/thymerack/thymerack/coordination/auth"
 	"github.com/thymerack/thymerack/coordination/backpressure"
+	"github.com/thymerack/thymerack/coordination/buffers"
 	"github.com/thymerack/thymerack/coordination/connlease"
 	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/fanout"
@@ -76,6 +77,8 @@
 	// advice holds the backpressure signals of runners: limits, backoff and leaving.
 	advice  *backpressure.Registry
 	gateway *gateway.Server
+	// buffers bounds what is held of answers.
+	buffers *buffers.Pool
 	// knownMaxConns maps services to the last number of connections that their runners accept.
 	knownMaxConns sync.Map
 	// lease is the lease of the duties that one host at a time performs.
@@ -157,6 +160,7 @@
 	h.metrics.gauge(`thymerack_runners_asking{what="limit"}`, func() float64 { return float64(h.advice.Count().Limited) })
 	h.metrics.gauge(`thymerack_runners_asking{what="leaving"}`, func() float64 { return float64(h.advice.Count().Leaving) })
 	h.metrics.gauge(`thymerack_runners_asking{what="rest"}`, func() float64 { return float64(h.advice.Count().BackingOff) })
+	h.metrics.gauge("thymerack_held_answer_bytes", func() float64 { return float64(h.buffers.Held()) })
 	h.metrics.gauge("thymerack_slow_readers", func() float64 { return float64(h.gateway.SlowReaders().Count()) })
 	h.metrics.gauge("thymerack_slow_reader_bytes", func() float64 { return float64(h.gateway.SlowReaders().Held()) })
 	h.metrics.gauge("thymerack_slow_readers_ended_total", func() float64 { return float64(h.gateway.SlowReaders().Ended()) })
@@ -346,9 +350,14 @@
 	if err != nil {
 		return err
 	}
+	memory := float64(h.settings.Limits.MemoryBytes)
+	h.buffers, err = buffers.New(buffers.Options{MaxBytes: int(heldShare * memory), MaxAnswerBytes: int(heldAnswerShare * memory)})
+	if err != nil {
+		return err
+	}
 	dispatcher, err := forward.New(forward.Options{
 		Upstream: h.pool, Placer: h.fleet, Gate: h.gate, Budget: budget, Clock: h.clock, Log: h.log, SplitTokens: h.options.SplitTokens,
-		Observer: h.metrics, Outliers: h.outliers, Crashes: h.crashes, Quarantine: h.quarantine, Quotas: h.quotas, Origins: h.origins, Advice: h.advice,
+		Observer: h.metrics, Outliers: h.outliers, Crashes: h.crashes, Quarantine: h.quarantine, Quotas: h.quotas, Origins: h.origins, Advice: h.advice, Buffers: h.buffers,
 	})
 	if err != nil {
 		return err
--- a/daemon/routed/metrics.go
+++ b/daemon/routed/metrics.go
@@ -156,6 +156,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_response_bodies_total{service=%q,end=%q}`, service, e)).Inc()
 }
 
+// LongAnswer implements forward.Observer.
+func (m *hostMetrics) LongAnswer(service string, o forward.LongAnswerOutcome) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_long_answers_total{service=%q,outcome=%q}`, service, o)).Inc()
+}
+
 // StreamEnded implements forward.Observer.
 func (m *hostMetrics) StreamEnded(service string, e forward.StreamEnd) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_streams_ended_total{service=%q,end=%q}`, service, e)).Inc()
--- a/daemon/routed/metrics_test.go
+++ b/daemon/routed/metrics_test.go
@@ -113,6 +113,15 @@
 	is.True(strings.Contains(out.String(), `thymerack_response_bodies_total{service="llm",end="framed"} 2`+"\n"))
 }
 
+func TestLongAnswerMetrics(t *testing.T) {
+	is := is.New(t)
+	m := newHostMetrics()
+	m.LongAnswer("app", forward.LongAnswerDropped)
+	var out strings.Builder
+	m.set.WritePrometheus(&out)
+	is.True(strings.Contains(out.String(), `thymerack_long_answers_total{service="app",outcome="dropped"} 1`+"\n"))
+}
+
 func TestVersionMetrics(t *testing.T) {
 	is := is.New(t)
 	m := newHostMetrics()
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -132,6 +132,10 @@
 	// slowReaderShare is the share of the machine's memory that callers which read slowly may take
 	// together, sockets included: 18 MB of the smallest host (144 MB) suffice for 100 of them.
 	slowReaderShare = 1.0 / 8
+	// heldShare is the share of the machine's memory that answers may take together before they are passed on, and
+	// heldAnswerShare that of one answer: 2 MB of the smallest host.
+	heldShare       = 1.0 / 16
+	heldAnswerShare = 1.0 / 64
 	// reservedFDs is the number of file descriptors that are reserved for files and for connections
 	// to runners, the store and peers.
 	reservedFDs = 1200
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -308,8 +308,10 @@
 		s.refuse(ctx, r, err, took)
 		return
 	}
-	if answer.Stream != nil && !ctx.Request.Header.IsHTTP11() {
-		answer, err = s.collect(answer)
+	from, length := sourceOf(answer), lengthOf(answer)
+	if from != nil && length == untilEnd && !ctx.Request.Header.IsHTTP11() {
+		answer, err = s.collect(answer, from)
+		from = nil
 		if err != nil {
 			end()
 			s.refuse(ctx, r, err, took)
@@ -318,12 +320,16 @@
 	}
 	s.o.Observer.Answered(r, answer.Head.Status, took)
 	s.writeHead(ctx, answer.Head)
-	if answer.Stream != nil {
+	if from != nil {
 		ctx.Response.ImmediateHeaderFlush = true
-		ctx.Response.SetBodyStream(&eventBody{stream: answer.Stream, conn: ctx.Conn(), done: end}, -1)
+		ctx.Response.SetBodyStream(&passedBody{source: from, conn: ctx.Conn(), done: end}, length)
 		return
 	}
 	end()
+	if answer.Counted() {
+		ctx.Response.SetBodyStream(newCountedBody(answer), len(answer.Body))
+		return
+	}
 	ctx.Response.SetBodyRaw(answer.Body)
 }
 
--- a/transport/gateway/slow_test.go
+++ b/transport/gateway/slow_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/buffers/buffertest"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
@@ -48,6 +49,7 @@
 func (streamDeps) Suspected(quarantine.Digest) bool                              { return false }
 func (streamDeps) ReportAnswered(quarantine.Digest)                              {}
 func (streamDeps) BodyEnded(string, forward.BodyEnd)                             {}
+func (streamDeps) LongAnswer(string, forward.LongAnswerOutcome)                  {}
 func (streamDeps) StreamEnded(string, forward.StreamEnd)                         {}
 func (streamDeps) SilentRun(string, forward.SilentRunOutcome)                    {}
 func (streamDeps) ReportSilent(state.InstanceID)                                 {}
@@ -112,7 +114,7 @@
 	fleet := placement.NewFleet(placement.Options{Clock: wallclock.Clock{}, FailureDomain: "d"})
 	fleet.Update([]state.Instance{{ID: state.InstanceID{Name: "e"}, Service: "s", Addr: "e:1", FailureDomain: "d"}})
 	d, err := forward.New(forward.Options{
-		Upstream: up, Placer: fleet, Gate: deps, Budget: deps, Observer: deps, Outliers: deps, Crashes: deps, Quarantine: deps, Quotas: deps, Origins: deps, Advice: deps,
+		Upstream: up, Placer: fleet, Gate: deps, Budget: deps, Observer: deps, Outliers: deps, Crashes: deps, Quarantine: deps, Quotas: deps, Origins: deps, Advice: deps, Buffers: buffertest.New(t),
 		Clock: wallclock.Clock{}, Log: slog.New(slog.DiscardHandler), SplitTokens: 600,
 	})
 	if err != nil {
