httpclient, forward: answers that are dropped aren't read to their end

Callers saw: a request whose first runner refused it with a body without end, or whose connection brought an answer to another request without end, got no further until its deadline.

Cause: what is dropped was read to its end first, without a bound, so that its connection could be used again. An answer without its runner's signature was read and then dropped.

Change: Finish reads at most 64 KiB within 50 ms of what is left, else the connection is closed. Answers to other requests are read up to 1 MiB together, and not at all if they have no framing. Unsigned successes are dropped by their head.

--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"slices"
 	"time"
 
@@ -56,7 +55,7 @@
 		return answer, result
 	}
 	if head.NotRun {
-		discardBody(resp)
+		resp.Finish()
 		sent.end()
 		rec.refused = true
 		d.noteRefusal(runner, head)
@@ -187,12 +186,3 @@
 
 // responseReader makes a Response an io.Reader.
 type responseReader struct{ Response }
-
-// discardBody reads the rest of a response whose body isn't needed, and ends it.
-func discardBody(resp Response) {
-	if _, err := io.Copy(io.Discard, responseReader{resp}); err != nil && !errors.Is(err, ErrUnframed) {
-		resp.Abort()
-		return
-	}
-	resp.Finish()
-}
--- a/coordination/forward/body.go
+++ b/coordination/forward/body.go
@@ -96,9 +96,12 @@
 func (d *Dispatcher) readAnswer(ctx context.Context, p plainRun, rec *record) (*Answer, outcome) {
 	head := p.resp.Head()
 	held := heldBody{reserved: d.o.Buffers.Reserve()}
-	end, err := held.read(p.resp)
-	var tooLong *TooLongError
-	if errors.As(err, &tooLong) && (head.Status >= firstErrorStatus || head.Signed) {
+	var end BodyEnd
+	err := errUnsigned
+	if head.Status >= firstErrorStatus || head.Signed {
+		end, err = held.read(p.resp)
+	}
+	if tooLong := (*TooLongError)(nil); errors.As(err, &tooLong) {
 		return &Answer{Head: head, Long: &LongBody{d: d, ctx: ctx, rec: rec, run: p, held: held}}, outcomeAnswered
 	}
 	took := d.o.Clock.Now().Sub(p.started)
@@ -107,9 +110,6 @@
 	if err == nil {
 		d.noteBodyEnd(p.attempt.Request, rec, end)
 	}
-	if err == nil && head.Status < firstErrorStatus && !head.Signed {
-		err = errUnsigned
-	}
 	if err != nil {
 		held.release()
 		p.resp.Abort()
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -220,7 +220,7 @@
 	// Read returns io.EOF only at the end of a complete body, and ErrUnframed at the end of one that the
 	// end of its connection can't show to be complete.
 	Read(p []byte) (int, error)
-	// Finish releases the connection for reuse after the whole body has been read.
+	// Finish releases the connection for reuse if the body has been read or its rest is short; it reads that rest.
 	Finish()
 	// Abort closes the connection, which cancels the run.
 	Abort()
--- a/transport/httpclient/client.go
+++ b/transport/httpclient/client.go
@@ -259,6 +259,7 @@
 	if err := x.conn.SetReadDeadline(time.Now().Add(l.Timeout)); err != nil {
 		return err
 	}
+	left := int64(maxStrayBytes)
 	for strays := 0; ; strays++ {
 		if err := resp.ReadLimitBody(x.br, max(1, l.MaxBodyBytes)); err != nil {
 			return err
@@ -266,27 +267,36 @@
 		if l.Stray == nil || !l.Stray(resp) {
 			return nil
 		}
-		if strays == maxStrays {
+		if strays == maxStrays || resp.Header.ContentLength() == untilClose {
 			return ErrStray
 		}
-		if err := discard(resp); err != nil {
+		n, err := discard(resp, left)
+		if err != nil {
 			return err
 		}
+		left -= n
 	}
 }
 
-// maxStrays bounds the responses of other requests that are read and dropped
-// before one attempt's own.
-const maxStrays = 3
+// maxStrays and maxStrayBytes bound the responses of other requests, and the bytes of their bodies, that are read and
+// dropped before one attempt's own.
+const (
+	maxStrays     = 3
+	maxStrayBytes = 1 << 20
+)
 
-// discard reads the rest of a response that nobody wants.
-func discard(resp *fasthttp.Response) error {
+// discard reads the body of a response that nobody wants, and returns its length. It returns ErrStray if that is more than
+// limit.
+func discard(resp *fasthttp.Response, limit int64) (int64, error) {
 	body := resp.BodyStream()
 	if body == nil {
-		return nil
+		return 0, nil
 	}
-	_, err := io.Copy(io.Discard, body)
-	return err
+	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	if n > limit {
+		return n, ErrStray
+	}
+	return n, err
 }
 
 // fail ends the attempt with an error and drops the connection.
--- a/transport/httpclient/stream.go
+++ b/transport/httpclient/stream.go
@@ -19,8 +19,14 @@
 // ErrClosed is the cause of a read on a stream that this host has closed.
 var ErrClosed = errors.New("the stream was closed by this host; start another attempt")
 
-// endGrace is how long Finish waits for the last bytes of a body that is over.
-const endGrace = 5 * time.Millisecond
+const (
+	// maxDrainBytes and drainTimeout bound what Finish reads of a body that nobody wants: twenty round trips between failure
+	// domains. A new connection costs less than more bytes.
+	maxDrainBytes = 64 << 10
+	drainTimeout  = 50 * time.Millisecond
+	// drainPart is the size of the reads, in bytes.
+	drainPart = 4 << 10
+)
 
 // Stream is a response whose body is read as it comes.
 type Stream struct {
@@ -107,8 +113,8 @@
 	s.x.release(false)
 }
 
-// Finish ends a stream whose last event has been read. The connection is kept
-// for another request if the body ends here; else it is cut.
+// Finish ends a stream of which nothing more is wanted. The connection is kept for another request if the body ends
+// within a few bytes and moments; else it is cut.
 func (s *Stream) Finish() {
 	s.mu.Lock()
 	ended := s.ends()
@@ -121,19 +127,25 @@
 	s.x.finish(s.reuse)
 }
 
-// ends reports whether nothing more comes; s.mu is held.
+// ends reads what is left of the body, and reports whether it ends; s.mu is held.
 func (s *Stream) ends() bool {
-	if s.closed.Load() {
+	if s.closed.Load() || !s.framed {
 		return false
 	}
 	body := s.Response.BodyStream()
 	if body == nil {
 		return true
 	}
-	if err := s.x.conn.SetReadDeadline(time.Now().Add(endGrace)); err != nil {
+	if err := s.x.conn.SetReadDeadline(time.Now().Add(drainTimeout)); err != nil {
 		return false
 	}
-	var b [1]byte
-	n, err := body.Read(b[:])
-	return n == 0 && err == io.EOF
+	var part [drainPart]byte
+	for drained := 0; drained <= maxDrainBytes; {
+		n, err := body.Read(part[:])
+		if err != nil {
+			return err == io.EOF
+		}
+		drained += n
+	}
+	return false
 }
