forward: what is held of a stream between two events is bounded

Callers saw: streams whose engine sends an event or comments without end got 504 at their deadline, and a host spent 5 to 7 s of processor time on two answers of 10 MB.

Cause: bytes were held until the end of the next event, and copied whole with each read of 4 KiB.

Change: the bytes since the last event are bounded as a plain answer is, and counted with all that is held.

--- a/coordination/forward/backup.go
+++ b/coordination/forward/backup.go
@@ -233,7 +233,7 @@
 	ready := false
 	if next != nil {
 		next.cancel = joinCancels(next.cancel, cancel)
-		next.readAhead()
+		next.readAhead(w.d.o.Buffers.MaxAnswerBytes())
 		ready = next.awaitFirstEvent(takeoverCtx, w.d.o.Clock)
 	}
 	ready = unlink() && ready
--- a/coordination/forward/continuation.go
+++ b/coordination/forward/continuation.go
@@ -38,26 +38,6 @@
 	r.sent.end()
 }
 
-// readAhead reads the run up to its first event.
-func (r *run) readAhead() {
-	r.first = make(chan firstRead, 1)
-	go func() {
-		var scanner eventstream.Scanner
-		var out firstRead
-		buf := make([]byte, streamReadSize)
-		for out.err == nil && scanner.Events() == 0 {
-			var n int
-			n, out.err = r.resp.Read(buf)
-			out.bytes = append(out.bytes, buf[:n]...)
-			for part := buf[:n]; len(part) > 0; {
-				used, _ := scanner.Next(part)
-				part = part[used:]
-			}
-		}
-		r.first <- out
-	}()
-}
-
 // maxOverlap bounds the time for which two engines run a request, from the second one's acceptance on.
 const maxOverlap = 200 * time.Millisecond
 
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/buffers"
 	"github.com/thymerack/thymerack/coordination/eventstream"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/quarantine"
@@ -37,6 +38,10 @@
 	// returned yet.
 	buf   []byte
 	ready int
+	// held is what is counted for buf. sinceEvent counts the bytes that were read since the last event, and comments those
+	// of whole blocks of comments among them.
+	held                 *buffers.Reservation
+	sinceEvent, comments int
 	// pendingErr ended the current run in a read that also brought whole events, which are returned first.
 	pendingErr error
 	// lastID is the ID of the last whole event that was read; "" if it has none, so that the stream can't be
@@ -107,7 +112,7 @@
 // openStream waits for the first event, so that an attempt that breaks off before it can be
 // retried. The watch may have brought another answer meanwhile.
 func (d *Dispatcher) openStream(ctx context.Context, a *Attempt, runner *placement.Runner, rec *record, resp Response, sent *inFlight, started time.Time, firstWatch *firstEventWatch) (*Answer, outcome) {
-	s := &Stream{d: d, ctx: ctx, cancel: firstWatch.cancel, a: a, rec: rec, runner: runner, resp: resp, sent: sent, started: started, lastID: a.LastEventID}
+	s := &Stream{d: d, ctx: ctx, cancel: firstWatch.cancel, a: a, rec: rec, runner: runner, resp: resp, sent: sent, started: started, lastID: a.LastEventID, held: d.o.Buffers.Reserve()}
 	var err error
 	if !resp.Head().Signed {
 		err = errUnsigned
@@ -225,8 +230,8 @@
 		s.buf = append(s.buf, first.bytes...)[:len(s.buf)]
 		return len(first.bytes), first.err
 	}
-	if cap(s.buf)-len(s.buf) < streamReadSize/2 {
-		s.buf = append(make([]byte, 0, len(s.buf)+streamReadSize), s.buf...)
+	if err := s.growBuffer(); err != nil {
+		return 0, err
 	}
 	return s.resp.Read(s.buf[len(s.buf):cap(s.buf)])
 }
@@ -239,6 +244,9 @@
 	if s.events > events {
 		s.noteGap()
 	}
+	if tooLong := s.checkEvent(); tooLong != nil && err == nil {
+		return tooLong
+	}
 	switch {
 	case err == io.EOF:
 		return s.endBody(EndFramed)
@@ -276,8 +284,13 @@
 		events := s.scanner.Events()
 		n, ended := s.scanner.Next(s.buf[from:])
 		from += n
-		if s.scanner.Events() > events {
+		s.sinceEvent += n
+		switch {
+		case s.scanner.Events() > events:
 			s.noteEvent(s.buf[s.ready:from])
+			s.sinceEvent, s.comments = 0, 0
+		case ended:
+			s.comments += from - s.ready
 		}
 		if ended {
 			s.ready = from
@@ -363,6 +376,8 @@
 	}
 	s.a, s.runner, s.resp, s.sent, s.started, s.cancel, s.first = r.attempt, r.runner, r.resp, r.sent, r.started, r.cancel, r.first
 	s.scanner, s.pendingErr = eventstream.Scanner{}, nil
+	s.held.Release()
+	s.sinceEvent, s.comments = 0, 0
 	s.buf, s.ready, s.eof, s.closed, s.outlived, s.callerPause, s.lastEventAt = nil, 0, false, false, false, 0, time.Time{}
 	if r.first == nil {
 		s.longestPause = 0 // a run that was read ahead has waited for the caller as well
@@ -392,6 +407,7 @@
 	s.closed = true
 	s.stopWatch()
 	s.resp.Abort()
+	s.held.Release()
 	s.cancel()
 	s.sent.end()
 }
@@ -415,6 +431,7 @@
 			s.resp.Abort()
 			s.rec.addStep(s.a.Instance, "run", outcomeAborted, took, err)
 		}
+		s.held.Release()
 		s.cancel()
 		s.sent.end()
 	}
