--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -529,17 +530,17 @@
 
 // readAll reads a stream to its end and closes it.
 func readAll(s *Stream) (string, error) {
-	out := ""
+	var out strings.Builder
 	for {
 		events, err := s.Next()
 		if err == io.EOF {
 			s.Close(nil)
-			return out, nil
+			return out.String(), nil
 		}
 		if err != nil {
 			s.Close(err)
-			return out, err
+			return out.String(), err
 		}
-		out += string(events)
+		out.Write(events)
 	}
 }
--- a/coordination/forward/prefill_test.go
+++ b/coordination/forward/prefill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,6 +28,18 @@
 	is.Equal(*w.up.attempts[1].Source, KVSource{Instance: w.up.attempts[0].Instance, Handle: "h1"})
 }
 
+// Guards against a prefill engine whose answer has no end: it is read for a handle only.
+func TestPrefillWithoutEndIsDropped(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{status: 200, body: strings.Repeat("h", 1<<20)}, prefilled, generated)
+	answer, err := w.Forward(t.Context(), modelRequest(9000, true))
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.Equal(w.up.aborts, 1)
+	is.Equal(w.up.attempts[2].Source.Instance, w.up.attempts[1].Instance)
+}
+
 func TestShortPromptHasNoSeparatePrefill(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, plenty, reply{status: 200, events: true, body: "id: 1\ndata: x\n\n"})
--- a/coordination/forward/streambuffer_test.go
+++ b/coordination/forward/streambuffer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"runtime"
 	"strings"
 	"testing"
@@ -13,22 +12,6 @@
 	"github.com/thymerack/thymerack/state"
 )
 
-// readStream returns all that a stream brings, and the error that ends it.
-func readStream(s *Stream) (string, error) {
-	var out strings.Builder
-	for {
-		events, err := s.Next()
-		if err != nil {
-			if err == io.EOF {
-				err = nil
-			}
-			s.Close(err)
-			return out.String(), err
-		}
-		out.Write(events)
-	}
-}
-
 // Guards against a bound that sound streams can't pass, and against the copying of a long event with each read.
 func TestSoundStreamsPassWhole(t *testing.T) {
 	const keepAlive = ": waiting for a slot\n\n"
@@ -45,7 +28,7 @@
 			runtime.ReadMemStats(&before)
 			answer, err := w.Forward(t.Context(), request(state.RouteStream, 1, false))
 			is.NoErr(err)
-			got, err := readStream(answer.Stream)
+			got, err := readAll(answer.Stream)
 			runtime.ReadMemStats(&after)
 			is.NoErr(err)
 			is.True(got == body)
@@ -62,7 +45,7 @@
 	w := newWorld(t, plenty, reply{status: 200, events: true, body: first + strings.Repeat("x", 2*buffertest.MaxAnswerBytes)})
 	answer, err := w.Forward(t.Context(), request(state.RouteStream, 1, false))
 	is.NoErr(err)
-	got, err := readStream(answer.Stream)
+	got, err := readAll(answer.Stream)
 	is.True(errors.Is(err, ErrStreamInterrupted))
 	is.Equal(got, first)
 	is.Equal(w.up.aborts, 1)
