--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -24,6 +24,8 @@
 	linkReset
 	// linkRefuse resets what comes; what is open goes on.
 	linkRefuse
+	// linkLost takes what is sent and never passes it on; connections stay open.
+	linkLost
 )
 
 // linkDelay is the delay of a delayed link, each way.
@@ -180,6 +182,9 @@
 			if f == linkDelayed {
 				time.Sleep(linkDelay)
 			}
+			if f == linkLost {
+				n = 0
+			}
 			break
 		}
 		if n > 0 {
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -90,7 +90,7 @@
 	})),
 	lasting("host cut off from the store", func(f *fleet, rng *rand.Rand) func() {
 		link := f.anyHost(rng).store
-		link.set([]linkFault{linkSilent, linkOneWay, linkReset, linkDelayed}[rng.IntN(4)])
+		link.set([]linkFault{linkSilent, linkOneWay, linkReset, linkDelayed, linkLost}[rng.IntN(5)])
 		return func() { link.set(linkSound) }
 	}),
 	atRunner("link to a runner in trouble", func(r *runner, rng *rand.Rand) func() {
--- a/transport/httpclient/client.go
+++ b/transport/httpclient/client.go
@@ -80,6 +80,10 @@
 	// Timeout bounds the time from the end of the request to the end of the
 	// response; for a stream, to the end of its header and then each silence.
 	Timeout time.Duration
+	// Silence bounds how long no byte of a response that is read whole may come; 0 for Timeout alone.
+	Silence time.Duration
+	// Begun is set once the first byte of the response has come; nil if nobody asks.
+	Begun *atomic.Bool
 	// MaxBodyBytes bounds a response body that is read whole. It must be
 	// positive; Do takes less as 1, where fasthttp would take it as no limit.
 	MaxBodyBytes int
@@ -256,7 +260,8 @@
 }
 
 func (x *exchange) readResponse(resp *fasthttp.Response, l Limits) error {
-	if err := x.conn.SetReadDeadline(time.Now().Add(l.Timeout)); err != nil {
+	x.conn.limitRead(l)
+	if err := x.conn.SetReadDeadline(x.conn.readUntil); err != nil {
 		return err
 	}
 	left := int64(maxStrayBytes)
--- a/transport/httpclient/conn_linux.go
+++ b/transport/httpclient/conn_linux.go
@@ -39,6 +39,10 @@
 	opts     *Options
 	// written counts the bytes of the present attempt that the kernel took.
 	written atomic.Int64
+	// readUntil, silence and begun are the limits of the present attempt's response.
+	readUntil time.Time
+	silence   time.Duration
+	begun     *atomic.Bool
 	// releasedAt is when the connection last went back to the pool.
 	releasedAt time.Time
 }
@@ -104,6 +108,29 @@
 	return n, err
 }
 
+// limitRead sets the limits of the next response.
+func (c *conn) limitRead(l Limits) {
+	c.readUntil, c.silence, c.begun = time.Now().Add(l.Timeout), l.Silence, l.Begun
+}
+
+// Read applies the limit of the silence, and notes that the response has begun.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.silence > 0 {
+		until := time.Now().Add(c.silence)
+		if c.readUntil.Before(until) {
+			until = c.readUntil
+		}
+		if err := c.SetReadDeadline(until); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.begun != nil {
+		c.begun.Store(true)
+	}
+	return n, err
+}
+
 // Close implements net.Conn for connections that were never made, too.
 func (c *conn) Close() error {
 	if c.Conn == nil {
