forward: an engine is asked to stop a resumable stream before it goes on elsewhere

Cause: the end of a connection was taken for the end of its run. A run whose answer is lost goes on.

Evidence: TestResumableStreamIsStoppedBeforeItGoesOn failed before in all five cases.

Change: the former engine is asked to stop the run, for 80 ms at most, as it is for streams that run once. If it had the run the stream continues from the KV cache that it names, else elsewhere.

--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/buffers"
@@ -356,14 +357,47 @@
 }
 
 // resumeElsewhere retries the request at another runner, from the last whole event on, if the
-// route allows it. The read part of a later event is dropped.
+// route allows it. The read part of a later event is dropped. The former engine may still run the request although its
+// answer is lost; it is asked to stop first.
 func (s *Stream) resumeElsewhere(cause error) bool {
 	s.closeRun()
 	s.noteBrokenRun()
 	s.rec.addStep(s.a.Instance, "run", outcomeUnknown, s.d.o.Clock.Now().Sub(s.started), cause)
+	if s.adopt(s.resumeStopped()) {
+		return true
+	}
 	return s.adopt(s.continuation().elsewhere(s.ctx))
 }
 
+// resumeStopped asks the former engine to stop the run that broke off. If it has stopped it by that, the run continues from
+// its KV cache; nil if it had none, or didn't answer within probeTimeout.
+func (s *Stream) resumeStopped() *run {
+	r, from := s.a.Request, s.a.Instance
+	if r.Generation == nil || s.lastID == "" || s.ctx.Err() != nil {
+		return nil
+	}
+	to := s.d.o.Placer.ChooseForBackup(placement.Pool{Service: r.Service, Version: from.Version}, from, append(slices.Clone(s.rec.tried), from.ID))
+	if to == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, probeTimeout)
+	defer cancel()
+	started := s.d.o.Clock.Now()
+	at, source, err := s.d.stop(ctx, r, from, to.Instance, nil)
+	took := s.d.o.Clock.Now().Sub(started)
+	if err != nil {
+		if !errors.Is(err, errNoSuchRun) {
+			s.rec.addStep(from, "move", outcomeUnknown, took, err)
+		}
+		return nil
+	}
+	s.rec.addStep(from, "move", outcomeMoved, took, nil)
+	if s.d.checkDeadline(s.ctx, r, s.rec) != nil || !s.d.takeRetry(r, s.rec) || s.d.checkBeforeSend(s.ctx, r, s.rec) != nil {
+		return nil
+	}
+	return s.continuation().fromCopy(s.ctx, at, source)
+}
+
 // continuation returns what continues the stream after its last whole event.
 func (s *Stream) continuation() continuation {
 	return continuation{d: s.d, rec: s.rec, from: s.a, lastID: s.lastID}
