forward: a stream that ends with its killed engine isn't complete

Cause: the kernel closes the connections of a killed process in order, as a runner does at the end of a body without framing. The bytes don't tell one from the other.

Evidence: TestUnframedStreamOfAnEndedEngineIsBroken failed before for one to six events, resumable and not.

Change: after the last events of such a stream the host asks whether the run has ended. If its address refuses connections, for other hosts too, or another run answers there, the stream has broken off: it goes on elsewhere, or its caller doesn't get its end. Silence is no proof.

--- a/coordination/forward/bodyend_test.go
+++ b/coordination/forward/bodyend_test.go
@@ -89,6 +89,36 @@
 	is.Equal(len(w.up.attempts), 1)
 }
 
+// Guards against a stream that ends as complete since its killed engine's connection was closed in order between two
+// events: it goes on elsewhere, or its caller sees that it broke off.
+func TestUnframedStreamOfAnEndedEngineIsBroken(t *testing.T) {
+	whole := sixEvents()
+	for events := 1; events <= 6; events++ {
+		part := strings.Join(strings.SplitAfter(whole, "\n\n")[:events], "")
+		t.Run(fmt.Sprint(events, " events, resumable"), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, plenty, reply{status: 200, events: true, body: part, readErr: ErrUnframed}, reply{status: 200, events: true, body: rest(whole, part)})
+			answer, err := w.Forward(t.Context(), modelRequest(500, true))
+			is.NoErr(err)
+			w.up.ended = append(w.up.ended, w.up.attempts[0].Instance.ID)
+			got, err := readAll(answer.Stream)
+			is.NoErr(err)
+			is.Equal(got, whole)
+			is.Equal(w.up.attempts[1].LastEventID, fmt.Sprint(events))
+		})
+		t.Run(fmt.Sprint(events, " events, at most once"), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, plenty, reply{status: 200, events: true, body: part, readErr: ErrUnframed})
+			answer, err := w.Forward(t.Context(), modelRequest(500, false))
+			is.NoErr(err)
+			w.up.ended = append(w.up.ended, w.up.attempts[0].Instance.ID)
+			got, err := readAll(answer.Stream)
+			is.True(errors.Is(err, ErrStreamInterrupted))
+			is.Equal(got, part)
+		})
+	}
+}
+
 // Guards against a stream being opened by a comment: until its first event has come, the request can be sent to
 // another runner.
 func TestCommentOpensNoStream(t *testing.T) {
--- a/coordination/forward/crashes_test.go
+++ b/coordination/forward/crashes_test.go
@@ -305,6 +305,10 @@
 	return u.probe(ctx, i) == crash.Alive
 }
 
+func (u *crashUpstream) Ended(ctx context.Context, i *state.Instance) bool {
+	return u.probe(ctx, i) == crash.Ended
+}
+
 func (u *crashUpstream) Move(context.Context, *state.Instance, string, *state.Instance) (string, error) {
 	return "", nil
 }
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -66,6 +66,8 @@
 	// probed are the engines that were probed; those in unresponsive don't answer probes.
 	probed       []state.InstanceID
 	unresponsive map[state.InstanceID]bool
+	// ended are the engines that are known to have ended.
+	ended []state.InstanceID
 	// moveRequests are the engines that were asked to move a run; they answer moveHandle and
 	// moveErr.
 	moveRequests []state.InstanceID
@@ -185,6 +187,13 @@
 	return true
 }
 
+// Ended implements Upstream.
+func (u *fakeUpstream) Ended(_ context.Context, i *state.Instance) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Contains(u.ended, i.ID)
+}
+
 func (u *fakeUpstream) Discard(source *KVSource) error {
 	u.discarded <- source.Handle
 	return errors.New("the engine is gone")
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -211,6 +211,8 @@
 	// EndInsideEvent and EndBeforeEvent are ends of either kind that show that a stream broke off.
 	EndInsideEvent BodyEnd = "inside_event"
 	EndBeforeEvent BodyEnd = "before_event"
+	// EndRunEnded is the end of a connection with which the run has ended, too.
+	EndRunEnded BodyEnd = "run_ended"
 )
 
 // Response is a runner's response whose body is read as it arrives. The reader must call Finish
@@ -237,6 +239,9 @@
 	Move(ctx context.Context, from *state.Instance, id string, to *state.Instance) (handle string, err error)
 	// Alive reports whether an engine answers a probe, which is cheap for the engine.
 	Alive(ctx context.Context, i *state.Instance) bool
+	// Ended reports whether a run is known to have ended: nothing listens at its address for any host that was asked, or
+	// another run answers there.
+	Ended(ctx context.Context, i *state.Instance) bool
 	// PrefillHandle returns the handle of the KV cache from the body of a response to an attempt
 	// with PrefillOnly.
 	PrefillHandle(body []byte) (string, error)
--- a/coordination/forward/sim_harness_test.go
+++ b/coordination/forward/sim_harness_test.go
@@ -323,6 +323,9 @@
 // Alive implements Upstream.
 func (u *simUpstream) Alive(context.Context, *state.Instance) bool { return true }
 
+// Ended implements Upstream.
+func (u *simUpstream) Ended(context.Context, *state.Instance) bool { return false }
+
 // Move implements Upstream.
 func (u *simUpstream) Move(context.Context, *state.Instance, string, *state.Instance) (string, error) {
 	return "", errors.New("no run is moved")
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -53,8 +53,10 @@
 	// first. outlived is set once its engine has been known to outlive its beginning.
 	begunAt, lastEventAt time.Time
 	outlived             bool
-	eof                  bool
-	closed               bool
+	// eof is set once the body of the current run has ended and the stream is complete, unconfirmed while that is known by the
+	// end of the connection only.
+	eof, unconfirmed bool
+	closed           bool
 	// returnedAt is when Next last returned events, and longestPause the longest time that the caller
 	// of Next has let the current run wait since then. callerPause is the time that it has let the run
 	// wait since lastEventAt.
@@ -161,7 +163,12 @@
 			return out, nil
 		}
 		if s.eof {
-			return s.remainder()
+			if err := s.confirmEnd(); err == nil {
+				return s.remainder()
+			} else if !s.resume(err) {
+				return nil, s.endError()
+			}
+			continue
 		}
 		if err := s.fill(); err != nil && !s.resume(err) {
 			return nil, s.endError()
@@ -274,11 +281,38 @@
 	case end == EndConnection && s.scanner.Events() == 0:
 		end, err = EndBeforeEvent, errBeforeEvent
 	}
-	s.d.noteBodyEnd(s.a.Request, s.rec, end)
-	s.eof = err == nil
+	s.eof, s.unconfirmed = err == nil, err == nil && end == EndConnection
+	if !s.unconfirmed {
+		s.d.noteBodyEnd(s.a.Request, s.rec, end)
+	}
 	return err
 }
 
+// endProbeTimeout bounds the probe at the end of a stream: a connection to the engine and, if it is refused, those of some
+// other hosts.
+const endProbeTimeout = 150 * time.Millisecond
+
+// errRunEnded means that the engine has ended with the connection of a run.
+var errRunEnded = errors.New("the engine has ended with the connection; the run broke off between two events")
+
+// confirmEnd returns an error if the stream isn't complete although it ended with its connection: the kernel closes the
+// connections of an engine that is killed in the same order. It is called after the last events have been returned.
+func (s *Stream) confirmEnd() error {
+	if !s.unconfirmed {
+		return nil
+	}
+	s.unconfirmed = false
+	ctx, cancel := context.WithTimeout(s.ctx, endProbeTimeout)
+	defer cancel()
+	if !s.d.o.Upstream.Ended(ctx, s.a.Instance) {
+		s.d.noteBodyEnd(s.a.Request, s.rec, EndConnection)
+		return nil
+	}
+	s.eof = false
+	s.d.noteBodyEnd(s.a.Request, s.rec, EndRunEnded)
+	return errRunEnded
+}
+
 // scanEvents advances s.ready to the end of the last whole event. The scanner has read the buffer up to from.
 func (s *Stream) scanEvents(from int) {
 	for from < len(s.buf) {
@@ -412,7 +446,7 @@
 	s.scanner, s.pendingErr = eventstream.Scanner{}, nil
 	s.held.Release()
 	s.sinceEvent, s.comments = 0, 0
-	s.buf, s.ready, s.eof, s.closed, s.outlived, s.callerPause, s.lastEventAt = nil, 0, false, false, false, 0, time.Time{}
+	s.buf, s.ready, s.eof, s.unconfirmed, s.closed, s.outlived, s.callerPause, s.lastEventAt = nil, 0, false, false, false, false, 0, time.Time{}
 	if r.first == nil {
 		s.longestPause = 0 // a run that was read ahead has waited for the caller as well
 	}
--- a/coordination/reach/fleet_test.go
+++ b/coordination/reach/fleet_test.go
@@ -326,6 +326,10 @@
 	return h.status(ctx, i) == crash.Alive
 }
 
+func (h *host) Ended(ctx context.Context, i *state.Instance) bool {
+	return h.status(ctx, i) == crash.Ended
+}
+
 func (h *host) Move(context.Context, *state.Instance, string, *state.Instance) (string, error) {
 	return "", errLink
 }
--- a/transport/gateway/bodyend_test.go
+++ b/transport/gateway/bodyend_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/thymerack/thymerack/coordination/forward"
+	"github.com/thymerack/thymerack/state"
 )
 
 // endingUpstream answers with a stream of the given bytes and end.
@@ -26,6 +27,8 @@
 	return &endingResponse{endingUpstream: u}, nil
 }
 
+func (endingUpstream) Ended(context.Context, *state.Instance) bool { return false }
+
 type endingResponse struct{ endingUpstream }
 
 func (r *endingResponse) Head() *forward.Head {
--- a/transport/runners/pool.go
+++ b/transport/runners/pool.go
@@ -287,6 +287,11 @@
 	return p.Probe(ctx, i) == crash.Alive
 }
 
+// Ended implements forward.Upstream.
+func (p *Pool) Ended(ctx context.Context, i *state.Instance) bool {
+	return p.Probe(ctx, i) == crash.Ended
+}
+
 // Probe asks a run whether it is there. It has ended if another run answers at its address, or if
 // nothing listens there for any host that was asked; see reach.NoPathError.RunEnded.
 func (p *Pool) Probe(ctx context.Context, i *state.Instance) crash.RunStatus {
