httpclient: answers to HEAD requests have no body

Callers saw: a HEAD request got 504 at its deadline, and counted against its runner.

Cause: the client of runners didn't tell the library that the answer has no body, and waited for one.

Evidence: TestHeadIsAnsweredWithoutABody failed before with a length, chunks, neither and a stream's type, directly and through another host (504 after 3 s).

Change: the response to HEAD ends with its head. What its length says is passed on and not read. After: the test passes, and TestRunnersGetRequestsUnchanged draws HEAD, too.

--- a/coordination/forward/body.go
+++ b/coordination/forward/body.go
@@ -46,7 +46,7 @@
 
 // read reads the body to its end, and returns how it ended. After a *TooLongError the rest can still be read.
 func (h *heldBody) read(resp Response) (BodyEnd, error) {
-	declared := resp.Head().Length
+	declared := resp.Head().bodyBytes()
 	for {
 		if len(h.bytes) == cap(h.bytes) && !h.grow(declared) {
 			return "", &TooLongError{Held: len(h.bytes), Declared: declared}
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -195,6 +195,16 @@
 	EventStream bool
 	// Length is the length in bytes that the response declares for its body; 0 if it declares none.
 	Length int
+	// Bodiless is set if no body follows whatever the response declares, as after a HEAD request.
+	Bodiless bool
+}
+
+// bodyBytes is the declared length of a body that follows; 0 if none does or its length isn't declared.
+func (h *Head) bodyBytes() int {
+	if h.Bodiless {
+		return 0
+	}
+	return h.Length
 }
 
 // ErrUnframed marks the end of a body that has neither a length nor chunks, after the runner has closed
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -326,6 +326,11 @@
 		return
 	}
 	end()
+	if answer.Head.Bodiless && answer.Head.Length > 0 {
+		ctx.Response.SkipBody = true
+		ctx.Response.Header.SetContentLength(answer.Head.Length)
+		return
+	}
 	if answer.Counted() {
 		ctx.Response.SetBodyStream(newCountedBody(answer), len(answer.Body))
 		return
--- a/transport/httpclient/stream.go
+++ b/transport/httpclient/stream.go
@@ -52,6 +52,7 @@
 	}
 	resp := &fasthttp.Response{StreamBody: true}
 	resp.Header.SetNoDefaultContentType(true) // a response without a type has none
+	resp.SkipBody = req.Header.IsHead()
 	if err := x.readResponse(resp, l); err != nil {
 		return nil, x.fail(err)
 	}
--- a/transport/runners/pool.go
+++ b/transport/runners/pool.go
@@ -219,7 +219,9 @@
 	if idle := p.o.Codec.IdleTimeout(stream.Response); idle > 0 {
 		c.http.SetMaxIdle(time.Duration(float64(idle) * idleShare))
 	}
-	return &response{stream: stream, head: p.o.Codec.DecodeHead(stream.Response), client: c, conns: p.o.Conns, links: p.o.Links, tunneled: isTunneled}, nil
+	head := p.o.Codec.DecodeHead(stream.Response)
+	head.Bodiless = stream.Response.BodyStream() == nil
+	return &response{stream: stream, head: head, client: c, conns: p.o.Conns, links: p.o.Links, tunneled: isTunneled}, nil
 }
 
 // permit returns what is asked before the attempt is written: the host may have been suspended since it took the
