runners: answers that name no request are taken for nothing else

Callers could have seen (by reading in a review): an unsafe request answered as not run that runs, or a stream that goes on from another request's memory, since a second answer came late.

Cause: an answer without an ID counted for any request on its connection, which the host's own calls share, and any answer for the next own call.

Evidence: TestLateAnswersAreTakenForNothingElse answers calls and requests of each kind twice, late. Eight of its nine orders failed before.

Change: connections on which an answer without an ID was due are marked; there a request takes only an answer that names it. Probes drop answers that name a request. Moves, frees and orders use a connection each. After: the test passes.

--- a/transport/httpclient/client.go
+++ b/transport/httpclient/client.go
@@ -87,9 +87,12 @@
 	// MaxBodyBytes bounds a response body that is read whole. It must be
 	// positive; Do takes less as 1, where fasthttp would take it as no limit.
 	MaxBodyBytes int
-	// Stray tells a late response to an earlier request, which is dropped; nil
-	// means that there are none.
-	Stray func(resp *fasthttp.Response) bool
+	// Unnamed says that the response doesn't name its request. The connection is marked, since a second response
+	// may come late on it.
+	Unnamed bool
+	// Stray tells a late response to an earlier request, which is dropped; nil means that there are none. marked is set if
+	// responses that name no request were due on the connection before.
+	Stray func(resp *fasthttp.Response, marked bool) bool
 	// Permit is asked when there is a connection, before the request is written; after an
 	// error nothing is sent. nil allows it.
 	Permit func() error
@@ -260,6 +263,7 @@
 }
 
 func (x *exchange) readResponse(resp *fasthttp.Response, l Limits) error {
+	defer func() { x.conn.marked = x.conn.marked || l.Unnamed }()
 	x.conn.limitRead(l)
 	if err := x.conn.SetReadDeadline(x.conn.readUntil); err != nil {
 		return err
@@ -269,7 +273,7 @@
 		if err := resp.ReadLimitBody(x.br, max(1, l.MaxBodyBytes)); err != nil {
 			return err
 		}
-		if l.Stray == nil || !l.Stray(resp) {
+		if l.Stray == nil || !l.Stray(resp, x.conn.marked) {
 			return nil
 		}
 		if strays == maxStrays || resp.Header.ContentLength() == untilClose {
--- a/transport/httpclient/conn_linux.go
+++ b/transport/httpclient/conn_linux.go
@@ -43,6 +43,8 @@
 	readUntil time.Time
 	silence   time.Duration
 	begun     *atomic.Bool
+	// marked is set once a response was due that doesn't name its request; see Limits.Unnamed.
+	marked bool
 	// releasedAt is when the connection last went back to the pool.
 	releasedAt time.Time
 }
--- a/transport/httpclient/stream.go
+++ b/transport/httpclient/stream.go
@@ -62,6 +62,9 @@
 // SetSilence changes how long a Read may wait. Call it before the first Read.
 func (s *Stream) SetSilence(d time.Duration) { s.silence = d }
 
+// MarkUnnamed notes that the response doesn't name its request; see Limits.Unnamed.
+func (s *Stream) MarkUnnamed() { s.x.conn.marked = true }
+
 // Conn returns the connection that carries the stream.
 func (s *Stream) Conn() net.Conn { return s.x.conn.Conn }
 
--- a/transport/runners/pool.go
+++ b/transport/runners/pool.go
@@ -35,6 +35,10 @@
 	DecodeHead(resp *fasthttp.Response) *forward.Head
 	// OfRequest reports whether a response answers the request of that id.
 	OfRequest(resp *fasthttp.Response, id string) bool
+	// OfCall reports whether a response may answer a call of the host's own; it doesn't if it names a request.
+	OfCall(resp *fasthttp.Response, req *fasthttp.Request) bool
+	// Named reports whether a response names the request that it answers.
+	Named(resp *fasthttp.Response) bool
 	// IdleTimeout is how long the runner keeps an unused connection; 0: unknown.
 	IdleTimeout(resp *fasthttp.Response) time.Duration
 	PrefillHandle(body []byte) (string, error)
@@ -98,8 +102,9 @@
 // client is the connections to one instance.
 type client struct {
 	instance *state.Instance
-	// http makes connections over the best path, and direct over this host's own link only.
-	http, direct *httpclient.Client
+	// http makes connections over the best path, and direct over this host's own link only. once and directOnce make one for
+	// each call: a second answer to a call with an effect, which may come late, is taken for no other call's.
+	http, direct, once, directOnce *httpclient.Client
 }
 
 var _ forward.Upstream = (*Pool)(nil)
@@ -142,6 +147,12 @@
 	if c.direct, err = p.newHTTP(i, maxDirectConns, false, p.connectDirect); err != nil {
 		return nil, fmt.Errorf("connect to runner %s: %w", i.ID, err)
 	}
+	if c.once, err = p.newHTTP(i, maxConns, true, p.o.Paths.Connect); err != nil {
+		return nil, fmt.Errorf("connect to runner %s: %w", i.ID, err)
+	}
+	if c.directOnce, err = p.newHTTP(i, maxDirectConns, true, p.connectDirect); err != nil {
+		return nil, fmt.Errorf("connect to runner %s: %w", i.ID, err)
+	}
 	p.clients[i.ID] = c
 	return c, nil
 }
@@ -198,7 +209,9 @@
 		Timeout:      a.TimeLeft + responseSlack,
 		MaxBodyBytes: 1,
 		Permit:       p.permit(a),
-		Stray:        func(resp *fasthttp.Response) bool { return !p.o.Codec.OfRequest(resp, a.Request.ID) },
+		Stray: func(resp *fasthttp.Response, marked bool) bool {
+			return !p.o.Codec.OfRequest(resp, a.Request.ID) || marked && !p.o.Codec.Named(resp)
+		},
 	}
 	p.checker.CheckIfDue(a.Instance)
 	sentAt := wallclock.Now()
@@ -210,6 +223,9 @@
 		p.o.Conns.Release(a.Instance)
 		return nil, p.sendError(c, sentAt, err)
 	}
+	if !p.o.Codec.Named(stream.Response) {
+		stream.MarkUnnamed()
+	}
 	t, isTunneled := stream.Conn().(tunneled)
 	if isTunneled {
 		a.Tunnel, _ = t.Tunnel()
@@ -317,12 +333,18 @@
 	if err != nil {
 		return &forward.SendError{Cause: err}
 	}
-	return p.call(ctx, c, c.http, req, resp, httpclient.Limits{Timeout: timeout, MaxBodyBytes: maxAnswerBytes})
+	l := httpclient.Limits{Timeout: timeout, MaxBodyBytes: maxAnswerBytes}
+	if !req.Header.IsGet() {
+		return p.call(ctx, c, c.once, req, resp, l)
+	}
+	l.Stray = func(resp *fasthttp.Response, _ bool) bool { return !p.o.Codec.OfCall(resp, req) } // requests share the connections
+	return p.call(ctx, c, c.http, req, resp, l)
 }
 
 // call makes a call of the system's own by one of the client's clients.
 func (p *Pool) call(ctx context.Context, c *client, h *httpclient.Client, req *fasthttp.Request, resp *fasthttp.Response, l httpclient.Limits) error {
 	req.Header.SetHost(c.instance.Addr)
+	l.Unnamed = true
 	sentAt := wallclock.Now()
 	if err := h.Do(ctx, req, resp, l); err != nil {
 		return p.sendError(c, sentAt, err)
@@ -347,7 +369,11 @@
 	if err != nil {
 		return &forward.SendError{Cause: err}
 	}
-	return d.Pool.call(ctx, c, c.direct, req, resp, httpclient.Limits{Timeout: timeout, MaxBodyBytes: maxAnswerBytes, Permit: permit})
+	h := c.direct
+	if !req.Header.IsGet() {
+		h = c.directOnce
+	}
+	return d.Pool.call(ctx, c, h, req, resp, httpclient.Limits{Timeout: timeout, MaxBodyBytes: maxAnswerBytes, Permit: permit})
 }
 
 // heard tells what an answer asks. It is the one place for answers of all kinds. One that was
--- a/transport/runners/pool_test.go
+++ b/transport/runners/pool_test.go
@@ -58,6 +58,13 @@
 	return string(resp.Header.Peek(idHeader)) == id
 }
 
+func (testCodec) OfCall(resp *fasthttp.Response, req *fasthttp.Request) bool {
+	named := resp.Header.Peek(idHeader)
+	return len(named) == 0 || string(named) == string(req.Header.Peek(idHeader))
+}
+
+func (testCodec) Named(resp *fasthttp.Response) bool { return len(resp.Header.Peek(idHeader)) > 0 }
+
 func (testCodec) IdleTimeout(resp *fasthttp.Response) time.Duration {
 	if len(resp.Header.Peek("Keep-Alive")) > 0 {
 		return 100 * time.Millisecond
