soak: runners send answers without end, hosts' memory is watched, calls to the store are lost

With -soak.endless runners send a third of their answers without end for a time, plain ones, events and comments, in chunks and without, and single hosts lose what they send to the store.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -40,6 +40,8 @@
 	// silent has runners fall silent for a second in series and go on, beside configurations that change time-outs
 	// and limits, and callers keep their connections.
 	silent bool
+	// endless has runners send answers without end, and links to the store lose what is sent.
+	endless bool
 }
 
 // fleet is one deployment with its callers.
@@ -68,6 +70,8 @@
 	problems []string
 	// takenUp counts the broken streams that callers took up, and notTakenUp those that were refused.
 	takenUp, notTakenUp int
+	// mostResident is the most memory that a host took, in bytes; only watchMemory uses it until the end.
+	mostResident int64
 	// silentUntil is when runners have ceased to fall silent.
 	silentUntil time.Time
 	inForce     map[string]uint64
@@ -133,6 +137,7 @@
 	if o.fatal || o.parts {
 		callers.Go(f.fatalRequest)
 	}
+	callers.Go(func() { f.watchMemory(stop) })
 	f.settle()
 	f.trouble()
 	f.settle()
@@ -149,6 +154,7 @@
 	f.recovered(proven)
 	f.stop()
 	stopped = true
+	f.note("a host took %d MB of memory at most", f.mostResident>>20)
 	f.note("%d streams went on at a runner; callers took %d up again and %d were refused", f.ledger.Resumed(), f.takenUp, f.notTakenUp)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -90,7 +90,7 @@
 	})),
 	lasting("host cut off from the store", func(f *fleet, rng *rand.Rand) func() {
 		link := f.anyHost(rng).store
-		link.set([]linkFault{linkSilent, linkOneWay, linkReset, linkDelayed, linkLost}[rng.IntN(5)])
+		link.set([]linkFault{linkSilent, linkOneWay, linkReset, linkDelayed}[rng.IntN(4)])
 		return func() { link.set(linkSound) }
 	}),
 	atRunner("link to a runner in trouble", func(r *runner, rng *rand.Rand) func() {
@@ -150,6 +150,19 @@
 	}).do},
 }
 
+// endless has a runner send answers without end, and hosts lose what they send to the store.
+var endless = []action{
+	atRunner("runner sends answers without end", func(r *runner, _ *rand.Rand) func() {
+		r.SetFault(platformtest.RunnerEndless)
+		return func() { r.SetFault(platformtest.RunnerSound) }
+	}),
+	lasting("calls to the store lost", func(f *fleet, rng *rand.Rand) func() {
+		link := f.anyHost(rng).store
+		link.set(linkLost)
+		return func() { link.set(linkSound) }
+	}),
+}
+
 // unframed has a runner end its answers with their connections, and break some off so.
 var unframed = action{name: "runner answers without framing", runners: true, do: lasting("", func(f *fleet, rng *rand.Rand) func() {
 	r := f.present(rng)
@@ -176,6 +189,9 @@
 	if f.o.versions {
 		may = slices.Concat(may, slices.Repeat(versions, len(actions)/4))
 	}
+	if f.o.endless {
+		may = slices.Concat(may, slices.Repeat(endless, len(actions)/4))
+	}
 	if f.o.unframed {
 		may = slices.Concat(may, slices.Repeat([]action{unframed}, len(actions)/2))
 	}
