--- a/soak/caller.go
+++ b/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -142,6 +143,11 @@
 	return c.send(r, req)
 }
 
+// maxAnswer is far more than a sound answer has, in bytes; a caller that gets as much leaves.
+const maxAnswer = 1 << 20
+
+var errAnswerWithoutEnd = errors.New("the answer has no end")
+
 func (c *caller) send(r *result, req *fasthttp.Request) error {
 	if err := c.conn.SetDeadline(time.Now().Add(deadline + 2*time.Second)); err != nil {
 		return err
@@ -160,7 +166,11 @@
 	r.status = resp.StatusCode()
 	var body strings.Builder
 	if stream := resp.BodyStream(); stream != nil {
-		if _, err := io.Copy(&body, stream); err != nil {
+		n, err := io.Copy(&body, io.LimitReader(stream, maxAnswer))
+		if err == nil && n == maxAnswer {
+			err = errAnswerWithoutEnd
+		}
+		if err != nil {
 			r.body = body.String()
 			return err
 		}
