forward: what is counted for an answer of up to 16 KiB is given back

With enough of them every answer beyond 16 KiB would have been passed on unheld.

Change: the reservation tells whether anything is counted.

--- a/coordination/buffers/buffers.go
+++ b/coordination/buffers/buffers.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// Counted reports whether anything is counted for the answer.
+func (r *Reservation) Counted() bool { return r.counted > 0 }
+
 // Release gives everything back. Further calls do nothing.
 func (r *Reservation) Release() {
 	r.pool.held.Add(-r.counted)
--- a/coordination/forward/body.go
+++ b/coordination/forward/body.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/buffers"
@@ -24,17 +23,6 @@
 	return fmt.Sprintf("the answer is longer than what may be held of one (%d bytes held, %d declared); pass it on as it arrives", e.Held, e.Declared)
 }
 
-// LongAnswerOutcome is what became of an answer that is too long to be held.
-type LongAnswerOutcome string
-
-// The outcomes of long answers: passed on as they arrived, or dropped. An event of a stream that is too long is dropped
-// with its run.
-const (
-	LongAnswerPassedOn     LongAnswerOutcome = "passed_on"
-	LongAnswerDropped      LongAnswerOutcome = "dropped"
-	LongAnswerEventDropped LongAnswerOutcome = "event_dropped"
-)
-
 // heldBody is what has been read of a body.
 type heldBody struct {
 	bytes    []byte
@@ -141,174 +129,6 @@
 	rec.addStep(p.attempt.Instance, "run", outcomeAnswered, took, nil)
 }
 
-// longPartBytes is the size of the parts in which a long answer is passed on.
-const longPartBytes = 32 << 10
-
-// LongBody is the body of an answer that is too long to be held, and is passed on as it arrives. It isn't safe for
-// concurrent use.
-type LongBody struct {
-	d    *Dispatcher
-	ctx  context.Context
-	rec  *record
-	run  plainRun
-	held heldBody
-	// passedOn is set once the caller has got what was held, and part has the last part that followed.
-	passedOn bool
-	part     []byte
-	// end is how the body ended, and err why it broke off.
-	end BodyEnd
-	err error
-}
-
-// Next returns the next part, which is valid until the next call. It returns io.EOF at the end of the body.
-func (b *LongBody) Next() ([]byte, error) {
-	if !b.passedOn {
-		b.passedOn = true
-		b.note(LongAnswerPassedOn)
-		out := b.held.bytes
-		b.held.release()
-		if len(out) > 0 {
-			return out, nil
-		}
-	}
-	if b.part == nil {
-		b.part = make([]byte, longPartBytes)
-	}
-	for b.err == nil && b.end == "" {
-		n, err := b.run.resp.Read(b.part)
-		switch {
-		case err == io.EOF:
-			b.end = EndFramed
-		case errors.Is(err, ErrUnframed):
-			b.end = EndConnection
-		case err != nil:
-			b.err = err
-		}
-		if n > 0 {
-			return b.part[:n], nil
-		}
-	}
-	if b.err != nil {
-		return nil, b.err
-	}
-	return nil, io.EOF
-}
-
-// Close ends the answer. err is why the caller didn't get the rest; nil after the whole body.
-func (b *LongBody) Close(err error) {
-	if err == nil && b.end == "" {
-		err = errUnwritten
-	}
-	took := b.d.o.Clock.Now().Sub(b.run.started)
-	switch {
-	case err == nil:
-		b.run.resp.Finish()
-		b.d.noteBodyEnd(b.run.attempt.Request, b.rec, b.end)
-		b.d.noteWholeAnswer(b.ctx, b.run, b.rec, took)
-	case b.err != nil:
-		b.run.resp.Abort()
-		b.d.noteBrokenAnswer(b.ctx, b.run, b.rec, took, b.err)
-	default:
-		b.run.resp.Abort()
-		b.rec.addStep(b.run.attempt.Instance, "run", outcomeAborted, took, err)
-	}
-	b.release()
-	b.rec.trial.End()
-	b.d.logRequest(b.ctx, b.run.attempt.Request, b.rec, b.run.resp.Head().Status, err)
-}
-
-// drop ends an answer that isn't passed on: another runner has answered, or the time is up. It counts as a failure of its
-// runner if isFault is set.
-func (b *LongBody) drop(isFault bool) {
-	b.run.resp.Abort()
-	if isFault {
-		b.run.runner.RecordFailure()
-	}
-	took := b.d.o.Clock.Now().Sub(b.run.started)
-	b.rec.addStep(b.run.attempt.Instance, "run", outcomeUnknown, took, &TooLongError{Held: len(b.held.bytes), Declared: b.run.resp.Head().Length})
-	b.note(LongAnswerDropped)
-	b.release()
-}
-
-func (b *LongBody) release() {
-	b.held.release()
-	b.run.cancel()
-	b.run.sent.end()
-}
-
-// note counts and logs what becomes of the answer.
-func (b *LongBody) note(o LongAnswerOutcome) {
-	b.d.noteLongAnswer(b.ctx, b.run.attempt, o, len(b.held.bytes))
-}
-
-// noteLongAnswer counts and logs what becomes of an answer of which no more may be held.
-func (d *Dispatcher) noteLongAnswer(ctx context.Context, a *Attempt, o LongAnswerOutcome, held int) {
-	d.o.Observer.LongAnswer(a.Request.Service, o)
-	d.o.Log.LogAttrs(ctx, slog.LevelWarn, "answer too long to be held", slog.String("request_id", a.Request.ID), slog.Any("instance", a.Instance.ID),
-		slog.String("outcome", string(o)), slog.Int("held_bytes", held), slog.Int("bound", d.o.Buffers.MaxAnswerBytes()), slog.Int64("held_of_all", d.o.Buffers.Held()))
-}
-
-// keepFallback keeps an answer that is returned if no other runner gives a better one. The first long answer stays: if a
-// second runner's is long as well, such answers are sound.
-func (r *record) keepFallback(a *Answer) {
-	if r.fallback != nil && r.fallback.Long != nil {
-		a.drop(false)
-		return
-	}
-	r.fallback.drop(false)
-	r.fallback = a
-}
-
-// prefer returns the better one of the answer that was kept and that of the last attempt, which is nil if there is none,
-// and drops the other one.
-func prefer(kept, last *Answer) *Answer {
-	switch {
-	case kept == nil:
-		return last
-	case last == nil:
-		return kept
-	case kept.Long != nil && (last.Long != nil || last.Head.Status >= 500):
-		last.drop(false)
-		return kept
-	default:
-		kept.drop(true)
-		return last
-	}
-}
-
-// takeFallback returns the answer that was kept, if the caller can still get it.
-func (r *record) takeFallback(ctx context.Context) *Answer {
-	a := r.fallback
-	r.fallback = nil
-	if a != nil && a.Long != nil && ctx.Err() != nil {
-		a.drop(true)
-		return nil
-	}
-	return a
-}
-
-// drop releases an answer that isn't returned to the caller.
-func (a *Answer) drop(isFault bool) {
-	if a == nil {
-		return
-	}
-	if a.Long != nil {
-		a.Long.drop(isFault)
-	}
-	a.Release()
-}
-
-// Counted reports whether the body takes a share of what may be held of all answers, so that Release must be called once
-// it is written.
-func (a *Answer) Counted() bool { return a.reserved != nil && len(a.Body) > buffers.FreeBytes }
-
-// Release gives back what is counted for the body.
-func (a *Answer) Release() {
-	if a.reserved != nil {
-		a.reserved.Release()
-	}
-}
-
 // readPrefill reads the answer to a request whose prompt alone is computed.
 func (d *Dispatcher) readPrefill(r *Request, rec *record, resp Response) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(responseReader{resp}, maxPrefillBytes+1))
