--- a/coordination/follow/answers_test.go
+++ b/coordination/follow/answers_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -21,16 +22,42 @@
 	store.Store
 	revision atomic.Uint64
 	calls    atomic.Int64
+
+	mu         sync.Mutex
+	lastCallAt time.Time
+	// longestPause is the longest time between the beginnings of two calls.
+	longestPause time.Duration
 }
 
-func (s *fixedRevisionStore) List(context.Context, string) ([]store.Object, uint64, error) {
+// noteCall counts a call and the pause before it.
+func (s *fixedRevisionStore) noteCall() {
 	s.calls.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.lastCallAt.IsZero() {
+		s.longestPause = max(s.longestPause, time.Since(s.lastCallAt))
+	}
+	s.lastCallAt = time.Now()
+}
+
+// pause returns the longest pause so far, the one since the last call included.
+func (s *fixedRevisionStore) pause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.longestPause, time.Since(s.lastCallAt))
+}
+
+// watchTime is how long the store takes for a watch.
+const watchTime = 5 * time.Millisecond
+
+func (s *fixedRevisionStore) List(context.Context, string) ([]store.Object, uint64, error) {
+	s.noteCall()
 	return nil, s.revision.Load(), nil
 }
 
 func (s *fixedRevisionStore) Watch(ctx context.Context, _ string, _ uint64) (store.Batch, error) {
-	s.calls.Add(1)
-	return store.Batch{Gap: true}, clocktest.Bubble{}.Sleep(ctx, 5*time.Millisecond)
+	s.noteCall()
+	return store.Batch{Gap: true}, clocktest.Bubble{}.Sleep(ctx, watchTime)
 }
 
 // Guards against a mirror that ignores a store's answers without any sign: the log names the revisions
@@ -64,7 +91,11 @@
 // Guards against hundreds of calls a second to a store whose answers change nothing, because the copy
 // is newer than the store or the store has no history.
 func TestBacksOffFromStoreWithoutProgress(t *testing.T) {
-	for name, revision := range map[string]uint64{"older": 44, "without history": 48} {
+	for name, c := range map[string]struct {
+		revision uint64
+		// longest is the longest pause, with its jitter.
+		longest time.Duration
+	}{"older": {44, defaultDelays.Retry}, "without history": {48, defaultDelays.Coalesce}} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -74,14 +105,14 @@
 				is.NoErr(err)
 				end := run(t, m)
 				time.Sleep(time.Millisecond)
-				s.revision.Store(revision)
+				s.revision.Store(c.revision)
 				const duration = 30 * time.Second
 				time.Sleep(duration)
 				end()
 				const maxCallsPerSecond = 4
 				is.True(s.calls.Load() <= maxCallsPerSecond*int64(duration/time.Second))
-				is.True(s.calls.Load() >= int64(duration/m.maxRetryDelay())) // a change is still noticed in time
-				is.Equal(m.Lost(), revision < 48)
+				is.True(s.pause() <= c.longest+watchTime) // a change is still noticed in time
+				is.Equal(m.Lost(), c.revision < 48)
 			})
 		})
 	}
