httpclient: the limit of a silence counts the time in which the machine is suspended

A host that wakes up would have waited longer than the list's 8 s.

The bound is kept by transport/wallclock now; the runtime's clock sets the connection's deadline alone. After: the test passes, and so does TestHostsServeSoonAfterTheStoreIsBack.

--- a/transport/httpclient/client.go
+++ b/transport/httpclient/client.go
@@ -265,7 +265,7 @@
 func (x *exchange) readResponse(resp *fasthttp.Response, l Limits) error {
 	defer func() { x.conn.marked = x.conn.marked || l.Unnamed }()
 	x.conn.limitRead(l)
-	if err := x.conn.SetReadDeadline(x.conn.readUntil); err != nil {
+	if err := x.conn.SetReadDeadline(time.Now().Add(l.Timeout)); err != nil {
 		return err
 	}
 	left := int64(maxStrayBytes)
--- a/transport/httpclient/conn_linux.go
+++ b/transport/httpclient/conn_linux.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/thymerack/thymerack/transport/wallclock"
 )
 
 // Keepalive probes find a server that is gone while nothing is being sent, as
@@ -112,17 +114,14 @@
 
 // limitRead sets the limits of the next response.
 func (c *conn) limitRead(l Limits) {
-	c.readUntil, c.silence, c.begun = time.Now().Add(l.Timeout), l.Silence, l.Begun
+	c.readUntil, c.silence, c.begun = wallclock.Now().Add(l.Timeout), l.Silence, l.Begun
 }
 
 // Read applies the limit of the silence, and notes that the response has begun.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.silence > 0 {
-		until := time.Now().Add(c.silence)
-		if c.readUntil.Before(until) {
-			until = c.readUntil
-		}
-		if err := c.SetReadDeadline(until); err != nil {
+		left := min(c.silence, c.readUntil.Sub(wallclock.Now()))
+		if err := c.SetReadDeadline(time.Now().Add(left)); err != nil {
 			return 0, err
 		}
 	}
