forward: the end of a stream is probed again while the probe can't tell

Cause: the kernel closes a killed process's connections before its listener. A probe in between is accepted and then reset, which says nothing, and what says nothing counted as alive at once.

Evidence: TestUnframedStreamOfAnEndedEngineIsBroken, with one to three such probes first, fails where the first probe decides.

Change: a probe that can't tell is repeated after 25 ms, four in all. An answer or a refusal decides at once, as before.

--- a/coordination/forward/bodyend_test.go
+++ b/coordination/forward/bodyend_test.go
@@ -101,6 +101,7 @@
 			answer, err := w.Forward(t.Context(), modelRequest(500, true))
 			is.NoErr(err)
 			w.up.ended = append(w.up.ended, w.up.attempts[0].Instance.ID)
+			w.up.ending = events % maxEndProbes // the first probes meet the engine while it is being killed
 			got, err := readAll(answer.Stream)
 			is.NoErr(err)
 			is.Equal(got, whole)
--- a/coordination/forward/crashes_test.go
+++ b/coordination/forward/crashes_test.go
@@ -305,8 +305,8 @@
 	return u.probe(ctx, i) == crash.Alive
 }
 
-func (u *crashUpstream) Ended(ctx context.Context, i *state.Instance) bool {
-	return u.probe(ctx, i) == crash.Ended
+func (u *crashUpstream) Status(ctx context.Context, i *state.Instance) crash.RunStatus {
+	return u.probe(ctx, i)
 }
 
 func (u *crashUpstream) Move(context.Context, *state.Instance, string, *state.Instance) (string, error) {
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/thymerack/thymerack/coordination/buffers/buffertest"
 	"github.com/thymerack/thymerack/coordination/clocktest"
 	"github.com/thymerack/thymerack/coordination/contention"
+	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/origin"
 	"github.com/thymerack/thymerack/coordination/placement"
@@ -68,6 +69,8 @@
 	unresponsive map[state.InstanceID]bool
 	// ended are the engines that are known to have ended.
 	ended []state.InstanceID
+	// ending is how many probes can't tell yet.
+	ending int
 	// moveRequests are the engines that were asked to move a run; they answer moveHandle and
 	// moveErr.
 	moveRequests []state.InstanceID
@@ -187,11 +190,18 @@
 	return true
 }
 
-// Ended implements Upstream.
-func (u *fakeUpstream) Ended(_ context.Context, i *state.Instance) bool {
+// Status implements Upstream.
+func (u *fakeUpstream) Status(_ context.Context, i *state.Instance) crash.RunStatus {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return slices.Contains(u.ended, i.ID)
+	if u.ending > 0 {
+		u.ending--
+		return crash.Silent
+	}
+	if slices.Contains(u.ended, i.ID) {
+		return crash.Ended
+	}
+	return crash.Alive
 }
 
 func (u *fakeUpstream) Discard(source *KVSource) error {
--- a/coordination/forward/request.go
+++ b/coordination/forward/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/thymerack/thymerack/coordination/buffers"
 	"github.com/thymerack/thymerack/coordination/contention"
+	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/state"
 )
@@ -249,9 +250,9 @@
 	Move(ctx context.Context, from *state.Instance, id string, to *state.Instance) (handle string, err error)
 	// Alive reports whether an engine answers a probe, which is cheap for the engine.
 	Alive(ctx context.Context, i *state.Instance) bool
-	// Ended reports whether a run is known to have ended: nothing listens at its address for any host that was asked, or
-	// another run answers there.
-	Ended(ctx context.Context, i *state.Instance) bool
+	// Status finds out what has become of a run. It has ended if nothing listens at its address for any host that was asked, or
+	// if another run answers there.
+	Status(ctx context.Context, i *state.Instance) crash.RunStatus
 	// PrefillHandle returns the handle of the KV cache from the body of a response to an attempt
 	// with PrefillOnly.
 	PrefillHandle(body []byte) (string, error)
--- a/coordination/forward/sim_harness_test.go
+++ b/coordination/forward/sim_harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/thymerack/thymerack/coordination/backpressure"
 	"github.com/thymerack/thymerack/coordination/buffers/buffertest"
 	"github.com/thymerack/thymerack/coordination/clocktest"
+	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/occupancy"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/quarantine"
@@ -323,8 +324,8 @@
 // Alive implements Upstream.
 func (u *simUpstream) Alive(context.Context, *state.Instance) bool { return true }
 
-// Ended implements Upstream.
-func (u *simUpstream) Ended(context.Context, *state.Instance) bool { return false }
+// Status implements Upstream.
+func (u *simUpstream) Status(context.Context, *state.Instance) crash.RunStatus { return crash.Alive }
 
 // Move implements Upstream.
 func (u *simUpstream) Move(context.Context, *state.Instance, string, *state.Instance) (string, error) {
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/thymerack/thymerack/coordination/buffers"
+	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/eventstream"
 	"github.com/thymerack/thymerack/coordination/placement"
 	"github.com/thymerack/thymerack/coordination/quarantine"
@@ -288,9 +289,15 @@
 	return err
 }
 
-// endProbeTimeout bounds the probe at the end of a stream: a connection to the engine and, if it is refused, those of some
-// other hosts.
-const endProbeTimeout = 150 * time.Millisecond
+const (
+	// endProbeTimeout bounds a probe at the end of a stream: a connection to the engine and, if it is refused, those of some
+	// other hosts.
+	endProbeTimeout = 150 * time.Millisecond
+	// maxEndProbes and endProbePause allow for an engine that is being killed: the kernel closes its connections before its
+	// listener, so that a probe in between is accepted and then reset, which says nothing.
+	maxEndProbes  = 4
+	endProbePause = 25 * time.Millisecond
+)
 
 // errRunEnded means that the engine has ended with the connection of a run.
 var errRunEnded = errors.New("the engine has ended with the connection; the run broke off between two events")
@@ -302,9 +309,7 @@
 		return nil
 	}
 	s.unconfirmed = false
-	ctx, cancel := context.WithTimeout(s.ctx, endProbeTimeout)
-	defer cancel()
-	if !s.d.o.Upstream.Ended(ctx, s.a.Instance) {
+	if s.probeEnd() != crash.Ended {
 		s.d.noteBodyEnd(s.a.Request, s.rec, EndConnection)
 		return nil
 	}
@@ -313,6 +318,18 @@
 	return errRunEnded
 }
 
+// probeEnd finds out what has become of the run whose connection has ended. It is Silent if no probe could tell.
+func (s *Stream) probeEnd() crash.RunStatus {
+	for n := 1; ; n++ {
+		ctx, cancel := context.WithTimeout(s.ctx, endProbeTimeout)
+		status := s.d.o.Upstream.Status(ctx, s.a.Instance)
+		cancel()
+		if status != crash.Silent || n == maxEndProbes || s.d.o.Clock.Sleep(s.ctx, endProbePause) != nil {
+			return status
+		}
+	}
+}
+
 // scanEvents advances s.ready to the end of the last whole event. The scanner has read the buffer up to from.
 func (s *Stream) scanEvents(from int) {
 	for from < len(s.buf) {
--- a/coordination/reach/fleet_test.go
+++ b/coordination/reach/fleet_test.go
@@ -326,8 +326,8 @@
 	return h.status(ctx, i) == crash.Alive
 }
 
-func (h *host) Ended(ctx context.Context, i *state.Instance) bool {
-	return h.status(ctx, i) == crash.Ended
+func (h *host) Status(ctx context.Context, i *state.Instance) crash.RunStatus {
+	return h.status(ctx, i)
 }
 
 func (h *host) Move(context.Context, *state.Instance, string, *state.Instance) (string, error) {
--- a/transport/gateway/bodyend_test.go
+++ b/transport/gateway/bodyend_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/thymerack/thymerack/coordination/crash"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/state"
 )
@@ -27,7 +28,7 @@
 	return &endingResponse{endingUpstream: u}, nil
 }
 
-func (endingUpstream) Ended(context.Context, *state.Instance) bool { return false }
+func (endingUpstream) Status(context.Context, *state.Instance) crash.RunStatus { return crash.Alive }
 
 type endingResponse struct{ endingUpstream }
 
--- a/transport/runners/pool.go
+++ b/transport/runners/pool.go
@@ -305,10 +305,8 @@
 	return p.Probe(ctx, i) == crash.Alive
 }
 
-// Ended implements forward.Upstream.
-func (p *Pool) Ended(ctx context.Context, i *state.Instance) bool {
-	return p.Probe(ctx, i) == crash.Ended
-}
+// Status implements forward.Upstream.
+func (p *Pool) Status(ctx context.Context, i *state.Instance) crash.RunStatus { return p.Probe(ctx, i) }
 
 // Probe asks a run whether it is there. It has ended if another run answers at its address, or if
 // nothing listens there for any host that was asked; see reach.NoPathError.RunEnded.
