--- a/review/.standins-2/main.go
+++ b/review/.standins-2/main.go
@@ -13,7 +13,7 @@
 		os.Exit(2)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(rec *recorder, dir string, trouble bool) int{"burst": burst, "kept": kept}
+	cases := map[string]func(rec *recorder, dir string, trouble bool) int{"burst": burst, "kept": kept, "silent": silent}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
