--- a/review/.standins-2/engine.go
+++ b/review/.standins-2/engine.go
@@ -206,7 +206,7 @@
 	e.mu.Unlock()
 	run := e.fleet.begin(e, id, from)
 	e.rec.note("engine %s: runs %s from event %d", e.id, id, from+1)
-	complete, moved := e.write(w, req, id, from, events, stop)
+	complete := e.write(w, req, id, from, events, stop)
 	e.mu.Lock()
 	if e.live[id] == stop {
 		delete(e.live, id)
@@ -214,14 +214,13 @@
 	e.mu.Unlock()
 	e.fleet.end(run, complete)
 	e.rec.note("engine %s: its run of %s is over, complete %v", e.id, id, complete)
-	if moved {
-		panic(http.ErrAbortHandler) // closes the stream without its end
+	if !complete {
+		panic(http.ErrAbortHandler) // closes the stream without its end, as a crash does
 	}
 }
 
-// write makes an event each pace and sends it at once, or after a silence. It reports whether it has sent all of them, and whether
-// the run was moved.
-func (e *engine) write(w http.ResponseWriter, req *http.Request, id string, from, events int, stop chan struct{}) (complete, moved bool) {
+// write makes an event each pace and sends it at once, or after a silence. It reports whether it has sent all of them.
+func (e *engine) write(w http.ResponseWriter, req *http.Request, id string, from, events int, stop chan struct{}) bool {
 	h := w.Header()
 	h.Set("X-Thymerack-Server-Seal", e.id+"."+id)
 	h.Set("X-Thymerack-Weight-Versions", "1")
@@ -237,15 +236,15 @@
 		}
 		select {
 		case <-stop:
-			return false, true
+			return false
 		default:
 		}
 		if req.Context().Err() != nil {
-			return false, false
+			return false
 		}
 		for ; sent < made; sent++ {
 			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s/%d\n\n", sent+1, id, sent+1); err != nil {
-				return false, false
+				return false
 			}
 		}
 		w.(http.Flusher).Flush()
@@ -261,5 +260,5 @@
 		delete(e.fleet.copies, backup+"/"+id)
 		e.fleet.mu.Unlock()
 	}
-	return true, false
+	return true
 }
