gateway, front: connections that rest don't keep the buffers of large bodies

Cause: the HTTP library keeps the buffer of the largest body of each connection for as long as the connection is open, and nothing counts it.

A body in chunks costs twice as much, since the buffer doubles.

Change: the buffer of a body over 32 KiB is dropped when its request has been answered or rejected, at the callers' server of configured routes and at that of the project's own interface, which has the same fault.

--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -12,6 +12,7 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
 
 	"github.com/thymerack/thymerack/coordination/answer"
 	"github.com/thymerack/thymerack/coordination/dispatch"
@@ -156,11 +157,19 @@
 	})
 	server := s.app.Server()
 	server.ConnState = s.conns.Note
-	server.Handler = s.knownMethods(server.Handler)
+	server.Handler = releasesBody(s.knownMethods(server.Handler))
 	s.routes()
 	return s, nil
 }
 
+// releasesBody drops the buffers of large bodies once their requests are answered.
+func releasesBody(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		defer callerconn.ReleaseBody(&ctx.Request)
+		next(ctx)
+	}
+}
+
 func (s *Server) routes() {
 	s.app.Use(s.sendAway)
 	s.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -275,6 +275,7 @@
 }
 
 func (s *Server) reject(ctx *fasthttp.RequestCtx, r *forward.Request, reason string, status int, text string) {
+	callerconn.ReleaseBody(&ctx.Request)
 	s.o.Observer.Rejected(reason)
 	s.o.Log.Warn("request rejected", "request_id", r.ID, "reason", reason, "status", status, "host", r.Host, "uri", r.URI)
 	s.problem(ctx, status, text)
@@ -300,6 +301,7 @@
 	end := func() {
 		s.watch.Remove(call)
 		cancel()
+		callerconn.ReleaseBody(&ctx.Request)
 	}
 	answer, err := s.o.Dispatcher.Forward(work, r)
 	took := wallclock.Since(r.ArrivedAt)
