gateway, bodies: what is held of requests under way is bounded

Cause: each body was read whole before anything was decided and held until the answer, and nothing counted bodies. Those in chunks took up to three times their size while their buffer doubled. Answers have a bound (coordination/buffers), requests had none.

Change: the library hands bodies over as streams. coordination/bodies reserves their memory from the moment at which it is needed: callers' connections and bodies share three eighths of the machine's. At the bound reading waits for a second at most, then the request is refused with 503 (nothing was sent) and a Retry-After from the mean time for which bodies are held; at once if that is beyond its deadline. Small bodies pass large ones, urgent ones go first, a caller that stops sending while others wait gets 408 after 3 s, and a body over the configured limit is refused before it is read. A request's time counts from its header.

Why it works: nothing beyond the first 8 KiB of a body, which are counted with the connection, is read before its memory is reserved.

--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -12,6 +12,7 @@
 
 	"github.com/thymerack/thymerack/coordination/auth"
 	"github.com/thymerack/thymerack/coordination/backpressure"
+	"github.com/thymerack/thymerack/coordination/bodies"
 	"github.com/thymerack/thymerack/coordination/buffers"
 	"github.com/thymerack/thymerack/coordination/connlease"
 	"github.com/thymerack/thymerack/coordination/crash"
@@ -77,8 +78,9 @@
 	// advice holds the backpressure signals of runners: limits, backoff and leaving.
 	advice  *backpressure.Registry
 	gateway *gateway.Server
-	// buffers bounds what is held of answers.
+	// buffers bounds what is held of answers, and bodies what is held of requests' bodies.
 	buffers *buffers.Pool
+	bodies  *bodies.Pool
 	// knownMaxConns maps services to the last number of connections that their runners accept.
 	knownMaxConns sync.Map
 	// lease is the lease of the duties that one host at a time performs.
@@ -161,6 +163,8 @@
 	h.metrics.gauge(`thymerack_runners_asking{what="leaving"}`, func() float64 { return float64(h.advice.Count().Leaving) })
 	h.metrics.gauge(`thymerack_runners_asking{what="rest"}`, func() float64 { return float64(h.advice.Count().BackingOff) })
 	h.metrics.gauge("thymerack_held_answer_bytes", func() float64 { return float64(h.buffers.Held()) })
+	h.metrics.gauge("thymerack_held_request_bytes", func() float64 { return float64(h.bodies.Held()) })
+	h.metrics.gauge("thymerack_requests_waiting_for_memory", func() float64 { return float64(h.bodies.Waiting()) })
 	h.metrics.gauge("thymerack_slow_readers", func() float64 { return float64(h.gateway.SlowReaders().Count()) })
 	h.metrics.gauge("thymerack_slow_reader_bytes", func() float64 { return float64(h.gateway.SlowReaders().Held()) })
 	h.metrics.gauge("thymerack_slow_readers_ended_total", func() float64 { return float64(h.gateway.SlowReaders().Ended()) })
@@ -362,8 +366,16 @@
 	if err != nil {
 		return err
 	}
+	h.bodies, err = bodies.New(bodies.Options{
+		MaxBytes: int(callersShare * memory), Taken: func() int { return callerConnBytes * h.gateway.Connections() }, MinBytes: int(minBodiesShare * memory),
+		MaxWait: bodyWait, Clock: h.clock,
+	})
+	if err != nil {
+		return err
+	}
 	h.gateway, err = gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Dispatcher: dispatcher, Keys: h.keys, Table: h.config.Table, Observer: h.metrics, Log: h.log,
+		Bodies: h.bodies,
+		Codec:  platform.Codec{}, Dispatcher: dispatcher, Keys: h.keys, Table: h.config.Table, Observer: h.metrics, Log: h.log,
 		MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes,
 		MaxConnections:  max(h.settings.Limits.Descriptors-reservedFDs, reservedFDs),
 		SlowReaderBytes: int64(slowReaderShare * float64(h.settings.Limits.MemoryBytes)),
--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -136,6 +136,14 @@
 	// heldAnswerShare that of one answer: 2 MB of the smallest host.
 	heldShare       = 1.0 / 16
 	heldAnswerShare = 1.0 / 64
+	// callersShare is the share of the machine's memory for callers' connections and the bodies of their requests. A
+	// connection takes callerConnBytes: the buffers of the reader (maxHeaderBytes), of the beginning of a body (8 KiB) and of the
+	// writer (4 KiB), and the stack. minBodiesShare is the share left for bodies however many connections there are.
+	callersShare    = 3.0 / 8
+	callerConnBytes = maxHeaderBytes + 28<<10
+	minBodiesShare  = 1.0 / 8
+	// bodyWait is the longest wait of a request for memory for its body.
+	bodyWait = time.Second
 	// reservedFDs is the number of file descriptors that are reserved for files and for connections
 	// to runners, the store and peers.
 	reservedFDs = 1200
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -46,6 +46,8 @@
 	host *host
 	// only is the host that the caller sends to; nil for any.
 	only *host
+	// large has the caller send large bodies to a plain service, with pauses, over connections that it keeps.
+	large bool
 }
 
 // deadline is the time that callers give a request.
@@ -62,9 +64,10 @@
 		case <-stop:
 			c.drop()
 			return
-		case <-time.After(time.Duration(5+c.rng.IntN(20)) * time.Millisecond):
+		case <-time.After(c.pause()):
 		}
 		switch drops := c.rng.IntN(12) == 0; {
+		case c.large:
 		case c.f.o.silent:
 			c.stayIdle()
 		case drops:
@@ -72,6 +75,9 @@
 		}
 		kind := kinds[c.rng.IntN(len(kinds))]
 		id := fmt.Sprintf("c%d-%d", c.n, i)
+		if c.large {
+			kind, id = platformtest.KindUnsafe, platformtest.LargeID+id
+		}
 		r := c.ask(kind, id, nil)
 		c.f.judge(r)
 		if c.f.o.versions && kind == platformtest.KindResume {
@@ -80,6 +86,14 @@
 	}
 }
 
+// pause is how long the caller waits before its next request.
+func (c *caller) pause() time.Duration {
+	if c.large {
+		return time.Second + time.Duration(c.rng.IntN(2000))*time.Millisecond
+	}
+	return time.Duration(5+c.rng.IntN(20)) * time.Millisecond
+}
+
 func (c *caller) drop() {
 	if c.conn != nil {
 		_ = c.conn.Close()
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -42,6 +42,19 @@
 	silent bool
 	// endless has runners send answers without end, and links to the store lose what is sent.
 	endless bool
+	// large adds callers that send bodies at the limit over kept connections, and kills hosts one at a time more often.
+	large bool
+}
+
+// largeCallers are the callers for each host that send large bodies.
+const largeCallers = 48
+
+// allCallers counts the callers, those that send large bodies included.
+func (o options) allCallers() int {
+	if o.large {
+		return o.callers + largeCallers*o.hosts
+	}
+	return o.callers
 }
 
 // fleet is one deployment with its callers.
@@ -111,7 +124,7 @@
 // newFleet returns a fleet that isn't built.
 func newFleet(o options) *fleet {
 	return &fleet{
-		o: o, rng: rand.New(rand.NewPCG(o.seed, 1)), ledger: platformtest.NewLedger(), keys: newKeyring(o.callers),
+		o: o, rng: rand.New(rand.NewPCG(o.seed, 1)), ledger: platformtest.NewLedger(), keys: newKeyring(o.allCallers()),
 		inForce: map[string]uint64{}, written: map[uint64]time.Time{}, began: time.Now(), software: "v1",
 	}
 }
@@ -130,8 +143,8 @@
 	}()
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
-	for n := range o.callers {
-		c := &caller{f: f, n: n, rng: rand.New(rand.NewPCG(o.seed, uint64(n)+100))}
+	for n := range o.allCallers() {
+		c := &caller{f: f, n: n, rng: rand.New(rand.NewPCG(o.seed, uint64(n)+100)), large: n >= o.callers}
 		callers.Go(func() { c.run(stop) })
 	}
 	if o.fatal || o.parts {
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -53,6 +53,10 @@
 
 func (f *fleet) anyHost(rng *rand.Rand) *host { return f.hosts[rng.IntN(len(f.hosts))] }
 
+var hostKilled = action{name: "host killed", do: func(f *fleet, rng *rand.Rand) error {
+	return f.anyHost(rng).kill(time.Duration(rng.IntN(1500)) * time.Millisecond)
+}}
+
 // actions are all that may happen to a fleet.
 var actions = []action{
 	{name: "config change", planned: true, config: true, do: func(f *fleet, _ *rand.Rand) error { f.putConfig(); return nil }},
@@ -80,9 +84,7 @@
 		defer f.begin(span{runners: true, runner: r.ID})()
 		return f.crash(r)
 	}},
-	{name: "host killed", do: func(f *fleet, rng *rand.Rand) error {
-		return f.anyHost(rng).kill(time.Duration(rng.IntN(1500)) * time.Millisecond)
-	}},
+	hostKilled,
 	holding(lasting("host paused", func(f *fleet, rng *rand.Rand) func() {
 		h := f.anyHost(rng)
 		h.signal(syscall.SIGSTOP)
@@ -192,6 +194,9 @@
 	if f.o.endless {
 		may = slices.Concat(may, slices.Repeat(endless, len(actions)/4))
 	}
+	if f.o.large {
+		may = slices.Concat(may, slices.Repeat([]action{hostKilled}, len(actions)/2))
+	}
 	if f.o.unframed {
 		may = slices.Concat(may, slices.Repeat([]action{unframed}, len(actions)/2))
 	}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thymerack/thymerack/coordination/auth"
+	"github.com/thymerack/thymerack/coordination/bodies"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/coordination/routing"
 	"github.com/thymerack/thymerack/state"
@@ -66,6 +67,8 @@
 	Table    func() *routing.Table
 	Observer Observer
 	Log      *slog.Logger
+	// Bodies bounds what is held of requests' bodies.
+	Bodies *bodies.Pool
 	// MaxBodyBytes and MaxHeaderBytes bound a request.
 	MaxBodyBytes, MaxHeaderBytes int
 	// MaxConnections bounds the callers' connections.
@@ -101,11 +104,13 @@
 	// bodies holds the IDs of requests whose body is read, by *fasthttp.RequestHeader: the library
 	// forgets the header of a request whose body can't be read.
 	bodies sync.Map
+	// reading holds the connections on which a body is read, by *bodyReader.
+	reading sync.Map
 }
 
 // New validates the options.
 func New(o Options) (*Server, error) {
-	if o.Codec == nil || o.Dispatcher == nil || o.Keys == nil || o.Table == nil || o.Observer == nil || o.Log == nil {
+	if o.Codec == nil || o.Dispatcher == nil || o.Keys == nil || o.Table == nil || o.Observer == nil || o.Log == nil || o.Bodies == nil {
 		return nil, errors.New("gateway: a field of Options is nil; set all of them")
 	}
 	if o.MaxBodyBytes <= 0 || o.MaxHeaderBytes <= 0 || o.MaxConnections <= 0 {
@@ -122,6 +127,7 @@
 		Concurrency:           o.MaxConnections,
 		ReadBufferSize:        o.MaxHeaderBytes,
 		MaxRequestBodySize:    o.MaxBodyBytes,
+		StreamRequestBody:     true, // bodies are read into memory that is reserved for them
 		HeaderReceived:        s.headerReceived,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
@@ -147,6 +153,7 @@
 	go s.watch.Run(s.base)
 	go s.slow.Run(s.base)
 	go s.conns.Run(s.base)
+	go s.cutStalled(s.base)
 	return s.http.Serve(&callerconn.Listener{Listener: ln, WriteLimit: writeTimeout, Slow: s.slow, SendBuffer: s.sendBuffer()})
 }
 
@@ -184,7 +191,7 @@
 	}
 	r := &forward.Request{
 		Method: string(ctx.Method()), URI: string(ctx.Request.Header.RequestURI()), Host: string(ctx.Request.Header.Host()),
-		Body: ctx.Request.Body(), ArrivedAt: arrived,
+		ArrivedAt: arrived,
 	}
 	left := s.o.Codec.DecodeRequest(&ctx.Request.Header, r)
 	callerconn.SetRequest(ctx.Conn(), r.ID)
@@ -192,22 +199,22 @@
 	if table == nil {
 		return
 	}
-	route := r.Route
-	if limit := table.Config.MaxBodyBytes; limit > 0 && len(r.Body) > limit {
-		s.reject(ctx, r, "body_too_large", fasthttp.StatusRequestEntityTooLarge, "the body is over the configured limit; send less")
-		return
-	}
-	r.Service = routing.Backend(route, cmp.Or(r.Resumes, r.ID)) // a stream goes on at its service
+	r.Service = routing.Backend(r.Route, cmp.Or(r.Resumes, r.ID)) // a stream goes on at its service
 	if spec := table.Service(r.Service); spec != nil {
 		r.Engine = spec.Engine
 	}
-	r.Contention = table.Class(r.Service, route, r.Customer)
-	r.Deadline = arrived.Add(shortest(left, route.Timeout))
+	r.Contention = table.Class(r.Service, r.Route, r.Customer)
+	r.Deadline = arrived.Add(shortest(left, r.Route.Timeout))
 	if s.tooLate(r) {
 		s.reject(ctx, r, "leaving", fasthttp.StatusServiceUnavailable, "this host is about to stop and did not run the request; send it again")
 		return
 	}
-	s.forward(ctx, r)
+	body, err := s.readBody(ctx, r, s.bodyLimit(table.Config))
+	if err != nil {
+		s.bodyFailed(ctx, r, err)
+		return
+	}
+	s.forward(ctx, r, body)
 }
 
 // selectRoute notes the route and the customer of a request by one table, and returns it; nil if it has
@@ -275,7 +282,7 @@
 }
 
 func (s *Server) reject(ctx *fasthttp.RequestCtx, r *forward.Request, reason string, status int, text string) {
-	callerconn.ReleaseBody(&ctx.Request)
+	s.discardBody(ctx)
 	s.o.Observer.Rejected(reason)
 	s.o.Log.Warn("request rejected", "request_id", r.ID, "reason", reason, "status", status, "host", r.Host, "uri", r.URI)
 	s.problem(ctx, status, text)
@@ -293,15 +300,15 @@
 	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 }
 
-// forward dispatches the request while its caller is watched.
-func (s *Server) forward(ctx *fasthttp.RequestCtx, r *forward.Request) {
+// forward dispatches the request while its caller is watched, and releases its body once it is answered.
+func (s *Server) forward(ctx *fasthttp.RequestCtx, r *forward.Request, body *bodies.Reservation) {
 	work, cancel := context.WithDeadline(s.base, wallclock.Steady(r.Deadline))
 	call := &callerconn.Call{Conn: ctx.Conn(), Cancel: cancel}
 	s.watch.Add(call)
 	end := func() {
 		s.watch.Remove(call)
 		cancel()
-		callerconn.ReleaseBody(&ctx.Request)
+		body.Release()
 	}
 	answer, err := s.o.Dispatcher.Forward(work, r)
 	took := wallclock.Since(r.ArrivedAt)
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/thymerack/thymerack/coordination/auth"
+	"github.com/thymerack/thymerack/coordination/bodies/bodypool"
 	"github.com/thymerack/thymerack/coordination/forward"
 	"github.com/thymerack/thymerack/coordination/quarantine"
 	"github.com/thymerack/thymerack/coordination/quota"
@@ -87,7 +88,7 @@
 	t.Helper()
 	o := Options{
 		Codec: testCodec{}, Dispatcher: d, Keys: testKeys{}, Table: testTable, Observer: noObserver{}, Log: slog.New(slog.DiscardHandler),
-		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, MaxConnections: 100,
+		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, MaxConnections: 100, Bodies: bodypool.New(t, 64<<20),
 	}
 	for _, f := range set {
 		f(&o)
--- a/transport/gateway/leave.go
+++ b/transport/gateway/leave.go
@@ -30,3 +30,6 @@
 
 // Active counts the connections on which a request is read or answered.
 func (s *Server) Active() int64 { return s.conns.Active() }
+
+// Connections counts the callers' open connections.
+func (s *Server) Connections() int { return int(s.http.GetOpenConnectionsCount()) }
