origin, placement, forward: a version begins resumable streams only once the store has noted it

Cause: the store's note of a service's versions is the only trace that outlives all hosts, and a version served before its note was written: for the time of one write, or as long as the store refuses writes. Once the version is gone, list and note name the other one alone, and that counted as proof.

Change: streams that callers may take up begin at versions that this host knows to be noted, by its own write, by reading the note or from a host that does (origin.Ledger, placement.Pool.Noted). Calls and other streams don't wait, nor do prompts to prefill. If no noted version has a runner, a stream waits until 2 s after the search began and then begins anywhere, counted and logged. While a version stays unnoted the number of hosts that write doubles each second up to 64. Notes of a restored store count for nothing until they are read again.

Why it works: each version that may have begun such a stream within the last minute is in the note, whatever memory is lost.

--- a/coordination/forward/advice.go
+++ b/coordination/forward/advice.go
@@ -155,8 +155,12 @@
 // awaitRunner waits for a runner that accepts such work, until by at the latest, and acquires
 // the permit that the runner's limit requires.
 func (d *Dispatcher) awaitRunner(ctx context.Context, r *Request, rec *record, p placement.Phase, by time.Time) (*placement.Runner, error) {
+	pool := rec.pool(r)
+	if p == placement.PhasePrefill {
+		pool = rec.prefillPool(r)
+	}
 	for {
-		runner, at := d.o.Placer.EarliestAvailable(rec.pool(r), p, rec.tried)
+		runner, at := d.o.Placer.EarliestAvailable(pool, p, rec.tried)
 		if runner == nil {
 			return nil, d.refuse(r, rec, ReasonNoRunner)
 		}
--- a/coordination/forward/candidate.go
+++ b/coordination/forward/candidate.go
@@ -61,7 +61,7 @@
 	var candidates []candidate
 	excluded := slices.Clone(tried)
 	for range maxPrefillCandidates {
-		runner := d.o.Placer.ChooseForPrefill(rec.pool(r), r.Generation.Session(), excluded)
+		runner := d.o.Placer.ChooseForPrefill(rec.prefillPool(r), r.Generation.Session(), excluded)
 		if runner == nil {
 			break
 		}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -30,6 +30,8 @@
 	// ChooseForBackup chooses an engine for the backup of a run at another engine. It avoids engines
 	// that can be lost together with that engine.
 	ChooseForBackup(p placement.Pool, at *state.Instance, tried []state.InstanceID) *placement.Runner
+	// NotedSize returns the number of the service's runners, and of those among them whose version the store has noted.
+	NotedSize(service string) (all, noted int)
 	// SeparatesPrefill reports whether some of the service's engines only compute prompts.
 	SeparatesPrefill(service string) bool
 	// Runner returns an instance with this host's knowledge of it, or nil if it isn't listed.
@@ -275,6 +277,7 @@
 	if err := d.bindVersion(ctx, r, rec); err != nil {
 		return nil, err
 	}
+	d.restrictToNoted(ctx, r, rec)
 	if err := d.checkPath(r, rec); err != nil {
 		return nil, err
 	}
--- a/coordination/forward/harness_test.go
+++ b/coordination/forward/harness_test.go
@@ -289,6 +289,9 @@
 	}
 }
 
+// AwaitNoted implements Origins.
+func (o *fakeOrigins) AwaitNoted(context.Context, string) bool { return false }
+
 // noQuotas admits every request.
 type noQuotas struct{}
 
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -108,6 +108,8 @@
 	sourceDropped bool
 	// version is that of the runner whose events the caller has, or gets first; "" before there is one.
 	version string
+	// notedOnly restricts the stream to versions that the store has noted, until its first event.
+	notedOnly bool
 	// beginnings counts the attempts that were to begin a stream.
 	beginnings int
 	// lastEnd is how the last body ended that was read to its end; "" if there was none.
--- a/coordination/forward/version.go
+++ b/coordination/forward/version.go
@@ -18,6 +18,9 @@
 	Begin(r origin.Record) *origin.Writing
 	// Version returns the version that began a stream, or an *origin.UnknownError.
 	Version(ctx context.Context, q origin.Query) (string, error)
+	// AwaitNoted waits until the store has noted another version of a service. It reports false if streams wait for that no
+	// longer.
+	AwaitNoted(ctx context.Context, service string) bool
 }
 
 const (
@@ -48,6 +51,28 @@
 	return nil
 }
 
+// restrictToNoted has a stream that its caller may take up elsewhere begin only at a version that the store has noted: one that
+// no store and no living host knows would be taken for another. While no such version has a runner, the stream waits for one, and
+// begins at any version if that takes too long.
+func (d *Dispatcher) restrictToNoted(ctx context.Context, r *Request, rec *record) {
+	if r.Route.Kind != state.RouteStream || !r.Route.Resumable || r.LastEventID != "" {
+		return
+	}
+	for {
+		all, noted := d.o.Placer.NotedSize(r.Service)
+		if noted == all {
+			return
+		}
+		if noted > 0 {
+			rec.notedOnly = true
+			return
+		}
+		if !d.o.Origins.AwaitNoted(ctx, r.Service) {
+			return
+		}
+	}
+}
+
 // beginStream remembers the version at which a stream is about to begin.
 func (d *Dispatcher) beginStream(a *Attempt, rec *record) *origin.Writing {
 	r := a.Request
@@ -58,9 +83,14 @@
 	return d.o.Origins.Begin(origin.Record{ID: r.ID, Service: r.Service, Version: a.Instance.Version, Attempt: rec.beginnings})
 }
 
-// pool returns the runners that may run the request: all of its service until the first event, and those of
-// one version afterwards. Each choice of a runner is made from it.
+// pool returns the runners that may run the request: those of its service until the first event, of noted versions alone if it is
+// restricted to them, and those of one version afterwards. Each choice of a runner is made from it.
 func (r *record) pool(req *Request) placement.Pool {
+	return placement.Pool{Service: req.Service, Version: r.version, Noted: r.version == "" && r.notedOnly}
+}
+
+// prefillPool returns the engines that may compute the prompt, which bring no event.
+func (r *record) prefillPool(req *Request) placement.Pool {
 	return placement.Pool{Service: req.Service, Version: r.version}
 }
 
--- a/coordination/forward/versions_test.go
+++ b/coordination/forward/versions_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -210,3 +211,66 @@
 	is.NoErr(err)
 	is.Equal(w.up.attempts[0].Rank, 1)
 }
+
+// notingOrigins has a version noted when a stream waits for it, or never.
+type notingOrigins struct {
+	*fakeOrigins
+	note   func()
+	waited int
+}
+
+func (o *notingOrigins) AwaitNoted(context.Context, string) bool {
+	o.waited++
+	if o.note == nil {
+		return false
+	}
+	o.note()
+	return true
+}
+
+// Guards against a stream that begins at a version which leaves no trace if all hosts lose their memory, so that its caller takes it
+// up at another version (ORDER); and against one that waits although its caller can't, or that is refused for ever.
+func TestStreamBeginsAtANotedVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		resumable bool
+		before    []string // noted versions
+		after     []string // those noted when a stream waits
+		want      string   // the only version at which streams begin; "" for any
+		waits     bool
+	}{
+		"one of two is noted":       {true, []string{"v1"}, nil, "v1", false},
+		"both are noted":            {true, []string{"v1", "v2"}, nil, "", false},
+		"none is noted at first":    {true, nil, []string{"v2"}, "v2", true},
+		"none is ever noted":        {true, nil, nil, "", true},
+		"the caller can't go on":    {false, []string{"v1"}, nil, "", false},
+		"noted versions have ended": {true, []string{"v0"}, []string{"v1"}, "v1", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			seen := map[string]bool{}
+			for range 60 {
+				w := newWorld(t, plenty, reply{status: 200, events: true, body: "id: 1\ndata: a\n\n"})
+				w.listVersions(map[string]int{"v1": 3, "v2": 3})
+				w.fleet.SetNoted("model", c.before)
+				origins := &notingOrigins{fakeOrigins: w.origins}
+				if c.after != nil {
+					origins.note = func() { w.fleet.SetNoted("model", c.after) }
+				}
+				w.o.Origins = origins
+				r := modelRequest(500, true)
+				r.Route.Resumable = c.resumable
+				answer, err := w.Forward(t.Context(), r)
+				is.NoErr(err)
+				_, err = readAll(answer.Stream)
+				is.NoErr(err)
+				seen[w.up.attempts[0].Instance.Version] = true
+				is.Equal(origins.waited > 0, c.waits)
+			}
+			if c.want == "" {
+				is.Equal(len(seen), 2)
+			} else {
+				is.True(len(seen) == 1 && seen[c.want])
+			}
+		})
+	}
+}
--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -46,8 +46,8 @@
 	refused, resumed int
 	// unnamed has callers take streams up without naming them.
 	unnamed bool
-	// storeDown cuts all hosts off from the store.
-	storeDown bool
+	// storeDown cuts all hosts off from the store, and readOnly has it refuse writes after some time.
+	storeDown, readOnly bool
 	// reads counts the reads at the store.
 	reads atomic.Int64
 }
@@ -151,7 +151,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	followCtx, stopFollowing := context.WithCancel(ctx)
 	history, table := NewHistory(clock), NewTable(clock)
-	ledger, err := NewLedger(LedgerOptions{Store: testStore{h: h}, History: history, Writes: func() bool { return slices.Contains(h.f.writers(), h) && h.listFresh() }, Clock: clock, Log: log})
+	ledger, err := NewLedger(LedgerOptions{
+		Self: h.addr, Store: testStore{h: h}, History: history, Writes: func(n int) bool { return slices.Contains(h.f.writers(n), h) && h.listFresh() },
+		Epoch: func() uint64 { return 0 }, Hosts: func() int { return len(h.f.hosts) }, OnNoted: func(string, []string) {}, Clock: clock, Log: log,
+	})
 	if err != nil {
 		panic(err)
 	}
@@ -228,11 +231,11 @@
 	h.start()
 }
 
-// writers returns the first hosts that are up.
-func (f *testFleet) writers() []*testHost {
+// writers returns the first n hosts that are up.
+func (f *testFleet) writers(n int) []*testHost {
 	var out []*testHost
 	for _, h := range f.hosts {
-		if h.isUp() && len(out) < LedgerWriters {
+		if h.isUp() && len(out) < n {
 			out = append(out, h)
 		}
 	}
@@ -255,6 +258,15 @@
 	if !h.isUp() || len(listed) == 0 {
 		return
 	}
+	for noted := registry.o.Ledger.Noted(service); ; noted = registry.o.Ledger.Noted(service) {
+		if len(noted) > 0 {
+			listed = noted
+			break
+		}
+		if !registry.AwaitNoted(context.Background(), service) {
+			break
+		}
+	}
 	version := listed[f.intN(len(listed), id, "version")]
 	if !f.serves(version) {
 		return
@@ -371,6 +383,10 @@
 	if !s.h.reachesStore() {
 		return 0, &store.UnavailableError{Cause: errLost}
 	}
+	if s.h.f.isReadOnly() {
+		time.Sleep(refusalDelay)
+		return 0, &store.UnavailableError{Cause: errLost}
+	}
 	s.h.f.mu.Lock()
 	defer s.h.f.mu.Unlock()
 	o := s.h.f.notes[name]
@@ -383,6 +399,21 @@
 
 var errLost = errors.New("no answer")
 
+// refusalDelay is how long the store takes to refuse a write.
+const refusalDelay = 1500 * time.Millisecond
+
+func (f *testFleet) isReadOnly() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readOnly
+}
+
+func (f *testFleet) setReadOnly(readOnly bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readOnly = readOnly
+}
+
 // testPeers are the peers of one host.
 type testPeers struct{ from *testHost }
 
@@ -430,6 +461,7 @@
 
 func (noObserver) VersionAsked(string, Source) {}
 func (noObserver) OriginWritten(string, bool)  {}
+func (noObserver) BegunUnnoted(string)         {}
 
 // rollOut replaces the version by another one, sometimes back.
 func (f *testFleet) rollOut() {
@@ -473,12 +505,16 @@
 	}
 }
 
-// disturbStore has the store down for some seconds.
+// disturbStore has the store down for some seconds, or refuse writes.
 func (f *testFleet) disturbStore() {
 	time.Sleep(f.duration(20*time.Second, "store goes down"))
-	f.setStoreDown(true)
+	set := f.setStoreDown
+	if f.intN(2, "store refuses writes") == 0 {
+		set = f.setReadOnly
+	}
+	set(true)
 	time.Sleep(f.duration(5*time.Second, "store is back"))
-	f.setStoreDown(false)
+	set(false)
 }
 
 func (f *testFleet) setStoreDown(down bool) {
--- a/coordination/origin/ledger.go
+++ b/coordination/origin/ledger.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/singleflight"
@@ -28,9 +29,13 @@
 // ledgerConflictLimit is how often a write that lost against another host's is repeated at once.
 const ledgerConflictLimit = 3
 
-// LedgerWriters is how many hosts write the ledger, so that it is written while some of them don't reach the store. The
-// first that does makes the others' writes needless.
-const LedgerWriters = 4
+// minWriters is how many hosts write the ledger, so that it is written while some of them don't reach the store. The
+// first that does makes the others' writes needless. While a listed version isn't noted, their number doubles each second
+// maxDoublings times, since the store may serve others.
+const (
+	minWriters   = 4
+	maxDoublings = 4
+)
 
 // note is an object of the ledger.
 type note struct {
@@ -39,13 +44,21 @@
 
 // LedgerOptions configures a Ledger. All fields are required.
 type LedgerOptions struct {
+	// Self is this host's peer address.
+	Self    string
 	Store   store.Store
 	History *History
-	// Writes reports whether this host is one of those that write. A host whose list of runners isn't up to date must not: it would
-	// take versions that others have added out of notes.
-	Writes func() bool
-	Clock  state.Clock
-	Log    *slog.Logger
+	// Writes reports whether this host is one of the given number of hosts that write. A host whose list of runners isn't up to date must
+	// not: it would take versions that others have added out of notes.
+	Writes func(writers int) bool
+	// Epoch returns how often the store was restored: notes that were read or written before may be lost.
+	Epoch func() uint64
+	// Hosts returns the number of hosts, over which reads of a note are spread.
+	Hosts func() int
+	// OnNoted is told the listed versions of a service that the store has noted, whenever these change. It must not block.
+	OnNoted func(service string, versions []string)
+	Clock   state.Clock
+	Log     *slog.Logger
 }
 
 // Ledger notes at the store which versions of each service were listed within Retention. A host that has just started can't know
@@ -58,6 +71,9 @@
 	reads singleflight.Group
 	// compared are the last comparisons by service. Only Run uses them.
 	compared map[string]comparison
+	noted    notedVersions
+	// askPeers returns the versions of a service that other hosts know as noted; see Registry.
+	askPeers func(ctx context.Context, service string) []string
 }
 
 // comparison is the result of comparing a service's note with the history.
@@ -65,41 +81,53 @@
 	// history are the versions that the history had, and noted those that the note had afterwards.
 	history, noted []string
 	at             time.Time
+	epoch          uint64
 }
 
 // NewLedger returns an error if an option is missing.
 func NewLedger(o LedgerOptions) (*Ledger, error) {
-	if o.Store == nil || o.History == nil || o.Writes == nil || o.Clock == nil || o.Log == nil {
+	if o.Self == "" || o.Store == nil || o.History == nil || o.Writes == nil || o.Epoch == nil || o.Hosts == nil || o.OnNoted == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("origin: a field of LedgerOptions is missing; set all of them")
 	}
-	return &Ledger{o: o, wake: make(chan struct{}, 1), compared: map[string]comparison{}}, nil
+	return &Ledger{o: o, wake: make(chan struct{}, 1), compared: map[string]comparison{}, noted: newNotedVersions()}, nil
 }
 
 // Wake makes Run compare the ledger with the history at once.
-func (l *Ledger) Wake() {
+func (l *Ledger) Wake() { signal(l.wake) }
+
+// signal wakes the reader of a channel of capacity 1.
+func signal(wake chan<- struct{}) {
 	select {
-	case l.wake <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 }
 
-// Run writes the ledger while this host is one of those that do, until ctx ends.
+// Run writes the ledger while this host is one of those that do, and has listed versions noted, until ctx ends.
 func (l *Ledger) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { l.runConfirm(ctx) }) // a write may take long
 	for ctx.Err() == nil {
 		interval := ledgerRetryInterval
-		if l.o.Writes() && l.update(ctx) {
+		if l.o.Writes(l.noted.writers(l.o.Clock.Now())) && l.update(ctx) {
 			interval = ledgerInterval
 		}
-		wait, cancel := context.WithCancel(ctx)
-		go func() {
-			defer cancel()
-			_ = l.o.Clock.Sleep(wait, interval) // its end is the end of wait
-		}()
-		select {
-		case <-l.wake:
-		case <-wait.Done():
-		}
-		cancel()
+		l.sleep(ctx, interval, l.wake)
+	}
+}
+
+// sleep returns after the interval, when ctx ends, or when it is woken.
+func (l *Ledger) sleep(ctx context.Context, interval time.Duration, wake <-chan struct{}) {
+	wait, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		_ = l.o.Clock.Sleep(wait, interval) // its end is the end of wait
+	}()
+	select {
+	case <-wake:
+	case <-wait.Done():
 	}
 }
 
@@ -110,7 +138,7 @@
 		versions := l.o.History.Versions(service, Retention)
 		last, compared := l.compared[service]
 		// A note is compared again in time: a store that was restored from an older copy may have lost it.
-		if compared && slices.Equal(last.history, versions) && l.o.Clock.Now().Sub(last.at) < Retention {
+		if compared && slices.Equal(last.history, versions) && l.o.Clock.Now().Sub(last.at) < Retention && last.epoch == l.o.Epoch() {
 			continue
 		}
 		if err := l.write(ctx, service, last.noted); err != nil {
@@ -139,6 +167,7 @@
 // may have started later, or its list may be behind. What they have taken out isn't put back unless it is listed, so that a version
 // that is gone leaves the note for good.
 func (l *Ledger) tryWrite(ctx context.Context, service string, last []string) (comparison, error) {
+	epoch := l.o.Epoch()
 	object, err := l.o.Store.Get(ctx, Kind, service)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return comparison{}, err
@@ -147,17 +176,20 @@
 	l.o.History.Add(service, without(noted, last))
 	history, listed := l.o.History.Versions(service, Retention), l.o.History.Versions(service, 0)
 	takenOut := without(without(last, noted), listed)
-	c := comparison{history: history, noted: without(history, takenOut), at: l.o.Clock.Now()}
+	c := comparison{history: history, noted: without(history, takenOut), at: l.o.Clock.Now(), epoch: epoch}
 	if err == nil && slices.Equal(noted, c.noted) {
+		l.setNoted(service, object.Version, epoch, noted)
 		return c, nil
 	}
 	value, err := json.Marshal(note{c.noted})
 	if err != nil {
 		return comparison{}, err
 	}
-	if _, err := l.o.Store.Put(ctx, Kind, service, object.Version, value); err != nil {
+	written, err := l.o.Store.Put(ctx, Kind, service, object.Version, value)
+	if err != nil {
 		return comparison{}, err
 	}
+	l.setNoted(service, written, epoch, c.noted)
 	l.o.Log.Info("versions of a service written to the store", "service", service, "versions", c.noted)
 	return c, nil
 }
@@ -183,11 +215,16 @@
 	shared := l.reads.DoChan(service, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 		defer cancel()
+		epoch := l.o.Epoch()
 		object, err := l.o.Store.Get(ctx, Kind, service)
 		if err != nil {
 			return nil, err
 		}
-		return decodeNote(object.Value)
+		versions, err := decodeNote(object.Value)
+		if err == nil {
+			l.setNoted(service, object.Version, epoch, versions)
+		}
+		return versions, err
 	})
 	select {
 	case r := <-shared:
--- a/coordination/origin/registry.go
+++ b/coordination/origin/registry.go
@@ -32,8 +32,9 @@
 	// Record is the stream's; found is set if there is one.
 	Record Record
 	Found  bool
-	// Versions are those of the service that were listed within the time that was asked for.
-	Versions []string
+	// Versions are those of the service that were listed within the time that was asked for, and Noted those listed ones that the
+	// store has noted, as far as the replica knows.
+	Versions, Noted []string
 	// Age is for how long the replica has kept records and followed the list.
 	Age time.Duration
 }
@@ -68,6 +69,8 @@
 	// OriginWritten counts a stream that was written to its replicas; acknowledged is set if a majority
 	// answered in time.
 	OriginWritten(service string, acknowledged bool)
+	// BegunUnnoted counts a stream that begins although the store may have noted no version of its service.
+	BegunUnnoted(service string)
 }
 
 // Options configures a Registry. All fields are required.
@@ -94,7 +97,9 @@
 	if o.Self == "" || o.Table == nil || o.History == nil || o.Peers == nil || o.Replicas == nil || o.Ledger == nil || o.Observer == nil || o.Clock == nil || o.Log == nil {
 		return nil, errors.New("origin: a field of Options is missing; set all of them")
 	}
-	return &Registry{o}, nil
+	r := &Registry{o}
+	o.Ledger.askPeers = r.askNoted
+	return r, nil
 }
 
 // UnknownError reports that the version that began a stream isn't known.
@@ -183,6 +188,7 @@
 		r.o.Log.Info("runners of several versions serve", "service", service, "versions", l[service], "streams", len(records))
 		go r.copyToReplicas(records)
 	}
+	r.o.Ledger.retain(l)
 	r.o.Ledger.Wake()
 }
 
@@ -209,9 +215,20 @@
 	}
 }
 
+// AwaitNoted waits until the store has noted another version of a service. It reports false, and counts a stream, if streams
+// wait for that no longer.
+func (r *Registry) AwaitNoted(ctx context.Context, service string) bool {
+	if r.o.Ledger.AwaitNoted(ctx, service) {
+		return true
+	}
+	r.o.Observer.BegunUnnoted(service)
+	r.o.Log.Warn("stream begins at a version that the store hasn't noted", "service", service, "versions", r.o.History.Versions(service, 0))
+	return false
+}
+
 // Find answers another host that looks a stream up.
 func (r *Registry) Find(q Query) Finding {
-	f := Finding{Versions: r.o.History.Versions(q.Service, q.MaxAge), Age: min(r.o.Table.Age(), r.o.History.Age())}
+	f := Finding{Versions: r.o.History.Versions(q.Service, q.MaxAge), Noted: r.o.Ledger.Noted(q.Service), Age: min(r.o.Table.Age(), r.o.History.Age())}
 	f.Record, f.Found = r.o.Table.Get(q.ID)
 	return f
 }
--- /dev/null
+++ b/coordination/origin/unnoted_test.go
@@ -0,0 +1,73 @@
+package origin
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against streams of a version that leaves no trace: it serves before the store has noted it, all hosts lose
+// their memory, and it is gone when they are back, so that its streams go on at the other version (ORDER).
+func TestStreamsOfAnUnnotedVersionAreNotJoined(t *testing.T) {
+	for _, c := range []struct {
+		hosts           int
+		readOnly, leave time.Duration // until the store takes writes, and until the version leaves
+	}{
+		{3, 1100 * time.Millisecond, 1500 * time.Millisecond},
+		{3, 10 * time.Second, 1500 * time.Millisecond},
+		{7, 0, 1200 * time.Millisecond},
+		{7, 2 * time.Second, time.Second},
+	} {
+		for _, unnamed := range []bool{false, true} {
+			t.Run(fmt.Sprint(c.hosts, " hosts, read-only for ", c.readOnly, ", unnamed ", unnamed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newTestFleet(1, c.hosts, "v1")
+					defer f.stop()
+					f.unnamed = unnamed
+					f.setReadOnly(c.readOnly > 0)
+					time.AfterFunc(c.readOnly, func() { f.setReadOnly(false) })
+					f.setListed("v1", "v2")
+					time.AfterFunc(c.leave, func() { f.setListed("v1") })
+					f.load("before the kill", 1100*time.Millisecond)
+					f.restartAll()
+					f.load("after it", 10*time.Second)
+					t.Logf("%d streams joined, %d resumed, %d refused", len(f.wrong), f.resumed, f.refused)
+					is.New(t).Equal(len(f.wrong), 0)
+				})
+			})
+		}
+	}
+}
+
+// Guards against hosts that have just started and let streams wait while a write to the store takes long, although they could know
+// a version that is noted.
+func TestNotedVersionsAreKnownWhileAWriteTakesLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(2, 3, "v1")
+		defer f.stop()
+		f.setReadOnly(true)
+		f.setListed("v1", "v2")
+		time.Sleep(2 * maxLag)
+		f.restartAll()
+		for _, h := range f.hosts {
+			for h.mu.Lock(); len(h.listed) == 0; h.mu.Lock() {
+				h.mu.Unlock()
+				time.Sleep(time.Millisecond)
+			}
+			h.mu.Unlock()
+		}
+		time.Sleep(200 * time.Millisecond)
+		for _, h := range f.hosts {
+			is.Equal(h.registry.o.Ledger.Noted(service), []string{"v1"})
+		}
+		f.setReadOnly(false)
+		time.Sleep(refusalDelay + ledgerRetryInterval + maxConfirmInterval)
+		for _, h := range f.hosts {
+			is.Equal(h.registry.o.Ledger.Noted(service), []string{"v1", "v2"})
+		}
+	})
+}
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -166,6 +166,26 @@
 	return out
 }
 
+// SetNoted sets the versions of a service that the store has noted. Runners of other versions aren't in the service's pool
+// of noted ones.
+func (f *Fleet) SetNoted(service string, versions []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.Store(f.view.Load().withNoted(service, versions))
+}
+
+// NotedSize returns the number of instances of a service that accept work, and of those among them whose version is noted.
+func (f *Fleet) NotedSize(service string) (all, noted int) {
+	v := f.view.Load()
+	if s := v.byPool[Pool{Service: service}]; s != nil {
+		all = s.all.size
+	}
+	if s := v.byPool[Pool{Service: service, Noted: true}]; s != nil {
+		noted = s.all.size
+	}
+	return all, noted
+}
+
 // Size returns the number of instances of a service that accept work.
 func (f *Fleet) Size(service string) int { return f.service(service).all.size }
 
--- a/coordination/placement/view.go
+++ b/coordination/placement/view.go
@@ -12,6 +12,8 @@
 	byPool map[Pool]*poolRunners
 	byID   *cowMap[state.InstanceID, *Runner]
 	byAddr *cowMap[string, *Runner]
+	// noted are the versions that the store has noted, as pools.
+	noted map[Pool]bool
 }
 
 func newView() *view {
@@ -23,16 +25,48 @@
 }
 
 // Pool is a set of runners among which one is chosen: those of a service, or of one version of their software
-// if Version isn't "".
-type Pool struct{ Service, Version string }
+// if Version isn't "". Noted leaves those of versions out that the store hasn't noted; see Fleet.SetNoted.
+type Pool struct {
+	Service, Version string
+	Noted            bool
+}
 
 // poolsOf returns the pools that a runner is in.
-func poolsOf(r *Runner) []Pool {
-	all := Pool{Service: r.Instance.Service}
-	if r.Instance.Version == "" {
-		return []Pool{all}
+func (v *view) poolsOf(r *Runner) []Pool {
+	service, version := r.Instance.Service, r.Instance.Version
+	own := Pool{Service: service, Version: version}
+	switch {
+	case version == "":
+		return []Pool{own, {Service: service, Noted: true}}
+	case v.noted[own]:
+		return []Pool{{Service: service}, own, {Service: service, Noted: true}}
+	default:
+		return []Pool{{Service: service}, own}
+	}
+}
+
+// withNoted returns the view after a change of the noted versions of a service.
+func (v *view) withNoted(service string, versions []string) *view {
+	noted := maps.Clone(v.noted)
+	if noted == nil {
+		noted = map[Pool]bool{}
+	}
+	maps.DeleteFunc(noted, func(p Pool, _ bool) bool { return p.Service == service })
+	for _, version := range versions {
+		noted[Pool{Service: service, Version: version}] = true
+	}
+	out := *v
+	out.noted, out.byPool = noted, maps.Clone(v.byPool)
+	var members []*Runner
+	if all := v.byPool[Pool{Service: service}]; all != nil {
+		for _, r := range all.all.all() {
+			if r.Instance.Version == "" || noted[Pool{Service: service, Version: r.Instance.Version}] {
+				members = append(members, r)
+			}
+		}
 	}
-	return []Pool{all, {r.Instance.Service, r.Instance.Version}}
+	out.byPool[Pool{Service: service, Noted: true}] = newPoolRunners().with(nil, members)
+	return &out
 }
 
 // poolRunners holds the instances of a pool that accept work.
@@ -101,14 +135,14 @@
 		if byAddr.m.get(r.Instance.Addr) == r {
 			byAddr.remove(r.Instance.Addr)
 		}
-		noteChange(changes, r, func(c *poolChange) { c.removed = append(c.removed, r) })
+		v.noteChange(changes, r, func(c *poolChange) { c.removed = append(c.removed, r) })
 	}
 	for _, r := range added {
 		byID.set(r.Instance.ID, r)
 		byAddr.set(r.Instance.Addr, r)
-		noteChange(changes, r, func(c *poolChange) { c.added = append(c.added, r) })
+		v.noteChange(changes, r, func(c *poolChange) { c.added = append(c.added, r) })
 	}
-	next := &view{byPool: make(map[Pool]*poolRunners, len(v.byPool)), byID: byID.m, byAddr: byAddr.m}
+	next := &view{byPool: make(map[Pool]*poolRunners, len(v.byPool)), byID: byID.m, byAddr: byAddr.m, noted: v.noted}
 	maps.Copy(next.byPool, v.byPool)
 	for pool, c := range changes {
 		before := v.byPool[pool]
@@ -128,11 +162,11 @@
 type poolChange struct{ removed, added []*Runner }
 
 // noteChange notes a change of a runner in each of its pools, unless it is draining.
-func noteChange(changes map[Pool]*poolChange, r *Runner, note func(c *poolChange)) {
+func (v *view) noteChange(changes map[Pool]*poolChange, r *Runner, note func(c *poolChange)) {
 	if r.Instance.Draining {
 		return
 	}
-	for _, pool := range poolsOf(r) {
+	for _, pool := range v.poolsOf(r) {
 		if changes[pool] == nil {
 			changes[pool] = &poolChange{}
 		}
--- a/coordination/reach/fleet_test.go
+++ b/coordination/reach/fleet_test.go
@@ -339,6 +339,7 @@
 func (h *host) GroupAdded(reach.Group)                                {}
 func (h *host) Begin(origin.Record) *origin.Writing                   { return nil }
 func (h *host) Version(context.Context, origin.Query) (string, error) { return "", nil }
+func (h *host) AwaitNoted(context.Context, string) bool               { return false }
 func (h *host) Suspected(quarantine.Digest) bool                      { return false }
 func (h *host) ReportAnswered(quarantine.Digest)                      {}
 func (h *host) CheckHeld([]quarantine.Digest) error                   { return nil }
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -290,6 +290,7 @@
 func (h *Host) applyHosts(c follow.Copy) {
 	h.members.applyCopy(c)
 	h.gate.EligibleSince() // from now on this host knows the replicas of the new list
+	h.versions.Wake()      // it may be one of those that write the services' versions
 }
 
 // applyHeldRequests passes a new copy of the held requests to the quarantine.
--- a/daemon/routed/metrics.go
+++ b/daemon/routed/metrics.go
@@ -176,6 +176,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_streams_resumed_total{service=%q,known_by=%q}`, service, s)).Inc()
 }
 
+// BegunUnnoted implements origin.Observer.
+func (m *hostMetrics) BegunUnnoted(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_streams_begun_unnoted_total{service=%q}`, service)).Inc()
+}
+
 // OriginWritten implements origin.Observer.
 func (m *hostMetrics) OriginWritten(service string, acknowledged bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`thymerack_stream_origins_written_total{service=%q,acknowledged="%t"}`, service, acknowledged)).Inc()
--- a/daemon/routed/peers.go
+++ b/daemon/routed/peers.go
@@ -116,7 +116,8 @@
 	history, table := origin.NewHistory(h.clock), origin.NewTable(h.clock)
 	var err error
 	h.versions, err = origin.NewLedger(origin.LedgerOptions{
-		Store: h.store, History: history, Writes: h.writesVersions, Clock: h.clock, Log: h.log,
+		Self: h.members.addr(h.settings.IP), Store: h.store, History: history, Writes: h.writesVersions, Epoch: h.epochs.Known, Hosts: h.members.Hosts,
+		OnNoted: h.fleet.SetNoted, Clock: h.clock, Log: h.log,
 	})
 	if err != nil {
 		return err
@@ -134,12 +135,12 @@
 	return nil
 }
 
-// writesVersions reports whether this host writes the services' versions to the store: it is one of a few, and its list of
-// runners is as new as a copy that is watched without a fault can be, just before the answer to a watch that brings nothing new.
-func (h *Host) writesVersions() bool {
+// writesVersions reports whether this host writes the services' versions to the store: it is one of the given number, and its list
+// of runners is as new as a copy that is watched without a fault can be, just before the answer to a watch that brings nothing new.
+func (h *Host) writesVersions(writers int) bool {
 	d := h.delays()
 	listAge := h.clock.Now().Sub(h.instanceMirror.ProvenAt())
-	return listAge <= d.WatchWait+d.AnswerTimeout+d.Coalesce && h.gate.IsAmongFirst(origin.LedgerWriters)
+	return listAge <= d.WatchWait+d.AnswerTimeout+d.Coalesce && h.gate.IsAmongFirst(writers)
 }
 
 // buildOutliers creates the detector of silent runners, whose verdicts are broadcast to all hosts.
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -101,6 +101,12 @@
 	}
 }
 
+// maxDials is how often a caller tries to connect to a host with a broken stream, and dialPause the time between.
+const (
+	maxDials  = 20
+	dialPause = 100 * time.Millisecond
+)
+
 // takeUp takes a broken stream up at any host, twice at most.
 func (c *caller) takeUp(r result) {
 	first, body := r.id, r.body
@@ -109,7 +115,12 @@
 		if after == 0 {
 			return
 		}
-		r = c.ask(r.kind, fmt.Sprintf("%s-%d", first, n), func(req *fasthttp.Request) { platformtest.TakeUp(req, first, after) })
+		takeUp := func(req *fasthttp.Request) { platformtest.TakeUp(req, first, after) }
+		r = c.ask(r.kind, fmt.Sprintf("%s-%d", first, n), takeUp)
+		for tries := 1; !r.dialled && tries < maxDials; tries++ { // all hosts may be down
+			time.Sleep(dialPause)
+			r = c.ask(r.kind, r.id, takeUp)
+		}
 		c.f.judgeTakenUp(r, first, after)
 		body = body[:strings.LastIndex(body, "\n\n")+2] + r.body
 	}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -267,16 +267,22 @@
 }
 
 func (f *fleet) addRunner(service, stage, version string) error {
+	_, err := f.newRunner(service, stage, version)
+	return err
+}
+
+// newRunner starts and lists a runner.
+func (f *fleet) newRunner(service, stage, version string) (*runner, error) {
 	f.runnersMu.Lock()
 	defer f.runnersMu.Unlock()
 	f.nextID++
 	r, err := platformtest.NewRunner(fmt.Sprintf("i-%d", f.nextID), service, stage, net.JoinHostPort(f.ip(2), "0"), f.ledger)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	link, err := newProxy(net.JoinHostPort(f.ip(2), "0"), r.Addr())
 	if err != nil {
-		return err
+		return nil, err
 	}
 	r.SetVersion(version)
 	if f.o.silent {
@@ -290,7 +296,7 @@
 	})
 	f.runners = append(f.runners, out)
 	f.list(out)
-	return nil
+	return out, nil
 }
 
 func (f *fleet) list(r *runner) {
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -115,19 +115,59 @@
 		if rng.IntN(3) > 0 {
 			return nil // now and then is enough
 		}
-		var all sync.WaitGroup
-		for _, h := range f.hosts {
-			all.Go(func() {
-				if err := h.kill(0); err != nil {
-					f.problem("%v", err)
-				}
-			})
-		}
-		all.Wait()
-		return nil
+		return f.killAll()
 	}},
 }
 
+// killAmidRelease has runners of a further version come, serve and go while the store takes no writes, and all hosts lose their memory
+// with them.
+func (f *fleet) killAmidRelease(rng *rand.Rand) error {
+	f.store.SetFault(platformtest.StoreReadOnly)
+	defer f.store.SetFault(platformtest.StoreSound)
+	version := fmt.Sprint("v", 4+rng.IntN(9))
+	var further []*runner
+	for range furtherRunners {
+		r, err := f.newRunner(platformtest.ServiceEngines, "decode", version)
+		if err != nil {
+			return err
+		}
+		r.SetPace(furtherPace)
+		further = append(further, r)
+	}
+	time.Sleep(time.Duration(300+rng.IntN(1200)) * time.Millisecond)
+	for _, r := range further {
+		f.retire(r)
+		f.unlist(r)
+	}
+	err := f.killAll()
+	for _, r := range further {
+		r.Crash()
+		r.link.close()
+	}
+	return err
+}
+
+const (
+	// furtherRunners are the runners of the further version, as many as there are other engines that decode.
+	furtherRunners = 4
+	// furtherPace is their pause between two events, so long that many streams are under way when the hosts are killed.
+	furtherPace = 100 * time.Millisecond
+)
+
+// killAll kills all hosts at the same time.
+func (f *fleet) killAll() error {
+	var all sync.WaitGroup
+	for _, h := range f.hosts {
+		all.Go(func() {
+			if err := h.kill(0); err != nil {
+				f.problem("%v", err)
+			}
+		})
+	}
+	all.Wait()
+	return nil
+}
+
 // restored has the store come back from an older copy.
 var restored = action{name: "store restored", do: func(f *fleet, rng *rand.Rand) error { f.restoreStore(rng); return nil }}
 
@@ -136,6 +176,7 @@
 	{name: "runners of a version replaced", planned: true, do: func(f *fleet, rng *rand.Rand) error {
 		return f.rollOut(fmt.Sprint("v", 1+rng.IntN(3)), rng)
 	}},
+	{name: "all hosts killed amid a release", do: func(f *fleet, rng *rand.Rand) error { return f.killAmidRelease(rng) }},
 	{name: "runners break answers off", runners: true, do: lasting("", func(f *fleet, rng *rand.Rand) func() {
 		var broken []*runner
 		for range 8 {
--- a/transport/origins/origins.go
+++ b/transport/origins/origins.go
@@ -30,6 +30,7 @@
 type finding struct {
 	Record   *record  `msgpack:"r,omitempty"`
 	Versions []string `msgpack:"v"`
+	Noted    []string `msgpack:"n,omitempty"`
 	AgeMS    float64  `msgpack:"a"`
 }
 
@@ -50,7 +51,7 @@
 }
 
 func encode(f origin.Finding) finding {
-	m := finding{Versions: f.Versions, AgeMS: state.InMillis(f.Age)}
+	m := finding{Versions: f.Versions, Noted: f.Noted, AgeMS: state.InMillis(f.Age)}
 	if f.Found {
 		rec := record(f.Record)
 		m.Record = &rec
@@ -59,7 +60,7 @@
 }
 
 func (m finding) decode() origin.Finding {
-	f := origin.Finding{Versions: m.Versions, Age: state.Millis(max(0, min(m.AgeMS, state.InMillis(24*time.Hour))))}
+	f := origin.Finding{Versions: m.Versions, Noted: m.Noted, Age: state.Millis(max(0, min(m.AgeMS, state.InMillis(24*time.Hour))))}
 	if m.Record != nil {
 		f.Record, f.Found = origin.Record(*m.Record), true
 	}
--- a/transport/origins/origins_test.go
+++ b/transport/origins/origins_test.go
@@ -15,7 +15,7 @@
 func TestFindingsSurviveTheWire(t *testing.T) {
 	is := is.New(t)
 	for _, want := range []origin.Finding{
-		{Versions: []string{"v1", "v1.1"}, Age: 90 * time.Second},
+		{Versions: []string{"v1", "v1.1"}, Noted: []string{"v1"}, Age: 90 * time.Second},
 		{Record: origin.Record{ID: "9c41d07be2a35f68", Service: "huvo11a", Version: "v1.1", Attempt: 2}, Found: true, Versions: []string{"v1.1"}, Age: time.Second},
 	} {
 		body, err := msgpack.Marshal(encode(want))
