origin, forward: a stream doesn't wait beside a version that is noted

Found by reading: a stream that looked for noted runners just before the note of one of two versions came waited for the note of the other, up to 2 s, and a request whose time was over could ask again and again.

Change: AwaitNoted returns soon if a listed version is noted, and restrictToNoted ends with the request's context. TestStreamsDoNotWaitBesideANotedVersion fails without it (false after up to 2 s).

--- a/coordination/forward/version.go
+++ b/coordination/forward/version.go
@@ -58,7 +58,7 @@
 	if r.Route.Kind != state.RouteStream || !r.Route.Resumable || r.LastEventID != "" {
 		return
 	}
-	for {
+	for ctx.Err() == nil {
 		all, noted := d.o.Placer.NotedSize(r.Service)
 		if noted == all {
 			return
--- a/coordination/origin/noted.go
+++ b/coordination/origin/noted.go
@@ -19,9 +19,10 @@
 	confirmSpread = time.Millisecond
 	// doublingTime is the time in which the number of writers doubles.
 	doublingTime = time.Second
-	// maxNotedWait is how long after the first version of a service was listed its streams wait for the note, and how long they
-	// wait after all noted versions are gone.
+	// maxNotedWait is how long after the search for a service's note began streams wait for it.
 	maxNotedWait = 2 * time.Second
+	// publishDelay is more than it takes to tell this host's choice of runners what is noted.
+	publishDelay = 5 * time.Millisecond
 )
 
 // notedVersions are the listed versions that the store has noted, as far as this host knows. A version may begin a stream that can be
@@ -209,17 +210,20 @@
 	}
 }
 
-// AwaitNoted waits until the store has noted another version of a service, for as long as streams wait for that. It reports false
+// AwaitNoted waits until the store has noted a listed version of a service, for as long as streams wait for that. It reports false
 // if they wait no longer.
 func (l *Ledger) AwaitNoted(ctx context.Context, service string) bool {
 	n := &l.noted
 	n.mu.Lock()
-	changed, p := n.changed, n.pending[service]
+	changed, p, isNoted := n.changed, n.pending[service], len(l.listedAndNoted(service)) > 0
 	n.mu.Unlock()
-	if p == nil {
+	if p == nil && !isNoted {
 		return false
 	}
-	left := maxNotedWait - l.o.Clock.Now().Sub(p.since)
+	left := publishDelay
+	if !isNoted {
+		left = maxNotedWait - l.o.Clock.Now().Sub(p.since)
+	}
 	if left <= 0 {
 		return false
 	}
@@ -229,7 +233,7 @@
 	case <-changed:
 		return true
 	case <-ctx.Done():
-		return false
+		return isNoted
 	}
 }
 
--- a/coordination/origin/unnoted_test.go
+++ b/coordination/origin/unnoted_test.go
@@ -71,3 +71,23 @@
 		}
 	})
 }
+
+// Guards against streams that wait for the note of a further version although another one is noted.
+func TestStreamsDoNotWaitBesideANotedVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(3, 1, "v1")
+		defer f.stop()
+		f.setReadOnly(true)
+		f.setListed("v1", "v2")
+		time.Sleep(maxLag)
+		began := time.Now()
+		is.True(f.hosts[0].registry.AwaitNoted(t.Context(), service))
+		is.True(time.Since(began) <= publishDelay)
+		f.setListed("v2")
+		time.Sleep(maxLag)
+		began = time.Now()
+		is.True(!f.hosts[0].registry.AwaitNoted(t.Context(), service)) // its search lasts for long already
+		is.True(time.Since(began) <= maxNotedWait)
+	})
+}
