gateway: callers that are refused for lack of memory come back one after the other

Each was told the same time, so that all came back at once. The time is spread by a quarter now. Found by reading; TestBodiesUnderWayAreBounded passes as before.

--- a/transport/gateway/reading.go
+++ b/transport/gateway/reading.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 	stallPoll    = 250 * time.Millisecond
 )
 
+// retrySpread is the part of a refused caller's time by which callers come back one after the other.
+const retrySpread = 4
+
 // errBodyTooLarge reports a body over the configured limit.
 var errBodyTooLarge = errors.New("the body is over the configured limit; send less")
 
@@ -228,7 +232,7 @@
 	case errors.As(err, &full):
 		s.o.Log.Warn("no memory for a request's body", "request_id", r.ID, "bytes", full.Bytes, "held", full.Held, "waiting", full.Waiting, "waited", wallclock.Since(r.ArrivedAt), "retry_after", full.RetryAfter)
 		s.reject(ctx, r, "memory_full", fasthttp.StatusServiceUnavailable, err.Error())
-		setRetryAfter(ctx, full.RetryAfter)
+		setRetryAfter(ctx, full.RetryAfter+rand.N(full.RetryAfter/retrySpread+1))
 	default:
 		callerconn.SetRequest(ctx.Conn(), r.ID)
 		s.malformed(ctx, err)
