--- a/coordination/forward/version.go
+++ b/coordination/forward/version.go
@@ -18,7 +18,7 @@
 	Begin(r origin.Record) *origin.Writing
 	// Version returns the version that began a stream, or an *origin.UnknownError.
 	Version(ctx context.Context, q origin.Query) (string, error)
-	// AwaitNoted waits until the store has noted another version of a service. It reports false if streams wait for that no
+	// AwaitNoted waits until the store has noted a listed version of a service. It reports false if streams wait for that no
 	// longer.
 	AwaitNoted(ctx context.Context, service string) bool
 }
--- a/coordination/origin/noted.go
+++ b/coordination/origin/noted.go
@@ -104,12 +104,13 @@
 	}
 }
 
-// listedAndNoted returns the listed versions of a service that are noted, and unnoted the others; l.noted.mu is held.
+// listedAndNoted returns the listed versions of a service that are noted; l.noted.mu is held.
 func (l *Ledger) listedAndNoted(service string) []string {
 	listed := l.o.History.Versions(service, 0)
 	return without(listed, without(listed, l.noted.known[service]))
 }
 
+// unnoted returns the listed versions of a service that aren't noted; l.noted.mu is held.
 func (l *Ledger) unnoted(service string) []string {
 	return without(l.o.History.Versions(service, 0), l.noted.known[service])
 }
--- a/coordination/origin/registry.go
+++ b/coordination/origin/registry.go
@@ -215,7 +215,7 @@
 	}
 }
 
-// AwaitNoted waits until the store has noted another version of a service. It reports false, and counts a stream, if streams
+// AwaitNoted waits until the store has noted a listed version of a service. It reports false, and counts a stream, if streams
 // wait for that no longer.
 func (r *Registry) AwaitNoted(ctx context.Context, service string) bool {
 	if r.o.Ledger.AwaitNoted(ctx, service) {
--- a/transport/gateway/reading.go
+++ b/transport/gateway/reading.go
@@ -30,7 +30,8 @@
 	stallPoll    = 250 * time.Millisecond
 )
 
-// retrySpread is the part of a refused caller's time by which callers come back one after the other.
+// retrySpread divides the time of a refused caller: up to one such part of it is added at random, so that callers don't come
+// back all at once.
 const retrySpread = 4
 
 // errBodyTooLarge reports a body over the configured limit.
@@ -93,6 +94,7 @@
 	return b.readChunks(body)
 }
 
+// readDeclared reads a body of the given length.
 func (b *bodyReader) readDeclared(body io.Reader, length int) error {
 	if err := b.resize(length); err != nil {
 		return err
@@ -175,7 +177,7 @@
 	return err
 }
 
-// limitTime sets the deadline of the body, and lets cutStalled end its reading. The returned function ends both.
+// limitTime sets the deadline of the body's reading, and lets cutStalled end it until the returned function is called.
 func (b *bodyReader) limitTime() (func(), error) {
 	if err := b.ctx.Conn().SetReadDeadline(wallclock.Steady(b.until)); err != nil {
 		return nil, err
