--- a/coordination/bodies/bodies.go
+++ b/coordination/bodies/bodies.go
@@ -3,7 +3,7 @@
 // sending; a request that finds no room in time is refused as not run. What is held already is never given up.
 //
 // Small bodies wait only if the bound itself is reached. A large one is admitted only while twice its size is free,
-// and after the large ones that came before it or are more urgent, so that a few large bodies neither exhaust the
+// and after the large ones that arrived before it or are more urgent, so that a few large bodies neither exhaust the
 // memory nor keep small ones out.
 package bodies
 
--- a/coordination/forward/silent_test.go
+++ b/coordination/forward/silent_test.go
@@ -48,7 +48,7 @@
 	return w, got, err
 }
 
-// Guards against an engine that works on a request for 400 ms and longer after it has gone on elsewhere (TWICE): one that is silent
+// Guards against an engine that works on a request for 400 ms and longer after it has gone on elsewhere: one that is silent
 // for a second at most keeps its run, and one that is silent for longer is left 400 ms before it goes on at the earliest.
 func TestRunOfASoundEngineIsNotTakenElsewhere(t *testing.T) {
 	const allowed = 400 * time.Millisecond
--- a/coordination/forward/versions_test.go
+++ b/coordination/forward/versions_test.go
@@ -229,7 +229,7 @@
 }
 
 // Guards against a stream that begins at a version which leaves no trace if all hosts lose their memory, so that its caller takes it
-// up at another version (ORDER); and against one that waits although its caller can't, or that is refused for ever.
+// up at another version; and against one that waits although its caller can't, or that is refused for ever.
 func TestStreamBeginsAtANotedVersion(t *testing.T) {
 	for name, c := range map[string]struct {
 		resumable bool
--- a/coordination/origin/unnoted_test.go
+++ b/coordination/origin/unnoted_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against streams of a version that leaves no trace: it serves before the store has noted it, all hosts lose
-// their memory, and it is gone when they are back, so that its streams go on at the other version (ORDER).
+// their memory, and it is gone when they are back, so that its streams go on at the other version.
 func TestStreamsOfAnUnnotedVersionAreNotJoined(t *testing.T) {
 	for _, c := range []struct {
 		hosts           int
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -99,7 +99,7 @@
 
 // pause is how long the caller waits before its next request.
 func (c *caller) pause() time.Duration {
-	if c.large { // the stand-ins of a fleet take some large bodies a second beside other load
+	if c.large {
 		return 3*time.Second + time.Duration(c.rng.IntN(4000))*time.Millisecond
 	}
 	return time.Duration(5+c.rng.IntN(20)) * time.Millisecond
--- a/soak/release_test.go
+++ b/soak/release_test.go
@@ -19,7 +19,7 @@
 )
 
 // Guards against streams that are joined from two versions of the runners' software: a version serves before the store has noted it,
-// and is gone when all hosts are back from a loss of their memory (ORDER).
+// and is gone when all hosts are back from a loss of their memory.
 func TestStreamsAreNotJoinedAfterAllHostsWereKilled(t *testing.T) {
 	bin := build(t)
 	for _, seed := range []uint64{731, 732} {
--- a/transport/front/resting_test.go
+++ b/transport/front/resting_test.go
@@ -24,7 +24,7 @@
 	return int64(m.HeapInuse)
 }
 
-// Guards against kept connections that each hold the buffer of their largest body (LOST).
+// Guards against kept connections that each hold the buffer of their largest body.
 func TestRestingConnectionsHoldNoBodies(t *testing.T) {
 	const callers, size = 24, 4 << 20
 	body := strings.Repeat("b", size)
--- a/transport/gateway/memory_test.go
+++ b/transport/gateway/memory_test.go
@@ -40,7 +40,7 @@
 	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 }
 
-// Guards against requests under way that together exhaust a host's memory (LOST): at the bound a request waits, or is
+// Guards against requests under way that together exhaust a host's memory: at the bound a request waits, or is
 // refused as not run with a time to come back, and small ones are served meanwhile.
 func TestBodiesUnderWayAreBounded(t *testing.T) {
 	const callers = 40
--- a/transport/gateway/reading.go
+++ b/transport/gateway/reading.go
@@ -46,7 +46,7 @@
 	until time.Time
 	limit int
 	bytes []byte
-	// lastRead is when bytes last came, in Unix nanoseconds.
+	// lastRead is when bytes last arrived, in Unix nanoseconds.
 	lastRead atomic.Int64
 }
 
--- a/transport/gateway/resting_test.go
+++ b/transport/gateway/resting_test.go
@@ -41,7 +41,7 @@
 }
 
 // Guards against kept connections that each hold the buffer of their largest body, so that callers who
-// move over from a lost host exhaust the memory of the next (LOST).
+// move over from a lost host exhaust the memory of the next.
 func TestRestingConnectionsHoldNoBodies(t *testing.T) {
 	body := bytes.Repeat([]byte{'b'}, largeBody)
 	for name, request := range map[string]string{
