gateway, forward: waits for memory and for noted versions leave a line with the request's id

Found on a last reading: a request that waited for room for its body and got it, and a stream that waited until its version was noted, left no line, and waits weren't counted.

Change: lines 'request waited for memory for its body' and 'stream waited for a noted version', and thymerack_request_memory_waits_total. TestWaitForMemoryIsLoggedWithItsRequest doesn't compile without them.

--- a/coordination/bodies/bodies.go
+++ b/coordination/bodies/bodies.go
@@ -69,6 +69,8 @@
 	held atomic.Int64
 	// queued is the number of waiting readers.
 	queued atomic.Int64
+	// waits is the number of readers so far that found no room at once.
+	waits atomic.Uint64
 	// meanHold is the mean time in seconds for which large bodies are held, as float64 bits.
 	meanHold atomic.Uint64
 
@@ -98,6 +100,9 @@
 func (p *Pool) Held() int64    { return p.held.Load() }
 func (p *Pool) Waiting() int64 { return p.queued.Load() }
 
+// Waits returns the number of readers so far that found no room at once.
+func (p *Pool) Waits() uint64 { return p.waits.Load() }
+
 // Reserve returns the reservation of a body of which nothing is held yet. Of large bodies those of a lower priority
 // number are admitted first.
 func (p *Pool) Reserve(priority int) *Reservation { return &Reservation{pool: p, priority: priority} }
--- a/coordination/bodies/bodies_test.go
+++ b/coordination/bodies/bodies_test.go
@@ -67,6 +67,7 @@
 		first := take(t, p, 9*mib)
 		large, admitted := growing(t.Context(), p, 0, 6*mib)
 		is.Equal(p.Waiting(), int64(1))
+		is.Equal(p.Waits(), uint64(1))
 		small := take(t, p, SmallBytes)
 		first.Release()
 		is.NoErr(<-admitted)
--- a/coordination/bodies/wait.go
+++ b/coordination/bodies/wait.go
@@ -16,6 +16,7 @@
 
 // wait queues a reader until there is room.
 func (p *Pool) wait(ctx context.Context, r *Reservation, total int, until time.Time) error {
+	p.waits.Add(1)
 	left := until.Sub(p.o.Clock.Now())
 	if left <= 0 || total > SmallBytes && p.forecast(total) >= left {
 		return p.full(total)
--- a/coordination/forward/version.go
+++ b/coordination/forward/version.go
@@ -58,19 +58,21 @@
 	if r.Route.Kind != state.RouteStream || !r.Route.Resumable || r.LastEventID != "" {
 		return
 	}
+	began, waited := d.o.Clock.Now(), false
 	for ctx.Err() == nil {
 		all, noted := d.o.Placer.NotedSize(r.Service)
-		if noted == all {
-			return
-		}
-		if noted > 0 {
-			rec.notedOnly = true
-			return
+		rec.notedOnly = noted > 0 && noted < all
+		if noted > 0 || all == 0 {
+			break
 		}
+		waited = true
 		if !d.o.Origins.AwaitNoted(ctx, r.Service) {
-			return
+			break
 		}
 	}
+	if waited {
+		d.o.Log.Info("stream waited for a noted version", "request_id", r.ID, "service", r.Service, "waited", d.o.Clock.Now().Sub(began), "noted_only", rec.notedOnly)
+	}
 }
 
 // beginStream remembers the version at which a stream is about to begin.
--- a/daemon/routed/host.go
+++ b/daemon/routed/host.go
@@ -165,6 +165,7 @@
 	h.metrics.gauge("thymerack_held_answer_bytes", func() float64 { return float64(h.buffers.Held()) })
 	h.metrics.gauge("thymerack_held_request_bytes", func() float64 { return float64(h.bodies.Held()) })
 	h.metrics.gauge("thymerack_requests_waiting_for_memory", func() float64 { return float64(h.bodies.Waiting()) })
+	h.metrics.gauge("thymerack_request_memory_waits_total", func() float64 { return float64(h.bodies.Waits()) })
 	h.metrics.gauge("thymerack_slow_readers", func() float64 { return float64(h.gateway.SlowReaders().Count()) })
 	h.metrics.gauge("thymerack_slow_reader_bytes", func() float64 { return float64(h.gateway.SlowReaders().Held()) })
 	h.metrics.gauge("thymerack_slow_readers_ended_total", func() float64 { return float64(h.gateway.SlowReaders().Ended()) })
--- a/transport/gateway/memory_test.go
+++ b/transport/gateway/memory_test.go
@@ -180,3 +180,23 @@
 	c.testCodec.DecodeRequest(h, r)
 	return time.Second
 }
+
+// Guards against a request that waits for memory without a trace of it.
+func TestWaitForMemoryIsLoggedWithItsRequest(t *testing.T) {
+	var e endings
+	s, addr := serve(t, echo, withPool(t), observe(&e))
+	held := s.o.Bodies.Reserve(0)
+	if !held.TryGrow(testPoolBytes) {
+		t.Fatal("no room")
+	}
+	conn, br := dial(t, addr)
+	status, _ := exchange(t, conn, br, post(bytes.Repeat([]byte{'b'}, largeBody), false))
+	held.Release()
+	is := is.New(t)
+	is.Equal(status, fasthttp.StatusServiceUnavailable)
+	is.Equal(s.o.Bodies.Waits(), uint64(1))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	is.True(strings.Contains(e.lines.String(), `msg="request waited for memory for its body" request_id=1 `))
+	is.True(strings.Contains(e.lines.String(), `msg="no memory for a request's body" request_id=1 `))
+}
--- a/transport/gateway/reading.go
+++ b/transport/gateway/reading.go
@@ -41,6 +41,7 @@
 type bodyReader struct {
 	s        *Server
 	ctx      *fasthttp.RequestCtx
+	id       string
 	reserved *bodies.Reservation
 	// until is the latest time of its last byte, and limit its largest size.
 	until time.Time
@@ -58,7 +59,7 @@
 // readBody reads the request's body, and returns its reservation. Errors are errBodyTooLarge, a *bodies.FullError, and
 // those of the connection and of the body's framing.
 func (s *Server) readBody(ctx *fasthttp.RequestCtx, r *forward.Request, limit int) (*bodies.Reservation, error) {
-	b := &bodyReader{s: s, ctx: ctx, reserved: s.o.Bodies.Reserve(r.Priority()), limit: limit}
+	b := &bodyReader{s: s, ctx: ctx, id: r.ID, reserved: s.o.Bodies.Reserve(r.Priority()), limit: limit}
 	b.until = r.ArrivedAt.Add(bodyTimeout)
 	if r.Deadline.Before(b.until) {
 		b.until = r.Deadline
@@ -137,13 +138,23 @@
 
 // resize makes room for size bytes.
 func (b *bodyReader) resize(size int) error {
-	if err := b.reserved.Grow(b.s.base, size, b.until); err != nil {
-		return err
+	if !b.reserved.TryGrow(size) {
+		if err := b.awaitRoom(size); err != nil {
+			return err
+		}
 	}
 	b.bytes = append(make([]byte, 0, size), b.bytes...)
 	return nil
 }
 
+// awaitRoom waits until size bytes are reserved.
+func (b *bodyReader) awaitRoom(size int) error {
+	began := wallclock.Now()
+	err := b.reserved.Grow(b.s.base, size, b.until)
+	b.s.o.Log.Info("request waited for memory for its body", "request_id", b.id, "bytes", size, "held", b.s.o.Bodies.Held(), "waited", wallclock.Since(began), "admitted", err == nil)
+	return err
+}
+
 // trim gives back the room that a complete body doesn't need.
 func (b *bodyReader) trim() error {
 	if cap(b.bytes) > 2*len(b.bytes) {
