routed: callers' connections and bodies share half of the memory

Cause: three eighths of the memory hold 24 bodies of 4 MiB beside what is kept free.

Change: one half, which with the host's own needs stays below the limit that the runtime is given (0.6).

--- a/daemon/routed/options.go
+++ b/daemon/routed/options.go
@@ -139,7 +139,7 @@
 	// callersShare is the share of the machine's memory for callers' connections and the bodies of their requests. A
 	// connection takes callerConnBytes: the buffers of the reader (maxHeaderBytes), of the beginning of a body (8 KiB) and of the
 	// writer (4 KiB), and the stack. minBodiesShare is the share left for bodies however many connections there are.
-	callersShare    = 3.0 / 8
+	callersShare    = 1.0 / 2
 	callerConnBytes = maxHeaderBytes + 28<<10
 	minBodiesShare  = 1.0 / 8
 	// bodyWait is the longest wait of a request for memory for its body.
