forward: a stream that waits doesn't begin at a version that came meanwhile

Cause: whether a stream is restricted to noted versions was decided once, on its arrival, and a service with one version, which was noted, wasn't restricted at all. A stream that waited for a runner, or was rejected by a full one, was then sent to the idle runners of a version that had come meanwhile. While the store refuses writes that version has no note, and nothing names it once all hosts have lost their memory.

Change: a stream that may be resumed is restricted to noted versions unless it has waited for one in vain, and this is decided before each choice of a runner. The note is checked once more when the request is about to leave, since a restored store may lose it. A stream whose noted version leaves while it waits looks for another noted one; before it could be refused.

Evidence: TestStreamThatWaitedBeginsAtANotedVersion and TestStreamIsWithheldFromAVersionWithoutANote failed before in each run (a stream began at v2, unnoted; a stream was sent although its version's note was lost), and pass after.

--- a/coordination/forward/advice.go
+++ b/coordination/forward/advice.go
@@ -79,6 +79,9 @@
 // errOtherVersion is the cause of a SendError for a stream that was withheld from a runner of another version.
 var errOtherVersion = errors.New("the runner's software has another version than the one that began the stream; choose a runner of that version")
 
+// errUnnotedVersion is the cause of a SendError for a stream that was withheld from a runner whose version has lost its note.
+var errUnnotedVersion = errors.New("the store has no note of the version of the runner's software; choose a runner of a noted version")
+
 // send is the only path from an attempt to a runner. The runner's state is checked again when
 // the request is about to leave: connecting may have taken a while, or the host may have been
 // paused.
@@ -90,6 +93,9 @@
 		if !a.PrefillOnly && !rec.mayRunAt(a.Instance) {
 			return errOtherVersion
 		}
+		if !a.PrefillOnly && !d.mayBeginAt(a.Instance, rec) {
+			return errUnnotedVersion
+		}
 		if a.Instance.Unconfirmed {
 			d.o.Observer.SentToUnconfirmed(a.Request.Service)
 		}
@@ -155,11 +161,11 @@
 // awaitRunner waits for a runner that accepts such work, until by at the latest, and acquires
 // the permit that the runner's limit requires.
 func (d *Dispatcher) awaitRunner(ctx context.Context, r *Request, rec *record, p placement.Phase, by time.Time) (*placement.Runner, error) {
-	pool := rec.pool(r)
-	if p == placement.PhasePrefill {
-		pool = rec.prefillPool(r)
-	}
 	for {
+		pool := rec.pool(r)
+		if p == placement.PhasePrefill {
+			pool = rec.prefillPool(r)
+		}
 		runner, at := d.o.Placer.EarliestAvailable(pool, p, rec.tried)
 		if runner == nil {
 			return nil, d.refuse(r, rec, ReasonNoRunner)
@@ -176,6 +182,7 @@
 			if d.o.Clock.Sleep(ctx, wait) != nil {
 				return nil, d.checkDeadline(ctx, r, rec)
 			}
+			d.restrictToNoted(ctx, r, rec)
 			continue
 		}
 		if d.acquirePermit(ctx, runner.Instance, "wait", rec, by.Sub(d.o.Clock.Now())) {
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -32,6 +32,8 @@
 	ChooseForBackup(p placement.Pool, at *state.Instance, tried []state.InstanceID) *placement.Runner
 	// NotedSize returns the number of the service's runners, and of those among them whose version the store has noted.
 	NotedSize(service string) (all, noted int)
+	// IsNoted reports whether the store has noted the instance's version.
+	IsNoted(i *state.Instance) bool
 	// SeparatesPrefill reports whether some of the service's engines only compute prompts.
 	SeparatesPrefill(service string) bool
 	// Runner returns an instance with this host's knowledge of it, or nil if it isn't listed.
@@ -312,6 +314,7 @@
 		c := direct
 		direct = choice{} // further attempts choose again
 		if c.Runner == nil {
+			d.restrictToNoted(ctx, r, rec)
 			var err error
 			if c, err = d.pickRunner(ctx, r, rec, d.startDeadline(r)); err != nil {
 				return nil, err
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -110,6 +110,8 @@
 	version string
 	// notedOnly restricts the stream to versions that the store has noted, until its first event.
 	notedOnly bool
+	// mayBeUnnoted is set once the stream has waited for a noted version in vain.
+	mayBeUnnoted bool
 	// beginnings counts the attempts that were to begin a stream.
 	beginnings int
 	// lastEnd is how the last body ended that was read to its end; "" if there was none.
--- a/coordination/forward/version.go
+++ b/coordination/forward/version.go
@@ -53,22 +53,21 @@
 
 // restrictToNoted has a stream that its caller may take up elsewhere begin only at a version that the store has noted: one that
 // no store and no living host knows would be taken for another. While no such version has a runner, the stream waits for one, and
-// begins at any version if that takes too long.
+// begins at any version if that takes too long. It is called before each choice of a runner, since versions come and go while a
+// request waits.
 func (d *Dispatcher) restrictToNoted(ctx context.Context, r *Request, rec *record) {
-	if r.Route.Kind != state.RouteStream || !r.Route.Resumable || r.LastEventID != "" {
+	if r.Route.Kind != state.RouteStream || !r.Route.Resumable || r.LastEventID != "" || rec.version != "" {
 		return
 	}
 	began, waited := d.o.Clock.Now(), false
 	for ctx.Err() == nil {
 		all, noted := d.o.Placer.NotedSize(r.Service)
-		rec.notedOnly = noted > 0 && noted < all
-		if noted > 0 || all == 0 {
+		rec.notedOnly = noted > 0 || !rec.mayBeUnnoted
+		if noted > 0 || all == 0 || rec.mayBeUnnoted {
 			break
 		}
 		waited = true
-		if !d.o.Origins.AwaitNoted(ctx, r.Service) {
-			break
-		}
+		rec.mayBeUnnoted = !d.o.Origins.AwaitNoted(ctx, r.Service) && ctx.Err() == nil
 	}
 	if waited {
 		d.o.Log.Info("stream waited for a noted version", "request_id", r.ID, "service", r.Service, "waited", d.o.Clock.Now().Sub(began), "noted_only", rec.notedOnly)
@@ -98,3 +97,8 @@
 
 // mayRunAt reports whether the instance is of the version that the request is bound to, if it is bound to one.
 func (r *record) mayRunAt(i *state.Instance) bool { return r.version == "" || r.version == i.Version }
+
+// mayBeginAt reports whether the stream may begin at the instance: its version is noted, or the stream isn't restricted to noted ones.
+func (d *Dispatcher) mayBeginAt(i *state.Instance, rec *record) bool {
+	return rec.version != "" || !rec.notedOnly || d.o.Placer.IsNoted(i)
+}
--- a/coordination/forward/versions_test.go
+++ b/coordination/forward/versions_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/thymerack/thymerack/coordination/backlog"
+	"github.com/thymerack/thymerack/coordination/backpressure"
 	"github.com/thymerack/thymerack/coordination/contention"
 	"github.com/thymerack/thymerack/coordination/origin"
 	"github.com/thymerack/thymerack/state"
@@ -274,3 +275,62 @@
 		})
 	}
 }
+
+// Guards against a stream that waits for a runner of a noted version and begins at one of a version that has come meanwhile and isn't noted.
+func TestStreamThatWaitedBeginsAtANotedVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed map[string]int // the list after the further version has come
+		noted  []string       // the versions that are noted when the stream waits for that
+		want   string
+	}{
+		"the noted version goes on": {map[string]int{"v1": 1, "v2": 3}, nil, "v1"},
+		"the noted version leaves":  {map[string]int{"v2": 3}, []string{"v2"}, "v2"},
+	} {
+		for range 20 { // a choice among all versions takes any of the four runners
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				t.Log(name)
+				w := newWorld(t, plenty, reply{status: 200, events: true, body: "id: 1\ndata: a\n\n"})
+				w.listVersions(map[string]int{"v1": 1})
+				w.fleet.SetNoted("model", []string{"v1"})
+				origins := &notingOrigins{fakeOrigins: w.origins}
+				if c.noted != nil {
+					origins.note = func() { w.fleet.SetNoted("model", c.noted) }
+				}
+				w.o.Origins = origins
+				w.receiveAdvice(backpressure.Advice{Backoff: 100 * time.Millisecond}, "d-v1-0")
+				time.AfterFunc(50*time.Millisecond, func() { w.listVersions(c.listed) })
+				answer, err := w.Forward(t.Context(), modelRequest(200, true))
+				is.NoErr(err)
+				_, err = readAll(answer.Stream)
+				is.NoErr(err)
+				is.Equal(w.up.attempts[0].Instance.Version, c.want)
+				is.Equal(origins.waited > 0, c.noted != nil)
+			})
+		}
+	}
+}
+
+// Guards against a stream that begins at a version whose note was lost between the choice of its runner and the sending: the store was
+// restored from an older copy.
+func TestStreamIsWithheldFromAVersionWithoutANote(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, plenty, reply{status: 200, events: true, body: "id: 1\ndata: a\n\n"})
+	w.listVersions(map[string]int{"v1": 3})
+	w.fleet.SetNoted("model", []string{"v1"})
+	origins := &notingOrigins{fakeOrigins: w.origins, note: func() { w.fleet.SetNoted("model", []string{"v1"}) }}
+	w.o.Origins = origins
+	connected := 0
+	w.up.onConnect = func(*Attempt) {
+		if connected++; connected == 1 {
+			w.fleet.SetNoted("model", nil)
+		}
+	}
+	answer, err := w.Forward(t.Context(), modelRequest(200, true))
+	is.NoErr(err)
+	_, err = readAll(answer.Stream)
+	is.NoErr(err)
+	is.Equal(connected, 2)
+	is.Equal(len(w.up.attempts), 1)
+	is.Equal(origins.waited, 1)
+}
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -186,6 +186,11 @@
 	return all, noted
 }
 
+// IsNoted reports whether the store has noted the version of an instance, or the instance has none.
+func (f *Fleet) IsNoted(i *state.Instance) bool {
+	return i.Version == "" || f.view.Load().noted[Pool{Service: i.Service, Version: i.Version}]
+}
+
 // Size returns the number of instances of a service that accept work.
 func (f *Fleet) Size(service string) int { return f.service(service).all.size }
 
