origin: streams wait for the search that the first list begins

The choice of runners gets a new list a moment before the search for the notes of its versions begins. A stream of that moment found neither a noted version nor a search, and began at any version.

Change: without a search a stream waits for its result, for as long as a search lasts.

TestStreamsWaitForTheSearchThatTheirListBegins failed before (AwaitNoted gave up at once), and passes after. How often the moment is met was not measured.

--- a/coordination/origin/noted.go
+++ b/coordination/origin/noted.go
@@ -218,11 +218,12 @@
 	n.mu.Lock()
 	changed, p, isNoted := n.changed, n.pending[service], len(l.listedAndNoted(service)) > 0
 	n.mu.Unlock()
-	if p == nil && !isNoted {
-		return false
-	}
 	left := publishDelay
-	if !isNoted {
+	switch {
+	case isNoted:
+	case p == nil:
+		left = maxNotedWait // the search is about to begin: the choice of runners has the list a moment earlier
+	default:
 		left = maxNotedWait - l.o.Clock.Now().Sub(p.since)
 	}
 	if left <= 0 {
--- a/coordination/origin/unnoted_test.go
+++ b/coordination/origin/unnoted_test.go
@@ -91,3 +91,19 @@
 		is.True(time.Since(began) <= maxNotedWait)
 	})
 }
+
+// Guards against streams that begin at any version between the first list of runners and the search for its notes: the choice of
+// runners has that list a moment earlier.
+func TestStreamsWaitForTheSearchThatTheirListBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(4, 1, "v1")
+		defer f.stop()
+		h := f.hosts[0]
+		h.kill()
+		h.start()
+		is.Equal(h.registry.o.Ledger.Noted(service), nil) // no list has come
+		is.True(h.registry.AwaitNoted(t.Context(), service))
+		is.Equal(h.registry.o.Ledger.Noted(service), []string{"v1"})
+	})
+}
