origin: notes that a restored store may have lost are forgotten at once

Hosts forget which versions are noted when the store was restored from an older copy, but noticed it only with the next list, at the next question of another host or every 10 s. Until then streams that may be resumed began at versions without a note; with all hosts lost in that time, and that version gone, they could be joined with another.

Change: the first answer of the store that tells a restoration makes the host forget its notes and search for them again.

--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -48,8 +48,9 @@
 	unnamed bool
 	// storeDown cuts all hosts off from the store, and readOnly has it refuse writes after some time.
 	storeDown, readOnly bool
-	// reads counts the reads at the store.
+	// reads counts the reads at the store, and epoch its restorations.
 	reads atomic.Int64
+	epoch atomic.Uint64
 }
 
 type testStream struct {
@@ -74,6 +75,8 @@
 	table    *Table
 	registry *Registry
 	stop     context.CancelFunc
+	// choice are the noted versions that the choice of runners knows.
+	choice []string
 	// stopFollowing ends the host's watch of the list only.
 	stopFollowing context.CancelFunc
 }
@@ -153,7 +156,7 @@
 	history, table := NewHistory(clock), NewTable(clock)
 	ledger, err := NewLedger(LedgerOptions{
 		Self: h.addr, Store: testStore{h: h}, History: history, Writes: func(n int) bool { return slices.Contains(h.f.writers(n), h) && h.listFresh() },
-		Epoch: func() uint64 { return 0 }, Hosts: func() int { return len(h.f.hosts) }, OnNoted: func(string, []string) {}, Clock: clock, Log: log,
+		Epoch: h.f.epoch.Load, Hosts: func() int { return len(h.f.hosts) }, OnNoted: h.setChoice, Clock: clock, Log: log,
 	})
 	if err != nil {
 		panic(err)
@@ -193,6 +196,19 @@
 	}
 }
 
+// setChoice takes the versions that the choice of runners is told.
+func (h *testHost) setChoice(_ string, noted []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.choice = noted
+}
+
+func (h *testHost) chosen() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.choice
+}
+
 func (h *testHost) reachesStore() bool {
 	h.f.mu.Lock()
 	down := h.f.storeDown
--- a/coordination/origin/ledger.go
+++ b/coordination/origin/ledger.go
@@ -95,6 +95,12 @@
 // Wake makes Run compare the ledger with the history at once.
 func (l *Ledger) Wake() { signal(l.wake) }
 
+// Recheck makes Run forget notes of a former epoch of the store and search for them again.
+func (l *Ledger) Recheck() {
+	signal(l.wake)
+	signal(l.noted.begun)
+}
+
 // signal wakes the reader of a channel of capacity 1.
 func signal(wake chan<- struct{}) {
 	select {
--- a/coordination/origin/unnoted_test.go
+++ b/coordination/origin/unnoted_test.go
@@ -107,3 +107,25 @@
 		is.Equal(h.registry.o.Ledger.Noted(service), []string{"v1"})
 	})
 }
+
+// Guards against streams that begin at a version whose note a restored store has lost, until the list of runners changes.
+func TestNotesOfAFormerEpochAreForgottenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(8, 1, "v1")
+		defer f.stop()
+		h := f.hosts[0]
+		is.Equal(h.chosen(), []string{"v1"})
+		f.setReadOnly(true)
+		f.mu.Lock()
+		clear(f.notes)
+		f.mu.Unlock()
+		f.epoch.Add(1)
+		h.registry.o.Ledger.Recheck()
+		time.Sleep(time.Millisecond)
+		is.Equal(len(h.chosen()), 0)
+		f.setReadOnly(false)
+		time.Sleep(refusalDelay + ledgerRetryInterval + maxConfirmInterval)
+		is.Equal(h.chosen(), []string{"v1"})
+	})
+}
--- a/daemon/routed/peers.go
+++ b/daemon/routed/peers.go
@@ -122,6 +122,7 @@
 	if err != nil {
 		return err
 	}
+	h.epochs.OnRestored(h.versions.Recheck)
 	h.origins, err = origin.New(origin.Options{
 		Self: h.members.addr(h.settings.IP), Table: table, History: history, Peers: origins.Peers{Client: h.peers},
 		Replicas: func(id string) []string { return h.gate.Replicas(id, origin.ReplicaCount) },
