httpclient: a large body has its time-out for each part, and a server that stops reading is left

Cause: the whole of a request had 2 s to be written, whatever its size, so that a runner or a link that takes 4 MiB in a longer time cut the body off although it read on. And a body that was cut off left the host waiting for an answer until the request's deadline, since the runner waited for the rest.

Change: each part of 64 KiB has the time-out, while the caller's context bounds the whole; and once a part has timed out and no byte of an answer has come, the connection is closed, so that a request that may be repeated goes on elsewhere.

--- a/transport/httpclient/client.go
+++ b/transport/httpclient/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -151,6 +152,7 @@
 		req.SetConnectionClose()
 	}
 	x.conn.written.Store(0)
+	x.conn.responded.Store(false)
 	x.stopWatch = context.AfterFunc(ctx, x.conn.abort)
 	if permit != nil {
 		if err := permit(); err != nil {
@@ -208,9 +210,6 @@
 }
 
 func (x *exchange) write(c *Client, req *fasthttp.Request) error {
-	if err := x.conn.SetWriteDeadline(time.Now().Add(c.opts.WriteTimeout)); err != nil {
-		return err
-	}
 	x.br = c.pool.AcquireReader(x.conn)
 	if len(req.Body()) < besideBytes {
 		return x.writeAll(c, req)
@@ -220,7 +219,11 @@
 		defer close(x.written)
 		// A failure shows in the reading of the response, too; a server may have
 		// answered before it closed the connection.
-		x.writeFailed.Store(x.writeAll(c, req) != nil)
+		err := x.writeAll(c, req)
+		x.writeFailed.Store(err != nil)
+		if errors.Is(err, os.ErrDeadlineExceeded) && !x.conn.responded.Load() {
+			x.conn.abort() // the server waits for the rest, and would not answer
+		}
 	}()
 	return nil
 }
--- a/transport/httpclient/conn_linux.go
+++ b/transport/httpclient/conn_linux.go
@@ -41,6 +41,8 @@
 	opts     *Options
 	// written counts the bytes of the present attempt that the kernel took.
 	written atomic.Int64
+	// responded is set once bytes have been read in the present attempt.
+	responded atomic.Bool
 	// readUntil, silence and begun are the limits of the present attempt's response.
 	readUntil time.Time
 	silence   time.Duration
@@ -105,11 +107,24 @@
 	return set
 }
 
-// Write counts what the kernel took.
+// writePart is the size of the parts in which requests are written. Each has the whole time-out, so that a large body may take longer
+// while the server reads on.
+const writePart = 64 << 10
+
+// Write applies the limit of each part, and counts what the kernel took.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.written.Add(int64(n))
-	return n, err
+	written := 0
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(c.opts.WriteTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:min(len(p), written+writePart)])
+		c.written.Add(int64(n))
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
 }
 
 // limitRead sets the limits of the next response.
@@ -126,8 +141,11 @@
 		}
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.begun != nil {
-		c.begun.Store(true)
+	if n > 0 {
+		c.responded.Store(true)
+		if c.begun != nil {
+			c.begun.Store(true)
+		}
 	}
 	return n, err
 }
--- a/transport/httpclient/options.go
+++ b/transport/httpclient/options.go
@@ -22,7 +22,7 @@
 	LocalIP net.IP
 	// DialTimeout bounds the making of a connection.
 	DialTimeout time.Duration
-	// WriteTimeout bounds the sending of a request.
+	// WriteTimeout bounds how long the server may take nothing of a request. The caller's context bounds the whole.
 	WriteTimeout time.Duration
 	// UserTimeout is TCP_USER_TIMEOUT: how long sent data may stay
 	// unacknowledged, or a keepalive probe unanswered, before the kernel drops
