--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -540,10 +540,15 @@
 }
 
 // restartAll kills all hosts at once and starts them again.
-func (f *testFleet) restartAll() {
+func (f *testFleet) restartAll() { f.restart(func(int) bool { return true }) }
+
+// restart kills the hosts whose numbers are chosen at once and starts them again.
+func (f *testFleet) restart(chosen func(i int) bool) {
 	var group sync.WaitGroup
-	for _, h := range f.hosts {
-		group.Go(h.restart)
+	for i, h := range f.hosts {
+		if chosen(i) {
+			group.Go(h.restart)
+		}
 	}
 	group.Wait()
 }
--- a/coordination/origin/unnoted_test.go
+++ b/coordination/origin/unnoted_test.go
@@ -129,3 +129,77 @@
 		is.Equal(h.chosen(), []string{"v1"})
 	})
 }
+
+// Guards against joined streams where hosts are lost around the moment at which a further version is noted. Its runners are gone when
+// the last hosts are back.
+func TestStreamsAreNotJoinedWhereHostsAreLostAroundANote(t *testing.T) {
+	for name, play := range map[string]func(f *testFleet){
+		"half of the hosts are lost, the others cut off from the store": func(f *testFleet) {
+			for i, h := range f.hosts {
+				h.mu.Lock()
+				h.storeCut = i%2 == 1
+				h.mu.Unlock()
+			}
+			f.setListed("v1", "v2")
+			f.load("before the loss", 1500*time.Millisecond)
+			f.setListed("v1")
+			f.restart(func(i int) bool { return i%2 == 0 })
+			f.load("while they are cut off", 2*time.Second)
+			f.restart(func(i int) bool { return i%2 == 1 })
+			for _, h := range f.hosts {
+				h.mu.Lock()
+				h.storeCut = false
+				h.mu.Unlock()
+			}
+		},
+		"all are lost twice within two seconds": func(f *testFleet) {
+			f.setListed("v1", "v2")
+			f.load("before the losses", 900*time.Millisecond)
+			f.restartAll()
+			f.load("between them", 300*time.Millisecond)
+			f.setListed("v1")
+			f.restartAll()
+		},
+		"they are back while the store is silent": func(f *testFleet) {
+			f.setListed("v1", "v2")
+			f.load("before the loss", 1200*time.Millisecond)
+			f.setListed("v1")
+			f.setStoreDown(true)
+			time.AfterFunc(4*time.Second, func() { f.setStoreDown(false) })
+			f.restartAll()
+		},
+		"they are lost amid the writing of the note": func(f *testFleet) {
+			f.setListed("v1", "v2")
+			f.load("before the loss", f.duration(maxLag, "loss"))
+			f.restartAll()
+			f.setListed("v1")
+		},
+		"the version has returned": func(f *testFleet) {
+			f.setListed("v1", "v2")
+			f.load("before it leaves", 1500*time.Millisecond)
+			f.setListed("v1")
+			f.load("without it", 1500*time.Millisecond)
+			f.setReadOnly(true)
+			time.AfterFunc(3*time.Second, func() { f.setReadOnly(false) })
+			f.setListed("v1", "v2")
+			f.load("after its return", 1200*time.Millisecond)
+			f.setListed("v1")
+			f.restartAll()
+		},
+	} {
+		for seed := range uint64(12) {
+			t.Run(fmt.Sprint(name, ", seed ", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newTestFleet(seed, []int{2, 3, 7}[seed%3], "v1")
+					defer f.stop()
+					f.unnamed = seed%2 == 1
+					play(f)
+					f.load("after it", 10*time.Second)
+					if len(f.wrong) > 0 {
+						t.Errorf("%d streams joined, %d resumed, %d refused: %s", len(f.wrong), f.resumed, f.refused, f.wrong[0])
+					}
+				})
+			})
+		}
+	}
+}
