soak: more callers than slots around the loss of all hosts

The test of joined streams showed the fault of streams that wait only where the machine was busy: 60 callers found a slot at the 64 of one version's engines.

--- a/soak/release_test.go
+++ b/soak/release_test.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	releaseCallers = 60
+	// releaseCallers are more than the engines of one version have slots, so that some streams wait while another version comes.
+	releaseCallers = 100
 	// noteWritten is the time in which hosts that have started together note the version that serves.
 	noteWritten = 3 * time.Second
 	// releaseJudged is how long callers go on after all hosts were killed.
