httpclient: the error of a body that a server takes nothing of names that

Found on reading again: once a part of a body has timed out, the connection is closed, and the log line of the request ("request ended", its sendings' cause) said "use of closed network connection", as if the runner or the host had broken off. The error didn't count as a time-out either.

Change: StalledError, a time-out, names the server and for how long it took nothing.

TestLargeBodiesMayTakeLongWhileTheServerReads asks for it now and failed before in its case of a server that stops reading.

--- a/transport/httpclient/client.go
+++ b/transport/httpclient/client.go
@@ -129,9 +129,10 @@
 	ctx  context.Context
 	addr string
 	conn *conn
-	// writeFailed is set before written ends.
-	writeFailed atomic.Bool
-	br          *bufio.Reader
+	// writeFailed is set before written ends, and stalled before the connection is closed because the server took nothing
+	// of the request in time.
+	writeFailed, stalled atomic.Bool
+	br                   *bufio.Reader
 	// stopWatch ends the watch on ctx; false means that it has cut the connection.
 	stopWatch func() bool
 	// release gives the connection back to the pool, or closes it. It is called
@@ -222,6 +223,7 @@
 		err := x.writeAll(c, req)
 		x.writeFailed.Store(err != nil)
 		if errors.Is(err, os.ErrDeadlineExceeded) && !x.conn.responded.Load() {
+			x.stalled.Store(true)
 			x.conn.abort() // the server waits for the rest, and would not answer
 		}
 	}()
@@ -317,6 +319,9 @@
 	x.conn.abort()
 	x.awaitWriter()
 	sent := x.conn.written.Load() > 0
+	if x.stalled.Load() {
+		err = &StalledError{Addr: x.addr, After: x.conn.opts.WriteTimeout}
+	}
 	x.release(false)
 	return failure(x.ctx, x.addr, sent, err)
 }
--- a/transport/httpclient/errors.go
+++ b/transport/httpclient/errors.go
@@ -28,6 +28,21 @@
 // Timeout reports true.
 func (e *DialTimeoutError) Timeout() bool { return true }
 
+// StalledError says that a connection was closed because the server took nothing of a request for some time. It is no
+// context's error: the caller may still have time for another server.
+type StalledError struct {
+	Addr  string
+	After time.Duration
+}
+
+// Error implements error.
+func (e *StalledError) Error() string {
+	return fmt.Sprintf("%s took nothing of the request for %s; check that the server reads its requests", e.Addr, e.After)
+}
+
+// Timeout reports true.
+func (e *StalledError) Timeout() bool { return true }
+
 // Error says that an attempt gave no usable response.
 type Error struct {
 	Addr string
--- a/transport/httpclient/slowbody_test.go
+++ b/transport/httpclient/slowbody_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -38,6 +39,8 @@
 				began := time.Now()
 				err = c.Do(t.Context(), req, &fasthttp.Response{}, Limits{Timeout: time.Minute, MaxBodyBytes: 1024})
 				took := time.Since(began)
+				var stalled *StalledError
+				is.Equal(errors.As(err, &stalled), stops) // the log names the cause, not the closed connection
 				is.Equal(err != nil, stops)
 				is.True(took > o.WriteTimeout) // 4 s for the whole body
 				if stops {
