httpclient: a response whose status isn't one of HTTP is dropped

Callers saw: a runner answered with the status 000, and its bytes reached the caller as an answer, with status 200.

Cause: fasthttp takes any three digits for a status, and stands 200 for a status of 0. Hosts took the parsed status for granted. 001, 099, 101, 600 and 999 went through as well.

A version other than HTTP/1.x, or a status outside 100 to 599, is an error of the attempt, as is 101, which no request asks for. Why it works: it is the one place where answers of runners, engines and the store are read, so that nothing behind it sees such a status. The request goes on at another runner where it may be repeated, and fails as "may have run" otherwise.

--- a/transport/httpclient/client.go
+++ b/transport/httpclient/client.go
@@ -275,6 +275,9 @@
 	}
 	left := int64(maxStrayBytes)
 	for strays := 0; ; strays++ {
+		if err := awaitHead(x.br); err != nil {
+			return err
+		}
 		if err := resp.ReadLimitBody(x.br, max(1, l.MaxBodyBytes)); err != nil {
 			return err
 		}
--- a/transport/httpclient/client_test.go
+++ b/transport/httpclient/client_test.go
@@ -351,6 +351,13 @@
 		"large body":  "HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n",
 		"large chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n",
 		"not HTTP":    "hello\r\n\r\n",
+		"status 000":  "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+		"status 600":  "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok",
+		"switching":   "HTTP/1.1 101 OK\r\nContent-Length: 2\r\n\r\nok",
+		"long status": "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nok",
+		"version":     "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"empty line":  "\r\n" + okResponse,
+		"interim":     "HTTP/1.1 100 Continue\r\n\r\n",
 	}
 	for name, response := range responses {
 		t.Run(name, func(t *testing.T) {
--- a/transport/httpclient/errors.go
+++ b/transport/httpclient/errors.go
@@ -13,6 +13,30 @@
 // ErrStray says that a connection carried nothing but other requests' responses.
 var ErrStray = errors.New("only responses to other requests came; use another connection")
 
+// errTooManyInterim says that a response consists of interim ones.
+var errTooManyInterim = errors.New("the server sent too many interim responses before its response; check the server")
+
+// MalformedError says that a server sent bytes that are no HTTP/1.1 response.
+type MalformedError struct {
+	// Fault names what is wrong with the head of the response.
+	Fault string
+	// Line is the beginning of the line at fault.
+	Line []byte
+}
+
+// Error implements error.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("the server sent no HTTP/1.1 response: %s in %q; check the server", e.Fault, e.Line)
+}
+
+// HeadTooLongError says that the head of a response doesn't fit into the limit.
+type HeadTooLongError struct{ MaxBytes int }
+
+// Error implements error.
+func (e *HeadTooLongError) Error() string {
+	return fmt.Sprintf("the head of the response is over %d bytes; raise Options.MaxHeaderBytes if the server needs more", e.MaxBytes)
+}
+
 // DialTimeoutError says that a connection could not be made in time. It is no
 // context's error: the caller still has time for another server.
 type DialTimeoutError struct {
