httpclient: a response with a malformed field name is dropped

Callers saw: a runner's answer whose head had a field name with a blank or a control byte, with that line passed on, or with a body that wasn't the runner's: with a name that begins with LF the rest of the head became the body, and "Content-Length : 1" framed it.

Cause: fasthttp keeps names with blanks inside, cuts off blanks behind a name, joins a line that begins with a blank to the one before it, and takes LF alone for the end of a line, and of the head if CRLF CRLF follows anywhere behind it.

Change: the check of the head (httpclient/head.go) asks for names that are tokens (httpguts.ValidHeaderFieldName) and for CRLF at the end of each line. Folded lines are dropped with it, as RFC 9112 (5.2) allows a proxy; LF alone may be accepted by it (2.2), but then the two readers could find different ends of a head.

--- a/transport/httpclient/client_test.go
+++ b/transport/httpclient/client_test.go
@@ -357,6 +357,9 @@
 		"long status": "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nok",
 		"version":     "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
 		"empty line":  "\r\n" + okResponse,
+		"blank name":  "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
+		"folded line": "HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 1\r\nContent-Length: 2\r\n\r\nok",
+		"bare LF":     "HTTP/1.1 200 OK\r\nContent-Length: 2\n\n\r\n\r\n",
 		"interim":     "HTTP/1.1 100 Continue\r\n\r\n",
 	}
 	for name, response := range responses {
--- a/transport/httpclient/head.go
+++ b/transport/httpclient/head.go
@@ -9,13 +9,16 @@
 	"strconv"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 )
 
 // The faults of a head. The library accepts them, and takes some of them for other statuses, fields or bodies than the server
 // may have meant.
 const (
-	faultVersion = "the version isn't HTTP/1.x"
-	faultStatus  = "the status isn't one of HTTP"
+	faultLineEnd   = "a line doesn't end with CRLF"
+	faultVersion   = "the version isn't HTTP/1.x"
+	faultStatus    = "the status isn't one of HTTP"
+	faultFieldName = "the field name isn't a token"
 )
 
 const (
@@ -90,12 +93,19 @@
 
 // addLine checks one line, whose LF is cut off.
 func (h *headCheck) addLine(line []byte) (err error) {
-	line = bytes.TrimSuffix(line, []byte{'\r'})
-	if h.checked == 0 {
+	line, hasCR := bytes.CutSuffix(line, []byte{'\r'})
+	switch {
+	case !hasCR:
+		return malformed(faultLineEnd, line)
+	case h.checked == 0:
 		h.status, err = checkStatusLine(line)
+		return err
+	case len(line) == 0:
+		h.whole = true
+		return nil
+	default:
+		return checkFieldLine(line)
 	}
-	h.whole = h.checked > 0 && len(line) == 0
-	return err
 }
 
 // headError returns the error of a head of which the n-th byte can't be read into a buffer of the given size.
@@ -124,3 +134,13 @@
 	}
 	return status, nil
 }
+
+// checkFieldLine checks the name of a header field. A line that continues the one before has none; a proxy may drop a response
+// with such lines (RFC 9112, section 5.2).
+func checkFieldLine(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte{':'})
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		return malformed(faultFieldName, line)
+	}
+	return nil
+}
