httpclient: a reset that a write meets is no end of a body

Callers saw: a runner answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: a body of 12 KiB and more is written beside the reading of the response. Linux reports a reset once, to whichever call asks first: if that is the write, the read finds the end of the input, as after an end in order. A tunnel's host passed it on as one, too.

Change: a TCP connection that the client makes returns io.EOF only if the kernel still lets this host write; after a reset both directions are closed (POLLHUP). Why it works: the state of the socket doesn't depend on who was told, and the same connections lead to runners from hosts that carry tunnels. A server that closes in order and then resets what it hasn't read of the request counts as one that reset its answer, too; one that only stops sending doesn't.

TestUserTimeoutIsSet asserted the connection's type to get at its descriptor; it asks for the interface now and checks the same.

--- a/transport/httpclient/client_test.go
+++ b/transport/httpclient/client_test.go
@@ -394,7 +394,7 @@
 	x, err := c.acquire(t.Context())
 	is.NoErr(err)
 	defer x.release(false)
-	raw, err := x.conn.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := x.conn.Conn.(syscall.Conn).SyscallConn()
 	is.NoErr(err)
 	is.NoErr(raw.Control(func(fd uintptr) {
 		ms, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
--- a/transport/httpclient/conn_linux.go
+++ b/transport/httpclient/conn_linux.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -71,7 +73,8 @@
 	return nil
 }
 
-// DialTCP makes a TCP connection with the options' LocalIP, KeepAlive, KeepAliveCount and UserTimeout.
+// DialTCP makes a TCP connection with the options' LocalIP, KeepAlive, KeepAliveCount and UserTimeout. Its Read returns io.EOF
+// only if the server has closed the connection in order.
 func (o *Options) DialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
 		KeepAliveConfig: o.keepAlive(),
@@ -80,7 +83,48 @@
 	if o.LocalIP != nil {
 		d.LocalAddr = &net.TCPAddr{IP: o.LocalIP}
 	}
-	return d.DialContext(ctx, "tcp", addr)
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return tcpConn{c.(*net.TCPConn)}, nil
+}
+
+// tcpConn is a TCP connection that tells a reset from an end in order. The kernel reports a reset once: if a write gets the
+// error, a read finds the end of the input.
+type tcpConn struct{ *net.TCPConn }
+
+// Read implements net.Conn.
+func (c tcpConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if err == io.EOF {
+		err = c.endOfInput()
+	}
+	return n, err
+}
+
+// endOfInput returns io.EOF after an end in order. The kernel then still lets this host write; after a reset it has closed both
+// directions, which poll(2) shows as POLLHUP.
+func (c tcpConn) endOfInput() error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	state := []unix.PollFd{{}}
+	polled := raw.Control(func(fd uintptr) {
+		state[0].Fd = int32(fd)
+		_, err = unix.Poll(state, 0)
+	})
+	switch {
+	case polled != nil:
+		return polled
+	case err != nil:
+		return os.NewSyscallError("poll", err)
+	case state[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0:
+		return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: syscall.ECONNRESET}
+	default:
+		return io.EOF
+	}
 }
 
 // Prepare sets the same options on a TCP connection that was accepted. One that has ended fails when it is
--- a/transport/httpclient/stream_test.go
+++ b/transport/httpclient/stream_test.go
@@ -176,3 +176,52 @@
 		})
 	}
 }
+
+// writeFailsFirst is a connection whose second read waits until a write has failed.
+type writeFailsFirst struct {
+	net.Conn
+	reads  int
+	failed chan struct{}
+}
+
+func (c *writeFailsFirst) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		close(c.failed)
+	}
+	return n, err
+}
+
+func (c *writeFailsFirst) Read(p []byte) (int, error) {
+	if c.reads++; c.reads > 1 {
+		<-c.failed
+	}
+	return c.Conn.Read(p)
+}
+
+// Guards against a reset that is told to the writer of the request alone: the reader of an unframed body took the end of the
+// connection for an end in order.
+func TestResetThatAWriteMeetsIsNoEndOfABody(t *testing.T) {
+	is := is.New(t)
+	received := make(chan struct{})
+	addr := listen(t, func(_ int, c *net.TCPConn) {
+		_, _ = bufio.NewReader(c).ReadString('\n')
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nabc")
+		<-received // a reset drops what wasn't read
+		_ = c.SetLinger(0)
+	})
+	o := testOptions(addr)
+	o.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := o.DialTCP(ctx, addr)
+		return &writeFailsFirst{Conn: c, failed: make(chan struct{})}, err
+	}
+	req := request(fasthttp.MethodPost)
+	req.SetBody(make([]byte, 64<<20)) // more than sockets take
+	s, err := newClient(t, o).Stream(t.Context(), req, testLimits)
+	is.NoErr(err)
+	defer s.Cut()
+	close(received)
+	body, err := io.ReadAll(s)
+	is.Equal(string(body), "abc")
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
