origin: a note that is read for a stream is read after the stream is asked for

Cause: streams that are taken up at the same time share a read of the service's note, also one that was under way before they came. Its answer may be older than the note that names the new version, and the one version in it counted as proof.

The harness of the package's tests has hosts that stand still now.

Change: sharedReads in place of singleflight. A caller shares the call that follows the one under way. Why it works: such a call begins after the caller asked, and the store's reads are linearizable.

--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -67,9 +67,11 @@
 	// side is the side of a partition on which the host is; storeCut cuts it off from the store.
 	side     int
 	storeCut bool
-	up       bool
-	run      int
-	listed   []string
+	// wakesAt is when the host's process runs again after it has stood still.
+	wakesAt time.Time
+	up      bool
+	run     int
+	listed  []string
 	// provenAt is when the list was the store's.
 	provenAt time.Time
 	table    *Table
@@ -184,6 +186,7 @@
 			listed, at := slices.Clone(h.f.listed), time.Now()
 			h.f.mu.Unlock()
 			time.Sleep(h.f.duration(maxLag/2, h.addr, "answer"))
+			h.awaitWake()
 			h.mu.Lock()
 			changed := !slices.Equal(h.listed, listed)
 			h.listed, h.provenAt = listed, at
@@ -230,6 +233,26 @@
 	return h.up
 }
 
+// standStill stops the host's process for a duration. What arrives meanwhile is read when it runs again.
+func (h *testHost) standStill(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.wakesAt = time.Now().Add(d)
+}
+
+// awaitWake returns once the host's process runs.
+func (h *testHost) awaitWake() {
+	for {
+		h.mu.Lock()
+		left := time.Until(h.wakesAt)
+		h.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
+}
+
 func (h *testHost) kill() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -387,8 +410,9 @@
 	s.h.f.reads.Add(1)
 	time.Sleep(storeDelay)
 	s.h.f.mu.Lock()
-	defer s.h.f.mu.Unlock()
 	o, found := s.h.f.notes[name]
+	s.h.f.mu.Unlock()
+	s.h.awaitWake()
 	if !found {
 		return store.Object{}, store.ErrNotFound
 	}
@@ -441,12 +465,17 @@
 	side, up := p.from.side, p.from.up
 	p.from.mu.Unlock()
 	target.mu.Lock()
-	reached := up && target.up && target.side == side
+	reached, wakesAt := up && target.up && target.side == side, target.wakesAt
 	target.mu.Unlock()
 	if !reached {
 		<-ctx.Done()
 		return errLost
 	}
+	if left := time.Until(wakesAt); left > 0 {
+		time.AfterFunc(left, func() { handle(target) })
+		<-ctx.Done()
+		return errLost
+	}
 	handle(target)
 	time.Sleep(f.duration(maxDelay, p.from.addr, addr, "back"))
 	return nil
--- a/coordination/origin/ledger.go
+++ b/coordination/origin/ledger.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/singleflight"
-
 	"github.com/thymerack/thymerack/coordination/store"
 	"github.com/thymerack/thymerack/state"
 )
@@ -68,7 +66,7 @@
 	o    LedgerOptions
 	wake chan struct{}
 	// reads are the reads of notes under way, by service.
-	reads singleflight.Group
+	reads sharedReads
 	// compared are the last comparisons by service. Only Run uses them.
 	compared map[string]comparison
 	noted    notedVersions
@@ -216,27 +214,23 @@
 }
 
 // Read returns the versions that are noted for a service, or store.ErrNotFound if nobody has noted them yet. Reads of
-// a service at the same time share one call: callers take their streams up all at once when hosts were killed.
+// a service at the same time share calls: callers take their streams up all at once when hosts were killed.
 func (l *Ledger) Read(ctx context.Context, service string) ([]string, error) {
-	shared := l.reads.DoChan(service, func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
-		defer cancel()
-		epoch := l.o.Epoch()
-		object, err := l.o.Store.Get(ctx, Kind, service)
-		if err != nil {
-			return nil, err
-		}
-		versions, err := decodeNote(object.Value)
-		if err == nil {
-			l.setNoted(service, object.Version, epoch, versions)
-		}
-		return versions, err
-	})
-	select {
-	case r := <-shared:
-		versions, _ := r.Val.([]string)
-		return versions, r.Err
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	return l.reads.do(ctx, service, func() ([]string, error) { return l.readNote(service) })
+}
+
+// readNote reads a service's note from the store.
+func (l *Ledger) readNote(service string) ([]string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	epoch := l.o.Epoch()
+	object, err := l.o.Store.Get(ctx, Kind, service)
+	if err != nil {
+		return nil, err
+	}
+	versions, err := decodeNote(object.Value)
+	if err == nil {
+		l.setNoted(service, object.Version, epoch, versions)
 	}
+	return versions, err
 }
--- a/coordination/origin/ledger_test.go
+++ b/coordination/origin/ledger_test.go
@@ -158,3 +158,45 @@
 		is.Equal(noted, []string{"v2"})
 	})
 }
+
+// Guards against a note that was read before it was asked for: a host stands still amid a read, a version comes meanwhile, and a
+// stream that is taken up at the host as it wakes shares the read.
+func TestNoteIsReadAfterItIsAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(9, 7, "v1")
+		defer f.stop()
+		h := f.hosts[0]
+		ledger := h.registry.o.Ledger
+		go func() { _, _ = ledger.Read(t.Context(), service) }()
+		time.Sleep(storeDelay / 2)
+		h.standStill(2 * maxLag)
+		f.setListed("v1", "v2")
+		time.Sleep(2*maxLag - storeDelay)
+		is.Equal(f.hosts[1].registry.o.Ledger.Noted(service), []string{"v1", "v2"})
+		noted, err := ledger.Read(t.Context(), service)
+		is.NoErr(err)
+		is.Equal(noted, []string{"v1", "v2"})
+	})
+}
+
+// Guards against a read of the store for each stream that callers take up at once.
+func TestReadsOfANoteAreShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(9, 1, "v1")
+		defer f.stop()
+		before := f.reads.Load()
+		var group sync.WaitGroup
+		for range 100 {
+			time.Sleep(storeDelay / 100)
+			group.Go(func() {
+				noted, err := f.hosts[0].registry.o.Ledger.Read(t.Context(), service)
+				is.NoErr(err)
+				is.Equal(noted, []string{"v1"})
+			})
+		}
+		group.Wait()
+		is.True(f.reads.Load()-before <= 3)
+	})
+}
