forward, origin: only the run that brings a stream's first event is recorded

Cause: a record was written before each attempt at a runner, and one of a later attempt replaced it only where it arrived.

Change: the record is written once the first event has come, before the caller gets it; the wait for its replicas (30 ms at most) was there before, but began when the request was sent. Why it works: a record that exists names the version whose events the caller has, so that it doesn't matter which replicas missed others. Streams that are refused or retried cost no messages any more.

--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -31,8 +31,6 @@
 	a.Backup = d.backupEngine(a.Request, a.Instance, rec.tried)
 	a.TimeLeft = d.timeLeft(a.Request)
 	started := d.o.Clock.Now()
-	beginning := d.beginStream(a, rec)
-	begun := rec.beginnings
 	attemptCtx, firstWatch := d.watchFirstEvent(ctx, a, rec, source)
 	resp, err := d.send(attemptCtx, a, rec)
 	took := d.o.Clock.Now().Sub(started)
@@ -45,14 +43,7 @@
 	head := resp.Head()
 	if head.EventStream && head.Status < firstErrorStatus && !head.NotRun {
 		rec.mayHaveRun = true
-		answer, result := d.openStream(ctx, a, runner, rec, resp, sent, started, firstWatch)
-		if answer != nil && answer.Stream.a == a && rec.beginnings > begun {
-			beginning = d.beginStream(a, rec) // others have begun it meanwhile
-		}
-		if answer != nil {
-			beginning.Wait(ctx)
-		}
-		return answer, result
+		return d.openStream(ctx, a, runner, rec, resp, sent, started, firstWatch)
 	}
 	if head.NotRun {
 		resp.Finish()
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -204,6 +204,9 @@
 		grant.Refund()
 	}
 	d.discardKV(r, rec)
+	if answer != nil && answer.Stream != nil {
+		d.beginStream(ctx, answer.Stream)
+	}
 	if answer != nil && (answer.Stream != nil || answer.Long != nil) {
 		return answer, nil // logged at its end
 	}
--- a/coordination/forward/record.go
+++ b/coordination/forward/record.go
@@ -112,8 +112,6 @@
 	notedOnly bool
 	// mayBeUnnoted is set once the stream has waited for a noted version in vain.
 	mayBeUnnoted bool
-	// beginnings counts the attempts that were to begin a stream.
-	beginnings int
 	// lastEnd is how the last body ended that was read to its end; "" if there was none.
 	lastEnd BodyEnd
 	// tunnels are those by which attempts were sent through other hosts.
@@ -128,9 +126,9 @@
 }
 
 // counts are the counts of a record.
-type counts struct{ attempts, deliveries, charged, beginnings int }
+type counts struct{ attempts, deliveries, charged int }
 
-func (r *record) counts() counts { return counts{r.attempts, r.deliveries, r.charged, r.beginnings} }
+func (r *record) counts() counts { return counts{r.attempts, r.deliveries, r.charged} }
 
 // fork returns a record for attempts that are made while the present one, which has been counted, is in progress. It
 // is used by another goroutine until merge.
@@ -149,7 +147,6 @@
 	r.attempts += f.attempts - f.inherited.attempts
 	r.deliveries += f.deliveries - f.inherited.deliveries
 	r.charged += f.charged - f.inherited.charged
-	r.beginnings += f.beginnings - f.inherited.beginnings
 	f.inherited, f.steps, f.tunnels = f.counts(), nil, nil
 	for _, id := range f.tried {
 		if !slices.Contains(r.tried, id) {
--- a/coordination/forward/version.go
+++ b/coordination/forward/version.go
@@ -13,8 +13,8 @@
 
 // Origins knows which version of its runner's software began each stream.
 type Origins interface {
-	// Begin remembers a stream that is about to begin. The result's Wait is called before the caller gets the
-	// first event.
+	// Begin remembers a stream whose first event has come. The result's Wait is called before the caller gets that
+	// event.
 	Begin(r origin.Record) *origin.Writing
 	// Version returns the version that began a stream, or an *origin.UnknownError.
 	Version(ctx context.Context, q origin.Query) (string, error)
@@ -74,14 +74,14 @@
 	}
 }
 
-// beginStream remembers the version at which a stream is about to begin.
-func (d *Dispatcher) beginStream(a *Attempt, rec *record) *origin.Writing {
-	r := a.Request
-	if r.Route.Kind != state.RouteStream || a.Instance.Version == "" {
-		return nil
+// beginStream remembers the version that has brought the first event of a stream, before the caller gets it. Runs that brought none
+// leave no record: a replica that missed the record of a later run would have the stream go on at the wrong version.
+func (d *Dispatcher) beginStream(ctx context.Context, s *Stream) {
+	r, version := s.a.Request, s.a.Instance.Version
+	if r.Route.Kind != state.RouteStream || version == "" {
+		return
 	}
-	rec.beginnings++
-	return d.o.Origins.Begin(origin.Record{ID: r.ID, Service: r.Service, Version: a.Instance.Version, Attempt: rec.beginnings})
+	d.o.Origins.Begin(origin.Record{ID: r.ID, Service: r.Service, Version: version, Attempt: s.rec.attempts}).Wait(ctx)
 }
 
 // pool returns the runners that may run the request: those of its service until the first event, of noted versions alone if it is
--- a/coordination/forward/versions_test.go
+++ b/coordination/forward/versions_test.go
@@ -170,6 +170,30 @@
 	is.Equal(w.origins.began[r.ID], origin.Record{ID: r.ID, Service: "model", Version: w.up.attempts[1].Instance.Version, Attempt: 2})
 }
 
+// Guards against a record of a run that gave no event: a replica that missed the later record, since it was cut off or stood still, would
+// have the stream go on at the version of that run.
+func TestRunsWithoutAnEventLeaveNoRecord(t *testing.T) {
+	for name, first := range map[string]reply{
+		"not run": {status: 503, notRun: true}, "broke off": {err: errSent}, "nothing was sent": {err: errUnsent},
+		"ended before its first event": {status: 200, events: true, body: ": c\n\n", readErr: ErrUnframed}, "inside its first event": {status: 200, events: true, body: "id: 1\n", readErr: errSent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, plenty, first, reply{status: 200, events: true, body: "id: 1\ndata: a\n\n"})
+			w.listVersions(map[string]int{"v1": 1, "v1.1": 1})
+			o := &recordingOrigins{fakeOrigins: w.origins}
+			w.o.Origins = o
+			answer, err := w.Forward(t.Context(), modelRequest(500, true))
+			is.NoErr(err)
+			_, err = readAll(answer.Stream)
+			is.NoErr(err)
+			is.Equal(len(w.up.attempts), 2)
+			is.Equal(len(o.records), 1)
+			is.Equal(o.records[0].Version, w.up.attempts[1].Instance.Version)
+		})
+	}
+}
+
 // Guards against a stream that goes on at a later run of a runner under the same name, which may have another version: the
 // run is asked first.
 func TestStreamGoesOnAtTheRunThatIsListed(t *testing.T) {
--- a/coordination/origin/registry.go
+++ b/coordination/origin/registry.go
@@ -15,7 +15,7 @@
 	// ReplicaCount is the number of replicas of each record: of three, one may be lost.
 	ReplicaCount = 3
 	// writeTimeout bounds the time that the first event of a stream waits for its replicas: ten round trips
-	// between failure domains. Mostly they answer while the runner computes that event.
+	// between failure domains.
 	writeTimeout = 30 * time.Millisecond
 	// askTimeout bounds a call that asks a replica, and copyTimeout one that sends it the records of a host.
 	askTimeout  = 80 * time.Millisecond
@@ -125,7 +125,7 @@
 	done chan bool
 }
 
-// Begin remembers a stream that is about to begin, and writes it to the replicas if its service has had several
+// Begin remembers a stream whose first event has come, and writes it to the replicas if its service has had several
 // versions. Wait must be called before the caller gets the first event.
 func (r *Registry) Begin(rec Record) *Writing {
 	r.o.Table.Put(rec)
--- a/coordination/origin/table.go
+++ b/coordination/origin/table.go
@@ -16,7 +16,7 @@
 	// ID is the ID of the caller's attempt that brought the first event.
 	ID, Service, Version string
 	// Attempt counts the host's attempts at runners for that ID. A later one replaces an earlier one, which
-	// brought no event.
+	// brought no event; hosts of earlier releases write those as well.
 	Attempt int
 }
 
