origin: a test of hosts that stand still while versions come and go

TestNoStreamGoesOnAtAnotherVersionAfterAHostStoodStill: 3 and 7 hosts, six seeds each, with partitions and a store in trouble. No stream goes on at another version.

--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -291,6 +291,7 @@
 // begin begins a stream at a host, at a version of its list that still has runners: those that leave serve for a while.
 func (f *testFleet) begin(id string) {
 	h := f.anyHost(id, "host")
+	h.awaitWake()
 	h.mu.Lock()
 	registry, listed, run := h.registry, h.listed, h.run
 	h.mu.Unlock()
@@ -350,6 +351,7 @@
 // tryResume takes a stream up at any host. It is false if that refused.
 func (f *testFleet) tryResume(caller string, s testStream) bool {
 	h := f.anyHost(caller, "host")
+	h.awaitWake()
 	h.mu.Lock()
 	registry, run, ready := h.registry, h.run, h.up && len(h.listed) > 0
 	h.mu.Unlock()
@@ -550,6 +552,12 @@
 	}
 }
 
+// pauseHost has a host stand still for some seconds.
+func (f *testFleet) pauseHost() {
+	time.Sleep(f.duration(4*time.Second, "host stands still"))
+	f.anyHost("stands still").standStill(f.duration(4*time.Second, "host wakes"))
+}
+
 // disturbStore has the store down for some seconds, or refuse writes.
 func (f *testFleet) disturbStore() {
 	time.Sleep(f.duration(20*time.Second, "store goes down"))
--- a/coordination/origin/origin_test.go
+++ b/coordination/origin/origin_test.go
@@ -39,6 +39,31 @@
 	}
 }
 
+// Guards against a stream that goes on at another version at a host that is out of step: it stood still, or was cut off, while
+// versions came and went.
+func TestNoStreamGoesOnAtAnotherVersionAfterAHostStoodStill(t *testing.T) {
+	for _, n := range []int{3, 7} {
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprint(n, " hosts, seed ", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newTestFleet(seed, n, "v1")
+					end := repeat(f.rollOut, f.pauseHost, f.pauseHost, f.partition, f.disturbStore)
+					f.load("s", 2*time.Minute)
+					end()
+					f.stop()
+					for _, w := range f.wrong {
+						t.Error(w)
+					}
+					t.Logf("%d went on, %d refused", f.resumed, f.refused)
+					if f.resumed < f.refused/2 {
+						t.Errorf("%d streams went on, %d were refused", f.resumed, f.refused)
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against a service that counts as one of a single version because no host lives that saw two: a version comes and the
 // other goes while all hosts are cut off from the store, and they restart before they reach it.
 func TestVersionThatNoLivingHostHasSeenIsKnown(t *testing.T) {
