gateway: a leaving host refuses a request whose body comes too late

Callers could see, in a planned stop of their host: a request whose head came early in the grace period and whose body came late was passed on, and cut at the end of the grace, also where it may run once (LOST).

Cause: whether a request may last beyond the end was decided once, by the time at which its head came, before its body was read.

Change: the same question is asked again once the body is there, by the present time; the request is refused as not run then, with Retry-After, and its memory is released. Requests whose whole head comes late were refused before: TestLeavingServerRefusesWhatItCannotFinish. go test -race ./transport/gateway passes.

--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -206,7 +206,7 @@
 	r.Contention = table.Class(r.Service, r.Route, r.Customer)
 	r.Deadline = arrived.Add(shortest(left, r.Route.Timeout))
 	if s.tooLate(r) {
-		s.reject(ctx, r, "leaving", fasthttp.StatusServiceUnavailable, "this host is about to stop and did not run the request; send it again")
+		s.rejectTooLate(ctx, r)
 		return
 	}
 	body, err := s.readBody(ctx, r, s.bodyLimit(table.Config))
@@ -214,6 +214,11 @@
 		s.bodyFailed(ctx, r, err)
 		return
 	}
+	if s.tooLate(r) { // the reading of the body may have taken long
+		body.Release()
+		s.rejectTooLate(ctx, r)
+		return
+	}
 	s.forward(ctx, r, body)
 }
 
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -274,6 +276,50 @@
 	is.True((<-ended).Sub(left) < 450*time.Millisecond) // the platform allows half a second
 }
 
+// Guards against a request that is passed on late in the grace period, since its head came early, and is cut at the end.
+func TestLeavingServerRefusesBodiesThatCannotBeServedToTheEnd(t *testing.T) {
+	body := strings.Repeat("b", 2*prefetchBytes)
+	for name, c := range map[string]struct {
+		head, first, rest string
+	}{
+		"length": {fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)), body[:prefetchBytes+1], body[prefetchBytes+1:]},
+		"chunks": {"Transfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n", len(body)), body + "\r\n0\r\n\r\n"},
+	} {
+		for end, want := range map[time.Duration]int{2 * time.Second: 503, time.Minute: 200} { // the route's time is 5 s
+			t.Run(fmt.Sprint(name, ", ", want), func(t *testing.T) {
+				is := is.New(t)
+				var dispatched atomic.Int64
+				s, addr := serve(t, func(ctx context.Context, r *forward.Request) (*forward.Answer, error) {
+					dispatched.Add(1)
+					return echo(ctx, r)
+				})
+				conn, br := dial(t, addr)
+				_, err := io.WriteString(conn, "POST /p/x HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\n"+c.head+c.first)
+				is.NoErr(err)
+				eventually(t, "the body is read", func() bool { return s.readingBodies() == 1 })
+				s.Leave(Departure{TurnedAway: time.Now(), End: time.Now().Add(end)})
+				_, err = io.WriteString(conn, c.rest)
+				is.NoErr(err)
+				var resp fasthttp.Response
+				is.NoErr(resp.Read(br))
+				is.Equal(resp.StatusCode(), want)
+				is.Equal(dispatched.Load() == 1, want == 200)
+				is.Equal(len(resp.Header.Peek("Retry-After")) > 0, want == 503)
+				eventually(t, "the body's memory is released", func() bool { return s.o.Bodies.Held() == 0 })
+			})
+		}
+	}
+}
+
+// readingBodies counts the bodies that are being read.
+func (s *Server) readingBodies() (n int) {
+	s.reading.Range(func(any, any) bool {
+		n++
+		return true
+	})
+	return n
+}
+
 func TestLeavingServerRefusesWhatItCannotFinish(t *testing.T) {
 	is := is.New(t)
 	dispatched := 0
