routed: a request that arrives after the last look at those in progress is answered

Callers could see, in a planned stop of their host in calm: a request that was passed on and cut, with 502, since it came between the moment at which no request was in progress and the end of the listener (LOST).

Cause: the drain ended on a count that was zero a moment before, while requests were still taken.

Change: new requests are refused as not run first, then the count is looked at again; those from before are waited for. Why it works: a request is counted before it is asked whether it comes too late, so that each is either seen by the second look or refused.

Evidence: TestRequestArrivingAfterTheLastLookIsAnswered; without the second look it fails. go test ./daemon/routed passes.

--- a/daemon/routed/drain.go
+++ b/daemon/routed/drain.go
@@ -19,6 +19,8 @@
 	// flush performs the remaining work before the host ends, such as sending its last counts. It
 	// may block for a short time.
 	flush func()
+	// refuseNew has requests that come from now on refused as not run.
+	refuseNew func()
 }
 
 // wait blocks until no request is in progress and flush has returned, or until the timeout, and
@@ -37,7 +39,15 @@
 			continue
 		}
 		d.flush()
-		if over || d.active() == 0 {
+		if over {
+			return waited
+		}
+		if d.active() > 0 {
+			continue
+		}
+		// A request that came before refuseNew took effect is counted by now, and is answered.
+		d.refuseNew()
+		if d.active() == 0 {
 			return waited
 		}
 	}
--- a/daemon/routed/drain_test.go
+++ b/daemon/routed/drain_test.go
@@ -20,7 +20,7 @@
 		var active atomic.Int64
 		flushes := 0
 		d := drainer{
-			clock: clocktest.Bubble{}, timeout: 7 * time.Second, active: active.Load, closeUnused: func() {},
+			clock: clocktest.Bubble{}, timeout: 7 * time.Second, active: active.Load, closeUnused: func() {}, refuseNew: func() {},
 			flush: func() {
 				flushes++
 				if flushes > 1 {
@@ -44,8 +44,31 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		flushes := 0
-		d := drainer{clock: clocktest.Bubble{}, timeout: 7 * time.Second, active: func() int64 { return 1 }, closeUnused: func() {}, flush: func() { flushes++ }}
+		d := drainer{clock: clocktest.Bubble{}, timeout: 7 * time.Second, active: func() int64 { return 1 }, closeUnused: func() {}, flush: func() { flushes++ }, refuseNew: func() {}}
 		is.True(d.wait() < 7*time.Second+2*drainPollInterval)
 		is.Equal(flushes, 1)
 	})
 }
+
+// Guards against a request that arrives after the last look at those in progress, is forwarded, and is cut by the end of the host:
+// requests are refused from some moment on, and those from before it are answered.
+func TestRequestArrivingAfterTheLastLookIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var active atomic.Int64
+		refused := 0
+		d := drainer{
+			clock: clocktest.Bubble{}, timeout: 7 * time.Second, active: active.Load, closeUnused: func() {}, flush: func() {},
+			refuseNew: func() {
+				if refused++; refused == 1 {
+					active.Add(1) // it arrived just before
+					time.AfterFunc(300*time.Millisecond, func() { active.Add(-1) })
+				}
+			},
+		}
+		waited := d.wait()
+		is.Equal(active.Load(), int64(0))
+		is.Equal(refused, 2)
+		is.True(waited >= minUnreadyTime+300*time.Millisecond)
+	})
+}
--- a/daemon/routed/run.go
+++ b/daemon/routed/run.go
@@ -70,7 +70,8 @@
 	h.gateway.Leave(gateway.Departure{TurnedAway: began.Add(balancerRemovalDelay), End: began.Add(end)})
 	d := drainer{
 		clock: h.clock, timeout: end, active: func() int64 { return h.gateway.Active() + int64(h.tunnels.Busy()) }, closeUnused: h.gateway.CloseUnused,
-		flush: func() { h.flushUsage(ctx) },
+		flush:     func() { h.flushUsage(ctx) },
+		refuseNew: func() { h.gateway.Leave(gateway.Departure{TurnedAway: h.clock.Now(), End: h.clock.Now()}) },
 	}
 	waited := d.wait()
 	h.log.Info("left", "waited", waited, "open", h.gateway.Active())
