httpclient: a response of doubtful framing is dropped

Callers could see: an answer in HTTP/1.0 with "Transfer-Encoding: chunked", whose chunks' lines were passed on as its body; an answer with chunks and a length, of which only the chunks counted. Found by looking at the other places that decide what an answer's body is.

Cause: fasthttp ignores the transfer encoding of any version but 1.1, and the length beside chunks. RFC 9112 asks for the first to be treated as faulty (6.1), and says of the second that it ought to be handled as an error (6.3).

Evidence: TestAnswersOfDoubtfulFramingAreDropped: 30 of 132 cases failed on, those of these two kinds; the others (lengths, encodings and chunks that are malformed) were dropped before.

Change: the check of the head drops both. All 132 pass.

--- a/transport/httpclient/head.go
+++ b/transport/httpclient/head.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/net/http/httpguts"
@@ -19,6 +20,7 @@
 	faultVersion   = "the version isn't HTTP/1.x"
 	faultStatus    = "the status isn't one of HTTP"
 	faultFieldName = "the field name isn't a token"
+	faultEncoding  = "a transfer encoding comes with a length, or not in HTTP/1.1"
 )
 
 const (
@@ -72,6 +74,8 @@
 	// checked is the length of the lines that have been checked, in bytes.
 	checked int
 	status  int
+	// isHTTP11, hasLength and hasEncoding tell how the body is framed.
+	isHTTP11, hasLength, hasEncoding bool
 	// whole is set once the empty line at the end has come.
 	whole bool
 }
@@ -98,16 +102,34 @@
 	case !hasCR:
 		return malformed(faultLineEnd, line)
 	case h.checked == 0:
+		h.isHTTP11 = bytes.HasPrefix(line, []byte("HTTP/1.1 "))
 		h.status, err = checkStatusLine(line)
 		return err
 	case len(line) == 0:
 		h.whole = true
 		return nil
 	default:
-		return checkFieldLine(line)
+		return h.addField(line)
 	}
 }
 
+// addField checks the name of a header field, and whether the body's framing is beyond doubt: two readers could take chunks with
+// a length, or in another version, for different bodies (RFC 9112, sections 6.1 and 6.3). A line that continues the one before has no
+// name; a proxy may drop a response with such lines (section 5.2).
+func (h *headCheck) addField(line []byte) error {
+	field, _, found := bytes.Cut(line, []byte{':'})
+	name := string(field)
+	if !found || !httpguts.ValidHeaderFieldName(name) {
+		return malformed(faultFieldName, line)
+	}
+	h.hasLength = h.hasLength || strings.EqualFold(name, fasthttp.HeaderContentLength)
+	h.hasEncoding = h.hasEncoding || strings.EqualFold(name, fasthttp.HeaderTransferEncoding)
+	if h.hasEncoding && (h.hasLength || !h.isHTTP11) {
+		return malformed(faultEncoding, line)
+	}
+	return nil
+}
+
 // headError returns the error of a head of which the n-th byte can't be read into a buffer of the given size.
 func headError(err error, n, size int) error {
 	switch {
@@ -134,13 +156,3 @@
 	}
 	return status, nil
 }
-
-// checkFieldLine checks the name of a header field. A line that continues the one before has none; a proxy may drop a response
-// with such lines (RFC 9112, section 5.2).
-func checkFieldLine(line []byte) error {
-	name, _, found := bytes.Cut(line, []byte{':'})
-	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
-		return malformed(faultFieldName, line)
-	}
-	return nil
-}
