--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -42,6 +42,8 @@
 	silent bool
 	// endless has runners send answers without end, and links to the store lose what is sent.
 	endless bool
+	// malformed has runners send bytes that are no answers.
+	malformed bool
 	// large adds callers that send bodies at the limit over kept connections, and kills hosts one at a time more often.
 	large bool
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,6 +27,7 @@
 	deadly    = flag.Bool("soak.parts", false, "let requests come that end whatever runs them because of one part of their prompts")
 	quiet     = flag.Bool("soak.silent", false, "have runners fall silent for a second in series and go on, beside changes of time-outs and limits")
 	noEnd     = flag.Bool("soak.endless", false, "have runners send answers without end, and links to the store lose what is sent")
+	noAnswers = flag.Bool("soak.malformed", false, "have runners send bytes that are no answers, or whose framing is in doubt")
 	bigBodies = flag.Bool("soak.large", false, "have callers send bodies at the limit over kept connections, and kill hosts one at a time more often")
 	keep      = flag.String("soak.keep", "", "folder for the logs of seeds that fail")
 )
@@ -54,7 +55,7 @@
 }
 
 // with is what a seed is played with, beside what happens to all.
-type with struct{ fatal, asking, restored, leaving, partitioned, unframed, versions, silent, parts, endless, large bool }
+type with struct{ fatal, asking, restored, leaving, partitioned, unframed, versions, silent, parts, endless, malformed, large bool }
 
 // largeHosts are the hosts of fleets whose callers send large bodies: two, so that each takes over all callers of the other.
 const largeHosts = 2
@@ -68,7 +69,7 @@
 	if w.silent {
 		callers *= silentCallers
 	}
-	problems, log, err := play(options{seed: seed, hosts: hosts, callers: callers, length: *length, bin: bin, dir: dir, fatal: w.fatal, asking: w.asking, restored: w.restored, leaving: w.leaving, partitioned: w.partitioned, unframed: w.unframed, versions: w.versions, silent: w.silent, parts: w.parts, endless: w.endless, large: w.large})
+	problems, log, err := play(options{seed: seed, hosts: hosts, callers: callers, length: *length, bin: bin, dir: dir, fatal: w.fatal, asking: w.asking, restored: w.restored, leaving: w.leaving, partitioned: w.partitioned, unframed: w.unframed, versions: w.versions, silent: w.silent, parts: w.parts, endless: w.endless, malformed: w.malformed, large: w.large})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -126,6 +127,17 @@
 	}
 }
 
+// Runners send bytes that are no answers; callers get none of them as an answer.
+func TestSoakMalformedAnswers(t *testing.T) {
+	bin := build(t)
+	for _, seed := range []uint64{8102} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playSeed(t, bin, seed, with{malformed: true})
+		})
+	}
+}
+
 // Callers send bodies at the limit over kept connections while hosts are killed, so that the callers of each move to the
 // others; no host takes more memory than its machine has.
 func TestSoakLargeBodies(t *testing.T) {
@@ -240,7 +252,7 @@
 		seed := *firstSeed + uint64(n)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			playSeed(t, bin, seed, with{*fatal, *asked, *restore, *leave, *cut, *noFraming, *rollouts, *quiet, *deadly, *noEnd, *bigBodies})
+			playSeed(t, bin, seed, with{*fatal, *asked, *restore, *leave, *cut, *noFraming, *rollouts, *quiet, *deadly, *noEnd, *noAnswers, *bigBodies})
 		})
 	}
 }
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -211,6 +211,12 @@
 	}),
 }
 
+// malformed has a runner send bytes that are no answers.
+var malformed = atRunner("runner sends no answers", func(r *runner, _ *rand.Rand) func() {
+	r.SetFault(platformtest.RunnerMalformed)
+	return func() { r.SetFault(platformtest.RunnerSound) }
+})
+
 // unframed has a runner end its answers with their connections, and break some off so.
 var unframed = action{name: "runner answers without framing", runners: true, do: lasting("", func(f *fleet, rng *rand.Rand) func() {
 	r := f.present(rng)
@@ -240,6 +246,9 @@
 	if f.o.endless {
 		may = slices.Concat(may, slices.Repeat(endless, len(actions)/4))
 	}
+	if f.o.malformed {
+		may = slices.Concat(may, slices.Repeat([]action{malformed}, len(actions)/2))
+	}
 	if f.o.large {
 		may = slices.Concat(may, slices.Repeat([]action{hostKilled}, len(actions)/2))
 	}
