--- a/coordination/origin/fleet_test.go
+++ b/coordination/origin/fleet_test.go
@@ -495,12 +495,16 @@
 }
 
 func (p testPeers) Find(ctx context.Context, addr string, q Query) (out Finding, err error) {
+	found := make(chan Finding, 1) // nobody reads it if the host wakes too late
 	err = p.call(ctx, addr, func(h *testHost) {
 		h.mu.Lock()
 		registry := h.registry
 		h.mu.Unlock()
-		out = registry.Find(q)
+		found <- registry.Find(q)
 	})
+	if err == nil {
+		out = <-found
+	}
 	return out, err
 }
 
