soak, KNOWN-RED: streams joined once after all hosts were killed, and what the test's log now tells

The test is unchanged but for a line that tells what the store has noted before its disturbance. With it: v1 has no note in some plays. The hosts' logs of such a play: the list of runners comes from the store's stale copy 1.5 s after the start and proves nothing; the first note is written 1.8 s later, with the first answer to a watch, and streams waited for as long. If the store refuses writes from 3 s on, streams begin at versions without a note 2 s after the list. Not fixed here; listed.

--- a/soak/release_test.go
+++ b/soak/release_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/thymerack/thymerack/coordination/origin"
 	"github.com/thymerack/thymerack/platform/platformtest"
 )
 
@@ -93,6 +94,7 @@
 		callers.Go(func() { c.runStreams(stop) })
 	}
 	time.Sleep(noteWritten)
+	t.Logf("noted before the disturbance: %s", f.store.Spec(origin.Kind, platformtest.ServiceEngines))
 	if err := disturb(f); err != nil {
 		t.Error(err)
 	}
